--- /dev/null
+++ b/bluebellthread/core/__init__.py
@@ -0,0 +1,109 @@
+"""Decisions without input or output: events in, commands out.
+
+Nothing here reads a clock, opens a socket or draws from global
+randomness; the time and a generator are passed in.
+"""
+
+from bluebellthread.core._configuration import Configuration
+from bluebellthread.core._configuration import Model
+from bluebellthread.core._configuration import Region
+from bluebellthread.core._configuration import Route
+from bluebellthread.core._configuration import Scope
+from bluebellthread.core._configuration import ScopedException
+from bluebellthread.core._configuration import Service
+from bluebellthread.core._configuration import Values
+from bluebellthread.core._errors import BluebellthreadError
+from bluebellthread.core._errors import DuplicateNameError
+from bluebellthread.core._errors import UnknownNameError
+from bluebellthread.core._messages import Done
+from bluebellthread.core._messages import PermitCancelled
+from bluebellthread.core._messages import PermitGranted
+from bluebellthread.core._messages import PermitProgressed
+from bluebellthread.core._messages import PermitRefused
+from bluebellthread.core._messages import PermitReleased
+from bluebellthread.core._messages import PermitRequest
+from bluebellthread.core._messages import PermitsRegistered
+from bluebellthread.core._messages import Rejected
+from bluebellthread.core._messages import RequestFound
+from bluebellthread.core._messages import RequestLookup
+from bluebellthread.core._messages import StatusAnswer
+from bluebellthread.core._messages import StatusRequest
+from bluebellthread.core._model import BackendServer
+from bluebellthread.core._model import count_pieces
+from bluebellthread.core._model import estimate_tokens
+from bluebellthread.core._model import LoadReport
+from bluebellthread.core._model import Member
+from bluebellthread.core._model import MembershipView
+from bluebellthread.core._model import Permit
+from bluebellthread.core._model import PoolKey
+from bluebellthread.core._model import ROLE_DECODE
+from bluebellthread.core._model import ROLE_PREFILL
+from bluebellthread.core._model import ROLE_SERVICE
+from bluebellthread.core._ownership import choose_owner
+from bluebellthread.core._ownership import rank_by_rendezvous
+from bluebellthread.core._policies import decode_policies
+from bluebellthread.core._policies import prefill_policies
+from bluebellthread.core._policies import queue_policies
+from bluebellthread.core._policies import spill_policies
+from bluebellthread.core._registry import Registry
+from bluebellthread.core._scheduler import Scheduler
+from bluebellthread.core._scheduler import SchedulerOptions
+from bluebellthread.core._scheduler_events import CancelAtEngine
+from bluebellthread.core._scheduler_events import CancelConfirmed
+from bluebellthread.core._scheduler_events import GatewaysChanged
+from bluebellthread.core._scheduler_events import SendToGateway
+from bluebellthread.core._scheduler_events import ServersChanged
+from bluebellthread.core._scheduler_events import Tick
+
+__all__ = [
+    'BackendServer',
+    'BluebellthreadError',
+    'CancelAtEngine',
+    'CancelConfirmed',
+    'Configuration',
+    'Done',
+    'DuplicateNameError',
+    'GatewaysChanged',
+    'LoadReport',
+    'Member',
+    'MembershipView',
+    'Model',
+    'Permit',
+    'PermitCancelled',
+    'PermitGranted',
+    'PermitProgressed',
+    'PermitRefused',
+    'PermitReleased',
+    'PermitRequest',
+    'PermitsRegistered',
+    'PoolKey',
+    'ROLE_DECODE',
+    'ROLE_PREFILL',
+    'ROLE_SERVICE',
+    'Region',
+    'Registry',
+    'Rejected',
+    'RequestFound',
+    'RequestLookup',
+    'Route',
+    'Scheduler',
+    'SchedulerOptions',
+    'Scope',
+    'ScopedException',
+    'SendToGateway',
+    'ServersChanged',
+    'Service',
+    'StatusAnswer',
+    'StatusRequest',
+    'Tick',
+    'UnknownNameError',
+    'Values',
+    'choose_owner',
+    'count_pieces',
+    'decode_policies',
+    'estimate_tokens',
+    'prefill_policies',
+    'queue_policies',
+    'rank_by_rendezvous',
+    'spill_policies',
+]
--- /dev/null
+++ b/bluebellthread/core/_scheduler_events.py
@@ -0,0 +1,55 @@
+"""What a scheduler takes in and what it asks for."""
+
+import attrs
+
+from bluebellthread.core import _model
+
+
+@attrs.frozen(kw_only=True)
+class Tick:
+    """Time has passed; deadlines may be over."""
+
+
+@attrs.frozen(kw_only=True)
+class ServersChanged:
+    """The configuration lists other backend servers for the pool."""
+
+    servers: tuple[_model.BackendServer, ...]
+
+
+@attrs.frozen(kw_only=True)
+class GatewaysChanged:
+    """The membership view has changed.
+
+    Parameters
+    ----------
+    live : tuple of (str, int)
+        Name and incarnation of each live gateway process. A permit of
+        any other process belongs to a request that is gone.
+    """
+
+    live: tuple[tuple[str, int], ...]
+
+
+@attrs.frozen(kw_only=True)
+class CancelConfirmed:
+    """An engine says that it holds nothing for a permit."""
+
+    server: str
+    permit_id: str
+
+
+@attrs.frozen(kw_only=True)
+class SendToGateway:
+    """Command: send a grant, refusal or cancellation to a gateway."""
+
+    gateway: str
+    message: object
+
+
+@attrs.frozen(kw_only=True)
+class CancelAtEngine:
+    """Command: tell an engine to drop whatever it holds for a permit."""
+
+    server: str
+    permit_id: str
--- /dev/null
+++ b/bluebellthread/wire/__init__.py
@@ -0,0 +1,27 @@
+"""Messages between VMs as thrift bytes."""
+
+from bluebellthread.core import _messages
+from bluebellthread.wire._codec import decode
+from bluebellthread.wire._codec import encode
+from bluebellthread.wire._codec import Envelope
+from bluebellthread.wire._codec import register_message
+from bluebellthread.wire._codec import WireError
+
+__all__ = ['Envelope', 'WireError', 'decode', 'encode', 'register_message']
+
+for _cls in (
+    _messages.PermitRequest,
+    _messages.PermitGranted,
+    _messages.PermitRefused,
+    _messages.PermitProgressed,
+    _messages.PermitReleased,
+    _messages.PermitsRegistered,
+    _messages.PermitCancelled,
+    _messages.Done,
+    _messages.Rejected,
+    _messages.StatusRequest,
+    _messages.StatusAnswer,
+    _messages.RequestLookup,
+    _messages.RequestFound,
+):
+    register_message(_cls)
--- /dev/null
+++ b/tests/unit/test_wire.py
@@ -0,0 +1,41 @@
+import unittest
+
+from bluebellthread import core
+from bluebellthread import wire
+
+POOL = core.PoolKey(serves='atelier-llm', data_centre='cluj-a')
+
+
+def make_envelope():
+    message = core.PermitRequest(
+        request_id='r1',
+        gateway='vm1',
+        gateway_incarnation=2**62,
+        caller='workshop-12',
+        pool=POOL,
+        prompt_tokens=1200,
+        output_tokens=100,
+        deadline_ms=9000,
+        first_output_deadline_ms=780,
+        prefix_hashes=(3, 4),
+    )
+    return wire.Envelope(
+        message=message, sender='vm1', sender_incarnation=5, correlation=3
+    )
+
+
+class TestCodec(unittest.TestCase):
+    def test_round_trip_keeps_every_field(self):
+        envelope = make_envelope()
+        data = wire.encode(envelope, now_ms=100)
+        self.assertEqual(envelope, wire.decode(data, now_ms=100))
+
+    def test_deadline_is_stored_on_the_receivers_clock(self):
+        data = wire.encode(make_envelope(), now_ms=100)
+        message = wire.decode(data, now_ms=50100).message
+        self.assertEqual(59000, message.deadline_ms)
+        self.assertEqual(50780, message.first_output_deadline_ms)
+
+    def test_foreign_bytes_are_refused_with_a_remedy(self):
+        with self.assertRaisesRegex(wire.WireError, 'check that both'):
+            wire.decode(b'\x80abc' * 9, now_ms=0)
