Add the membership core

Probes, suspicion, refutation and gossip at a constant cost per VM, as a pure state machine, with delegates between data centres. Not wired to a socket yet.

--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -15,6 +15,14 @@
 from bluebellthread.core._errors import BluebellthreadError
 from bluebellthread.core._errors import DuplicateNameError
 from bluebellthread.core._errors import UnknownNameError
+from bluebellthread.core._membership import Membership
+from bluebellthread.core._membership_events import DatagramReceived
+from bluebellthread.core._membership_events import LeaveStarted
+from bluebellthread.core._membership_events import PlatformListed
+from bluebellthread.core._membership_events import SendDatagram
+from bluebellthread.core._membership_events import Stopped
+from bluebellthread.core._membership_events import ViewChanged
+from bluebellthread.core._membership_options import MembershipOptions
 from bluebellthread.core._messages import Done
 from bluebellthread.core._messages import PermitCancelled
 from bluebellthread.core._messages import PermitGranted
@@ -61,11 +69,15 @@
     'CancelAtEngine',
     'CancelConfirmed',
     'Configuration',
+    'DatagramReceived',
     'Done',
     'DuplicateNameError',
     'GatewaysChanged',
+    'LeaveStarted',
     'LoadReport',
     'Member',
+    'Membership',
+    'MembershipOptions',
     'MembershipView',
     'Model',
     'Permit',
@@ -76,6 +88,7 @@
     'PermitReleased',
     'PermitRequest',
     'PermitsRegistered',
+    'PlatformListed',
     'PoolKey',
     'ROLE_DECODE',
     'ROLE_PREFILL',
@@ -90,14 +103,17 @@
     'SchedulerOptions',
     'Scope',
     'ScopedException',
+    'SendDatagram',
     'SendToGateway',
     'ServersChanged',
     'Service',
     'StatusAnswer',
     'StatusRequest',
+    'Stopped',
     'Tick',
     'UnknownNameError',
     'Values',
+    'ViewChanged',
     'choose_owner',
     'count_pieces',
     'decode_policies',
--- /dev/null
+++ b/bluebellthread/core/_membership.py
@@ -0,0 +1,277 @@
+"""Who is alive: probes, suspicion and gossip at a constant cost per VM.
+
+Each VM pings one peer of its data centre a period, asks others to try
+when no answer comes, suspects before it declares a death, and passes
+news on in a bounded number of datagrams. Two delegates of each data
+centre compare tables with the other data centres.
+"""
+
+import random
+
+import attrs
+
+from bluebellthread.core import _failure_detector
+from bluebellthread.core import _member_news
+from bluebellthread.core import _member_prober
+from bluebellthread.core import _member_table as tables
+from bluebellthread.core import _membership_context
+from bluebellthread.core import _membership_events as events
+from bluebellthread.core import _membership_messages as messages
+from bluebellthread.core import _membership_options
+from bluebellthread.core import _model
+from bluebellthread.core import _scheduler_events
+from bluebellthread.core import _table_exchange
+from bluebellthread.core import _view_confirmation
+
+CONFIRM_FANOUT = 5
+"""Peers that an unconfirmed VM asks a period."""
+
+
+class Membership:
+    """Pure state machine of one VM's view of all VMs.
+
+    Parameters
+    ----------
+    member : Member
+        This VM process.
+    options : MembershipOptions
+        Times and counts.
+    rng : random.Random
+        The only source of randomness.
+
+    Examples
+    --------
+    >>> vm = _model.Member(name='vm1', data_centre='cluj-a', region='t',
+    ...     host='127.0.0.1', peer_port=1, caller_port=2, incarnation=5)
+    >>> membership = Membership(member=vm)
+    >>> commands = membership.handle(events.PlatformListed(members=(vm,)), 0)
+    >>> commands[-1].view.confirmed
+    True
+    """
+
+    def __init__(self, *, member, options=None, rng=None):
+        context = _membership_context.MembershipContext(
+            member=member,
+            options=options or _membership_options.MembershipOptions(),
+            rng=rng or random.Random(0),
+        )
+        self._context = context
+        self._prober = _member_prober.MemberProber()
+        self._news = _member_news.MemberNews(
+            context=context, prober=self._prober
+        )
+        self._detector = _failure_detector.FailureDetector(
+            context=context, prober=self._prober, news=self._news
+        )
+        self._exchange = _table_exchange.TableExchange(
+            context=context, news=self._news
+        )
+        self._confirmation = _view_confirmation.ViewConfirmation()
+        self._published = None
+        self._handlers = {
+            _scheduler_events.Tick: self._on_tick,
+            events.DatagramReceived: self._on_datagram,
+            events.PlatformListed: self._on_list,
+            events.LeaveStarted: self._on_leave,
+            events.Stopped: self._on_stopped,
+            messages.Ping: self._on_ping,
+            messages.Ack: self._on_ack,
+            messages.IndirectPing: self._detector.ping_for,
+            messages.Gossip: self._on_gossip,
+            messages.TableDigests: self._exchange.on_digests,
+        }
+
+    @property
+    def view(self):
+        """The view that was published last, or None."""
+        return self._published
+
+    def handle(self, event, now_ms):
+        """Take one event in and return the commands that follow."""
+        self._context.commands = []
+        self._notice_pause(now_ms)
+        self._context.now_ms = now_ms
+        self._handlers[type(event)](event)
+        self._news.pass_on()
+        self._publish()
+        return self._context.commands
+
+    def _notice_pause(self, now_ms):
+        options = self._context.options
+        if self._context.now_ms is None:
+            deadline_ms = now_ms + options.join_timeout_ms
+            self._confirmation.join(deadline_ms=deadline_ms)
+            return
+        gap_ms = now_ms - self._context.now_ms
+        if gap_ms > options.late_timeout_ms:
+            # Answers may lie unread in the socket.
+            self._detector.extend_deadlines(gap_ms)
+        if gap_ms > options.lease_timeout_ms and options.detects_pauses:
+            self._context.now_ms = now_ms
+            self._begin_confirmation()
+
+    def _begin_confirmation(self):
+        self._prober.clear()
+        self._confirmation.begin(
+            [record.member.name for record in self._context.near_peers()],
+            floor=self._prober.last_correlation,
+        )
+        self._ask_unanswered()
+
+    def _ask_unanswered(self):
+        names = self._confirmation.unanswered()
+        for name in self._context.sample(names, CONFIRM_FANOUT):
+            record = self._context.table.find(name)
+            if record is not None:
+                self._ask_for_table(record)
+
+    def _ask_for_table(self, record):
+        correlation = self._prober.next_correlation()
+        self._detector.ping(record, correlation, wants_table=True)
+
+    def _on_tick(self, event):
+        period_begins = self._detector.on_tick()
+        if period_begins:
+            self._ask_unanswered()
+        self._exchange.on_tick()
+
+    def _on_datagram(self, event):
+        self._note_sender(event)
+        self._handlers[type(event.message)](event)
+
+    def _note_sender(self, event):
+        context = self._context
+        record = context.table.find(event.sender)
+        if record is None or record is context.me:
+            return
+        if record.member.incarnation != event.sender_incarnation:
+            if event.sender_incarnation == record.replaced_incarnation:
+                return
+            self._replace_process(record, event)
+        record.heard_ms = context.now_ms
+        self._prober.stop(event.sender)
+        if record.member.state == tables.LEAVING:
+            record.suspicion_deadline_ms = None
+
+    def _replace_process(self, record, event):
+        """Take a VM's new process in; the old one is dead at once."""
+        self._context.table.replace_process(
+            record,
+            incarnation=event.sender_incarnation,
+            host=event.host,
+            port=event.port,
+            now_ms=self._context.now_ms,
+        )
+        self._news.announce(record)
+
+    def _on_ping(self, event):
+        ping = event.message
+        self._news.merge_all(ping.updates)
+        record = self._context.table.find(event.sender)
+        if ping.wants_table:
+            updates = self._exchange.send_near(event)
+        elif record is not None:
+            updates = self._news.updates_for(record)
+        else:
+            updates = (self._context.me.update(),)
+        digest = self._context.table.digest()
+        answer = messages.Ack(digest=digest, updates=updates)
+        self._context.answer(event, answer)
+        self._exchange.compare(event, ping.digest)
+
+    def _on_ack(self, event):
+        ack = event.message
+        doubted = any(self._doubts_me(update) for update in ack.updates)
+        self._news.merge_all(ack.updates)
+        if ack.subject:
+            self._prober.stop(ack.subject)
+            return
+        self._pass_ack_on(event)
+        if not doubted:
+            self._confirmation.note_answer(event.sender, event.correlation)
+        self._exchange.compare(event, ack.digest)
+
+    def _doubts_me(self, update):
+        me = self._context.me
+        return (
+            update.member.name == me.member.name
+            and update.member.incarnation == me.member.incarnation
+            and update.member.state in (tables.SUSPECT, tables.DEAD)
+            and update.counter >= me.counter
+        )
+
+    def _pass_ack_on(self, event):
+        relay = self._prober.pop_relay(event.correlation)
+        if relay is None or relay.subject != event.sender:
+            return
+        digest = self._context.table.digest()
+        answer = messages.Ack(digest=digest, subject=relay.subject)
+        self._context.answer(relay, answer)
+
+    def _on_gossip(self, event):
+        self._news.merge_all(event.message.updates)
+
+    def _on_list(self, event):
+        context = self._context
+        listed = {member.name: member for member in event.members}
+        for record in context.table:
+            member = listed.pop(record.member.name, None)
+            record.listed_state = member.state if member else ''
+        for member in listed.values():
+            self._add_seed(member)
+        seeds = [
+            record
+            for record in context.table
+            if record.member.incarnation == 0 and context.is_near(record)
+        ]
+        self._confirmation.add_seeds(record.member.name for record in seeds)
+        for record in context.sample(seeds, CONFIRM_FANOUT):
+            self._ask_for_table(record)
+
+    def _add_seed(self, member):
+        # Dead until it answers: a listed VM may be long gone.
+        seed = attrs.evolve(member, incarnation=0, state=tables.DEAD)
+        record = tables.MemberRecord(
+            member=seed,
+            listed_state=member.state,
+            died_ms=self._context.now_ms,
+        )
+        self._context.table.add(record)
+
+    def _on_leave(self, event):
+        self._change_me(tables.LEAVING)
+
+    def _on_stopped(self, event):
+        self._change_me(tables.DEAD)
+
+    def _change_me(self, state):
+        me = self._context.me
+        self._context.table.change(me, counter=me.counter + 1)
+        self._detector.set_state(me, state)
+
+    def _believed(self):
+        for record in self._context.table:
+            listed = record.listed_state == tables.ALIVE
+            if listed or record.member.state != tables.DEAD:
+                yield record.member.name
+
+    def _publish(self):
+        confirmed = self._confirmation.check(
+            self._believed(), now_ms=self._context.now_ms
+        )
+        shown = [_shown(record) for record in self._context.table]
+        shown.sort(key=lambda member: member.name)
+        view = _model.MembershipView(members=tuple(shown), confirmed=confirmed)
+        if view != self._published:
+            self._published = view
+            command = events.ViewChanged(view=view)
+            self._context.commands.append(command)
+
+
+def _shown(record):
+    """Return a member as the view shows it: leaving by the list, too."""
+    member = record.member
+    lives = member.state in (tables.ALIVE, tables.SUSPECT)
+    if lives and record.listed_state == tables.LEAVING:
+        return attrs.evolve(member, state=tables.LEAVING)
+    return member
--- /dev/null
+++ b/bluebellthread/core/_membership_context.py
@@ -0,0 +1,60 @@
+"""What the parts of the membership share while one event is handled."""
+
+from bluebellthread.core import _member_table as tables
+from bluebellthread.core import _membership_events as events
+
+
+class MembershipContext:
+    """The table, the options, the time and the commands so far.
+
+    Parameters
+    ----------
+    member : Member
+        This VM process.
+    options : MembershipOptions
+        Times and counts.
+    rng : random.Random
+        The only source of randomness.
+    """
+
+    def __init__(self, *, member, options, rng):
+        self.options = options
+        self.rng = rng
+        self.me = tables.MemberRecord(member=member)
+        self.table = tables.MemberTable()
+        self.table.add(self.me)
+        self.now_ms = None
+        self.commands = []
+
+    def is_near(self, record):
+        """Return whether a VM is in this VM's data centre."""
+        return record.member.data_centre == self.me.member.data_centre
+
+    def near_peers(self):
+        """Return the other VMs of this data centre that are not dead."""
+        return [
+            record
+            for record in self.table
+            if record is not self.me
+            and record.member.state != tables.DEAD
+            and self.is_near(record)
+        ]
+
+    def sample(self, items, count):
+        """Return up to so many random items."""
+        return self.rng.sample(items, min(count, len(items)))
+
+    def send(self, member, message, correlation=0):
+        """Ask for a datagram to a VM."""
+        self._add(member.host, member.peer_port, correlation, message)
+
+    def answer(self, event, message):
+        """Ask for a datagram to where another came from."""
+        self._add(event.host, event.port, event.correlation, message)
+
+    def _add(self, host, port, correlation, message):
+        self.commands.append(
+            events.SendDatagram(
+                host=host, port=port, correlation=correlation, message=message
+            )
+        )
--- a/bluebellthread/wire/__init__.py
+++ b/bluebellthread/wire/__init__.py
@@ -1,5 +1,6 @@
 """Messages between VMs as thrift bytes."""
 
+from bluebellthread.core import _membership_messages
 from bluebellthread.core import _messages
 from bluebellthread.wire._codec import decode
 from bluebellthread.wire._codec import encode
@@ -23,5 +24,10 @@
     _messages.StatusAnswer,
     _messages.RequestLookup,
     _messages.RequestFound,
+    _membership_messages.Ping,
+    _membership_messages.Ack,
+    _membership_messages.IndirectPing,
+    _membership_messages.Gossip,
+    _membership_messages.TableDigests,
 ):
     register_message(_cls)
--- a/bluebellthread/wire/peer.thrift
+++ b/bluebellthread/wire/peer.thrift
@@ -123,6 +123,42 @@
   4: string detail,
 }
 
+struct MemberUpdate {
+  1: Member member,
+  2: i32 counter,
+  3: i64 replaced_incarnation,
+}
+
+struct Ping {
+  1: i64 digest,
+  2: list<MemberUpdate> updates,
+  3: bool wants_table,
+}
+
+struct Ack {
+  1: i64 digest,
+  2: list<MemberUpdate> updates,
+  3: string subject,
+}
+
+struct IndirectPing {
+  1: string subject,
+}
+
+struct Gossip {
+  1: list<MemberUpdate> updates,
+}
+
+struct PlaceDigest {
+  1: string data_centre,
+  2: i64 digest,
+}
+
+struct TableDigests {
+  1: list<PlaceDigest> digests,
+  2: bool is_answer,
+}
+
 struct Envelope {
   1: string kind,
   2: i64 correlation,
