--- a/bluebellthread/core/_member_news.py
+++ b/bluebellthread/core/_member_news.py
@@ -38,8 +38,11 @@
                 self._refute(update)
             elif self._merge(update):
                 applied.append(update)
-        if len(applied) <= FEW_UPDATES:
-            self._fresh.extend(applied)
+        if len(applied) > FEW_UPDATES:
+            return
+        for update in applied:
+            self._queue.push(update)
+            self._fresh.append(update)
 
     def announce(self, record):
         """Spread a change that this VM has made or found."""
@@ -80,7 +83,6 @@
             record.suspicion_deadline_ms = (
                 context.now_ms + context.options.suspicion_timeout_ms
             )
-        self._queue.push(update)
         return True
 
     def _ask_directly(self, record, update):
