--- /dev/null
+++ b/bluebellthread/daemon/__main__.py
@@ -0,0 +1,44 @@
+"""The program ``bluebellthreadd``."""
+
+import argparse
+import sys
+
+import bluebellthread
+from bluebellthread import configuration
+from bluebellthread.daemon import _service
+
+EXIT_BAD_SETTINGS = 2
+
+
+def make_parser():
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(
+        prog='bluebellthreadd',
+        description='Route requests to prefill, decode and service pools.',
+    )
+    parser.add_argument(
+        '--settings',
+        required=True,
+        metavar='FILE',
+        help='settings of this process, JSON with comments',
+    )
+    parser.add_argument(
+        '--version', action='version', version=bluebellthread.__version__
+    )
+    return parser
+
+
+def main(arguments=None):
+    """Run the daemon; return the exit code."""
+    options = make_parser().parse_args(arguments)
+    try:
+        settings = configuration.load_settings(options.settings)
+    except configuration.ConfigurationError as error:
+        print(f'bluebellthreadd: {error}', file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    _service.run_service(settings)
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/bluebellthread/daemon/_gateway.py
@@ -0,0 +1,175 @@
+"""The callers' HTTP interface, as an ASGI application."""
+
+import functools
+import secrets
+
+import attrs
+import trio
+
+from bluebellthread.daemon import _http
+from bluebellthread.observe import emit
+from bluebellthread.observe import events
+
+LONGEST_REQUEST_ID = 128
+"""Characters of a request id that a caller may choose."""
+
+
+@attrs.frozen(kw_only=True)
+class Exchange:
+    """One request with the means to answer it."""
+
+    request: _http.Request
+    request_id: str
+    caller: str
+    responder: _http.Responder
+    traceparent: str
+
+
+class Gateway:
+    """Takes callers' requests and hands each to its path.
+
+    Parameters
+    ----------
+    state : object
+        Has ``ready``, a bool that the balancer is told.
+    paths : tuple of (str, object)
+        Start of the URL path, and an object with an ``async``
+        ``serve(exchange)``.
+    max_body_bytes, body_timeout_ms : int
+        Limits of a request's body.
+    tracer : bluebellthread.observe.Tracer
+        Makes the spans.
+    metrics : bluebellthread.observe.Metrics
+        Counts the requests.
+    """
+
+    def __init__(
+        self,
+        *,
+        state,
+        paths,
+        max_body_bytes,
+        body_timeout_ms,
+        tracer,
+        metrics,
+    ):
+        self._state = state
+        self._paths = paths
+        self._max_body_bytes = max_body_bytes
+        self._body_timeout_ms = body_timeout_ms
+        self._tracer = tracer
+        self._metrics = metrics
+        self.in_progress = 0
+
+    async def __call__(self, scope, receive, send):
+        """Serve one ASGI scope."""
+        if scope['type'] == 'lifespan':
+            await _serve_lifespan(receive, send)
+        elif scope['type'] == 'http':
+            await self._serve_http(scope, receive, send)
+
+    async def _serve_http(self, scope, receive, send):
+        request_id = _choose_request_id(scope)
+        responder = _http.Responder(send, request_id)
+        self.in_progress += 1
+        try:
+            await self._serve_known(scope, receive, responder)
+        except _http.Refusal as refusal:
+            self._metrics.count(f'refused.{refusal.kind}')
+            if not responder.started:
+                await responder.refuse(refusal)
+        finally:
+            self.in_progress -= 1
+
+    async def _serve_known(self, scope, receive, responder):
+        if scope['path'] in ('/healthz', '/readyz'):
+            await self._serve_health(scope['path'], responder)
+            return
+        path = self._find_path(scope['path'])
+        request = await _http.read_request(
+            scope,
+            receive,
+            max_body_bytes=self._max_body_bytes,
+            body_timeout_ms=self._body_timeout_ms,
+        )
+        caller = request.header('x-caller-id', 'anonymous')
+        parent = request.header('traceparent')
+        self._metrics.count('requests')
+        with self._tracer.span(
+            'gateway', parent=parent, request_id=responder.request_id
+        ) as span:
+            exchange = Exchange(
+                request=request,
+                request_id=responder.request_id,
+                caller=caller,
+                responder=responder,
+                traceparent=self._tracer.traceparent_of(span),
+            )
+            try:
+                await _serve_until_gone(path, exchange, receive)
+            except _http.Refusal as refusal:
+                emit(
+                    events.REQUEST_REFUSED,
+                    request_id=responder.request_id,
+                    caller=caller,
+                    kind=refusal.kind,
+                )
+                raise
+
+    def _find_path(self, url_path):
+        for start, path in self._paths:
+            if url_path.startswith(start):
+                return path
+        raise _http.Refusal(
+            status=404,
+            kind='unknown-path',
+            remedy='use /v1/chat/completions, /v1/completions or /services/',
+        )
+
+    async def _serve_health(self, url_path, responder):
+        if url_path == '/healthz' or self._state.ready:
+            await responder.answer_json(200, {'ok': True})
+        else:
+            await responder.answer_json(503, {'ok': False})
+
+
+async def _serve_lifespan(receive, send):
+    # Hypercorn ends the server if this returns before the shutdown.
+    while True:
+        message = await receive()
+        await send({'type': message['type'] + '.complete'})
+        if message['type'] == 'lifespan.shutdown':
+            return
+
+
+async def _serve_until_gone(path, exchange, receive):
+    """Serve an exchange; stop when the caller disconnects."""
+    raised = []
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(
+            functools.partial(_cancel_when_gone, receive, nursery.cancel_scope)
+        )
+        try:
+            await path.serve(exchange)
+        except _http.Refusal as refusal:
+            raised.append(refusal)
+        nursery.cancel_scope.cancel()
+    if raised:
+        raise raised[0]
+
+
+async def _cancel_when_gone(receive, cancel_scope):
+    while True:
+        message = await receive()
+        if message['type'] == 'http.disconnect':
+            cancel_scope.cancel()
+            return
+
+
+def _choose_request_id(scope):
+    for name, value in scope['headers']:
+        if name == b'x-request-id' and value:
+            text = value.decode('latin-1')
+            if len(text) <= LONGEST_REQUEST_ID and text.isprintable():
+                return text
+    return secrets.token_hex(16)
--- /dev/null
+++ b/bluebellthread/daemon/_http.py
@@ -0,0 +1,182 @@
+"""Callers' requests and answers on top of ASGI."""
+
+import json
+import math
+
+import attrs
+import trio
+
+from bluebellthread import core
+
+RUN_NOT_RUN = 'not-run'
+RUN_UNKNOWN = 'unknown'
+RUN_DONE = 'done'
+
+MS_PER_S = 1000
+
+
+class Refusal(core.BluebellthreadError):
+    """A final answer that is not the wanted one.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    kind : str
+        Short fixed word, listed in docs/PROTOCOL.md.
+    remedy : str
+        What the caller can do.
+    run : str
+        ``'not-run'``, ``'unknown'`` or ``'done'``: whether the work ran.
+    retry_after_ms : int
+        When to come back; 0 for no advice.
+    """
+
+    def __init__(
+        self, *, status, kind, remedy, run=RUN_NOT_RUN, retry_after_ms=0
+    ):
+        self.status = status
+        self.kind = kind
+        self.remedy = remedy
+        self.run = run
+        self.retry_after_ms = retry_after_ms
+        super().__init__(f'{kind}: {remedy}')
+
+
+@attrs.frozen(kw_only=True)
+class Request:
+    """One HTTP request of a caller, its body read whole.
+
+    Parameters
+    ----------
+    method, path, query : str
+        The request line.
+    headers : tuple of (str, str)
+        Names in lower case.
+    body : bytes
+        The body.
+    """
+
+    method: str
+    path: str
+    query: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+    def header(self, name, default=''):
+        """Return the first value of a header."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return default
+
+
+@attrs.define
+class Responder:
+    """Sends one answer to a caller.
+
+    Parameters
+    ----------
+    request_id : str
+        Echoed in every answer.
+    """
+
+    _send: object
+    request_id: str
+    started: bool = False
+
+    async def start(self, status, headers):
+        """Send the status and the headers."""
+        self.started = True
+        encoded = [(b'x-request-id', self.request_id.encode())]
+        for name, value in headers:
+            encoded.append((name.encode(), value.encode()))
+        await self._send(
+            {
+                'type': 'http.response.start',
+                'status': status,
+                'headers': encoded,
+            }
+        )
+
+    async def write(self, data):
+        """Send a part of the body."""
+        await self._send(
+            {'type': 'http.response.body', 'body': data, 'more_body': True}
+        )
+
+    async def finish(self, data=b''):
+        """Send the last part of the body."""
+        await self._send({'type': 'http.response.body', 'body': data})
+
+    async def answer(self, status, headers, body):
+        """Send a whole answer."""
+        length = ('content-length', str(len(body)))
+        await self.start(status, [*headers, length])
+        await self.finish(body)
+
+    async def answer_json(self, status, fields, headers=()):
+        """Send a whole answer as JSON."""
+        body = json.dumps(fields, ensure_ascii=False).encode()
+        kind = ('content-type', 'application/json')
+        await self.answer(status, [kind, *headers], body)
+
+    async def refuse(self, refusal):
+        """Send a refusal as JSON."""
+        headers = [('x-run', refusal.run)]
+        if refusal.retry_after_ms:
+            retry_after_s = math.ceil(refusal.retry_after_ms / MS_PER_S)
+            headers.append(('retry-after', str(retry_after_s)))
+        await self.answer_json(
+            refusal.status, describe_refusal(refusal, self.request_id), headers
+        )
+
+
+def describe_refusal(refusal, request_id):
+    """Return the machine-readable form of a refusal."""
+    return {
+        'error': {
+            'kind': refusal.kind,
+            'message': refusal.remedy,
+            'run': refusal.run,
+            'retry_after_ms': refusal.retry_after_ms,
+        },
+        'request_id': request_id,
+    }
+
+
+async def read_request(scope, receive, *, max_body_bytes, body_timeout_ms):
+    """Return the whole request, or raise `Refusal`."""
+    body = bytearray()
+    with trio.move_on_after(body_timeout_ms / MS_PER_S) as cancel_scope:
+        while True:
+            message = await receive()
+            if message['type'] != 'http.request':
+                raise Refusal(
+                    status=400, kind='incomplete', remedy='send a whole body'
+                )
+            body += message.get('body', b'')
+            if len(body) > max_body_bytes:
+                raise Refusal(
+                    status=413,
+                    kind='body-too-large',
+                    remedy=f'send at most {max_body_bytes} bytes',
+                )
+            if not message.get('more_body', False):
+                break
+    if cancel_scope.cancelled_caught:
+        raise Refusal(
+            status=408,
+            kind='slow-request',
+            remedy=f'send the body within {body_timeout_ms} ms',
+        )
+    return Request(
+        method=scope['method'],
+        path=scope['path'],
+        query=scope['query_string'].decode('latin-1'),
+        headers=tuple(
+            (name.decode('latin-1').lower(), value.decode('latin-1'))
+            for name, value in scope['headers']
+        ),
+        body=bytes(body),
+    )
--- /dev/null
+++ b/bluebellthread/daemon/_peers.py
@@ -0,0 +1,358 @@
+"""Links to other VMs: framed envelopes over TCP.
+
+A frame is a length of four bytes, most significant first, and an encoded
+envelope. A request and its answer carry the same correlation number; many
+requests share one connection.
+"""
+
+import functools
+import itertools
+import struct
+
+import trio
+
+from bluebellthread import core
+from bluebellthread.daemon import _clock
+from bluebellthread.daemon import _mailboxes
+from bluebellthread.observe import emit
+from bluebellthread.observe import events
+from bluebellthread import wire
+
+LONGEST_FRAME_BYTES = 4 * 1024 * 1024
+LONGEST_SEND_QUEUE = 4096
+CONNECT_TIMEOUT_S = 1.0
+RECEIVE_BYTES = 65536
+
+_LENGTH = struct.Struct('>I')
+
+
+class PeerUnreachableError(core.BluebellthreadError):
+    """A VM could not be reached, or its link broke before the answer."""
+
+    def __init__(self, peer, reason):
+        self.peer = peer
+        super().__init__(
+            f'VM {peer} is unreachable ({reason}); check that it runs and '
+            'that its peer port is open'
+        )
+
+
+class FrameReader:
+    """Splits a stream into frames."""
+
+    def __init__(self, stream):
+        self._stream = stream
+        self._buffer = bytearray()
+
+    async def read(self):
+        """Return the next frame's bytes, or None at the stream's end."""
+        header = await self._read_exactly(_LENGTH.size)
+        if header is None:
+            return None
+        (length,) = _LENGTH.unpack(header)
+        if length > LONGEST_FRAME_BYTES:
+            raise wire.WireError(
+                f'frame of {length} bytes; the longest is '
+                f'{LONGEST_FRAME_BYTES}'
+            )
+        return await self._read_exactly(length)
+
+    async def _read_exactly(self, count):
+        while len(self._buffer) < count:
+            data = await self._stream.receive_some(RECEIVE_BYTES)
+            if not data:
+                return None
+            self._buffer += data
+        data = bytes(self._buffer[:count])
+        del self._buffer[:count]
+        return data
+
+
+def encode_frame(envelope):
+    """Return an envelope's bytes with their length in front."""
+    body = wire.encode(envelope, now_ms=_clock.read_clock_ms())
+    return _LENGTH.pack(len(body)) + body
+
+
+async def write_frames(stream, receive_channel):
+    """Send frames from a channel until it closes.
+
+    What has gathered goes out in one call.
+    """
+    async for frame in receive_channel:
+        gathered = bytearray(frame)
+        while True:
+            try:
+                gathered += receive_channel.receive_nowait()
+            except (trio.WouldBlock, trio.EndOfChannel):
+                break
+        await stream.send_all(gathered)
+
+
+class PeerServer:
+    """Accepts other VMs and the operators' tool.
+
+    Parameters
+    ----------
+    vm, incarnation : str, int
+        This process.
+    mailboxes : Mailboxes
+        Where messages go.
+    """
+
+    def __init__(self, *, vm, incarnation, mailboxes):
+        self._vm = vm
+        self._incarnation = incarnation
+        self._mailboxes = mailboxes
+
+    async def serve(self, host, port, *, task_status=trio.TASK_STATUS_IGNORED):
+        """Listen until cancelled."""
+        listeners = await trio.open_tcp_listeners(port, host=host)
+        await trio.serve_listeners(
+            self._serve_connection, listeners, task_status=task_status
+        )
+
+    async def _serve_connection(self, stream):
+        send, receive = trio.open_memory_channel(LONGEST_SEND_QUEUE)
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(write_frames, stream, receive)
+                await self._read_requests(stream, send)
+                nursery.cancel_scope.cancel()
+        except* (trio.BrokenResourceError, trio.ClosedResourceError):
+            # The other side went away; it finds out by itself.
+            pass
+        finally:
+            await trio.aclose_forcefully(stream)
+
+    async def _read_requests(self, stream, send):
+        reader = FrameReader(stream)
+        while True:
+            try:
+                frame = await reader.read()
+                if frame is None:
+                    return
+                envelope = wire.decode(frame, now_ms=_clock.read_clock_ms())
+            except wire.WireError as error:
+                address = stream.socket.getpeername()[0]
+                emit(events.PEER_BAD_FRAME, address=address, error=error)
+                return
+            answer = functools.partial(
+                self._answer, send, envelope.correlation
+            )
+            self._mailboxes.deliver(
+                _mailboxes.Inbound(envelope=envelope, answer=answer)
+            )
+
+    def _answer(self, send, correlation, message):
+        if not correlation:
+            return
+        envelope = wire.Envelope(
+            message=message,
+            sender=self._vm,
+            sender_incarnation=self._incarnation,
+            correlation=correlation,
+        )
+        try:
+            send.send_nowait(encode_frame(envelope))
+        except (trio.WouldBlock, trio.BrokenResourceError):
+            # A link this far behind is lost; the asker's deadline ends it.
+            return
+
+
+class PeerLinks:
+    """Connections from this VM to others, opened when first needed.
+
+    Parameters
+    ----------
+    vm, incarnation : str, int
+        This process.
+    host : str
+        This VM's IP number, the source of its connections.
+    mailboxes : Mailboxes
+        Takes messages to this VM itself, without a socket.
+    """
+
+    def __init__(self, *, vm, incarnation, host, mailboxes):
+        self._vm = vm
+        self._incarnation = incarnation
+        self._host = host
+        self._mailboxes = mailboxes
+        self._nursery = None
+        self._links = {}
+        self._correlations = itertools.count(1)
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
+        """Keep the links alive until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            await trio.sleep_forever()
+
+    async def call(self, member, message, *, deadline_ms, traceparent=''):
+        """Send a message and return its answer.
+
+        Raises
+        ------
+        PeerUnreachableError
+            If there is no answer by the deadline.
+        """
+        timeout_s = max(0, deadline_ms - _clock.read_clock_ms()) / 1000
+        with trio.move_on_after(timeout_s):
+            if member.name == self._vm:
+                return await self._call_self(message, traceparent)
+            link = await self._link_to(member)
+            return await link.call(
+                self._wrap(message, next(self._correlations), traceparent)
+            )
+        raise PeerUnreachableError(member.name, 'no answer in time')
+
+    async def send(self, member, message):
+        """Send a message that wants no answer.
+
+        Raises
+        ------
+        PeerUnreachableError
+            If it could not be handed to the connection.
+        """
+        if member.name == self._vm:
+            self._deliver_to_self(message, '', _ignore_answer)
+            return
+        link = await self._link_to(member)
+        link.send(self._wrap(message, 0, ''))
+
+    def _wrap(self, message, correlation, traceparent):
+        return wire.Envelope(
+            message=message,
+            sender=self._vm,
+            sender_incarnation=self._incarnation,
+            correlation=correlation,
+            traceparent=traceparent,
+        )
+
+    async def _call_self(self, message, traceparent):
+        slot = _AnswerSlot()
+        self._deliver_to_self(message, traceparent, slot.fill)
+        return await slot.wait()
+
+    def _deliver_to_self(self, message, traceparent, answer):
+        self._mailboxes.deliver(
+            _mailboxes.Inbound(
+                envelope=self._wrap(message, 0, traceparent), answer=answer
+            )
+        )
+
+    async def _link_to(self, member):
+        address = (member.host, member.peer_port)
+        link = self._links.get(address)
+        if link is None or link.closed:
+            link = _Link(peer=member.name)
+            self._links[address] = link
+            self._nursery.start_soon(link.run, address, self._host)
+        await link.opened.wait()
+        if link.closed:
+            raise PeerUnreachableError(member.name, link.reason)
+        return link
+
+
+class _AnswerSlot:
+    """One answer that somebody waits for."""
+
+    def __init__(self):
+        self._event = trio.Event()
+        self._message = None
+
+    def fill(self, message):
+        self._message = message
+        self._event.set()
+
+    async def wait(self):
+        await self._event.wait()
+        return self._message
+
+
+class _Link:
+    """One connection to another VM."""
+
+    def __init__(self, *, peer):
+        self._peer = peer
+        self._slots = {}
+        self._send, self._receive = trio.open_memory_channel(
+            LONGEST_SEND_QUEUE
+        )
+        self.opened = trio.Event()
+        self.closed = False
+        self.reason = ''
+
+    async def run(self, address, source_host):
+        try:
+            with trio.fail_after(CONNECT_TIMEOUT_S):
+                stream = await trio.open_tcp_stream(
+                    *address, local_address=source_host
+                )
+        except (OSError, trio.TooSlowError) as error:
+            self._close(f'connecting failed: {error or "timeout"}')
+            return
+        self.opened.set()
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(write_frames, stream, self._receive)
+                await self._read_answers(stream)
+                nursery.cancel_scope.cancel()
+            self._close('the connection ended')
+        except* (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            self._close(f'the connection broke: {error.exceptions[0]}')
+        finally:
+            self._close('the link was closed')
+            await trio.aclose_forcefully(stream)
+
+    async def _read_answers(self, stream):
+        reader = FrameReader(stream)
+        while True:
+            try:
+                frame = await reader.read()
+                if frame is None:
+                    return
+                envelope = wire.decode(frame, now_ms=_clock.read_clock_ms())
+            except wire.WireError as error:
+                emit(events.PEER_BAD_FRAME, address=self._peer, error=error)
+                return
+            slot = self._slots.pop(envelope.correlation, None)
+            if slot is not None:
+                slot.fill(envelope.message)
+
+    async def call(self, envelope):
+        slot = _AnswerSlot()
+        self._slots[envelope.correlation] = slot
+        try:
+            self.send(envelope)
+            answer = await slot.wait()
+        finally:
+            self._slots.pop(envelope.correlation, None)
+        if answer is None:
+            raise PeerUnreachableError(self._peer, self.reason)
+        return answer
+
+    def send(self, envelope):
+        if self.closed:
+            raise PeerUnreachableError(self._peer, self.reason)
+        try:
+            self._send.send_nowait(encode_frame(envelope))
+        except trio.WouldBlock:
+            raise PeerUnreachableError(
+                self._peer, 'its send queue is full'
+            ) from None
+
+    def _close(self, reason):
+        if self.closed:
+            return
+        self.closed = True
+        self.reason = reason
+        self.opened.set()
+        emit(events.PEER_UNREACHABLE, peer=self._peer, error=reason)
+        for slot in self._slots.values():
+            slot.fill(None)
+
+
+def _ignore_answer(message):
+    """Take an answer that nobody waits for."""
--- /dev/null
+++ b/bluebellthread/daemon/_platform.py
@@ -0,0 +1,100 @@
+"""Reads of the platform's published values."""
+
+import json
+
+import httpcore
+import trio
+
+from bluebellthread import core
+
+LONGEST_VALUE_BYTES = 1024 * 1024
+CALL_MARGIN_S = 2
+
+
+class PlatformError(core.BluebellthreadError):
+    """The platform gave no usable answer.
+
+    Examples
+    --------
+    >>> str(PlatformError('status 500'))
+    'the platform gave no usable answer (status 500); check it and its address'
+    """
+
+    def __init__(self, reason):
+        super().__init__(
+            f'the platform gave no usable answer ({reason}); '
+            'check it and its address'
+        )
+
+
+class PlatformClient:
+    """Reads and watches the configuration service and the VM list.
+
+    Parameters
+    ----------
+    addresses : tuple of str
+        ``host:port`` of each of the platform's endpoints, tried in turn.
+    """
+
+    def __init__(self, *, addresses):
+        self._addresses = addresses
+        self._current = 0
+        self._pool = httpcore.AsyncConnectionPool(retries=0)
+
+    async def close(self):
+        """Close the connections."""
+        await self._pool.aclose()
+
+    async def watch_configuration(self, *, after, wait_s):
+        """Return the text of a newer configuration, or None."""
+        return await self._get(
+            f'/config?after={after}&wait_s={wait_s}', wait_s
+        )
+
+    async def watch_vms(self, *, after, wait_s):
+        """Return the version and members of a newer list, or None."""
+        text = await self._get(f'/vms?after={after}&wait_s={wait_s}', wait_s)
+        if text is None:
+            return None
+        try:
+            fields = json.loads(text)
+            members = tuple(_to_member(item) for item in fields['vms'])
+            return int(fields['version']), members
+        except (ValueError, KeyError, TypeError) as error:
+            raise PlatformError(f'unreadable VM list: {error!r}') from error
+
+    async def _get(self, path, wait_s):
+        address = self._addresses[self._current % len(self._addresses)]
+        try:
+            with trio.fail_after(wait_s + CALL_MARGIN_S):
+                response = await self._pool.request(
+                    'GET', f'http://{address}{path}'
+                )
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+            trio.TooSlowError,
+        ) as error:
+            self._current += 1
+            raise PlatformError(repr(error)) from error
+        if response.status == 304:
+            return None
+        if response.status != 200:
+            self._current += 1
+            raise PlatformError(f'status {response.status}')
+        if len(response.content) > LONGEST_VALUE_BYTES:
+            raise PlatformError(f'{len(response.content)} bytes')
+        return response.content.decode('utf-8', errors='replace')
+
+
+def _to_member(fields):
+    return core.Member(
+        name=str(fields['name']),
+        data_centre=str(fields['data_centre']),
+        region=str(fields['region']),
+        host=str(fields['host']),
+        peer_port=int(fields['peer_port']),
+        caller_port=int(fields['caller_port']),
+        state='leaving' if fields.get('state') == 'leaving' else 'alive',
+    )
--- /dev/null
+++ b/bluebellthread/daemon/_service.py
@@ -0,0 +1,206 @@
+"""One process of the router: its tasks, started and closed together."""
+
+import functools
+import secrets
+import signal
+
+import hypercorn
+from hypercorn import trio as hypercorn_trio
+import trio
+
+from bluebellthread import core
+from bluebellthread.daemon import _engine_control
+from bluebellthread.daemon import _fleet
+from bluebellthread.daemon import _gateway
+from bluebellthread.daemon import _mailboxes
+from bluebellthread.daemon import _model_path
+from bluebellthread.daemon import _peers
+from bluebellthread.daemon import _platform
+from bluebellthread.daemon import _platform_watch
+from bluebellthread.daemon import _scheduler_task
+from bluebellthread.daemon import _service_path
+from bluebellthread.daemon import _status_task
+from bluebellthread.observe import emit
+from bluebellthread.observe import events
+from bluebellthread.observe import Metrics
+from bluebellthread.observe import start_log
+from bluebellthread.observe import Tracer
+
+BODY_TIMEOUT_MS = 10000
+"""How long a caller may take to send a body."""
+
+GRACE_S = 60
+"""How long a stopping process waits for requests in progress."""
+
+
+class Service:
+    """The daemon's parts on one VM.
+
+    Parameters
+    ----------
+    settings : bluebellthread.configuration.Settings
+        This process's settings.
+    """
+
+    def __init__(self, settings):
+        self._settings = settings
+        self.incarnation = secrets.randbits(62)
+        self.fleet = _fleet.Fleet()
+        self._stop = trio.Event()
+        self._make_observers()
+        self._make_peers()
+        self._make_scheduling()
+        self._make_gateway()
+
+    def _make_observers(self):
+        settings = self._settings
+        start_log(settings.log_level)
+        self._tracer = Tracer(vm=settings.vm, path=settings.trace_path)
+        self._metrics = Metrics(
+            host=settings.statsd_host,
+            port=settings.statsd_port,
+            vm=settings.vm,
+        )
+
+    def _make_peers(self):
+        settings = self._settings
+        self._mailboxes = _mailboxes.Mailboxes()
+        self._peer_server = _peers.PeerServer(
+            vm=settings.vm,
+            incarnation=self.incarnation,
+            mailboxes=self._mailboxes,
+        )
+        self._links = _peers.PeerLinks(
+            vm=settings.vm,
+            incarnation=self.incarnation,
+            host=settings.host,
+            mailboxes=self._mailboxes,
+        )
+        self._platform = _platform.PlatformClient(
+            addresses=settings.platform_addresses
+        )
+
+    def _make_scheduling(self):
+        settings = self._settings
+        self._engine_control = _engine_control.EngineControl(
+            adapter=settings.engine_adapter
+        )
+        self._scheduler_task = _scheduler_task.SchedulerTask(
+            vm=settings.vm,
+            data_centre=settings.data_centre,
+            incarnation=self.incarnation,
+            links=self._links,
+            cancels=self._engine_control.cancels,
+        )
+        for message_class in (
+            core.PermitRequest,
+            core.PermitProgressed,
+            core.PermitReleased,
+        ):
+            self._mailboxes.register(message_class, self._scheduler_task.inbox)
+
+    def _make_gateway(self):
+        settings = self._settings
+        self._model_path = _model_path.ModelPath(
+            vm=settings.vm,
+            incarnation=self.incarnation,
+            data_centre=settings.data_centre,
+            links=self._links,
+            fleet=self.fleet,
+            adapter=settings.engine_adapter,
+            tracer=self._tracer,
+        )
+        self._service_path = _service_path.ServicePath(
+            data_centre=settings.data_centre, fleet=self.fleet
+        )
+        self.gateway = _gateway.Gateway(
+            state=self.fleet,
+            paths=(
+                ('/v1/', self._model_path),
+                (_service_path.PREFIX, self._service_path),
+            ),
+            max_body_bytes=settings.request_body_max_bytes,
+            body_timeout_ms=BODY_TIMEOUT_MS,
+            tracer=self._tracer,
+            metrics=self._metrics,
+        )
+        self._status_task = _status_task.StatusTask(
+            settings=settings,
+            incarnation=self.incarnation,
+            fleet=self.fleet,
+            gateway=self.gateway,
+            scheduler_task=self._scheduler_task,
+        )
+        self._mailboxes.register(core.StatusRequest, self._status_task.inbox)
+
+    async def run(self):
+        """Start every task; return once stopped and drained."""
+        settings = self._settings
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self._watch_signals)
+            await nursery.start(self._links.run)
+            await nursery.start(
+                self._peer_server.serve, settings.host, settings.peer_port
+            )
+            nursery.start_soon(self._scheduler_task.run)
+            nursery.start_soon(self._engine_control.run, self._scheduler_task)
+            nursery.start_soon(self._status_task.run)
+            watch = _platform_watch.PlatformWatch(
+                platform=self._platform,
+                fleet=self.fleet,
+                scheduler_task=self._scheduler_task,
+            )
+            nursery.start_soon(watch.run)
+            emit(
+                events.VM_STARTED,
+                vm=settings.vm,
+                callers=f'{settings.host}:{settings.caller_port}',
+                peers=f'{settings.host}:{settings.peer_port}',
+            )
+            await self._serve_callers()
+            nursery.cancel_scope.cancel()
+        await self.close()
+
+    async def close(self):
+        """Close what the tasks leave open."""
+        with trio.CancelScope(shield=True):
+            await self._model_path.close()
+            await self._service_path.close()
+            await self._engine_control.close()
+            await self._platform.close()
+        self._tracer.close()
+        self._metrics.close()
+        emit(events.VM_STOPPED, vm=self._settings.vm)
+
+    async def _serve_callers(self):
+        config = hypercorn.Config()
+        config.bind = [f'{self._settings.host}:{self._settings.caller_port}']
+        config.graceful_timeout = GRACE_S
+        config.accesslog = None
+        config.errorlog = None
+        await hypercorn_trio.serve(
+            self.gateway, config, shutdown_trigger=self._stop.wait
+        )
+
+    async def _watch_signals(self, *, task_status=trio.TASK_STATUS_IGNORED):
+        with trio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT
+        ) as received:
+            task_status.started()
+            async for _ in received:
+                self.fleet.draining = True
+                emit(
+                    events.VM_STOPPING,
+                    vm=self._settings.vm,
+                    requests=self.gateway.in_progress,
+                )
+                self._stop.set()
+
+
+def run_service(settings):
+    """Run the daemon until it is told to stop."""
+    trio.run(functools.partial(_run, settings))
+
+
+async def _run(settings):
+    await Service(settings).run()
--- /dev/null
+++ b/bluebellthread/daemon/_service_path.py
@@ -0,0 +1,126 @@
+"""Calls to plain services below ``/services/NAME/``."""
+
+import httpcore
+
+from bluebellthread import core
+from bluebellthread.daemon import _http
+
+PREFIX = '/services/'
+RETRY_AFTER_MS = 1000
+MOST_CONNECTIONS = 200
+SAFE_METHODS = ('GET', 'HEAD')
+HOP_HEADERS = frozenset(
+    {
+        'connection',
+        'content-length',
+        'host',
+        'keep-alive',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    }
+)
+"""Headers that hold for one connection only, or are made anew."""
+
+
+class ServicePath:
+    """Passes calls on to a plain service in this data centre.
+
+    Parameters
+    ----------
+    data_centre : str
+        Where this VM stands.
+    fleet : object
+        Has ``configuration``, the latest.
+    """
+
+    def __init__(self, *, data_centre, fleet):
+        self._data_centre = data_centre
+        self._fleet = fleet
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=MOST_CONNECTIONS, retries=0
+        )
+        self._calls = 0
+
+    async def close(self):
+        """Close the connections."""
+        await self._pool.aclose()
+
+    async def serve(self, exchange):
+        """Pass one call on and its answer back."""
+        name, _, rest = exchange.request.path[len(PREFIX) :].partition('/')
+        service = self._fleet.configuration.find_service(name)
+        if service is None:
+            raise _http.Refusal(
+                status=404,
+                kind='unknown-service',
+                remedy=f'no service {name!r}; check the name',
+            )
+        if exchange.request.method not in SAFE_METHODS:
+            raise _http.Refusal(
+                status=501,
+                kind='not-repeatable',
+                remedy='calls that may not be repeated need a ticket',
+            )
+        await self._pass_on(exchange, self._choose_server(name), '/' + rest)
+
+    def _choose_server(self, name):
+        servers = [
+            server
+            for server in self._fleet.configuration.servers_of(
+                name, self._data_centre
+            )
+            if server.role == core.ROLE_SERVICE and not server.leaving
+        ]
+        if not servers:
+            raise _http.Refusal(
+                status=503,
+                kind='no-backend',
+                remedy='come back after the time in Retry-After',
+                retry_after_ms=RETRY_AFTER_MS,
+            )
+        self._calls += 1
+        return servers[self._calls % len(servers)]
+
+    async def _pass_on(self, exchange, server, path):
+        request = exchange.request
+        query = f'?{request.query}' if request.query else ''
+        headers = [
+            (key.encode(), value.encode('latin-1'))
+            for key, value in request.headers
+            if key not in HOP_HEADERS
+        ]
+        headers.append((b'x-request-id', exchange.request_id.encode()))
+        try:
+            response = await self._pool.request(
+                request.method,
+                f'http://{server.host}:{server.port}{path}{query}',
+                headers=headers,
+                content=request.body or None,
+            )
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ) as error:
+            raise _http.Refusal(
+                status=502,
+                kind='unreachable',
+                remedy='send the idempotent call again',
+                run=_http.RUN_UNKNOWN,
+                retry_after_ms=RETRY_AFTER_MS,
+            ) from error
+        answer_headers = [
+            (key.decode('latin-1').lower(), value.decode('latin-1'))
+            for key, value in response.headers
+        ]
+        await exchange.responder.answer(
+            response.status,
+            [
+                (key, value)
+                for key, value in answer_headers
+                if key not in HOP_HEADERS and key != 'x-request-id'
+            ],
+            response.content,
+        )
--- /dev/null
+++ b/bluebellthread/daemon/_status_task.py
@@ -0,0 +1,41 @@
+"""The task that answers operators' questions about this VM."""
+
+import trio
+
+from bluebellthread import core
+
+QUEUE_LENGTH = 64
+
+
+class StatusTask:
+    """Answers `StatusRequest`."""
+
+    def __init__(
+        self, *, settings, incarnation, fleet, gateway, scheduler_task
+    ):
+        self._settings = settings
+        self._incarnation = incarnation
+        self._fleet = fleet
+        self._gateway = gateway
+        self._scheduler_task = scheduler_task
+        self.inbox, self._receive = trio.open_memory_channel(QUEUE_LENGTH)
+
+    async def run(self):
+        """Answer until cancelled."""
+        async for inbound in self._receive:
+            inbound.answer(self._describe())
+
+    def _describe(self):
+        pools = self._scheduler_task.pools_owned
+        return core.StatusAnswer(
+            vm=self._settings.vm,
+            data_centre=self._settings.data_centre,
+            incarnation=self._incarnation,
+            revision=self._fleet.configuration.revision,
+            draining=self._fleet.draining,
+            confirmed=self._fleet.view.confirmed,
+            pools_owned=tuple(pool.text() for pool in pools),
+            permits_held=self._gateway.in_progress,
+            permits_granted=self._scheduler_task.permits_granted,
+            members=self._fleet.view.members,
+        )
--- /dev/null
+++ b/bluebellthread/engines/_completions.py
@@ -0,0 +1,170 @@
+"""Engines that speak OpenAI-style completions with KV transfer.
+
+docs/ENGINE.md describes the calls.
+"""
+
+import json
+
+import httpcore
+
+from bluebellthread.engines import _registry
+
+_JSON_HEADER = (b'content-type', b'application/json')
+
+
+@_registry.engine_adapters.register('completions')
+class CompletionsEngine:
+    """Calls to engines over HTTP/1.1.
+
+    Parameters
+    ----------
+    pool : httpcore.AsyncConnectionPool
+        Connections; with no retries of its own.
+    """
+
+    def __init__(self, *, pool):
+        self._pool = pool
+
+    async def prefill(self, server, request_id, generation, *, traceparent=''):
+        """Read a prompt and leave its KV cache ready for export."""
+        body = {
+            'model': generation.model,
+            'prompt': generation.prompt,
+            'max_tokens': 1,
+            'priority': generation.priority,
+            'kv_transfer_params': {'do_remote_decode': True},
+        }
+        answer = await self._call_json(
+            server,
+            '/v1/completions',
+            body,
+            headers=_headers(request_id, traceparent),
+        )
+        usage = answer.get('usage', {})
+        return _registry.Prefilled(
+            transfer=answer['kv_transfer_params'],
+            prompt_tokens=usage.get('prompt_tokens', 0),
+            cached_tokens=usage.get('cached_tokens', 0),
+        )
+
+    async def decode(
+        self, server, request_id, generation, transfer, *, traceparent=''
+    ):
+        """Yield `Imported` and then each `Piece` of the answer."""
+        body = {
+            'model': generation.model,
+            'prompt': generation.prompt,
+            'max_tokens': generation.output_tokens,
+            'stream': True,
+            'priority': generation.priority,
+            'resume_offset': generation.resume_offset,
+            'kv_transfer_params': {**transfer, 'do_remote_prefill': True},
+        }
+        try:
+            async with self._pool.stream(
+                'POST',
+                _url(server, '/v1/completions'),
+                headers=_headers(request_id, traceparent),
+                content=json.dumps(body).encode(),
+            ) as response:
+                if response.status != 200:
+                    raise _refusal(server, response, await response.aread())
+                async for item in _read_pieces(response):
+                    yield item
+        except _TRANSPORT_ERRORS as error:
+            raise _registry.EngineError(
+                kind='broken-stream', server=server.name, detail=repr(error)
+            ) from error
+
+    async def cancel(self, server, request_id):
+        """Make a server drop all that it holds for a request."""
+        await self._call_json(
+            server, '/v1/cancel', {'request_id': request_id}, headers=[]
+        )
+
+    async def read_load(self, server):
+        """Return the server's load report as decoded JSON."""
+        return await self._call_json(server, '/load', None, headers=[])
+
+    async def _call_json(self, server, path, body, *, headers):
+        method = 'GET' if body is None else 'POST'
+        content = None if body is None else json.dumps(body).encode()
+        try:
+            response = await self._pool.request(
+                method,
+                _url(server, path),
+                headers=[*headers, _JSON_HEADER],
+                content=content,
+            )
+        except _TRANSPORT_ERRORS as error:
+            raise _registry.EngineError(
+                kind='unreachable', server=server.name, detail=repr(error)
+            ) from error
+        if response.status != 200:
+            raise _refusal(server, response, response.content)
+        return _decode_json(server, response.content)
+
+
+_TRANSPORT_ERRORS = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+)
+
+
+def _url(server, path):
+    return f'http://{server.host}:{server.port}{path}'
+
+
+def _headers(request_id, traceparent):
+    headers = [_JSON_HEADER, (b'x-request-id', request_id.encode())]
+    if traceparent:
+        headers.append((b'traceparent', traceparent.encode()))
+    return headers
+
+
+def _decode_json(server, content):
+    try:
+        return json.loads(content)
+    except ValueError as error:
+        raise _registry.EngineError(
+            kind='refused', server=server.name, detail=f'no JSON: {error}'
+        ) from error
+
+
+def _refusal(server, response, content):
+    try:
+        kind = json.loads(content)['error']['kind']
+    except (ValueError, KeyError, TypeError):
+        kind = f'status {response.status}'
+    return _registry.EngineError(
+        kind='kv-evicted' if kind == 'kv-evicted' else 'refused',
+        server=server.name,
+        detail=kind,
+    )
+
+
+async def _read_pieces(response):
+    buffer = b''
+    async for chunk in response.aiter_stream():
+        buffer += chunk
+        while b'\n\n' in buffer:
+            event, buffer = buffer.split(b'\n\n', 1)
+            item = _parse_event(event)
+            if item is not None:
+                yield item
+
+
+def _parse_event(event):
+    data = event.removeprefix(b'data: ')
+    if data == b'[DONE]':
+        return None
+    fields = json.loads(data)
+    if 'imported' in fields:
+        return _registry.Imported()
+    choice = fields['choices'][0]
+    return _registry.Piece(
+        offset=fields['offset'],
+        text=choice['text'],
+        finish_reason=choice.get('finish_reason') or '',
+    )
--- /dev/null
+++ b/bluebellthread/observe/_traces.py
@@ -0,0 +1,108 @@
+"""Traces with a span for each hop, written as lines of JSON."""
+
+import json
+
+from opentelemetry import propagate
+from opentelemetry.sdk import trace as sdk_trace
+from opentelemetry.sdk.trace import export
+from opentelemetry import trace
+
+HOPS = ('caller', 'gateway', 'scheduler', 'prefill', 'transfer', 'decode')
+"""Names of the spans of one model request."""
+
+
+class FileExporter(export.SpanExporter):
+    """Appends each finished span to a file as one line of JSON.
+
+    Examples
+    --------
+    >>> FileExporter('/dev/null').close()
+    """
+
+    def __init__(self, path):
+        self._file = open(path, 'a', encoding='utf-8')  # noqa: SIM115
+
+    def export(self, spans):
+        """Write finished spans."""
+        for span in spans:
+            self._file.write(json.dumps(_to_line(span)) + '\n')
+        self._file.flush()
+        return export.SpanExportResult.SUCCESS
+
+    def close(self):
+        """Close the file."""
+        self._file.close()
+
+    def shutdown(self):
+        """Close the file; the name is the SDK's."""
+        self.close()
+
+
+class Tracer:
+    """Starts spans and carries their context in W3C ``traceparent``.
+
+    Parameters
+    ----------
+    vm : str
+        Name of the VM, an attribute of every span.
+    path : str
+        File for finished spans; empty for none.
+
+    Examples
+    --------
+    >>> tracer = Tracer(vm='vm1', path='')
+    >>> with tracer.span('gateway') as span:
+    ...     header = tracer.traceparent_of(span)
+    >>> header
+    ''
+    """
+
+    def __init__(self, *, vm, path):
+        self._vm = vm
+        self._provider = None
+        self._tracer = trace.NoOpTracer()
+        if path:
+            self._provider = sdk_trace.TracerProvider()
+            self._provider.add_span_processor(
+                export.SimpleSpanProcessor(FileExporter(path))
+            )
+            self._tracer = self._provider.get_tracer('bluebellthread')
+
+    def span(self, hop, *, parent='', **attributes):
+        """Return a context manager that yields a span of a hop.
+
+        Parameters
+        ----------
+        hop : str
+            One of `HOPS`.
+        parent : str
+            A ``traceparent`` value, or empty for a new trace.
+        """
+        context = propagate.extract({'traceparent': parent})
+        return self._tracer.start_as_current_span(
+            hop, context=context, attributes={'vm': self._vm, **attributes}
+        )
+
+    def traceparent_of(self, span):
+        """Return the header value that makes a span the parent."""
+        carrier = {}
+        propagate.inject(carrier, context=trace.set_span_in_context(span))
+        return carrier.get('traceparent', '')
+
+    def close(self):
+        """Write out what is left and close the file."""
+        if self._provider is not None:
+            self._provider.shutdown()
+
+
+def _to_line(span):
+    context = span.get_span_context()
+    return {
+        'trace_id': f'{context.trace_id:032x}',
+        'span_id': f'{context.span_id:016x}',
+        'parent_id': f'{span.parent.span_id:016x}' if span.parent else '',
+        'hop': span.name,
+        'start_ns': span.start_time,
+        'end_ns': span.end_time,
+        'attributes': dict(span.attributes or {}),
+    }
