Read settings and configuration, judge a revision, resolve exceptions

Cause: the daemon and the operators' tool need the files' contents as attrs classes, with every fault of a file reported at once.

Change: jsonyx parses, a reader driven by the classes' fields checks types and rules, core judges the contents, and a locator adds lines only when there is something to report. jsonyx lets a key stand twice; a hook on objects refuses that.

Weighed: cattrs, whose errors carry paths but no lines and no remedies.

--- /dev/null
+++ b/bluebellthread/configuration/_files.py
@@ -0,0 +1,208 @@
+"""Settings and configuration from JSON with comments."""
+
+import pathlib
+
+import attrs
+import jsonyx
+
+from bluebellthread.configuration import _locations
+from bluebellthread.configuration import _reader
+from bluebellthread.configuration import _settings
+from bluebellthread import core
+
+_ALLOW = jsonyx.allow.COMMENTS | jsonyx.allow.TRAILING_COMMA
+_ADDRESS_FIELDS = ('platform_addresses', 'seed_addresses')
+
+
+class UnreadableFileError(core.BluebellthreadError):
+    """A file that can't be opened.
+
+    Examples
+    --------
+    >>> str(UnreadableFileError('x.json', 'no such file'))
+    "can't read x.json: no such file; name a file that you may read"
+    """
+
+    def __init__(self, path, detail):
+        super().__init__(
+            f"can't read {path}: {detail}; name a file that you may read"
+        )
+
+
+def read_text(path):
+    """Return the text of a file, or raise `UnreadableFileError`."""
+    try:
+        return pathlib.Path(path).read_text(encoding='utf-8')
+    except UnicodeDecodeError:
+        raise UnreadableFileError(path, 'it is not UTF-8') from None
+    except OSError as error:
+        raise UnreadableFileError(path, error.strerror) from None
+
+
+def load_settings(path):
+    """Return the `Settings` in a file.
+
+    Raises
+    ------
+    UnreadableFileError
+        The file can't be opened.
+    ConfigurationError
+        It breaks rules; all of its problems are named.
+    """
+    return parse_settings(read_text(path))
+
+
+def parse_settings(text):
+    """Return the `Settings` in a text, or raise `ConfigurationError`.
+
+    Examples
+    --------
+    >>> parse_settings('{"vm": "vm1"}')
+    Traceback (most recent call last):
+        ...
+    bluebellthread.core._problems.ConfigurationError: ...
+    """
+    return _parse(text, _settings.Settings, _check_settings)
+
+
+def load_configuration(path):
+    """Return the `Configuration` in a file; raises as `load_settings`."""
+    return parse_configuration(read_text(path))
+
+
+def parse_configuration(text):
+    """Return the `Configuration` in a text, or raise `ConfigurationError`.
+
+    Examples
+    --------
+    >>> parse_configuration('{"revision": 4} // first').revision
+    4
+    """
+    return _parse(text, core.Configuration, core.check_configuration)
+
+
+def _parse(text, cls, check):
+    reader = _reader.Reader()
+    value = _load_json(text)
+    result = reader.read(cls, value, '')
+    problems = list(reader.problems)
+    if result is not None:
+        faulty = [problem.path for problem in problems]
+        problems.extend(
+            problem
+            for problem in check(result)
+            if not _overlaps(problem.path, faulty)
+        )
+    if problems:
+        raise core.ConfigurationError(_add_lines(text, problems))
+    return result
+
+
+def _overlaps(path, faulty_paths):
+    # A value that could not be read explains what is found round it.
+    return any(
+        path.startswith(faulty) or faulty.startswith(path)
+        for faulty in faulty_paths
+    )
+
+
+def _load_json(text):
+    repeated = []
+
+    def build_object(pairs):
+        value = dict(pairs)
+        if len(value) < len(pairs):
+            repeated.append(value)
+        return value
+
+    try:
+        value = jsonyx.loads(
+            text, allow=_ALLOW, hooks={'object': build_object}
+        )
+        if not repeated:
+            return value
+        problems = _find_repeated(text)
+        raise core.ConfigurationError(problems)
+    except jsonyx.TruncatedSyntaxError as error:
+        problem = core.Problem(
+            path='',
+            message=error.msg,
+            remedy='write JSON; comments and trailing commas are allowed',
+            line=error.lineno or 0,
+        )
+    except (RecursionError, ValueError) as error:
+        problem = core.Problem(
+            path='', message=str(error), remedy='write simpler JSON'
+        )
+    raise core.ConfigurationError([problem])
+
+
+def _find_repeated(text):
+    return [
+        core.Problem(
+            path=path,
+            message='the key stands twice in one object',
+            remedy='remove one of them',
+            line=line,
+        )
+        for path, line in _locations.locate_lines(text).repeated
+    ]
+
+
+def _add_lines(text, problems):
+    lines = _locations.locate_lines(text).lines
+    placed = [
+        attrs.evolve(item, line=_locations.find_line(lines, item.path))
+        for item in problems
+    ]
+    return sorted(placed, key=lambda item: item.line)
+
+
+def _check_settings(settings):
+    problems = []
+    for field in _ADDRESS_FIELDS:
+        for index, address in enumerate(getattr(settings, field)):
+            if address is not None and not _is_address(address):
+                problems.append(
+                    core.Problem(
+                        path=f'{field}[{index}]',
+                        message=f'{address!r} is no address',
+                        remedy='write host:port',
+                    )
+                )
+    problems.extend(_check_ticket_keys(settings.ticket_keys))
+    return problems
+
+
+def _is_address(text):
+    host, _, port = text.rpartition(':')
+    return (
+        bool(host)
+        and port.isascii()
+        and port.isdigit()
+        and (0 < int(port) <= 65535)
+    )
+
+
+def _check_ticket_keys(keys):
+    if None in keys or not keys:
+        return []
+    problems = []
+    issuing = [key for key in keys if key.issuing]
+    if len(issuing) != 1:
+        problems.append(
+            core.Problem(
+                path='ticket_keys',
+                message=f'{len(issuing)} keys are issuing',
+                remedy='set "issuing": true on exactly one',
+            )
+        )
+    if len({key.key_id for key in keys}) != len(keys):
+        problems.append(
+            core.Problem(
+                path='ticket_keys',
+                message='two keys have one key_id',
+                remedy='give each key its own',
+            )
+        )
+    return problems
--- /dev/null
+++ b/bluebellthread/configuration/_rules.py
@@ -0,0 +1,97 @@
+"""What a single value may be, by the name of its field."""
+
+import ipaddress
+import re
+
+from bluebellthread.core import _model
+
+NAME_PATTERN = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,62}')
+PORT_MAX = 65535
+METHODS = ('*', 'GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS')
+ROLES = (_model.ROLE_PREFILL, _model.ROLE_DECODE, _model.ROLE_SERVICE)
+LOG_LEVELS = ('TRACE', 'DEBUG', 'INFO', 'WARNING', 'ERROR')
+SECRET_LENGTH_MIN = 16
+
+NAMES = ('name', 'vm', 'data_centre', 'region', 'serves', 'key_id')
+POSITIVE_SUFFIXES = ('_ms', '_tokens', '_bytes', '_per_s', '_concurrency')
+
+
+def check_scalar(cls, field, value):
+    """Return (message, remedy) for a value that breaks a rule, or None.
+
+    Parameters
+    ----------
+    cls : type
+        The attrs class that the field belongs to.
+    field : str
+        The field's name.
+    value : object
+        A value of the right type.
+
+    Examples
+    --------
+    >>> check_scalar(_model.BackendServer, 'port', 0)
+    ('0 is no port', 'use a number from 1 to 65535')
+    """
+    if cls.__name__ == 'Scope':
+        # An empty field means everywhere; names are checked against the
+        # configuration's own lists.
+        return None
+    if field in NAMES and not NAME_PATTERN.fullmatch(value):
+        return (
+            f'{value!r} is no name',
+            'use letters, digits, dots, underscores and hyphens, at most 63',
+        )
+    if isinstance(value, str):
+        return _check_text(cls, field, value)
+    return _check_number(cls, field, value)
+
+
+def _check_text(cls, field, value):
+    choices = {
+        'role': ROLES,
+        'method': METHODS,
+        'log_level': LOG_LEVELS,
+    }.get(field)
+    if choices and value not in choices:
+        return f'{value!r} is unknown', f'use one of: {", ".join(choices)}'
+    if field == 'path_prefix' and not value.startswith('/'):
+        return f'{value!r} is no path', 'start it with a slash'
+    if field == 'check_path' and value and not value.startswith('/'):
+        return f'{value!r} is no path', 'start it with a slash'
+    if field == 'host' and cls.__name__ == 'Settings':
+        return _check_ip_number(value)
+    if field == 'host' and (not value or re.search(r'[\s/]', value)):
+        return f'{value!r} is no host', 'use an IP number'
+    if field == 'secret' and len(value) < SECRET_LENGTH_MIN:
+        return (
+            'the secret is too short',
+            f'use at least {SECRET_LENGTH_MIN} random characters',
+        )
+    return None
+
+
+def _check_ip_number(value):
+    try:
+        ipaddress.ip_address(value)
+    except ValueError:
+        return f'{value!r} is no IP number', 'use one such as 10.0.0.7'
+    return None
+
+
+def _check_number(cls, field, value):
+    if isinstance(value, bool):
+        return None
+    if field == 'port' or field.endswith('_port'):
+        # The operating system chooses a port of a VM that is 0.
+        lowest = 1 if field == 'port' else 0
+        if not lowest <= value <= PORT_MAX:
+            return (
+                f'{value} is no port',
+                f'use a number from {lowest} to {PORT_MAX}',
+            )
+    if field.endswith('_percent') and not 0 <= value <= 100:
+        return f'{value} is no share', 'use a number from 0 to 100'
+    if field.endswith(POSITIVE_SUFFIXES) and value <= 0:
+        return f'{value} is too small', 'use a number above 0'
+    return None
--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -4,6 +4,11 @@
 randomness; the time and a generator are passed in.
 """
 
+from bluebellthread.core._acceptance import Accepted
+from bluebellthread.core._acceptance import check_configuration
+from bluebellthread.core._acceptance import decide_acceptance
+from bluebellthread.core._acceptance import Invalid
+from bluebellthread.core._acceptance import Stale
 from bluebellthread.core._configuration import Configuration
 from bluebellthread.core._configuration import Model
 from bluebellthread.core._configuration import Region
@@ -15,6 +20,10 @@
 from bluebellthread.core._errors import BluebellthreadError
 from bluebellthread.core._errors import DuplicateNameError
 from bluebellthread.core._errors import UnknownNameError
+from bluebellthread.core._exceptions import Decision
+from bluebellthread.core._exceptions import explain
+from bluebellthread.core._exceptions import resolve
+from bluebellthread.core._exceptions import Resolver
 from bluebellthread.core._messages import Done
 from bluebellthread.core._messages import PermitCancelled
 from bluebellthread.core._messages import PermitGranted
@@ -45,6 +54,8 @@
 from bluebellthread.core._policies import prefill_policies
 from bluebellthread.core._policies import queue_policies
 from bluebellthread.core._policies import spill_policies
+from bluebellthread.core._problems import ConfigurationError
+from bluebellthread.core._problems import Problem
 from bluebellthread.core._registry import Registry
 from bluebellthread.core._scheduler import Scheduler
 from bluebellthread.core._scheduler import SchedulerOptions
@@ -56,14 +67,18 @@
 from bluebellthread.core._scheduler_events import Tick
 
 __all__ = [
+    'Accepted',
     'BackendServer',
     'BluebellthreadError',
     'CancelAtEngine',
     'CancelConfirmed',
     'Configuration',
+    'ConfigurationError',
+    'Decision',
     'Done',
     'DuplicateNameError',
     'GatewaysChanged',
+    'Invalid',
     'LoadReport',
     'Member',
     'MembershipView',
@@ -77,6 +92,7 @@
     'PermitRequest',
     'PermitsRegistered',
     'PoolKey',
+    'Problem',
     'ROLE_DECODE',
     'ROLE_PREFILL',
     'ROLE_SERVICE',
@@ -85,6 +101,7 @@
     'Rejected',
     'RequestFound',
     'RequestLookup',
+    'Resolver',
     'Route',
     'Scheduler',
     'SchedulerOptions',
@@ -93,17 +110,22 @@
     'SendToGateway',
     'ServersChanged',
     'Service',
+    'Stale',
     'StatusAnswer',
     'StatusRequest',
     'Tick',
     'UnknownNameError',
     'Values',
+    'check_configuration',
     'choose_owner',
     'count_pieces',
+    'decide_acceptance',
     'decode_policies',
     'estimate_tokens',
+    'explain',
     'prefill_policies',
     'queue_policies',
     'rank_by_rendezvous',
+    'resolve',
     'spill_policies',
 ]
--- /dev/null
+++ b/bluebellthread/core/_acceptance.py
@@ -0,0 +1,366 @@
+"""Whether a revision of the configuration may come into force.
+
+The contents are judged on their own and the revision only by whether it
+rises, so that VMs that learn of revisions in different orders agree.
+"""
+
+import attrs
+
+from bluebellthread.core import _configuration
+from bluebellthread.core import _exceptions
+from bluebellthread.core import _model
+from bluebellthread.core import _policies
+from bluebellthread.core import _problems
+
+POLICY_REGISTRIES = {
+    'prefill_policy': _policies.prefill_policies,
+    'decode_policy': _policies.decode_policies,
+    'queue_policy': _policies.queue_policies,
+    'spill_policy': _policies.spill_policies,
+}
+"""The registry that holds the names of each policy value."""
+
+NO_SPILL = 'none'
+"""The spill policy's name for staying in the data centre."""
+
+_ROLES = (_model.ROLE_PREFILL, _model.ROLE_DECODE, _model.ROLE_SERVICE)
+_checks = []
+
+
+@attrs.frozen(kw_only=True)
+class Accepted:
+    """The revision is valid and newer than the one in force."""
+
+    configuration: _configuration.Configuration
+
+
+@attrs.frozen(kw_only=True)
+class Stale:
+    """The revision is not newer than the one in force; it is ignored."""
+
+    revision: int
+    in_force_revision: int
+
+
+@attrs.frozen(kw_only=True)
+class Invalid:
+    """The revision breaks rules; the one in force stays."""
+
+    revision: int
+    problems: tuple[_problems.Problem, ...]
+
+
+def decide_acceptance(configuration, *, in_force=None):
+    """Return `Accepted`, `Stale` or `Invalid` for a revision.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        The revision to judge.
+    in_force : Configuration or None
+        The last accepted one.
+
+    Examples
+    --------
+    >>> decide_acceptance(
+    ...     _configuration.Configuration(revision=1),
+    ...     in_force=_configuration.Configuration(revision=2))
+    Stale(revision=1, in_force_revision=2)
+    """
+    revision = configuration.revision
+    if in_force is not None and revision <= in_force.revision:
+        return Stale(revision=revision, in_force_revision=in_force.revision)
+    problems = check_configuration(configuration)
+    if problems:
+        return Invalid(revision=revision, problems=problems)
+    return Accepted(configuration=configuration)
+
+
+def check_configuration(configuration):
+    """Return the problems of a configuration's contents.
+
+    An item that is None could not be read from its file; it is passed
+    over, and so are references to a section that has such an item.
+
+    Examples
+    --------
+    >>> check_configuration(_configuration.Configuration(revision=1))
+    ()
+    """
+    problems = []
+    for check in _checks:
+        problems.extend(check(configuration))
+    return tuple(problems)
+
+
+def _check(function):
+    _checks.append(function)
+    return function
+
+
+def _present(items):
+    return [(i, item) for i, item in enumerate(items) if item is not None]
+
+
+def _problem(path, message, remedy):
+    return _problems.Problem(path=path, message=message, remedy=remedy)
+
+
+def _known(names):
+    return f'use one of: {", ".join(sorted(names)) or "(none is listed)"}'
+
+
+def _region_names(configuration):
+    return [region.name for _, region in _present(configuration.regions)]
+
+
+def _data_centre_names(configuration):
+    return [
+        name
+        for _, region in _present(configuration.regions)
+        for name in region.data_centres
+    ]
+
+
+def _served_names(configuration):
+    served = configuration.models + configuration.services
+    return [item.name for _, item in _present(served)]
+
+
+def _is_whole(*sections):
+    return all(item is not None for items in sections for item in items)
+
+
+@_check
+def _check_revision(configuration):
+    if configuration.revision < 1:
+        yield _problem(
+            'revision',
+            f'{configuration.revision} is too small',
+            'use 1 or more, and a higher number for each change',
+        )
+
+
+@_check
+def _check_duplicates(configuration):
+    lists = (
+        ('regions', configuration.regions),
+        ('models', configuration.models),
+        ('services', configuration.services),
+        ('backend_servers', configuration.backend_servers),
+    )
+    for section, items in lists:
+        seen = {}
+        for index, item in _present(items):
+            path = f'{section}[{index}].name'
+            first = seen.setdefault(item.name, path)
+            if first != path:
+                yield _duplicate(path, item.name, first)
+    yield from _check_data_centre_duplicates(configuration)
+    yield from _check_served_duplicates(configuration)
+
+
+def _check_data_centre_duplicates(configuration):
+    seen = {}
+    for index, region in _present(configuration.regions):
+        for place, name in enumerate(region.data_centres):
+            path = f'regions[{index}].data_centres[{place}]'
+            first = seen.setdefault(name, path)
+            if first != path:
+                yield _duplicate(path, name, first)
+
+
+def _check_served_duplicates(configuration):
+    models = {item.name for _, item in _present(configuration.models)}
+    for index, service in _present(configuration.services):
+        if service.name in models:
+            yield _problem(
+                f'services[{index}].name',
+                f'{service.name!r} is the name of a model too',
+                'give one of them another name',
+            )
+
+
+def _duplicate(path, name, first):
+    return _problem(
+        path,
+        f'{name!r} is used at {first} already',
+        'give one of them another name or remove it',
+    )
+
+
+@_check
+def _check_backend_servers(configuration):
+    addresses = {}
+    for index, server in _present(configuration.backend_servers):
+        path = f'backend_servers[{index}]'
+        yield from _check_reference(
+            f'{path}.data_centre',
+            server.data_centre,
+            'data centre',
+            _data_centre_names(configuration),
+            _is_whole(configuration.regions),
+        )
+        yield from _check_served(configuration, server, path)
+        address = (server.host, server.port)
+        first = addresses.setdefault(address, path)
+        if first != path:
+            yield _problem(
+                f'{path}.port',
+                f'{server.host}:{server.port} is the address of {first} too',
+                'give each backend server its own address',
+            )
+
+
+def _check_served(configuration, server, path):
+    if server.role not in _ROLES:
+        return
+    is_service = server.role == _model.ROLE_SERVICE
+    section = 'services' if is_service else 'models'
+    items = getattr(configuration, section)
+    yield from _check_reference(
+        f'{path}.serves',
+        server.serves,
+        'plain service' if is_service else 'model',
+        [item.name for _, item in _present(items)],
+        _is_whole(items),
+    )
+
+
+def _check_reference(path, name, kind, known, whole):
+    if whole and name not in known:
+        yield _problem(path, f'unknown {kind} {name!r}', _known(known))
+
+
+@_check
+def _check_routes(configuration):
+    for index, service in _present(configuration.services):
+        seen = {}
+        for place, route in enumerate(service.routes):
+            path = f'services[{index}].routes[{place}]'
+            key = (route.method, route.path_prefix)
+            first = seen.setdefault(key, path)
+            if first != path:
+                yield _problem(
+                    path,
+                    f'{route.method} {route.path_prefix} is ruled at '
+                    f'{first} already',
+                    'keep one of them',
+                )
+
+
+@_check
+def _check_policies(configuration):
+    defaults = attrs.asdict(configuration.defaults)
+    yield from _check_policy_names('defaults', defaults)
+    for index, exception in _present(configuration.exceptions):
+        path = f'exceptions[{index}].values'
+        yield from _check_policy_names(path, exception.values)
+
+
+def _check_policy_names(path, values):
+    for name, registry in POLICY_REGISTRIES.items():
+        if name not in values:
+            continue
+        names = set(registry.names())
+        if name == 'spill_policy':
+            names.add(NO_SPILL)
+        if values[name] not in names:
+            yield _problem(
+                f'{path}.{name}',
+                f'no policy is registered as {values[name]!r}',
+                _known(names),
+            )
+
+
+@_check
+def _check_exceptions(configuration):
+    known_values = {
+        field.name for field in attrs.fields(_configuration.Values)
+    }
+    for index, exception in _present(configuration.exceptions):
+        path = f'exceptions[{index}]'
+        if not exception.reason.strip():
+            yield _problem(
+                f'{path}.reason',
+                'the reason is blank',
+                'write why this scope differs from the defaults',
+            )
+        if not exception.values:
+            yield _problem(
+                f'{path}.values',
+                'the exception changes nothing',
+                'name at least one value, or remove the exception',
+            )
+        for name in exception.values:
+            if name not in known_values:
+                yield _problem(
+                    f'{path}.values.{name}',
+                    'unknown value',
+                    _known(known_values),
+                )
+        yield from _check_scope(configuration, exception.scope, path)
+
+
+def _check_scope(configuration, scope, path):
+    regions = _region_names(configuration)
+    places = _data_centre_names(configuration)
+    whole = _is_whole(configuration.regions)
+    if scope == _configuration.Scope():
+        yield _problem(
+            f'{path}.scope',
+            'the scope is the whole fleet',
+            'edit the defaults, or name a region, data_centre, serves or '
+            'caller',
+        )
+    if scope.region:
+        yield from _check_reference(
+            f'{path}.scope.region', scope.region, 'region', regions, whole
+        )
+    if scope.data_centre:
+        yield from _check_reference(
+            f'{path}.scope.data_centre',
+            scope.data_centre,
+            'data centre',
+            places,
+            whole,
+        )
+    if scope.serves:
+        yield from _check_reference(
+            f'{path}.scope.serves',
+            scope.serves,
+            'model or plain service',
+            _served_names(configuration),
+            _is_whole(configuration.models, configuration.services),
+        )
+    yield from _check_scope_place(configuration, scope, path)
+
+
+def _check_scope_place(configuration, scope, path):
+    if not (scope.region and scope.data_centre):
+        return
+    for _, region in _present(configuration.regions):
+        if scope.data_centre not in region.data_centres:
+            continue
+        if region.name != scope.region:
+            yield _problem(
+                f'{path}.scope.region',
+                f'{scope.data_centre!r} is not in {scope.region!r}',
+                f'use {region.name!r}, or leave the region out',
+            )
+
+
+@_check
+def _check_ties(configuration):
+    decided = {}
+    for index, exception in _present(configuration.exceptions):
+        key = _exceptions.scope_key(exception.scope)
+        for name, value in exception.values.items():
+            first = decided.setdefault((key, name), (index, value))
+            if first[0] != index and first[1] != value:
+                yield _problem(
+                    f'exceptions[{index}].values.{name}',
+                    f'exceptions[{first[0]}] has the same scope and says '
+                    f'{first[1]!r}',
+                    'keep one of them, or narrow the scope of one',
+                )
--- a/bluebellthread/core/_configuration.py
+++ b/bluebellthread/core/_configuration.py
@@ -139,6 +139,11 @@
     defaults: Values = Values()
     exceptions: tuple[ScopedException, ...] = ()
 
+    def __hash__(self):
+        # Cheap, for caches that hold the revision in force; equality
+        # still compares the contents.
+        return hash(self.revision)
+
     def region_of(self, data_centre):
         """Return the name of a data centre's region, or empty."""
         for region in self.regions:
