--- a/bluebellthread/daemon/__main__.py
+++ b/bluebellthread/daemon/__main__.py
@@ -5,6 +5,7 @@
 
 import bluebellthread
 from bluebellthread import configuration
+from bluebellthread import core
 from bluebellthread.daemon import _service
 
 EXIT_BAD_SETTINGS = 2
@@ -33,7 +34,7 @@
     options = make_parser().parse_args(arguments)
     try:
         settings = configuration.load_settings(options.settings)
-    except configuration.ConfigurationError as error:
+    except core.BluebellthreadError as error:
         print(f'bluebellthreadd: {error}', file=sys.stderr)
         return EXIT_BAD_SETTINGS
     _service.run_service(settings)
--- a/bluebellthread/daemon/_platform_watch.py
+++ b/bluebellthread/daemon/_platform_watch.py
@@ -54,7 +54,7 @@
             return revision
         try:
             value = configuration.parse_configuration(text)
-        except configuration.ConfigurationError as error:
+        except core.ConfigurationError as error:
             emit(events.CONFIGURATION_REJECTED, revision='?', error=error)
             await trio.sleep(RETRY_S)
             return revision
--- a/bluebellthread/daemon/_service.py
+++ b/bluebellthread/daemon/_service.py
@@ -29,9 +29,6 @@
 BODY_TIMEOUT_MS = 10000
 """How long a caller may take to send a body."""
 
-GRACE_S = 60
-"""How long a stopping process waits for requests in progress."""
-
 
 class Service:
     """The daemon's parts on one VM.
@@ -175,7 +172,7 @@
     async def _serve_callers(self):
         config = hypercorn.Config()
         config.bind = [f'{self._settings.host}:{self._settings.caller_port}']
-        config.graceful_timeout = GRACE_S
+        config.graceful_timeout = self._settings.drain_timeout_ms / 1000
         config.accesslog = None
         config.errorlog = None
         await hypercorn_trio.serve(
--- /dev/null
+++ b/tests/unit/test_examples.py
@@ -0,0 +1,29 @@
+"""Runs the examples in the doc comments."""
+
+import doctest
+import importlib
+import pkgutil
+import unittest
+
+import bluebellthread
+
+
+def list_modules():
+    found = pkgutil.walk_packages(
+        bluebellthread.__path__, prefix='bluebellthread.'
+    )
+    # A program's __main__ module has no examples and may not be imported.
+    return [item.name for item in found if not item.name.endswith('__main__')]
+
+
+def load_tests(loader, tests, pattern):
+    options = doctest.ELLIPSIS | doctest.IGNORE_EXCEPTION_DETAIL
+    for name in list_modules():
+        module = importlib.import_module(name)
+        tests.addTests(doctest.DocTestSuite(module, optionflags=options))
+    return tests
+
+
+class TestModules(unittest.TestCase):
+    def test_there_are_modules_with_examples(self):
+        self.assertIn('bluebellthread.core._model', list_modules())
