--- a/bluebellthread/daemon/_service.py
+++ b/bluebellthread/daemon/_service.py
@@ -26,6 +26,8 @@
 from bluebellthread.observe import start_log
 from bluebellthread.observe import Tracer
 
+MS_PER_S = 1000
+
 BODY_TIMEOUT_MS = 10000
 """How long a caller may take to send a body."""
 
@@ -51,7 +53,6 @@
 
     def _make_observers(self):
         settings = self._settings
-        start_log(settings.log_level)
         self._tracer = Tracer(vm=settings.vm, path=settings.trace_path)
         self._metrics = Metrics(
             host=settings.statsd_host,
@@ -129,35 +130,50 @@
             scheduler_task=self._scheduler_task,
         )
         self._mailboxes.register(core.StatusRequest, self._status_task.inbox)
+        self._platform_watch = _platform_watch.PlatformWatch(
+            platform=self._platform,
+            fleet=self.fleet,
+            scheduler_task=self._scheduler_task,
+        )
 
-    async def run(self):
-        """Start every task; return once stopped and drained."""
-        settings = self._settings
+    def stop(self):
+        """Begin a planned stop: not ready first, then drain."""
+        if self.fleet.draining:
+            return
+        self.fleet.draining = True
+        emit(
+            events.VM_STOPPING,
+            vm=self._settings.vm,
+            requests=self.gateway.in_progress,
+        )
+        self._stop.set()
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
+        """Start every task; return once stopped and drained.
+
+        The task status is given the addresses for callers and for peers
+        once all listen.
+        """
         async with trio.open_nursery() as nursery:
-            await nursery.start(self._watch_signals)
             await nursery.start(self._links.run)
-            await nursery.start(
-                self._peer_server.serve, settings.host, settings.peer_port
-            )
+            peers = await self._start_peer_server(nursery)
             nursery.start_soon(self._scheduler_task.run)
             nursery.start_soon(self._engine_control.run, self._scheduler_task)
             nursery.start_soon(self._status_task.run)
-            watch = _platform_watch.PlatformWatch(
-                platform=self._platform,
-                fleet=self.fleet,
-                scheduler_task=self._scheduler_task,
-            )
-            nursery.start_soon(watch.run)
-            emit(
-                events.VM_STARTED,
-                vm=settings.vm,
-                callers=f'{settings.host}:{settings.caller_port}',
-                peers=f'{settings.host}:{settings.peer_port}',
-            )
-            await self._serve_callers()
+            nursery.start_soon(self._platform_watch.run)
+            await self._serve_callers(peers, task_status)
             nursery.cancel_scope.cancel()
         await self.close()
 
+    async def _start_peer_server(self, nursery):
+        listeners = await nursery.start(
+            self._peer_server.serve,
+            self._settings.host,
+            self._settings.peer_port,
+        )
+        host, port = listeners[0].socket.getsockname()
+        return f'{host}:{port}'
+
     async def close(self):
         """Close what the tasks leave open."""
         with trio.CancelScope(shield=True):
@@ -169,35 +185,52 @@
         self._metrics.close()
         emit(events.VM_STOPPED, vm=self._settings.vm)
 
-    async def _serve_callers(self):
-        config = hypercorn.Config()
-        config.bind = [f'{self._settings.host}:{self._settings.caller_port}']
-        config.graceful_timeout = self._settings.drain_timeout_ms / 1000
-        config.accesslog = None
-        config.errorlog = None
-        await hypercorn_trio.serve(
-            self.gateway, config, shutdown_trigger=self._stop.wait
+    async def _serve_callers(self, peers, task_status):
+        config = make_server_config(self._settings)
+        serve = functools.partial(
+            hypercorn_trio.serve,
+            self.gateway,
+            config,
+            shutdown_trigger=self._stop.wait,
         )
+        # The nursery ends when the server has drained.
+        async with trio.open_nursery() as nursery:
+            urls = await nursery.start(serve)
+            callers = urls[0].removeprefix('http://')
+            emit(
+                events.VM_STARTED,
+                vm=self._settings.vm,
+                callers=callers,
+                peers=peers,
+            )
+            task_status.started((callers, peers))
+
 
-    async def _watch_signals(self, *, task_status=trio.TASK_STATUS_IGNORED):
-        with trio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT
-        ) as received:
-            task_status.started()
-            async for _ in received:
-                self.fleet.draining = True
-                emit(
-                    events.VM_STOPPING,
-                    vm=self._settings.vm,
-                    requests=self.gateway.in_progress,
-                )
-                self._stop.set()
+def make_server_config(settings):
+    """Return the HTTP server's configuration."""
+    config = hypercorn.Config()
+    config.bind = [f'{settings.host}:{settings.caller_port}']
+    config.graceful_timeout = settings.drain_timeout_ms / MS_PER_S
+    config.h11_max_incomplete_size = settings.request_header_max_bytes
+    config.accesslog = None
+    config.errorlog = None
+    return config
 
 
 def run_service(settings):
-    """Run the daemon until it is told to stop."""
-    trio.run(functools.partial(_run, settings))
+    """Run the daemon until a signal tells it to stop."""
+    start_log(settings.log_level)
+    trio.run(_run_until_signal, Service(settings))
+
+
+async def _run_until_signal(service):
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_stop_on_signal, service)
+        await service.run()
+        nursery.cancel_scope.cancel()
 
 
-async def _run(settings):
-    await Service(settings).run()
+async def _stop_on_signal(service):
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+        async for _ in received:
+            service.stop()
