Add stand-ins for engines, services, platform and network

The router's tests and demo need what surrounds it, as real processes that can be made slow, late and wrong. A mocked interface was ruled out: it could not show what a cut connection or a kill does.

--- /dev/null
+++ b/standin/_proxy.py
@@ -0,0 +1,207 @@
+"""A stand-in for a bad network: a proxy whose faults tests switch."""
+
+import collections
+
+import attrs
+import trio
+
+from standin import _http
+
+CHUNK_BYTES = 65536
+"""Bytes read at a time."""
+
+SLICE_S = 0.02
+"""Seconds of one slice of a rate-limited flow."""
+
+
+@attrs.define(kw_only=True)
+class Rule:
+    """What happens to the traffic of one source IP, or of ``'*'``.
+
+    Parameters
+    ----------
+    cut : bool
+        Close open connections, refuse new ones, drop datagrams.
+    stall : bool
+        Hold bytes back for as long as this is set; drop datagrams.
+    stall_answers : bool
+        Hold back only what comes from the target.
+    delay_ms : int
+        Hold each piece back so long.
+    bytes_per_s : float
+        Above 0, the rate of each connection and direction.
+    half_close : bool
+        Send the end of the stream to the target, go on with the other
+        direction.
+    """
+
+    cut: bool = False
+    stall: bool = False
+    stall_answers: bool = False
+    delay_ms: int = 0
+    bytes_per_s: float = 0.0
+    half_close: bool = False
+
+
+@attrs.define(kw_only=True)
+class ProxySettings:
+    """Where a proxy listens and forwards to; port 0 lets the OS choose.
+
+    Parameters
+    ----------
+    forwards_udp : bool
+        Whether datagrams to the same port number are forwarded, too.
+    """
+
+    name: str
+    target_host: str = '127.0.0.1'
+    target_port: int = 0
+    host: str = '127.0.0.1'
+    port: int = 0
+    control_port: int = 0
+    forwards_udp: bool = False
+
+
+class Proxy:
+    """One fault-injecting proxy.
+
+    ``POST /rules`` on its control port with ``{"SOURCE": {rule}}``
+    replaces all rules; ``{}`` heals. ``POST /control`` changes the target.
+
+    Examples
+    --------
+    >>> Proxy(ProxySettings(name='x')).rule_of('127.0.0.9').cut
+    False
+    """
+
+    def __init__(self, settings):
+        self.settings = settings
+        self._rules = {}
+        self._changed = trio.Event()
+        self._connections = {}
+        self._counts = collections.Counter()
+        self._udp = None
+        self._nursery = None
+
+    async def start(self, nursery):
+        """Listen and forward; return what listens where."""
+        own = self.settings
+        self._nursery = nursery
+        listeners = await trio.open_tcp_listeners(own.port, host=own.host)
+        own.port = listeners[0].socket.getsockname()[1]
+        if own.forwards_udp:
+            self._udp = trio.socket.socket(type=trio.socket.SOCK_DGRAM)
+            await self._udp.bind((own.host, own.port))
+            nursery.start_soon(self._relay_datagrams)
+        nursery.start_soon(
+            trio.serve_listeners, self._relay_connection, listeners
+        )
+        app = _http.App()
+        app.add('POST', '/rules', self._set_rules)
+        app.add('GET', '/counts', self._get_counts)
+        app.add('POST', '/control', _http.make_control(own))
+        own.control_port = await _http.serve(
+            nursery, app, host=own.host, port=own.control_port
+        )
+        return [
+            {
+                'name': own.name,
+                'host': own.host,
+                'port': own.port,
+                'control_port': own.control_port,
+            }
+        ]
+
+    def rule_of(self, source):
+        """Return the rule for a source IP."""
+        return self._rules.get(source) or self._rules.get('*') or Rule()
+
+    async def _set_rules(self, request):
+        self._rules = {
+            source: Rule(**rule) for source, rule in request.json().items()
+        }
+        for scope, source in self._connections.items():
+            if self.rule_of(source).cut:
+                scope.cancel()
+        self._changed.set()
+        self._changed = trio.Event()
+        await request.answer(200, {})
+
+    async def _get_counts(self, request):
+        answer = {**self._counts, 'open': len(self._connections)}
+        await request.answer(200, answer)
+
+    async def _relay_connection(self, stream):
+        source = stream.socket.getpeername()[0]
+        self._counts['connections'] += 1
+        with trio.CancelScope() as scope:
+            self._connections[scope] = source
+            try:
+                if not self.rule_of(source).cut:
+                    await self._connect_and_relay(stream, source)
+            except OSError:
+                self._counts['unreachable'] += 1
+            finally:
+                del self._connections[scope]
+        await trio.aclose_forcefully(stream)
+
+    async def _connect_and_relay(self, stream, source):
+        target = await trio.open_tcp_stream(
+            self.settings.target_host, self.settings.target_port
+        )
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._relay, stream, target, source, False)
+                nursery.start_soon(self._half_close, target, source)
+                await self._relay(target, stream, source, True)
+                nursery.cancel_scope.cancel()
+        finally:
+            await trio.aclose_forcefully(target)
+
+    async def _half_close(self, target, source):
+        while not self.rule_of(source).half_close:
+            await self._changed.wait()
+        await target.send_eof()
+
+    async def _relay(self, reader, writer, source, is_answer):
+        try:
+            while data := await reader.receive_some(CHUNK_BYTES):
+                await self._wait_for_rule(source, is_answer)
+                await self._send(writer, data, source)
+            await self._wait_for_rule(source, is_answer)
+            await writer.send_eof()
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            self._counts['broken'] += 1
+
+    async def _wait_for_rule(self, source, is_answer):
+        while True:
+            rule = self.rule_of(source)
+            if not rule.stall and not (rule.stall_answers and is_answer):
+                break
+            await self._changed.wait()
+        await trio.sleep(rule.delay_ms / 1000)
+
+    async def _send(self, writer, data, source):
+        while data:
+            rate = self.rule_of(source).bytes_per_s
+            count = max(1, int(rate * SLICE_S)) if rate else len(data)
+            await writer.send_all(data[:count])
+            self._counts['bytes'] += len(data[:count])
+            data = data[count:]
+            if rate:
+                await trio.sleep(SLICE_S)
+
+    async def _relay_datagrams(self):
+        while True:
+            data, address = await self._udp.recvfrom(CHUNK_BYTES)
+            rule = self.rule_of(address[0])
+            if rule.cut or rule.stall:
+                self._counts['dropped'] += 1
+                continue
+            self._counts['datagrams'] += 1
+            self._nursery.start_soon(self._send_datagram, data, rule.delay_ms)
+
+    async def _send_datagram(self, data, delay_ms):
+        await trio.sleep(delay_ms / 1000)
+        target = (self.settings.target_host, self.settings.target_port)
+        await self._udp.sendto(data, target)
--- /dev/null
+++ b/tests/integration/_fleet.py
@@ -0,0 +1,387 @@
+"""Starts stand-ins and daemons as real processes for integration tests.
+
+A test derives from `FleetTestCase` and runs a coroutine with a `Fleet`::
+
+    class TestThing(FleetTestCase):
+        def test_it(self):
+            self.run_fleet(self.check_it)
+
+        async def check_it(self, fleet):
+            await fleet.start_standins([{'kind': 'platform'}])
+            vm = await fleet.start_daemon({'vm': 'vm1', ...})
+            answer = await fleet.call('GET', vm.callers, '/healthz')
+            self.assertEqual(200, answer.status)
+
+Every process ends with the test, and its log is printed if the test fails.
+"""
+
+import contextlib
+import inspect
+import json
+import os
+import pathlib
+import re
+import signal
+import subprocess
+import sys
+import tempfile
+import unittest
+
+import attrs
+import httpcore
+import trio
+
+ROOT = pathlib.Path(__file__).parent.parent.parent
+
+POLL_S = 0.01
+"""Seconds between two looks at a condition."""
+
+START_TIMEOUT_S = 20
+"""Seconds that a process has to start in."""
+
+TEST_TIMEOUT_S = 60
+"""Seconds that one test has."""
+
+STARTED_LINE = re.compile(
+    r'E1001 .*callers \D*([\d.]+:\d+), peers \D*([\d.]+:\d+)'
+)
+
+
+@attrs.frozen(kw_only=True)
+class Address:
+    """Where something listens; ``control_port`` is for a proxy only."""
+
+    host: str
+    port: int
+    control_port: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class Answer:
+    """A whole HTTP answer."""
+
+    status: int
+    headers: dict
+    body: bytes
+
+    def json(self):
+        """Return the decoded body."""
+        return json.loads(self.body)
+
+
+class Process:
+    """One running process with its output in files."""
+
+    def __init__(self, arguments, directory, name):
+        self.name = name
+        self._stdout_path = directory / f'{name}.out'
+        self._stderr_path = directory / f'{name}.err'
+        environment = {**os.environ, 'PYTHONPATH': str(ROOT)}
+        with (
+            self._stdout_path.open('ab') as stdout,
+            self._stderr_path.open('ab') as stderr,
+        ):
+            self._popen = subprocess.Popen(
+                [sys.executable, '-m', *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=stdout,
+                stderr=stderr,
+                env=environment,
+                cwd=ROOT,
+            )
+
+    @property
+    def pid(self):
+        """The process's number."""
+        return self._popen.pid
+
+    @property
+    def exit_code(self):
+        """How it ended, or None while it runs."""
+        return self._popen.poll()
+
+    @property
+    def stdout(self):
+        """All it has written to its standard output."""
+        return self._stdout_path.read_text(encoding='utf-8')
+
+    @property
+    def stderr(self):
+        """All it has logged."""
+        return self._stderr_path.read_text(encoding='utf-8')
+
+    def terminate(self):
+        """Ask it to stop."""
+        self._popen.terminate()
+
+    def freeze(self):
+        """Stop it in its tracks."""
+        self._popen.send_signal(signal.SIGSTOP)
+
+    def thaw(self):
+        """Let it go on."""
+        self._popen.send_signal(signal.SIGCONT)
+
+    def kill(self):
+        """Kill it and wait for its end."""
+        self._popen.kill()
+        self._popen.wait()
+
+    async def wait(self, timeout_s=START_TIMEOUT_S):
+        """Wait for its end and return the exit code."""
+        await until(lambda: self.exit_code is not None, timeout_s=timeout_s)
+        return self.exit_code
+
+
+@attrs.frozen(kw_only=True)
+class Daemon:
+    """A running daemon with the addresses it listens on."""
+
+    name: str
+    process: Process
+    callers: Address
+    peers: Address
+    settings: dict
+
+
+async def until(condition, *, what='the condition', timeout_s=10):
+    """Wait for a true value of a function or coroutine and return it."""
+    with trio.move_on_after(timeout_s):
+        while True:
+            value = condition()
+            if inspect.isawaitable(value):
+                value = await value
+            if value:
+                return value
+            await trio.sleep(POLL_S)
+    raise AssertionError(f'{what} did not come within {timeout_s} s')
+
+
+class Fleet:
+    """All processes of one test; `start` and `close` bound its life."""
+
+    def __init__(self):
+        self.standins = {}
+        self.daemons = {}
+        self.processes = []
+        self._standin_processes = {}
+        self._temporary = None
+        self._directory = None
+        self._pool = None
+
+    async def start(self):
+        """Make room for files and connections."""
+        self._temporary = tempfile.TemporaryDirectory(prefix='fleet-')
+        self._directory = pathlib.Path(self._temporary.name)
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=1000, max_keepalive_connections=0
+        )
+
+    async def close(self):
+        """Kill every process, also frozen ones; drop files."""
+        for process in self.processes:
+            process.kill()
+        with trio.CancelScope(shield=True):
+            await self._pool.aclose()
+        self._temporary.cleanup()
+
+    def read_logs(self):
+        """Return what all processes logged."""
+        return '\n'.join(
+            f'--- {process.name} (exit code {process.exit_code})\n'
+            f'{process.stderr}'
+            for process in self.processes
+        )
+
+    async def start_standins(self, entries):
+        """Host stand-ins in one process; return name to `Address`.
+
+        Entries are as in the file of ``python -m standin``.
+        """
+        number = len(self.processes)
+        process = self._launch('standin', '--file', {'standins': entries})
+        lines = await until(
+            lambda: _whole_lines(process, len(entries)),
+            what=f'the start of stand-ins {number}',
+            timeout_s=START_TIMEOUT_S,
+        )
+        started = {}
+        for line in map(json.loads, lines):
+            address = Address(
+                host=line['host'],
+                port=line['port'],
+                control_port=line.get('control_port', 0),
+            )
+            started[line['name']] = address
+            self._standin_processes[line['name']] = process
+        self.standins.update(started)
+        return started
+
+    async def start_daemon(self, settings):
+        """Start a daemon with these settings; return a `Daemon`."""
+        process = self._launch('bluebellthread.daemon', '--settings', settings)
+        match = await until(
+            lambda: _find_started(process),
+            what=f'the start of {settings["vm"]}',
+            timeout_s=START_TIMEOUT_S,
+        )
+        daemon = Daemon(
+            name=settings['vm'],
+            process=process,
+            callers=_to_address(match.group(1)),
+            peers=_to_address(match.group(2)),
+            settings=settings,
+        )
+        self.daemons[daemon.name] = daemon
+        return daemon
+
+    def process_of(self, name):
+        """Return the process that hosts a stand-in or is a daemon."""
+        if name in self.daemons:
+            return self.daemons[name].process
+        return self._standin_processes[name]
+
+    async def publish_vms(self, states=None):
+        """List the daemons at the platform, ``'live'`` where not given."""
+        states = states or {}
+        vms = [
+            {
+                'name': daemon.name,
+                'data_centre': daemon.settings['data_centre'],
+                'region': daemon.settings['region'],
+                'host': daemon.peers.host,
+                'peer_port': daemon.peers.port,
+                'caller_port': daemon.callers.port,
+                'state': states.get(daemon.name, 'live'),
+            }
+            for daemon in self.daemons.values()
+        ]
+        await self.post('platform', '/publish_vms', vms)
+
+    async def publish_config(self, configuration):
+        """Publish a configuration: an object, or text with comments."""
+        if not isinstance(configuration, str):
+            configuration = json.dumps(configuration)
+        await self.post('platform', '/publish_config', configuration)
+
+    async def control(self, name, **changes):
+        """Change a stand-in's settings while it runs."""
+        return await self.post(name, '/control', changes)
+
+    async def set_rules(self, name, rules):
+        """Replace a proxy's rules; an empty dict heals the network."""
+        address = self.standins[name]
+        control = Address(host=address.host, port=address.control_port)
+        answer = await self.call('POST', control, '/rules', rules)
+        assert answer.status == 200, answer
+
+    async def state(self, name):
+        """Return an engine's true state, without lag."""
+        answer = await self.call('GET', self.standins[name], '/state')
+        return answer.json()
+
+    async def post(self, name, path, body):
+        """Post to a stand-in, which has to agree."""
+        answer = await self.call('POST', self.standins[name], path, body)
+        assert answer.status == 200, answer
+        return answer.json()
+
+    async def call(self, method, address, path, body=None, headers=None):
+        """Make one HTTP call and return the whole `Answer`."""
+        async with self.open(method, address, path, body, headers) as response:
+            content = await response.aread()
+        return Answer(
+            status=response.status,
+            headers=_to_dict(response.headers),
+            body=content,
+        )
+
+    @contextlib.asynccontextmanager
+    async def open(self, method, address, path, body=None, headers=None):
+        """Open one HTTP call; `read_events` reads its streamed answer."""
+        if body is not None and not isinstance(body, (bytes, str)):
+            body = json.dumps(body)
+        content = body.encode() if isinstance(body, str) else body
+        async with self._pool.stream(
+            method,
+            f'http://{address.host}:{address.port}{path}',
+            headers={'connection': 'close', **(headers or {})},
+            content=content,
+        ) as response:
+            yield response
+
+    def _launch(self, module, option, value):
+        number = len(self.processes)
+        name = f'{number}-{value.get("vm", module)}'
+        path = self._directory / f'{name}.json'
+        path.write_text(json.dumps(value), encoding='utf-8')
+        process = Process([module, option, str(path)], self._directory, name)
+        self.processes.append(process)
+        return process
+
+
+async def read_events(response):
+    """Yield the decoded server-sent events of an answer, but for [DONE]."""
+    buffer = b''
+    async for chunk in response.aiter_stream():
+        buffer += chunk
+        *events, buffer = buffer.split(b'\n\n')
+        for event in events:
+            data = event.removeprefix(b'data: ')
+            if data == b'[DONE]':
+                return
+            yield json.loads(data)
+
+
+class FleetTestCase(unittest.TestCase):
+    """A test case whose tests are coroutines that take a `Fleet`."""
+
+    def run_fleet(self, test, *, timeout_s=TEST_TIMEOUT_S):
+        """Run a coroutine function with a fleet that is cleaned up after."""
+        try:
+            trio.run(_run_fleet, test, timeout_s)
+        except BaseExceptionGroup as group:
+            raise _unwrap(group) from None
+
+
+async def _run_fleet(test, timeout_s):
+    fleet = Fleet()
+    await fleet.start()
+    try:
+        with trio.fail_after(timeout_s):
+            await test(fleet)
+    except BaseException:
+        print(fleet.read_logs())
+        raise
+    finally:
+        await fleet.close()
+
+
+def _unwrap(error):
+    while isinstance(error, BaseExceptionGroup):
+        if len(error.exceptions) > 1:
+            break
+        error = error.exceptions[0]
+    return error
+
+
+def _whole_lines(process, count):
+    if process.exit_code is not None:
+        raise AssertionError(f'{process.name} ended:\n{process.stderr}')
+    lines = process.stdout.split('\n')[:-1]
+    return lines if len(lines) >= count else None
+
+
+def _find_started(process):
+    if process.exit_code is not None:
+        raise AssertionError(f'{process.name} ended:\n{process.stderr}')
+    return STARTED_LINE.search(process.stderr)
+
+
+def _to_address(text):
+    host, port = text.rsplit(':', 1)
+    return Address(host=host, port=int(port))
+
+
+def _to_dict(headers):
+    return {name.decode().lower(): value.decode() for name, value in headers}
