--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -1,9 +1,10 @@
 """Decisions without input or output: events in, commands out.
 
-Nothing here reads a clock, opens a socket or draws from global
-randomness; the time and a generator are passed in.
-"""
-
+Nothing here reads a clock, opens a socket or draws from bluebellthread.core._acceptance import Accepted
+from bluebellthread.core._acceptance import check_configuration
+from bluebellthread.core._acceptance import decide_acceptance
+from bluebellthread.core._acceptance import Invalid
+from bluebellthread.core._acceptance import Stale
 from bluebellthread.core._configuration import Configuration
 from bluebellthread.core._configuration import Model
 from bluebellthread.core._configuration import Region
@@ -15,6 +16,10 @@
 from bluebellthread.core._errors import BluebellthreadError
 from bluebellthread.core._errors import DuplicateNameError
 from bluebellthread.core._errors import UnknownNameError
+from bluebellthread.core._exceptions import Decision
+from bluebellthread.core._exceptions import explain
+from bluebellthread.core._exceptions import resolve
+from bluebellthread.core._exceptions import Resolver
 from bluebellthread.core._membership import Membership
 from bluebellthread.core._membership_events import DatagramReceived
 from bluebellthread.core._membership_events import LeaveStarted
@@ -53,6 +58,8 @@
 from bluebellthread.core._policies import prefill_policies
 from bluebellthread.core._policies import queue_policies
 from bluebellthread.core._policies import spill_policies
+from bluebellthread.core._problems import ConfigurationError
+from bluebellthread.core._problems import Problem
 from bluebellthread.core._registry import Registry
 from bluebellthread.core._scheduler import Scheduler
 from bluebellthread.core._scheduler import SchedulerOptions
@@ -64,15 +71,19 @@
 from bluebellthread.core._scheduler_events import Tick
 
 __all__ = [
+    'Accepted',
     'BackendServer',
     'BluebellthreadError',
     'CancelAtEngine',
     'CancelConfirmed',
     'Configuration',
+    'ConfigurationError',
     'DatagramReceived',
+    'Decision',
     'Done',
     'DuplicateNameError',
     'GatewaysChanged',
+    'Invalid',
     'LeaveStarted',
     'LoadReport',
     'Member',
@@ -90,6 +101,7 @@
     'PermitsRegistered',
     'PlatformListed',
     'PoolKey',
+    'Problem',
     'ROLE_DECODE',
     'ROLE_PREFILL',
     'ROLE_SERVICE',
@@ -98,6 +110,7 @@
     'Rejected',
     'RequestFound',
     'RequestLookup',
+    'Resolver',
     'Route',
     'Scheduler',
     'SchedulerOptions',
@@ -107,6 +120,7 @@
     'SendToGateway',
     'ServersChanged',
     'Service',
+    'Stale',
     'StatusAnswer',
     'StatusRequest',
     'Stopped',
@@ -114,12 +128,16 @@
     'UnknownNameError',
     'Values',
     'ViewChanged',
+    'check_configuration',
     'choose_owner',
     'count_pieces',
+    'decide_acceptance',
     'decode_policies',
     'estimate_tokens',
+    'explain',
     'prefill_policies',
     'queue_policies',
     'rank_by_rendezvous',
+    'resolve',
     'spill_policies',
 ]
