Put the policies behind registries, add limits and retries

Cause: the scheduler knew one policy of each kind, refused only at a full queue, and told every refused caller to come back in a second.

Change: prefill, decode, queue and spill policies, one module a family, with baselines beside them. The fair queue shares over callers by start tags, orders each caller's requests by deadline and gives priorities weights; its form with early refusal learns the drain rate and the time to the first output and refuses at once what would be late. Limits, token buckets in whole numbers, the retry budget and backoff are pure state machines beside them. A server policy is now an instance that lives as long as its scheduler, since round robin has state; queues return typed refusals from push and pop_expired.

--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -12,9 +12,18 @@
 from bluebellthread.core._configuration import ScopedException
 from bluebellthread.core._configuration import Service
 from bluebellthread.core._configuration import Values
+from bluebellthread.core._decode_policies import BestFit
+from bluebellthread.core._decode_policies import FewestRunning
+from bluebellthread.core._early_refusal import EarlyRefusalQueue
 from bluebellthread.core._errors import BluebellthreadError
 from bluebellthread.core._errors import DuplicateNameError
 from bluebellthread.core._errors import UnknownNameError
+from bluebellthread.core._fair_queue import FairQueue
+from bluebellthread.core._first_come_queue import FirstComeQueue
+from bluebellthread.core._limits import BoundedQueue
+from bluebellthread.core._limits import CallerLimits
+from bluebellthread.core._limits import ConnectionCaps
+from bluebellthread.core._limits import LimitRefusal
 from bluebellthread.core._messages import Done
 from bluebellthread.core._messages import PermitCancelled
 from bluebellthread.core._messages import PermitGranted
@@ -42,10 +51,18 @@
 from bluebellthread.core._ownership import choose_owner
 from bluebellthread.core._ownership import rank_by_rendezvous
 from bluebellthread.core._policies import decode_policies
+from bluebellthread.core._policies import DecodeCandidate
 from bluebellthread.core._policies import prefill_policies
+from bluebellthread.core._policies import PrefillCandidate
 from bluebellthread.core._policies import queue_policies
+from bluebellthread.core._policies import QueueOptions
+from bluebellthread.core._policies import QueueRefusal
 from bluebellthread.core._policies import spill_policies
+from bluebellthread.core._prefill_policies import BoundedPrefix
+from bluebellthread.core._prefix_index import PrefixIndex
 from bluebellthread.core._registry import Registry
+from bluebellthread.core._retry import backoff_ms
+from bluebellthread.core._retry import RetryBudget
 from bluebellthread.core._scheduler import Scheduler
 from bluebellthread.core._scheduler import SchedulerOptions
 from bluebellthread.core._scheduler_events import CancelAtEngine
@@ -54,16 +71,31 @@
 from bluebellthread.core._scheduler_events import SendToGateway
 from bluebellthread.core._scheduler_events import ServersChanged
 from bluebellthread.core._scheduler_events import Tick
+from bluebellthread.core._spill_policies import PoolSummary
+from bluebellthread.core._spill_policies import RegionSpill
+from bluebellthread.core._spill_policies import SpillPolicy
+from bluebellthread.core._token_bucket import TokenBucket
 
 __all__ = [
     'BackendServer',
+    'BestFit',
     'BluebellthreadError',
+    'BoundedPrefix',
+    'BoundedQueue',
+    'CallerLimits',
     'CancelAtEngine',
     'CancelConfirmed',
     'Configuration',
+    'ConnectionCaps',
+    'DecodeCandidate',
     'Done',
     'DuplicateNameError',
+    'EarlyRefusalQueue',
+    'FairQueue',
+    'FewestRunning',
+    'FirstComeQueue',
     'GatewaysChanged',
+    'LimitRefusal',
     'LoadReport',
     'Member',
     'MembershipView',
@@ -77,14 +109,21 @@
     'PermitRequest',
     'PermitsRegistered',
     'PoolKey',
+    'PoolSummary',
+    'PrefillCandidate',
+    'PrefixIndex',
+    'QueueOptions',
+    'QueueRefusal',
     'ROLE_DECODE',
     'ROLE_PREFILL',
     'ROLE_SERVICE',
     'Region',
+    'RegionSpill',
     'Registry',
     'Rejected',
     'RequestFound',
     'RequestLookup',
+    'RetryBudget',
     'Route',
     'Scheduler',
     'SchedulerOptions',
@@ -93,11 +132,14 @@
     'SendToGateway',
     'ServersChanged',
     'Service',
+    'SpillPolicy',
     'StatusAnswer',
     'StatusRequest',
     'Tick',
+    'TokenBucket',
     'UnknownNameError',
     'Values',
+    'backoff_ms',
     'choose_owner',
     'count_pieces',
     'decode_policies',
--- /dev/null
+++ b/bluebellthread/core/_fair_queue.py
@@ -0,0 +1,253 @@
+"""The fair queue: callers share, deadlines order each caller's requests.
+
+Three orders stand one in another. Priorities share by weight, so a low
+one is slowed but never starved; callers of one priority share equally, by
+start-time fair queueing over the cost of their requests; the requests of
+one caller go by earliest deadline.
+
+A full queue sheds in this order: what waits in vain already, then the
+lowest priority, in it the caller with the largest waiting cost, of its
+requests the one with the latest deadline.
+"""
+
+import heapq
+
+import attrs
+
+from bluebellthread.core import _fair_order
+from bluebellthread.core import _messages
+from bluebellthread.core import _policies
+
+OUTPUT_TOKEN_COST = 8
+"""Cost of one output token, in prompt tokens."""
+
+PRIORITY_WEIGHT = 8
+"""How many times the share a priority has of the next lower one."""
+
+WEIGHT_SHIFT = 24
+"""Bits that a cost is shifted by before it is divided by a weight."""
+
+HIGHEST_PRIORITY = 3
+"""Priorities above this, or below its negative, count as this."""
+
+
+def cost_of(request):
+    """Return what a request costs the engines, in prompt tokens."""
+    return request.prompt_tokens + OUTPUT_TOKEN_COST * request.output_tokens
+
+
+def order_of(request):
+    """Return the moment that orders a request among its caller's."""
+    return min(request.first_output_deadline_ms, request.deadline_ms)
+
+
+@attrs.define(kw_only=True, eq=False)
+class Entry:
+    """One waiting request.
+
+    Parameters
+    ----------
+    request : PermitRequest
+        The request.
+    cost : int
+        Its cost.
+    order_ms : int
+        The moment that orders it among its caller's requests.
+    start_by_ms : int
+        After this moment it waits in vain.
+    pushed_ms : int
+        When it came.
+    waiting : bool
+        False once it has left the queue.
+    """
+
+    request: _messages.PermitRequest
+    cost: int
+    order_ms: int
+    start_by_ms: int
+    pushed_ms: int
+    waiting: bool = True
+
+
+@attrs.define(kw_only=True, eq=False)
+class Flow:
+    """The waiting requests of one caller at one priority."""
+
+    entries: list = attrs.field(factory=list)
+    count: int = 0
+    cost: int = 0
+
+    def first(self):
+        """Return the entry with the earliest deadline."""
+        while not self.entries[0][2].waiting:
+            heapq.heappop(self.entries)
+        return self.entries[0][2]
+
+    def last(self):
+        """Return the entry with the latest deadline."""
+        waiting = [item for item in self.entries if item[2].waiting]
+        return max(waiting)[2]
+
+    def cost_before(self, order_ms):
+        """Return the cost of the entries with an earlier deadline."""
+        return sum(
+            item[2].cost
+            for item in self.entries
+            if item[2].waiting and item[0] <= order_ms
+        )
+
+
+@attrs.define(kw_only=True, eq=False)
+class Level:
+    """The waiting requests of one priority."""
+
+    order: _fair_order.FairOrder = attrs.field(factory=_fair_order.FairOrder)
+    flows: dict = attrs.field(factory=dict)
+    cost: int = 0
+
+
+def weight_of(priority):
+    """Return the weight of a priority's share.
+
+    Examples
+    --------
+    >>> weight_of(1) // weight_of(0)
+    8
+    """
+    bounded = max(-HIGHEST_PRIORITY, min(HIGHEST_PRIORITY, priority))
+    return PRIORITY_WEIGHT ** (bounded + HIGHEST_PRIORITY)
+
+
+@_policies.queue_policies.register('fair')
+class FairQueue(_policies.QueuePolicy):
+    """Fair over callers, by deadline within, bounded, without foresight.
+
+    Examples
+    --------
+    >>> queue = FairQueue()
+    >>> queue.pop_next(lambda request: True, now_ms=0) is None
+    True
+    """
+
+    def __init__(self, options=None):
+        self._options = options or _policies.QueueOptions()
+        self._levels = {}
+        self._order = _fair_order.FairOrder()
+        self._entries = {}
+        self._expiry = []
+        self._counter = 0
+
+    def __len__(self):
+        return len(self._entries)
+
+    def push(self, request, *, now_ms):
+        """Add a request; return what is refused for it.
+
+        An older attempt of the same request gives way to the new one.
+        """
+        refused = self.pop_expired(now_ms=now_ms)
+        older = self.remove(request.request_id)
+        if older is not None:
+            refused += (self._refusal(older, 'superseded', now_ms),)
+        flow = self._find_flow(request.priority, request.caller)
+        caller_count = flow.count if flow else 0
+        if caller_count >= self._options.caller_maximum_count:
+            return (*refused, self._refusal(request, 'caller-limit', now_ms))
+        self._add(self._make_entry(request, now_ms))
+        if len(self._entries) > self._options.maximum_count:
+            shed = self._choose_shed()
+            self._take_out(shed)
+            refused += (self._refusal(shed.request, 'overloaded', now_ms),)
+        return refused
+
+    def pop_next(self, fits, *, now_ms):
+        """Remove and return the request whose turn it is, if it fits."""
+        priority = self._order.first()
+        if priority is None:
+            return None
+        level = self._levels[priority]
+        caller = level.order.first()
+        entry = level.flows[caller].first()
+        if not fits(entry.request):
+            return None
+        self._charge(entry)
+        self._take_out(entry)
+        return entry.request
+
+    def remove(self, request_id):
+        """Remove and return a request, or None if it does not wait."""
+        entry = self._entries.get(request_id)
+        if entry is None:
+            return None
+        self._take_out(entry)
+        return entry.request
+
+    def pop_expired(self, *, now_ms):
+        """Remove what waits in vain; return its refusals."""
+        refused = []
+        while self._expiry and self._expiry[0][0] <= now_ms:
+            entry = heapq.heappop(self._expiry)[2]
+            if entry.waiting:
+                self._take_out(entry)
+                refused.append(
+                    self._refusal(entry.request, 'deadline', now_ms)
+                )
+        return tuple(refused)
+
+    def _make_entry(self, request, now_ms):
+        return Entry(
+            request=request,
+            cost=cost_of(request),
+            order_ms=order_of(request),
+            start_by_ms=request.deadline_ms,
+            pushed_ms=now_ms,
+        )
+
+    def _refusal(self, request, kind, now_ms):
+        return _policies.QueueRefusal(request=request, kind=kind)
+
+    def _find_flow(self, priority, caller):
+        level = self._levels.get(priority)
+        return level.flows.get(caller) if level else None
+
+    def _add(self, entry):
+        request = entry.request
+        level = self._levels.setdefault(request.priority, Level())
+        flow = level.flows.setdefault(request.caller, Flow())
+        self._counter += 1
+        heapq.heappush(flow.entries, (entry.order_ms, self._counter, entry))
+        heapq.heappush(self._expiry, (entry.start_by_ms, self._counter, entry))
+        flow.count += 1
+        flow.cost += entry.cost
+        level.cost += entry.cost
+        self._entries[request.request_id] = entry
+        level.order.activate(request.caller)
+        self._order.activate(request.priority)
+
+    def _charge(self, entry):
+        request = entry.request
+        level = self._levels[request.priority]
+        level.order.charge(request.caller, entry.cost)
+        # The shift keeps the division's remainder small at any weight.
+        scaled = (entry.cost << WEIGHT_SHIFT) // weight_of(request.priority)
+        self._order.charge(request.priority, scaled)
+
+    def _take_out(self, entry):
+        request = entry.request
+        level = self._levels[request.priority]
+        flow = level.flows[request.caller]
+        entry.waiting = False
+        del self._entries[request.request_id]
+        flow.count -= 1
+        flow.cost -= entry.cost
+        level.cost -= entry.cost
+        if not flow.count:
+            del level.flows[request.caller]
+            level.order.deactivate(request.caller)
+        if not level.flows:
+            self._order.deactivate(request.priority)
+
+    def _choose_shed(self):
+        priority = min(p for p, level in self._levels.items() if level.flows)
+        flows = self._levels[priority].flows.values()
+        return max(flows, key=lambda flow: flow.cost).last()
--- /dev/null
+++ b/bluebellthread/core/_limits.py
@@ -0,0 +1,196 @@
+"""Limits on what one caller, connection or queue may take at one VM.
+
+Each refusal is typed and says when to come back; none has run anything.
+"""
+
+import collections
+
+import attrs
+
+from bluebellthread.core import _token_bucket
+
+CONCURRENCY_RETRY_AFTER_MS = 500
+"""When to come back where an answer in progress has to end first."""
+
+RATE_BURST_MS = 1000
+"""Time whose worth of requests a caller may start at once."""
+
+LEAST_CALLERS_SWEPT = 256
+"""Remembered callers below which idle ones are not looked for."""
+
+
+@attrs.frozen(kw_only=True)
+class LimitRefusal:
+    """A limit's final no.
+
+    Parameters
+    ----------
+    kind : str
+        ``'caller-concurrency'``, ``'caller-rate'``, ``'connections'``,
+        ``'caller-connections'`` or ``'queue-full'``.
+    retry_after_ms : int
+        When to come back.
+    """
+
+    kind: str
+    retry_after_ms: int
+
+
+@attrs.define(kw_only=True)
+class _CallerUse:
+    bucket: _token_bucket.TokenBucket
+    rate_per_s: float
+    running_count: int = 0
+
+
+class CallerLimits:
+    """Concurrency and rate of each caller at one VM.
+
+    Examples
+    --------
+    >>> limits = CallerLimits()
+    >>> limits.admit('c', concurrency=1, rate_per_s=10.0, now_ms=0)
+    >>> limits.admit('c', concurrency=1, rate_per_s=10.0, now_ms=1).kind
+    'caller-concurrency'
+    >>> limits.finish('c')
+    """
+
+    def __init__(self):
+        self._callers = {}
+        self._sweep_above = LEAST_CALLERS_SWEPT
+
+    def admit(self, caller, *, concurrency, rate_per_s, now_ms):
+        """Count a request in; return None, or the `LimitRefusal`."""
+        use = self._find(caller, rate_per_s, now_ms)
+        if use.running_count >= concurrency:
+            return LimitRefusal(
+                kind='caller-concurrency',
+                retry_after_ms=CONCURRENCY_RETRY_AFTER_MS,
+            )
+        if not use.bucket.take(1, now_ms=now_ms):
+            wait_ms = use.bucket.wait_ms(1, now_ms=now_ms)
+            return LimitRefusal(
+                kind='caller-rate',
+                retry_after_ms=RATE_BURST_MS if wait_ms is None else wait_ms,
+            )
+        use.running_count += 1
+        return None
+
+    def finish(self, caller):
+        """Count an admitted request out."""
+        self._callers[caller].running_count -= 1
+
+    def running_count(self, caller):
+        """Return the caller's requests in progress."""
+        use = self._callers.get(caller)
+        return use.running_count if use else 0
+
+    def _find(self, caller, rate_per_s, now_ms):
+        use = self._callers.get(caller)
+        if use is None:
+            self._sweep(now_ms)
+            use = _CallerUse(
+                bucket=_token_bucket.TokenBucket(
+                    rate_per_s=rate_per_s,
+                    burst=_burst_of(rate_per_s),
+                    now_ms=now_ms,
+                ),
+                rate_per_s=rate_per_s,
+            )
+            self._callers[caller] = use
+        elif use.rate_per_s != rate_per_s:
+            use.rate_per_s = rate_per_s
+            use.bucket.change_rate(
+                rate_per_s=rate_per_s,
+                burst=_burst_of(rate_per_s),
+                now_ms=now_ms,
+            )
+        return use
+
+    def _sweep(self, now_ms):
+        if len(self._callers) < self._sweep_above:
+            return
+        self._callers = {
+            caller: use
+            for caller, use in self._callers.items()
+            if use.running_count or not use.bucket.is_full(now_ms=now_ms)
+        }
+        self._sweep_above = max(LEAST_CALLERS_SWEPT, 2 * len(self._callers))
+
+
+class ConnectionCaps:
+    """Open connections at one VM, in all and for each peer address.
+
+    Examples
+    --------
+    >>> caps = ConnectionCaps(maximum_count=2, peer_maximum_count=1)
+    >>> caps.open('10.0.0.1')
+    >>> caps.open('10.0.0.1').kind
+    'caller-connections'
+    >>> caps.close('10.0.0.1')
+    """
+
+    def __init__(self, *, maximum_count, peer_maximum_count):
+        self._maximum_count = maximum_count
+        self._peer_maximum_count = peer_maximum_count
+        self._counts = collections.Counter()
+        self._total = 0
+
+    def open(self, peer):
+        """Count a connection in; return None, or the `LimitRefusal`."""
+        if self._total >= self._maximum_count:
+            return _refuse_connection('connections')
+        if self._counts[peer] >= self._peer_maximum_count:
+            return _refuse_connection('caller-connections')
+        self._counts[peer] += 1
+        self._total += 1
+        return None
+
+    def close(self, peer):
+        """Count a connection out."""
+        self._total -= 1
+        self._counts[peer] -= 1
+        if not self._counts[peer]:
+            del self._counts[peer]
+
+
+class BoundedQueue:
+    """First in, first out, with a bound.
+
+    Examples
+    --------
+    >>> queue = BoundedQueue(maximum_count=1)
+    >>> queue.put('a')
+    >>> queue.put('b').kind
+    'queue-full'
+    >>> queue.get()
+    'a'
+    """
+
+    def __init__(self, *, maximum_count):
+        self._maximum_count = maximum_count
+        self._items = collections.deque()
+
+    def __len__(self):
+        return len(self._items)
+
+    def put(self, item):
+        """Add an item; return None, or the `LimitRefusal`."""
+        if len(self._items) >= self._maximum_count:
+            return LimitRefusal(
+                kind='queue-full', retry_after_ms=CONCURRENCY_RETRY_AFTER_MS
+            )
+        self._items.append(item)
+        return None
+
+    def get(self):
+        """Remove and return the oldest item, or None."""
+        return self._items.popleft() if self._items else None
+
+
+def _burst_of(rate_per_s):
+    return max(1.0, rate_per_s * RATE_BURST_MS / 1000)
+
+
+def _refuse_connection(kind):
+    return LimitRefusal(kind=kind, retry_after_ms=CONCURRENCY_RETRY_AFTER_MS)
--- a/bluebellthread/core/_policies.py
+++ b/bluebellthread/core/_policies.py
@@ -1,7 +1,10 @@
 """Registries of the scheduler's choices, and what the choices look at."""
 
+import abc
+
 import attrs
 
+from bluebellthread.core import _messages
 from bluebellthread.core import _registry
 
 prefill_policies = _registry.Registry('prefill policy')
@@ -9,6 +12,15 @@
 queue_policies = _registry.Registry('queue policy')
 spill_policies = _registry.Registry('spill policy')
 
+LONGEST_QUEUE = 1000
+"""Waiting requests above which one is refused at once."""
+
+LONGEST_CALLER_QUEUE = 200
+"""Waiting requests of one caller above which its next one is refused."""
+
+RETRY_AFTER_MS = 1000
+"""When a refused caller should come back, where nothing better is known."""
+
 
 @attrs.frozen(kw_only=True)
 class PrefillCandidate:
@@ -22,11 +34,15 @@
         Prompt tokens reserved there whose prefill has not ended.
     reported_queued : int
         Waiting requests by the last, late report.
+    cached_tokens : int
+        Tokens at the start of the prompt whose KV cache is probably in
+        the backend server's prefix cache.
     """
 
     name: str
     reserved_tokens: int = 0
     reported_queued: int = 0
+    cached_tokens: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -51,56 +67,97 @@
     reported_free_pieces: int = 0
 
 
-@prefill_policies.register('least-loaded')
-def choose_least_loaded(request, candidates, rng):
-    """Return the candidate with the fewest reserved prompt tokens.
+class ServerPolicy(abc.ABC):
+    """Chooses a backend server; one instance lives as long as its pool.
 
-    Each prefill and decode policy takes the `PermitRequest`, a non-empty
-    tuple of candidates sorted by name, and a random generator, and returns
-    the name of one candidate.
+    Examples
+    --------
+    >>> class First(ServerPolicy):
+    ...     def choose(self, request, candidates, rng):
+    ...         return candidates[0].name
+    >>> First().choose(None, (PrefillCandidate(name='p1'),), None)
+    'p1'
     """
-    return min(candidates, key=lambda item: item.reserved_tokens).name
 
+    @abc.abstractmethod
+    def choose(self, request, candidates, rng):
+        """Return the name of one candidate.
 
-@decode_policies.register('most-free')
-def choose_most_free(request, candidates, rng):
-    """Return the candidate with the most free pieces."""
-    return max(candidates, key=lambda item: item.free_pieces).name
+        Parameters
+        ----------
+        request : PermitRequest
+            What is to be placed.
+        candidates : tuple
+            Not empty, sorted by name.
+        rng : random.Random
+            The only source of randomness.
+        """
 
 
-@queue_policies.register('first-come')
-class FirstComeQueue:
-    """Requests in the order of their arrival.
+@attrs.frozen(kw_only=True)
+class QueueOptions:
+    """Bounds of a queue.
 
-    Each queue policy is a class with these methods. ``pop_next`` takes a
-    function that says whether a request fits now.
+    Examples
+    --------
+    >>> QueueOptions(maximum_count=10).caller_maximum_count
+    200
     """
 
-    def __init__(self):
-        self._waiting = []
+    maximum_count: int = LONGEST_QUEUE
+    caller_maximum_count: int = LONGEST_CALLER_QUEUE
 
+
+@attrs.frozen(kw_only=True)
+class QueueRefusal:
+    """A request that a queue gives up; it has not run.
+
+    Parameters
+    ----------
+    request : PermitRequest
+        The request.
+    kind : str
+        As in `PermitRefused`.
+    retry_after_ms : int
+        When there will probably be room.
+    """
+
+    request: _messages.PermitRequest
+    kind: str
+    retry_after_ms: int = RETRY_AFTER_MS
+
+
+class QueuePolicy(abc.ABC):
+    """Holds the requests that wait for a permit in one pool."""
+
+    @abc.abstractmethod
     def __len__(self):
-        return len(self._waiting)
+        """Return how many requests wait."""
 
+    @abc.abstractmethod
     def push(self, request, *, now_ms):
-        """Add a request."""
-        self._waiting.append(request)
+        """Add a request and return the `QueueRefusal` tuple that follows.
 
+        The tuple may name the request itself or others that give way.
+        """
+
+    @abc.abstractmethod
     def pop_next(self, fits, *, now_ms):
-        """Remove and return the next request if it fits, else None."""
-        if self._waiting and fits(self._waiting[0]):
-            return self._waiting.pop(0)
-        return None
+        """Remove and return the next request if it fits, else None.
+
+        ``fits`` is a function that says whether a request fits now.
+        """
 
+    @abc.abstractmethod
     def remove(self, request_id):
         """Remove and return a request, or None if it does not wait."""
-        for index, request in enumerate(self._waiting):
-            if request.request_id == request_id:
-                return self._waiting.pop(index)
-        return None
 
+    @abc.abstractmethod
     def pop_expired(self, *, now_ms):
-        """Remove and return the requests whose deadline has passed."""
-        expired = [r for r in self._waiting if r.deadline_ms <= now_ms]
-        self._waiting = [r for r in self._waiting if r.deadline_ms > now_ms]
-        return expired
+        """Remove what waits in vain; return a tuple of `QueueRefusal`."""
+
+    def note_granted(self, request, *, now_ms):  # noqa: B027
+        """Learn that a popped request has its permit."""
+
+    def note_first_output(self, request_id, *, now_ms):  # noqa: B027
+        """Learn that a granted request has begun to decode."""
--- a/bluebellthread/core/_scheduler.py
+++ b/bluebellthread/core/_scheduler.py
@@ -11,14 +11,9 @@
 from bluebellthread.core import _messages
 from bluebellthread.core import _model
 from bluebellthread.core import _policies
+from bluebellthread.core import _prefix_index
 from bluebellthread.core import _scheduler_events as events
 
-LONGEST_QUEUE = 1000
-"""Waiting requests above which a new one is refused at once."""
-
-RETRY_AFTER_MS = 1000
-"""When a refused caller should come back, where nothing better is known."""
-
 PREFILL_SLOTS = 2
 """Prompts reserved at a time on one prefill server."""
 
@@ -31,6 +26,7 @@
     decode_policy: str = 'most-free'
     queue_policy: str = 'first-come'
     prefill_slots: int = PREFILL_SLOTS
+    queue: _policies.QueueOptions = attrs.field(factory=_policies.QueueOptions)
 
 
 class Scheduler:
@@ -65,9 +61,16 @@
         self._servers = {}
         self._reports = {}
         self._permits = {}
-        self._queue = _policies.queue_policies.get(
-            self._options.queue_policy
+        self._queue = _policies.queue_policies.get(self._options.queue_policy)(
+            self._options.queue
+        )
+        self._prefill_policy = _policies.prefill_policies.get(
+            self._options.prefill_policy
         )()
+        self._decode_policy = _policies.decode_policies.get(
+            self._options.decode_policy
+        )()
+        self._prefix_index = _prefix_index.PrefixIndex()
         self._counter = 0
         self._handlers = {
             _messages.PermitRequest: self._on_request,
@@ -91,6 +94,8 @@
     def handle(self, event, now_ms):
         """Take one event in and return the commands that follow."""
         commands = self._handlers[type(event)](event, now_ms)
+        expired = self._queue.pop_expired(now_ms=now_ms)
+        commands += [self._refuse_from_queue(item) for item in expired]
         return commands + self._grant_waiting(now_ms)
 
     def _on_request(self, request, now_ms):
@@ -98,14 +103,14 @@
             _model.ROLE_DECODE
         ):
             return [self._refuse(request, 'no-backend')]
-        if len(self._queue) >= LONGEST_QUEUE:
-            return [self._refuse(request, 'overloaded')]
-        self._queue.push(request, now_ms=now_ms)
-        return []
+        refused = self._queue.push(request, now_ms=now_ms)
+        return [self._refuse_from_queue(item) for item in refused]
 
     def _on_progress(self, event, now_ms):
         permit = self._permits.get(event.permit_id)
         if permit is not None:
+            if event.stage == 'decoding':
+                self._queue.note_first_output(permit.request_id, now_ms=now_ms)
             self._permits[event.permit_id] = attrs.evolve(
                 permit, stage=event.stage
             )
@@ -126,10 +131,7 @@
         return []
 
     def _on_tick(self, event, now_ms):
-        return [
-            self._refuse(request, 'deadline')
-            for request in self._queue.pop_expired(now_ms=now_ms)
-        ]
+        return []
 
     def _grant_waiting(self, now_ms):
         commands = []
@@ -138,6 +140,7 @@
             if request is None:
                 return commands
             commands.append(self._grant(request))
+            self._queue.note_granted(request, now_ms=now_ms)
 
     def _fits(self, request):
         return bool(
@@ -145,12 +148,15 @@
         )
 
     def _grant(self, request):
-        choose_prefill = _policies.prefill_policies.get(
-            self._options.prefill_policy
+        prefill_server = self._prefill_policy.choose(
+            request,
+            self._with_cached_tokens(request, self._prefill_candidates()),
+            self._rng,
         )
-        choose_decode = _policies.decode_policies.get(
-            self._options.decode_policy
+        decode_server = self._decode_policy.choose(
+            request, self._decode_candidates(request), self._rng
         )
+        self._prefix_index.note_granted(prefill_server, request.prefix_hashes)
         self._counter += 1
         permit = _model.Permit(
             permit_id=f'{self.vm}-{self.incarnation:x}-{self._counter}',
@@ -160,12 +166,8 @@
             gateway_incarnation=request.gateway_incarnation,
             caller=request.caller,
             pool=self.pool,
-            prefill_server=choose_prefill(
-                request, self._prefill_candidates(), self._rng
-            ),
-            decode_server=choose_decode(
-                request, self._decode_candidates(request), self._rng
-            ),
+            prefill_server=prefill_server,
+            decode_server=decode_server,
             prompt_tokens=request.prompt_tokens,
             pieces=_pieces_of(request),
             deadline_ms=request.deadline_ms,
@@ -178,12 +180,28 @@
         )
         return events.SendToGateway(gateway=request.gateway, message=granted)
 
-    def _refuse(self, request, kind):
+    def _with_cached_tokens(self, request, candidates):
+        return tuple(
+            attrs.evolve(
+                item,
+                cached_tokens=self._prefix_index.cached_tokens(
+                    item.name, request.prefix_hashes
+                ),
+            )
+            for item in candidates
+        )
+
+    def _refuse_from_queue(self, refusal):
+        return self._refuse(
+            refusal.request, refusal.kind, refusal.retry_after_ms
+        )
+
+    def _refuse(self, request, kind, retry_after_ms=_policies.RETRY_AFTER_MS):
         refusal = _messages.PermitRefused(
             request_id=request.request_id,
             attempt_number=request.attempt_number,
             kind=kind,
-            retry_after_ms=RETRY_AFTER_MS,
+            retry_after_ms=retry_after_ms,
         )
         return events.SendToGateway(gateway=request.gateway, message=refusal)
 
--- /dev/null
+++ b/tests/unit/test_server_policies.py
@@ -0,0 +1,154 @@
+import random
+import unittest
+
+from bluebellthread import core
+from tests.unit import _requests
+
+
+def choose(registry, name, candidates, **fields):
+    request = _requests.make_request('r', **fields)
+    return registry.get(name)().choose(request, candidates, random.Random(1))
+
+
+class TestPrefillPolicies(unittest.TestCase):
+    def candidates(self, *reserved_tokens, cached=None):
+        return tuple(
+            core.PrefillCandidate(
+                name=f'p{number}',
+                reserved_tokens=tokens,
+                reported_queued=9 - number,
+                cached_tokens=(cached or {}).get(f'p{number}', 0),
+            )
+            for number, tokens in enumerate(reserved_tokens)
+        )
+
+    def test_every_policy_names_a_candidate(self):
+        candidates = self.candidates(5, 0, 7)
+        names = [item.name for item in candidates]
+        for policy in core.prefill_policies.names():
+            for hashes in ((), (4, 5)):
+                chosen = choose(
+                    core.prefill_policies,
+                    policy,
+                    candidates,
+                    prefix_hashes=hashes,
+                )
+                self.assertIn(chosen, names, policy)
+
+    def test_round_robin_goes_round(self):
+        policy = core.prefill_policies.get('round-robin')()
+        chosen = [
+            policy.choose(None, self.candidates(0, 0, 0), None)
+            for _ in range(4)
+        ]
+        self.assertEqual(['p0', 'p1', 'p2', 'p0'], chosen)
+
+    def test_prefix_returns_to_the_same_server(self):
+        policy = core.BoundedPrefix()
+        shared = {
+            policy.choose(
+                _requests.make_request('r', prefix_hashes=(8, number)),
+                self.candidates(0, 0, 0, 0),
+                None,
+            )
+            for number in range(20)
+        }
+        self.assertEqual(1, len(shared))
+
+    def test_longest_cached_prefix_wins_within_the_bound(self):
+        cached = {'p1': 512, 'p2': 1024}
+        loads = self.candidates(900, 900, 900, cached=cached)
+        chosen = choose(
+            core.prefill_policies, 'prefix', loads, prefix_hashes=(1, 2)
+        )
+        self.assertEqual('p2', chosen)
+
+    def test_loaded_server_gives_its_prefixes_away(self):
+        cached = {'p2': 1024}
+        loads = self.candidates(0, 0, 50000, cached=cached)
+        chosen = choose(
+            core.prefill_policies, 'prefix', loads, prefix_hashes=(1, 2)
+        )
+        self.assertIn(chosen, ('p0', 'p1'))
+
+    def test_index_forgets_the_oldest_beyond_its_bound(self):
+        index = core.PrefixIndex(maximum_count=2)
+        index.note_granted('p1', (1, 2, 3))
+        self.assertEqual(0, index.cached_tokens('p1', (1,)))
+        self.assertEqual(1024, index.cached_tokens('p1', (2, 3)))
+
+
+class TestDecodePolicies(unittest.TestCase):
+    def test_each_policy_takes_what_its_name_says(self):
+        candidates = tuple(
+            core.DecodeCandidate(
+                name=name,
+                free_pieces=free,
+                running_count=running,
+                reported_free_pieces=reported,
+            )
+            for name, free, running, reported in (
+                ('d1', 9, 3, 2),
+                ('d2', 4, 5, 3),
+                ('d3', 7, 1, 8),
+            )
+        )
+        for policy, expected in (
+            ('best-fit', 'd2'),
+            ('fewest-running', 'd3'),
+            ('most-free', 'd1'),
+            ('most-reported', 'd3'),
+            ('round-robin', 'd1'),
+        ):
+            chosen = choose(core.decode_policies, policy, candidates)
+            self.assertEqual(expected, chosen, policy)
+
+
+class TestSpillPolicies(unittest.TestCase):
+    def summary(self, data_centre, region, wait_ms, **fields):
+        values = {'free_pieces': 10, 'received_ms': 9000, **fields}
+        return core.PoolSummary(
+            data_centre=data_centre,
+            region=region,
+            wait_ms=wait_ms,
+            **values,
+        )
+
+    def choose(self, name, peers, **link):
+        policy = core.spill_policies.get(name)(**link)
+        return self.choose_again(policy, peers)
+
+    def choose_again(self, policy, peers):
+        request = _requests.make_request('r')
+        own = self.summary('cluj-a', 'transilvania', 800)
+        return policy.choose(request, own, tuple(peers), now_ms=10000)
+
+    def test_only_the_own_region_unless_regions_are_allowed(self):
+        peers = [self.summary('bucuresti-a', 'muntenia', 0)]
+        link = {'link_bytes_per_s': 9000, 'link_burst_bytes': 9000}
+        self.assertEqual('', self.choose('none', peers, **link))
+        self.assertEqual('', self.choose('region', peers, **link))
+        self.assertEqual('bucuresti-a', self.choose('regions', peers, **link))
+
+    def test_inside_the_region_costs_no_link(self):
+        peers = [
+            self.summary('brasov-b', 'transilvania', 300),
+            self.summary('bucuresti-a', 'muntenia', 0),
+        ]
+        self.assertEqual('brasov-b', self.choose('regions', peers))
+
+    def test_link_budget_bounds_what_crosses(self):
+        policy = core.spill_policies.get('regions')(
+            link_bytes_per_s=1, link_burst_bytes=13000
+        )
+        peers = [self.summary('bucuresti-a', 'muntenia', 0)]
+        chosen = [self.choose_again(policy, peers) for _ in range(3)]
+        self.assertEqual(['bucuresti-a', 'bucuresti-a', ''], chosen)
+
+    def test_stale_full_or_slow_peers_are_passed_over(self):
+        for peer in (
+            self.summary('brasov-b', 'transilvania', 0, received_ms=0),
+            self.summary('brasov-b', 'transilvania', 0, free_pieces=0),
+            self.summary('brasov-b', 'transilvania', 750),
+        ):
+            self.assertEqual('', self.choose('regions', [peer]))
