--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -1,6 +1,10 @@
 """Decisions without input or output: events in, commands out.
 
-Nothing here reads a clock, opens a socket or draws from bluebellthread.core._acceptance import Accepted
+Nothing here reads a clock, opens a socket or draws from global
+randomness; the time and a generator are passed in.
+"""
+
+from bluebellthread.core._acceptance import Accepted
 from bluebellthread.core._acceptance import check_configuration
 from bluebellthread.core._acceptance import decide_acceptance
 from bluebellthread.core._acceptance import Invalid
@@ -13,6 +17,9 @@
 from bluebellthread.core._configuration import ScopedException
 from bluebellthread.core._configuration import Service
 from bluebellthread.core._configuration import Values
+from bluebellthread.core._decode_policies import BestFit
+from bluebellthread.core._decode_policies import FewestRunning
+from bluebellthread.core._early_refusal import EarlyRefusalQueue
 from bluebellthread.core._errors import BluebellthreadError
 from bluebellthread.core._errors import DuplicateNameError
 from bluebellthread.core._errors import UnknownNameError
@@ -20,6 +27,12 @@
 from bluebellthread.core._exceptions import explain
 from bluebellthread.core._exceptions import resolve
 from bluebellthread.core._exceptions import Resolver
+from bluebellthread.core._fair_queue import FairQueue
+from bluebellthread.core._first_come_queue import FirstComeQueue
+from bluebellthread.core._limits import BoundedQueue
+from bluebellthread.core._limits import CallerLimits
+from bluebellthread.core._limits import ConnectionCaps
+from bluebellthread.core._limits import LimitRefusal
 from bluebellthread.core._membership import Membership
 from bluebellthread.core._membership_events import DatagramReceived
 from bluebellthread.core._membership_events import LeaveStarted
@@ -55,12 +68,20 @@
 from bluebellthread.core._ownership import choose_owner
 from bluebellthread.core._ownership import rank_by_rendezvous
 from bluebellthread.core._policies import decode_policies
+from bluebellthread.core._policies import DecodeCandidate
 from bluebellthread.core._policies import prefill_policies
+from bluebellthread.core._policies import PrefillCandidate
 from bluebellthread.core._policies import queue_policies
+from bluebellthread.core._policies import QueueOptions
+from bluebellthread.core._policies import QueueRefusal
 from bluebellthread.core._policies import spill_policies
+from bluebellthread.core._prefill_policies import BoundedPrefix
+from bluebellthread.core._prefix_index import PrefixIndex
 from bluebellthread.core._problems import ConfigurationError
 from bluebellthread.core._problems import Problem
 from bluebellthread.core._registry import Registry
+from bluebellthread.core._retry import backoff_ms
+from bluebellthread.core._retry import RetryBudget
 from bluebellthread.core._scheduler import Scheduler
 from bluebellthread.core._scheduler import SchedulerOptions
 from bluebellthread.core._scheduler_events import CancelAtEngine
@@ -69,22 +90,37 @@
 from bluebellthread.core._scheduler_events import SendToGateway
 from bluebellthread.core._scheduler_events import ServersChanged
 from bluebellthread.core._scheduler_events import Tick
+from bluebellthread.core._spill_policies import PoolSummary
+from bluebellthread.core._spill_policies import RegionSpill
+from bluebellthread.core._spill_policies import SpillPolicy
+from bluebellthread.core._token_bucket import TokenBucket
 
 __all__ = [
     'Accepted',
     'BackendServer',
+    'BestFit',
     'BluebellthreadError',
+    'BoundedPrefix',
+    'BoundedQueue',
+    'CallerLimits',
     'CancelAtEngine',
     'CancelConfirmed',
     'Configuration',
     'ConfigurationError',
+    'ConnectionCaps',
     'DatagramReceived',
     'Decision',
+    'DecodeCandidate',
     'Done',
     'DuplicateNameError',
+    'EarlyRefusalQueue',
+    'FairQueue',
+    'FewestRunning',
+    'FirstComeQueue',
     'GatewaysChanged',
     'Invalid',
     'LeaveStarted',
+    'LimitRefusal',
     'LoadReport',
     'Member',
     'Membership',
@@ -101,16 +137,23 @@
     'PermitsRegistered',
     'PlatformListed',
     'PoolKey',
+    'PoolSummary',
+    'PrefillCandidate',
+    'PrefixIndex',
     'Problem',
+    'QueueOptions',
+    'QueueRefusal',
     'ROLE_DECODE',
     'ROLE_PREFILL',
     'ROLE_SERVICE',
     'Region',
+    'RegionSpill',
     'Registry',
     'Rejected',
     'RequestFound',
     'RequestLookup',
     'Resolver',
+    'RetryBudget',
     'Route',
     'Scheduler',
     'SchedulerOptions',
@@ -120,14 +163,17 @@
     'SendToGateway',
     'ServersChanged',
     'Service',
+    'SpillPolicy',
     'Stale',
     'StatusAnswer',
     'StatusRequest',
     'Stopped',
     'Tick',
+    'TokenBucket',
     'UnknownNameError',
     'Values',
     'ViewChanged',
+    'backoff_ms',
     'check_configuration',
     'choose_owner',
     'count_pieces',
