Rebuild the scheduler on a ledger; test membership and permits

Cause: the thin scheduler scanned all permits for each request, freed memory when it sent a cancel, and knew nothing of lost gateways, owners or engines.

Change: running totals per backend server; memory of an ended permit is free when the engine confirms or a settled report misses it; gone gateways, engine restarts, superseded asks and strays are cancelled; a new owner asks every live gateway for its permits and grants only into reported-free memory until they have answered or a deadline passes.

--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -67,6 +67,8 @@
 from bluebellthread.core._model import ROLE_SERVICE
 from bluebellthread.core._ownership import choose_owner
 from bluebellthread.core._ownership import rank_by_rendezvous
+from bluebellthread.core._permit_messages import PermitAbandoned
+from bluebellthread.core._permit_messages import RegistrationWanted
 from bluebellthread.core._policies import decode_policies
 from bluebellthread.core._policies import DecodeCandidate
 from bluebellthread.core._policies import prefill_policies
@@ -83,16 +85,17 @@
 from bluebellthread.core._retry import backoff_ms
 from bluebellthread.core._retry import RetryBudget
 from bluebellthread.core._scheduler import Scheduler
-from bluebellthread.core._scheduler import SchedulerOptions
 from bluebellthread.core._scheduler_events import CancelAtEngine
 from bluebellthread.core._scheduler_events import CancelConfirmed
 from bluebellthread.core._scheduler_events import GatewaysChanged
 from bluebellthread.core._scheduler_events import SendToGateway
 from bluebellthread.core._scheduler_events import ServersChanged
 from bluebellthread.core._scheduler_events import Tick
+from bluebellthread.core._scheduler_options import SchedulerOptions
 from bluebellthread.core._spill_policies import PoolSummary
 from bluebellthread.core._spill_policies import RegionSpill
 from bluebellthread.core._spill_policies import SpillPolicy
+from bluebellthread.core._stray_watch import make_permit_id
 from bluebellthread.core._token_bucket import TokenBucket
 
 __all__ = [
@@ -128,6 +131,7 @@
     'MembershipView',
     'Model',
     'Permit',
+    'PermitAbandoned',
     'PermitCancelled',
     'PermitGranted',
     'PermitProgressed',
@@ -148,6 +152,7 @@
     'ROLE_SERVICE',
     'Region',
     'RegionSpill',
+    'RegistrationWanted',
     'Registry',
     'Rejected',
     'RequestFound',
@@ -181,6 +186,7 @@
     'decode_policies',
     'estimate_tokens',
     'explain',
+    'make_permit_id',
     'prefill_policies',
     'queue_policies',
     'rank_by_rendezvous',
--- /dev/null
+++ b/bluebellthread/core/_ending_permits.py
@@ -0,0 +1,88 @@
+"""Permits without force whose engines have not confirmed the cancel."""
+
+from bluebellthread.core import _messages
+from bluebellthread.core import _permit_ledger
+from bluebellthread.core import _released_permits
+from bluebellthread.core import _scheduler_events as events
+
+
+class EndingPermits:
+    """Ends permits; their memory is free when the engines say so.
+
+    Parameters
+    ----------
+    ledger : PermitLedger
+        All permits.
+    settle_timeout_ms : int
+        How long after a cancel a report may still miss its effect.
+    """
+
+    def __init__(self, *, ledger, settle_timeout_ms):
+        self._ledger = ledger
+        self._settle_timeout_ms = settle_timeout_ms
+        self._entries = {}
+        self._released = _released_permits.ReleasedPermits()
+
+    def end(self, entry, now_ms, kind):
+        """Cancel a permit at both engines; a kind is told the gateway."""
+        permit = entry.permit
+        self._ledger.end(entry, now_ms)
+        self._entries[permit.permit_id] = entry
+        commands = [
+            events.CancelAtEngine(server=server, permit_id=permit.permit_id)
+            for server in _permit_ledger.servers_of(permit)
+        ]
+        if kind:
+            message = _messages.PermitCancelled(
+                permit_id=permit.permit_id, kind=kind
+            )
+            commands.append(
+                events.SendToGateway(gateway=permit.gateway, message=message)
+            )
+        return commands
+
+    def note_released(self, permit_id, now_ms):
+        """Remember that a permit has ended, known or not."""
+        self._released.add(permit_id, now_ms)
+
+    def has_ended(self, permit_id):
+        """Return whether a permit has been released or confirmed gone."""
+        return self._released.holds(permit_id)
+
+    def may_still_show(self, permit_id, now_ms):
+        """Return whether a report may be older than a permit's end."""
+        settled_ms = now_ms - self._settle_timeout_ms
+        return self._released.holds(permit_id, since_ms=settled_ms)
+
+    def confirm(self, permit_id, server, now_ms):
+        """Take an engine's word that it holds nothing for a permit."""
+        entry = self._entries.get(permit_id)
+        if entry is None:
+            return
+        self._ledger.confirm(entry, server)
+        if not entry.unconfirmed:
+            del self._entries[permit_id]
+            self._released.add(permit_id, now_ms)
+
+    def confirm_by_report(self, account, now_ms):
+        """Take a report's word, if it is newer than the cancel."""
+        settled_ms = now_ms - self._settle_timeout_ms
+        gone = [
+            permit_id
+            for permit_id, entry in self._entries.items()
+            if entry.ended_ms <= settled_ms
+            and account.name in entry.unconfirmed
+            and not account.is_reported(permit_id)
+        ]
+        for permit_id in gone:
+            self.confirm(permit_id, account.name, now_ms)
+
+    def confirm_all_at(self, server, now_ms):
+        """Note that a backend server was restarted and holds nothing."""
+        for permit_id, entry in list(self._entries.items()):
+            if server in entry.unconfirmed:
+                self.confirm(permit_id, server, now_ms)
+
+    def forget_old(self, now_ms):
+        """Forget permits that ended long ago."""
+        self._released.forget_old(now_ms)
--- a/bluebellthread/core/_failure_detector.py
+++ b/bluebellthread/core/_failure_detector.py
@@ -40,11 +40,16 @@
             self._recheck_dead()
         if now_ms < self._next_probe_ms:
             return False
-        self._next_probe_ms = now_ms + options.probe_period_ms
+        self.restart_period()
         if options.probes:
             self._probe_next()
         return True
 
+    def restart_period(self):
+        """Begin a probe period now, its ping already sent."""
+        options = self._context.options
+        self._next_probe_ms = self._context.now_ms + options.probe_period_ms
+
     def ping(self, record, correlation, *, wants_table=False):
         """Send a ping."""
         message = messages.Ping(
--- a/bluebellthread/core/_member_news.py
+++ b/bluebellthread/core/_member_news.py
@@ -68,7 +68,10 @@
         updates = self._queue.take(member_count=count)
         doubted = record.member.state in (tables.SUSPECT, tables.DEAD)
         if doubted and record.member.incarnation:
-            updates = (record.update(), self._context.me.update(), *updates)
+            first = (record.update(), self._context.me.update())
+            names = {update.member.name for update in first}
+            rest = (u for u in updates if u.member.name not in names)
+            updates = (*first, *rest)
         return updates[: _gossip_queue.fit_datagram(updates)]
 
     def _merge(self, update):
--- a/bluebellthread/core/_membership.py
+++ b/bluebellthread/core/_membership.py
@@ -112,10 +112,17 @@
 
     def _begin_confirmation(self):
         self._prober.clear()
+        believed = set(self._believed())
+        peers = [
+            record.member.name
+            for record in self._context.table
+            if self._context.is_near(record) and record is not self._context.me
+        ]
         self._confirmation.begin(
-            [record.member.name for record in self._context.near_peers()],
+            [name for name in peers if name in believed],
             floor=self._prober.last_correlation,
         )
+        self._detector.restart_period()
         self._ask_unanswered()
 
     def _ask_unanswered(self):
--- /dev/null
+++ b/bluebellthread/core/_placement.py
@@ -0,0 +1,126 @@
+"""Choosing the two backend servers of a request."""
+
+import attrs
+
+from bluebellthread.core import _model
+from bluebellthread.core import _policies
+from bluebellthread.core import _prefix_index
+
+
+class Placement:
+    """Finds backend servers with room and lets the policies choose.
+
+    Parameters
+    ----------
+    options : SchedulerOptions
+        Names of the policies, and the slots.
+    ledger : PermitLedger
+        What is reserved.
+    rng : random.Random
+        The only source of randomness.
+    """
+
+    def __init__(self, *, options, ledger, rng):
+        self._options = options
+        self._ledger = ledger
+        self._rng = rng
+        self._prefill_policy = _policies.prefill_policies.get(
+            options.prefill_policy
+        )()
+        self._decode_policy = _policies.decode_policies.get(
+            options.decode_policy
+        )()
+        self._prefix_index = _prefix_index.PrefixIndex()
+        self._servers = {}
+
+    @property
+    def servers(self):
+        """The pool's backend servers by name."""
+        return self._servers
+
+    def set_servers(self, servers):
+        """Use other backend servers from now on."""
+        ordered = sorted(servers, key=lambda server: server.name)
+        self._servers = {server.name: server for server in ordered}
+
+    def has_both_roles(self):
+        """Return whether the pool can serve a request at all."""
+        roles = {server.role for server in self._servers.values()}
+        return {_model.ROLE_PREFILL, _model.ROLE_DECODE} <= roles
+
+    def fits(self, request, *, now_ms, is_cautious):
+        """Return whether there is room for a request now."""
+        return bool(
+            self._decode_candidates(request, now_ms, is_cautious)
+            and self._prefill_candidates(now_ms)
+        )
+
+    def choose(self, request, *, now_ms, is_cautious):
+        """Return the names of a prefill and a decode server with room."""
+        candidates = tuple(
+            attrs.evolve(
+                item,
+                cached_tokens=self._prefix_index.cached_tokens(
+                    item.name, request.prefix_hashes
+                ),
+            )
+            for item in self._prefill_candidates(now_ms)
+        )
+        prefill_server = self._prefill_policy.choose(
+            request, candidates, self._rng
+        )
+        decode_server = self._decode_policy.choose(
+            request,
+            self._decode_candidates(request, now_ms, is_cautious),
+            self._rng,
+        )
+        self._prefix_index.note_granted(prefill_server, request.prefix_hashes)
+        return prefill_server, decode_server
+
+    def _usable_accounts(self, role, now_ms):
+        oldest_ms = now_ms - self._options.report_timeout_ms
+        for server in self._servers.values():
+            if server.role != role or server.leaving:
+                continue
+            account = self._ledger.account(server.name)
+            report = account.report
+            if report is None or report.leaving:
+                continue
+            if report.received_ms >= oldest_ms:
+                yield account
+
+    def _prefill_candidates(self, now_ms):
+        return tuple(
+            _policies.PrefillCandidate(
+                name=account.name,
+                reserved_tokens=account.prefill_tokens,
+                reported_queued=account.report.queued_count,
+            )
+            for account in self._usable_accounts(_model.ROLE_PREFILL, now_ms)
+            if account.prefill_count < self._options.prefill_slots
+        )
+
+    def _decode_candidates(self, request, now_ms, is_cautious):
+        needed = pieces_of(request)
+        candidates = []
+        for account in self._usable_accounts(_model.ROLE_DECODE, now_ms):
+            free_pieces = account.free_pieces(
+                cautious=is_cautious(account.name)
+            )
+            has_link = account.transfer_count < self._options.transfer_slots
+            if free_pieces < needed or not has_link:
+                continue
+            candidates.append(
+                _policies.DecodeCandidate(
+                    name=account.name,
+                    free_pieces=free_pieces,
+                    running_count=len(account.entries),
+                    reported_free_pieces=account.report.free_pieces,
+                )
+            )
+        return tuple(candidates)
+
+
+def pieces_of(request):
+    """Return the pieces of decode memory that a request needs."""
+    return _model.count_pieces(request.prompt_tokens, request.output_tokens)
--- /dev/null
+++ b/bluebellthread/core/_request_log.py
@@ -0,0 +1,67 @@
+"""Which asks wait in a queue, and which have been superseded."""
+
+REMEMBER_MS = 120000
+"""How long a superseded ask is remembered."""
+
+
+class RequestLog:
+    """Asks by request id; an ask is one attempt of one gateway process.
+
+    Examples
+    --------
+    >>> RequestLog().find_waiting('r1') is None
+    True
+    """
+
+    def __init__(self):
+        self._waiting = {}
+        self._superseded = {}
+        self._fresh = {}
+
+    def find_waiting(self, request_id):
+        """Return the ask of a request id that waits, or None."""
+        return self._waiting.get(request_id)
+
+    def list_waiting(self):
+        """Return all asks that wait."""
+        return list(self._waiting.values())
+
+    def note_waiting(self, request):
+        """Remember an ask that now waits."""
+        self._waiting[request.request_id] = request
+
+    def forget_waiting(self, request):
+        """Forget an ask that waits no more, unless a newer one does."""
+        if self._waiting.get(request.request_id) is request:
+            del self._waiting[request.request_id]
+
+    def note_superseded(self, ask):
+        """Remember that an ask is never to be granted."""
+        self._waiting.pop(ask.request_id, None)
+        self._fresh[_key_of(ask)] = None
+
+    def is_superseded(self, ask):
+        """Return whether an ask is never to be granted."""
+        key = _key_of(ask)
+        return key in self._superseded or key in self._fresh
+
+    def forget_old(self, now_ms):
+        """Stamp what is new and forget what is old."""
+        for key in self._fresh:
+            self._superseded[key] = now_ms
+        self._fresh = {}
+        horizon_ms = now_ms - REMEMBER_MS
+        # The oldest come first.
+        for key, noted_ms in list(self._superseded.items()):
+            if noted_ms >= horizon_ms:
+                break
+            del self._superseded[key]
+
+
+def _key_of(ask):
+    return (
+        ask.request_id,
+        ask.gateway,
+        ask.gateway_incarnation,
+        ask.attempt_number,
+    )
--- a/bluebellthread/core/_scheduler.py
+++ b/bluebellthread/core/_scheduler.py
@@ -1,32 +1,26 @@
 """The owner of one pool: grants permits for engine memory.
 
-Decode memory and the prefill slot are reserved together before a prefill
-starts, since its result is evicted in under a second.
+Decode memory, the transfer link and the prefill slot are reserved together
+before a prefill starts, since its result is evicted in under a second.
+Nothing is stored: after a failure the state is rebuilt from the gateways
+that hold permits and from the engines' load reports.
 """
 
 import random
 
-import attrs
-
+from bluebellthread.core import _ending_permits
+from bluebellthread.core import _gateway_watch
 from bluebellthread.core import _messages
 from bluebellthread.core import _model
+from bluebellthread.core import _permit_ledger
+from bluebellthread.core import _permit_messages
+from bluebellthread.core import _placement
 from bluebellthread.core import _policies
-from bluebellthread.core import _prefix_index
+from bluebellthread.core import _registration
+from bluebellthread.core import _request_log
 from bluebellthread.core import _scheduler_events as events
-
-PREFILL_SLOTS = 2
-"""Prompts reserved at a time on one prefill server."""
-
-
-@attrs.define(kw_only=True)
-class SchedulerOptions:
-    """Names of the policies that a scheduler uses."""
-
-    prefill_policy: str = 'least-loaded'
-    decode_policy: str = 'most-free'
-    queue_policy: str = 'first-come'
-    prefill_slots: int = PREFILL_SLOTS
-    queue: _policies.QueueOptions = attrs.field(factory=_policies.QueueOptions)
+from bluebellthread.core import _scheduler_options
+from bluebellthread.core import _stray_watch
 
 
 class Scheduler:
@@ -39,7 +33,7 @@
     vm, incarnation : str, int
         The owning VM process.
     options : SchedulerOptions
-        Policies.
+        Policies, times and counts.
     rng : random.Random
         The only source of randomness.
 
@@ -56,110 +50,152 @@
         self.pool = pool
         self.vm = vm
         self.incarnation = incarnation
-        self._options = options or SchedulerOptions()
-        self._rng = rng or random.Random(0)
-        self._servers = {}
-        self._reports = {}
-        self._permits = {}
-        self._queue = _policies.queue_policies.get(self._options.queue_policy)(
-            self._options.queue
+        options = options or _scheduler_options.SchedulerOptions()
+        self._options = options
+        self._ledger = _permit_ledger.PermitLedger()
+        self._placement = _placement.Placement(
+            options=options, ledger=self._ledger, rng=rng or random.Random(0)
+        )
+        self._queue = _policies.queue_policies.get(options.queue_policy)(
+            options.queue
+        )
+        self._requests = _request_log.RequestLog()
+        self._gateways = _gateway_watch.GatewayWatch(options)
+        self._registration = _registration.Registration(options)
+        self._strays = _stray_watch.StrayWatch(options)
+        self._ending = _ending_permits.EndingPermits(
+            ledger=self._ledger, settle_timeout_ms=options.settle_timeout_ms
         )
-        self._prefill_policy = _policies.prefill_policies.get(
-            self._options.prefill_policy
-        )()
-        self._decode_policy = _policies.decode_policies.get(
-            self._options.decode_policy
-        )()
-        self._prefix_index = _prefix_index.PrefixIndex()
         self._counter = 0
         self._handlers = {
             _messages.PermitRequest: self._on_request,
             _messages.PermitProgressed: self._on_progress,
             _messages.PermitReleased: self._on_release,
+            _messages.PermitsRegistered: self._on_registered,
+            _permit_messages.PermitAbandoned: self._on_abandoned,
             _model.LoadReport: self._on_report,
             events.ServersChanged: self._on_servers,
+            events.GatewaysChanged: self._on_gateways,
+            events.CancelConfirmed: self._on_confirmed,
             events.Tick: self._on_tick,
         }
 
     @property
     def permits(self):
-        """The granted permits by id."""
-        return dict(self._permits)
+        """The permits in force by id."""
+        return {
+            entry.permit.permit_id: entry.permit
+            for entry in self._ledger
+            if entry.ended_ms is None
+        }
+
+    @property
+    def permit_count(self):
+        """How many permits hold engine memory, ended ones included."""
+        return len(self._ledger)
 
     @property
     def waiting_count(self):
         """Requests that wait for a permit."""
         return len(self._queue)
 
+    @property
+    def rebuilding(self):
+        """Whether live gateways may hold permits not yet known here."""
+        return self._registration.rebuilding
+
     def handle(self, event, now_ms):
         """Take one event in and return the commands that follow."""
+        self._registration.start(now_ms)
         commands = self._handlers[type(event)](event, now_ms)
-        expired = self._queue.pop_expired(now_ms=now_ms)
-        commands += [self._refuse_from_queue(item) for item in expired]
+        for entry in self._ledger.pop_expired(now_ms):
+            commands += self._ending.end(entry, now_ms, 'deadline')
+        if self._registration.check_done(now_ms):
+            self._strays.restart(now_ms)
+        for refusal in self._queue.pop_expired(now_ms=now_ms):
+            commands.append(self._refuse_from_queue(refusal))
         return commands + self._grant_waiting(now_ms)
 
+    # Requests
+
     def _on_request(self, request, now_ms):
-        if not self._has_role(_model.ROLE_PREFILL) or not self._has_role(
-            _model.ROLE_DECODE
-        ):
+        if self._gateways.is_gone(_process_of(request)):
+            return []
+        if self._requests.is_superseded(request):
+            return [self._refuse(request, 'superseded')]
+        known = self._requests.find_waiting(request.request_id)
+        if known is not None and _is_same_ask(known, request):
+            return []
+        entry = self._ledger.find_request(request.request_id)
+        if entry is not None and _is_same_ask(entry.permit, request):
+            return [self._grant_message(entry.permit)]
+        if _is_older_ask(request, known, entry):
+            return [self._refuse(request, 'superseded')]
+        commands = self._supersede(known, entry, now_ms)
+        return commands + self._enqueue(request, now_ms)
+
+    def _supersede(self, waiting, entry, now_ms):
+        """Make a newer ask of the same request id the only one."""
+        commands = []
+        if waiting is not None:
+            self._queue.remove(waiting.request_id)
+            self._requests.note_superseded(waiting)
+            commands.append(self._refuse(waiting, 'superseded'))
+        if entry is not None:
+            self._requests.note_superseded(entry.permit)
+            commands += self._ending.end(entry, now_ms, 'superseded')
+        return commands
+
+    def _enqueue(self, request, now_ms):
+        if not self._placement.has_both_roles():
             return [self._refuse(request, 'no-backend')]
+        self._requests.note_waiting(request)
         refused = self._queue.push(request, now_ms=now_ms)
         return [self._refuse_from_queue(item) for item in refused]
 
-    def _on_progress(self, event, now_ms):
-        permit = self._permits.get(event.permit_id)
-        if permit is not None:
-            if event.stage == 'decoding':
-                self._queue.note_first_output(permit.request_id, now_ms=now_ms)
-            self._permits[event.permit_id] = attrs.evolve(
-                permit, stage=event.stage
-            )
-        return []
-
-    def _on_release(self, event, now_ms):
-        permit = self._permits.pop(event.permit_id, None)
-        if permit is None or event.clean:
+    def _on_abandoned(self, event, now_ms):
+        waiting = self._requests.find_waiting(event.request_id)
+        if waiting is not None and _is_same_ask(waiting, event):
+            self._queue.remove(event.request_id)
+            self._requests.forget_waiting(waiting)
             return []
-        return self._cancel_both(permit)
-
-    def _on_report(self, report, now_ms):
-        self._reports[report.server] = report
-        return []
-
-    def _on_servers(self, event, now_ms):
-        self._servers = {server.name: server for server in event.servers}
-        return []
-
-    def _on_tick(self, event, now_ms):
+        entry = self._ledger.find_request(event.request_id)
+        if entry is not None and _is_same_ask(entry.permit, event):
+            return self._ending.end(entry, now_ms, '')
+        # Comes before the request that it takes back.
+        self._requests.note_superseded(event)
         return []
 
     def _grant_waiting(self, now_ms):
         commands = []
-        while True:
-            request = self._queue.pop_next(self._fits, now_ms=now_ms)
+        while len(self._queue):
+            request = self._queue.pop_next(
+                lambda item: self._fits(item, now_ms), now_ms=now_ms
+            )
             if request is None:
-                return commands
-            commands.append(self._grant(request))
+                break
+            self._requests.forget_waiting(request)
+            commands.append(self._grant(request, now_ms))
             self._queue.note_granted(request, now_ms=now_ms)
+        return commands
 
-    def _fits(self, request):
-        return bool(
-            self._prefill_candidates() and self._decode_candidates(request)
+    def _fits(self, request, now_ms):
+        return self._placement.fits(
+            request, now_ms=now_ms, is_cautious=self._is_cautious
         )
 
-    def _grant(self, request):
-        prefill_server = self._prefill_policy.choose(
-            request,
-            self._with_cached_tokens(request, self._prefill_candidates()),
-            self._rng,
-        )
-        decode_server = self._decode_policy.choose(
-            request, self._decode_candidates(request), self._rng
+    def _is_cautious(self, server):
+        return self._registration.rebuilding or self._strays.has_strays(server)
+
+    def _grant(self, request, now_ms):
+        prefill_server, decode_server = self._placement.choose(
+            request, now_ms=now_ms, is_cautious=self._is_cautious
         )
-        self._prefix_index.note_granted(prefill_server, request.prefix_hashes)
         self._counter += 1
         permit = _model.Permit(
-            permit_id=f'{self.vm}-{self.incarnation:x}-{self._counter}',
+            permit_id=_stray_watch.make_permit_id(
+                self.vm, self.incarnation, self._counter
+            ),
             request_id=request.request_id,
             attempt_number=request.attempt_number,
             gateway=request.gateway,
@@ -169,29 +205,22 @@
             prefill_server=prefill_server,
             decode_server=decode_server,
             prompt_tokens=request.prompt_tokens,
-            pieces=_pieces_of(request),
+            pieces=_placement.pieces_of(request),
             deadline_ms=request.deadline_ms,
         )
-        self._permits[permit.permit_id] = permit
+        self._ledger.add(permit, now_ms)
+        return self._grant_message(permit)
+
+    def _grant_message(self, permit):
         granted = _messages.PermitGranted(
             permit=permit,
             scheduler=self.vm,
             scheduler_incarnation=self.incarnation,
         )
-        return events.SendToGateway(gateway=request.gateway, message=granted)
-
-    def _with_cached_tokens(self, request, candidates):
-        return tuple(
-            attrs.evolve(
-                item,
-                cached_tokens=self._prefix_index.cached_tokens(
-                    item.name, request.prefix_hashes
-                ),
-            )
-            for item in candidates
-        )
+        return events.SendToGateway(gateway=permit.gateway, message=granted)
 
     def _refuse_from_queue(self, refusal):
+        self._requests.forget_waiting(refusal.request)
         return self._refuse(
             refusal.request, refusal.kind, refusal.retry_after_ms
         )
@@ -205,63 +234,175 @@
         )
         return events.SendToGateway(gateway=request.gateway, message=refusal)
 
-    def _cancel_both(self, permit):
+    # Permits
+
+    def _on_progress(self, event, now_ms):
+        entry = self._ledger.find(event.permit_id)
+        if entry is None or entry.ended_ms is not None:
+            return []
+        if event.stage == 'decoding':
+            request_id = entry.permit.request_id
+            self._queue.note_first_output(request_id, now_ms=now_ms)
+        self._ledger.progress(entry, event.stage)
+        return []
+
+    def _on_release(self, event, now_ms):
+        entry = self._ledger.find(event.permit_id)
+        self._ending.note_released(event.permit_id, now_ms)
+        if entry is None or entry.ended_ms is not None:
+            return []
+        if event.clean:
+            self._ledger.remove(entry)
+            return []
+        return self._ending.end(entry, now_ms, '')
+
+    def _on_registered(self, event, now_ms):
+        gateway = (event.gateway, event.gateway_incarnation)
+        self._registration.note_registered(gateway)
+        commands = []
+        for permit in event.permits:
+            commands += self._register(permit, now_ms)
+        return commands
+
+    def _register(self, permit, now_ms):
+        known = self._ledger.find(permit.permit_id)
+        released = self._ending.has_ended(permit.permit_id)
+        if known is not None or released or permit.pool != self.pool:
+            return []
+        other = self._ledger.find_request(permit.request_id)
+        entry = self._ledger.add(permit, now_ms)
+        self._strays.forget(permit.permit_id)
+        if other is None:
+            return []
+        if self._is_newer(other.permit, permit):
+            return self._ending.end(entry, now_ms, 'superseded')
+        return self._ending.end(other, now_ms, 'superseded')
+
+    def _is_newer(self, permit, registered):
+        """Return whether a known permit outranks one that is registered."""
+        granter = _stray_watch.granter_of(permit.permit_id)
+        if granter == (self.vm, self.incarnation):
+            return True
+        return (permit.attempt_number, permit.deadline_ms) >= (
+            registered.attempt_number,
+            registered.deadline_ms,
+        )
+
+    def _on_confirmed(self, event, now_ms):
+        self._ending.confirm(event.permit_id, event.server, now_ms)
+        return []
+
+    # Backend servers
+
+    def _on_servers(self, event, now_ms):
+        self._placement.set_servers(event.servers)
+        return []
+
+    def _on_report(self, report, now_ms):
+        if report.server not in self._placement.servers:
+            return []
+        account = self._ledger.account(report.server)
+        known = account.report
+        if not account.take_report(report):
+            return []
+        commands = []
+        if known is not None and known.incarnation != report.incarnation:
+            commands = self._on_engine_restart(account, now_ms)
+        self._ending.confirm_by_report(account, now_ms)
+        self._note_strays(account, now_ms)
+        return commands
+
+    def _on_engine_restart(self, account, now_ms):
+        self._ending.confirm_all_at(account.name, now_ms)
+        commands = []
+        for entry in self._ledger.entries_at(account.name):
+            if entry.ended_ms is None and self._is_lost(entry, account):
+                commands += self._ending.end(entry, now_ms, 'backend-lost')
+        return commands
+
+    def _is_lost(self, entry, account):
+        permit = entry.permit
+        if account.is_reported(permit.permit_id):
+            return False
+        return (
+            account.name == permit.decode_server or permit.stage != 'decoding'
+        )
+
+    def _note_strays(self, account, now_ms):
+        strays = [
+            permit_id
+            for permit_id in account.report.running_ids
+            if self._ledger.find(permit_id) is None
+            and not self._ending.may_still_show(permit_id, now_ms)
+        ]
+        self._strays.note_report(account.name, strays, now_ms)
+
+    # The view and time
+
+    def _on_gateways(self, event, now_ms):
+        self._gateways.note_live(event.live)
+        self._registration.note_live(event.live)
+        return self._cancel_gone(now_ms) + self._call_gateways(now_ms)
+
+    def _cancel_gone(self, now_ms):
+        if not self._options.cancels_gone_gateways:
+            return []
+        commands = []
+        for request in self._requests.list_waiting():
+            if self._gateways.is_gone(_process_of(request)):
+                self._queue.remove(request.request_id)
+                self._requests.forget_waiting(request)
+        holders = self._ledger.gateways()
+        for gateway in self._gateways.find_gone(holders, now_ms):
+            for entry in self._ledger.entries_of_gateway(gateway):
+                commands += self._ending.end(entry, now_ms, 'gateway-lost')
+        return commands
+
+    def _call_gateways(self, now_ms):
+        if not self._options.asks_registrations:
+            return []
+        message = _permit_messages.RegistrationWanted(
+            pool=self.pool,
+            scheduler=self.vm,
+            scheduler_incarnation=self.incarnation,
+        )
         return [
-            events.CancelAtEngine(server=server, permit_id=permit.permit_id)
-            for server in (permit.prefill_server, permit.decode_server)
+            events.SendToGateway(gateway=name, message=message)
+            for name, _ in self._registration.pop_calls(now_ms)
         ]
 
-    def _has_role(self, role):
-        return any(server.role == role for server in self._servers.values())
-
-    def _usable(self, role):
-        for name in sorted(self._servers):
-            server = self._servers[name]
-            report = self._reports.get(name)
-            if server.role != role or server.leaving or report is None:
-                continue
-            if not report.leaving:
-                yield server, report
-
-    def _prefill_candidates(self):
-        candidates = []
-        for server, report in self._usable(_model.ROLE_PREFILL):
-            reserved = [
-                permit.prompt_tokens
-                for permit in self._permits.values()
-                if permit.prefill_server == server.name
-                and permit.stage in ('reserved', 'prefilling')
-            ]
-            if len(reserved) < self._options.prefill_slots:
-                candidates.append(
-                    _policies.PrefillCandidate(
-                        name=server.name,
-                        reserved_tokens=sum(reserved),
-                        reported_queued=report.queued_count,
-                    )
-                )
-        return tuple(candidates)
-
-    def _decode_candidates(self, request):
-        candidates = []
-        for server, report in self._usable(_model.ROLE_DECODE):
-            held = [
-                permit.pieces
-                for permit in self._permits.values()
-                if permit.decode_server == server.name
-            ]
-            free_pieces = report.total_pieces - sum(held)
-            if free_pieces >= _pieces_of(request):
-                candidates.append(
-                    _policies.DecodeCandidate(
-                        name=server.name,
-                        free_pieces=free_pieces,
-                        running_count=len(held),
-                        reported_free_pieces=report.free_pieces,
-                    )
-                )
-        return tuple(candidates)
-
-
-def _pieces_of(request):
-    return _model.count_pieces(request.prompt_tokens, request.output_tokens)
+    def _on_tick(self, event, now_ms):
+        self._requests.forget_old(now_ms)
+        self._ending.forget_old(now_ms)
+        commands = self._call_gateways(now_ms) + self._cancel_gone(now_ms)
+        return commands + self._cancel_strays(now_ms)
+
+    def _cancel_strays(self, now_ms):
+        if self._registration.rebuilding or not self._options.cancels_strays:
+            return []
+        due = self._strays.pop_due(self._gateways.live, now_ms)
+        return [
+            events.CancelAtEngine(server=server, permit_id=permit_id)
+            for server, permit_id in due
+        ]
+
+
+def _process_of(item):
+    return (item.gateway, item.gateway_incarnation)
+
+
+def _is_same_ask(one, other):
+    return (
+        _process_of(one) == _process_of(other)
+        and one.attempt_number == other.attempt_number
+    )
+
+
+def _is_older_ask(request, waiting, entry):
+    """Return whether a later attempt of the same process is known."""
+    for other in (waiting, entry.permit if entry else None):
+        if other is None or _process_of(other) != _process_of(request):
+            continue
+        if other.attempt_number > request.attempt_number:
+            return True
+    return False
--- /dev/null
+++ b/bluebellthread/core/_scheduler_options.py
@@ -0,0 +1,66 @@
+"""Policies, times and counts of a scheduler."""
+
+import attrs
+
+from bluebellthread.core import _policies
+
+PREFILL_SLOTS = 2
+"""Prompts reserved at a time on one prefill server."""
+
+TRANSFER_SLOTS = 4
+"""KV caches reserved at a time on the link into one decode server."""
+
+
+@attrs.frozen(kw_only=True)
+class SchedulerOptions:
+    """Policies, times and counts of a scheduler.
+
+    Parameters
+    ----------
+    prefill_policy, decode_policy, queue_policy : str
+        Names in the registries.
+    prefill_slots, transfer_slots : int
+        Reservations at a time on a prefill server, and on the link into
+        a decode server.
+    queue : QueueOptions
+        Bounds of the queue.
+    report_timeout_ms : int
+        Age from which a load report counts no more.
+    settle_timeout_ms : int
+        How long after a cancel or a release a report may still show the
+        request.
+    rebuild_timeout_ms : int
+        How long a new owner waits for the gateways' permits.
+    register_period_ms : int
+        Time between two calls for them.
+    stray_timeout_ms : int
+        How long a request that belongs to no live process may run.
+    live_stray_timeout_ms : int
+        The same where the process that granted it lives.
+    unknown_gateway_timeout_ms : int
+        How long a gateway may ask before the view shows it.
+    cancels_gone_gateways, cancels_strays, asks_registrations : bool
+        Only tests turn these off.
+
+    Examples
+    --------
+    >>> SchedulerOptions().prefill_slots
+    2
+    """
+
+    prefill_policy: str = 'least-loaded'
+    decode_policy: str = 'most-free'
+    queue_policy: str = 'first-come'
+    prefill_slots: int = PREFILL_SLOTS
+    transfer_slots: int = TRANSFER_SLOTS
+    queue: _policies.QueueOptions = attrs.field(factory=_policies.QueueOptions)
+    report_timeout_ms: int = 3000
+    settle_timeout_ms: int = 1000
+    rebuild_timeout_ms: int = 2000
+    register_period_ms: int = 300
+    stray_timeout_ms: int = 1500
+    live_stray_timeout_ms: int = 10000
+    unknown_gateway_timeout_ms: int = 3000
+    cancels_gone_gateways: bool = True
+    cancels_strays: bool = True
+    asks_registrations: bool = True
--- /dev/null
+++ b/bluebellthread/core/_stray_watch.py
@@ -0,0 +1,134 @@
+"""Requests that run on engines and belong to nobody who is known."""
+
+import attrs
+
+
+@attrs.define(kw_only=True)
+class Stray:
+    """One request in reports that no permit explains."""
+
+    first_seen_ms: int
+    cancelled_ms: int | None = None
+
+
+class StrayWatch:
+    """Finds the running ids whose holder is gone.
+
+    A stray is cancelled when it has run for a grace time. The time is
+    longer while the process that granted it lives, since that process
+    will tell of it, and it starts again while new ids of that process
+    appear: then it is not dead but cut off from this VM.
+
+    Parameters
+    ----------
+    options : SchedulerOptions
+        The times.
+
+    Examples
+    --------
+    >>> from bluebellthread.core import _scheduler_options
+    >>> watch = StrayWatch(_scheduler_options.SchedulerOptions())
+    >>> watch.note_report('d1', ('vm9-7-1',), 0)
+    >>> watch.pop_due(frozenset(), 1499), watch.pop_due(frozenset(), 1500)
+    ([], [('d1', 'vm9-7-1')])
+    """
+
+    def __init__(self, options):
+        self._options = options
+        self._strays = {}
+        self._newest_ms = {}
+
+    def note_report(self, server, stray_ids, now_ms):
+        """Take in which ids a backend server runs that nobody explains."""
+        known = self._strays.get(server, {})
+        current = {}
+        for permit_id in stray_ids:
+            if permit_id in known:
+                current[permit_id] = known[permit_id]
+                continue
+            current[permit_id] = Stray(first_seen_ms=now_ms)
+            self._newest_ms[granter_of(permit_id)] = now_ms
+        self._strays[server] = current
+
+    def has_strays(self, server):
+        """Return whether a backend server runs strays."""
+        return bool(self._strays.get(server))
+
+    def forget(self, permit_id):
+        """Drop an id that has been explained since."""
+        for strays in self._strays.values():
+            strays.pop(permit_id, None)
+
+    def restart(self, now_ms):
+        """Give every stray its full time again."""
+        for strays in self._strays.values():
+            for stray in strays.values():
+                stray.first_seen_ms = now_ms
+
+    def pop_due(self, live_processes, now_ms):
+        """Return (server, id) of the strays to cancel now.
+
+        Parameters
+        ----------
+        live_processes : container of (str, int)
+            Name and incarnation of the live VM processes.
+        now_ms : int
+            Now.
+        """
+        due = []
+        for server, strays in self._strays.items():
+            for permit_id, stray in strays.items():
+                if self._is_due(permit_id, stray, live_processes, now_ms):
+                    stray.cancelled_ms = now_ms
+                    due.append((server, permit_id))
+        self._forget_old_granters(now_ms)
+        return due
+
+    def _is_due(self, permit_id, stray, live_processes, now_ms):
+        if stray.cancelled_ms is not None:
+            retry_ms = stray.cancelled_ms + self._options.settle_timeout_ms
+            return now_ms >= retry_ms
+        granter = granter_of(permit_id)
+        timeout_ms = (
+            self._options.live_stray_timeout_ms
+            if granter in live_processes
+            else self._options.stray_timeout_ms
+        )
+        newest_ms = self._newest_ms.get(granter, stray.first_seen_ms)
+        return now_ms >= max(stray.first_seen_ms, newest_ms) + timeout_ms
+
+    def _forget_old_granters(self, now_ms):
+        horizon_ms = now_ms - self._options.live_stray_timeout_ms
+        self._newest_ms = {
+            granter: seen_ms
+            for granter, seen_ms in self._newest_ms.items()
+            if seen_ms > horizon_ms
+        }
+
+
+def make_permit_id(vm, incarnation, number):
+    """Return the id of a permit, which names the process that grants it.
+
+    Examples
+    --------
+    >>> make_permit_id('vm1', 255, 3)
+    'vm1-ff-3'
+    """
+    return f'{vm}-{incarnation:x}-{number}'
+
+
+def granter_of(permit_id):
+    """Return the process that a permit id names, or None.
+
+    Examples
+    --------
+    >>> granter_of('vm-1-ff-3')
+    ('vm-1', 255)
+    """
+    parts = permit_id.rsplit('-', 2)
+    if len(parts) != 3:
+        return None
+    try:
+        return (parts[0], int(parts[1], 16))
+    except ValueError:
+        return None
--- a/bluebellthread/wire/__init__.py
+++ b/bluebellthread/wire/__init__.py
@@ -2,6 +2,7 @@
 
 from bluebellthread.core import _membership_messages
 from bluebellthread.core import _messages
+from bluebellthread.core import _permit_messages
 from bluebellthread.wire._codec import decode
 from bluebellthread.wire._codec import encode
 from bluebellthread.wire._codec import Envelope
@@ -24,6 +25,8 @@
     _messages.StatusAnswer,
     _messages.RequestLookup,
     _messages.RequestFound,
+    _permit_messages.PermitAbandoned,
+    _permit_messages.RegistrationWanted,
     _membership_messages.Ping,
     _membership_messages.Ack,
     _membership_messages.IndirectPing,
--- a/bluebellthread/wire/peer.thrift
+++ b/bluebellthread/wire/peer.thrift
@@ -159,6 +159,20 @@
   2: bool is_answer,
 }
 
+struct RegistrationWanted {
+  1: PoolKey pool,
+  2: string scheduler,
+  3: i64 scheduler_incarnation,
+}
+
+struct PermitAbandoned {
+  1: string request_id,
+  2: i32 attempt_number,
+  3: string gateway,
+  4: i64 gateway_incarnation,
+  5: PoolKey pool,
+}
+
 struct Envelope {
   1: string kind,
   2: i64 correlation,
--- a/tests/unit/_membership_net.py
+++ b/tests/unit/_membership_net.py
@@ -9,7 +9,7 @@
 TICK_MS = 50
 
 
-def make_member(name, *, data_centre='cluj-a', incarnation=1):
+def make_member(name, *, data_centre='cluj-a', incarnation=1, state='alive'):
     return core.Member(
         name=name,
         data_centre=data_centre,
@@ -18,6 +18,7 @@
         peer_port=7000,
         caller_port=8000,
         incarnation=incarnation,
+        state=state,
     )
 
 
--- /dev/null
+++ b/tests/unit/test_golden_scheduler.py
@@ -0,0 +1,70 @@
+import unittest
+
+from bluebellthread import core
+from tests.unit import _golden
+from tests.unit import _pool
+
+
+class TestGoldenScheduler(unittest.TestCase):
+    def start(self, **options):
+        session = _golden.Session(_pool.make_scheduler(**options))
+        session.feed(0, _pool.make_servers('p1', 'd1'))
+        return session
+
+    def test_new_owner_rebuilds_its_state(self):
+        session = self.start()
+        session.note('The view shows two gateways; both are asked.')
+        session.feed(0, _pool.make_gateways('vm2', 'vm3'))
+        session.note('Three of four pieces are in use by unknown permits.')
+        ids = ('vm9-9-1', 'vm9-9-2', 'vm9-9-3')
+        for server in ('p1', 'd1'):
+            session.feed(
+                10,
+                _pool.make_report(server, 1, 10, free=1, running_ids=ids),
+            )
+        session.note('One piece is reported free: one grant, one wait.')
+        session.feed(20, _pool.make_request('r10'))
+        session.feed(21, _pool.make_request('r11', gateway='vm3'))
+        session.note('vm2 registers one permit, vm3 is silent.')
+        known = _pool.make_permit('vm9-9-1', 'r1')
+        session.feed(30, _pool.register('vm2', known))
+        session.feed(310, core.Tick())
+        session.note('vm3 has one more; all have registered now.')
+        other = _pool.make_permit('vm9-9-2', 'r2', gateway='vm3')
+        session.feed(320, _pool.register('vm3', other))
+        session.note('The third belongs to nobody and is cancelled in time.')
+        session.feed(1819, core.Tick())
+        session.feed(1820, core.Tick())
+        session.check(self, 'scheduler_rebuilds')
+
+    def test_gateway_is_killed_and_comes_back(self):
+        session = self.start()
+        session.feed(0, _pool.make_gateways('vm2'))
+        session.feed(0, _pool.register('vm2'))
+        for server in ('p1', 'd1'):
+            session.feed(1, _pool.make_report(server, 1, 1))
+        session.feed(10, _pool.make_request('r1'))
+        session.feed(11, _pool.make_request('r2', prompt_tokens=7000))
+        session.note('The process is gone: its permit and its wait end.')
+        session.feed(1200, core.GatewaysChanged(live=(('vm2', 77),)))
+        session.note('A late message of the dead process is not served.')
+        session.feed(1210, _pool.make_request('r3'))
+        for server in ('p1', 'd1'):
+            session.feed(
+                1220, core.CancelConfirmed(server=server, permit_id='vm1-1-1')
+            )
+        session.check(self, 'scheduler_gateway_killed')
+
+    def test_deadline_passes_and_engine_restarts(self):
+        session = self.start()
+        session.feed(0, _pool.make_gateways('vm2'))
+        session.feed(0, _pool.register('vm2'))
+        for server in ('p1', 'd1'):
+            session.feed(1, _pool.make_report(server, 1, 1))
+        session.feed(10, _pool.make_request('r1', deadline_ms=500))
+        session.feed(11, _pool.make_request('r2', deadline_ms=5000))
+        session.feed(499, core.Tick())
+        session.feed(500, core.Tick())
+        session.note('The decode server comes back as another process.')
+        session.feed(600, _pool.make_report('d1', 1, 600, incarnation=5))
+        session.check(self, 'scheduler_deadline_and_restart')
