--- a/bluebellthread/cli/__init__.py
+++ b/bluebellthread/cli/__init__.py
@@ -1,1 +1,1 @@
-"""TODO."""
+"""The operators' tool."""
--- a/bluebellthread/configuration/__init__.py
+++ b/bluebellthread/configuration/__init__.py
@@ -1,5 +1,7 @@
 """Settings of a process and configuration of the fleet, as files."""
 
+from bluebellthread.configuration._differences import describe_scope
+from bluebellthread.configuration._differences import list_differences
 from bluebellthread.configuration._files import load_configuration
 from bluebellthread.configuration._files import load_settings
 from bluebellthread.configuration._files import parse_configuration
@@ -13,6 +15,8 @@
     'Settings',
     'TicketKey',
     'UnreadableFileError',
+    'describe_scope',
+    'list_differences',
     'load_configuration',
     'load_settings',
     'parse_configuration',
--- a/bluebellthread/configuration/_files.py
+++ b/bluebellthread/configuration/_files.py
@@ -57,10 +57,11 @@
 
     Examples
     --------
-    >>> parse_settings('{"vm": "vm1"}')
-    Traceback (most recent call last):
-        ...
-    bluebellthread.core._problems.ConfigurationError: ...
+    >>> try:
+    ...     parse_settings('{"vm": "vm 1"}')
+    ... except core.ConfigurationError as error:
+    ...     print(error.problems[0].path)
+    vm
     """
     return _parse(text, _settings.Settings, _check_settings)
 
--- /dev/null
+++ b/tests/unit/test_exceptions.py
@@ -0,0 +1,129 @@
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from bluebellthread import core
+
+REGIONS = (
+    core.Region(name='north', data_centres=('a', 'b')),
+    core.Region(name='south', data_centres=('c',)),
+)
+
+
+def make_exception(number, **scope):
+    return core.ScopedException(
+        scope=core.Scope(**scope),
+        reason=f'reason {number}',
+        values={'priority': number},
+    )
+
+
+def make_configuration(*exceptions, revision=1):
+    return core.Configuration(
+        revision=revision,
+        regions=REGIONS,
+        models=(core.Model(name='m'),),
+        exceptions=exceptions,
+    )
+
+
+scopes = strategies.builds(
+    core.Scope,
+    region=strategies.sampled_from(['', 'north', 'south']),
+    data_centre=strategies.sampled_from(['', 'a', 'c']),
+    serves=strategies.sampled_from(['', 'm']),
+    caller=strategies.sampled_from(['', 'x', 'y']),
+)
+
+
+def is_more_specific(one, other):
+    def rank(scope):
+        place = 2 if scope.data_centre else 1 if scope.region else 0
+        return (bool(scope.caller), bool(scope.serves), place)
+
+    return rank(one) > rank(other)
+
+
+class TestResolve(unittest.TestCase):
+    @hypothesis.given(strategies.lists(scopes, max_size=8))
+    def test_the_most_specific_matching_exception_decides(self, drawn):
+        exceptions = [
+            make_exception(number, **vars_of(scope))
+            for number, scope in enumerate(drawn, 1)
+        ]
+        configuration = make_configuration(*exceptions)
+        hypothesis.assume(not core.check_configuration(configuration))
+        place = {'region': 'north', 'data_centre': 'a'}
+        place |= {'serves': 'm', 'caller': 'x'}
+        best = None
+        for item in exceptions:
+            fields = vars_of(item.scope)
+            if any(fields[f] not in ('', place[f]) for f in place):
+                continue
+            if best is None or is_more_specific(item.scope, best.scope):
+                best = item
+        expected = best.values['priority'] if best else 0
+        found = core.resolve(configuration, **place)
+        self.assertEqual(expected, found.priority)
+
+    def test_explain_names_the_exception_and_its_reason(self):
+        configuration = make_configuration(
+            make_exception(1, region='north'), make_exception(2, caller='x')
+        )
+        decisions = {
+            decision.name: decision
+            for decision in core.explain(configuration, data_centre='a')
+        }
+        self.assertEqual('reason 1', decisions['priority'].reason)
+        self.assertIsNone(decisions['pace_target_ms'].exception_index)
+
+
+class TestAcceptance(unittest.TestCase):
+    def assert_refused(self, path, *exceptions):
+        outcome = core.decide_acceptance(make_configuration(*exceptions))
+        self.assertIsInstance(outcome, core.Invalid)
+        self.assertEqual([path], [item.path for item in outcome.problems])
+
+    def test_conflicting_ties_are_refused(self):
+        # Naming the region of a data centre makes no scope narrower.
+        self.assert_refused(
+            'exceptions[1].values.priority',
+            make_exception(1, data_centre='a'),
+            make_exception(2, region='north', data_centre='a'),
+        )
+
+    def test_unknown_scopes_are_refused(self):
+        for field in ('region', 'data_centre', 'serves'):
+            self.assert_refused(
+                f'exceptions[0].scope.{field}',
+                make_exception(1, **{field: 'z'}),
+            )
+
+    def test_a_scope_of_the_whole_fleet_is_refused(self):
+        self.assert_refused('exceptions[0].scope', make_exception(1))
+
+    def test_a_data_centre_outside_the_region_is_refused(self):
+        self.assert_refused(
+            'exceptions[0].scope.region',
+            make_exception(1, region='south', data_centre='a'),
+        )
+
+    def test_only_a_rising_revision_is_accepted(self):
+        in_force = make_configuration(revision=5)
+        outcomes = [
+            type(
+                core.decide_acceptance(
+                    make_configuration(revision=revision), in_force=in_force
+                )
+            )
+            for revision in (4, 5, 6)
+        ]
+        self.assertEqual([core.Stale, core.Stale, core.Accepted], outcomes)
+
+
+def vars_of(scope):
+    return {
+        name: getattr(scope, name)
+        for name in ('region', 'data_centre', 'serves', 'caller')
+    }
