Tickets: a pure core for calls that may not be repeated

Cause: orders and filings may run once at most, on VMs that keep nothing. Change: a ticket names the only process that may run its call. Signed text with two accepted keys, records within a bounded memory, a state machine (issued, running, final), outcomes as dataclasses, messages between VMs. Not yet: the daemon's part and the search over all interleavings.

--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -54,20 +54,73 @@
 from bluebellthread.core._scheduler_events import SendToGateway
 from bluebellthread.core._scheduler_events import ServersChanged
 from bluebellthread.core._scheduler_events import Tick
+from bluebellthread.core._ticket_book import cost_bytes
+from bluebellthread.core._ticket_book import TicketBook
+from bluebellthread.core._ticket_book import TicketRecord
+from bluebellthread.core._ticket_events import AnswerArrived
+from bluebellthread.core._ticket_events import AnswerLost
+from bluebellthread.core._ticket_events import CallArrived
+from bluebellthread.core._ticket_events import HandOver
+from bluebellthread.core._ticket_events import HandOverFinished
+from bluebellthread.core._ticket_events import LookupArrived
+from bluebellthread.core._ticket_events import NothingSent
+from bluebellthread.core._ticket_events import RecordsNotTaken
+from bluebellthread.core._ticket_events import RecordsOffered
+from bluebellthread.core._ticket_events import RecordsTaken
+from bluebellthread.core._ticket_events import StartSend
+from bluebellthread.core._ticket_events import StopRequested
+from bluebellthread.core._ticket_events import TicketAsked
+from bluebellthread.core._ticket_events import TicketReply
+from bluebellthread.core._ticket_events import TicketTick
+from bluebellthread.core._ticket_messages import TicketCall
+from bluebellthread.core._ticket_messages import TicketCopy
+from bluebellthread.core._ticket_messages import TicketLookup
+from bluebellthread.core._ticket_messages import TicketRecords
+from bluebellthread.core._ticket_messages import TicketResult
+from bluebellthread.core._ticket_messages import TicketsMoved
+from bluebellthread.core._ticket_outcomes import AttemptRejected
+from bluebellthread.core._ticket_outcomes import Completed
+from bluebellthread.core._ticket_outcomes import NotRun
+from bluebellthread.core._ticket_outcomes import OutcomeUnknown
+from bluebellthread.core._ticket_outcomes import RefusedByServer
+from bluebellthread.core._ticket_outcomes import ServerAnswer
+from bluebellthread.core._ticket_outcomes import TicketIssued
+from bluebellthread.core._ticket_outcomes import TicketPending
+from bluebellthread.core._ticket_token import digest_call
+from bluebellthread.core._ticket_token import id_of_text
+from bluebellthread.core._ticket_token import InvalidTicketError
+from bluebellthread.core._ticket_token import Ticket
+from bluebellthread.core._ticket_token import TicketKey
+from bluebellthread.core._ticket_token import TicketKeysError
+from bluebellthread.core._ticket_token import TicketSigner
+from bluebellthread.core._tickets import TicketKeeper
+from bluebellthread.core._tickets import TicketOptions
 
 __all__ = [
+    'AnswerArrived',
+    'AnswerLost',
+    'AttemptRejected',
     'BackendServer',
     'BluebellthreadError',
+    'CallArrived',
     'CancelAtEngine',
     'CancelConfirmed',
+    'Completed',
     'Configuration',
     'Done',
     'DuplicateNameError',
     'GatewaysChanged',
+    'HandOver',
+    'HandOverFinished',
+    'InvalidTicketError',
     'LoadReport',
+    'LookupArrived',
     'Member',
     'MembershipView',
     'Model',
+    'NotRun',
+    'NothingSent',
+    'OutcomeUnknown',
     'Permit',
     'PermitCancelled',
     'PermitGranted',
@@ -80,6 +133,10 @@
     'ROLE_DECODE',
     'ROLE_PREFILL',
     'ROLE_SERVICE',
+    'RecordsNotTaken',
+    'RecordsOffered',
+    'RecordsTaken',
+    'RefusedByServer',
     'Region',
     'Registry',
     'Rejected',
@@ -91,17 +148,42 @@
     'Scope',
     'ScopedException',
     'SendToGateway',
+    'ServerAnswer',
     'ServersChanged',
     'Service',
+    'StartSend',
     'StatusAnswer',
     'StatusRequest',
+    'StopRequested',
     'Tick',
+    'Ticket',
+    'TicketAsked',
+    'TicketBook',
+    'TicketCall',
+    'TicketCopy',
+    'TicketIssued',
+    'TicketKeeper',
+    'TicketKey',
+    'TicketKeysError',
+    'TicketLookup',
+    'TicketOptions',
+    'TicketPending',
+    'TicketRecord',
+    'TicketRecords',
+    'TicketReply',
+    'TicketResult',
+    'TicketSigner',
+    'TicketTick',
+    'TicketsMoved',
     'UnknownNameError',
     'Values',
     'choose_owner',
+    'cost_bytes',
     'count_pieces',
     'decode_policies',
+    'digest_call',
     'estimate_tokens',
+    'id_of_text',
     'prefill_policies',
     'queue_policies',
     'rank_by_rendezvous',
--- /dev/null
+++ b/bluebellthread/core/_tickets.py
@@ -0,0 +1,375 @@
+"""At most one run of a call: the keeper of one process's tickets.
+
+A ticket can be run by the process that issued it and by no other, so two
+VMs never have to agree about who runs a call. Everything that this module
+claims rests on three facts about that process: it forgets everything when
+it dies, it starts one send at most for a ticket, and it starts none from
+the ticket's deadline or its own stop on.
+"""
+
+import attrs
+
+from bluebellthread.core import _ticket_book as book
+from bluebellthread.core import _ticket_events as events
+from bluebellthread.core import _ticket_outcomes as outcomes
+from bluebellthread.core import _ticket_token
+
+BATCH_RECORDS = 64
+"""Records handed over in one message at most."""
+
+BATCH_BYTES = 256 * 1024
+"""Memory of the records in one hand-over message, but for a single one."""
+
+
+@attrs.frozen(kw_only=True)
+class TicketOptions:
+    """Limits of one keeper.
+
+    Parameters
+    ----------
+    lifetime_timeout_ms : int
+        From a ticket's issue to its deadline.
+    keep_timeout_ms : int
+        How long a record is kept after the deadline, and an outcome
+        after it became known.
+    check_margin_ms : int
+        After the deadline: when a call that was sent just before it has
+        certainly begun to run.
+    limit_bytes : int
+        Memory of all records.
+    """
+
+    lifetime_timeout_ms: int = 30000
+    keep_timeout_ms: int = 120000
+    check_margin_ms: int = 10000
+    limit_bytes: int = 8 * 1024 * 1024
+
+
+class TicketKeeper:
+    """Pure state machine of the tickets that one process issues.
+
+    It also answers for the records that stopping peers handed over, but
+    never runs one of those.
+
+    Parameters
+    ----------
+    vm, incarnation, host, peer_port : str, int, str, int
+        The process and where its peers reach it.
+    signer : TicketSigner
+        Signs the tickets.
+    options : TicketOptions
+        Limits.
+
+    Examples
+    --------
+    >>> key = _ticket_token.TicketKey(key_id='a', secret=b'x' * 32)
+    >>> keeper = TicketKeeper(vm='vm1', incarnation=7, host='127.0.0.1',
+    ...     peer_port=7000, signer=_ticket_token.TicketSigner((key,)))
+    >>> asked = events.TicketAsked(waiter=1, caller='c', serves='ledger')
+    >>> keeper.handle(asked, 0)[0].result.ticket_id
+    'vm1-7-1'
+    """
+
+    def __init__(
+        self, *, vm, incarnation, host, peer_port, signer, options=None
+    ):
+        self.vm = vm
+        self.incarnation = incarnation
+        self.host = host
+        self.peer_port = peer_port
+        self.signer = signer
+        self.options = options or TicketOptions()
+        self.book = book.TicketBook(limit_bytes=self.options.limit_bytes)
+        self.stopping = False
+        self._issued_count = 0
+        self._running_count = 0
+        self._waiters = {}
+        self._batches = {}
+        self._batch_count = 0
+        self._handlers = {
+            events.TicketAsked: self._on_asked,
+            events.CallArrived: self._on_call,
+            events.LookupArrived: self._on_lookup,
+            events.NothingSent: self._on_nothing_sent,
+            events.AnswerArrived: self._on_answer,
+            events.AnswerLost: self._on_answer_lost,
+            events.StopRequested: self._on_stop,
+            events.RecordsOffered: self._on_offered,
+            events.RecordsTaken: self._on_taken,
+            events.RecordsNotTaken: self._on_not_taken,
+            events.TicketTick: self._on_tick,
+        }
+
+    def handle(self, event, now_ms):
+        """Take one event in and return the commands that follow."""
+        commands = self._handlers[type(event)](event, now_ms)
+        self.book.drop_expired(now_ms)
+        return commands
+
+    @property
+    def running_count(self):
+        """Calls that have been started and have no outcome so far."""
+        return self._running_count
+
+    def issued_here(self, ticket):
+        """Tell whether this very process issued a ticket."""
+        return (self.vm, self.incarnation) == (
+            ticket.issuer,
+            ticket.issuer_incarnation,
+        )
+
+    def _on_asked(self, event, now_ms):
+        if self.stopping:
+            return [_reject(event.waiter, 'stopping')]
+        self.book.drop_expired(now_ms)
+        ticket = self._make_ticket(event, now_ms)
+        record = book.TicketRecord(
+            ticket_id=ticket.ticket_id,
+            caller=event.caller,
+            serves=event.serves,
+            check_path=event.check_path,
+            deadline_ms=ticket.deadline_ms,
+            keep_deadline_ms=ticket.deadline_ms + self.options.keep_timeout_ms,
+        )
+        if not self.book.add(record):
+            return [_reject(event.waiter, 'full')]
+        self._issued_count += 1
+        issued = outcomes.TicketIssued(
+            ticket=self.signer.sign(ticket, event.caller),
+            ticket_id=ticket.ticket_id,
+            remaining_ms=ticket.lifetime_ms,
+        )
+        return [events.TicketReply(waiter=event.waiter, result=issued)]
+
+    def _make_ticket(self, event, now_ms):
+        return _ticket_token.Ticket(
+            issuer=self.vm,
+            issuer_incarnation=self.incarnation,
+            number=self._issued_count + 1,
+            host=self.host,
+            peer_port=self.peer_port,
+            serves=event.serves,
+            deadline_ms=now_ms + self.options.lifetime_timeout_ms,
+            lifetime_ms=self.options.lifetime_timeout_ms,
+        )
+
+    def _on_call(self, event, now_ms):
+        record = self.book.find(event.ticket.ticket_id)
+        if record is None or record.caller != event.caller:
+            return [self._reply_forgotten(event, now_ms)]
+        if record.call_digest not in ('', event.call_digest):
+            return [_reject(event.waiter, 'other-call')]
+        if record.state == book.STATE_ISSUED:
+            return self._first_use(record, event, now_ms)
+        if record.state == book.STATE_RUNNING:
+            waiting = self._waiters.setdefault(record.ticket_id, [])
+            waiting.append((event.deadline_ms, event.waiter))
+            return []
+        return [self._reply_final(record, event.waiter, now_ms)]
+
+    def _first_use(self, record, event, now_ms):
+        record = attrs.evolve(
+            record,
+            call_digest=event.call_digest,
+            check_path=event.check_path or record.check_path,
+        )
+        if now_ms >= record.deadline_ms:
+            outcome = outcomes.NotRun(kind='expired')
+            record = self._finish(record, outcome, now_ms)
+            return [self._reply_final(record, event.waiter, now_ms)]
+        self.book.replace(attrs.evolve(record, state=book.STATE_RUNNING))
+        self._running_count += 1
+        self._waiters[record.ticket_id] = [(event.deadline_ms, event.waiter)]
+        return [
+            events.StartSend(
+                waiter=event.waiter,
+                ticket_id=record.ticket_id,
+                deadline_ms=record.deadline_ms,
+            )
+        ]
+
+    def _reply_forgotten(self, event, now_ms):
+        # Whatever became of the ticket, this process does not run it now:
+        # a caller that never sent it before knows that it has not run.
+        ticket = event.ticket
+        if self.issued_here(ticket):
+            kind = 'expired'
+            check_after_ms = self._check_after_ms(ticket.deadline_ms, now_ms)
+        else:
+            kind = 'issuer-gone'
+            check_after_ms = ticket.lifetime_ms + self.options.check_margin_ms
+        unknown = outcomes.OutcomeUnknown(
+            kind=kind,
+            check_path=event.check_path,
+            check_after_ms=check_after_ms,
+            may_renew=True,
+        )
+        return events.TicketReply(waiter=event.waiter, result=unknown)
+
+    def _on_lookup(self, event, now_ms):
+        record = self.book.find(event.ticket_id)
+        if record is None or event.caller not in ('', record.caller):
+            unknown = outcomes.OutcomeUnknown(
+                kind='no-record',
+                check_after_ms=self.options.lifetime_timeout_ms
+                + self.options.check_margin_ms,
+            )
+            return [events.TicketReply(waiter=event.waiter, result=unknown)]
+        if record.state != book.STATE_FINAL:
+            pending = outcomes.TicketPending(
+                state=record.state,
+                remaining_ms=max(0, record.deadline_ms - now_ms),
+            )
+            return [events.TicketReply(waiter=event.waiter, result=pending)]
+        return [self._reply_final(record, event.waiter, now_ms)]
+
+    def _on_nothing_sent(self, event, now_ms):
+        outcome = outcomes.NotRun(kind=event.kind)
+        return self._end_run(event.ticket_id, outcome, now_ms)
+
+    def _on_answer(self, event, now_ms):
+        if event.refused:
+            outcome = outcomes.RefusedByServer(answer=event.answer)
+        else:
+            outcome = outcomes.Completed(answer=event.answer)
+        return self._end_run(event.ticket_id, outcome, now_ms)
+
+    def _on_answer_lost(self, event, now_ms):
+        outcome = outcomes.OutcomeUnknown(kind='answer-lost')
+        return self._end_run(event.ticket_id, outcome, now_ms)
+
+    def _end_run(self, ticket_id, outcome, now_ms):
+        record = self.book.find(ticket_id)
+        if record is None or record.state != book.STATE_RUNNING:
+            return []
+        self._running_count -= 1
+        record = self._finish(record, outcome, now_ms)
+        commands = [
+            self._reply_final(record, waiter, now_ms)
+            for _, waiter in self._waiters.pop(ticket_id, ())
+        ]
+        if self.stopping:
+            commands += self._hand_over([record])
+            commands += self._finish_stop()
+        return commands
+
+    def _finish(self, record, outcome, now_ms):
+        keep_from_ms = max(record.deadline_ms, now_ms)
+        record = attrs.evolve(
+            record,
+            state=book.STATE_FINAL,
+            outcome=outcome,
+            keep_deadline_ms=keep_from_ms + self.options.keep_timeout_ms,
+        )
+        if not self.book.replace(record):
+            record = attrs.evolve(record, outcome=_without_body(outcome))
+            self.book.replace(record)
+        self.book.watch(record)
+        return record
+
+    def _reply_final(self, record, waiter, now_ms):
+        outcome = record.outcome
+        if isinstance(outcome, outcomes.OutcomeUnknown):
+            outcome = self._unknown(record, outcome.kind, now_ms)
+        return events.TicketReply(waiter=waiter, result=outcome)
+
+    def _unknown(self, record, kind, now_ms):
+        return outcomes.OutcomeUnknown(
+            kind=kind,
+            check_path=record.check_path,
+            check_after_ms=self._check_after_ms(record.deadline_ms, now_ms),
+        )
+
+    def _check_after_ms(self, deadline_ms, now_ms):
+        return max(0, deadline_ms + self.options.check_margin_ms - now_ms)
+
+    def _on_tick(self, event, now_ms):
+        commands = []
+        for ticket_id, waiting in self._waiters.items():
+            record = self.book.find(ticket_id)
+            unknown = self._unknown(record, 'no-answer-yet', now_ms)
+            commands += [
+                events.TicketReply(waiter=waiter, result=unknown)
+                for deadline_ms, waiter in waiting
+                if deadline_ms <= now_ms
+            ]
+            waiting[:] = [entry for entry in waiting if entry[0] > now_ms]
+        return commands
+
+    def _on_stop(self, event, now_ms):
+        if self.stopping:
+            return []
+        self.stopping = True
+        final = [
+            self._finish(record, outcomes.NotRun(kind='stopping'), now_ms)
+            if record.state == book.STATE_ISSUED
+            else record
+            for record in self.book.all()
+            if record.state != book.STATE_RUNNING
+        ]
+        return self._hand_over(final) + self._finish_stop()
+
+    def _hand_over(self, records):
+        commands = []
+        for batch in _split(records):
+            self._batch_count += 1
+            self._batches[self._batch_count] = batch
+            commands.append(
+                events.HandOver(batch=self._batch_count, records=batch)
+            )
+        return commands
+
+    def _finish_stop(self):
+        if self._running_count or self._batches:
+            return []
+        return [events.HandOverFinished()]
+
+    def _on_taken(self, event, now_ms):
+        if self._batches.pop(event.batch, None) is None:
+            return []
+        return self._finish_stop()
+
+    def _on_not_taken(self, event, now_ms):
+        records = self._batches.get(event.batch)
+        if records is None:
+            return []
+        return [events.HandOver(batch=event.batch, records=records)]
+
+    def _on_offered(self, event, now_ms):
+        if self.stopping:
+            return [_reject(event.waiter, 'stopping')]
+        self.book.drop_expired(now_ms)
+        for record in event.records:
+            if self.book.find(record.ticket_id) is not None:
+                continue
+            if not self.book.add(record):
+                return [_reject(event.waiter, 'full')]
+        return [events.TicketReply(waiter=event.waiter, result=None)]
+
+
+def _reject(waiter, kind):
+    rejected = outcomes.AttemptRejected(kind=kind)
+    return events.TicketReply(waiter=waiter, result=rejected)
+
+
+def _without_body(outcome):
+    if not isinstance(outcome, outcomes.Completed):
+        return outcomes.NotRun(kind='refused')
+    answer = outcomes.ServerAnswer(status=outcome.answer.status)
+    return outcomes.Completed(answer=answer, whole=False)
+
+
+def _split(records):
+    batch = []
+    size_bytes = 0
+    for record in records:
+        cost = book.cost_bytes(record)
+        too_large = batch and size_bytes + cost > BATCH_BYTES
+        if too_large or len(batch) == BATCH_RECORDS:
+            yield tuple(batch)
+            batch = []
+            size_bytes = 0
+        batch.append(record)
+        size_bytes += cost
+    if batch:
+        yield tuple(batch)
--- a/bluebellthread/wire/__init__.py
+++ b/bluebellthread/wire/__init__.py
@@ -1,6 +1,7 @@
 """Messages between VMs as thrift bytes."""
 
 from bluebellthread.core import _messages
+from bluebellthread.core import _ticket_messages
 from bluebellthread.wire._codec import decode
 from bluebellthread.wire._codec import encode
 from bluebellthread.wire._codec import Envelope
@@ -23,5 +24,10 @@
     _messages.StatusAnswer,
     _messages.RequestLookup,
     _messages.RequestFound,
+    _ticket_messages.TicketCall,
+    _ticket_messages.TicketLookup,
+    _ticket_messages.TicketResult,
+    _ticket_messages.TicketRecords,
+    _ticket_messages.TicketsMoved,
 ):
     register_message(_cls)
--- a/bluebellthread/wire/peer.thrift
+++ b/bluebellthread/wire/peer.thrift
@@ -131,3 +131,61 @@
   5: string traceparent,
   6: binary body,
 }
+
+struct TicketCall {
+  1: string ticket,
+  2: string caller,
+  3: string serves,
+  4: string method,
+  5: string path,
+  6: i64 deadline_ms,
+  7: list<list<string>> headers,
+  8: binary body,
+  9: string check_path,
+  10: list<string> refusal_kinds,
+}
+
+struct TicketLookup {
+  1: string ticket_id,
+  2: string caller,
+}
+
+struct TicketResult {
+  1: string tag,
+  2: string kind,
+  3: i32 status,
+  4: list<list<string>> headers,
+  5: binary body,
+  6: bool whole,
+  7: string check_path,
+  8: i64 check_after_ms,
+  9: bool may_renew,
+  10: string ticket,
+  11: string ticket_id,
+  12: string state,
+  13: i64 remaining_ms,
+}
+
+struct TicketCopy {
+  1: string ticket_id,
+  2: string caller,
+  3: string serves,
+  4: i64 deadline_ms,
+  5: i64 keep_deadline_ms,
+  6: string check_path,
+  7: string call_digest,
+  8: TicketResult result,
+}
+
+struct TicketRecords {
+  1: list<TicketCopy> records,
+}
+
+struct TicketsMoved {
+  1: string issuer,
+  2: i64 issuer_incarnation,
+  3: string holder,
+  4: string holder_host,
+  5: i32 holder_peer_port,
+  6: i64 keep_deadline_ms,
+}
