--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -4,6 +4,11 @@
 randomness; the time and a generator are passed in.
 """
 
+from bluebellthread.core._acceptance import Accepted
+from bluebellthread.core._acceptance import check_configuration
+from bluebellthread.core._acceptance import decide_acceptance
+from bluebellthread.core._acceptance import Invalid
+from bluebellthread.core._acceptance import Stale
 from bluebellthread.core._configuration import Configuration
 from bluebellthread.core._configuration import Model
 from bluebellthread.core._configuration import Region
@@ -18,6 +23,10 @@
 from bluebellthread.core._errors import BluebellthreadError
 from bluebellthread.core._errors import DuplicateNameError
 from bluebellthread.core._errors import UnknownNameError
+from bluebellthread.core._exceptions import Decision
+from bluebellthread.core._exceptions import explain
+from bluebellthread.core._exceptions import resolve
+from bluebellthread.core._exceptions import Resolver
 from bluebellthread.core._fair_queue import FairQueue
 from bluebellthread.core._first_come_queue import FirstComeQueue
 from bluebellthread.core._limits import BoundedQueue
@@ -60,6 +69,8 @@
 from bluebellthread.core._policies import spill_policies
 from bluebellthread.core._prefill_policies import BoundedPrefix
 from bluebellthread.core._prefix_index import PrefixIndex
+from bluebellthread.core._problems import ConfigurationError
+from bluebellthread.core._problems import Problem
 from bluebellthread.core._registry import Registry
 from bluebellthread.core._retry import backoff_ms
 from bluebellthread.core._retry import RetryBudget
@@ -77,6 +88,7 @@
 from bluebellthread.core._token_bucket import TokenBucket
 
 __all__ = [
+    'Accepted',
     'BackendServer',
     'BestFit',
     'BluebellthreadError',
@@ -86,7 +98,9 @@
     'CancelAtEngine',
     'CancelConfirmed',
     'Configuration',
+    'ConfigurationError',
     'ConnectionCaps',
+    'Decision',
     'DecodeCandidate',
     'Done',
     'DuplicateNameError',
@@ -95,6 +109,7 @@
     'FewestRunning',
     'FirstComeQueue',
     'GatewaysChanged',
+    'Invalid',
     'LimitRefusal',
     'LoadReport',
     'Member',
@@ -112,6 +127,7 @@
     'PoolSummary',
     'PrefillCandidate',
     'PrefixIndex',
+    'Problem',
     'QueueOptions',
     'QueueRefusal',
     'ROLE_DECODE',
@@ -123,6 +139,7 @@
     'Rejected',
     'RequestFound',
     'RequestLookup',
+    'Resolver',
     'RetryBudget',
     'Route',
     'Scheduler',
@@ -133,6 +150,7 @@
     'ServersChanged',
     'Service',
     'SpillPolicy',
+    'Stale',
     'StatusAnswer',
     'StatusRequest',
     'Tick',
@@ -140,12 +158,16 @@
     'UnknownNameError',
     'Values',
     'backoff_ms',
+    'check_configuration',
     'choose_owner',
     'count_pieces',
+    'decide_acceptance',
     'decode_policies',
     'estimate_tokens',
+    'explain',
     'prefill_policies',
     'queue_policies',
     'rank_by_rendezvous',
+    'resolve',
     'spill_policies',
 ]
