Take the policies from the configuration; tell the scheduler of decoding

Cause: a scheduler always ran the built-in names, whatever the accepted configuration said, and never learnt when a request had its first output.

Change: the resolved values of a pool reach its scheduler at its start and at each revision; the waiting requests move to the new queue. The gateway resolves values by caller, so that priority can differ, and reports the stage 'decoding' once the KV cache has arrived. The baselines that go by chance or by report skip the account, as a router without one has to.

--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -79,6 +79,7 @@
 from bluebellthread.core._scheduler_events import CancelAtEngine
 from bluebellthread.core._scheduler_events import CancelConfirmed
 from bluebellthread.core._scheduler_events import GatewaysChanged
+from bluebellthread.core._scheduler_events import OptionsChanged
 from bluebellthread.core._scheduler_events import SendToGateway
 from bluebellthread.core._scheduler_events import ServersChanged
 from bluebellthread.core._scheduler_events import Tick
@@ -115,6 +116,7 @@
     'Member',
     'MembershipView',
     'Model',
+    'OptionsChanged',
     'Permit',
     'PermitCancelled',
     'PermitGranted',
--- a/bluebellthread/core/_decode_policies.py
+++ b/bluebellthread/core/_decode_policies.py
@@ -7,6 +7,8 @@
 class MostReported(_policies.ServerPolicy):
     """Baseline: the most free pieces by the last, late report."""
 
+    reserves = False
+
     def choose(self, request, candidates, rng):
         """Return the name with the most reported free pieces."""
         return max(candidates, key=lambda item: item.reported_free_pieces).name
--- a/bluebellthread/core/_policies.py
+++ b/bluebellthread/core/_policies.py
@@ -70,6 +70,13 @@
 class ServerPolicy(abc.ABC):
     """Chooses a backend server; one instance lives as long as its pool.
 
+    Attributes
+    ----------
+    reserves : bool
+        Whether only backend servers with room by the scheduler's own
+        account are candidates. The baselines that go by chance or by
+        report do without, as a router without an account has to.
+
     Examples
     --------
     >>> class First(ServerPolicy):
@@ -79,6 +86,8 @@
     'p1'
     """
 
+    reserves = True
+
     @abc.abstractmethod
     def choose(self, request, candidates, rng):
         """Return the name of one candidate.
--- a/bluebellthread/core/_prefill_policies.py
+++ b/bluebellthread/core/_prefill_policies.py
@@ -14,6 +14,8 @@
 class RandomServer(_policies.ServerPolicy):
     """Baseline: any candidate, whatever its load."""
 
+    reserves = False
+
     def choose(self, request, candidates, rng):
         """Return a random candidate's name."""
         return rng.choice(candidates).name
@@ -24,6 +26,8 @@
 class RoundRobin(_policies.ServerPolicy):
     """Baseline: each candidate in turn."""
 
+    reserves = False
+
     def __init__(self):
         self._last_name = ''
 
@@ -39,6 +43,8 @@
 class LeastReported(_policies.ServerPolicy):
     """Baseline: the shortest queue by the last, late report."""
 
+    reserves = False
+
     def choose(self, request, candidates, rng):
         """Return the name with the fewest reported waiting requests."""
         return min(candidates, key=lambda item: item.reported_queued).name
--- a/bluebellthread/core/_scheduler.py
+++ b/bluebellthread/core/_scheduler.py
@@ -61,15 +61,8 @@
         self._servers = {}
         self._reports = {}
         self._permits = {}
-        self._queue = _policies.queue_policies.get(self._options.queue_policy)(
-            self._options.queue
-        )
-        self._prefill_policy = _policies.prefill_policies.get(
-            self._options.prefill_policy
-        )()
-        self._decode_policy = _policies.decode_policies.get(
-            self._options.decode_policy
-        )()
+        self._queue = None
+        self._make_policies()
         self._prefix_index = _prefix_index.PrefixIndex()
         self._counter = 0
         self._handlers = {
@@ -78,6 +71,7 @@
             _messages.PermitReleased: self._on_release,
             _model.LoadReport: self._on_report,
             events.ServersChanged: self._on_servers,
+            events.OptionsChanged: self._on_options,
             events.Tick: self._on_tick,
         }
 
@@ -130,6 +124,26 @@
         self._servers = {server.name: server for server in event.servers}
         return []
 
+    def _on_options(self, event, now_ms):
+        if event.options == self._options:
+            return []
+        self._options = event.options
+        waiting = self._queue
+        self._make_policies()
+        refused = []
+        while (request := waiting.pop_next(_any, now_ms=now_ms)) is not None:
+            refused += self._queue.push(request, now_ms=now_ms)
+        return [self._refuse_from_queue(item) for item in refused]
+
+    def _make_policies(self):
+        options = self._options
+        prefill = _policies.prefill_policies.get(options.prefill_policy)
+        decode = _policies.decode_policies.get(options.decode_policy)
+        queue = _policies.queue_policies.get(options.queue_policy)
+        self._prefill_policy = prefill()
+        self._decode_policy = decode()
+        self._queue = queue(options.queue)
+
     def _on_tick(self, event, now_ms):
         return []
 
@@ -232,7 +246,10 @@
                 if permit.prefill_server == server.name
                 and permit.stage in ('reserved', 'prefilling')
             ]
-            if len(reserved) < self._options.prefill_slots:
+            if (
+                len(reserved) < self._options.prefill_slots
+                or not self._prefill_policy.reserves
+            ):
                 candidates.append(
                     _policies.PrefillCandidate(
                         name=server.name,
@@ -251,7 +268,10 @@
                 if permit.decode_server == server.name
             ]
             free_pieces = report.total_pieces - sum(held)
-            if free_pieces >= _pieces_of(request):
+            if (
+                free_pieces >= _pieces_of(request)
+                or not self._decode_policy.reserves
+            ):
                 candidates.append(
                     _policies.DecodeCandidate(
                         name=server.name,
@@ -265,3 +285,7 @@
 
 def _pieces_of(request):
     return _model.count_pieces(request.prompt_tokens, request.output_tokens)
+
+
+def _any(request):
+    return True
--- a/bluebellthread/core/_scheduler_events.py
+++ b/bluebellthread/core/_scheduler_events.py
@@ -17,6 +17,13 @@
     servers: tuple[_model.BackendServer, ...]
 
 
+@attrs.frozen(kw_only=True)
+class OptionsChanged:
+    """The configuration names other policies for the pool."""
+
+    options: object
+
+
 @attrs.frozen(kw_only=True)
 class GatewaysChanged:
     """The membership view has changed.
--- a/bluebellthread/daemon/_model_path.py
+++ b/bluebellthread/daemon/_model_path.py
@@ -72,7 +72,12 @@
         """Answer one exchange."""
         configuration = self._fleet.configuration
         question = parse_question(exchange.request, configuration)
-        values = configuration.defaults
+        values = core.resolve(
+            configuration,
+            data_centre=self._data_centre,
+            serves=question.model,
+            caller=exchange.caller,
+        )
         now_ms = _clock.read_clock_ms()
         request = core.PermitRequest(
             request_id=exchange.request_id,
@@ -170,6 +175,12 @@
         except _peers.PeerUnreachableError as error:
             emit(events.PEER_UNREACHABLE, peer=owner.name, error=error)
 
+    async def _tell_stage(self, permit, stage):
+        progressed = core.PermitProgressed(
+            permit_id=permit.permit_id, pool=permit.pool, stage=stage
+        )
+        await self._tell_scheduler(permit, progressed)
+
     async def _run_on_engines(self, exchange, question, permit):
         generation = engines.Generation(
             model=question.model,
@@ -185,14 +196,7 @@
                 generation,
                 traceparent=self._tracer.traceparent_of(span),
             )
-        await self._tell_scheduler(
-            permit,
-            core.PermitProgressed(
-                permit_id=permit.permit_id,
-                pool=permit.pool,
-                stage='transferring',
-            ),
-        )
+        await self._tell_stage(permit, 'transferring')
         writer = AnswerWriter(exchange, question)
         with self._tracer.span('decode', parent=exchange.traceparent) as span:
             async for item in self._engine.decode(
@@ -204,6 +208,8 @@
             ):
                 if isinstance(item, engines.Piece):
                     await writer.write(item)
+                elif isinstance(item, engines.Imported):
+                    await self._tell_stage(permit, 'decoding')
         await writer.finish()
 
     def _find_server(self, name):
--- a/bluebellthread/daemon/_scheduler_task.py
+++ b/bluebellthread/daemon/_scheduler_task.py
@@ -158,6 +158,10 @@
                 pool.serves, pool.data_centre
             )
             await self._step(scheduler, core.ServersChanged(servers=servers))
+            await self._step(
+                scheduler,
+                core.OptionsChanged(options=self._options_of(pool)),
+            )
 
     def _owned_pools(self):
         names = self._live_names()
@@ -173,9 +177,22 @@
             pool=pool,
             vm=self._vm,
             incarnation=self._incarnation,
+            options=self._options_of(pool),
             rng=random.Random(self._incarnation),
         )
 
+    def _options_of(self, pool):
+        values = core.resolve(
+            self._configuration,
+            data_centre=pool.data_centre,
+            serves=pool.serves,
+        )
+        return core.SchedulerOptions(
+            prefill_policy=values.prefill_policy,
+            decode_policy=values.decode_policy,
+            queue_policy=values.queue_policy,
+        )
+
     async def _step(self, scheduler, event):
         for command in scheduler.handle(event, _clock.read_clock_ms()):
             await self._execute(command)
