--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -17,6 +17,9 @@
 from bluebellthread.core._configuration import ScopedException
 from bluebellthread.core._configuration import Service
 from bluebellthread.core._configuration import Values
+from bluebellthread.core._decode_policies import BestFit
+from bluebellthread.core._decode_policies import FewestRunning
+from bluebellthread.core._early_refusal import EarlyRefusalQueue
 from bluebellthread.core._errors import BluebellthreadError
 from bluebellthread.core._errors import DuplicateNameError
 from bluebellthread.core._errors import UnknownNameError
@@ -24,6 +27,12 @@
 from bluebellthread.core._exceptions import explain
 from bluebellthread.core._exceptions import resolve
 from bluebellthread.core._exceptions import Resolver
+from bluebellthread.core._fair_queue import FairQueue
+from bluebellthread.core._first_come_queue import FirstComeQueue
+from bluebellthread.core._limits import BoundedQueue
+from bluebellthread.core._limits import CallerLimits
+from bluebellthread.core._limits import ConnectionCaps
+from bluebellthread.core._limits import LimitRefusal
 from bluebellthread.core._messages import Done
 from bluebellthread.core._messages import PermitCancelled
 from bluebellthread.core._messages import PermitGranted
@@ -51,20 +60,32 @@
 from bluebellthread.core._ownership import choose_owner
 from bluebellthread.core._ownership import rank_by_rendezvous
 from bluebellthread.core._policies import decode_policies
+from bluebellthread.core._policies import DecodeCandidate
 from bluebellthread.core._policies import prefill_policies
+from bluebellthread.core._policies import PrefillCandidate
 from bluebellthread.core._policies import queue_policies
+from bluebellthread.core._policies import QueueOptions
+from bluebellthread.core._policies import QueueRefusal
 from bluebellthread.core._policies import spill_policies
+from bluebellthread.core._prefill_policies import BoundedPrefix
+from bluebellthread.core._prefix_index import PrefixIndex
 from bluebellthread.core._problems import ConfigurationError
 from bluebellthread.core._problems import Problem
 from bluebellthread.core._registry import Registry
+from bluebellthread.core._retry import backoff_ms
+from bluebellthread.core._retry import RetryBudget
 from bluebellthread.core._scheduler import Scheduler
 from bluebellthread.core._scheduler import SchedulerOptions
 from bluebellthread.core._scheduler_events import CancelAtEngine
 from bluebellthread.core._scheduler_events import CancelConfirmed
 from bluebellthread.core._scheduler_events import GatewaysChanged
+from bluebellthread.core._scheduler_events import OptionsChanged
 from bluebellthread.core._scheduler_events import SendToGateway
 from bluebellthread.core._scheduler_events import ServersChanged
 from bluebellthread.core._scheduler_events import Tick
+from bluebellthread.core._spill_policies import PoolSummary
+from bluebellthread.core._spill_policies import RegionSpill
+from bluebellthread.core._spill_policies import SpillPolicy
 from bluebellthread.core._ticket_book import cost_bytes
 from bluebellthread.core._ticket_book import TicketBook
 from bluebellthread.core._ticket_book import TicketRecord
@@ -106,6 +127,7 @@
 from bluebellthread.core._ticket_token import TicketSigner
 from bluebellthread.core._tickets import TicketKeeper
 from bluebellthread.core._tickets import TicketOptions
+from bluebellthread.core._token_bucket import TokenBucket
 
 __all__ = [
     'Accepted',
@@ -113,21 +135,32 @@
     'AnswerLost',
     'AttemptRejected',
     'BackendServer',
+    'BestFit',
     'BluebellthreadError',
+    'BoundedPrefix',
+    'BoundedQueue',
     'CallArrived',
+    'CallerLimits',
     'CancelAtEngine',
     'CancelConfirmed',
     'Completed',
     'Configuration',
     'ConfigurationError',
+    'ConnectionCaps',
     'Decision',
+    'DecodeCandidate',
     'Done',
     'DuplicateNameError',
+    'EarlyRefusalQueue',
+    'FairQueue',
+    'FewestRunning',
+    'FirstComeQueue',
     'GatewaysChanged',
     'HandOver',
     'HandOverFinished',
     'Invalid',
     'InvalidTicketError',
+    'LimitRefusal',
     'LoadReport',
     'LookupArrived',
     'Member',
@@ -135,6 +168,7 @@
     'Model',
     'NotRun',
     'NothingSent',
+    'OptionsChanged',
     'OutcomeUnknown',
     'Permit',
     'PermitCancelled',
@@ -145,7 +179,12 @@
     'PermitRequest',
     'PermitsRegistered',
     'PoolKey',
+    'PoolSummary',
+    'PrefillCandidate',
+    'PrefixIndex',
     'Problem',
+    'QueueOptions',
+    'QueueRefusal',
     'ROLE_DECODE',
     'ROLE_PREFILL',
     'ROLE_SERVICE',
@@ -154,11 +193,13 @@
     'RecordsTaken',
     'RefusedByServer',
     'Region',
+    'RegionSpill',
     'Registry',
     'Rejected',
     'RequestFound',
     'RequestLookup',
     'Resolver',
+    'RetryBudget',
     'Route',
     'Scheduler',
     'SchedulerOptions',
@@ -168,6 +209,7 @@
     'ServerAnswer',
     'ServersChanged',
     'Service',
+    'SpillPolicy',
     'Stale',
     'StartSend',
     'StatusAnswer',
@@ -193,8 +235,10 @@
     'TicketSigner',
     'TicketTick',
     'TicketsMoved',
+    'TokenBucket',
     'UnknownNameError',
     'Values',
+    'backoff_ms',
     'check_configuration',
     'choose_owner',
     'cost_bytes',
