--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -33,6 +33,14 @@
 from bluebellthread.core._limits import CallerLimits
 from bluebellthread.core._limits import ConnectionCaps
 from bluebellthread.core._limits import LimitRefusal
+from bluebellthread.core._membership import Membership
+from bluebellthread.core._membership_events import DatagramReceived
+from bluebellthread.core._membership_events import LeaveStarted
+from bluebellthread.core._membership_events import PlatformListed
+from bluebellthread.core._membership_events import SendDatagram
+from bluebellthread.core._membership_events import Stopped
+from bluebellthread.core._membership_events import ViewChanged
+from bluebellthread.core._membership_options import MembershipOptions
 from bluebellthread.core._messages import Done
 from bluebellthread.core._messages import PermitCancelled
 from bluebellthread.core._messages import PermitGranted
@@ -147,6 +155,7 @@
     'Configuration',
     'ConfigurationError',
     'ConnectionCaps',
+    'DatagramReceived',
     'Decision',
     'DecodeCandidate',
     'Done',
@@ -160,10 +169,13 @@
     'HandOverFinished',
     'Invalid',
     'InvalidTicketError',
+    'LeaveStarted',
     'LimitRefusal',
     'LoadReport',
     'LookupArrived',
     'Member',
+    'Membership',
+    'MembershipOptions',
     'MembershipView',
     'Model',
     'NotRun',
@@ -178,6 +190,7 @@
     'PermitReleased',
     'PermitRequest',
     'PermitsRegistered',
+    'PlatformListed',
     'PoolKey',
     'PoolSummary',
     'PrefillCandidate',
@@ -205,6 +218,7 @@
     'SchedulerOptions',
     'Scope',
     'ScopedException',
+    'SendDatagram',
     'SendToGateway',
     'ServerAnswer',
     'ServersChanged',
@@ -215,6 +229,7 @@
     'StatusAnswer',
     'StatusRequest',
     'StopRequested',
+    'Stopped',
     'Tick',
     'Ticket',
     'TicketAsked',
@@ -238,6 +253,7 @@
     'TokenBucket',
     'UnknownNameError',
     'Values',
+    'ViewChanged',
     'backoff_ms',
     'check_configuration',
     'choose_owner',
