Add the operators' status and request commands; put framing with the codec

Cause: operators had no view of running VMs. The tool asks one VM for the members and then each of them; a VM that gives no answer is shown as such and makes the exit code 4. Frames are read and written by the same code in daemon and tool.

--- a/bluebellthread/cli/__main__.py
+++ b/bluebellthread/cli/__main__.py
@@ -9,6 +9,8 @@
 from bluebellthread.cli import _config_diff  # noqa: F401
 from bluebellthread.cli import _config_explain  # noqa: F401
 from bluebellthread.cli import _registry
+from bluebellthread.cli import _request  # noqa: F401
+from bluebellthread.cli import _status  # noqa: F401
 from bluebellthread.cli import _version  # noqa: F401
 from bluebellthread import configuration
 from bluebellthread import core
--- /dev/null
+++ b/bluebellthread/cli/_vm_calls.py
@@ -0,0 +1,62 @@
+"""Questions of the operators' tool to VMs, over their peer ports."""
+
+import time
+
+import trio
+
+from bluebellthread.cli import _registry
+from bluebellthread import wire
+
+CALL_TIMEOUT_S = 3
+SENDER = 'operator'
+
+
+def parse_address(text):
+    """Return host and port of ``HOST:PORT``.
+
+    Examples
+    --------
+    >>> parse_address('127.0.0.1:7000')
+    ('127.0.0.1', 7000)
+    """
+    host, _, port = text.rpartition(':')
+    if not host or not port.isascii() or not port.isdigit():
+        raise _registry.CommandError(
+            f'{text!r} is no address; give HOST:PORT with the peer port',
+            exit_code=_registry.EXIT_USAGE,
+        )
+    return host, int(port)
+
+
+async def ask(host, port, message):
+    """Return a VM's answer to a message, or raise `CommandError`."""
+    try:
+        with trio.fail_after(CALL_TIMEOUT_S):
+            return await _ask(host, port, message)
+    except (OSError, trio.BrokenResourceError, wire.WireError) as error:
+        reason = str(error)
+    except trio.TooSlowError:
+        reason = 'no answer in time'
+    raise _registry.CommandError(
+        f'VM at {host}:{port} is unreachable ({reason}); check the address '
+        'and that bluebellthreadd runs there',
+        exit_code=_registry.EXIT_UNREACHABLE,
+    )
+
+
+async def _ask(host, port, message):
+    envelope = wire.Envelope(
+        message=message, sender=SENDER, sender_incarnation=0, correlation=1
+    )
+    stream = await trio.open_tcp_stream(host, port)
+    async with stream:
+        now_ms = _read_clock_ms()
+        await stream.send_all(wire.encode_frame(envelope, now_ms=now_ms))
+        frame = await wire.FrameReader(stream).read()
+    if frame is None:
+        raise wire.WireError('it closed the connection')
+    return wire.decode(frame, now_ms=_read_clock_ms()).message
+
+
+def _read_clock_ms():
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
--- a/bluebellthread/daemon/_gateway.py
+++ b/bluebellthread/daemon/_gateway.py
@@ -41,6 +41,8 @@
         Makes the spans.
     metrics : bluebellthread.observe.Metrics
         Counts the requests.
+    request_log : RequestLog
+        Told how each request fares.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         body_timeout_ms,
         tracer,
         metrics,
+        request_log,
     ):
         self._state = state
         self._paths = paths
@@ -59,6 +62,7 @@
         self._body_timeout_ms = body_timeout_ms
         self._tracer = tracer
         self._metrics = metrics
+        self._request_log = request_log
         self.in_progress = 0
 
     async def __call__(self, scope, receive, send):
@@ -95,6 +99,7 @@
         caller = request.header('x-caller-id', 'anonymous')
         parent = request.header('traceparent')
         self._metrics.count('requests')
+        self._request_log.note(responder.request_id, 'waiting')
         with self._tracer.span(
             'gateway', parent=parent, request_id=responder.request_id
         ) as span:
@@ -105,16 +110,25 @@
                 responder=responder,
                 traceparent=self._tracer.traceparent_of(span),
             )
-            try:
-                await _serve_until_gone(path, exchange, receive)
-            except _http.Refusal as refusal:
-                emit(
-                    events.REQUEST_REFUSED,
-                    request_id=responder.request_id,
-                    caller=caller,
-                    kind=refusal.kind,
-                )
-                raise
+            await self._serve_logged(path, exchange, receive)
+
+    async def _serve_logged(self, path, exchange, receive):
+        request_id = exchange.request_id
+        ended = ('gone', 'the caller went away')
+        try:
+            await _serve_until_gone(path, exchange, receive)
+            ended = ('done', '')
+        except _http.Refusal as refusal:
+            ended = ('refused', refusal.kind)
+            emit(
+                events.REQUEST_REFUSED,
+                request_id=request_id,
+                caller=exchange.caller,
+                kind=refusal.kind,
+            )
+            raise
+        finally:
+            self._request_log.end(request_id, *ended)
 
     def _find_path(self, url_path):
         for start, path in self._paths:
--- a/bluebellthread/daemon/_peers.py
+++ b/bluebellthread/daemon/_peers.py
@@ -1,13 +1,11 @@
 """Links to other VMs: framed envelopes over TCP.
 
-A frame is a length of four bytes, most significant first, and an encoded
-envelope. A request and its answer carry the same correlation number; many
-requests share one connection.
+A request and its answer carry the same correlation number; many requests
+share one connection.
 """
 
 import functools
 import itertools
-import struct
 
 import trio
 
@@ -18,12 +16,8 @@
 from bluebellthread.observe import events
 from bluebellthread import wire
 
-LONGEST_FRAME_BYTES = 4 * 1024 * 1024
 LONGEST_SEND_QUEUE = 4096
 CONNECT_TIMEOUT_S = 1.0
-RECEIVE_BYTES = 65536
-
-_LENGTH = struct.Struct('>I')
 
 
 class PeerUnreachableError(core.BluebellthreadError):
@@ -37,43 +31,6 @@
         )
 
 
-class FrameReader:
-    """Splits a stream into frames."""
-
-    def __init__(self, stream):
-        self._stream = stream
-        self._buffer = bytearray()
-
-    async def read(self):
-        """Return the next frame's bytes, or None at the stream's end."""
-        header = await self._read_exactly(_LENGTH.size)
-        if header is None:
-            return None
-        (length,) = _LENGTH.unpack(header)
-        if length > LONGEST_FRAME_BYTES:
-            raise wire.WireError(
-                f'frame of {length} bytes; the longest is '
-                f'{LONGEST_FRAME_BYTES}'
-            )
-        return await self._read_exactly(length)
-
-    async def _read_exactly(self, count):
-        while len(self._buffer) < count:
-            data = await self._stream.receive_some(RECEIVE_BYTES)
-            if not data:
-                return None
-            self._buffer += data
-        data = bytes(self._buffer[:count])
-        del self._buffer[:count]
-        return data
-
-
-def encode_frame(envelope):
-    """Return an envelope's bytes with their length in front."""
-    body = wire.encode(envelope, now_ms=_clock.read_clock_ms())
-    return _LENGTH.pack(len(body)) + body
-
-
 async def write_frames(stream, receive_channel):
     """Send frames from a channel until it closes.
 
@@ -126,7 +83,7 @@
             await trio.aclose_forcefully(stream)
 
     async def _read_requests(self, stream, send):
-        reader = FrameReader(stream)
+        reader = wire.FrameReader(stream)
         while True:
             try:
                 frame = await reader.read()
@@ -154,7 +111,9 @@
             correlation=correlation,
         )
         try:
-            send.send_nowait(encode_frame(envelope))
+            send.send_nowait(
+                wire.encode_frame(envelope, now_ms=_clock.read_clock_ms())
+            )
         except (trio.WouldBlock, trio.BrokenResourceError):
             # A link this far behind is lost; the asker's deadline ends it.
             return
@@ -307,7 +266,7 @@
             await trio.aclose_forcefully(stream)
 
     async def _read_answers(self, stream):
-        reader = FrameReader(stream)
+        reader = wire.FrameReader(stream)
         while True:
             try:
                 frame = await reader.read()
@@ -337,7 +296,9 @@
         if self.closed:
             raise PeerUnreachableError(self._peer, self.reason)
         try:
-            self._send.send_nowait(encode_frame(envelope))
+            self._send.send_nowait(
+                wire.encode_frame(envelope, now_ms=_clock.read_clock_ms())
+            )
         except trio.WouldBlock:
             raise PeerUnreachableError(
                 self._peer, 'its send queue is full'
--- a/bluebellthread/daemon/_service.py
+++ b/bluebellthread/daemon/_service.py
@@ -17,6 +17,7 @@
 from bluebellthread.daemon import _peers
 from bluebellthread.daemon import _platform
 from bluebellthread.daemon import _platform_watch
+from bluebellthread.daemon import _request_log
 from bluebellthread.daemon import _scheduler_task
 from bluebellthread.daemon import _service_path
 from bluebellthread.daemon import _status_task
@@ -111,6 +112,7 @@
         self._service_path = _service_path.ServicePath(
             data_centre=settings.data_centre, fleet=self.fleet
         )
+        self._request_log = _request_log.RequestLog(vm=settings.vm)
         self.gateway = _gateway.Gateway(
             state=self.fleet,
             paths=(
@@ -121,6 +123,7 @@
             body_timeout_ms=BODY_TIMEOUT_MS,
             tracer=self._tracer,
             metrics=self._metrics,
+            request_log=self._request_log,
         )
         self._status_task = _status_task.StatusTask(
             settings=settings,
@@ -128,8 +131,10 @@
             fleet=self.fleet,
             gateway=self.gateway,
             scheduler_task=self._scheduler_task,
+            request_log=self._request_log,
         )
-        self._mailboxes.register(core.StatusRequest, self._status_task.inbox)
+        for message_class in (core.StatusRequest, core.RequestLookup):
+            self._mailboxes.register(message_class, self._status_task.inbox)
         self._platform_watch = _platform_watch.PlatformWatch(
             platform=self._platform,
             fleet=self.fleet,
--- a/bluebellthread/daemon/_status_task.py
+++ b/bluebellthread/daemon/_status_task.py
@@ -8,22 +8,35 @@
 
 
 class StatusTask:
-    """Answers `StatusRequest`."""
+    """Answers `StatusRequest` and `RequestLookup`."""
 
     def __init__(
-        self, *, settings, incarnation, fleet, gateway, scheduler_task
+        self,
+        *,
+        settings,
+        incarnation,
+        fleet,
+        gateway,
+        scheduler_task,
+        request_log,
     ):
         self._settings = settings
         self._incarnation = incarnation
         self._fleet = fleet
         self._gateway = gateway
         self._scheduler_task = scheduler_task
+        self._request_log = request_log
         self.inbox, self._receive = trio.open_memory_channel(QUEUE_LENGTH)
 
     async def run(self):
         """Answer until cancelled."""
         async for inbound in self._receive:
-            inbound.answer(self._describe())
+            inbound.answer(self._answer(inbound.message))
+
+    def _answer(self, message):
+        if isinstance(message, core.RequestLookup):
+            return self._request_log.find(message.request_id)
+        return self._describe()
 
     def _describe(self):
         pools = self._scheduler_task.pools_owned
--- a/bluebellthread/wire/__init__.py
+++ b/bluebellthread/wire/__init__.py
@@ -8,8 +8,18 @@
 from bluebellthread.wire._codec import Envelope
 from bluebellthread.wire._codec import register_message
 from bluebellthread.wire._codec import WireError
+from bluebellthread.wire._framing import encode_frame
+from bluebellthread.wire._framing import FrameReader
 
-__all__ = ['Envelope', 'WireError', 'decode', 'encode', 'register_message']
+__all__ = [
+    'Envelope',
+    'FrameReader',
+    'WireError',
+    'decode',
+    'encode',
+    'encode_frame',
+    'register_message',
+]
 
 for _cls in (
     _messages.PermitRequest,
