Meet callers' limits before anything is done for a request

Cause: one caller could fill a VM. Concurrency, rate and the VM's total are checked before the body is read; each refusal is typed, says 'not-run' and when to come back.

--- a/bluebellthread/daemon/_gateway.py
+++ b/bluebellthread/daemon/_gateway.py
@@ -10,6 +10,9 @@
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
 
+ANONYMOUS = 'anonymous'
+"""The caller of a request that names none."""
+
 LONGEST_REQUEST_ID = 128
 """Characters of a request id that a caller may choose."""
 
@@ -43,6 +46,8 @@
         Counts the requests.
     request_log : RequestLog
         Told how each request fares.
+    admission : Admission
+        The limits that requests meet first.
     """
 
     def __init__(
@@ -55,6 +60,7 @@
         tracer,
         metrics,
         request_log,
+        admission,
     ):
         self._state = state
         self._paths = paths
@@ -63,7 +69,7 @@
         self._tracer = tracer
         self._metrics = metrics
         self._request_log = request_log
-        self.in_progress = 0
+        self._admission = admission
 
     async def __call__(self, scope, receive, send):
         """Serve one ASGI scope."""
@@ -75,28 +81,28 @@
     async def _serve_http(self, scope, receive, send):
         request_id = _choose_request_id(scope)
         responder = _http.Responder(send, request_id)
-        self.in_progress += 1
         try:
             await self._serve_known(scope, receive, responder)
         except _http.Refusal as refusal:
             self._metrics.count(f'refused.{refusal.kind}')
             if not responder.started:
                 await responder.refuse(refusal)
-        finally:
-            self.in_progress -= 1
 
     async def _serve_known(self, scope, receive, responder):
         if scope['path'] in ('/healthz', '/readyz'):
             await self._serve_health(scope['path'], responder)
             return
         path = self._find_path(scope['path'])
+        with self._admission.admit(_read_caller(scope)):
+            await self._serve_admitted(path, scope, receive, responder)
+
+    async def _serve_admitted(self, path, scope, receive, responder):
         request = await _http.read_request(
             scope,
             receive,
             max_body_bytes=self._max_body_bytes,
             body_timeout_ms=self._body_timeout_ms,
         )
-        caller = request.header('x-caller-id', 'anonymous')
         parent = request.header('traceparent')
         self._metrics.count('requests')
         self._request_log.note(responder.request_id, 'waiting')
@@ -106,7 +112,7 @@
             exchange = Exchange(
                 request=request,
                 request_id=responder.request_id,
-                caller=caller,
+                caller=_read_caller(scope),
                 responder=responder,
                 traceparent=self._tracer.traceparent_of(span),
             )
@@ -180,10 +186,12 @@
             return
 
 
+def _read_caller(scope):
+    return _http.find_header(scope['headers'], b'x-caller-id') or ANONYMOUS
+
+
 def _choose_request_id(scope):
-    for name, value in scope['headers']:
-        if name == b'x-request-id' and value:
-            text = value.decode('latin-1')
-            if len(text) <= LONGEST_REQUEST_ID and text.isprintable():
-                return text
+    text = _http.find_header(scope['headers'], b'x-request-id')
+    if text and len(text) <= LONGEST_REQUEST_ID and text.isprintable():
+        return text
     return secrets.token_hex(16)
--- a/bluebellthread/daemon/_http.py
+++ b/bluebellthread/daemon/_http.py
@@ -145,6 +145,14 @@
     }
 
 
+def find_header(headers, name):
+    """Return the first value of a raw header, or an empty string."""
+    for key, value in headers:
+        if key.lower() == name:
+            return value.decode('latin-1')
+    return ''
+
+
 async def read_request(scope, receive, *, max_body_bytes, body_timeout_ms):
     """Return the whole request, or raise `Refusal`."""
     body = bytearray()
--- a/bluebellthread/daemon/_service.py
+++ b/bluebellthread/daemon/_service.py
@@ -9,6 +9,7 @@
 import trio
 
 from bluebellthread import core
+from bluebellthread.daemon import _admission
 from bluebellthread.daemon import _engine_control
 from bluebellthread.daemon import _fleet
 from bluebellthread.daemon import _gateway
@@ -112,6 +113,11 @@
         self._service_path = _service_path.ServicePath(
             data_centre=settings.data_centre, fleet=self.fleet
         )
+        self._admission = _admission.Admission(
+            data_centre=settings.data_centre,
+            fleet=self.fleet,
+            request_max=settings.caller_connections_max,
+        )
         self._request_log = _request_log.RequestLog(vm=settings.vm)
         self.gateway = _gateway.Gateway(
             state=self.fleet,
@@ -124,12 +130,13 @@
             tracer=self._tracer,
             metrics=self._metrics,
             request_log=self._request_log,
+            admission=self._admission,
         )
         self._status_task = _status_task.StatusTask(
             settings=settings,
             incarnation=self.incarnation,
             fleet=self.fleet,
-            gateway=self.gateway,
+            admission=self._admission,
             scheduler_task=self._scheduler_task,
             request_log=self._request_log,
         )
@@ -149,7 +156,7 @@
         emit(
             events.VM_STOPPING,
             vm=self._settings.vm,
-            requests=self.gateway.in_progress,
+            requests=self._admission.in_progress,
         )
         self._stop.set()
 
--- a/bluebellthread/daemon/_status_task.py
+++ b/bluebellthread/daemon/_status_task.py
@@ -16,14 +16,14 @@
         settings,
         incarnation,
         fleet,
-        gateway,
+        admission,
         scheduler_task,
         request_log,
     ):
         self._settings = settings
         self._incarnation = incarnation
         self._fleet = fleet
-        self._gateway = gateway
+        self._admission = admission
         self._scheduler_task = scheduler_task
         self._request_log = request_log
         self.inbox, self._receive = trio.open_memory_channel(QUEUE_LENGTH)
@@ -48,7 +48,7 @@
             draining=self._fleet.draining,
             confirmed=self._fleet.view.confirmed,
             pools_owned=tuple(pool.text() for pool in pools),
-            permits_held=self._gateway.in_progress,
+            permits_held=self._admission.in_progress,
             permits_granted=self._scheduler_task.permits_granted,
             members=self._fleet.view.members,
         )
