--- a/bluebellthread/daemon/_gateway.py
+++ b/bluebellthread/daemon/_gateway.py
@@ -9,6 +9,7 @@
 from bluebellthread.daemon import _http
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
+from bluebellthread.observe import metrics
 
 ANONYMOUS = 'anonymous'
 """The caller of a request that names none."""
@@ -84,7 +85,7 @@
         try:
             await self._serve_known(scope, receive, responder)
         except _http.Refusal as refusal:
-            self._metrics.count(f'refused.{refusal.kind}')
+            self._metrics.count(metrics.REQUESTS_REFUSED, kind=refusal.kind)
             if not responder.started:
                 await responder.refuse(refusal)
 
@@ -104,7 +105,7 @@
             body_timeout_ms=self._body_timeout_ms,
         )
         parent = request.header('traceparent')
-        self._metrics.count('requests')
+        self._metrics.count(metrics.REQUESTS)
         self._request_log.note(responder.request_id, 'waiting')
         with self._tracer.span(
             'gateway', parent=parent, request_id=responder.request_id
--- a/bluebellthread/daemon/_peers.py
+++ b/bluebellthread/daemon/_peers.py
@@ -207,12 +207,18 @@
         if link is None or link.closed:
             link = _Link(peer=member.name)
             self._links[address] = link
-            self._nursery.start_soon(link.run, address, self._host)
+            self._nursery.start_soon(self._run_link, link, address)
         await link.opened.wait()
         if link.closed:
             raise PeerUnreachableError(member.name, link.reason)
         return link
 
+    async def _run_link(self, link, address):
+        await link.run(address, self._host)
+        # VMs are replaced all day; keep no entry for one that is gone.
+        if self._links.get(address) is link:
+            del self._links[address]
+
 
 class _AnswerSlot:
     """One answer that somebody waits for."""
--- a/bluebellthread/observe/__init__.py
+++ b/bluebellthread/observe/__init__.py
@@ -5,6 +5,8 @@
 from bluebellthread.observe._events import Event
 from bluebellthread.observe._events import list_events
 from bluebellthread.observe._events import start_log
+from bluebellthread.observe import _metrics as metrics
+from bluebellthread.observe._metrics import list_metrics
 from bluebellthread.observe._metrics import Metrics
 from bluebellthread.observe._traces import HOPS
 from bluebellthread.observe._traces import Tracer
@@ -17,5 +19,7 @@
     'emit',
     'events',
     'list_events',
+    'list_metrics',
+    'metrics',
     'start_log',
 ]
--- a/bluebellthread/observe/_metrics.py
+++ b/bluebellthread/observe/_metrics.py
@@ -1,10 +1,50 @@
-"""Counters, gauges and timers by statsd."""
+"""Counters, gauges and timers by statsd.
 
+docs/METRICS.md lists the same metrics; a test compares the two.
+"""
+
+import attrs
 import statsd
 
 PREFIX = 'bluebellthread'
 
 
+@attrs.frozen
+class Metric:
+    """One metric that a VM sends.
+
+    Parameters
+    ----------
+    name : str
+        Its name below ``bluebellthread.VM.``; a part in braces is filled
+        in when it is sent.
+    kind : str
+        ``'counter'``, ``'gauge'`` or ``'timer'``.
+
+    Examples
+    --------
+    >>> REQUESTS_REFUSED.fill(kind='overloaded')
+    'requests.refused.overloaded'
+    """
+
+    name: str
+    kind: str
+
+    def fill(self, **parts):
+        """Return the name with its parts filled in."""
+        return self.name.format(**parts)
+
+
+REQUESTS = Metric('requests', 'counter')
+REQUESTS_REFUSED = Metric('requests.refused.{kind}', 'counter')
+
+
+def list_metrics():
+    """Return every metric of the catalogue, sorted by name."""
+    found = [item for item in globals().values() if isinstance(item, Metric)]
+    return sorted(found, key=lambda metric: metric.name)
+
+
 class Metrics:
     """Sends metrics to a statsd server, or nowhere.
 
@@ -18,7 +58,7 @@
     Examples
     --------
     >>> metrics = Metrics(host='', port=0, vm='vm1')
-    >>> metrics.count('requests')
+    >>> metrics.count(REQUESTS)
     """
 
     def __init__(self, *, host, port, vm):
@@ -28,20 +68,20 @@
                 host=host, port=port, prefix=f'{PREFIX}.{vm}'
             )
 
-    def count(self, name, amount=1):
+    def count(self, metric, amount=1, **parts):
         """Add to a counter."""
         if self._client is not None:
-            self._client.incr(name, amount)
+            self._client.incr(metric.fill(**parts), amount)
 
-    def gauge(self, name, value):
+    def gauge(self, metric, value, **parts):
         """Set a gauge."""
         if self._client is not None:
-            self._client.gauge(name, value)
+            self._client.gauge(metric.fill(**parts), value)
 
-    def time_ms(self, name, value_ms):
+    def time_ms(self, metric, value_ms, **parts):
         """Record a time in milliseconds."""
         if self._client is not None:
-            self._client.timing(name, value_ms)
+            self._client.timing(metric.fill(**parts), value_ms)
 
     def close(self):
         """Close the socket."""
--- a/tests/unit/test_events.py
+++ b/tests/unit/test_events.py
@@ -4,13 +4,14 @@
 
 from bluebellthread import observe
 
-PAGE = pathlib.Path(__file__).parents[2] / 'docs' / 'EVENTS.md'
+DOCS = pathlib.Path(__file__).parents[2] / 'docs'
 ROW = re.compile(r'^\| E(\d+) \| (\w+) \| `(.*?)` \|', re.MULTILINE)
+METRIC_ROW = re.compile(r'^\| `(.*?)` \| (\w+) \|', re.MULTILINE)
 
 
 class TestCatalogue(unittest.TestCase):
     def test_page_lists_exactly_the_events_of_the_code(self):
-        page = PAGE.read_text(encoding='utf-8')
+        page = (DOCS / 'EVENTS.md').read_text(encoding='utf-8')
         listed = [
             (int(number), level, template)
             for number, level, template in ROW.findall(page)
@@ -24,3 +25,8 @@
     def test_no_number_stands_twice(self):
         numbers = [event.number for event in observe.list_events()]
         self.assertEqual(sorted(set(numbers)), numbers)
+
+    def test_page_lists_exactly_the_metrics_of_the_code(self):
+        page = (DOCS / 'METRICS.md').read_text(encoding='utf-8')
+        known = [(item.name, item.kind) for item in observe.list_metrics()]
+        self.assertEqual(known, METRIC_ROW.findall(page))
--- a/tests/unit/test_wire.py
+++ b/tests/unit/test_wire.py
@@ -1,5 +1,8 @@
 import unittest
 
+import hypothesis
+from hypothesis import strategies
+
 from bluebellthread import core
 from bluebellthread import wire
 
@@ -39,3 +42,18 @@
     def test_foreign_bytes_are_refused_with_a_remedy(self):
         with self.assertRaisesRegex(wire.WireError, 'check that both'):
             wire.decode(b'\x80abc' * 9, now_ms=0)
+
+    @hypothesis.given(strategies.data())
+    @hypothesis.settings(max_examples=300, print_blob=True)
+    def test_damaged_bytes_are_read_as_a_message_or_refused(self, data):
+        whole = wire.encode(make_envelope(), now_ms=0)
+        place = data.draw(strategies.integers(0, len(whole) - 1))
+        byte = data.draw(strategies.integers(0, 255))
+        cut = data.draw(strategies.integers(0, len(whole)))
+        damaged = bytearray(whole)
+        damaged[place] = byte
+        try:
+            envelope = wire.decode(bytes(damaged[:cut]), now_ms=0)
+        except wire.WireError:
+            return
+        self.assertIsInstance(envelope.message, core.PermitRequest)
