--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -88,6 +88,7 @@
 from bluebellthread.core._scheduler_events import CancelAtEngine
 from bluebellthread.core._scheduler_events import CancelConfirmed
 from bluebellthread.core._scheduler_events import GatewaysChanged
+from bluebellthread.core._scheduler_events import OptionsChanged
 from bluebellthread.core._scheduler_events import SendToGateway
 from bluebellthread.core._scheduler_events import ServersChanged
 from bluebellthread.core._scheduler_events import Tick
@@ -96,18 +97,64 @@
 from bluebellthread.core._spill_policies import RegionSpill
 from bluebellthread.core._spill_policies import SpillPolicy
 from bluebellthread.core._stray_watch import make_permit_id
+from bluebellthread.core._ticket_book import cost_bytes
+from bluebellthread.core._ticket_book import TicketBook
+from bluebellthread.core._ticket_book import TicketRecord
+from bluebellthread.core._ticket_events import AnswerArrived
+from bluebellthread.core._ticket_events import AnswerLost
+from bluebellthread.core._ticket_events import CallArrived
+from bluebellthread.core._ticket_events import HandOver
+from bluebellthread.core._ticket_events import HandOverFinished
+from bluebellthread.core._ticket_events import LookupArrived
+from bluebellthread.core._ticket_events import NothingSent
+from bluebellthread.core._ticket_events import RecordsNotTaken
+from bluebellthread.core._ticket_events import RecordsOffered
+from bluebellthread.core._ticket_events import RecordsTaken
+from bluebellthread.core._ticket_events import StartSend
+from bluebellthread.core._ticket_events import StopRequested
+from bluebellthread.core._ticket_events import TicketAsked
+from bluebellthread.core._ticket_events import TicketReply
+from bluebellthread.core._ticket_events import TicketTick
+from bluebellthread.core._ticket_messages import TicketCall
+from bluebellthread.core._ticket_messages import TicketCopy
+from bluebellthread.core._ticket_messages import TicketLookup
+from bluebellthread.core._ticket_messages import TicketRecords
+from bluebellthread.core._ticket_messages import TicketResult
+from bluebellthread.core._ticket_messages import TicketsMoved
+from bluebellthread.core._ticket_outcomes import AttemptRejected
+from bluebellthread.core._ticket_outcomes import Completed
+from bluebellthread.core._ticket_outcomes import NotRun
+from bluebellthread.core._ticket_outcomes import OutcomeUnknown
+from bluebellthread.core._ticket_outcomes import RefusedByServer
+from bluebellthread.core._ticket_outcomes import ServerAnswer
+from bluebellthread.core._ticket_outcomes import TicketIssued
+from bluebellthread.core._ticket_outcomes import TicketPending
+from bluebellthread.core._ticket_token import digest_call
+from bluebellthread.core._ticket_token import id_of_text
+from bluebellthread.core._ticket_token import InvalidTicketError
+from bluebellthread.core._ticket_token import Ticket
+from bluebellthread.core._ticket_token import TicketKey
+from bluebellthread.core._ticket_token import TicketKeysError
+from bluebellthread.core._ticket_token import TicketSigner
+from bluebellthread.core._tickets import TicketKeeper
+from bluebellthread.core._tickets import TicketOptions
 from bluebellthread.core._token_bucket import TokenBucket
 
 __all__ = [
     'Accepted',
+    'AnswerArrived',
+    'AnswerLost',
+    'AttemptRejected',
     'BackendServer',
     'BestFit',
     'BluebellthreadError',
     'BoundedPrefix',
     'BoundedQueue',
+    'CallArrived',
     'CallerLimits',
     'CancelAtEngine',
     'CancelConfirmed',
+    'Completed',
     'Configuration',
     'ConfigurationError',
     'ConnectionCaps',
@@ -121,15 +168,23 @@
     'FewestRunning',
     'FirstComeQueue',
     'GatewaysChanged',
+    'HandOver',
+    'HandOverFinished',
     'Invalid',
+    'InvalidTicketError',
     'LeaveStarted',
     'LimitRefusal',
     'LoadReport',
+    'LookupArrived',
     'Member',
     'Membership',
     'MembershipOptions',
     'MembershipView',
     'Model',
+    'NotRun',
+    'NothingSent',
+    'OptionsChanged',
+    'OutcomeUnknown',
     'Permit',
     'PermitAbandoned',
     'PermitCancelled',
@@ -150,6 +205,10 @@
     'ROLE_DECODE',
     'ROLE_PREFILL',
     'ROLE_SERVICE',
+    'RecordsNotTaken',
+    'RecordsOffered',
+    'RecordsTaken',
+    'RefusedByServer',
     'Region',
     'RegionSpill',
     'RegistrationWanted',
@@ -166,14 +225,36 @@
     'ScopedException',
     'SendDatagram',
     'SendToGateway',
+    'ServerAnswer',
     'ServersChanged',
     'Service',
     'SpillPolicy',
     'Stale',
+    'StartSend',
     'StatusAnswer',
     'StatusRequest',
+    'StopRequested',
     'Stopped',
     'Tick',
+    'Ticket',
+    'TicketAsked',
+    'TicketBook',
+    'TicketCall',
+    'TicketCopy',
+    'TicketIssued',
+    'TicketKeeper',
+    'TicketKey',
+    'TicketKeysError',
+    'TicketLookup',
+    'TicketOptions',
+    'TicketPending',
+    'TicketRecord',
+    'TicketRecords',
+    'TicketReply',
+    'TicketResult',
+    'TicketSigner',
+    'TicketTick',
+    'TicketsMoved',
     'TokenBucket',
     'UnknownNameError',
     'Values',
@@ -181,11 +262,14 @@
     'backoff_ms',
     'check_configuration',
     'choose_owner',
+    'cost_bytes',
     'count_pieces',
     'decide_acceptance',
     'decode_policies',
+    'digest_call',
     'estimate_tokens',
     'explain',
+    'id_of_text',
     'make_permit_id',
     'prefill_policies',
     'queue_policies',
--- a/bluebellthread/core/_ending_permits.py
+++ b/bluebellthread/core/_ending_permits.py
@@ -77,12 +77,23 @@
         for permit_id in gone:
             self.confirm(permit_id, account.name, now_ms)
 
-    def confirm_all_at(self, server, now_ms):
-        """Note that a backend server was restarted and holds nothing."""
+    def end_lost(self, account, now_ms):
+        """End what a backend server lost when it was restarted."""
         for permit_id, entry in list(self._entries.items()):
-            if server in entry.unconfirmed:
-                self.confirm(permit_id, server, now_ms)
+            if account.name in entry.unconfirmed:
+                self.confirm(permit_id, account.name, now_ms)
+        commands = []
+        for entry in self._ledger.entries_at(account.name):
+            if entry.ended_ms is None and _is_lost(entry.permit, account):
+                commands += self.end(entry, now_ms, 'backend-lost')
+        return commands
 
     def forget_old(self, now_ms):
         """Forget permits that ended long ago."""
         self._released.forget_old(now_ms)
+
+
+def _is_lost(permit, account):
+    if account.is_reported(permit.permit_id):
+        return False
+    return account.name == permit.decode_server or permit.stage != 'decoding'
--- a/bluebellthread/core/_placement.py
+++ b/bluebellthread/core/_placement.py
@@ -24,12 +24,9 @@
         self._options = options
         self._ledger = ledger
         self._rng = rng
-        self._prefill_policy = _policies.prefill_policies.get(
-            options.prefill_policy
-        )()
-        self._decode_policy = _policies.decode_policies.get(
-            options.decode_policy
-        )()
+        self._prefill_policy = None
+        self._decode_policy = None
+        self.set_options(options)
         self._prefix_index = _prefix_index.PrefixIndex()
         self._servers = {}
 
@@ -38,6 +35,14 @@
         """The pool's backend servers by name."""
         return self._servers
 
+    def set_options(self, options):
+        """Use other policies and slots from now on."""
+        prefill = _policies.prefill_policies.get(options.prefill_policy)
+        decode = _policies.decode_policies.get(options.decode_policy)
+        self._options = options
+        self._prefill_policy = prefill()
+        self._decode_policy = decode()
+
     def set_servers(self, servers):
         """Use other backend servers from now on."""
         ordered = sorted(servers, key=lambda server: server.name)
@@ -98,6 +103,7 @@
             )
             for account in self._usable_accounts(_model.ROLE_PREFILL, now_ms)
             if account.prefill_count < self._options.prefill_slots
+            or not self._prefill_policy.reserves
         )
 
     def _decode_candidates(self, request, now_ms, is_cautious):
@@ -108,7 +114,8 @@
                 cautious=is_cautious(account.name)
             )
             has_link = account.transfer_count < self._options.transfer_slots
-            if free_pieces < needed or not has_link:
+            has_room = free_pieces >= needed and has_link
+            if not has_room and self._decode_policy.reserves:
                 continue
             candidates.append(
                 _policies.DecodeCandidate(
--- a/bluebellthread/core/_request_log.py
+++ b/bluebellthread/core/_request_log.py
@@ -65,3 +65,26 @@
         ask.gateway_incarnation,
         ask.attempt_number,
     )
+
+
+def process_of(item):
+    """Return the gateway process of an ask or a permit."""
+    return (item.gateway, item.gateway_incarnation)
+
+
+def is_same_ask(one, other):
+    """Return whether two are the same attempt of the same process."""
+    return (
+        process_of(one) == process_of(other)
+        and one.attempt_number == other.attempt_number
+    )
+
+
+def is_older_ask(request, waiting, entry):
+    """Return whether a later attempt of the same process is known."""
+    for other in (waiting, entry.permit if entry else None):
+        if other is None or process_of(other) != process_of(request):
+            continue
+        if other.attempt_number > request.attempt_number:
+            return True
+    return False
--- a/bluebellthread/core/_scheduler.py
+++ b/bluebellthread/core/_scheduler.py
@@ -56,9 +56,7 @@
         self._placement = _placement.Placement(
             options=options, ledger=self._ledger, rng=rng or random.Random(0)
         )
-        self._queue = _policies.queue_policies.get(options.queue_policy)(
-            options.queue
-        )
+        self._queue = self._make_queue()
         self._requests = _request_log.RequestLog()
         self._gateways = _gateway_watch.GatewayWatch(options)
         self._registration = _registration.Registration(options)
@@ -75,6 +73,7 @@
             _permit_messages.PermitAbandoned: self._on_abandoned,
             _model.LoadReport: self._on_report,
             events.ServersChanged: self._on_servers,
+            events.OptionsChanged: self._on_options,
             events.GatewaysChanged: self._on_gateways,
             events.CancelConfirmed: self._on_confirmed,
             events.Tick: self._on_tick,
@@ -119,17 +118,19 @@
     # Requests
 
     def _on_request(self, request, now_ms):
-        if self._gateways.is_gone(_process_of(request)):
+        if self._gateways.is_gone(_request_log.process_of(request)):
             return []
         if self._requests.is_superseded(request):
             return [self._refuse(request, 'superseded')]
         known = self._requests.find_waiting(request.request_id)
-        if known is not None and _is_same_ask(known, request):
+        if known is not None and _request_log.is_same_ask(known, request):
             return []
         entry = self._ledger.find_request(request.request_id)
-        if entry is not None and _is_same_ask(entry.permit, request):
+        if entry is not None and _request_log.is_same_ask(
+            entry.permit, request
+        ):
             return [self._grant_message(entry.permit)]
-        if _is_older_ask(request, known, entry):
+        if _request_log.is_older_ask(request, known, entry):
             return [self._refuse(request, 'superseded')]
         commands = self._supersede(known, entry, now_ms)
         return commands + self._enqueue(request, now_ms)
@@ -155,12 +156,12 @@
 
     def _on_abandoned(self, event, now_ms):
         waiting = self._requests.find_waiting(event.request_id)
-        if waiting is not None and _is_same_ask(waiting, event):
+        if waiting is not None and _request_log.is_same_ask(waiting, event):
             self._queue.remove(event.request_id)
             self._requests.forget_waiting(waiting)
             return []
         entry = self._ledger.find_request(event.request_id)
-        if entry is not None and _is_same_ask(entry.permit, event):
+        if entry is not None and _request_log.is_same_ask(entry.permit, event):
             return self._ending.end(entry, now_ms, '')
         # Comes before the request that it takes back.
         self._requests.note_superseded(event)
@@ -298,6 +299,23 @@
         self._placement.set_servers(event.servers)
         return []
 
+    def _on_options(self, event, now_ms):
+        if event.options == self._options:
+            return []
+        self._options = event.options
+        self._placement.set_options(event.options)
+        waiting = self._queue
+        self._queue = self._make_queue()
+        commands = []
+        while (request := waiting.pop_next(_any, now_ms=now_ms)) is not None:
+            for refusal in self._queue.push(request, now_ms=now_ms):
+                commands.append(self._refuse_from_queue(refusal))
+        return commands
+
+    def _make_queue(self):
+        make = _policies.queue_policies.get(self._options.queue_policy)
+        return make(self._options.queue)
+
     def _on_report(self, report, now_ms):
         if report.server not in self._placement.servers:
             return []
@@ -307,27 +325,11 @@
             return []
         commands = []
         if known is not None and known.incarnation != report.incarnation:
-            commands = self._on_engine_restart(account, now_ms)
+            commands = self._ending.end_lost(account, now_ms)
         self._ending.confirm_by_report(account, now_ms)
         self._note_strays(account, now_ms)
         return commands
 
-    def _on_engine_restart(self, account, now_ms):
-        self._ending.confirm_all_at(account.name, now_ms)
-        commands = []
-        for entry in self._ledger.entries_at(account.name):
-            if entry.ended_ms is None and self._is_lost(entry, account):
-                commands += self._ending.end(entry, now_ms, 'backend-lost')
-        return commands
-
-    def _is_lost(self, entry, account):
-        permit = entry.permit
-        if account.is_reported(permit.permit_id):
-            return False
-        return (
-            account.name == permit.decode_server or permit.stage != 'decoding'
-        )
-
     def _note_strays(self, account, now_ms):
         strays = [
             permit_id
@@ -349,7 +351,7 @@
             return []
         commands = []
         for request in self._requests.list_waiting():
-            if self._gateways.is_gone(_process_of(request)):
+            if self._gateways.is_gone(_request_log.process_of(request)):
                 self._queue.remove(request.request_id)
                 self._requests.forget_waiting(request)
         holders = self._ledger.gateways()
@@ -387,22 +389,5 @@
         ]
 
 
-def _process_of(item):
-    return (item.gateway, item.gateway_incarnation)
-
-
-def _is_same_ask(one, other):
-    return (
-        _process_of(one) == _process_of(other)
-        and one.attempt_number == other.attempt_number
-    )
-
-
-def _is_older_ask(request, waiting, entry):
-    """Return whether a later attempt of the same process is known."""
-    for other in (waiting, entry.permit if entry else None):
-        if other is None or _process_of(other) != _process_of(request):
-            continue
-        if other.attempt_number > request.attempt_number:
-            return True
-    return False
+def _any(request):
+    return True
