Run membership, owners and recovery in the daemon

The view now comes from the VMs themselves over UDP; the platform list only seeds it and marks leavers. Owners follow the confirmed view, poll load reports and cancel at engines until it is confirmed. Gateways keep their permits, answer a new owner, resend releases, and serve from a cautious share where no scheduler can be reached. A pause is noticed before anything that queued in it is acted on. A planned stop goes on taking requests while the balancer lags.

--- a/bluebellthread/configuration/_settings.py
+++ b/bluebellthread/configuration/_settings.py
@@ -64,6 +64,14 @@
         Connections from callers at a time.
     drain_timeout_ms : int
         Longest wait for streams to finish at a planned stop.
+    balancer_lag_ms : int
+        How long the balancer may still send new requests to a VM that
+        is not ready any more; at a planned stop they are still taken.
+    disabled_mechanisms : tuple of str
+        For tests only, to show what a mechanism is for: ``'probes'``,
+        ``'pause-detection'``, ``'gateway-cancel'``, ``'stray-cancel'``,
+        ``'registrations'``, ``'cautious-share'``, ``'release-resend'``
+        or ``'balancer-lag'``.
 
     Examples
     --------
@@ -91,3 +99,5 @@
     request_header_max_bytes: int = 16 * 1024
     caller_connections_max: int = 1024
     drain_timeout_ms: int = 120000
+    balancer_lag_ms: int = 3000
+    disabled_mechanisms: tuple[str, ...] = ()
--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -36,10 +36,13 @@
 from bluebellthread.core._membership import Membership
 from bluebellthread.core._membership_events import DatagramReceived
 from bluebellthread.core._membership_events import LeaveStarted
+from bluebellthread.core._membership_events import PauseNoticed
 from bluebellthread.core._membership_events import PlatformListed
+from bluebellthread.core._membership_events import SeedsTried
 from bluebellthread.core._membership_events import SendDatagram
 from bluebellthread.core._membership_events import Stopped
 from bluebellthread.core._membership_events import ViewChanged
+from bluebellthread.core._membership_messages import MEMBERSHIP_MESSAGES
 from bluebellthread.core._membership_options import MembershipOptions
 from bluebellthread.core._messages import Done
 from bluebellthread.core._messages import PermitCancelled
@@ -176,6 +179,7 @@
     'LimitRefusal',
     'LoadReport',
     'LookupArrived',
+    'MEMBERSHIP_MESSAGES',
     'Member',
     'Membership',
     'MembershipOptions',
@@ -185,6 +189,7 @@
     'NothingSent',
     'OptionsChanged',
     'OutcomeUnknown',
+    'PauseNoticed',
     'Permit',
     'PermitAbandoned',
     'PermitCancelled',
@@ -223,6 +228,7 @@
     'SchedulerOptions',
     'Scope',
     'ScopedException',
+    'SeedsTried',
     'SendDatagram',
     'SendToGateway',
     'ServerAnswer',
--- a/bluebellthread/core/_membership.py
+++ b/bluebellthread/core/_membership.py
@@ -72,6 +72,8 @@
             _scheduler_events.Tick: self._on_tick,
             events.DatagramReceived: self._on_datagram,
             events.PlatformListed: self._on_list,
+            events.SeedsTried: self._on_seeds,
+            events.PauseNoticed: self._on_pause,
             events.LeaveStarted: self._on_leave,
             events.Stopped: self._on_stopped,
             messages.Ping: self._on_ping,
@@ -245,6 +247,21 @@
         )
         self._context.table.add(record)
 
+    def _on_seeds(self, event):
+        ping = messages.Ping(
+            digest=self._context.table.digest(),
+            updates=(self._context.me.update(),),
+            wants_table=True,
+        )
+        for host, port in event.addresses:
+            correlation = self._prober.next_correlation()
+            self._context.send_to(host, port, ping, correlation)
+
+    def _on_pause(self, event):
+        noticed = not self._confirmation.confirmed
+        if self._context.options.detects_pauses and not noticed:
+            self._begin_confirmation()
+
     def _on_leave(self, event):
         self._change_me(tables.LEAVING)
 
--- a/bluebellthread/core/_membership_context.py
+++ b/bluebellthread/core/_membership_context.py
@@ -46,13 +46,14 @@
 
     def send(self, member, message, correlation=0):
         """Ask for a datagram to a VM."""
-        self._add(member.host, member.peer_port, correlation, message)
+        self.send_to(member.host, member.peer_port, message, correlation)
 
     def answer(self, event, message):
         """Ask for a datagram to where another came from."""
-        self._add(event.host, event.port, event.correlation, message)
+        self.send_to(event.host, event.port, message, event.correlation)
 
-    def _add(self, host, port, correlation, message):
+    def send_to(self, host, port, message, correlation):
+        """Ask for a datagram to an address."""
         self.commands.append(
             events.SendDatagram(
                 host=host, port=port, correlation=correlation, message=message
--- a/bluebellthread/core/_membership_events.py
+++ b/bluebellthread/core/_membership_events.py
@@ -39,6 +39,18 @@
     members: tuple[_model.Member, ...]
 
 
+@attrs.frozen(kw_only=True)
+class SeedsTried:
+    """No peer is known: try (host, port) pairs from the settings."""
+
+    addresses: tuple[tuple[str, int], ...]
+
+
+@attrs.frozen(kw_only=True)
+class PauseNoticed:
+    """Another task has noticed that the process was paused."""
+
+
 @attrs.frozen(kw_only=True)
 class LeaveStarted:
     """The own VM is about to stop; it keeps answering until then."""
--- a/bluebellthread/core/_membership_messages.py
+++ b/bluebellthread/core/_membership_messages.py
@@ -94,3 +94,7 @@
 
     digests: tuple[PlaceDigest, ...]
     is_answer: bool = False
+
+
+MEMBERSHIP_MESSAGES = (Ping, Ack, IndirectPing, Gossip, TableDigests)
+"""Every message that travels as a datagram."""
--- /dev/null
+++ b/bluebellthread/daemon/_cautious_share.py
@@ -0,0 +1,111 @@
+"""Engine memory for a VM that can reach no scheduler.
+
+The VM takes only its share of what the engines report free: as if every
+known VM of the data centre were cut off alone and did the same.
+"""
+
+import trio
+
+from bluebellthread import core
+
+SHARE_STATES = ('alive', 'suspect', 'leaving', 'dead')
+
+
+class CautiousShare:
+    """Picks backend servers by their own reports.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Has the backend servers, and the VMs to share with.
+    engine_control : EngineControl
+        Reads load reports.
+    enabled : bool
+        Only tests turn it off.
+    """
+
+    def __init__(self, *, fleet, engine_control, enabled=True):
+        self._fleet = fleet
+        self._engine_control = engine_control
+        self._enabled = enabled
+        self._taken = {}
+
+    async def take(self, request, permit_id):
+        """Return a permit within the share, or None if there is no room."""
+        if not self._enabled:
+            return None
+        reports = await self._read_reports(request.pool)
+        pieces = core.count_pieces(
+            request.prompt_tokens, request.output_tokens
+        )
+        prefills = [
+            report
+            for server, report in reports
+            if server.role == core.ROLE_PREFILL
+        ]
+        decodes = [
+            (self._free_share(report, request.pool), report.server)
+            for server, report in reports
+            if server.role == core.ROLE_DECODE
+        ]
+        if not prefills or not decodes or max(decodes)[0] < pieces:
+            return None
+        prefill = min(prefills, key=lambda report: report.queued_count)
+        permit = core.Permit(
+            permit_id=permit_id,
+            request_id=request.request_id,
+            attempt_number=request.attempt_number,
+            gateway=request.gateway,
+            gateway_incarnation=request.gateway_incarnation,
+            caller=request.caller,
+            pool=request.pool,
+            prefill_server=prefill.server,
+            decode_server=max(decodes)[1],
+            prompt_tokens=request.prompt_tokens,
+            pieces=pieces,
+            deadline_ms=request.deadline_ms,
+        )
+        self._taken[permit_id] = permit
+        return permit
+
+    def give_back(self, permit):
+        """Take a permit out of the share; harmless if it is not in it."""
+        self._taken.pop(permit.permit_id, None)
+
+    async def _read_reports(self, pool):
+        reports = []
+
+        async def read(server):
+            report = await self._engine_control.read_report(server)
+            if report is not None and not report.leaving:
+                reports.append((server, report))
+
+        servers = self._fleet.configuration.servers_of(
+            pool.serves, pool.data_centre
+        )
+        async with trio.open_nursery() as nursery:
+            for server in servers:
+                if not server.leaving:
+                    nursery.start_soon(read, server)
+        return reports
+
+    def _free_share(self, report, pool):
+        """Return the pieces of one decode server that this VM may take.
+
+        What this VM has taken counts whether or not the report shows it.
+        """
+        members = self._fleet.view.in_data_centre(
+            pool.data_centre, states=SHARE_STATES
+        )
+        taken = sum(
+            permit.pieces
+            for permit in self._taken.values()
+            if permit.decode_server == report.server
+        )
+        shown = sum(
+            permit.pieces
+            for permit in self._taken.values()
+            if permit.permit_id in report.running_ids
+        )
+        share = (report.free_pieces + shown) // max(1, len(members))
+        return share - taken
--- /dev/null
+++ b/bluebellthread/daemon/_load_reports.py
@@ -0,0 +1,33 @@
+"""Load reports out of what backend servers answer."""
+
+import math
+
+from bluebellthread import core
+
+
+def to_load_report(fields, *, server, now_ms):
+    """Return the report in a backend server's decoded JSON.
+
+    Raises
+    ------
+    ValueError
+        If a field is missing or of the wrong kind.
+    """
+    try:
+        total_pieces = int(fields['total_pieces'])
+        free_pieces = int(fields['free_pieces'])
+        if not 0 <= free_pieces <= total_pieces or math.isinf(total_pieces):
+            raise ValueError('free_pieces is not within total_pieces')
+        return core.LoadReport(
+            server=server,
+            incarnation=int(fields.get('incarnation', 0)),
+            sequence=int(fields['sequence']),
+            total_pieces=total_pieces,
+            free_pieces=free_pieces,
+            running_ids=tuple(map(str, fields.get('running_ids', ()))),
+            queued_count=int(fields.get('queued_count', 0)),
+            leaving=bool(fields.get('leaving', False)),
+            received_ms=now_ms,
+        )
+    except (KeyError, TypeError) as error:
+        raise ValueError(f'bad field {error}') from error
--- /dev/null
+++ b/bluebellthread/daemon/_membership_task.py
@@ -0,0 +1,203 @@
+"""The task that owns the datagram socket and the membership view."""
+
+import socket
+
+import trio
+
+from bluebellthread import core
+from bluebellthread.daemon import _scheduler_task
+from bluebellthread.observe import emit
+from bluebellthread.observe import events
+from bluebellthread import wire
+
+TICK_INTERVAL_S = 0.05
+QUEUE_LENGTH = 1024
+DATAGRAM_BYTES = 1400
+"""Longest datagram, which fits an Ethernet frame."""
+
+RECEIVE_BYTES = 2048
+FLUSH_TICKS = 20
+"""Ticks between two reports of the traffic's sums."""
+
+SEED_TICKS = 20
+"""Ticks between two tries of the settings' seed addresses."""
+
+
+class MembershipTask:
+    """Runs the membership core on UDP.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Where the view is published.
+    guard : PauseGuard
+        Asked before anything is acted on.
+    options : MembershipOptions
+        Times and counts.
+    scheduler_inbox : trio.MemorySendChannel
+        Told of each view.
+    seeds : tuple of (str, int)
+        Addresses to try while no peer is known.
+    traffic : Traffic
+        Counts what is sent.
+    """
+
+    def __init__(
+        self, *, fleet, guard, options, scheduler_inbox, seeds, traffic
+    ):
+        self._fleet = fleet
+        self._guard = guard
+        self._options = options
+        self._scheduler_inbox = scheduler_inbox
+        self._seeds = seeds
+        self._traffic = traffic
+        self._member = None
+        self._membership = None
+        self._socket = None
+        self._tick_count = 0
+        self._out, self._to_send = trio.open_memory_channel(QUEUE_LENGTH)
+        self.inbox, self._receive = trio.open_memory_channel(QUEUE_LENGTH)
+        guard.add_listener(self._note_pause)
+
+    async def run(self, member, *, task_status=trio.TASK_STATUS_IGNORED):
+        """Be a member until cancelled; the socket is the VM's own IP."""
+        self._member = member
+        self._membership = core.Membership(
+            member=member, options=self._options
+        )
+        family = socket.AF_INET6 if ':' in member.host else socket.AF_INET
+        with trio.socket.socket(family, socket.SOCK_DGRAM) as sock:
+            await sock.bind((member.host, member.peer_port))
+            self._socket = sock
+            self._handle(core.Tick())
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._read_datagrams)
+                nursery.start_soon(self._send_datagrams)
+                nursery.start_soon(self._send_ticks)
+                task_status.started()
+                async for event in self._receive:
+                    self._handle(event)
+
+    def leave(self):
+        """Announce that this VM is about to stop."""
+        if self._membership is not None:
+            self._handle(core.LeaveStarted())
+
+    async def close(self):
+        """Announce that the process ends now."""
+        if self._socket is None:
+            return
+        commands = self._membership.handle(core.Stopped(), self._guard.check())
+        for command in commands:
+            if isinstance(command, core.SendDatagram):
+                await self._send(command)
+
+    def _note_pause(self):
+        if self._membership is not None:
+            self._handle(core.PauseNoticed())
+
+    def _handle(self, event):
+        now_ms = self._guard.check()
+        for command in self._membership.handle(event, now_ms):
+            if isinstance(command, core.ViewChanged):
+                self._publish(command.view)
+            else:
+                self._queue(command)
+
+    def _publish(self, view):
+        _log_changes(self._fleet.view, view)
+        self._fleet.publish_view(view)
+        try:
+            self._scheduler_inbox.send_nowait(
+                _scheduler_task.ViewChanged(view=view)
+            )
+        except trio.WouldBlock:
+            # Its next tick reads the published view.
+            return
+
+    def _queue(self, command):
+        try:
+            self._out.send_nowait(command)
+        except trio.WouldBlock:
+            # Datagrams may be lost.
+            return
+
+    async def _send_ticks(self):
+        while True:
+            await trio.sleep(TICK_INTERVAL_S)
+            self._handle(core.Tick())
+            self._tick_count += 1
+            if self._tick_count % FLUSH_TICKS == 0:
+                self._traffic.flush()
+            if self._tick_count % SEED_TICKS == 0 and self._is_alone():
+                self._handle(core.SeedsTried(addresses=self._seeds))
+
+    def _is_alone(self):
+        live = self._fleet.view.in_data_centre(self._member.data_centre)
+        return len(live) <= 1
+
+    async def _send_datagrams(self):
+        async for command in self._to_send:
+            await self._send(command)
+
+    async def _send(self, command):
+        envelope = wire.Envelope(
+            message=command.message,
+            sender=self._member.name,
+            sender_incarnation=self._member.incarnation,
+            correlation=command.correlation,
+        )
+        data = wire.encode(envelope, now_ms=0)
+        if len(data) > DATAGRAM_BYTES:
+            emit(events.DATAGRAM_TOO_LONG, size_bytes=len(data))
+            return
+        self._traffic.count(len(data))
+        try:
+            await self._socket.sendto(data, (command.host, command.port))
+        except OSError as error:
+            emit(events.PEER_UNREACHABLE, peer=command.host, error=error)
+
+    async def _read_datagrams(self):
+        while True:
+            try:
+                data, address = await self._socket.recvfrom(RECEIVE_BYTES)
+                envelope = wire.decode(data, now_ms=0)
+            except wire.WireError as error:
+                emit(events.PEER_BAD_FRAME, address=address[0], error=error)
+                continue
+            except ConnectionError:
+                # A refusal of an earlier datagram: that peer is not there.
+                continue
+            if isinstance(envelope.message, core.MEMBERSHIP_MESSAGES):
+                self._handle(_to_event(envelope, address))
+
+
+def _to_event(envelope, address):
+    return core.DatagramReceived(
+        sender=envelope.sender,
+        sender_incarnation=envelope.sender_incarnation,
+        host=address[0],
+        port=address[1],
+        correlation=envelope.correlation,
+        message=envelope.message,
+    )
+
+
+def _log_changes(old, new):
+    if old.confirmed != new.confirmed:
+        event = (
+            events.VIEW_CONFIRMED
+            if new.confirmed
+            else (events.VIEW_UNCONFIRMED)
+        )
+        emit(event)
+    for member in new.members:
+        known = old.find(member.name)
+        state = known.state if known else 'unknown'
+        if state != member.state:
+            emit(
+                events.MEMBER_CHANGED,
+                peer=member.name,
+                old=state,
+                new=member.state,
+            )
--- a/bluebellthread/daemon/_model_path.py
+++ b/bluebellthread/daemon/_model_path.py
@@ -11,7 +11,7 @@
 from bluebellthread.core import _prefix
 from bluebellthread.daemon import _clock
 from bluebellthread.daemon import _http
-from bluebellthread.daemon import _peers
+from bluebellthread.daemon import _recovery
 from bluebellthread import engines
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
@@ -40,10 +40,10 @@
     ----------
     vm, incarnation, data_centre : str, int, str
         This process.
-    links : PeerLinks
-        To reach schedulers.
+    desk : PermitDesk
+        Gives permits.
     fleet : object
-        Has ``configuration`` and ``view``, the latest of each.
+        Has ``configuration``, the latest.
     adapter : str
         Name in the registry of engine adapters.
     tracer : bluebellthread.observe.Tracer
@@ -51,12 +51,12 @@
     """
 
     def __init__(
-        self, *, vm, incarnation, data_centre, links, fleet, adapter, tracer
+        self, *, vm, incarnation, data_centre, desk, fleet, adapter, tracer
     ):
         self._vm = vm
         self._incarnation = incarnation
         self._data_centre = data_centre
-        self._links = links
+        self._desk = desk
         self._fleet = fleet
         self._tracer = tracer
         self._pool = httpcore.AsyncConnectionPool(
@@ -81,6 +81,7 @@
         now_ms = _clock.read_clock_ms()
         request = core.PermitRequest(
             request_id=exchange.request_id,
+            attempt_number=self._desk.first_attempt(exchange.request_id),
             gateway=self._vm,
             gateway_incarnation=self._incarnation,
             caller=exchange.caller,
@@ -111,11 +112,14 @@
             'scheduler', parent=exchange.traceparent
         ) as span:
             traceparent = self._tracer.traceparent_of(span)
-            permit = await self._ask_permit(request, traceparent)
+            hold = await self._ask_permit(request, traceparent)
         clean = False
         try:
-            await self._run_on_engines(exchange, question, permit)
-            clean = True
+            with hold.scope:
+                await self._run_on_engines(exchange, question, hold)
+                clean = True
+            if hold.cancelled_kind and not clean:
+                raise _refuse_cancelled(hold.cancelled_kind)
         except engines.EngineError as error:
             emit(
                 events.REQUEST_FAILED,
@@ -131,57 +135,16 @@
                 retry_after_ms=RETRY_AFTER_MS,
             ) from error
         finally:
-            with trio.CancelScope(shield=True), trio.move_on_after(1):
-                await self._tell_scheduler(
-                    permit,
-                    core.PermitReleased(
-                        permit_id=permit.permit_id,
-                        pool=permit.pool,
-                        clean=clean,
-                    ),
-                )
+            self._desk.release(hold, clean=clean)
 
     async def _ask_permit(self, request, traceparent):
-        owner = self._owner_of(request.pool)
-        if owner is None:
-            raise _refuse_permit('no-backend', RETRY_AFTER_MS)
         try:
-            answer = await self._links.call(
-                owner,
-                request,
-                deadline_ms=request.deadline_ms,
-                traceparent=traceparent,
-            )
-        except _peers.PeerUnreachableError as error:
-            raise _refuse_permit('no-scheduler', RETRY_AFTER_MS) from error
-        if isinstance(answer, core.PermitGranted):
-            return answer.permit
-        if isinstance(answer, core.PermitRefused):
-            raise _refuse_permit(answer.kind, answer.retry_after_ms)
-        raise _refuse_permit(answer.kind, RETRY_AFTER_MS)
-
-    def _owner_of(self, pool):
-        view = self._fleet.view
-        members = view.in_data_centre(pool.data_centre)
-        name = core.choose_owner(pool.text(), [m.name for m in members])
-        return view.find(name) if name else None
-
-    async def _tell_scheduler(self, permit, message):
-        owner = self._owner_of(permit.pool)
-        if owner is None:
-            return
-        try:
-            await self._links.send(owner, message)
-        except _peers.PeerUnreachableError as error:
-            emit(events.PEER_UNREACHABLE, peer=owner.name, error=error)
+            return await self._desk.ask(request, traceparent=traceparent)
+        except _recovery.PermitRefusedError as error:
+            raise _refuse_permit(error.kind, error.retry_after_ms) from error
 
-    async def _tell_stage(self, permit, stage):
-        progressed = core.PermitProgressed(
-            permit_id=permit.permit_id, pool=permit.pool, stage=stage
-        )
-        await self._tell_scheduler(permit, progressed)
-
-    async def _run_on_engines(self, exchange, question, permit):
+    async def _run_on_engines(self, exchange, question, hold):
+        permit = hold.permit
         generation = engines.Generation(
             model=question.model,
             prompt=question.prompt,
@@ -189,6 +152,7 @@
         )
         prefill_server = self._find_server(permit.prefill_server)
         decode_server = self._find_server(permit.decode_server)
+        self._check_current(hold)
         with self._tracer.span('prefill', parent=exchange.traceparent) as span:
             prefilled = await self._engine.prefill(
                 prefill_server,
@@ -196,7 +160,8 @@
                 generation,
                 traceparent=self._tracer.traceparent_of(span),
             )
-        await self._tell_stage(permit, 'transferring')
+        self._check_current(hold)
+        await self._desk.progress(hold, 'transferring')
         writer = AnswerWriter(exchange, question)
         with self._tracer.span('decode', parent=exchange.traceparent) as span:
             async for item in self._engine.decode(
@@ -209,9 +174,18 @@
                 if isinstance(item, engines.Piece):
                     await writer.write(item)
                 elif isinstance(item, engines.Imported):
-                    await self._tell_stage(permit, 'decoding')
+                    await self._desk.progress(hold, 'decoding')
         await writer.finish()
 
+    def _check_current(self, hold):
+        """Start nothing new under a permit from before a pause."""
+        if not self._desk.is_current(hold):
+            raise engines.EngineError(
+                kind='permit-lost',
+                server=hold.permit.decode_server,
+                detail='this VM was paused',
+            )
+
     def _find_server(self, name):
         for server in self._fleet.configuration.backend_servers:
             if server.name == name:
@@ -352,3 +326,13 @@
         remedy='come back after the time in Retry-After',
         retry_after_ms=retry_after_ms,
     )
+
+
+def _refuse_cancelled(kind):
+    return _http.Refusal(
+        status=503,
+        kind=kind,
+        remedy='send the request again',
+        run=_http.RUN_UNKNOWN,
+        retry_after_ms=RETRY_AFTER_MS,
+    )
--- a/bluebellthread/daemon/_peers.py
+++ b/bluebellthread/daemon/_peers.py
@@ -31,18 +31,21 @@
         )
 
 
-async def write_frames(stream, receive_channel):
+async def write_frames(stream, receive_channel, traffic):
     """Send frames from a channel until it closes.
 
     What has gathered goes out in one call.
     """
     async for frame in receive_channel:
         gathered = bytearray(frame)
+        messages = 1
         while True:
             try:
                 gathered += receive_channel.receive_nowait()
+                messages += 1
             except (trio.WouldBlock, trio.EndOfChannel):
                 break
+        traffic.count(len(gathered), messages=messages)
         await stream.send_all(gathered)
 
 
@@ -55,12 +58,15 @@
         This process.
     mailboxes : Mailboxes
         Where messages go.
+    traffic : Traffic
+        Counts what is sent.
     """
 
-    def __init__(self, *, vm, incarnation, mailboxes):
+    def __init__(self, *, vm, incarnation, mailboxes, traffic):
         self._vm = vm
         self._incarnation = incarnation
         self._mailboxes = mailboxes
+        self._traffic = traffic
 
     async def serve(self, host, port, *, task_status=trio.TASK_STATUS_IGNORED):
         """Listen until cancelled."""
@@ -73,7 +79,9 @@
         send, receive = trio.open_memory_channel(LONGEST_SEND_QUEUE)
         try:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(write_frames, stream, receive)
+                nursery.start_soon(
+                    write_frames, stream, receive, self._traffic
+                )
                 await self._read_requests(stream, send)
                 nursery.cancel_scope.cancel()
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -130,13 +138,16 @@
         This VM's IP number, the source of its connections.
     mailboxes : Mailboxes
         Takes messages to this VM itself, without a socket.
+    traffic : Traffic
+        Counts what is sent.
     """
 
-    def __init__(self, *, vm, incarnation, host, mailboxes):
+    def __init__(self, *, vm, incarnation, host, mailboxes, traffic):
         self._vm = vm
         self._incarnation = incarnation
         self._host = host
         self._mailboxes = mailboxes
+        self._traffic = traffic
         self._nursery = None
         self._links = {}
         self._correlations = itertools.count(1)
@@ -205,7 +216,7 @@
         address = (member.host, member.peer_port)
         link = self._links.get(address)
         if link is None or link.closed:
-            link = _Link(peer=member.name)
+            link = _Link(peer=member.name, traffic=self._traffic)
             self._links[address] = link
             self._nursery.start_soon(self._run_link, link, address)
         await link.opened.wait()
@@ -239,8 +250,9 @@
 class _Link:
     """One connection to another VM."""
 
-    def __init__(self, *, peer):
+    def __init__(self, *, peer, traffic):
         self._peer = peer
+        self._traffic = traffic
         self._slots = {}
         self._send, self._receive = trio.open_memory_channel(
             LONGEST_SEND_QUEUE
@@ -261,7 +273,9 @@
         self.opened.set()
         try:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(write_frames, stream, self._receive)
+                nursery.start_soon(
+                    write_frames, stream, self._receive, self._traffic
+                )
                 await self._read_answers(stream)
                 nursery.cancel_scope.cancel()
             self._close('the connection ended')
--- a/bluebellthread/daemon/_platform_watch.py
+++ b/bluebellthread/daemon/_platform_watch.py
@@ -23,13 +23,16 @@
     fleet : Fleet
         The picture to replace.
     scheduler_task : SchedulerTask
-        Told of every change.
+        Told of every configuration.
+    membership_inbox : trio.MemorySendChannel
+        Told of every list.
     """
 
-    def __init__(self, *, platform, fleet, scheduler_task):
+    def __init__(self, *, platform, fleet, scheduler_task, membership_inbox):
         self._platform = platform
         self._fleet = fleet
         self._inbox = scheduler_task.inbox
+        self._membership_inbox = membership_inbox
 
     async def run(self):
         """Watch until cancelled."""
@@ -70,9 +73,6 @@
         if answer is None:
             return version
         version, members = answer
-        view = core.MembershipView(
-            members=tuple(sorted(members, key=lambda m: m.name))
-        )
-        self._fleet.view = view
-        await self._inbox.send(_scheduler_task.ViewChanged(view=view))
+        listed = core.PlatformListed(members=members)
+        await self._membership_inbox.send(listed)
         return version
--- a/bluebellthread/daemon/_scheduler_task.py
+++ b/bluebellthread/daemon/_scheduler_task.py
@@ -1,6 +1,5 @@
 """The task that owns this VM's schedulers."""
 
-import math
 import random
 
 import attrs
@@ -8,11 +7,16 @@
 
 from bluebellthread import core
 from bluebellthread.daemon import _clock
+from bluebellthread.daemon import _peers
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
 
 QUEUE_LENGTH = 4096
 TICK_INTERVAL_S = 0.1
+CALL_TIMEOUT_MS = 1000
+"""How long a call to a gateway may take."""
+
+GATEWAY_STATES = ('alive', 'suspect', 'leaving')
 
 
 @attrs.frozen(kw_only=True)
@@ -42,24 +46,47 @@
 
     Parameters
     ----------
-    vm, data_centre, incarnation : str, str, int
+    vm, data_centre, region, incarnation : str, str, str, int
         This process.
+    fleet : Fleet
+        Has the view, which alone decides what this VM owns.
+    guard : PauseGuard
+        Asked before anything is acted on.
     links : PeerLinks
-        To tell gateways of cancelled permits.
+        To reach gateways.
     cancels : trio.MemorySendChannel
         Takes `EngineCancel`.
+    options : SchedulerOptions
+        What the configuration does not say.
     """
 
-    def __init__(self, *, vm, data_centre, incarnation, links, cancels):
+    def __init__(
+        self,
+        *,
+        vm,
+        data_centre,
+        region,
+        incarnation,
+        fleet,
+        guard,
+        links,
+        cancels,
+        options,
+    ):
         self._vm = vm
         self._data_centre = data_centre
+        self._region = region
         self._incarnation = incarnation
+        self._fleet = fleet
+        self._guard = guard
         self._links = links
         self._cancels = cancels
+        self._options = options
         self._configuration = None
-        self._view = core.MembershipView(members=())
+        self._followed_view = None
         self._schedulers = {}
         self._waiting = {}
+        self._nursery = None
         self.inbox, self._receive = trio.open_memory_channel(QUEUE_LENGTH)
 
     @property
@@ -70,7 +97,7 @@
     @property
     def permits_granted(self):
         """How many permits of all pools are in force."""
-        return sum(len(s.permits) for s in self._schedulers.values())
+        return sum(s.permit_count for s in self._schedulers.values())
 
     def owned_servers(self):
         """Return the backend servers of the pools owned."""
@@ -87,8 +114,13 @@
     async def run(self):
         """Handle events until cancelled."""
         async with trio.open_nursery() as nursery:
+            self._nursery = nursery
             nursery.start_soon(self._send_ticks)
             async for event in self._receive:
+                # A pause has to be known before what queued in it is read.
+                self._guard.check()
+                if not self._fleet.view.confirmed:
+                    self._give_up_pools()
                 await self._handle(event)
 
     async def _send_ticks(self):
@@ -98,13 +130,18 @@
 
     async def _handle(self, event):
         if isinstance(event, ViewChanged):
-            self._view = event.view
             await self._follow_ownership()
         elif isinstance(event, ConfigurationChanged):
             self._configuration = event.configuration
             await self._follow_ownership()
-        elif isinstance(event, (core.LoadReport, core.Tick)):
+        elif isinstance(event, core.Tick):
+            if self._fleet.view is not self._followed_view:
+                await self._follow_ownership()
+            await self._pass_to_all(event)
+        elif isinstance(event, (core.LoadReport, core.CancelConfirmed)):
             await self._pass_to_all(event)
+        elif isinstance(event, core.PermitsRegistered):
+            await self._pass_to_owner(event)
         else:
             await self._handle_inbound(event)
 
@@ -115,41 +152,42 @@
             inbound.answer(self._refuse_foreign(message))
             return
         if isinstance(message, core.PermitRequest):
-            key = (message.request_id, message.attempt_number)
+            key = _key_of(message.gateway, message)
             self._waiting[key] = inbound
         else:
             inbound.answer(core.Done())
         await self._step(scheduler, message)
 
+    async def _pass_to_owner(self, message):
+        scheduler = self._schedulers.get(message.pool)
+        if scheduler is not None:
+            await self._step(scheduler, message)
+
     def _refuse_foreign(self, message):
         if not isinstance(message, core.PermitRequest):
             return core.Rejected(
                 kind='not-owner', remedy='ask the owner of the pool'
             )
-        names = self._live_names()
+        owner = self._fleet.find_owner(message.pool)
         return core.PermitRefused(
             request_id=message.request_id,
             attempt_number=message.attempt_number,
             kind='not-owner',
             retry_after_ms=0,
-            owner=core.choose_owner(message.pool.text(), names) or '',
+            owner=owner.name if owner else '',
         )
 
-    def _live_names(self):
-        members = self._view.in_data_centre(self._data_centre)
-        return [member.name for member in members]
-
     async def _pass_to_all(self, event):
         for scheduler in list(self._schedulers.values()):
             await self._step(scheduler, event)
 
+    # Ownership
+
     async def _follow_ownership(self):
-        if self._configuration is None:
-            return
+        self._followed_view = self._fleet.view
         owned = set(self._owned_pools())
         for pool in set(self._schedulers) - owned:
-            del self._schedulers[pool]
-            emit(events.POOL_LEFT, vm=self._vm, pool=pool.text())
+            self._give_up(pool)
         for pool in owned - set(self._schedulers):
             self._schedulers[pool] = self._make_scheduler(pool)
             emit(events.POOL_OWNED, vm=self._vm, pool=pool.text())
@@ -162,16 +200,40 @@
                 scheduler,
                 core.OptionsChanged(options=self._options_of(pool)),
             )
+            live = self._live_gateways()
+            await self._step(scheduler, core.GatewaysChanged(live=live))
 
     def _owned_pools(self):
-        names = self._live_names()
+        if self._configuration is None or not self._fleet.view.confirmed:
+            return
         for model in self._configuration.models:
             pool = core.PoolKey(
                 serves=model.name, data_centre=self._data_centre
             )
-            if core.choose_owner(pool.text(), names) == self._vm:
+            owner = self._fleet.find_owner(pool)
+            if owner is not None and owner.name == self._vm:
                 yield pool
 
+    def _give_up_pools(self):
+        for pool in list(self._schedulers):
+            self._give_up(pool)
+
+    def _give_up(self, pool):
+        """Drop a pool; gateways that wait are told to ask its owner."""
+        del self._schedulers[pool]
+        emit(events.POOL_LEFT, vm=self._vm, pool=pool.text())
+        for key, inbound in list(self._waiting.items()):
+            if inbound.message.pool == pool:
+                del self._waiting[key]
+                inbound.answer(self._refuse_foreign(inbound.message))
+
+    def _live_gateways(self):
+        return tuple(
+            (member.name, member.incarnation)
+            for member in self._fleet.view.members
+            if member.region == self._region and member.state in GATEWAY_STATES
+        )
+
     def _make_scheduler(self, pool):
         return core.Scheduler(
             pool=pool,
@@ -187,12 +249,15 @@
             data_centre=pool.data_centre,
             serves=pool.serves,
         )
-        return core.SchedulerOptions(
+        return attrs.evolve(
+            self._options,
             prefill_policy=values.prefill_policy,
             decode_policy=values.decode_policy,
             queue_policy=values.queue_policy,
         )
 
+    # Commands
+
     async def _step(self, scheduler, event):
         for command in scheduler.handle(event, _clock.read_clock_ms()):
             await self._execute(command)
@@ -203,16 +268,32 @@
             return
         message = command.message
         if isinstance(message, core.PermitGranted):
-            permit = message.permit
-            self._answer(permit.request_id, permit.attempt_number, message)
+            self._answer(_key_of(command.gateway, message.permit), message)
         elif isinstance(message, core.PermitRefused):
-            self._answer(message.request_id, message.attempt_number, message)
+            self._answer(_key_of(command.gateway, message), message)
+        else:
+            member = self._fleet.view.find(command.gateway)
+            if member is not None:
+                self._nursery.start_soon(self._call, member, message)
 
-    def _answer(self, request_id, attempt_number, message):
-        inbound = self._waiting.pop((request_id, attempt_number), None)
+    def _answer(self, key, message):
+        inbound = self._waiting.pop(key, None)
         if inbound is not None:
             inbound.answer(message)
 
+    async def _call(self, member, message):
+        """Send a message to a gateway; its answer comes to the inbox."""
+        deadline_ms = _clock.read_clock_ms() + CALL_TIMEOUT_MS
+        try:
+            answer = await self._links.call(
+                member, message, deadline_ms=deadline_ms
+            )
+        except _peers.PeerUnreachableError:
+            # The scheduler asks again, or the view shows it gone.
+            return
+        if isinstance(answer, core.PermitsRegistered):
+            await self.inbox.send(answer)
+
     async def _cancel(self, command):
         for server in self.owned_servers():
             if server.name == command.server:
@@ -221,29 +302,5 @@
                 )
 
 
-def to_load_report(fields, *, server, now_ms):
-    """Return the report in a backend server's decoded JSON.
-
-    Raises
-    ------
-    ValueError
-        If a field is missing or of the wrong kind.
-    """
-    try:
-        total_pieces = int(fields['total_pieces'])
-        free_pieces = int(fields['free_pieces'])
-        if not 0 <= free_pieces <= total_pieces or math.isinf(total_pieces):
-            raise ValueError('free_pieces is not within total_pieces')
-        return core.LoadReport(
-            server=server,
-            incarnation=int(fields.get('incarnation', 0)),
-            sequence=int(fields['sequence']),
-            total_pieces=total_pieces,
-            free_pieces=free_pieces,
-            running_ids=tuple(map(str, fields.get('running_ids', ()))),
-            queued_count=int(fields.get('queued_count', 0)),
-            leaving=bool(fields.get('leaving', False)),
-            received_ms=now_ms,
-        )
-    except (KeyError, TypeError) as error:
-        raise ValueError(f'bad field {error}') from error
+def _key_of(gateway, ask):
+    return (gateway, ask.request_id, ask.attempt_number)
--- a/bluebellthread/daemon/_service.py
+++ b/bluebellthread/daemon/_service.py
@@ -10,18 +10,23 @@
 
 from bluebellthread import core
 from bluebellthread.daemon import _admission
+from bluebellthread.daemon import _cautious_share
 from bluebellthread.daemon import _engine_control
 from bluebellthread.daemon import _fleet
 from bluebellthread.daemon import _gateway
 from bluebellthread.daemon import _mailboxes
+from bluebellthread.daemon import _membership_task
 from bluebellthread.daemon import _model_path
+from bluebellthread.daemon import _pause_guard
 from bluebellthread.daemon import _peers
 from bluebellthread.daemon import _platform
 from bluebellthread.daemon import _platform_watch
+from bluebellthread.daemon import _recovery
 from bluebellthread.daemon import _request_log
 from bluebellthread.daemon import _scheduler_task
 from bluebellthread.daemon import _service_path
 from bluebellthread.daemon import _status_task
+from bluebellthread.daemon import _traffic
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
 from bluebellthread.observe import Metrics
@@ -30,6 +35,9 @@
 
 MS_PER_S = 1000
 
+RELEASE_TIMEOUT_S = 2
+RELEASE_POLL_S = 0.02
+
 BODY_TIMEOUT_MS = 10000
 """How long a caller may take to send a body."""
 
@@ -51,6 +59,8 @@
         self._make_observers()
         self._make_peers()
         self._make_scheduling()
+        self._make_membership()
+        self._make_desk()
         self._make_gateway()
 
     def _make_observers(self):
@@ -61,6 +71,7 @@
             port=settings.statsd_port,
             vm=settings.vm,
         )
+        self._traffic = _traffic.Traffic(self._metrics)
 
     def _make_peers(self):
         settings = self._settings
@@ -69,43 +80,95 @@
             vm=settings.vm,
             incarnation=self.incarnation,
             mailboxes=self._mailboxes,
+            traffic=self._traffic,
         )
         self._links = _peers.PeerLinks(
             vm=settings.vm,
             incarnation=self.incarnation,
             host=settings.host,
             mailboxes=self._mailboxes,
+            traffic=self._traffic,
         )
         self._platform = _platform.PlatformClient(
             addresses=settings.platform_addresses
         )
 
+    def _has(self, mechanism):
+        return mechanism not in self._settings.disabled_mechanisms
+
     def _make_scheduling(self):
         settings = self._settings
+        self._membership_options = core.MembershipOptions(
+            detects_pauses=self._has('pause-detection'),
+            probes=self._has('probes'),
+        )
+        self._guard = _pause_guard.PauseGuard(
+            lease_timeout_ms=self._membership_options.lease_timeout_ms
+        )
         self._engine_control = _engine_control.EngineControl(
             adapter=settings.engine_adapter
         )
         self._scheduler_task = _scheduler_task.SchedulerTask(
             vm=settings.vm,
             data_centre=settings.data_centre,
+            region=settings.region,
             incarnation=self.incarnation,
+            fleet=self.fleet,
+            guard=self._guard,
             links=self._links,
             cancels=self._engine_control.cancels,
+            options=core.SchedulerOptions(
+                cancels_gone_gateways=self._has('gateway-cancel'),
+                cancels_strays=self._has('stray-cancel'),
+                asks_registrations=self._has('registrations'),
+            ),
         )
         for message_class in (
             core.PermitRequest,
             core.PermitProgressed,
             core.PermitReleased,
+            core.PermitAbandoned,
+            core.PermitsRegistered,
         ):
             self._mailboxes.register(message_class, self._scheduler_task.inbox)
 
+    def _make_membership(self):
+        settings = self._settings
+        self._membership_task = _membership_task.MembershipTask(
+            fleet=self.fleet,
+            guard=self._guard,
+            options=self._membership_options,
+            scheduler_inbox=self._scheduler_task.inbox,
+            seeds=tuple(map(_split_address, settings.seed_addresses)),
+            traffic=self._traffic,
+        )
+
+    def _make_desk(self):
+        share = _cautious_share.CautiousShare(
+            fleet=self.fleet,
+            engine_control=self._engine_control,
+            enabled=self._has('cautious-share'),
+        )
+        self._desk = _recovery.PermitDesk(
+            vm=self._settings.vm,
+            incarnation=self.incarnation,
+            fleet=self.fleet,
+            guard=self._guard,
+            links=self._links,
+            share=share,
+            cancels=self._engine_control.cancels,
+            resends_releases=self._has('release-resend'),
+        )
+        for message_class in (core.RegistrationWanted, core.PermitCancelled):
+            self._mailboxes.register(message_class, self._desk.inbox)
+
     def _make_gateway(self):
         settings = self._settings
         self._model_path = _model_path.ModelPath(
             vm=settings.vm,
             incarnation=self.incarnation,
             data_centre=settings.data_centre,
-            links=self._links,
+            desk=self._desk,
             fleet=self.fleet,
             adapter=settings.engine_adapter,
             tracer=self._tracer,
@@ -146,6 +209,7 @@
             platform=self._platform,
             fleet=self.fleet,
             scheduler_task=self._scheduler_task,
+            membership_inbox=self._membership_task.inbox,
         )
 
     def stop(self):
@@ -158,6 +222,7 @@
             vm=self._settings.vm,
             requests=self._admission.in_progress,
         )
+        self._membership_task.leave()
         self._stop.set()
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
@@ -170,10 +235,13 @@
             await nursery.start(self._links.run)
             peers = await self._start_peer_server(nursery)
             nursery.start_soon(self._scheduler_task.run)
+            nursery.start_soon(self._desk.run)
             nursery.start_soon(self._engine_control.run, self._scheduler_task)
             nursery.start_soon(self._status_task.run)
             nursery.start_soon(self._platform_watch.run)
-            await self._serve_callers(peers, task_status)
+            await self._serve_callers(nursery, peers, task_status)
+            await self._finish_permits()
+            await self._membership_task.close()
             nursery.cancel_scope.cancel()
         await self.close()
 
@@ -186,6 +254,18 @@
         host, port = listeners[0].socket.getsockname()
         return f'{host}:{port}'
 
+    def _make_member(self, callers, peers):
+        settings = self._settings
+        return core.Member(
+            name=settings.vm,
+            data_centre=settings.data_centre,
+            region=settings.region,
+            host=settings.host,
+            peer_port=_split_address(peers)[1],
+            caller_port=_split_address(callers)[1],
+            incarnation=self.incarnation,
+        )
+
     async def close(self):
         """Close what the tasks leave open."""
         with trio.CancelScope(shield=True):
@@ -197,18 +277,32 @@
         self._metrics.close()
         emit(events.VM_STOPPED, vm=self._settings.vm)
 
-    async def _serve_callers(self, peers, task_status):
+    async def _finish_permits(self):
+        """Wait until the last permits have been taken back."""
+        with trio.move_on_after(RELEASE_TIMEOUT_S):
+            while not self._desk.idle:
+                await trio.sleep(RELEASE_POLL_S)
+
+    async def _wait_for_stop(self):
+        """Wait for a stop, and then for the balancer to notice it."""
+        await self._stop.wait()
+        if self._has('balancer-lag'):
+            await trio.sleep(self._settings.balancer_lag_ms / MS_PER_S)
+
+    async def _serve_callers(self, daemon_nursery, peers, task_status):
         config = make_server_config(self._settings)
         serve = functools.partial(
             hypercorn_trio.serve,
             self.gateway,
             config,
-            shutdown_trigger=self._stop.wait,
+            shutdown_trigger=self._wait_for_stop,
         )
         # The nursery ends when the server has drained.
         async with trio.open_nursery() as nursery:
             urls = await nursery.start(serve)
             callers = urls[0].removeprefix('http://')
+            member = self._make_member(callers, peers)
+            await daemon_nursery.start(self._membership_task.run, member)
             emit(
                 events.VM_STARTED,
                 vm=self._settings.vm,
@@ -218,6 +312,11 @@
             task_status.started((callers, peers))
 
 
+def _split_address(text):
+    host, _, port = text.rpartition(':')
+    return host, int(port)
+
+
 def make_server_config(settings):
     """Return the HTTP server's configuration."""
     config = hypercorn.Config()
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -52,6 +52,14 @@
     2001, 'WARNING', 'peer at {address} sent an unreadable frame: {error}'
 )
 PEER_UNREACHABLE = Event(2002, 'WARNING', 'VM {peer} is unreachable: {error}')
+MEMBER_CHANGED = Event(2003, 'INFO', 'VM {peer} went from {old} to {new}')
+VIEW_UNCONFIRMED = Event(
+    2004, 'WARNING', 'the membership view is unconfirmed; no pool is owned'
+)
+VIEW_CONFIRMED = Event(2005, 'INFO', 'the membership view is confirmed')
+DATAGRAM_TOO_LONG = Event(
+    2006, 'ERROR', 'a datagram of {size_bytes} bytes was not sent'
+)
 CONFIGURATION_ACCEPTED = Event(
     3001, 'INFO', 'configuration revision {revision} is in force'
 )
@@ -72,6 +80,12 @@
 ENGINE_CANCEL_FAILED = Event(
     4003, 'WARNING', 'cancel of {permit_id} at {server} failed: {error}'
 )
+SCHEDULER_UNREACHABLE = Event(
+    4005, 'WARNING', 'no scheduler for {pool}; serving from a cautious share'
+)
+PERMIT_CANCELLED = Event(
+    4006, 'INFO', 'permit {permit_id} was cancelled: {kind}'
+)
 LOAD_UNREADABLE = Event(
     4004, 'WARNING', 'no load report from {server}: {error}'
 )
--- a/bluebellthread/observe/_metrics.py
+++ b/bluebellthread/observe/_metrics.py
@@ -36,6 +36,8 @@
 
 
 REQUESTS = Metric('requests', 'counter')
+CONTROL_MESSAGES = Metric('control.messages', 'counter')
+CONTROL_BYTES = Metric('control.bytes', 'counter')
 REQUESTS_REFUSED = Metric('requests.refused.{kind}', 'counter')
 
 
--- a/bluebellthread/wire/__init__.py
+++ b/bluebellthread/wire/__init__.py
@@ -38,15 +38,11 @@
     _messages.RequestFound,
     _permit_messages.PermitAbandoned,
     _permit_messages.RegistrationWanted,
+    *_membership_messages.MEMBERSHIP_MESSAGES,
     _ticket_messages.TicketCall,
     _ticket_messages.TicketLookup,
     _ticket_messages.TicketResult,
     _ticket_messages.TicketRecords,
     _ticket_messages.TicketsMoved,
-    _membership_messages.Ping,
-    _membership_messages.Ack,
-    _membership_messages.IndirectPing,
-    _membership_messages.Gossip,
-    _membership_messages.TableDigests,
 ):
     register_message(_cls)
