Never use a permit id again; test failures with real processes

Cause: a process that owned a pool for the second time numbered its permits from one again, so engines refused the new ids as cancelled. Found by waking a frozen owner. Ruled out: the rebuild, which granted only into reported-free memory.

Change: one counter for all schedulers that a process ever has.

--- a/bluebellthread/configuration/_settings.py
+++ b/bluebellthread/configuration/_settings.py
@@ -38,6 +38,9 @@
     peer_port : int
         For other VMs and operators, over TCP and UDP; 0 lets the
         operating system choose.
+    peer_address : str
+        ``host:port`` that other VMs reach it by, where an address
+        translation makes this differ from `host` and `peer_port`.
     caller_port : int
         For callers, over HTTP; 0 lets the operating system choose.
     platform_addresses : tuple of str
@@ -89,6 +92,7 @@
     caller_port: int
     platform_addresses: tuple[str, ...]
     seed_addresses: tuple[str, ...] = ()
+    peer_address: str = ''
     ticket_keys: tuple[TicketKey, ...] = ()
     engine_adapter: str = 'completions'
     statsd_host: str = ''
--- a/bluebellthread/core/_failure_detector.py
+++ b/bluebellthread/core/_failure_detector.py
@@ -67,6 +67,7 @@
         timeout_ms = self._context.options.indirect_timeout_ms
         relay = probing.Relay(
             subject=event.message.subject,
+            sender=event.sender,
             host=event.host,
             port=event.port,
             correlation=event.correlation,
--- a/bluebellthread/core/_member_prober.py
+++ b/bluebellthread/core/_member_prober.py
@@ -21,6 +21,7 @@
     """A ping sent for another VM, which wants to know of the answer."""
 
     subject: str
+    sender: str
     host: str
     port: int
     correlation: int
--- a/bluebellthread/core/_member_table.py
+++ b/bluebellthread/core/_member_table.py
@@ -12,6 +12,9 @@
 LEAVING = 'leaving'
 DEAD = 'dead'
 
+UNHEARD = -1
+"""Counter of a process that has not told of itself yet."""
+
 _STATE_RANK = {ALIVE: 0, SUSPECT: 1, LEAVING: 2, DEAD: 3}
 
 
@@ -160,7 +163,8 @@
                 host=host,
                 peer_port=port,
             ),
-            counter=0,
+            # The first word of the process itself on its address wins.
+            counter=UNHEARD,
             heard_ms=now_ms,
             suspicion_deadline_ms=None,
         )
--- a/bluebellthread/core/_membership_context.py
+++ b/bluebellthread/core/_membership_context.py
@@ -49,8 +49,16 @@
         self.send_to(member.host, member.peer_port, message, correlation)
 
     def answer(self, event, message):
-        """Ask for a datagram to where another came from."""
-        self.send_to(event.host, event.port, message, event.correlation)
+        """Ask for a datagram to the sender of another.
+
+        A known VM is answered where it says that it is reached, any other
+        where the datagram came from.
+        """
+        record = self.table.find(event.sender)
+        if record is not None:
+            self.send(record.member, message, event.correlation)
+        else:
+            self.send_to(event.host, event.port, message, event.correlation)
 
     def send_to(self, host, port, message, correlation):
         """Ask for a datagram to an address."""
--- a/bluebellthread/core/_scheduler.py
+++ b/bluebellthread/core/_scheduler.py
@@ -6,6 +6,7 @@
 that hold permits and from the engines' load reports.
 """
 
+import itertools
 import random
 
 from bluebellthread.core import _ending_permits
@@ -36,6 +37,9 @@
         Policies, times and counts.
     rng : random.Random
         The only source of randomness.
+    numbers : iterator of int
+        Numbers of new permits, shared by all schedulers that the process
+        ever has, since a permit id is never used again.
 
     Examples
     --------
@@ -46,7 +50,16 @@
     []
     """
 
-    def __init__(self, *, pool, vm, incarnation, options=None, rng=None):
+    def __init__(
+        self,
+        *,
+        pool,
+        vm,
+        incarnation,
+        options=None,
+        rng=None,
+        numbers=None,
+    ):
         self.pool = pool
         self.vm = vm
         self.incarnation = incarnation
@@ -64,7 +77,7 @@
         self._ending = _ending_permits.EndingPermits(
             ledger=self._ledger, settle_timeout_ms=options.settle_timeout_ms
         )
-        self._counter = 0
+        self._numbers = numbers or itertools.count(1)
         self._handlers = {
             _messages.PermitRequest: self._on_request,
             _messages.PermitProgressed: self._on_progress,
@@ -192,10 +205,9 @@
         prefill_server, decode_server = self._placement.choose(
             request, now_ms=now_ms, is_cautious=self._is_cautious
         )
-        self._counter += 1
         permit = _model.Permit(
             permit_id=_stray_watch.make_permit_id(
-                self.vm, self.incarnation, self._counter
+                self.vm, self.incarnation, next(self._numbers)
             ),
             request_id=request.request_id,
             attempt_number=request.attempt_number,
--- a/bluebellthread/daemon/_membership_task.py
+++ b/bluebellthread/daemon/_membership_task.py
@@ -59,15 +59,25 @@
         self.inbox, self._receive = trio.open_memory_channel(QUEUE_LENGTH)
         guard.add_listener(self._note_pause)
 
-    async def run(self, member, *, task_status=trio.TASK_STATUS_IGNORED):
-        """Be a member until cancelled; the socket is the VM's own IP."""
+    async def run(
+        self, member, *, address, task_status=trio.TASK_STATUS_IGNORED
+    ):
+        """Be a member until cancelled.
+
+        Parameters
+        ----------
+        member : Member
+            This VM as others are to know it.
+        address : (str, int)
+            The VM's own IP number and port, source of its datagrams.
+        """
         self._member = member
         self._membership = core.Membership(
             member=member, options=self._options
         )
-        family = socket.AF_INET6 if ':' in member.host else socket.AF_INET
+        family = socket.AF_INET6 if ':' in address[0] else socket.AF_INET
         with trio.socket.socket(family, socket.SOCK_DGRAM) as sock:
-            await sock.bind((member.host, member.peer_port))
+            await sock.bind(address)
             self._socket = sock
             self._handle(core.Tick())
             async with trio.open_nursery() as nursery:
--- a/bluebellthread/daemon/_scheduler_task.py
+++ b/bluebellthread/daemon/_scheduler_task.py
@@ -1,5 +1,6 @@
 """The task that owns this VM's schedulers."""
 
+import itertools
 import random
 
 import attrs
@@ -86,6 +87,7 @@
         self._followed_view = None
         self._schedulers = {}
         self._waiting = {}
+        self._permit_numbers = itertools.count(1)
         self._nursery = None
         self.inbox, self._receive = trio.open_memory_channel(QUEUE_LENGTH)
 
@@ -241,6 +243,7 @@
             incarnation=self._incarnation,
             options=self._options_of(pool),
             rng=random.Random(self._incarnation),
+            numbers=self._permit_numbers,
         )
 
     def _options_of(self, pool):
--- a/bluebellthread/daemon/_service.py
+++ b/bluebellthread/daemon/_service.py
@@ -256,12 +256,13 @@
 
     def _make_member(self, callers, peers):
         settings = self._settings
+        host, peer_port = _split_address(settings.peer_address or peers)
         return core.Member(
             name=settings.vm,
             data_centre=settings.data_centre,
             region=settings.region,
-            host=settings.host,
-            peer_port=_split_address(peers)[1],
+            host=host,
+            peer_port=peer_port,
             caller_port=_split_address(callers)[1],
             incarnation=self.incarnation,
         )
@@ -302,7 +303,10 @@
             urls = await nursery.start(serve)
             callers = urls[0].removeprefix('http://')
             member = self._make_member(callers, peers)
-            await daemon_nursery.start(self._membership_task.run, member)
+            run = functools.partial(
+                self._membership_task.run, address=_split_address(peers)
+            )
+            await daemon_nursery.start(run, member)
             emit(
                 events.VM_STARTED,
                 vm=self._settings.vm,
--- /dev/null
+++ b/tests/integration/_vm_fleet.py
@@ -0,0 +1,155 @@
+"""Fleets of several VMs whose owners and streams tests look at."""
+
+import json
+import time
+
+import attrs
+import trio
+
+from bluebellthread import core
+import standin
+from tests.integration import _fleet
+from tests.integration import _small_fleet
+
+POOL = core.PoolKey(serves='atelier-llm', data_centre=_small_fleet.DATA_CENTRE)
+VMS = ('vm1', 'vm2', 'vm3')
+GOAL_S = 2.0
+"""Goal for the first grant after a scheduler's death, and for freeing."""
+
+NO_LAG_MS = 0
+
+
+def find_owner(names=VMS):
+    return core.choose_owner(POOL.text(), list(names))
+
+
+def rank(names=VMS):
+    """Return the owner of the pool, and then who follows it."""
+    return core.rank_by_rendezvous(POOL.text(), list(names))
+
+
+async def start(fleet, *, vms=VMS, off=(), engines=None, settings=None):
+    """Start VMs that have all found each other."""
+    await fleet.start_standins(
+        [
+            {'kind': 'platform'},
+            {'kind': 'engine', 'name': 'p1', 'role': 'prefill'},
+            {
+                'kind': 'engine',
+                'name': 'd1',
+                'role': 'decode',
+                'step_ms': 20,
+                **(engines or {}),
+            },
+            {'kind': 'service', 'name': 's1'},
+        ]
+    )
+    await fleet.publish_config(_small_fleet.make_configuration(fleet))
+    for vm in vms:
+        await start_vm(fleet, vm, off=off, **(settings or {}))
+    await fleet.publish_vms()
+    for vm in vms:
+        await _fleet.until(lambda vm=vm: sees(fleet, vm, 'alive', vms))
+        await _fleet.until(lambda vm=vm: can_answer(fleet, vm))
+
+
+async def start_vm(fleet, vm, *, off=(), **settings):
+    platform = fleet.standins['platform']
+    address = f'{platform.host}:{platform.port}'
+    values = {
+        'vm': vm,
+        'data_centre': _small_fleet.DATA_CENTRE,
+        'region': _small_fleet.REGION,
+        'host': '127.0.0.1',
+        'peer_port': 0,
+        'caller_port': 0,
+        'platform_addresses': [address],
+        'balancer_lag_ms': 500,
+        'disabled_mechanisms': list(off),
+    }
+    return await fleet.start_daemon(values | settings)
+
+
+def sees(fleet, vm, state, names):
+    """Return whether a VM's log shows others in a state, as the last."""
+    states = {}
+    for line in fleet.process_of(vm).stderr.splitlines():
+        if ' E2003 ' in line:
+            words = line.split(' E2003 VM ')[1].split()
+            states[words[0]] = words[-1]
+    return all(states.get(name) == state for name in names if name != vm)
+
+
+async def can_answer(fleet, vm):
+    answer = await _small_fleet.ask(fleet, vm, max_tokens=1)
+    return answer.status == 200
+
+
+@attrs.define(kw_only=True)
+class Stream:
+    """A streamed answer as far as it has come."""
+
+    texts: list = attrs.field(factory=list)
+    ended: bool = False
+    whole: bool = False
+
+
+async def read_stream(fleet, vm, stream, *, tokens, request_id):
+    """Read a streamed answer until it ends, whole or not."""
+    body = {
+        'model': 'atelier-llm',
+        'prompt': _small_fleet.PROMPT,
+        'max_tokens': tokens,
+        'stream': True,
+    }
+    headers = {'x-request-id': request_id}
+    address = fleet.daemons[vm].callers
+    try:
+        async with fleet.open(
+            'POST', address, '/v1/completions', body, headers
+        ) as response:
+            async for event in _fleet.read_events(response):
+                stream.texts.append(event['choices'][0]['text'])
+    except (OSError, json.JSONDecodeError, KeyError, Exception):
+        pass
+    expected = standin.expected_answer(_small_fleet.PROMPT, tokens)
+    stream.whole = ''.join(stream.texts) == expected
+    stream.ended = True
+
+
+async def start_stream(fleet, nursery, vm, *, tokens, request_id='long'):
+    """Start a stream and wait for its first piece."""
+    stream = Stream()
+
+    async def read():
+        await read_stream(
+            fleet, vm, stream, tokens=tokens, request_id=request_id
+        )
+
+    nursery.start_soon(read)
+    await _fleet.until(lambda: stream.texts or stream.ended)
+    return stream
+
+
+async def held_ids(fleet, server='d1'):
+    return (await fleet.state(server))['running_ids']
+
+
+async def is_free(fleet):
+    return not await held_ids(fleet)
+
+
+async def measure_until(condition, *, what, timeout_s=10):
+    """Return how many seconds a condition takes to come true."""
+    started_s = time.monotonic()
+    await _fleet.until(condition, what=what, timeout_s=timeout_s)
+    return time.monotonic() - started_s
+
+
+async def never(condition, *, seconds):
+    """Return whether a condition stays false for a time."""
+    with trio.move_on_after(seconds):
+        while not await condition():
+            await trio.sleep(_fleet.POLL_S)
+        return False
+    return True
