Decide a model request's course in one pure state machine

An answer has to reach its caller whole and once, though pieces come late, doubled or out of order, engines die and KV caches are evicted. So far the gateway passed on what came and gave up at the first error.

Weighed: retries inside the HTTP path, as nested loops (hard to test, and each await a place to leak a permit), against events in and commands out.

Change: core/_assembler.py orders pieces by offset and is whole only when every piece up to the last has come. core/_answer.py goes from the permit to the end: resume on the same engine, else on another from the prompt and what was sent; prefill again under the same permit when the KV cache was evicted, counted as wasted; backoff with full jitter; a budget for retries before the first piece, none for resumes, which are bounded by failures in a row and the deadline. A permit granted too late is given back. "Not run" is said only if no engine was asked, or the one asked refused.

A property test feeds any events: one end, consecutive pieces, each permit back once.

--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -9,6 +9,30 @@
 from bluebellthread.core._acceptance import decide_acceptance
 from bluebellthread.core._acceptance import Invalid
 from bluebellthread.core._acceptance import Stale
+from bluebellthread.core._answer import AnswerMachine
+from bluebellthread.core._answer import AnswerOptions
+from bluebellthread.core._answer_commands import AskPermit
+from bluebellthread.core._answer_commands import CountRetry
+from bluebellthread.core._answer_commands import CountWastedPrefill
+from bluebellthread.core._answer_commands import EmitPiece
+from bluebellthread.core._answer_commands import FinishAnswer
+from bluebellthread.core._answer_commands import RefuseAnswer
+from bluebellthread.core._answer_commands import StartDecode
+from bluebellthread.core._answer_commands import StartPrefill
+from bluebellthread.core._answer_commands import StopRun
+from bluebellthread.core._answer_commands import TellScheduler
+from bluebellthread.core._answer_events import AnswerAsked
+from bluebellthread.core._answer_events import CallerGone
+from bluebellthread.core._answer_events import ImportEnded
+from bluebellthread.core._answer_events import PieceArrived
+from bluebellthread.core._answer_events import PrefillEnded
+from bluebellthread.core._answer_events import RunFailed
+from bluebellthread.core._answer_events import SchedulerUnreachable
+from bluebellthread.core._answer_events import StreamEnded
+from bluebellthread.core._answer_events import Superseded
+from bluebellthread.core._assembler import AnswerPiece
+from bluebellthread.core._assembler import Assembler
+from bluebellthread.core._assembler import TooManyHeldPiecesError
 from bluebellthread.core._configuration import Configuration
 from bluebellthread.core._configuration import Model
 from bluebellthread.core._configuration import Region
@@ -68,16 +92,28 @@
 
 __all__ = [
     'Accepted',
+    'AnswerAsked',
+    'AnswerMachine',
+    'AnswerOptions',
+    'AnswerPiece',
+    'AskPermit',
+    'Assembler',
     'BackendServer',
     'BluebellthreadError',
+    'CallerGone',
     'CancelAtEngine',
     'CancelConfirmed',
     'Configuration',
     'ConfigurationError',
+    'CountRetry',
+    'CountWastedPrefill',
     'Decision',
     'Done',
     'DuplicateNameError',
+    'EmitPiece',
+    'FinishAnswer',
     'GatewaysChanged',
+    'ImportEnded',
     'Invalid',
     'LoadReport',
     'Member',
@@ -91,11 +127,14 @@
     'PermitReleased',
     'PermitRequest',
     'PermitsRegistered',
+    'PieceArrived',
     'PoolKey',
+    'PrefillEnded',
     'Problem',
     'ROLE_DECODE',
     'ROLE_PREFILL',
     'ROLE_SERVICE',
+    'RefuseAnswer',
     'Region',
     'Registry',
     'Rejected',
@@ -103,17 +142,26 @@
     'RequestLookup',
     'Resolver',
     'Route',
+    'RunFailed',
     'Scheduler',
     'SchedulerOptions',
+    'SchedulerUnreachable',
     'Scope',
     'ScopedException',
     'SendToGateway',
     'ServersChanged',
     'Service',
     'Stale',
+    'StartDecode',
+    'StartPrefill',
     'StatusAnswer',
     'StatusRequest',
+    'StopRun',
+    'StreamEnded',
+    'Superseded',
+    'TellScheduler',
     'Tick',
+    'TooManyHeldPiecesError',
     'UnknownNameError',
     'Values',
     'check_configuration',
--- /dev/null
+++ b/tests/golden/__main__.py
@@ -0,0 +1,14 @@
+"""Write the commands of the present code into golden files."""
+
+import pathlib
+import sys
+
+from bluebellthread import core
+
+from tests.golden import _answer  # noqa: F401  registers its machine
+from tests.golden import _replay
+
+for name in sys.argv[1:]:
+    path = pathlib.Path(name)
+    text = path.read_text(encoding='utf-8')
+    path.write_text(_replay.replay(text, event_classes=core), encoding='utf-8')
--- /dev/null
+++ b/tests/golden/_replay.py
@@ -0,0 +1,90 @@
+"""Replays a session of a core state machine written as text.
+
+Each file in this directory is one session::
+
+    # What the session shows.
+    machine answer {"prompt": "a lost wig"}
+    > 0 AnswerAsked {}
+    < AskPermit {"request": {...}}
+
+``>`` is an event with its time in milliseconds, ``<`` a command that
+follows. Events leave out fields with defaults, commands show those that
+differ from them, a pool as its text and a permit in short. `replay`
+returns the text with the commands as they are now; ``python -m
+tests.golden FILE...`` writes them into the files.
+"""
+
+import enum
+import json
+
+import attrs
+
+from bluebellthread import core
+
+machines = core.Registry('machine of a golden file')
+"""Functions that take a file's options and return a machine.
+
+A machine has ``handle(event, now_ms)``, which returns commands.
+"""
+
+event_shorthands = core.Registry('shorthand of a golden file')
+"""Functions that take a shorthand's fields and return an event."""
+
+
+def replay(text, *, event_classes):
+    """Return a session's text with its commands written anew.
+
+    Parameters
+    ----------
+    text : str
+        The session.
+    event_classes : object
+        Has an attrs class for each event's name.
+    """
+    machine = None
+    lines = []
+    for line in text.splitlines():
+        if line.startswith('< '):
+            continue
+        lines.append(line)
+        if line.startswith('machine '):
+            _, name, options = line.split(' ', 2)
+            machine = machines.get(name)(json.loads(options))
+        elif line.startswith('> '):
+            _, now_ms, name, fields = line.split(' ', 3)
+            event = _make_event(name, json.loads(fields), event_classes)
+            commands = machine.handle(event, int(now_ms))
+            lines.extend(f'< {show(command)}' for command in commands)
+    return '\n'.join(lines) + '\n'
+
+
+def show(command):
+    """Return one command as a line."""
+    fields = json.dumps(_plain(command), ensure_ascii=False)
+    return f'{type(command).__name__} {fields}'
+
+
+def _make_event(name, fields, event_classes):
+    if name in event_shorthands.names():
+        return event_shorthands.get(name)(fields)
+    return getattr(event_classes, name)(**fields)
+
+
+def _plain(value):
+    if isinstance(value, core.PoolKey):
+        return value.text()
+    if isinstance(value, core.Permit):
+        servers = f'{value.prefill_server} to {value.decode_server}'
+        return f'{value.permit_id}: {servers}, {value.pieces} pieces'
+    if attrs.has(type(value)):
+        shown = {}
+        for field in attrs.fields(type(value)):
+            item = getattr(value, field.name)
+            if item != field.default:
+                shown[field.name] = _plain(item)
+        return shown
+    if isinstance(value, (tuple, list)):
+        return [_plain(item) for item in value]
+    if isinstance(value, dict):
+        return {key: _plain(item) for key, item in value.items()}
+    return value.name if isinstance(value, enum.Enum) else value
--- /dev/null
+++ b/tests/unit/test_answer.py
@@ -0,0 +1,239 @@
+import itertools
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies
+
+from bluebellthread import core
+from bluebellthread.core import _retry
+
+POOL = core.PoolKey(serves='atelier-llm', data_centre='cluj-a')
+WORDS = ('a', ' torn', ' silk', ' bodice', ' with', ' stains', '.')
+DEADLINE_MS = 9000
+EVENT_KINDS = (
+    'grant',
+    'late-grant',
+    'refuse',
+    'unreachable',
+    'prefilled',
+    'imported',
+    'piece',
+    'ended',
+    'failed',
+    'cancelled',
+    'gone',
+    'superseded',
+    'tick',
+)
+
+
+def make_pieces():
+    last = len(WORDS) - 1
+    return [
+        core.AnswerPiece(
+            offset=offset,
+            text=word,
+            finish_reason='stop' if offset == last else '',
+        )
+        for offset, word in enumerate(WORDS)
+    ]
+
+
+def make_machine(*, percent=10):
+    request = core.PermitRequest(
+        request_id='r1',
+        gateway='vm1',
+        gateway_incarnation=7,
+        caller='workshop-12',
+        pool=POOL,
+        prompt_tokens=0,
+        output_tokens=len(WORDS),
+        deadline_ms=DEADLINE_MS,
+        first_output_deadline_ms=780,
+    )
+    return core.AnswerMachine(
+        request=request,
+        prompt='a doll from 1890',
+        budget=_retry.RetryBudget(percent=percent, least_retries=0),
+        next_attempt=itertools.count(1).__next__,
+    )
+
+
+class Session:
+    """Plays events against a machine and notes what it commands."""
+
+    def __init__(self, machine):
+        self.machine = machine
+        self.now_ms = 0
+        self.commands = []
+        self.granted_ids = []
+        self.released_ids = []
+        self.asked_number = 0
+        self.run = 0
+
+    def play(self, event):
+        for command in self.machine.handle(event, self.now_ms):
+            self.commands.append(command)
+            if isinstance(command, core.AskPermit):
+                self.asked_number = command.request.attempt_number
+            elif isinstance(command, (core.StartPrefill, core.StartDecode)):
+                self.run = command.run
+            elif isinstance(command, core.TellScheduler) and isinstance(
+                command.message, core.PermitReleased
+            ):
+                self.released_ids.append(command.permit.permit_id)
+
+    def grant(self, attempt_number):
+        permit_id = f'vm2-5-{len(self.granted_ids)}'
+        self.granted_ids.append(permit_id)
+        permit = core.Permit(
+            permit_id=permit_id,
+            request_id='r1',
+            attempt_number=attempt_number,
+            gateway='vm1',
+            gateway_incarnation=7,
+            caller='workshop-12',
+            pool=POOL,
+            prefill_server='p1',
+            decode_server='d1',
+            prompt_tokens=4,
+            pieces=1,
+            deadline_ms=DEADLINE_MS,
+        )
+        self.play(
+            core.PermitGranted(
+                permit=permit, scheduler='vm2', scheduler_incarnation=5
+            )
+        )
+
+    def of_kind(self, kind):
+        return [c for c in self.commands if isinstance(c, kind)]
+
+    def play_kind(self, kind, number):
+        run = self.run - (number % 7 == 6)
+        if kind == 'grant':
+            self.grant(self.asked_number)
+        elif kind == 'late-grant':
+            self.grant(self.asked_number - 1)
+        elif kind == 'piece':
+            piece = make_pieces()[number % len(WORDS)]
+            self.play(
+                core.PieceArrived(
+                    run=run,
+                    offset=piece.offset,
+                    text=piece.text,
+                    finish_reason=piece.finish_reason,
+                )
+            )
+        else:
+            self.now_ms += number * 100
+            self.play(self._make(kind, run, number))
+
+    def _make(self, kind, run, number):
+        permit_id = self.granted_ids[-1] if self.granted_ids else 'none'
+        failures = ('refused', 'kv-evicted', 'unreachable', 'broken-stream')
+        cancels = ('superseded', 'deadline', 'backend-lost')
+        return {
+            'refuse': lambda: core.PermitRefused(
+                request_id='r1',
+                attempt_number=self.asked_number,
+                kind='overloaded',
+                retry_after_ms=1,
+            ),
+            'unreachable': lambda: core.SchedulerUnreachable(
+                attempt_number=self.asked_number
+            ),
+            'prefilled': lambda: core.PrefillEnded(
+                run=run, transfer={}, prompt_tokens=4
+            ),
+            'imported': lambda: core.ImportEnded(run=run),
+            'ended': lambda: core.StreamEnded(run=run),
+            'failed': lambda: core.RunFailed(
+                run=run, kind=failures[number % len(failures)]
+            ),
+            'cancelled': lambda: core.PermitCancelled(
+                permit_id=permit_id, kind=cancels[number % len(cancels)]
+            ),
+            'gone': core.CallerGone,
+            'superseded': core.Superseded,
+            'tick': core.Tick,
+        }[kind]()
+
+
+class TestAssembler(unittest.TestCase):
+    @given(
+        strategies.lists(
+            strategies.integers(0, len(WORDS) - 1), max_size=40
+        ).flatmap(
+            lambda extra: strategies.permutations([*range(len(WORDS)), *extra])
+        )
+    )
+    def test_any_order_with_repeats_gives_each_piece_once(self, offsets):
+        assembler = core.Assembler()
+        pieces = make_pieces()
+        out = []
+        for count, offset in enumerate(offsets, 1):
+            out.extend(assembler.add(pieces[offset]))
+            seen = set(offsets[:count])
+            self.assertEqual(len(seen) == len(WORDS), assembler.whole)
+        self.assertEqual(pieces, out)
+
+    def test_a_piece_too_far_ahead_names_the_gap(self):
+        assembler = core.Assembler(most_held_pieces=2)
+        pieces = make_pieces()
+        assembler.add(pieces[2])
+        with self.assertRaisesRegex(
+            core.TooManyHeldPiecesError, 'resume from 0'
+        ):
+            assembler.add(pieces[3])
+        self.assertEqual(1, assembler.held_count)
+
+
+class TestAnswerMachine(unittest.TestCase):
+    @given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(EVENT_KINDS),
+                strategies.integers(0, 30),
+            ),
+            max_size=60,
+        )
+    )
+    def test_one_end_whole_answer_and_every_permit_back(self, plays):
+        session = Session(make_machine(percent=100))
+        session.play(core.AnswerAsked())
+        for kind, number in plays:
+            session.play_kind(kind, number)
+        session.now_ms = DEADLINE_MS + 60000
+        session.play(core.Tick())
+        session.play(core.Tick())
+        self.assertTrue(session.machine.ended)
+        self.assertEqual(
+            sorted(session.granted_ids), sorted(session.released_ids)
+        )
+        offsets = [c.piece.offset for c in session.of_kind(core.EmitPiece)]
+        self.assertEqual(list(range(len(offsets))), offsets)
+        finishes = session.of_kind(core.FinishAnswer)
+        refusals = session.of_kind(core.RefuseAnswer)
+        self.assertLessEqual(len(finishes) + len(refusals), 1)
+        self.assertEqual(len(offsets) == len(WORDS), bool(finishes))
+        started = session.of_kind(core.StartPrefill)
+        if started and refusals and refusals[0].ran == 'not-run':
+            self.assertNotIn('prefilled', [kind for kind, _ in plays])
+
+    def test_no_retry_without_a_budget(self):
+        session = Session(make_machine(percent=0))
+        session.play(core.AnswerAsked())
+        session.grant(1)
+        session.play(core.RunFailed(run=1, kind='refused'))
+        [refusal] = session.of_kind(core.RefuseAnswer)
+        self.assertEqual('retries-spent', refusal.kind)
+        self.assertEqual('not-run', refusal.ran)
+
+    def test_a_prefill_that_may_have_run_is_not_called_not_run(self):
+        session = Session(make_machine(percent=0))
+        session.play(core.AnswerAsked())
+        session.grant(1)
+        session.play(core.RunFailed(run=1, kind='unreachable'))
+        [refusal] = session.of_kind(core.RefuseAnswer)
+        self.assertEqual('unknown', refusal.ran)
