--- a/bluebellthread/core/_scheduler.py
+++ b/bluebellthread/core/_scheduler.py
@@ -11,14 +11,9 @@
 from bluebellthread.core import _messages
 from bluebellthread.core import _model
 from bluebellthread.core import _policies
+from bluebellthread.core import _prefix_index
 from bluebellthread.core import _scheduler_events as events
 
-LONGEST_QUEUE = 1000
-"""Waiting requests above which a new one is refused at once."""
-
-RETRY_AFTER_MS = 1000
-"""When a refused caller should come back, where nothing better is known."""
-
 PREFILL_SLOTS = 2
 """Prompts reserved at a time on one prefill server."""
 
@@ -31,6 +26,7 @@
     decode_policy: str = 'most-free'
     queue_policy: str = 'first-come'
     prefill_slots: int = PREFILL_SLOTS
+    queue: _policies.QueueOptions = attrs.field(factory=_policies.QueueOptions)
 
 
 class Scheduler:
@@ -65,9 +61,9 @@
         self._servers = {}
         self._reports = {}
         self._permits = {}
-        self._queue = _policies.queue_policies.get(
-            self._options.queue_policy
-        )()
+        self._queue = None
+        self._make_policies()
+        self._prefix_index = _prefix_index.PrefixIndex()
         self._counter = 0
         self._handlers = {
             _messages.PermitRequest: self._on_request,
@@ -75,6 +71,7 @@
             _messages.PermitReleased: self._on_release,
             _model.LoadReport: self._on_report,
             events.ServersChanged: self._on_servers,
+            events.OptionsChanged: self._on_options,
             events.Tick: self._on_tick,
         }
 
@@ -91,6 +88,8 @@
     def handle(self, event, now_ms):
         """Take one event in and return the commands that follow."""
         commands = self._handlers[type(event)](event, now_ms)
+        expired = self._queue.pop_expired(now_ms=now_ms)
+        commands += [self._refuse_from_queue(item) for item in expired]
         return commands + self._grant_waiting(now_ms)
 
     def _on_request(self, request, now_ms):
@@ -98,14 +97,14 @@
             _model.ROLE_DECODE
         ):
             return [self._refuse(request, 'no-backend')]
-        if len(self._queue) >= LONGEST_QUEUE:
-            return [self._refuse(request, 'overloaded')]
-        self._queue.push(request, now_ms=now_ms)
-        return []
+        refused = self._queue.push(request, now_ms=now_ms)
+        return [self._refuse_from_queue(item) for item in refused]
 
     def _on_progress(self, event, now_ms):
         permit = self._permits.get(event.permit_id)
         if permit is not None:
+            if event.stage == 'decoding':
+                self._queue.note_first_output(permit.request_id, now_ms=now_ms)
             self._permits[event.permit_id] = attrs.evolve(
                 permit, stage=event.stage
             )
@@ -125,11 +124,28 @@
         self._servers = {server.name: server for server in event.servers}
         return []
 
+    def _on_options(self, event, now_ms):
+        if event.options == self._options:
+            return []
+        self._options = event.options
+        waiting = self._queue
+        self._make_policies()
+        refused = []
+        while (request := waiting.pop_next(_any, now_ms=now_ms)) is not None:
+            refused += self._queue.push(request, now_ms=now_ms)
+        return [self._refuse_from_queue(item) for item in refused]
+
+    def _make_policies(self):
+        options = self._options
+        prefill = _policies.prefill_policies.get(options.prefill_policy)
+        decode = _policies.decode_policies.get(options.decode_policy)
+        queue = _policies.queue_policies.get(options.queue_policy)
+        self._prefill_policy = prefill()
+        self._decode_policy = decode()
+        self._queue = queue(options.queue)
+
     def _on_tick(self, event, now_ms):
-        return [
-            self._refuse(request, 'deadline')
-            for request in self._queue.pop_expired(now_ms=now_ms)
-        ]
+        return []
 
     def _grant_waiting(self, now_ms):
         commands = []
@@ -138,6 +154,7 @@
             if request is None:
                 return commands
             commands.append(self._grant(request))
+            self._queue.note_granted(request, now_ms=now_ms)
 
     def _fits(self, request):
         return bool(
@@ -145,12 +162,15 @@
         )
 
     def _grant(self, request):
-        choose_prefill = _policies.prefill_policies.get(
-            self._options.prefill_policy
+        prefill_server = self._prefill_policy.choose(
+            request,
+            self._with_cached_tokens(request, self._prefill_candidates()),
+            self._rng,
         )
-        choose_decode = _policies.decode_policies.get(
-            self._options.decode_policy
+        decode_server = self._decode_policy.choose(
+            request, self._decode_candidates(request), self._rng
         )
+        self._prefix_index.note_granted(prefill_server, request.prefix_hashes)
         self._counter += 1
         permit = _model.Permit(
             permit_id=f'{self.vm}-{self.incarnation:x}-{self._counter}',
@@ -160,12 +180,8 @@
             gateway_incarnation=request.gateway_incarnation,
             caller=request.caller,
             pool=self.pool,
-            prefill_server=choose_prefill(
-                request, self._prefill_candidates(), self._rng
-            ),
-            decode_server=choose_decode(
-                request, self._decode_candidates(request), self._rng
-            ),
+            prefill_server=prefill_server,
+            decode_server=decode_server,
             prompt_tokens=request.prompt_tokens,
             pieces=_pieces_of(request),
             deadline_ms=request.deadline_ms,
@@ -178,12 +194,28 @@
         )
         return events.SendToGateway(gateway=request.gateway, message=granted)
 
-    def _refuse(self, request, kind):
+    def _with_cached_tokens(self, request, candidates):
+        return tuple(
+            attrs.evolve(
+                item,
+                cached_tokens=self._prefix_index.cached_tokens(
+                    item.name, request.prefix_hashes
+                ),
+            )
+            for item in candidates
+        )
+
+    def _refuse_from_queue(self, refusal):
+        return self._refuse(
+            refusal.request, refusal.kind, refusal.retry_after_ms
+        )
+
+    def _refuse(self, request, kind, retry_after_ms=_policies.RETRY_AFTER_MS):
         refusal = _messages.PermitRefused(
             request_id=request.request_id,
             attempt_number=request.attempt_number,
             kind=kind,
-            retry_after_ms=RETRY_AFTER_MS,
+            retry_after_ms=retry_after_ms,
         )
         return events.SendToGateway(gateway=request.gateway, message=refusal)
 
@@ -214,7 +246,10 @@
                 if permit.prefill_server == server.name
                 and permit.stage in ('reserved', 'prefilling')
             ]
-            if len(reserved) < self._options.prefill_slots:
+            if (
+                len(reserved) < self._options.prefill_slots
+                or not self._prefill_policy.reserves
+            ):
                 candidates.append(
                     _policies.PrefillCandidate(
                         name=server.name,
@@ -233,7 +268,10 @@
                 if permit.decode_server == server.name
             ]
             free_pieces = report.total_pieces - sum(held)
-            if free_pieces >= _pieces_of(request):
+            if (
+                free_pieces >= _pieces_of(request)
+                or not self._decode_policy.reserves
+            ):
                 candidates.append(
                     _policies.DecodeCandidate(
                         name=server.name,
@@ -247,3 +285,7 @@
 
 def _pieces_of(request):
     return _model.count_pieces(request.prompt_tokens, request.output_tokens)
+
+
+def _any(request):
+    return True
