--- a/bluebellthread/wire/__init__.py
+++ b/bluebellthread/wire/__init__.py
@@ -1,5 +1,6 @@
 """Messages between VMs as thrift bytes."""
 
+from bluebellthread.core import _membership_messages
 from bluebellthread.core import _messages
 from bluebellthread.core import _ticket_messages
 from bluebellthread.wire._codec import decode
@@ -29,5 +30,10 @@
     _ticket_messages.TicketResult,
     _ticket_messages.TicketRecords,
     _ticket_messages.TicketsMoved,
+    _membership_messages.Ping,
+    _membership_messages.Ack,
+    _membership_messages.IndirectPing,
+    _membership_messages.Gossip,
+    _membership_messages.TableDigests,
 ):
     register_message(_cls)
