Drive model requests by the state machine

The gateway's model path passed on what came: a killed engine, a cut stream, an evicted KV cache or disordered pieces gave the caller a wrong or broken answer, and a request id asked again ran twice.

Change: an AnswerTask runs the machine's commands (engine calls, permits, the caller's answer) and feeds events back by messages. Pieces wait in the gateway for a slow caller, within a bound, so that it keeps no engine memory. Live requests are kept by caller and id: asked again, the older ends with the typed answer "superseded". Engine adapter: no transfer means go on with what the server holds; unreadable events are typed errors.

Failed tries: a refusal raised inside the request's nursery arrived as an exception group and gave status 500; without avoid_servers the scheduler chose the killed engine until the retries were spent; an immediate single resume met a connection that was still cut, and went elsewhere.

--- a/bluebellthread/core/_answer.py
+++ b/bluebellthread/core/_answer.py
@@ -13,19 +13,13 @@
 
 from bluebellthread.core import _answer_commands as actions
 from bluebellthread.core import _answer_events as events
+from bluebellthread.core import _answer_retries
 from bluebellthread.core import _assembler
 from bluebellthread.core import _messages
 from bluebellthread.core import _model
 from bluebellthread.core import _prefix
-from bluebellthread.core import _retry
 from bluebellthread.core import _scheduler_events
 
-MOST_FAILURES = 6
-"""Failures in a row, without a new piece between, that end a request."""
-
-MOST_DOUBLINGS = 4
-"""Times that the wait before asking for a permit again may double."""
-
 RETRY_AFTER_MS = 1000
 """When a refused caller should come back, where nothing better is known."""
 
@@ -64,19 +58,18 @@
 
     Examples
     --------
-    >>> import itertools
-    >>> request = _messages.PermitRequest(
+    >>> from bluebellthread import core
+    >>> request = core.PermitRequest(
     ...     request_id='r1', gateway='vm1', gateway_incarnation=7,
-    ...     caller='c', pool=_model.PoolKey(serves='m', data_centre='a'),
+    ...     caller='c', pool=core.PoolKey(serves='m', data_centre='a'),
     ...     prompt_tokens=3, output_tokens=9, deadline_ms=9000,
     ...     first_output_deadline_ms=780)
     >>> machine = AnswerMachine(
     ...     request=request, prompt='a lost wig',
-    ...     budget=_retry.RetryBudget(percent=10),
-    ...     next_attempt=itertools.count(1).__next__)
-    >>> [command] = machine.handle(events.AnswerAsked(), 0)
-    >>> command.request.attempt_number
-    1
+    ...     budget=core.RetryBudget(percent=10), next_attempt=lambda: 1)
+    >>> [command] = machine.handle(core.AnswerAsked(), 0)
+    >>> command.request.prompt_tokens
+    3
     """
 
     def __init__(
@@ -84,10 +77,11 @@
     ):
         self._request = request
         self._prompt = prompt
-        self._budget = budget
         self._next_attempt = next_attempt
         self._options = options or AnswerOptions()
-        self._rng = rng or random.Random(0)
+        self._retries = _answer_retries.AnswerRetries(
+            budget=budget, rng=rng or random.Random(0)
+        )
         self._assembler = _assembler.Assembler()
         self._step = 'new'
         self._step_deadline_ms = None
@@ -96,8 +90,6 @@
         self._run = 0
         self._transfer = None
         self._transfer_tokens = 0
-        self._failure_count = 0
-        self._ask_count = 0
         self._may_have_run = False
         self._answered = False
         self._handlers = {
@@ -116,16 +108,16 @@
             _scheduler_events.Tick: self._on_tick,
         }
 
-    @property
-    def step(self):
-        """What the request does now, ``'ended'`` at last."""
-        return self._step
-
     @property
     def ended(self):
         """Whether the request holds nothing and waits for nothing."""
         return self._step == 'ended'
 
+    @property
+    def deadline_ms(self):
+        """When the whole answer is due."""
+        return self._request.deadline_ms
+
     @property
     def permit(self):
         """The permit in use, or None."""
@@ -154,13 +146,13 @@
             # It was granted too late to be of use.
             return [actions.tell_release(permit, clean=True)]
         self._permit = permit
-        self._ask_count = 0
+        self._retries.note_granted()
         return self._start_prefill(now_ms)
 
     def _on_refused(self, event, now_ms):
         if not self._is_asked(event.attempt_number):
             return []
-        if self._assembler.first_gap or event.kind == 'not-owner':
+        if self._begun or event.kind == 'not-owner':
             return self._back_off(event.kind, now_ms)
         return self._refuse(event.kind, event.retry_after_ms)
 
@@ -176,7 +168,8 @@
             return self._end(clean=False)
         if event.kind in _FINAL_CANCELS:
             return self._refuse(event.kind, RETRY_AFTER_MS)
-        return self._try_elsewhere(event.kind, now_ms)
+        blame = event.kind == 'backend-lost'
+        return self._try_elsewhere(event.kind, now_ms, blame=blame)
 
     def _on_prefill_ended(self, event, now_ms):
         if self._step != 'prefilling':
@@ -184,16 +177,14 @@
         self._may_have_run = True
         self._transfer = event.transfer
         self._transfer_tokens = event.prompt_tokens - event.cached_tokens
-        return [
-            actions.tell_progress(self._permit, 'transferring')
-        ] + self._start_decode(now_ms)
+        return [self._progress('transferring')] + self._start_decode(now_ms)
 
     def _on_import_ended(self, event, now_ms):
         if self._step != 'transferring':
             return []
         self._transfer = None
         self._set_step('decoding', now_ms + self._options.piece_timeout_ms)
-        return [actions.tell_progress(self._permit, 'decoding')]
+        return [self._progress('decoding')]
 
     def _on_piece(self, event, now_ms):
         commands = self._on_import_ended(event, now_ms)
@@ -210,7 +201,7 @@
             return self._resume('lost-pieces', now_ms)
         if not ready:
             return commands
-        self._failure_count = 0
+        self._retries.note_piece()
         self._set_step('decoding', now_ms + self._options.piece_timeout_ms)
         commands += [actions.EmitPiece(piece=item) for item in ready]
         if self._assembler.whole:
@@ -250,13 +241,15 @@
             return self._refuse('deadline', RETRY_AFTER_MS)
         if self._step == 'backing-off':
             return self._ask_permit()
+        if self._step == 'resuming':
+            return self._start_decode(now_ms)
         if self._step == 'decoding':
             return self._resume('stalled', now_ms)
         return self._try_elsewhere('stalled', now_ms)
 
     def _ask_permit(self):
         self._set_step('asking', None)
-        self._ask_count += 1
+        self._retries.note_asked()
         self._asked_number = self._next_attempt()
         text = self._prompt_so_far()
         sent_count = self._assembler.first_gap
@@ -266,6 +259,7 @@
             prompt_tokens=_model.estimate_tokens(text),
             output_tokens=self._request.output_tokens - sent_count,
             prefix_hashes=_prefix.hash_prefixes(text),
+            avoid_servers=self._retries.avoid_servers,
         )
         return [actions.AskPermit(request=request)]
 
@@ -275,7 +269,7 @@
         start = actions.StartPrefill(
             run=self._run, permit=self._permit, prompt=self._prompt_so_far()
         )
-        return [actions.tell_progress(self._permit, 'prefilling'), start]
+        return [self._progress('prefilling'), start]
 
     def _start_decode(self, now_ms):
         """Start a stream, or go on with one that the server holds."""
@@ -298,48 +292,42 @@
 
     def _resume(self, kind, now_ms):
         """Go on with a broken answer on the engine that holds it."""
-        if self._step != 'decoding' or self._failure_count:
+        if self._step != 'decoding' or not self._retries.may_resume_here():
             return self._try_elsewhere(kind, now_ms)
-        self._failure_count += 1
         stop = actions.StopRun(run=self._run)
-        return [
-            stop,
-            actions.CountRetry(kind=kind),
-            *self._start_decode(now_ms),
-        ]
+        self._run += 1
+        wait_ms = self._retries.choose_wait_ms()
+        self._retries.note_failure()
+        self._set_step('resuming', now_ms + wait_ms)
+        return [stop, actions.CountRetry(kind=kind)]
 
     def _repeat_prefill(self, now_ms):
         """Prefill again under the same permit; its memory is reserved."""
-        if self._failure_count or not self._may_retry():
+        if not self._retries.may_repeat_prefill(begun=self._begun):
             return self._try_elsewhere('kv-evicted', now_ms)
-        self._failure_count += 1
+        self._retries.note_failure()
         waste = self._count_waste('kv-evicted')
         retry = actions.CountRetry(kind='kv-evicted')
         return [*waste, retry, *self._start_prefill(now_ms)]
 
-    def _try_elsewhere(self, kind, now_ms):
+    def _try_elsewhere(self, kind, now_ms, *, blame=True):
         """Give the permit back and ask for another after a while."""
         if kind != 'refused':
             self._may_have_run = True
+        failed_server = self._present_server() if blame else ''
         commands = self._let_go(clean=False, kind=kind)
         self._assembler.drop_held()
-        if not self._may_retry():
+        if not self._retries.may_retry(begun=self._begun):
             return commands + self._refuse('retries-spent', RETRY_AFTER_MS)
-        self._failure_count += 1
+        self._retries.note_failure(failed_server)
         return commands + self._back_off(kind, now_ms)
 
     def _back_off(self, kind, now_ms):
         """Ask for a permit after a while, until the deadline if need be."""
-        doublings = min(self._ask_count, MOST_DOUBLINGS)
-        wait_ms = _retry.backoff_ms(doublings, self._rng)
+        wait_ms = self._retries.choose_wait_ms()
         self._set_step('backing-off', now_ms + wait_ms)
         return [actions.CountRetry(kind=kind)]
 
-    def _may_retry(self):
-        if self._failure_count >= MOST_FAILURES:
-            return False
-        return bool(self._assembler.first_gap) or self._budget.take()
-
     def _finish(self, now_ms):
         # The engine frees its memory before it ends the stream, so the
         # permit is given back only then.
@@ -382,6 +370,19 @@
             return []
         return [actions.CountWastedPrefill(tokens=tokens, kind=kind)]
 
+    def _progress(self, stage):
+        self._permit = attrs.evolve(self._permit, stage=stage)
+        return actions.tell_progress(self._permit, stage)
+
+    @property
+    def _begun(self):
+        return self._assembler.first_gap > 0
+
+    def _present_server(self):
+        if self._step == 'prefilling':
+            return self._permit.prefill_server
+        return self._permit.decode_server
+
     def _is_present(self, run):
         return self._permit is not None and run == self._run
 
--- a/bluebellthread/core/_messages.py
+++ b/bluebellthread/core/_messages.py
@@ -16,6 +16,7 @@
     """A gateway asks the scheduler of a pool for a permit.
 
     Only the request's metadata travel, never its prompt.
+    ``avoid_servers`` names those that have failed it; others go first.
 
     Examples
     --------
@@ -39,6 +40,7 @@
     attempt_number: int = 0
     priority: int = 0
     prefix_hashes: tuple[int, ...] = ()
+    avoid_servers: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
--- a/bluebellthread/core/_policies.py
+++ b/bluebellthread/core/_policies.py
@@ -67,6 +67,21 @@
     reported_free_pieces: int = 0
 
 
+def prefer_others(candidates, avoid_servers):
+    """Return the candidates that are not to be avoided, or else all.
+
+    Examples
+    --------
+    >>> candidates = (DecodeCandidate(name='d1', free_pieces=1),)
+    >>> prefer_others(candidates, ('d1',)) == candidates
+    True
+    """
+    others = tuple(
+        item for item in candidates if item.name not in avoid_servers
+    )
+    return others or candidates
+
+
 class ServerPolicy(abc.ABC):
     """Chooses a backend server; one instance lives as long as its pool.
 
--- a/bluebellthread/core/_scheduler.py
+++ b/bluebellthread/core/_scheduler.py
@@ -164,11 +164,18 @@
     def _grant(self, request):
         prefill_server = self._prefill_policy.choose(
             request,
-            self._with_cached_tokens(request, self._prefill_candidates()),
+            _policies.prefer_others(
+                self._with_cached_tokens(request, self._prefill_candidates()),
+                request.avoid_servers,
+            ),
             self._rng,
         )
         decode_server = self._decode_policy.choose(
-            request, self._decode_candidates(request), self._rng
+            request,
+            _policies.prefer_others(
+                self._decode_candidates(request), request.avoid_servers
+            ),
+            self._rng,
         )
         self._prefix_index.note_granted(prefill_server, request.prefix_hashes)
         self._counter += 1
--- /dev/null
+++ b/bluebellthread/daemon/_answer_task.py
@@ -0,0 +1,277 @@
+"""The task of one model request: runs what its state machine decides."""
+
+import contextlib
+import functools
+
+import trio
+
+from bluebellthread import core
+from bluebellthread.daemon import _clock
+from bluebellthread.daemon import _http
+from bluebellthread import engines
+from bluebellthread.observe import emit
+from bluebellthread.observe import events
+
+WRITE_GRACE_S = 5
+"""Seconds past its deadline that a slow caller may read its answer."""
+
+_DEFAULT_REMEDY = 'come back after the time in Retry-After'
+
+_REFUSALS = {
+    'caller-limit': (429, 'send fewer requests at a time'),
+    'deadline': (504, 'allow more time'),
+    'retries-spent': (502, 'send the request again'),
+    'superseded': (409, 'read the answer of the newer request of this id'),
+}
+"""HTTP status and remedy by kind; other kinds are 503."""
+
+
+class AnswerTask:
+    """Runs one request's engine calls and gives the caller its answer.
+
+    Parameters
+    ----------
+    machine : AnswerMachine
+        Decides.
+    question : Question
+        What the caller asked.
+    exchange : Exchange
+        The caller's request and the ids to log.
+    writer : AnswerWriter
+        The way to the caller.
+    scheduler : SchedulerLink
+        The way to the scheduler.
+    engine : object
+        The engine adapter.
+    find_server : callable
+        Returns the backend server of a name, or None.
+    tracer, metrics : object
+        For observers.
+    """
+
+    def __init__(
+        self,
+        *,
+        machine,
+        question,
+        exchange,
+        writer,
+        scheduler,
+        engine,
+        find_server,
+        tracer,
+        metrics,
+    ):
+        self.machine = machine
+        self._question = question
+        self._exchange = exchange
+        self._writer = writer
+        self._scheduler = scheduler
+        self._engine = engine
+        self._find_server = find_server
+        self._tracer = tracer
+        self._metrics = metrics
+        self._nursery = None
+        self._scopes = {}
+        self._send, self._receive = trio.open_memory_channel(float('inf'))
+        self._executors = {
+            core.AskPermit: self._ask_permit,
+            core.StartPrefill: self._start_prefill,
+            core.StartDecode: self._start_decode,
+            core.StopRun: self._stop_run,
+            core.EmitPiece: self._emit_piece,
+            core.FinishAnswer: self._finish,
+            core.RefuseAnswer: self._refuse,
+            core.TellScheduler: self._tell_scheduler,
+            core.CountWastedPrefill: self._count_waste,
+            core.CountRetry: self._count_retry,
+        }
+
+    def post(self, event):
+        """Take an event in from another task; never blocks."""
+        if self.machine.ended:
+            # Only a permit that came too late still matters.
+            self._step(event)
+        else:
+            self._send.send_nowait(event)
+
+    async def run(self):
+        """Answer the caller; return or raise `Refusal` at the end."""
+        refusal = None
+        try:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                nursery.start_soon(self._decide)
+                refusal = await self._write_answer()
+        finally:
+            # A caller that has gone leaves nothing behind; no step waits.
+            self._drain()
+            self._step(core.CallerGone())
+        if refusal is not None:
+            raise refusal
+
+    async def _write_answer(self):
+        deadline_ms = self.machine.deadline_ms
+        left_s = (deadline_ms - _clock.read_clock_ms()) / _http.MS_PER_S
+        with trio.move_on_after(left_s + WRITE_GRACE_S):
+            return await self._writer.run()
+        self.post(core.CallerGone())
+        return None
+
+    async def _decide(self):
+        self._step(core.AnswerAsked())
+        while not self.machine.ended:
+            left_ms = self.machine.wake_ms - _clock.read_clock_ms()
+            event = core.Tick()
+            with trio.move_on_after(left_ms / _http.MS_PER_S):
+                event = await self._receive.receive()
+            self._step(event)
+
+    def _drain(self):
+        while not self.machine.ended:
+            try:
+                self._step(self._receive.receive_nowait())
+            except trio.WouldBlock:
+                return
+
+    def _step(self, event):
+        commands = self.machine.handle(event, _clock.read_clock_ms())
+        for command in commands:
+            self._executors[type(command)](command)
+
+    def _ask_permit(self, command):
+        self._scheduler.ask(
+            command.request,
+            self.post,
+            traceparent=self._exchange.traceparent,
+        )
+
+    def _tell_scheduler(self, command):
+        self._scheduler.tell(command.permit.pool, command.message)
+
+    def _start_prefill(self, command):
+        self._start_run(command, self._prefill, command.permit.prefill_server)
+
+    def _start_decode(self, command):
+        self._start_run(command, self._decode, command.permit.decode_server)
+
+    def _start_run(self, command, call, server_name):
+        scope = trio.CancelScope()
+        self._scopes[command.run] = scope
+        self._nursery.start_soon(
+            functools.partial(self._run, command, call, server_name, scope)
+        )
+
+    def _stop_run(self, command):
+        scope = self._scopes.pop(command.run, None)
+        if scope is not None:
+            scope.cancel()
+
+    async def _run(self, command, call, server_name, scope):
+        server = self._find_server(server_name)
+        with scope:
+            try:
+                if server is None:
+                    raise engines.EngineError(
+                        kind='refused',
+                        server=server_name,
+                        detail='it is not in the configuration any more',
+                    )
+                await call(command, server)
+            except engines.EngineError as error:
+                emit(
+                    events.REQUEST_FAILED,
+                    request_id=self._exchange.request_id,
+                    hop=server_name,
+                    error=error,
+                )
+                self.post(core.RunFailed(run=command.run, kind=error.kind))
+        self._scopes.pop(command.run, None)
+
+    async def _prefill(self, command, server):
+        with self._open_span('prefill') as span:
+            prefilled = await self._engine.prefill(
+                server,
+                command.permit.permit_id,
+                self._generation(command.prompt, 0),
+                traceparent=self._tracer.traceparent_of(span),
+            )
+        self.post(
+            core.PrefillEnded(
+                run=command.run,
+                transfer=prefilled.transfer,
+                prompt_tokens=prefilled.prompt_tokens,
+                cached_tokens=prefilled.cached_tokens,
+            )
+        )
+
+    async def _decode(self, command, server):
+        generation = self._generation(command.prompt, command.resume_offset)
+        resumed = command.transfer is None
+        with contextlib.ExitStack() as spans:
+            span = spans.enter_context(
+                self._open_span('decode' if resumed else 'transfer')
+            )
+            items = self._engine.decode(
+                server,
+                command.permit.permit_id,
+                generation,
+                command.transfer,
+                traceparent=self._tracer.traceparent_of(span),
+            )
+            async with contextlib.aclosing(items):
+                async for item in items:
+                    if isinstance(item, engines.Piece):
+                        self._post_piece(command.run, item)
+                    elif not resumed:
+                        spans.close()
+                        spans.enter_context(self._open_span('decode'))
+                        self.post(core.ImportEnded(run=command.run))
+        self.post(core.StreamEnded(run=command.run))
+
+    def _post_piece(self, run, item):
+        self.post(
+            core.PieceArrived(
+                run=run,
+                offset=item.offset,
+                text=item.text,
+                finish_reason=item.finish_reason,
+            )
+        )
+
+    def _generation(self, prompt, resume_offset):
+        return engines.Generation(
+            model=self._question.model,
+            prompt=prompt,
+            output_tokens=self._question.output_tokens,
+            resume_offset=resume_offset,
+        )
+
+    def _open_span(self, hop):
+        return self._tracer.span(hop, parent=self._exchange.traceparent)
+
+    def _emit_piece(self, command):
+        if not self._writer.add(command.piece):
+            self.post(core.CallerGone())
+
+    def _finish(self, command):
+        self._writer.finish(command.finish_reason)
+
+    def _refuse(self, command):
+        status, remedy = _REFUSALS.get(command.kind, (503, _DEFAULT_REMEDY))
+        self._writer.refuse(
+            _http.Refusal(
+                status=status,
+                kind=command.kind,
+                remedy=remedy,
+                run=command.ran,
+                retry_after_ms=command.retry_after_ms,
+            )
+        )
+
+    def _count_waste(self, command):
+        self._metrics.count('prefill_wasted_tokens', command.tokens)
+        self._metrics.count(f'prefill_wasted.{command.kind}')
+
+    def _count_retry(self, command):
+        self._metrics.count(f'retries.{command.kind}')
--- /dev/null
+++ b/bluebellthread/daemon/_answer_writer.py
@@ -0,0 +1,138 @@
+"""Gives a caller its answer, in pieces or whole."""
+
+import json
+import time
+
+import trio
+
+from bluebellthread.daemon import _http
+
+LONGEST_UNREAD_PIECES = 8192
+"""Pieces that wait for a slow caller before it is given up."""
+
+
+class AnswerWriter:
+    """Turns pieces into the answer that the caller asked for.
+
+    Pieces are taken without waiting, so that a slow caller keeps no
+    engine memory; `run` sends them.
+
+    Parameters
+    ----------
+    responder : Responder
+        The way to the caller.
+    question : Question
+        What the caller asked.
+    """
+
+    def __init__(self, *, responder, question):
+        self._responder = responder
+        self._question = question
+        self._texts = []
+        self._created_s = int(time.time())
+        self._send, self._receive = trio.open_memory_channel(
+            LONGEST_UNREAD_PIECES
+        )
+        self._refusal = None
+        self._finish_reason = ''
+        self._head, self._tail = self._make_frame()
+
+    def add(self, piece):
+        """Take the next piece; say whether the caller keeps up."""
+        if not self._question.stream:
+            self._texts.append(piece.text)
+            return True
+        try:
+            self._send.send_nowait(piece)
+        except trio.WouldBlock:
+            return False
+        return True
+
+    def finish(self, finish_reason):
+        """End the whole answer."""
+        self._finish_reason = finish_reason
+        self._send.close()
+
+    def refuse(self, refusal):
+        """End the request without a whole answer."""
+        self._refusal = refusal
+        self._send.close()
+
+    async def run(self):
+        """Send until the end; return the refusal that ended it, if any."""
+        async for piece in self._receive:
+            await self._write(self._gather(piece))
+        if self._refusal is not None:
+            await self._end_refused()
+        elif self._question.stream:
+            await self._responder.finish(b'data: [DONE]\n\n')
+        else:
+            await self._answer_whole()
+        return self._refusal
+
+    def _gather(self, piece):
+        """Return a piece with those that wait behind it, as one text."""
+        texts = [self._encode(piece)]
+        while True:
+            try:
+                texts.append(self._encode(self._receive.receive_nowait()))
+            except (trio.WouldBlock, trio.EndOfChannel):
+                return ''.join(texts)
+
+    async def _write(self, text):
+        if not self._responder.started:
+            await self._responder.start(
+                200, [('content-type', 'text/event-stream')]
+            )
+        await self._responder.write(text.encode())
+
+    async def _end_refused(self):
+        """Say why a stream ends; before its start the gateway says it."""
+        if self._responder.started:
+            fields = _http.describe_refusal(
+                self._refusal, self._responder.request_id
+            )
+            line = f'data: {json.dumps(fields, ensure_ascii=False)}\n\n'
+            await self._responder.finish(line.encode())
+
+    async def _answer_whole(self):
+        text = ''.join(self._texts)
+        choice = {'index': 0}
+        if self._question.chat:
+            choice['message'] = {'role': 'assistant', 'content': text}
+        else:
+            choice['text'] = text
+        choice['finish_reason'] = self._finish_reason
+        kind = 'chat.completion' if self._question.chat else 'text_completion'
+        fields = {**self._describe(kind), 'choices': [choice]}
+        await self._responder.answer_json(200, fields)
+
+    def _describe(self, kind):
+        return {
+            'id': self._responder.request_id,
+            'object': kind,
+            'created': self._created_s,
+            'model': self._question.model,
+        }
+
+    def _make_frame(self):
+        """Return what stands before and after the text of each piece."""
+        if self._question.chat:
+            kind = 'chat.completion.chunk'
+            start = '{"role": "assistant", "content": '
+            end = '}'
+            key = 'delta'
+        else:
+            kind = 'text_completion'
+            start = end = ''
+            key = 'text'
+        fields = json.dumps(self._describe(kind), ensure_ascii=False)
+        head = (
+            f'data: {fields[:-1]}, "choices": [{{"index": 0, "{key}": {start}'
+        )
+        return head, f'{end}, "finish_reason": '
+
+    def _encode(self, piece):
+        text = json.dumps(piece.text, ensure_ascii=False)
+        reason = f'"{piece.finish_reason}"' if piece.finish_reason else 'null'
+        return f'{self._head}{text}{self._tail}{reason}}}]}}\n\n'
--- /dev/null
+++ b/bluebellthread/daemon/_question.py
@@ -0,0 +1,116 @@
+"""Callers' completion requests, checked."""
+
+import json
+
+import attrs
+
+from bluebellthread.daemon import _http
+
+LONGEST_ANSWER_TOKENS = 100_000
+"""Tokens of the longest answer that a caller may ask for."""
+
+CHAT_PATH = '/v1/chat/completions'
+PATHS = ('/v1/completions', CHAT_PATH)
+
+
+@attrs.frozen(kw_only=True)
+class Question:
+    """A caller's completion request.
+
+    Parameters
+    ----------
+    model, prompt : str
+        What is asked of which model.
+    output_tokens : int
+        Longest answer; 0 if the caller names none.
+    stream : bool
+        Whether the caller wants each piece as it comes.
+    chat : bool
+        Whether it was asked as a chat.
+    """
+
+    model: str
+    prompt: str
+    output_tokens: int
+    stream: bool
+    chat: bool
+
+
+def parse_question(request, configuration):
+    """Return the checked question in a request, or raise `Refusal`."""
+    if request.path not in PATHS:
+        raise _refuse(f'use {" or ".join(PATHS)}', status=404)
+    if request.method != 'POST':
+        raise _refuse('use POST', status=405)
+    fields = _parse_object(request.body)
+    model = fields.get('model')
+    if model not in [known.name for known in configuration.models]:
+        raise _refuse(f'unknown model {model!r}', status=404)
+    chat = request.path == CHAT_PATH
+    prompt = _join_messages(fields) if chat else fields.get('prompt')
+    if not isinstance(prompt, str) or not prompt:
+        raise _refuse(
+            'give messages with text contents'
+            if chat
+            else 'give a prompt, a string that is not empty'
+        )
+    return Question(
+        model=model,
+        prompt=prompt,
+        output_tokens=_read_output_tokens(fields),
+        stream=bool(fields.get('stream', False)),
+        chat=chat,
+    )
+
+
+def read_deadline_ms(request, values, now_ms):
+    """Return when the answer is due, from the header or the default."""
+    text = request.header('x-request-timeout-ms')
+    if not text:
+        return now_ms + values.answer_timeout_ms
+    if not text.isascii() or not text.isdigit() or int(text) == 0:
+        raise _http.Refusal(
+            status=400,
+            kind='bad-timeout',
+            remedy='give X-Request-Timeout-Ms as milliseconds above 0',
+        )
+    return now_ms + min(int(text), values.answer_timeout_ms)
+
+
+def _parse_object(body):
+    try:
+        fields = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise _refuse(f'send JSON: {error}') from error
+    if not isinstance(fields, dict):
+        raise _refuse('send a JSON object')
+    return fields
+
+
+def _read_output_tokens(fields):
+    output_tokens = fields.get('max_tokens')
+    if output_tokens is None:
+        return 0
+    is_number = type(output_tokens) is int
+    if not is_number or not 1 <= output_tokens <= LONGEST_ANSWER_TOKENS:
+        raise _refuse(f'give max_tokens from 1 to {LONGEST_ANSWER_TOKENS}')
+    return output_tokens
+
+
+def _join_messages(fields):
+    messages = fields.get('messages')
+    if not isinstance(messages, list) or not messages:
+        return None
+    lines = []
+    for message in messages:
+        if not isinstance(message, dict):
+            return None
+        content = message.get('content')
+        if not isinstance(content, str):
+            return None
+        lines.append(f'{message.get("role", "user")}: {content}')
+    return '\n'.join(lines)
+
+
+def _refuse(remedy, *, status=400):
+    return _http.Refusal(status=status, kind='bad-request', remedy=remedy)
--- a/bluebellthread/daemon/_service.py
+++ b/bluebellthread/daemon/_service.py
@@ -107,7 +107,9 @@
             fleet=self.fleet,
             adapter=settings.engine_adapter,
             tracer=self._tracer,
+            metrics=self._metrics,
         )
+        self._mailboxes.register(core.PermitCancelled, self._model_path.inbox)
         self._service_path = _service_path.ServicePath(
             data_centre=settings.data_centre, fleet=self.fleet
         )
@@ -156,6 +158,7 @@
         """
         async with trio.open_nursery() as nursery:
             await nursery.start(self._links.run)
+            await nursery.start(self._model_path.run)
             peers = await self._start_peer_server(nursery)
             nursery.start_soon(self._scheduler_task.run)
             nursery.start_soon(self._engine_control.run, self._scheduler_task)
--- a/bluebellthread/engines/_completions.py
+++ b/bluebellthread/engines/_completions.py
@@ -42,7 +42,7 @@
         )
         usage = answer.get('usage', {})
         return _registry.Prefilled(
-            transfer=answer['kv_transfer_params'],
+            transfer=_take_transfer(server, answer),
             prompt_tokens=usage.get('prompt_tokens', 0),
             cached_tokens=usage.get('cached_tokens', 0),
         )
@@ -50,7 +50,10 @@
     async def decode(
         self, server, request_id, generation, transfer, *, traceparent=''
     ):
-        """Yield `Imported` and then each `Piece` of the answer."""
+        """Yield `Imported` and then each `Piece` of the answer.
+
+        Without a transfer, a stream that the server holds is gone on with.
+        """
         body = {
             'model': generation.model,
             'prompt': generation.prompt,
@@ -58,8 +61,12 @@
             'stream': True,
             'priority': generation.priority,
             'resume_offset': generation.resume_offset,
-            'kv_transfer_params': {**transfer, 'do_remote_prefill': True},
         }
+        if transfer is not None:
+            body['kv_transfer_params'] = {
+                **transfer,
+                'do_remote_prefill': True,
+            }
         try:
             async with self._pool.stream(
                 'POST',
@@ -69,7 +76,7 @@
             ) as response:
                 if response.status != 200:
                     raise _refusal(server, response, await response.aread())
-                async for item in _read_pieces(response):
+                async for item in _read_pieces(server, response):
                     yield item
         except _TRANSPORT_ERRORS as error:
             raise _registry.EngineError(
@@ -144,13 +151,28 @@
     )
 
 
-async def _read_pieces(response):
+def _take_transfer(server, answer):
+    transfer = answer.get('kv_transfer_params')
+    if not isinstance(transfer, dict):
+        raise _registry.EngineError(
+            kind='unreadable', server=server.name, detail='no transfer'
+        )
+    return transfer
+
+
+async def _read_pieces(server, response):
     buffer = b''
     async for chunk in response.aiter_stream():
-        buffer += chunk
-        while b'\n\n' in buffer:
-            event, buffer = buffer.split(b'\n\n', 1)
-            item = _parse_event(event)
+        *events, buffer = (buffer + chunk).split(b'\n\n')
+        for event in events:
+            try:
+                item = _parse_event(event)
+            except (ValueError, KeyError, TypeError, IndexError) as error:
+                raise _registry.EngineError(
+                    kind='broken-stream',
+                    server=server.name,
+                    detail=f'unreadable event: {error!r}',
+                ) from error
             if item is not None:
                 yield item
 
@@ -162,6 +184,8 @@
     fields = json.loads(data)
     if 'imported' in fields:
         return _registry.Imported()
+    if 'error' in fields:
+        raise ValueError(fields['error'].get('kind'))
     choice = fields['choices'][0]
     return _registry.Piece(
         offset=fields['offset'],
--- a/bluebellthread/wire/peer.thrift
+++ b/bluebellthread/wire/peer.thrift
@@ -48,6 +48,7 @@
   10: i32 attempt_number,
   11: i32 priority,
   12: list<i64> prefix_hashes,
+  13: list<string> avoid_servers,
 }
 
 struct PermitGranted {
--- a/standin/_engine.py
+++ b/standin/_engine.py
@@ -24,6 +24,8 @@
         empty. Lets a test put a proxy between.
     answer_tokens : int
         Where answers end by themselves; 0 for never.
+    evict_next_count : int
+        Exports that are evicted at once, of those to come.
     disorder_window : int
         Above 0, pieces leave in groups of this size, each group reversed
         and its last piece doubled.
@@ -45,6 +47,7 @@
     kv_bytes_per_token: int = 64
     link_bytes_per_s: float = 50e6
     export_keep_ms: int = 800
+    evict_next_count: int = 0
     export_host: str = ''
     export_port: int = 0
     cache_blocks: int = 256
--- a/standin/_prefilling.py
+++ b/standin/_prefilling.py
@@ -136,11 +136,17 @@
 
     async def _evict_later(self, export):
         with export.evict_scope:
-            await trio.sleep(self._settings.export_keep_ms / 1000)
+            await trio.sleep(self._choose_keep_ms() / 1000)
             if self._exports.pop(export.block_id, None) is not None:
                 self._evicted_count += 1
                 self._engine.release(export.request_id)
 
+    def _choose_keep_ms(self):
+        if self._settings.evict_next_count == 0:
+            return self._settings.export_keep_ms
+        self._settings.evict_next_count -= 1
+        return 0
+
     def _describe(self, export, tokens, cached_tokens):
         own = self._settings
         return {
--- a/tests/integration/_fleet.py
+++ b/tests/integration/_fleet.py
@@ -270,9 +270,15 @@
 
     async def set_rules(self, name, rules):
         """Replace a proxy's rules; an empty dict heals the network."""
-        address = self.standins[name]
+        await self._control_proxy(self.standins[name], '/rules', rules)
+
+    async def control_proxy(self, address, **changes):
+        """Change a proxy's settings while it runs."""
+        await self._control_proxy(address, '/control', changes)
+
+    async def _control_proxy(self, address, path, body):
         control = Address(host=address.host, port=address.control_port)
-        answer = await self.call('POST', control, '/rules', rules)
+        answer = await self.call('POST', control, path, body)
         assert answer.status == 200, answer
 
     async def state(self, name):
--- /dev/null
+++ b/tests/integration/_router.py
@@ -0,0 +1,239 @@
+"""A whole router of one data centre on loopback, for integration tests."""
+
+import json
+
+import trio
+
+import standin
+from tests.integration import _fleet
+
+DATA_CENTRE = 'cluj-a'
+REGION = 'transilvania'
+MODEL = 'atelier-llm'
+SERVICE = 'magazin-piese'
+PROMPT = 'Porcelain doll, about 1890: hairline crack below the eye. ' * 20
+
+
+def make_settings(fleet, vm, **changes):
+    """Return the settings of one daemon."""
+    platform = fleet.standins['platform']
+    return {
+        'vm': vm,
+        'data_centre': DATA_CENTRE,
+        'region': REGION,
+        'host': '127.0.0.1',
+        'peer_port': 0,
+        'caller_port': 0,
+        'platform_addresses': [f'{platform.host}:{platform.port}'],
+        **changes,
+    }
+
+
+def make_configuration(servers, *, revision=1, defaults=None):
+    """Return a configuration that lists some backend servers.
+
+    ``servers`` holds a name, an `Address`, what is served and the role.
+    """
+    return {
+        'revision': revision,
+        'regions': [{'name': REGION, 'data_centres': [DATA_CENTRE]}],
+        'models': [{'name': MODEL}],
+        'services': [{'name': SERVICE}],
+        'defaults': defaults or {},
+        'backend_servers': [
+            {
+                'name': name,
+                'host': address.host,
+                'port': address.port,
+                'data_centre': DATA_CENTRE,
+                'serves': serves,
+                'role': role,
+            }
+            for name, address, serves, role in servers
+        ],
+    }
+
+
+async def start_engine(fleet, name, role, **settings):
+    """Start an engine in a process of its own; return its address."""
+    entry = {'kind': 'engine', 'name': name, 'role': role, **settings}
+    started = await fleet.start_standins([entry])
+    return started[name]
+
+
+async def start_router(
+    fleet, *, vms=('vm1',), prefill=None, decode=None, addresses=None
+):
+    """Start a platform, engines p1, d1 and d2, and daemons.
+
+    Parameters
+    ----------
+    prefill, decode : dict or None
+        Settings of the engines.
+    addresses : dict or None
+        Proxies to list in place of engines, by the engine's name; they
+        are pointed to their engines.
+    """
+    await fleet.start_standins([{'kind': 'platform'}])
+    await start_engine(fleet, 'p1', 'prefill', **(prefill or {}))
+    for name in ('d1', 'd2'):
+        await start_engine(fleet, name, 'decode', **(decode or {}))
+    for name, proxy in (addresses or {}).items():
+        target_port = fleet.standins[name].port
+        await fleet.control_proxy(proxy, target_port=target_port)
+    await publish(fleet, addresses=addresses)
+    for vm in vms:
+        await fleet.start_daemon(make_settings(fleet, vm))
+    await fleet.publish_vms()
+    for vm in vms:
+        await wait_until_served(fleet, vm)
+
+
+async def publish(fleet, *, revision=1, addresses=None, defaults=None):
+    """Publish a configuration with the engines p1, d1 and d2."""
+    listed = {**fleet.standins, **(addresses or {})}
+    servers = [('p1', listed['p1'], MODEL, 'prefill')]
+    servers += [(name, listed[name], MODEL, 'decode') for name in ('d1', 'd2')]
+    await fleet.publish_config(
+        make_configuration(servers, revision=revision, defaults=defaults)
+    )
+
+
+async def wait_until_served(fleet, vm):
+    """Wait until a VM gives answers."""
+
+    async def ask():
+        answer = await ask_whole(fleet, vm, 'ready?', 1)
+        return answer.status == 200
+
+    await _fleet.until(ask, what=f'the first answer of {vm}')
+
+
+def make_question(prompt, max_tokens, *, stream=False):
+    """Return the body of a completion request."""
+    return {
+        'model': MODEL,
+        'prompt': prompt,
+        'max_tokens': max_tokens,
+        'stream': stream,
+    }
+
+
+async def ask_whole(fleet, vm, prompt, max_tokens, **headers):
+    """Ask for a whole answer; underscores in headers become hyphens."""
+    return await fleet.call(
+        'POST',
+        fleet.daemons[vm].callers,
+        '/v1/completions',
+        make_question(prompt, max_tokens),
+        {key.replace('_', '-'): value for key, value in headers.items()},
+    )
+
+
+class Stream:
+    """A streamed answer, read by a task of its own.
+
+    ``text`` grows; ``ended`` says whether [DONE] has come; ``error`` is
+    the typed error that ended it instead.
+    """
+
+    def __init__(self):
+        self.text = ''
+        self.count = 0
+        self.ended = False
+        self.error = None
+        self.status = 0
+        self.closed = False
+
+    async def read(self, fleet, vm, prompt, max_tokens, **headers):
+        """Ask and read until the end."""
+        body = make_question(prompt, max_tokens, stream=True)
+        named = {key.replace('_', '-'): v for key, v in headers.items()}
+        async with fleet.open(
+            'POST', fleet.daemons[vm].callers, '/v1/completions', body, named
+        ) as response:
+            self.status = response.status
+            if response.status == 200:
+                await self._read_events(response)
+            else:
+                self.error = json.loads(await response.aread())['error']
+        self.closed = True
+
+    async def _read_events(self, response):
+        buffer = b''
+        async for chunk in response.aiter_stream():
+            *events, buffer = (buffer + chunk).split(b'\n\n')
+            for event in events:
+                self._take(event.removeprefix(b'data: '))
+
+    def _take(self, data):
+        if data == b'[DONE]':
+            self.ended = True
+            return
+        fields = json.loads(data)
+        if 'error' in fields:
+            self.error = fields['error']
+            return
+        self.text += fields['choices'][0]['text']
+        self.count += 1
+
+    async def wait_for(self, count):
+        """Wait until so many pieces have come."""
+        await _fleet.until(
+            lambda: self.count >= count, what=f'piece {count} of the answer'
+        )
+
+
+def expect(prompt, count):
+    """Return the whole answer that engines give."""
+    return standin.expected_answer(prompt, count)
+
+
+async def find_holder(fleet, names=('d1', 'd2')):
+    """Return the name of the engine that holds a request."""
+
+    async def look():
+        for name in names:
+            if (await fleet.state(name))['running_ids']:
+                return name
+        return None
+
+    return await _fleet.until(look, what='an engine that holds a request')
+
+
+async def wait_until_free(fleet, names=('p1', 'd1', 'd2')):
+    """Wait until engines hold nothing."""
+
+    async def look():
+        for name in names:
+            if (await fleet.state(name))['running_ids']:
+                return False
+        return True
+
+    await _fleet.until(look, what=f'free memory at {", ".join(names)}')
+
+
+async def total(fleet, key, names=('d1', 'd2')):
+    """Return the sum of a number in some engines' states."""
+    count = 0
+    for name in names:
+        value = (await fleet.state(name))[key]
+        count += len(value) if isinstance(value, (list, dict)) else value
+    return count
+
+
+def open_stream(nursery, fleet, vm, prompt, max_tokens, **headers):
+    """Start reading a streamed answer; return the `Stream`."""
+    stream = Stream()
+
+    async def read():
+        await stream.read(fleet, vm, prompt, max_tokens, **headers)
+
+    nursery.start_soon(read)
+    return stream
+
+
+async def until_closed(stream):
+    """Wait until a stream has ended in whatever way."""
+    await _fleet.until(lambda: stream.closed, what='the end of the stream')
+    await trio.lowlevel.checkpoint()
--- /dev/null
+++ b/tests/integration/test_answers.py
@@ -0,0 +1,229 @@
+"""Answers come whole and once, whatever befalls engines and callers."""
+
+import json
+
+import trio
+
+from tests.integration import _fleet
+from tests.integration import _router
+
+PROMPT = _router.PROMPT
+SLOW = {'step_ms': 15}
+
+
+class TestAnswers(_fleet.FleetTestCase):
+    def test_killed_decode_engine(self):
+        self.run_fleet(self.check_killed_engine)
+
+    async def check_killed_engine(self, fleet):
+        await _router.start_router(fleet, decode=SLOW)
+        async with trio.open_nursery() as nursery:
+            stream = _router.open_stream(nursery, fleet, 'vm1', PROMPT, 60)
+            await stream.wait_for(5)
+            holder = await _router.find_holder(fleet)
+            fleet.process_of(holder).kill()
+        self.assertIsNone(stream.error)
+        self.assertEqual(_router.expect(PROMPT, 60), stream.text)
+        self.assertTrue(stream.ended)
+        (other,) = {'d1', 'd2'} - {holder}
+        await _router.wait_until_free(fleet, ('p1', other))
+
+    def test_killed_decode_engine_of_a_whole_answer(self):
+        self.run_fleet(self.check_killed_engine_whole)
+
+    async def check_killed_engine_whole(self, fleet):
+        await _router.start_router(fleet, decode=SLOW)
+        answers = []
+
+        async def ask():
+            answers.append(await _router.ask_whole(fleet, 'vm1', PROMPT, 60))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            holder = await _router.find_holder(fleet)
+            fleet.process_of(holder).kill()
+        choice = answers[0].json()['choices'][0]
+        self.assertEqual(_router.expect(PROMPT, 60), choice['text'])
+        self.assertEqual('length', choice['finish_reason'])
+
+    def test_cut_stream_goes_on_at_the_same_engine(self):
+        self.run_fleet(self.check_cut_stream)
+
+    async def check_cut_stream(self, fleet):
+        await start_with_proxies(fleet)
+        async with trio.open_nursery() as nursery:
+            stream = _router.open_stream(nursery, fleet, 'vm1', PROMPT, 60)
+            await stream.wait_for(5)
+            imports = await _router.total(fleet, 'imports')
+            for name in ('x1', 'x2'):
+                await fleet.set_rules(name, {'*': {'cut': True}})
+                await fleet.set_rules(name, {})
+        self.assertEqual(_router.expect(PROMPT, 60), stream.text)
+        self.assertTrue(stream.ended)
+        self.assertEqual(imports, await _router.total(fleet, 'imports'))
+
+    def test_stalled_transfer(self):
+        self.run_fleet(self.check_stalled_transfer)
+
+    async def check_stalled_transfer(self, fleet):
+        await _router.start_router(fleet, decode=SLOW)
+        await start_export_proxy(fleet)
+        await fleet.set_rules('x', {'*': {'stall_answers': True}})
+        before = await _router.total(fleet, 'cancelled_ids')
+
+        async def has_cancelled():
+            return await _router.total(fleet, 'cancelled_ids') > before
+
+        async with trio.open_nursery() as nursery:
+            stream = _router.open_stream(nursery, fleet, 'vm1', PROMPT, 20)
+            await _fleet.until(
+                has_cancelled, what='the cancel of the stalled transfer'
+            )
+            await fleet.set_rules('x', {})
+        self.assertEqual(_router.expect(PROMPT, 20), stream.text)
+        self.assertTrue(stream.ended)
+        await _router.wait_until_free(fleet)
+
+    def test_evicted_kv_cache(self):
+        self.run_fleet(self.check_evicted)
+
+    async def check_evicted(self, fleet):
+        await _router.start_router(fleet)
+        await start_export_proxy(fleet)
+        await fleet.control('p1', evict_next_count=1)
+        await fleet.set_rules('x', {'*': {'stall': True}})
+        async with trio.open_nursery() as nursery:
+            stream = _router.open_stream(nursery, fleet, 'vm1', PROMPT, 20)
+            await _fleet.until(
+                lambda: _router.total(fleet, 'evicted_count', ('p1',))
+            )
+            await fleet.set_rules('x', {})
+        self.assertEqual(_router.expect(PROMPT, 20), stream.text)
+        self.assertTrue(stream.ended)
+
+    def test_late_doubled_and_disordered_pieces(self):
+        self.run_fleet(self.check_disorder)
+
+    async def check_disorder(self, fleet):
+        await _router.start_router(fleet, decode={'disorder_window': 4})
+        stream = _router.Stream()
+        await stream.read(fleet, 'vm1', PROMPT, 50)
+        self.assertEqual(_router.expect(PROMPT, 50), stream.text)
+        self.assertEqual(50, stream.count)
+
+    def test_a_caller_that_goes_frees_everything(self):
+        self.run_fleet(self.check_caller_gone)
+
+    async def check_caller_gone(self, fleet):
+        await _router.start_router(fleet, decode=SLOW)
+        async with trio.open_nursery() as nursery:
+            stream = _router.open_stream(nursery, fleet, 'vm1', PROMPT, 2000)
+            await stream.wait_for(3)
+            nursery.cancel_scope.cancel()
+        await _router.wait_until_free(fleet)
+
+    def test_an_id_asked_again_supersedes_the_older(self):
+        self.run_fleet(self.check_superseded)
+
+    async def check_superseded(self, fleet):
+        await _router.start_router(fleet, decode=SLOW)
+        async with trio.open_nursery() as nursery:
+
+            def ask(max_tokens, caller):
+                return _router.open_stream(
+                    nursery,
+                    fleet,
+                    'vm1',
+                    PROMPT,
+                    max_tokens,
+                    x_request_id='r1',
+                    x_caller_id=caller,
+                )
+
+            older = ask(1000, 'workshop-1')
+            other = ask(60, 'workshop-2')
+            await older.wait_for(3)
+            newer = ask(20, 'workshop-1')
+            await _router.until_closed(older)
+        self.assertEqual('superseded', older.error['kind'])
+        self.assertFalse(older.ended)
+        self.assertEqual(_router.expect(PROMPT, 20), newer.text)
+        self.assertTrue(newer.ended)
+        self.assertEqual(_router.expect(PROMPT, 60), other.text)
+        await _router.wait_until_free(fleet)
+
+    def test_a_deadline_ends_the_request_and_frees_engines(self):
+        self.run_fleet(self.check_deadline)
+
+    async def check_deadline(self, fleet):
+        await _router.start_router(fleet, decode=SLOW)
+        answer = await _router.ask_whole(
+            fleet, 'vm1', PROMPT, 1000, x_request_timeout_ms='200'
+        )
+        self.assertEqual(504, answer.status)
+        self.assertEqual('deadline', answer.json()['error']['kind'])
+        self.assertEqual('unknown', answer.json()['error']['run'])
+        await _router.wait_until_free(fleet)
+
+
+class TestLimits(_fleet.FleetTestCase):
+    def test_bad_requests_are_refused_and_harm_no_other(self):
+        self.run_fleet(self.check_bad_requests)
+
+    async def check_bad_requests(self, fleet):
+        await _router.start_router(fleet, decode=SLOW)
+        address = fleet.daemons['vm1'].callers
+        async with trio.open_nursery() as nursery:
+            stream = _router.open_stream(nursery, fleet, 'vm1', PROMPT, 40)
+            await stream.wait_for(1)
+            for body, status in (
+                (b'{"model": "atelier-llm", "prompt', 400),
+                (b'[]', 400),
+                (json.dumps(_router.make_question('', 1)), 400),
+                (json.dumps(_router.make_question(PROMPT, 0)), 400),
+                (b'x' * (4 * 1024 * 1024 + 1), 413),
+            ):
+                answer = await fleet.call(
+                    'POST', address, '/v1/completions', body
+                )
+                self.assertEqual(status, answer.status, body[:60])
+                self.assertEqual('not-run', answer.json()['error']['run'])
+            self.assertIn(b' 431 ', await send_raw(address, b'X' * 40000))
+        self.assertEqual(_router.expect(PROMPT, 40), stream.text)
+
+
+async def start_with_proxies(fleet):
+    """Start a router that reaches d1 and d2 through proxies x1 and x2."""
+    await fleet.start_standins(
+        [{'kind': 'proxy', 'name': n} for n in ('x1', 'x2')]
+    )
+    await _router.start_router(
+        fleet,
+        decode=SLOW,
+        addresses={
+            'd1': fleet.standins['x1'],
+            'd2': fleet.standins['x2'],
+        },
+    )
+
+
+async def start_export_proxy(fleet):
+    """Send decode engines to p1's KV cache through a proxy x."""
+    await fleet.start_standins(
+        [
+            {
+                'kind': 'proxy',
+                'name': 'x',
+                'target_port': fleet.standins['p1'].port,
+            }
+        ]
+    )
+    await fleet.control('p1', export_port=fleet.standins['x'].port)
+
+
+async def send_raw(address, header):
+    """Send one long header; return the first bytes of the answer."""
+    stream = await trio.open_tcp_stream(address.host, address.port)
+    async with stream:
+        await stream.send_all(b'GET /healthz HTTP/1.1\r\nlong: ' + header)
+        return await stream.receive_some()
