--- a/bluebellthread/daemon/_service.py
+++ b/bluebellthread/daemon/_service.py
@@ -9,6 +9,7 @@
 import trio
 
 from bluebellthread import core
+from bluebellthread.daemon import _admission
 from bluebellthread.daemon import _engine_control
 from bluebellthread.daemon import _fleet
 from bluebellthread.daemon import _gateway
@@ -17,6 +18,7 @@
 from bluebellthread.daemon import _peers
 from bluebellthread.daemon import _platform
 from bluebellthread.daemon import _platform_watch
+from bluebellthread.daemon import _request_log
 from bluebellthread.daemon import _scheduler_task
 from bluebellthread.daemon import _service_path
 from bluebellthread.daemon import _status_task
@@ -113,6 +115,12 @@
         self._service_path = _service_path.ServicePath(
             data_centre=settings.data_centre, fleet=self.fleet
         )
+        self._admission = _admission.Admission(
+            data_centre=settings.data_centre,
+            fleet=self.fleet,
+            request_max=settings.caller_connections_max,
+        )
+        self._request_log = _request_log.RequestLog(vm=settings.vm)
         self.gateway = _gateway.Gateway(
             state=self.fleet,
             paths=(
@@ -123,15 +131,19 @@
             body_timeout_ms=BODY_TIMEOUT_MS,
             tracer=self._tracer,
             metrics=self._metrics,
+            request_log=self._request_log,
+            admission=self._admission,
         )
         self._status_task = _status_task.StatusTask(
             settings=settings,
             incarnation=self.incarnation,
             fleet=self.fleet,
-            gateway=self.gateway,
+            admission=self._admission,
             scheduler_task=self._scheduler_task,
+            request_log=self._request_log,
         )
-        self._mailboxes.register(core.StatusRequest, self._status_task.inbox)
+        for message_class in (core.StatusRequest, core.RequestLookup):
+            self._mailboxes.register(message_class, self._status_task.inbox)
         self._platform_watch = _platform_watch.PlatformWatch(
             platform=self._platform,
             fleet=self.fleet,
@@ -146,7 +158,7 @@
         emit(
             events.VM_STOPPING,
             vm=self._settings.vm,
-            requests=self.gateway.in_progress,
+            requests=self._admission.in_progress,
         )
         self._stop.set()
 
