--- a/bluebellthread/core/_placement.py
+++ b/bluebellthread/core/_placement.py
@@ -62,7 +62,7 @@
 
     def choose(self, request, *, now_ms, is_cautious):
         """Return the names of a prefill and a decode server with room."""
-        candidates = tuple(
+        prefills = tuple(
             attrs.evolve(
                 item,
                 cached_tokens=self._prefix_index.cached_tokens(
@@ -71,13 +71,13 @@
             )
             for item in self._prefill_candidates(now_ms)
         )
+        decodes = self._decode_candidates(request, now_ms, is_cautious)
+        avoided = request.avoid_servers
         prefill_server = self._prefill_policy.choose(
-            request, candidates, self._rng
+            request, _policies.prefer_others(prefills, avoided), self._rng
         )
         decode_server = self._decode_policy.choose(
-            request,
-            self._decode_candidates(request, now_ms, is_cautious),
-            self._rng,
+            request, _policies.prefer_others(decodes, avoided), self._rng
         )
         self._prefix_index.note_granted(prefill_server, request.prefix_hashes)
         return prefill_server, decode_server
--- a/bluebellthread/daemon/_recovery.py
+++ b/bluebellthread/daemon/_recovery.py
@@ -1,6 +1,5 @@
 """Permits of the own VM: asking for them, and recovery when VMs fail."""
 
-import collections
 import contextlib
 import itertools
 
@@ -25,28 +24,10 @@
 SCHEDULER_TIMEOUT_MS = 2500
 """How long no scheduler may be reached before the cautious share is used."""
 
-REMEMBERED_REQUESTS = 10000
-ATTEMPTS_PER_ASK = 1000
-"""Attempt numbers left free for the retries of one ask."""
-
-
-class PermitRefusedError(core.BluebellthreadError):
-    """No permit was given; the request has not run.
-
-    Parameters
-    ----------
-    kind, retry_after_ms : str, int
-        As in `PermitRefused`.
-    """
-
-    def __init__(self, *, kind, retry_after_ms):
-        self.kind = kind
-        self.retry_after_ms = retry_after_ms
-        super().__init__(f'no permit: {kind}; come back later')
-
 
+@attrs.define(kw_only=True)
 class PermitHold:
-    """A live permit of this VM, cancelled when it loses its force.
+    """A live permit of this VM.
 
     Parameters
     ----------
@@ -58,17 +39,9 @@
         Of the pause guard, when it was granted.
     """
 
-    def __init__(self, *, permit, registered, epoch):
-        self.permit = permit
-        self.registered = registered
-        self.epoch = epoch
-        self.cancelled_kind = ''
-        self.scope = trio.CancelScope()
-
-    def cancel(self, kind):
-        """Stop whatever runs under the permit."""
-        self.cancelled_kind = self.cancelled_kind or kind
-        self.scope.cancel()
+    permit: core.Permit
+    registered: bool
+    epoch: int
 
 
 class PermitDesk:
@@ -113,7 +86,6 @@
         self._cancels = cancels
         self._resends_releases = resends_releases
         self._holds = {}
-        self._attempts = collections.OrderedDict()
         self._fallback_numbers = itertools.count(1)
         self._releasing = 0
         self._nursery = None
@@ -136,63 +108,16 @@
             nursery.start_soon(self._register_fallbacks)
             async for inbound in self._receive:
                 self._guard.check()
-                self._handle(inbound)
-
-    def first_attempt(self, request_id):
-        """Return an attempt number above all earlier asks of this id."""
-        number = self._attempts.pop(request_id, 0) + ATTEMPTS_PER_ASK
-        self._attempts[request_id] = number
-        if len(self._attempts) > REMEMBERED_REQUESTS:
-            self._attempts.popitem(last=False)
-        return number
+                pool = inbound.message.pool
+                inbound.answer(self._registration_of(pool))
 
     async def ask(self, request, *, traceparent=''):
-        """Return a `PermitHold`, or raise `PermitRefusedError`.
+        """Return `PermitGranted` or `PermitRefused`, or None.
 
         Asks whoever owns the pool, again when the owner changes; after
-        a bounded time without any owner it takes a cautious share.
+        a bounded time without any owner it takes a cautious share, and
+        None is for no room in that.
         """
-        settled = False
-        try:
-            hold = await self._ask_until_settled(request, traceparent)
-            settled = hold.registered
-            return hold
-        except PermitRefusedError:
-            settled = True
-            raise
-        finally:
-            if not settled:
-                # The caller has gone, or no scheduler was reached in time.
-                self._nursery.start_soon(self._abandon, request)
-
-    def is_current(self, hold):
-        """Return whether new work may be started under a permit."""
-        self._guard.check()
-        return hold.epoch == self._guard.epoch and not hold.cancelled_kind
-
-    async def progress(self, hold, stage):
-        """Tell the scheduler that a permit is at another stage."""
-        hold.permit = attrs.evolve(hold.permit, stage=stage)
-        owner = self._fleet.find_owner(hold.permit.pool)
-        if owner is None:
-            return
-        message = core.PermitProgressed(
-            permit_id=hold.permit.permit_id, pool=hold.permit.pool, stage=stage
-        )
-        # The stage only frees slots early: losing it does no harm.
-        self._nursery.start_soon(self._send, owner, message)
-
-    def release(self, hold, *, clean):
-        """Give a permit back, in the background until it is taken."""
-        permit = hold.permit
-        if self._holds.pop(permit.permit_id, None) is None:
-            return
-        self._releasing += 1
-        self._nursery.start_soon(self._release, hold, clean)
-
-    # Asking
-
-    async def _ask_until_settled(self, request, traceparent):
         give_up_ms = _clock.read_clock_ms() + SCHEDULER_TIMEOUT_MS
         while True:
             owner = self._find_confirmed_owner(request.pool)
@@ -200,16 +125,40 @@
             if owner is not None:
                 answer = await self._call_owner(owner, request, traceparent)
             if isinstance(answer, core.PermitGranted):
-                return self._hold(answer.permit, owner, answer)
+                self._hold(answer.permit, owner)
+                return answer
             if _is_final(answer):
-                raise PermitRefusedError(
-                    kind=answer.kind, retry_after_ms=answer.retry_after_ms
-                )
+                return answer
             if _clock.read_clock_ms() >= give_up_ms:
                 return await self._take_share(request)
             with trio.move_on_after(ASK_AGAIN_S):
                 await self._fleet.wait_view_changed()
 
+    def is_current(self, permit):
+        """Return whether new work may be started under a permit."""
+        self._guard.check()
+        hold = self._holds.get(permit.permit_id)
+        return hold is not None and hold.epoch == self._guard.epoch
+
+    def progress(self, message):
+        """Tell the scheduler that a permit is at another stage."""
+        hold = self._holds.get(message.permit_id)
+        owner = self._fleet.find_owner(message.pool)
+        if hold is None or owner is None:
+            return
+        hold.permit = attrs.evolve(hold.permit, stage=message.stage)
+        # The stage only frees slots early: losing it does no harm.
+        self._nursery.start_soon(self._send, owner, message)
+
+    def release(self, message):
+        """Give a permit back, in the background until it is taken."""
+        hold = self._holds.pop(message.permit_id, None)
+        if hold is not None:
+            self._releasing += 1
+            self._nursery.start_soon(self._release, hold, message)
+
+    # Asking
+
     def _find_confirmed_owner(self, pool):
         self._guard.check()
         if not self._fleet.view.confirmed:
@@ -246,21 +195,20 @@
             and found.incarnation == owner.incarnation
         )
 
-    def _hold(self, permit, owner, answer):
-        hold = PermitHold(
-            permit=permit, registered=True, epoch=self._guard.epoch
+    def _hold(self, permit, owner):
+        # The next owner may have been told of all permits already.
+        self._holds[permit.permit_id] = PermitHold(
+            permit=permit,
+            registered=self._is_owner(owner, permit.pool),
+            epoch=self._guard.epoch,
         )
-        self._holds[permit.permit_id] = hold
-        if not self._is_owner(owner, permit.pool):
-            # The next owner may have been told of all permits already.
-            hold.registered = False
-        return hold
 
     async def _abandon(self, request):
         owner = self._fleet.find_owner(request.pool)
         if owner is None:
             return
         message = core.PermitAbandoned(
+            caller=request.caller,
             request_id=request.request_id,
             attempt_number=request.attempt_number,
             gateway=self._vm,
@@ -274,28 +222,27 @@
         number = f'f{next(self._fallback_numbers)}'
         permit_id = core.make_permit_id(self._vm, self._incarnation, number)
         permit = await self._share.take(request, permit_id)
+        self._nursery.start_soon(self._abandon, request)
         if permit is None:
-            raise PermitRefusedError(
-                kind='no-scheduler', retry_after_ms=CALL_TIMEOUT_MS
-            )
-        hold = PermitHold(
+            return None
+        self._holds[permit_id] = PermitHold(
             permit=permit, registered=False, epoch=self._guard.epoch
         )
-        self._holds[permit_id] = hold
-        return hold
+        return core.PermitGranted(
+            permit=permit,
+            scheduler=self._vm,
+            scheduler_incarnation=self._incarnation,
+        )
 
     # Giving back
 
-    async def _release(self, hold, clean):
+    async def _release(self, hold, message):
         permit = hold.permit
         self._share.give_back(permit)
-        message = core.PermitReleased(
-            permit_id=permit.permit_id, pool=permit.pool, clean=clean
-        )
         try:
             with trio.move_on_after(RELEASE_GIVE_UP_S):
                 taken = await self._call(permit.pool, message)
-                if not clean and not (taken and hold.registered):
+                if not message.clean and not (taken and hold.registered):
                     self._cancel_directly(permit)
                 while not taken and self._resends_releases:
                     await trio.sleep(RELEASE_RETRY_S)
@@ -314,21 +261,6 @@
 
     # Being asked
 
-    def _handle(self, inbound):
-        message = inbound.message
-        if isinstance(message, core.RegistrationWanted):
-            inbound.answer(self._registration_of(message.pool))
-            return
-        inbound.answer(core.Done())
-        hold = self._holds.get(message.permit_id)
-        if hold is not None:
-            emit(
-                events.PERMIT_CANCELLED,
-                permit_id=message.permit_id,
-                kind=message.kind,
-            )
-            hold.cancel(message.kind)
-
     def _registration_of(self, pool):
         holds = [h for h in self._holds.values() if h.permit.pool == pool]
         for hold in holds:
--- a/bluebellthread/daemon/_service.py
+++ b/bluebellthread/daemon/_service.py
@@ -159,8 +159,7 @@
             cancels=self._engine_control.cancels,
             resends_releases=self._has('release-resend'),
         )
-        for message_class in (core.RegistrationWanted, core.PermitCancelled):
-            self._mailboxes.register(message_class, self._desk.inbox)
+        self._mailboxes.register(core.RegistrationWanted, self._desk.inbox)
 
     def _make_gateway(self):
         settings = self._settings
@@ -172,7 +171,9 @@
             fleet=self.fleet,
             adapter=settings.engine_adapter,
             tracer=self._tracer,
+            metrics=self._metrics,
         )
+        self._mailboxes.register(core.PermitCancelled, self._model_path.inbox)
         self._service_path = _service_path.ServicePath(
             data_centre=settings.data_centre, fleet=self.fleet
         )
@@ -233,6 +234,7 @@
         """
         async with trio.open_nursery() as nursery:
             await nursery.start(self._links.run)
+            await nursery.start(self._model_path.run)
             peers = await self._start_peer_server(nursery)
             nursery.start_soon(self._scheduler_task.run)
             nursery.start_soon(self._desk.run)
--- a/bluebellthread/wire/peer.thrift
+++ b/bluebellthread/wire/peer.thrift
@@ -48,6 +48,7 @@
   10: i32 attempt_number,
   11: i32 priority,
   12: list<i64> prefix_hashes,
+  13: list<string> avoid_servers,
 }
 
 struct PermitGranted {
@@ -171,6 +172,7 @@
   3: string gateway,
   4: i64 gateway_incarnation,
   5: PoolKey pool,
+  6: string caller,
 }
 
 struct Envelope {
