--- a/bluebellthread/core/_scheduler.py
+++ b/bluebellthread/core/_scheduler.py
@@ -9,8 +9,6 @@
 import itertools
 import random
 
-import attrs
-
 from bluebellthread.core import _ending_permits
 from bluebellthread.core import _gateway_watch
 from bluebellthread.core import _messages
@@ -24,6 +22,7 @@
 from bluebellthread.core import _scheduler_events as events
 from bluebellthread.core import _scheduler_options
 from bluebellthread.core import _stray_watch
+from bluebellthread.core import _waiting_asks
 
 
 class Scheduler:
@@ -71,8 +70,7 @@
         self._placement = _placement.Placement(
             options=options, ledger=self._ledger, rng=rng or random.Random(0)
         )
-        self._queue = self._make_queue()
-        self._requests = _request_log.RequestLog()
+        self._waiting = _waiting_asks.WaitingAsks(options)
         self._gateways = _gateway_watch.GatewayWatch(options)
         self._registration = _registration.Registration(options)
         self._strays = _stray_watch.StrayWatch(options)
@@ -111,7 +109,7 @@
     @property
     def waiting_count(self):
         """Requests that wait for a permit."""
-        return len(self._queue)
+        return len(self._waiting)
 
     @property
     def rebuilding(self):
@@ -126,7 +124,7 @@
             commands += self._ending.end(entry, now_ms, 'deadline')
         if self._registration.check_done(now_ms):
             self._strays.restart(now_ms)
-        for refusal in self._queue.pop_expired(now_ms=now_ms):
+        for refusal in self._waiting.pop_expired(now_ms=now_ms):
             commands.append(self._refuse_from_queue(refusal))
         return commands + self._grant_waiting(now_ms)
 
@@ -135,9 +133,9 @@
     def _on_request(self, request, now_ms):
         if self._gateways.is_gone(_request_log.process_of(request)):
             return []
-        if self._requests.is_superseded(request):
+        if self._waiting.is_superseded(request):
             return [self._refuse(request, 'superseded')]
-        known = self._requests.find_waiting(request)
+        known = self._waiting.find(request)
         if known is not None and _request_log.is_same_ask(known, request):
             return []
         entry = self._ledger.find_request(request)
@@ -154,49 +152,41 @@
         """Make a newer ask of the same request id the only one."""
         commands = []
         if waiting is not None:
-            self._queue.remove(_request_log.request_key(waiting))
-            self._requests.note_superseded(waiting)
+            self._waiting.remove(waiting)
+            self._waiting.note_superseded(waiting)
             commands.append(self._refuse(waiting, 'superseded'))
         if entry is not None:
-            self._requests.note_superseded(entry.permit)
+            self._waiting.note_superseded(entry.permit)
             commands += self._ending.end(entry, now_ms, 'superseded')
         return commands
 
     def _enqueue(self, request, now_ms):
         if not self._placement.has_both_roles():
             return [self._refuse(request, 'no-backend')]
-        self._requests.note_waiting(request)
-        keyed = attrs.evolve(
-            request, request_id=_request_log.request_key(request)
-        )
-        refused = self._queue.push(keyed, now_ms=now_ms)
+        refused = self._waiting.push(request, now_ms=now_ms)
         return [self._refuse_from_queue(item) for item in refused]
 
     def _on_abandoned(self, event, now_ms):
-        waiting = self._requests.find_waiting(event)
+        waiting = self._waiting.find(event)
         if waiting is not None and _request_log.is_same_ask(waiting, event):
-            self._queue.remove(_request_log.request_key(event))
-            self._requests.forget_waiting(waiting)
+            self._waiting.remove(waiting)
             return []
         entry = self._ledger.find_request(event)
         if entry is not None and _request_log.is_same_ask(entry.permit, event):
             return self._ending.end(entry, now_ms, '')
         # Comes before the request that it takes back.
-        self._requests.note_superseded(event)
+        self._waiting.note_superseded(event)
         return []
 
     def _grant_waiting(self, now_ms):
         commands = []
-        while len(self._queue):
-            keyed = self._queue.pop_next(
+        while len(self._waiting):
+            request = self._waiting.pop_next(
                 lambda item: self._fits(item, now_ms), now_ms=now_ms
             )
-            if keyed is None:
+            if request is None:
                 break
-            request = self._requests.find_key(keyed.request_id)
-            self._requests.forget_waiting(request)
             commands.append(self._grant(request, now_ms))
-            self._queue.note_granted(keyed, now_ms=now_ms)
         return commands
 
     def _fits(self, request, now_ms):
@@ -239,9 +229,9 @@
         return events.SendToGateway(gateway=permit.gateway, message=granted)
 
     def _refuse_from_queue(self, refusal):
-        request = self._requests.find_key(refusal.request.request_id)
-        self._requests.forget_waiting(request)
-        return self._refuse(request, refusal.kind, refusal.retry_after_ms)
+        return self._refuse(
+            refusal.request, refusal.kind, refusal.retry_after_ms
+        )
 
     def _refuse(self, request, kind, retry_after_ms=_policies.RETRY_AFTER_MS):
         refusal = _messages.PermitRefused(
@@ -259,8 +249,7 @@
         if entry is None or entry.ended_ms is not None:
             return []
         if event.stage == 'decoding':
-            key = _request_log.request_key(entry.permit)
-            self._queue.note_first_output(key, now_ms=now_ms)
+            self._waiting.note_first_output(entry.permit, now_ms=now_ms)
         self._ledger.progress(entry, event.stage)
         return []
 
@@ -321,17 +310,8 @@
             return []
         self._options = event.options
         self._placement.set_options(event.options)
-        waiting = self._queue
-        self._queue = self._make_queue()
-        commands = []
-        while (request := waiting.pop_next(_any, now_ms=now_ms)) is not None:
-            for refusal in self._queue.push(request, now_ms=now_ms):
-                commands.append(self._refuse_from_queue(refusal))
-        return commands
-
-    def _make_queue(self):
-        make = _policies.queue_policies.get(self._options.queue_policy)
-        return make(self._options.queue)
+        refused = self._waiting.set_options(event.options, now_ms=now_ms)
+        return [self._refuse_from_queue(item) for item in refused]
 
     def _on_report(self, report, now_ms):
         if report.server not in self._placement.servers:
@@ -367,10 +347,9 @@
         if not self._options.cancels_gone_gateways:
             return []
         commands = []
-        for request in self._requests.list_waiting():
+        for request in self._waiting.list_all():
             if self._gateways.is_gone(_request_log.process_of(request)):
-                self._queue.remove(_request_log.request_key(request))
-                self._requests.forget_waiting(request)
+                self._waiting.remove(request)
         holders = self._ledger.gateways()
         for gateway in self._gateways.find_gone(holders, now_ms):
             for entry in self._ledger.entries_of_gateway(gateway):
@@ -391,7 +370,7 @@
         ]
 
     def _on_tick(self, event, now_ms):
-        self._requests.forget_old(now_ms)
+        self._waiting.forget_old(now_ms)
         self._ending.forget_old(now_ms)
         commands = self._call_gateways(now_ms) + self._cancel_gone(now_ms)
         return commands + self._cancel_strays(now_ms)
@@ -404,7 +383,3 @@
             events.CancelAtEngine(server=server, permit_id=permit_id)
             for server, permit_id in due
         ]
-
-
-def _any(request):
-    return True
--- /dev/null
+++ b/bluebellthread/core/_waiting_asks.py
@@ -0,0 +1,103 @@
+"""The requests of a pool that wait for a permit."""
+
+import attrs
+
+from bluebellthread.core import _policies
+from bluebellthread.core import _request_log
+
+
+class WaitingAsks:
+    """A queue policy fed with requests by caller and request id.
+
+    Queue policies know requests by one id; two callers may use the same.
+
+    Parameters
+    ----------
+    options : SchedulerOptions
+        Names the queue policy.
+    """
+
+    def __init__(self, options):
+        self._options = options
+        self._log = _request_log.RequestLog()
+        self._queue = self._make_queue()
+
+    def __len__(self):
+        return len(self._queue)
+
+    def set_options(self, options, *, now_ms):
+        """Use another queue; return a `QueueRefusal` list."""
+        self._options = options
+        waiting = self._queue
+        self._queue = self._make_queue()
+        refused = []
+        while (keyed := waiting.pop_next(_any, now_ms=now_ms)) is not None:
+            refused += self._queue.push(keyed, now_ms=now_ms)
+        return self._restore(refused)
+
+    def find(self, ask):
+        """Return the waiting ask of the same request, or None."""
+        return self._log.find_waiting(ask)
+
+    def list_all(self):
+        """Return every ask that waits."""
+        return self._log.list_waiting()
+
+    def push(self, request, *, now_ms):
+        """Add a request; return a `QueueRefusal` list."""
+        self._log.note_waiting(request)
+        key = _request_log.request_key(request)
+        keyed = attrs.evolve(request, request_id=key)
+        return self._restore(self._queue.push(keyed, now_ms=now_ms))
+
+    def pop_next(self, fits, *, now_ms):
+        """Remove and return the next request if it fits, else None."""
+        keyed = self._queue.pop_next(fits, now_ms=now_ms)
+        if keyed is None:
+            return None
+        request = self._log.find_key(keyed.request_id)
+        self._log.forget_waiting(request)
+        self._queue.note_granted(keyed, now_ms=now_ms)
+        return request
+
+    def pop_expired(self, *, now_ms):
+        """Remove what waits in vain; return a `QueueRefusal` list."""
+        return self._restore(self._queue.pop_expired(now_ms=now_ms))
+
+    def remove(self, ask):
+        """Remove a request that waits."""
+        self._queue.remove(_request_log.request_key(ask))
+        self._log.forget_waiting(ask)
+
+    def note_first_output(self, permit, *, now_ms):
+        """Learn that a granted request has begun to decode."""
+        key = _request_log.request_key(permit)
+        self._queue.note_first_output(key, now_ms=now_ms)
+
+    def note_superseded(self, ask):
+        """Remember that an ask is never to be granted."""
+        self._log.note_superseded(ask)
+
+    def is_superseded(self, ask):
+        """Return whether an ask is never to be granted."""
+        return self._log.is_superseded(ask)
+
+    def forget_old(self, now_ms):
+        """Forget what was superseded long ago."""
+        self._log.forget_old(now_ms)
+
+    def _make_queue(self):
+        make = _policies.queue_policies.get(self._options.queue_policy)
+        return make(self._options.queue)
+
+    def _restore(self, refusals):
+        restored = []
+        for refusal in refusals:
+            request = self._log.find_key(refusal.request.request_id)
+            self._log.forget_waiting(request)
+            restored.append(attrs.evolve(refusal, request=request))
+        return restored
+
+
+def _any(request):
+    return True
