--- a/bluebellthread/configuration/_settings.py
+++ b/bluebellthread/configuration/_settings.py
@@ -73,8 +73,8 @@
     disabled_mechanisms : tuple of str
         For tests only, to show what a mechanism is for: ``'probes'``,
         ``'pause-detection'``, ``'gateway-cancel'``, ``'stray-cancel'``,
-        ``'registrations'``, ``'cautious-share'``, ``'release-resend'``
-        or ``'balancer-lag'``.
+        ``'registrations'``, ``'cautious-share'``, ``'release-resend'``,
+        ``'minority-wait'`` or ``'balancer-lag'``.
 
     Examples
     --------
--- a/bluebellthread/core/_scheduler.py
+++ b/bluebellthread/core/_scheduler.py
@@ -339,7 +339,9 @@
     # The view and time
 
     def _on_gateways(self, event, now_ms):
-        self._gateways.note_live(event.live)
+        self._gateways.note_live(
+            event.live, minority=event.minority, now_ms=now_ms
+        )
         self._registration.note_live(event.live)
         return self._cancel_gone(now_ms) + self._call_gateways(now_ms)
 
@@ -378,7 +380,9 @@
     def _cancel_strays(self, now_ms):
         if self._registration.rebuilding or not self._options.cancels_strays:
             return []
-        due = self._strays.pop_due(self._gateways.live, now_ms)
+        due = self._strays.pop_due(
+            self._gateways.live, now_ms, least_wait_ms=self._gateways.wait_ms
+        )
         return [
             events.CancelAtEngine(server=server, permit_id=permit_id)
             for server, permit_id in due
--- a/bluebellthread/core/_scheduler_events.py
+++ b/bluebellthread/core/_scheduler_events.py
@@ -33,9 +33,13 @@
     live : tuple of (str, int)
         Name and incarnation of each live gateway process. A permit of
         any other process belongs to a request that is gone.
+    minority : bool
+        Whether more VMs of the data centre look dead than alive: this VM
+        may be the one that is cut off.
     """
 
     live: tuple[tuple[str, int], ...]
+    minority: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/bluebellthread/core/_scheduler_options.py
+++ b/bluebellthread/core/_scheduler_options.py
@@ -39,6 +39,9 @@
         The same where the process that granted it lives.
     unknown_gateway_timeout_ms : int
         How long a gateway may ask before the view shows it.
+    minority_timeout_ms : int
+        How long a VM that may itself be cut off waits before it cancels
+        what belongs to processes that look dead to it.
     cancels_gone_gateways, cancels_strays, asks_registrations : bool
         Only tests turn these off.
 
@@ -61,6 +64,7 @@
     stray_timeout_ms: int = 1500
     live_stray_timeout_ms: int = 10000
     unknown_gateway_timeout_ms: int = 3000
+    minority_timeout_ms: int = 10000
     cancels_gone_gateways: bool = True
     cancels_strays: bool = True
     asks_registrations: bool = True
--- a/bluebellthread/core/_stray_watch.py
+++ b/bluebellthread/core/_stray_watch.py
@@ -65,7 +65,7 @@
             for stray in strays.values():
                 stray.first_seen_ms = now_ms
 
-    def pop_due(self, live_processes, now_ms):
+    def pop_due(self, live_processes, now_ms, *, least_wait_ms=0):
         """Return (server, id) of the strays to cancel now.
 
         Parameters
@@ -74,26 +74,31 @@
             Name and incarnation of the live VM processes.
         now_ms : int
             Now.
+        least_wait_ms : int
+            Least time that a stray may run.
         """
         due = []
         for server, strays in self._strays.items():
             for permit_id, stray in strays.items():
-                if self._is_due(permit_id, stray, live_processes, now_ms):
+                timeout_ms = max(
+                    self._timeout_ms(permit_id, live_processes), least_wait_ms
+                )
+                if self._is_due(permit_id, stray, timeout_ms, now_ms):
                     stray.cancelled_ms = now_ms
                     due.append((server, permit_id))
         self._forget_old_granters(now_ms)
         return due
 
-    def _is_due(self, permit_id, stray, live_processes, now_ms):
+    def _timeout_ms(self, permit_id, live_processes):
+        if granter_of(permit_id) in live_processes:
+            return self._options.live_stray_timeout_ms
+        return self._options.stray_timeout_ms
+
+    def _is_due(self, permit_id, stray, timeout_ms, now_ms):
         if stray.cancelled_ms is not None:
             retry_ms = stray.cancelled_ms + self._options.settle_timeout_ms
             return now_ms >= retry_ms
         granter = granter_of(permit_id)
-        timeout_ms = (
-            self._options.live_stray_timeout_ms
-            if granter in live_processes
-            else self._options.stray_timeout_ms
-        )
         newest_ms = self._newest_ms.get(granter, stray.first_seen_ms)
         return now_ms >= max(stray.first_seen_ms, newest_ms) + timeout_ms
 
--- a/bluebellthread/daemon/_scheduler_task.py
+++ b/bluebellthread/daemon/_scheduler_task.py
@@ -202,8 +202,12 @@
                 scheduler,
                 core.OptionsChanged(options=self._options_of(pool)),
             )
-            live = self._live_gateways()
-            await self._step(scheduler, core.GatewaysChanged(live=live))
+            await self._step(
+                scheduler,
+                core.GatewaysChanged(
+                    live=self._live_gateways(), minority=self._is_minority()
+                ),
+            )
 
     def _owned_pools(self):
         if self._configuration is None or not self._fleet.view.confirmed:
@@ -236,6 +240,12 @@
             if member.region == self._region and member.state in GATEWAY_STATES
         )
 
+    def _is_minority(self):
+        view = self._fleet.view
+        live = view.in_data_centre(self._data_centre, states=GATEWAY_STATES)
+        dead = view.in_data_centre(self._data_centre, states=('dead',))
+        return len(live) < len(dead)
+
     def _make_scheduler(self, pool):
         return core.Scheduler(
             pool=pool,
--- a/bluebellthread/daemon/_service.py
+++ b/bluebellthread/daemon/_service.py
@@ -35,6 +35,9 @@
 
 MS_PER_S = 1000
 
+MINORITY_TIMEOUT_MS = 10000
+"""How long a VM that may be cut off waits to cancel for the dead."""
+
 RELEASE_TIMEOUT_S = 2
 RELEASE_POLL_S = 0.02
 
@@ -121,6 +124,9 @@
                 cancels_gone_gateways=self._has('gateway-cancel'),
                 cancels_strays=self._has('stray-cancel'),
                 asks_registrations=self._has('registrations'),
+                minority_timeout_ms=MINORITY_TIMEOUT_MS
+                if self._has('minority-wait')
+                else 0,
             ),
         )
         for message_class in (
--- a/tests/integration/_vm_fleet.py
+++ b/tests/integration/_vm_fleet.py
@@ -70,6 +70,64 @@
     return await fleet.start_daemon(values | settings)
 
 
+def ip_of(vm):
+    return f'127.0.0.1{vm.removeprefix("vm")}'
+
+
+async def start_behind_proxies(fleet, *, vms=VMS, off=()):
+    """Start VMs, each with an IP of its own and a proxy before it."""
+    await fleet.start_standins(
+        [
+            {
+                'kind': 'proxy',
+                'name': f'proxy-{vm}',
+                'forwards_udp': True,
+                'target_host': ip_of(vm),
+            }
+            for vm in vms
+        ]
+    )
+    await start(fleet, vms=(), off=off)
+    listed = []
+    for vm in vms:
+        proxy = fleet.standins[f'proxy-{vm}']
+        daemon = await start_vm(
+            fleet,
+            vm,
+            off=off,
+            host=ip_of(vm),
+            peer_address=f'{proxy.host}:{proxy.port}',
+        )
+        await fleet.control_proxy(proxy, target_port=daemon.peers.port)
+        listed.append(
+            {
+                'name': vm,
+                'data_centre': _small_fleet.DATA_CENTRE,
+                'region': _small_fleet.REGION,
+                'host': proxy.host,
+                'peer_port': proxy.port,
+                'caller_port': daemon.callers.port,
+                'state': 'live',
+            }
+        )
+    await fleet.post('platform', '/publish_vms', listed)
+    for vm in vms:
+        await _fleet.until(lambda vm=vm: sees(fleet, vm, 'alive', vms))
+        await _fleet.until(lambda vm=vm: can_answer(fleet, vm))
+
+
+async def cut_off(fleet, vm, *, vms=VMS):
+    """Cut a VM off from the other VMs, not from engines."""
+    for other in vms:
+        rule = {'*' if other == vm else ip_of(vm): {'cut': True}}
+        await fleet.set_rules(f'proxy-{other}', rule)
+
+
+async def heal(fleet, *, vms=VMS):
+    for vm in vms:
+        await fleet.set_rules(f'proxy-{vm}', {})
+
+
 def sees(fleet, vm, state, names):
     """Return whether a VM's log shows others in a state, as the last."""
     states = {}
--- a/tests/integration/test_failures.py
+++ b/tests/integration/test_failures.py
@@ -5,6 +5,8 @@
 from tests.integration import _small_fleet
 from tests.integration import _vm_fleet
 
+FOUR_VMS = ('vm1', 'vm2', 'vm3', 'vm4')
+
 
 class TestKilledVms(_fleet.FleetTestCase):
     def test_grants_go_on_at_a_new_owner(self):
@@ -75,7 +77,7 @@
         self.run_fleet(self.check_both_killed)
 
     async def check_both_killed(self, fleet):
-        await _vm_fleet.start(fleet)
+        await _vm_fleet.start(fleet, vms=FOUR_VMS)
         await self.kill_both(fleet)
         taken_s = await _vm_fleet.measure_until(
             lambda: _vm_fleet.is_free(fleet), what='free engine memory'
@@ -86,14 +88,14 @@
         self.run_fleet(self.check_no_stray_cancel)
 
     async def check_no_stray_cancel(self, fleet):
-        await _vm_fleet.start(fleet, off=('stray-cancel',))
+        await _vm_fleet.start(fleet, vms=FOUR_VMS, off=('stray-cancel',))
         await self.kill_both(fleet)
         self.assertTrue(
             await _vm_fleet.never(lambda: _vm_fleet.is_free(fleet), seconds=8)
         )
 
     async def kill_both(self, fleet):
-        owner, _, gateway = _vm_fleet.rank()
+        owner, *_, gateway = _vm_fleet.rank(FOUR_VMS)
         async with trio.open_nursery() as nursery:
             await _vm_fleet.start_stream(fleet, nursery, gateway, tokens=5000)
             fleet.process_of(gateway).kill()
@@ -162,6 +164,77 @@
         return answer.status
 
 
+class TestCutOffVm(_fleet.FleetTestCase):
+    def test_both_sides_serve_and_find_each_other_again(self):
+        self.run_fleet(self.check_cut)
+
+    async def check_cut(self, fleet):
+        await _vm_fleet.start_behind_proxies(fleet)
+        stream = await self.serve_while_cut(fleet)
+        self.assertTrue(stream.whole)
+        await _vm_fleet.heal(fleet)
+        for vm in _vm_fleet.VMS:
+            await _fleet.until(
+                lambda vm=vm: _vm_fleet.sees(fleet, vm, 'alive', _vm_fleet.VMS)
+            )
+            self.assertTrue(await _vm_fleet.can_answer(fleet, vm))
+        await _fleet.until(lambda: _vm_fleet.is_free(fleet))
+
+    def test_without_its_wait_the_cut_off_vm_harms_the_others(self):
+        self.run_fleet(self.check_no_wait)
+
+    async def check_no_wait(self, fleet):
+        await _vm_fleet.start_behind_proxies(fleet, off=('minority-wait',))
+        # The answer may still become whole: by a second run.
+        await self.serve_while_cut(fleet)
+        cancelled = (await fleet.state('d1'))['cancelled_ids']
+        self.assertNotEqual([], cancelled)
+
+    def test_woken_and_cut_off_it_serves_from_a_cautious_share(self):
+        self.run_fleet(self.check_share)
+
+    async def check_share(self, fleet):
+        await _vm_fleet.start_behind_proxies(fleet)
+        self.assertEqual(200, await self.ask_woken_alone(fleet))
+        self.assertIn(' E4005 ', fleet.process_of('vm3').stderr)
+
+    def test_without_the_share_it_can_not_serve(self):
+        self.run_fleet(self.check_no_share)
+
+    async def check_no_share(self, fleet):
+        await _vm_fleet.start_behind_proxies(fleet, off=('cautious-share',))
+        self.assertEqual(504, await self.ask_woken_alone(fleet))
+
+    async def ask_woken_alone(self, fleet):
+        process = fleet.process_of('vm3')
+        process.freeze()
+        await _vm_fleet.cut_off(fleet, 'vm3')
+        await _fleet.until(
+            lambda: _vm_fleet.sees(fleet, 'vm1', 'dead', ('vm3',))
+        )
+        process.thaw()
+        await _fleet.until(lambda: ' E2004 ' in process.stderr)
+        headers = {'x-request-timeout-ms': '8000'}
+        answer = await _small_fleet.ask(
+            fleet, 'vm3', max_tokens=1, headers=headers
+        )
+        return answer.status
+
+    async def serve_while_cut(self, fleet):
+        owner, second, third = _vm_fleet.rank()
+        async with trio.open_nursery() as nursery:
+            stream = await _vm_fleet.start_stream(
+                fleet, nursery, second, tokens=300
+            )
+            await _vm_fleet.cut_off(fleet, third)
+            await _fleet.until(
+                lambda: _vm_fleet.sees(fleet, third, 'dead', (owner, second))
+            )
+            for vm in _vm_fleet.VMS:
+                self.assertTrue(await _vm_fleet.can_answer(fleet, vm))
+        return stream
+
+
 class TestPlannedStop(_fleet.FleetTestCase):
     def test_rolling_replacement_cuts_off_no_stream(self):
         self.run_fleet(self.check_rolling, timeout_s=90)
--- a/tests/unit/test_scheduler.py
+++ b/tests/unit/test_scheduler.py
@@ -132,6 +132,16 @@
         commands = scheduler.handle(_pool.make_gateways('vm3'), 2)
         self.assertEqual(cancels_of(permit), _pool.find_cancels(commands))
 
+    def test_vm_that_may_be_cut_off_waits_to_cancel(self):
+        scheduler = _pool.start_scheduler()
+        permit = grant(scheduler, 'r1', 1, deadline_ms=60000)
+        alone = attrs.evolve(_pool.make_gateways('vm3'), minority=True)
+        commands = scheduler.handle(alone, 2)
+        commands += scheduler.handle(core.Tick(), 10001)
+        self.assertEqual([], _pool.find_cancels(commands))
+        commands = scheduler.handle(core.Tick(), 10002)
+        self.assertEqual(cancels_of(permit), _pool.find_cancels(commands))
+
     def test_gateway_that_the_view_lags_behind_is_not_gone(self):
         scheduler = _pool.start_scheduler()
         permit = grant(scheduler, 'r1', 1, gateway='vm4')
