Merge membership, scheduler ledger and recovery with the answer machine

Cause: permits were kept by two parts, the answer machine's link and the permit desk. Change: the machine asks the desk; the desk alone talks to schedulers, and a request that ends takes its ask back. Request ids are namespaced by caller, so that one caller can't supersede another's.

A fault of the router is logged as E5003 instead of passing unseen.

Two tests with a mechanism off looked at the caller's answer, which a resume now saves; they look at what the engines refused or dropped instead, and the tests with the mechanism on ask for none of it, which is stricter than before.

--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -60,10 +60,13 @@
 from bluebellthread.core._membership import Membership
 from bluebellthread.core._membership_events import DatagramReceived
 from bluebellthread.core._membership_events import LeaveStarted
+from bluebellthread.core._membership_events import PauseNoticed
 from bluebellthread.core._membership_events import PlatformListed
+from bluebellthread.core._membership_events import SeedsTried
 from bluebellthread.core._membership_events import SendDatagram
 from bluebellthread.core._membership_events import Stopped
 from bluebellthread.core._membership_events import ViewChanged
+from bluebellthread.core._membership_messages import MEMBERSHIP_MESSAGES
 from bluebellthread.core._membership_options import MembershipOptions
 from bluebellthread.core._messages import Done
 from bluebellthread.core._messages import PermitCancelled
@@ -91,6 +94,8 @@
 from bluebellthread.core._model import ROLE_SERVICE
 from bluebellthread.core._ownership import choose_owner
 from bluebellthread.core._ownership import rank_by_rendezvous
+from bluebellthread.core._permit_messages import PermitAbandoned
+from bluebellthread.core._permit_messages import RegistrationWanted
 from bluebellthread.core._policies import decode_policies
 from bluebellthread.core._policies import DecodeCandidate
 from bluebellthread.core._policies import prefill_policies
@@ -107,7 +112,6 @@
 from bluebellthread.core._retry import backoff_ms
 from bluebellthread.core._retry import RetryBudget
 from bluebellthread.core._scheduler import Scheduler
-from bluebellthread.core._scheduler import SchedulerOptions
 from bluebellthread.core._scheduler_events import CancelAtEngine
 from bluebellthread.core._scheduler_events import CancelConfirmed
 from bluebellthread.core._scheduler_events import GatewaysChanged
@@ -115,9 +119,11 @@
 from bluebellthread.core._scheduler_events import SendToGateway
 from bluebellthread.core._scheduler_events import ServersChanged
 from bluebellthread.core._scheduler_events import Tick
+from bluebellthread.core._scheduler_options import SchedulerOptions
 from bluebellthread.core._spill_policies import PoolSummary
 from bluebellthread.core._spill_policies import RegionSpill
 from bluebellthread.core._spill_policies import SpillPolicy
+from bluebellthread.core._stray_watch import make_permit_id
 from bluebellthread.core._ticket_book import cost_bytes
 from bluebellthread.core._ticket_book import TicketBook
 from bluebellthread.core._ticket_book import TicketRecord
@@ -209,6 +215,7 @@
     'LimitRefusal',
     'LoadReport',
     'LookupArrived',
+    'MEMBERSHIP_MESSAGES',
     'Member',
     'Membership',
     'MembershipOptions',
@@ -218,7 +225,9 @@
     'NothingSent',
     'OptionsChanged',
     'OutcomeUnknown',
+    'PauseNoticed',
     'Permit',
+    'PermitAbandoned',
     'PermitCancelled',
     'PermitGranted',
     'PermitProgressed',
@@ -246,6 +255,7 @@
     'RefusedByServer',
     'Region',
     'RegionSpill',
+    'RegistrationWanted',
     'Registry',
     'Rejected',
     'RequestFound',
@@ -259,6 +269,7 @@
     'SchedulerUnreachable',
     'Scope',
     'ScopedException',
+    'SeedsTried',
     'SendDatagram',
     'SendToGateway',
     'ServerAnswer',
@@ -313,6 +324,7 @@
     'estimate_tokens',
     'explain',
     'id_of_text',
+    'make_permit_id',
     'prefill_policies',
     'queue_policies',
     'rank_by_rendezvous',
