--- a/bluebellthread/core/_gateway_watch.py
+++ b/bluebellthread/core/_gateway_watch.py
@@ -26,6 +26,7 @@
         self._options = options
         self._gone_since_ms = {}
         self._minority = False
+        self._start_ms = 0
         self._unknown_since_ms = {}
         self.live = frozenset()
 
@@ -36,6 +37,8 @@
 
     def note_live(self, live, *, minority, now_ms):
         """Take in the live gateway processes."""
+        if not self.live:
+            self._start_ms = now_ms
         live = frozenset(live)
         names = {name for name, _ in live}
         gone = {
@@ -54,6 +57,10 @@
         """Return whether a process has left the view."""
         return gateway in self._gone_since_ms
 
+    def gone_since_ms(self, process):
+        """Return since when a process has not been in the view."""
+        return self._gone_since_ms.get(process, self._start_ms)
+
     def _is_old(self, since_ms, now_ms):
         return now_ms - since_ms > FORGET_MS
 
--- a/bluebellthread/core/_scheduler.py
+++ b/bluebellthread/core/_scheduler.py
@@ -380,9 +380,7 @@
     def _cancel_strays(self, now_ms):
         if self._registration.rebuilding or not self._options.cancels_strays:
             return []
-        due = self._strays.pop_due(
-            self._gateways.live, now_ms, least_wait_ms=self._gateways.wait_ms
-        )
+        due = self._strays.pop_due(self._gateways, now_ms)
         return [
             events.CancelAtEngine(server=server, permit_id=permit_id)
             for server, permit_id in due
--- a/bluebellthread/core/_scheduler_options.py
+++ b/bluebellthread/core/_scheduler_options.py
@@ -37,6 +37,9 @@
         How long a request that belongs to no live process may run.
     live_stray_timeout_ms : int
         The same where the process that granted it lives.
+    cut_off_stray_timeout_ms : int
+        The same where it granted more after it looked dead: it is cut
+        off from this VM.
     unknown_gateway_timeout_ms : int
         How long a gateway may ask before the view shows it.
     minority_timeout_ms : int
@@ -63,6 +66,7 @@
     register_period_ms: int = 300
     stray_timeout_ms: int = 1500
     live_stray_timeout_ms: int = 10000
+    cut_off_stray_timeout_ms: int = 60000
     unknown_gateway_timeout_ms: int = 3000
     minority_timeout_ms: int = 10000
     cancels_gone_gateways: bool = True
--- a/bluebellthread/daemon/_gateway.py
+++ b/bluebellthread/daemon/_gateway.py
@@ -2,6 +2,7 @@
 
 import functools
 import secrets
+import traceback
 
 import attrs
 import trio
@@ -88,6 +89,16 @@
             self._metrics.count(metrics.REQUESTS_REFUSED, kind=refusal.kind)
             if not responder.started:
                 await responder.refuse(refusal)
+        except Exception as error:
+            # One faulty request must not end the others, nor go unseen.
+            emit(
+                events.REQUEST_CRASHED,
+                request_id=request_id,
+                error=''.join(traceback.format_exception(error)),
+            )
+            if responder.started:
+                raise
+            await responder.refuse(_refuse_crash())
 
     async def _serve_known(self, scope, receive, responder):
         if scope['path'] in ('/healthz', '/readyz'):
@@ -187,6 +198,15 @@
             return
 
 
+def _refuse_crash():
+    return _http.Refusal(
+        status=500,
+        kind='internal',
+        remedy='report it with the request id',
+        run=_http.RUN_UNKNOWN,
+    )
+
+
 def _read_caller(scope):
     return _http.find_header(scope['headers'], b'x-caller-id') or ANONYMOUS
 
--- a/bluebellthread/daemon/_peers.py
+++ b/bluebellthread/daemon/_peers.py
@@ -167,8 +167,7 @@
         PeerUnreachableError
             If there is no answer by the deadline.
         """
-        timeout_s = max(0, deadline_ms - _clock.read_clock_ms()) / 1000
-        with trio.move_on_after(timeout_s):
+        with trio.move_on_after(_clock.read_remaining_s(deadline_ms)):
             if member.name == self._vm:
                 return await self._call_self(message, traceparent)
             link = await self._link_to(member)
--- a/bluebellthread/daemon/_service.py
+++ b/bluebellthread/daemon/_service.py
@@ -165,7 +165,8 @@
             cancels=self._engine_control.cancels,
             resends_releases=self._has('release-resend'),
         )
-        self._mailboxes.register(core.RegistrationWanted, self._desk.inbox)
+        for message_class in (core.RegistrationWanted, core.PermitCancelled):
+            self._mailboxes.register(message_class, self._desk.inbox)
 
     def _make_gateway(self):
         settings = self._settings
@@ -179,7 +180,6 @@
             tracer=self._tracer,
             metrics=self._metrics,
         )
-        self._mailboxes.register(core.PermitCancelled, self._model_path.inbox)
         self._service_path = _service_path.ServicePath(
             data_centre=settings.data_centre, fleet=self.fleet
         )
--- a/bluebellthread/daemon/_traffic.py
+++ b/bluebellthread/daemon/_traffic.py
@@ -8,7 +8,7 @@
 
     Parameters
     ----------
-    metrics : bluebellthread.observe.Metrics
+    sender : bluebellthread.observe.Metrics
         Told of the sums now and then.
     """
 
--- a/tests/integration/test_failures.py
+++ b/tests/integration/test_failures.py
@@ -107,17 +107,17 @@
         self.run_fleet(self.check_streams_live)
 
     async def check_streams_live(self, fleet):
-        self.assertEqual([], await self.find_cancelled(fleet, off=()))
+        self.assertEqual(0, await self.count_breaks(fleet, off=()))
 
     def test_without_registration_a_new_owner_cuts_them_off(self):
         self.run_fleet(self.check_streams_cut)
 
     async def check_streams_cut(self, fleet):
-        # The answer becomes whole all the same, by a second run.
-        cancelled = await self.find_cancelled(fleet, off=('registrations',))
-        self.assertNotEqual([], cancelled)
+        off = ('registrations',)
+        self.assertGreater(await self.count_breaks(fleet, off=off), 0)
 
-    async def find_cancelled(self, fleet, *, off):
+    async def count_breaks(self, fleet, *, off):
+        """Return how often an engine dropped a live request."""
         await _vm_fleet.start(fleet, off=off)
         owner, _, third = _vm_fleet.rank()
         async with trio.open_nursery() as nursery:
@@ -125,8 +125,9 @@
                 fleet, nursery, third, tokens=400
             )
             fleet.process_of(owner).kill()
+        # A resume may hide the break from the caller, not from the log.
         self.assertTrue(stream.whole)
-        return (await fleet.state('d1'))['cancelled_ids']
+        return fleet.process_of(third).stderr.count(' E5001 ')
 
 
 class TestFrozenVm(_fleet.FleetTestCase):
@@ -134,16 +135,17 @@
         self.run_fleet(self.check_woken)
 
     async def check_woken(self, fleet):
-        self.assertEqual(200, await self.ask_woken_owner(fleet, off=()))
+        self.assertEqual(0, await self.count_oversold(fleet, off=()))
 
     def test_without_pause_detection_it_oversells(self):
         self.run_fleet(self.check_oversold)
 
     async def check_oversold(self, fleet):
-        status = await self.ask_woken_owner(fleet, off=('pause-detection',))
-        self.assertEqual(502, status)
+        off = ('pause-detection',)
+        self.assertGreater(await self.count_oversold(fleet, off=off), 0)
 
-    async def ask_woken_owner(self, fleet, *, off):
+    async def count_oversold(self, fleet, *, off):
+        """Return how often a woken owner's grant met a full engine."""
         await _vm_fleet.start(fleet, off=off, engines={'total_pieces': 3})
         owner, second, third = _vm_fleet.rank()
         fleet.process_of(owner).freeze()
@@ -164,7 +166,10 @@
                 lambda: _vm_fleet.sees(fleet, second, 'alive', (owner,))
             )
             answer = await _small_fleet.ask(fleet, owner, max_tokens=1)
-        return answer.status
+        # A retry may hide it from the caller, not from the log.
+        self.assertEqual(200, answer.status)
+        log = fleet.process_of(owner).stderr
+        return log.count('refused at backend server')
 
 
 class TestCutOffVm(_fleet.FleetTestCase):
@@ -173,8 +178,8 @@
 
     async def check_cut(self, fleet):
         await _vm_fleet.start_behind_proxies(fleet)
-        stream = await self.serve_while_cut(fleet)
-        self.assertTrue(stream.whole)
+        streams = await self.serve_while_cut(fleet)
+        self.assertEqual([True, True], [each.whole for each in streams])
         await _vm_fleet.heal(fleet)
         for vm in _vm_fleet.VMS:
             await _fleet.until(
@@ -226,16 +231,19 @@
     async def serve_while_cut(self, fleet):
         owner, second, third = _vm_fleet.rank()
         async with trio.open_nursery() as nursery:
-            stream = await _vm_fleet.start_stream(
-                fleet, nursery, second, tokens=300
-            )
+            streams = [
+                await _vm_fleet.start_stream(
+                    fleet, nursery, vm, tokens=300, request_id=vm
+                )
+                for vm in (second, third)
+            ]
             await _vm_fleet.cut_off(fleet, third)
             await _fleet.until(
                 lambda: _vm_fleet.sees(fleet, third, 'dead', (owner, second))
             )
             for vm in _vm_fleet.VMS:
                 self.assertTrue(await _vm_fleet.can_answer(fleet, vm))
-        return stream
+        return streams
 
 
 class TestPlannedStop(_fleet.FleetTestCase):
