--- a/bluebellthread/core/_permit_ledger.py
+++ b/bluebellthread/core/_permit_ledger.py
@@ -5,6 +5,7 @@
 import attrs
 
 from bluebellthread.core import _model
+from bluebellthread.core import _request_log
 from bluebellthread.core import _server_account
 
 
@@ -62,9 +63,10 @@
         """Return the entry of a permit, or None."""
         return self._entries.get(permit_id)
 
-    def find_request(self, request_id):
-        """Return the entry in force of a request, or None."""
-        return self._entries.get(self._by_request.get(request_id))
+    def find_request(self, item):
+        """Return the entry in force of an ask's or permit's request."""
+        key = _request_log.request_key(item)
+        return self._entries.get(self._by_request.get(key))
 
     def account(self, server):
         """Return the account of a backend server."""
@@ -93,7 +95,7 @@
         """Take a permit in with all that its stage holds."""
         entry = LedgerEntry(permit=permit, granted_ms=now_ms)
         self._entries[permit.permit_id] = entry
-        self._by_request[permit.request_id] = permit.permit_id
+        self._by_request[_request_log.request_key(permit)] = permit.permit_id
         ids = self._by_gateway.setdefault(gateway_of(permit), set())
         ids.add(permit.permit_id)
         heapq.heappush(self._deadlines, (permit.deadline_ms, permit.permit_id))
@@ -177,8 +179,9 @@
 
     def _forget_names(self, entry):
         permit = entry.permit
-        if self._by_request.get(permit.request_id) == permit.permit_id:
-            del self._by_request[permit.request_id]
+        key = _request_log.request_key(permit)
+        if self._by_request.get(key) == permit.permit_id:
+            del self._by_request[key]
         gateway = gateway_of(permit)
         ids = self._by_gateway.get(gateway, set())
         ids.discard(permit.permit_id)
--- a/bluebellthread/core/_permit_messages.py
+++ b/bluebellthread/core/_permit_messages.py
@@ -21,6 +21,7 @@
 class PermitAbandoned:
     """A gateway no longer wants the permit that it asked for."""
 
+    caller: str
     request_id: str
     attempt_number: int
     gateway: str
--- a/bluebellthread/daemon/_recovery.py
+++ b/bluebellthread/daemon/_recovery.py
@@ -25,48 +25,23 @@
 """How long no scheduler may be reached before the cautious share is used."""
 
 
-class PermitRefusedError(core.BluebellthreadError):
-    """No permit was given; the request has not run.
-
-    Parameters
-    ----------
-    kind, retry_after_ms : str, int
-        As in `PermitRefused`.
-    """
-
-    def __init__(self, *, kind, retry_after_ms):
-        self.kind = kind
-        self.retry_after_ms = retry_after_ms
-        super().__init__(f'no permit: {kind}; come back later')
-
-
+@attrs.define(kw_only=True)
 class PermitHold:
     """A live permit of this VM.
 
     Parameters
     ----------
-    granted : PermitGranted
-        The permit as it was granted.
+    permit : Permit
+        The permit at its present stage.
     registered : bool
         Whether a scheduler knows of it.
     epoch : int
         Of the pause guard, when it was granted.
-    on_cancel : callable
-        Takes the `PermitCancelled` when the permit loses its force.
     """
 
-    def __init__(self, *, granted, registered, epoch, on_cancel):
-        self.granted = granted
-        self.permit = granted.permit
-        self.registered = registered
-        self.epoch = epoch
-        self.cancelled = False
-        self._on_cancel = on_cancel
-
-    def cancel(self, message):
-        """Tell whoever uses the permit that it has no force any more."""
-        self.cancelled = True
-        self._on_cancel(message)
+    permit: core.Permit
+    registered: bool
+    epoch: int
 
 
 class PermitDesk:
@@ -133,80 +108,61 @@
             nursery.start_soon(self._register_fallbacks)
             async for inbound in self._receive:
                 self._guard.check()
-                self._handle(inbound)
+                pool = inbound.message.pool
+                inbound.answer(self._registration_of(pool))
 
-    async def ask(self, request, *, on_cancel, traceparent=''):
-        """Return a `PermitHold`, or raise `PermitRefusedError`.
+    async def ask(self, request, *, traceparent=''):
+        """Return `PermitGranted` or `PermitRefused`, or None.
 
         Asks whoever owns the pool, again when the owner changes; after
-        a bounded time without any owner it takes a cautious share.
+        a bounded time without any owner it takes a cautious share, and
+        None is for no room in that.
         """
-        settled = False
-        try:
-            hold = await self._ask_until_settled(
-                request, on_cancel, traceparent
-            )
-            settled = hold.registered
-            return hold
-        except PermitRefusedError:
-            settled = True
-            raise
-        finally:
-            if not settled:
-                # The caller has gone, or no scheduler was reached in time.
-                self._nursery.start_soon(self._abandon, request)
+        give_up_ms = _clock.read_clock_ms() + SCHEDULER_TIMEOUT_MS
+        while True:
+            owner = self._find_confirmed_owner(request.pool)
+            answer = None
+            if owner is not None:
+                answer = await self._call_owner(owner, request, traceparent)
+            if isinstance(answer, core.PermitGranted):
+                self._hold(answer.permit, owner)
+                return answer
+            if _is_final(answer):
+                return answer
+            if _clock.read_clock_ms() >= give_up_ms:
+                return await self._take_share(request)
+            with trio.move_on_after(ASK_AGAIN_S):
+                await self._fleet.wait_view_changed()
+
+    def abandon(self, request):
+        """Take back an ask that nobody waits for any more."""
+        self._nursery.start_soon(self._abandon, request)
 
-    def is_current(self, permit_id):
+    def is_current(self, permit):
         """Return whether new work may be started under a permit."""
         self._guard.check()
-        hold = self._holds.get(permit_id)
-        if hold is None:
-            return False
-        return hold.epoch == self._guard.epoch and not hold.cancelled
+        hold = self._holds.get(permit.permit_id)
+        return hold is not None and hold.epoch == self._guard.epoch
 
-    def progress(self, permit_id, stage):
+    def progress(self, message):
         """Tell the scheduler that a permit is at another stage."""
-        hold = self._holds.get(permit_id)
-        if hold is None:
-            return
-        hold.permit = attrs.evolve(hold.permit, stage=stage)
-        owner = self._fleet.find_owner(hold.permit.pool)
-        if owner is None:
+        hold = self._holds.get(message.permit_id)
+        owner = self._fleet.find_owner(message.pool)
+        if hold is None or owner is None:
             return
-        message = core.PermitProgressed(
-            permit_id=hold.permit.permit_id, pool=hold.permit.pool, stage=stage
-        )
+        hold.permit = attrs.evolve(hold.permit, stage=message.stage)
         # The stage only frees slots early: losing it does no harm.
         self._nursery.start_soon(self._send, owner, message)
 
-    def release(self, permit_id, *, clean):
+    def release(self, message):
         """Give a permit back, in the background until it is taken."""
-        hold = self._holds.pop(permit_id, None)
-        if hold is None:
-            return
-        self._releasing += 1
-        self._nursery.start_soon(self._release, hold, clean)
+        hold = self._holds.pop(message.permit_id, None)
+        if hold is not None:
+            self._releasing += 1
+            self._nursery.start_soon(self._release, hold, message)
 
     # Asking
 
-    async def _ask_until_settled(self, request, on_cancel, traceparent):
-        give_up_ms = _clock.read_clock_ms() + SCHEDULER_TIMEOUT_MS
-        while True:
-            owner = self._find_confirmed_owner(request.pool)
-            answer = None
-            if owner is not None:
-                answer = await self._call_owner(owner, request, traceparent)
-            if isinstance(answer, core.PermitGranted):
-                return self._hold(answer, owner, on_cancel)
-            if _is_final(answer):
-                raise PermitRefusedError(
-                    kind=answer.kind, retry_after_ms=answer.retry_after_ms
-                )
-            if _clock.read_clock_ms() >= give_up_ms:
-                return await self._take_share(request, on_cancel)
-            with trio.move_on_after(ASK_AGAIN_S):
-                await self._fleet.wait_view_changed()
-
     def _find_confirmed_owner(self, pool):
         self._guard.check()
         if not self._fleet.view.confirmed:
@@ -243,25 +199,20 @@
             and found.incarnation == owner.incarnation
         )
 
-    def _hold(self, granted, owner, on_cancel):
-        permit = granted.permit
-        hold = PermitHold(
-            granted=granted,
-            registered=True,
+    def _hold(self, permit, owner):
+        # The next owner may have been told of all permits already.
+        self._holds[permit.permit_id] = PermitHold(
+            permit=permit,
+            registered=self._is_owner(owner, permit.pool),
             epoch=self._guard.epoch,
-            on_cancel=on_cancel,
         )
-        self._holds[permit.permit_id] = hold
-        if not self._is_owner(owner, permit.pool):
-            # The next owner may have been told of all permits already.
-            hold.registered = False
-        return hold
 
     async def _abandon(self, request):
         owner = self._fleet.find_owner(request.pool)
         if owner is None:
             return
         message = core.PermitAbandoned(
+            caller=request.caller,
             request_id=request.request_id,
             attempt_number=request.attempt_number,
             gateway=self._vm,
@@ -270,41 +221,32 @@
         )
         await self._send(owner, message)
 
-    async def _take_share(self, request, on_cancel):
+    async def _take_share(self, request):
         emit(events.SCHEDULER_UNREACHABLE, pool=request.pool.text())
         number = f'f{next(self._fallback_numbers)}'
         permit_id = core.make_permit_id(self._vm, self._incarnation, number)
         permit = await self._share.take(request, permit_id)
+        self.abandon(request)
         if permit is None:
-            raise PermitRefusedError(
-                kind='no-scheduler', retry_after_ms=CALL_TIMEOUT_MS
-            )
-        granted = core.PermitGranted(
+            return None
+        self._holds[permit_id] = PermitHold(
+            permit=permit, registered=False, epoch=self._guard.epoch
+        )
+        return core.PermitGranted(
             permit=permit,
             scheduler=self._vm,
             scheduler_incarnation=self._incarnation,
         )
-        hold = PermitHold(
-            granted=granted,
-            registered=False,
-            epoch=self._guard.epoch,
-            on_cancel=on_cancel,
-        )
-        self._holds[permit_id] = hold
-        return hold
 
     # Giving back
 
-    async def _release(self, hold, clean):
+    async def _release(self, hold, message):
         permit = hold.permit
         self._share.give_back(permit)
-        message = core.PermitReleased(
-            permit_id=permit.permit_id, pool=permit.pool, clean=clean
-        )
         try:
             with trio.move_on_after(RELEASE_GIVE_UP_S):
                 taken = await self._call(permit.pool, message)
-                if not clean and not (taken and hold.registered):
+                if not message.clean and not (taken and hold.registered):
                     self._cancel_directly(permit)
                 while not taken and self._resends_releases:
                     await trio.sleep(RELEASE_RETRY_S)
@@ -323,21 +265,6 @@
 
     # Being asked
 
-    def _handle(self, inbound):
-        message = inbound.message
-        if isinstance(message, core.RegistrationWanted):
-            inbound.answer(self._registration_of(message.pool))
-            return
-        inbound.answer(core.Done())
-        hold = self._holds.get(message.permit_id)
-        if hold is not None:
-            emit(
-                events.PERMIT_CANCELLED,
-                permit_id=message.permit_id,
-                kind=message.kind,
-            )
-            hold.cancel(message)
-
     def _registration_of(self, pool):
         holds = [h for h in self._holds.values() if h.permit.pool == pool]
         for hold in holds:
--- a/bluebellthread/wire/peer.thrift
+++ b/bluebellthread/wire/peer.thrift
@@ -172,6 +172,7 @@
   3: string gateway,
   4: i64 gateway_incarnation,
   5: PoolKey pool,
+  6: string caller,
 }
 
 struct Envelope {
--- a/tests/unit/test_scheduler.py
+++ b/tests/unit/test_scheduler.py
@@ -1,5 +1,6 @@
 import unittest
 
+import attrs
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -48,6 +49,7 @@
     def test_abandoned_requests_hold_nothing_even_if_told_first(self):
         scheduler = _pool.start_scheduler()
         abandoned = core.PermitAbandoned(
+            caller='workshop-12',
             request_id='r1',
             attempt_number=0,
             gateway='vm2',
@@ -62,6 +64,7 @@
         permit = grant(scheduler, 'r2', 3)
         commands = scheduler.handle(
             core.PermitAbandoned(
+                caller='workshop-12',
                 request_id='r2',
                 attempt_number=0,
                 gateway='vm2',
@@ -84,6 +87,17 @@
         commands = scheduler.handle(progress, 3)
         self.assertEqual(1, len(_pool.find_granted(commands)))
 
+    def test_two_callers_may_use_one_request_id(self):
+        scheduler = _pool.start_scheduler()
+        waits = _pool.make_request('r1', prompt_tokens=7000)
+        grant(scheduler, 'r0', 0)
+        scheduler.handle(waits, 1)
+        other = attrs.evolve(
+            _pool.make_request('r1', prompt_tokens=7000), caller='workshop-3'
+        )
+        self.assertEqual([], scheduler.handle(other, 2))
+        self.assertEqual(2, scheduler.waiting_count)
+
 
 class TestEnds(unittest.TestCase):
     def test_memory_of_a_cancelled_permit_waits_for_the_engine(self):
@@ -118,6 +132,16 @@
         commands = scheduler.handle(_pool.make_gateways('vm3'), 2)
         self.assertEqual(cancels_of(permit), _pool.find_cancels(commands))
 
+    def test_vm_that_may_be_cut_off_waits_to_cancel(self):
+        scheduler = _pool.start_scheduler()
+        permit = grant(scheduler, 'r1', 1, deadline_ms=60000)
+        alone = attrs.evolve(_pool.make_gateways('vm3'), minority=True)
+        commands = scheduler.handle(alone, 2)
+        commands += scheduler.handle(core.Tick(), 10001)
+        self.assertEqual([], _pool.find_cancels(commands))
+        commands = scheduler.handle(core.Tick(), 10002)
+        self.assertEqual(cancels_of(permit), _pool.find_cancels(commands))
+
     def test_gateway_that_the_view_lags_behind_is_not_gone(self):
         scheduler = _pool.start_scheduler()
         permit = grant(scheduler, 'r1', 1, gateway='vm4')
