--- a/bluebellthread/daemon/_service.py
+++ b/bluebellthread/daemon/_service.py
@@ -165,8 +165,7 @@
             cancels=self._engine_control.cancels,
             resends_releases=self._has('release-resend'),
         )
-        for message_class in (core.RegistrationWanted, core.PermitCancelled):
-            self._mailboxes.register(message_class, self._desk.inbox)
+        self._mailboxes.register(core.RegistrationWanted, self._desk.inbox)
 
     def _make_gateway(self):
         settings = self._settings
