--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -78,6 +78,7 @@
 from bluebellthread.core._ticket_messages import TicketRecords
 from bluebellthread.core._ticket_messages import TicketResult
 from bluebellthread.core._ticket_messages import TicketsMoved
+from bluebellthread.core._ticket_outcomes import after_forward
 from bluebellthread.core._ticket_outcomes import AttemptRejected
 from bluebellthread.core._ticket_outcomes import Completed
 from bluebellthread.core._ticket_outcomes import NotRun
@@ -177,6 +178,7 @@
     'TicketsMoved',
     'UnknownNameError',
     'Values',
+    'after_forward',
     'choose_owner',
     'cost_bytes',
     'count_pieces',
--- a/bluebellthread/core/_ticket_outcomes.py
+++ b/bluebellthread/core/_ticket_outcomes.py
@@ -191,3 +191,23 @@
     )
     state: str
     remaining_ms: int
+
+
+def after_forward(outcome, *, kind=''):
+    """Return an outcome for an attempt that was sent on to another VM.
+
+    A forwarded message may arrive twice, first at the issuer and then at
+    the process that replaced it. So no such attempt may claim that it
+    certainly ran nothing.
+
+    Examples
+    --------
+    >>> unknown = OutcomeUnknown(kind='issuer-gone', may_renew=True)
+    >>> after_forward(unknown).may_renew
+    False
+    """
+    if not isinstance(outcome, OutcomeUnknown):
+        return outcome
+    return dataclasses.replace(
+        outcome, kind=kind or outcome.kind, may_renew=False
+    )
--- a/bluebellthread/core/_tickets.py
+++ b/bluebellthread/core/_tickets.py
@@ -86,23 +86,10 @@
         self._waiters = {}
         self._batches = {}
         self._batch_count = 0
-        self._handlers = {
-            events.TicketAsked: self._on_asked,
-            events.CallArrived: self._on_call,
-            events.LookupArrived: self._on_lookup,
-            events.NothingSent: self._on_nothing_sent,
-            events.AnswerArrived: self._on_answer,
-            events.AnswerLost: self._on_answer_lost,
-            events.StopRequested: self._on_stop,
-            events.RecordsOffered: self._on_offered,
-            events.RecordsTaken: self._on_taken,
-            events.RecordsNotTaken: self._on_not_taken,
-            events.TicketTick: self._on_tick,
-        }
 
     def handle(self, event, now_ms):
         """Take one event in and return the commands that follow."""
-        commands = self._handlers[type(event)](event, now_ms)
+        commands = self._HANDLERS[type(event)](self, event, now_ms)
         self.book.drop_expired(now_ms)
         return commands
 
@@ -346,6 +333,20 @@
                 return [_reject(event.waiter, 'full')]
         return [events.TicketReply(waiter=event.waiter, result=None)]
 
+    _HANDLERS = {
+        events.TicketAsked: _on_asked,
+        events.CallArrived: _on_call,
+        events.LookupArrived: _on_lookup,
+        events.NothingSent: _on_nothing_sent,
+        events.AnswerArrived: _on_answer,
+        events.AnswerLost: _on_answer_lost,
+        events.StopRequested: _on_stop,
+        events.RecordsOffered: _on_offered,
+        events.RecordsTaken: _on_taken,
+        events.RecordsNotTaken: _on_not_taken,
+        events.TicketTick: _on_tick,
+    }
+
 
 def _reject(waiter, kind):
     rejected = outcomes.AttemptRejected(kind=kind)
--- /dev/null
+++ b/tests/unit/_ticket_world.py
@@ -0,0 +1,406 @@
+"""A world of two VMs, a backend server and a caller, for searches.
+
+Every step that could happen next is a successor, so a message that is
+never delivered is lost, and a VM that takes no step is frozen. The caller
+hears an answer as soon as there is one, and then may still act as if it
+had not: hearing it later or never would only leave it less to do.
+"""
+
+import collections
+import copy
+import functools
+
+import attrs
+
+from bluebellthread import core
+
+LIFETIME_MS = 10
+MARGIN_MS = 10
+KEEP_MS = 20
+MOMENTS_MS = (0, 10, 20, 40)  # issue, deadline, margin over, forgotten
+KEY = core.TicketKey(key_id='k', secret=b's' * 32)
+SIGNER = core.TicketSigner((KEY,))
+OPTIONS = core.TicketOptions(
+    lifetime_timeout_ms=LIFETIME_MS,
+    keep_timeout_ms=KEEP_MS,
+    check_margin_ms=MARGIN_MS,
+)
+
+
+class NaiveOwner(core.TicketKeeper):
+    """A hash-chosen owner: whoever is asked runs what it has not seen."""
+
+    def _on_call(self, event, now_ms):
+        ticket_id = event.ticket.ticket_id
+        if self.book.find(ticket_id) is None:
+            record = core.TicketRecord(
+                ticket_id=ticket_id,
+                caller=event.caller,
+                serves=event.ticket.serves,
+                deadline_ms=event.ticket.deadline_ms,
+                keep_deadline_ms=event.ticket.deadline_ms + KEEP_MS,
+            )
+            self.book.add(record)
+        return super()._on_call(event, now_ms)
+
+    _HANDLERS = {**core.TicketKeeper._HANDLERS, core.CallArrived: _on_call}
+
+
+@attrs.frozen(kw_only=True)
+class Node:
+    """One VM; its keeper is None while its process is gone."""
+
+    keeper: object
+    sends: frozenset = frozenset()
+    forwards: frozenset = frozenset()
+
+    @functools.cached_property
+    def key(self):
+        if self.keeper is None:
+            return None
+        keeper = self.keeper
+        waiters = [(k, tuple(v)) for k, v in keeper._waiters.items() if v]
+        return (
+            keeper.incarnation,
+            keeper.stopping,
+            keeper.book.all(),
+            tuple(waiters),
+            tuple(keeper._batches.items()),
+            self.sends,
+            self.forwards,
+        )
+
+
+@attrs.frozen(kw_only=True)
+class World:
+    """One state; what is in ``net`` may be delivered at any later time."""
+
+    keeper_class: type
+    ticket: object
+    nodes: tuple
+    split_write: bool
+    longest_pause_ms: int
+    now_ms: int = 0
+    net: frozenset = frozenset()
+    tries_left: int = 2
+    may_renew: bool = False
+    read_from_ms: int = 1000
+    renewed: bool = False
+    told_not_run: bool = False
+    ticket_runs: int = 0
+    order_runs: int = 0
+    crashes_left: int = 1
+    stops_left: int = 1
+    copies_left: int = 1
+
+    def key(self):
+        return (
+            tuple(node.key for node in self.nodes),
+            self.now_ms,
+            frozenset(m for m in self.net if self._matters(m)),
+            self.tries_left,
+            self.may_renew,
+            self.read_from_ms,
+            self.renewed,
+            self.told_not_run,
+            self.ticket_runs,
+            self.order_runs,
+            self.crashes_left,
+            self.stops_left,
+            self.copies_left,
+        )
+
+    def _matters(self, message):
+        if message[0] == 'ran':
+            send = (message[1], 'sent')
+            return any(send in node.sends for node in self.nodes)
+        return True
+
+    def fault(self):
+        """Return what must never be, or None."""
+        if self.ticket_runs > 1 or self.order_runs > 1:
+            return 'second run'
+        if self.told_not_run and self.ticket_runs:
+            return 'false not run'
+        return None
+
+    # Successors, each a (label, world) pair.
+
+    def successors(self):
+        yield from self._time()
+        yield from self._caller()
+        for index, node in enumerate(self.nodes):
+            if node.keeper is not None:
+                yield from self._vm(index, node)
+            yield from self._process(index, node)
+        for message in self.net:
+            for label, world in self._deliver(message):
+                yield label, world._without(message)
+                if message[0] in ('forward', 'records') and self.copies_left:
+                    copied = attrs.evolve(world, copies_left=0)
+                    yield label + ' and keep a copy', copied
+
+    def _time(self):
+        later = [m for m in MOMENTS_MS if m > self.now_ms]
+        if not later:
+            return
+        sends = {send for node in self.nodes for send in node.sends}
+        paused = any(stage == 'checked' for _, stage in sends)
+        if paused and later[0] > self.longest_pause_ms:
+            return
+        net = self.net
+        if later[0] == LIFETIME_MS + MARGIN_MS:
+            # The kernel gives unacknowledged bytes up within the margin.
+            net = frozenset(m for m in net if m[0] != 'order')
+        yield 'time', attrs.evolve(self, now_ms=later[0], net=net)
+
+    def _caller(self):
+        if self.renewed:
+            return
+        if self.tries_left:
+            number = self.tries_left
+            world = attrs.evolve(self, tries_left=number - 1, may_renew=False)
+            yield f'try {number} at 0', world._receive(number, 0)
+            yield f'try {number} at 1', world._receive(number, 1)
+        if self.told_not_run or self.may_renew:
+            yield 'renew', self._renew()
+        if self.read_from_ms <= self.now_ms and not self.ticket_runs:
+            yield 'read finds nothing', self._renew()
+
+    def _vm(self, index, node):
+        for number in node.forwards:
+            event = self._call(('caller', number))
+            world = self._set(index, forwards=node.forwards - {number})
+            yield (
+                'forward timed out',
+                world._handle(index, event, forwarded=True),
+            )
+        for ticket_id, stage in node.sends:
+            yield from self._sender(index, node, ticket_id, stage)
+        if self.stops_left and index == 0:
+            world = attrs.evolve(self, stops_left=0)
+            yield 'stop', world._handle(0, core.StopRequested())
+        for batch in node.keeper._batches:
+            event = core.RecordsNotTaken(batch=batch)
+            yield 'hand over again', self._handle(index, event)
+
+    def _sender(self, index, node, ticket_id, stage):
+        def ended(event):
+            rest = node.sends - {(ticket_id, stage)}
+            return self._set(index, sends=rest)._handle(index, event)
+
+        def moved(new_stage):
+            rest = node.sends - {(ticket_id, stage)}
+            return self._set(index, sends=rest | {(ticket_id, new_stage)})
+
+        nothing = core.NothingSent(ticket_id=ticket_id, kind='unreachable')
+        if stage == 'connecting':
+            yield 'no connection', ended(nothing)
+            if self.now_ms >= LIFETIME_MS:
+                yield 'too late to send', ended(nothing)
+            elif self.split_write:
+                yield 'clock read', moved('checked')
+            else:
+                yield 'write', moved('sent')._send(('order', ticket_id))
+        elif stage == 'checked':
+            yield 'write', moved('sent')._send(('order', ticket_id))
+        else:
+            yield 'answer lost', ended(core.AnswerLost(ticket_id=ticket_id))
+
+    def _process(self, index, node):
+        if node.keeper is not None and self.crashes_left:
+            world = attrs.evolve(self, crashes_left=0)
+            yield f'crash {index}', world._set(index, keeper=None)
+        if node.keeper is None:
+            keeper = make_keeper(self.keeper_class, index, incarnation=2)
+            nodes = list(self.nodes)
+            nodes[index] = Node(keeper=keeper)
+            world = attrs.evolve(self, nodes=tuple(nodes))
+            yield f'restart {index}', world
+
+    def _deliver(self, message):
+        kind, subject, *rest = message
+        if kind == 'order':
+            runs = self.ticket_runs + 1
+            world = attrs.evolve(
+                self, ticket_runs=runs, order_runs=self.order_runs + 1
+            )
+            yield 'run', world._send(('ran', subject))
+        elif kind == 'ran':
+            answer = core.ServerAnswer(status=200)
+            event = core.AnswerArrived(ticket_id=subject, answer=answer)
+            for index, node in enumerate(self.nodes):
+                if (subject, 'sent') in node.sends:
+                    sends = node.sends - {(subject, 'sent')}
+                    world = self._set(index, sends=sends)
+                    yield 'answer', world._handle(index, event)
+        elif kind == 'forward' and self.nodes[0].keeper:
+            event = self._call(('forward', subject))
+            yield 'forwarded', self._handle(0, event)
+        elif kind == 'records' and self.nodes[1].keeper:
+            event = core.RecordsOffered(
+                waiter=('ack', subject), records=rest[0]
+            )
+            yield 'records taken', self._handle(1, event)
+        elif kind == 'ack' and self.nodes[0].keeper:
+            yield 'ack', self._handle(0, core.RecordsTaken(batch=subject))
+
+    def _receive(self, number, index):
+        if self.nodes[index].keeper is None:
+            return self
+        event = self._call(('caller', number))
+        known = self.nodes[1].keeper
+        known = known and known.book.find(self.ticket.ticket_id)
+        if index == 0 or known or self.nodes[0].keeper is None:
+            return self._handle(index, event)
+        forwards = self.nodes[1].forwards | {number}
+        return self._set(1, forwards=forwards)._send(('forward', number))
+
+    def _hear(self, outcome):
+        if isinstance(outcome, core.NotRun):
+            return attrs.evolve(self, told_not_run=True)
+        if not isinstance(outcome, core.OutcomeUnknown):
+            return self
+        read_from_ms = self.now_ms + outcome.check_after_ms
+        return attrs.evolve(
+            self,
+            may_renew=outcome.may_renew and self.tries_left == 1,
+            read_from_ms=min(self.read_from_ms, read_from_ms),
+        )
+
+    def _renew(self):
+        # The worst case: the call runs at once with the new ticket.
+        runs = self.order_runs + 1
+        return attrs.evolve(self, renewed=True, order_runs=runs)
+
+    def _call(self, waiter):
+        return core.CallArrived(
+            waiter=waiter,
+            ticket=self.ticket,
+            caller='c',
+            call_digest='d',
+            deadline_ms=LIFETIME_MS * 10,
+            check_path='/orders',
+        )
+
+    def _handle(self, index, event, *, forwarded=False):
+        node = self.nodes[index]
+        keeper = copy_keeper(node.keeper)
+        world = self._set(index, keeper=keeper)
+        for command in keeper.handle(event, self.now_ms):
+            world = world._obey(index, command, forwarded)
+        return world
+
+    def _obey(self, index, command, forwarded):
+        if isinstance(command, core.StartSend):
+            sends = self.nodes[index].sends | {
+                (command.ticket_id, 'connecting')
+            }
+            return self._set(index, sends=sends)
+        if isinstance(command, core.HandOver):
+            return self._send(('records', command.batch, command.records))
+        if isinstance(command, core.HandOverFinished):
+            return self._set(index, keeper=None)
+        kind, number = command.waiter
+        if kind == 'ack':
+            return self if command.result else self._send(('ack', number))
+        result = command.result
+        if forwarded or kind == 'forward':
+            result = core.after_forward(result)
+        if kind == 'caller':
+            return self._hear(result)
+        forwards = self.nodes[1].forwards
+        if number not in forwards:
+            return self
+        return self._set(1, forwards=forwards - {number})._hear(result)
+
+    def _set(self, index, **changes):
+        nodes = list(self.nodes)
+        nodes[index] = attrs.evolve(nodes[index], **changes)
+        if nodes[index].keeper is None:
+            nodes[index] = Node(keeper=None)
+        return attrs.evolve(self, nodes=tuple(nodes))
+
+    def _send(self, message):
+        return attrs.evolve(self, net=self.net | {message})
+
+    def _without(self, message):
+        return attrs.evolve(self, net=self.net - {message})
+
+
+def make_keeper(keeper_class, index, incarnation=1):
+    return keeper_class(
+        vm=f'vm{index}',
+        incarnation=incarnation,
+        host='127.0.0.1',
+        peer_port=7000 + index,
+        signer=SIGNER,
+        options=OPTIONS,
+    )
+
+
+def copy_keeper(keeper):
+    """Return a copy that shares only what never changes."""
+    keeper = copy.copy(keeper)
+    keeper.book = copy.copy(keeper.book)
+    keeper.book._records = dict(keeper.book._records)
+    keeper.book._heap = list(keeper.book._heap)
+    keeper._batches = dict(keeper._batches)
+    keeper._waiters = {k: list(v) for k, v in keeper._waiters.items()}
+    return keeper
+
+
+def make_world(keeper_class, *, split_write=False, longest_pause_ms=1000):
+    """Return the state after VM 0 has issued a ticket."""
+    keepers = [make_keeper(keeper_class, index) for index in (0, 1)]
+    asked = core.TicketAsked(waiter=0, caller='c', serves='ledger')
+    text = keepers[0].handle(asked, 0)[0].result.ticket
+    return World(
+        keeper_class=keeper_class,
+        ticket=SIGNER.verify(text, 'c'),
+        nodes=tuple(Node(keeper=keeper) for keeper in keepers),
+        split_write=split_write,
+        longest_pause_ms=longest_pause_ms,
+    )
+
+
+@attrs.frozen(kw_only=True)
+class Found:
+    """What a search saw; ``steps`` lead to the first state of a fault."""
+
+    states: int
+    faults: dict
+
+
+def search(world, *, stop_at=()):
+    """Visit every reachable state, breadth first.
+
+    Ends early once each kind of fault in ``stop_at`` has been found.
+    """
+    seen = {world.key()}
+    queue = collections.deque([(world, None)])
+    faults = {}
+    while queue:
+        world, path = queue.popleft()
+        for label, successor in world.successors():
+            key = successor.key()
+            if key in seen:
+                continue
+            seen.add(key)
+            steps = (label, path)
+            fault = successor.fault()
+            if fault is None:
+                queue.append((successor, steps))
+            elif fault not in faults:
+                faults[fault] = _unwind(steps)
+                if stop_at and set(stop_at) <= set(faults):
+                    return Found(states=len(seen), faults=faults)
+    return Found(states=len(seen), faults=faults)
+
+
+def _unwind(steps):
+    labels = []
+    while steps:
+        label, steps = steps
+        labels.append(label)
+    return labels[::-1]
