--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -4,6 +4,11 @@
 randomness; the time and a generator are passed in.
 """
 
+from bluebellthread.core._acceptance import Accepted
+from bluebellthread.core._acceptance import check_configuration
+from bluebellthread.core._acceptance import decide_acceptance
+from bluebellthread.core._acceptance import Invalid
+from bluebellthread.core._acceptance import Stale
 from bluebellthread.core._configuration import Configuration
 from bluebellthread.core._configuration import Model
 from bluebellthread.core._configuration import Region
@@ -12,9 +17,30 @@
 from bluebellthread.core._configuration import ScopedException
 from bluebellthread.core._configuration import Service
 from bluebellthread.core._configuration import Values
+from bluebellthread.core._decode_policies import BestFit
+from bluebellthread.core._decode_policies import FewestRunning
+from bluebellthread.core._early_refusal import EarlyRefusalQueue
 from bluebellthread.core._errors import BluebellthreadError
 from bluebellthread.core._errors import DuplicateNameError
 from bluebellthread.core._errors import UnknownNameError
+from bluebellthread.core._exceptions import Decision
+from bluebellthread.core._exceptions import explain
+from bluebellthread.core._exceptions import resolve
+from bluebellthread.core._exceptions import Resolver
+from bluebellthread.core._fair_queue import FairQueue
+from bluebellthread.core._first_come_queue import FirstComeQueue
+from bluebellthread.core._limits import BoundedQueue
+from bluebellthread.core._limits import CallerLimits
+from bluebellthread.core._limits import ConnectionCaps
+from bluebellthread.core._limits import LimitRefusal
+from bluebellthread.core._membership import Membership
+from bluebellthread.core._membership_events import DatagramReceived
+from bluebellthread.core._membership_events import LeaveStarted
+from bluebellthread.core._membership_events import PlatformListed
+from bluebellthread.core._membership_events import SendDatagram
+from bluebellthread.core._membership_events import Stopped
+from bluebellthread.core._membership_events import ViewChanged
+from bluebellthread.core._membership_options import MembershipOptions
 from bluebellthread.core._messages import Done
 from bluebellthread.core._messages import PermitCancelled
 from bluebellthread.core._messages import PermitGranted
@@ -42,18 +68,32 @@
 from bluebellthread.core._ownership import choose_owner
 from bluebellthread.core._ownership import rank_by_rendezvous
 from bluebellthread.core._policies import decode_policies
+from bluebellthread.core._policies import DecodeCandidate
 from bluebellthread.core._policies import prefill_policies
+from bluebellthread.core._policies import PrefillCandidate
 from bluebellthread.core._policies import queue_policies
+from bluebellthread.core._policies import QueueOptions
+from bluebellthread.core._policies import QueueRefusal
 from bluebellthread.core._policies import spill_policies
+from bluebellthread.core._prefill_policies import BoundedPrefix
+from bluebellthread.core._prefix_index import PrefixIndex
+from bluebellthread.core._problems import ConfigurationError
+from bluebellthread.core._problems import Problem
 from bluebellthread.core._registry import Registry
+from bluebellthread.core._retry import backoff_ms
+from bluebellthread.core._retry import RetryBudget
 from bluebellthread.core._scheduler import Scheduler
 from bluebellthread.core._scheduler import SchedulerOptions
 from bluebellthread.core._scheduler_events import CancelAtEngine
 from bluebellthread.core._scheduler_events import CancelConfirmed
 from bluebellthread.core._scheduler_events import GatewaysChanged
+from bluebellthread.core._scheduler_events import OptionsChanged
 from bluebellthread.core._scheduler_events import SendToGateway
 from bluebellthread.core._scheduler_events import ServersChanged
 from bluebellthread.core._scheduler_events import Tick
+from bluebellthread.core._spill_policies import PoolSummary
+from bluebellthread.core._spill_policies import RegionSpill
+from bluebellthread.core._spill_policies import SpillPolicy
 from bluebellthread.core._ticket_book import cost_bytes
 from bluebellthread.core._ticket_book import TicketBook
 from bluebellthread.core._ticket_book import TicketRecord
@@ -96,31 +136,52 @@
 from bluebellthread.core._ticket_token import TicketSigner
 from bluebellthread.core._tickets import TicketKeeper
 from bluebellthread.core._tickets import TicketOptions
+from bluebellthread.core._token_bucket import TokenBucket
 
 __all__ = [
+    'Accepted',
     'AnswerArrived',
     'AnswerLost',
     'AttemptRejected',
     'BackendServer',
+    'BestFit',
     'BluebellthreadError',
+    'BoundedPrefix',
+    'BoundedQueue',
     'CallArrived',
+    'CallerLimits',
     'CancelAtEngine',
     'CancelConfirmed',
     'Completed',
     'Configuration',
+    'ConfigurationError',
+    'ConnectionCaps',
+    'DatagramReceived',
+    'Decision',
+    'DecodeCandidate',
     'Done',
     'DuplicateNameError',
+    'EarlyRefusalQueue',
+    'FairQueue',
+    'FewestRunning',
+    'FirstComeQueue',
     'GatewaysChanged',
     'HandOver',
     'HandOverFinished',
+    'Invalid',
     'InvalidTicketError',
+    'LeaveStarted',
+    'LimitRefusal',
     'LoadReport',
     'LookupArrived',
     'Member',
+    'Membership',
+    'MembershipOptions',
     'MembershipView',
     'Model',
     'NotRun',
     'NothingSent',
+    'OptionsChanged',
     'OutcomeUnknown',
     'Permit',
     'PermitCancelled',
@@ -130,7 +191,14 @@
     'PermitReleased',
     'PermitRequest',
     'PermitsRegistered',
+    'PlatformListed',
     'PoolKey',
+    'PoolSummary',
+    'PrefillCandidate',
+    'PrefixIndex',
+    'Problem',
+    'QueueOptions',
+    'QueueRefusal',
     'ROLE_DECODE',
     'ROLE_PREFILL',
     'ROLE_SERVICE',
@@ -139,23 +207,30 @@
     'RecordsTaken',
     'RefusedByServer',
     'Region',
+    'RegionSpill',
     'Registry',
     'Rejected',
     'RequestFound',
     'RequestLookup',
+    'Resolver',
+    'RetryBudget',
     'Route',
     'Scheduler',
     'SchedulerOptions',
     'Scope',
     'ScopedException',
+    'SendDatagram',
     'SendToGateway',
     'ServerAnswer',
     'ServersChanged',
     'Service',
+    'SpillPolicy',
+    'Stale',
     'StartSend',
     'StatusAnswer',
     'StatusRequest',
     'StopRequested',
+    'Stopped',
     'Tick',
     'Ticket',
     'TicketAsked',
@@ -176,18 +251,25 @@
     'TicketSigner',
     'TicketTick',
     'TicketsMoved',
+    'TokenBucket',
     'UnknownNameError',
     'Values',
+    'ViewChanged',
     'after_forward',
+    'backoff_ms',
+    'check_configuration',
     'choose_owner',
     'cost_bytes',
     'count_pieces',
+    'decide_acceptance',
     'decode_policies',
     'digest_call',
     'estimate_tokens',
+    'explain',
     'id_of_text',
     'prefill_policies',
     'queue_policies',
     'rank_by_rendezvous',
+    'resolve',
     'spill_policies',
 ]
