Run calls that may not be repeated by tickets

Change: routes marked in the configuration, POST /tickets, the refusal with a fresh ticket, GET /tickets/ID, forwarding to the issuer by any VM, a sender that uses its connection once, hand-over of the records at a planned stop, 'bluebellthread ticket ID'.

--- a/bluebellthread/cli/__main__.py
+++ b/bluebellthread/cli/__main__.py
@@ -11,6 +11,7 @@
 from bluebellthread.cli import _registry
 from bluebellthread.cli import _request  # noqa: F401
 from bluebellthread.cli import _status  # noqa: F401
+from bluebellthread.cli import _ticket  # noqa: F401
 from bluebellthread.cli import _version  # noqa: F401
 from bluebellthread import configuration
 from bluebellthread import core
--- /dev/null
+++ b/bluebellthread/cli/_ticket.py
@@ -0,0 +1,81 @@
+"""``ticket``: what VMs know of a call that may not be repeated."""
+
+import functools
+
+import trio
+
+from bluebellthread.cli import _registry
+from bluebellthread.cli import _vm_calls
+from bluebellthread import core
+
+
+@_registry.commands.register('ticket')
+class Ticket:
+    """Show whether a ticket's call is issued, running, or how it ended.
+
+    Answers of the services are never shown.
+    """
+
+    def add_arguments(self, parser):
+        """Declare the arguments."""
+        parser.add_argument('id', metavar='ID', help='a ticket or its id')
+        parser.add_argument(
+            '--vm',
+            required=True,
+            metavar='HOST:PORT',
+            help='peer address of any VM',
+        )
+
+    def run(self, arguments):
+        """Print one line for each VM that knows the ticket."""
+        host, port = _vm_calls.parse_address(arguments.vm)
+        ticket_id = core.id_of_text(arguments.id)
+        found = trio.run(find_ticket, host, port, ticket_id)
+        for vm, result in found:
+            print(f'{vm}  {describe(result)}')
+        if found:
+            return _registry.EXIT_DONE
+        raise _registry.CommandError(
+            f'no reachable VM knows ticket {ticket_id!r}; whether its call '
+            "ran is unknown, the service's own records tell",
+            exit_code=_registry.EXIT_UNKNOWN_NAME,
+        )
+
+
+async def find_ticket(host, port, ticket_id):
+    """Return what each VM that knows a ticket says of it."""
+    first = await _vm_calls.ask(host, port, core.StatusRequest())
+    found = []
+    async with trio.open_nursery() as nursery:
+        for member in first.members:
+            ask = functools.partial(_find_at, member, ticket_id, found)
+            nursery.start_soon(ask)
+    return sorted(found, key=lambda item: item[0])
+
+
+async def _find_at(member, ticket_id, found):
+    question = core.TicketLookup(ticket_id=ticket_id)
+    try:
+        answer = await _vm_calls.ask(member.host, member.peer_port, question)
+    except _registry.CommandError:
+        # A VM that is gone can't know; the others are asked all the same.
+        return
+    if answer.kind != 'no-record':
+        found.append((member.name, answer))
+
+
+def describe(result):
+    """Return one line about a `TicketResult`.
+
+    Examples
+    --------
+    >>> describe(core.TicketResult(tag='done', status=201))
+    'done  status 201'
+    >>> describe(core.TicketResult(tag='pending', state='running',
+    ...                            remaining_ms=900))
+    'running  900 ms to the deadline'
+    """
+    if result.tag == core.TicketPending.tag:
+        return f'{result.state}  {result.remaining_ms} ms to the deadline'
+    detail = f'status {result.status}' if result.status else result.kind
+    return f'{result.tag}  {detail}'
--- a/bluebellthread/configuration/_settings.py
+++ b/bluebellthread/configuration/_settings.py
@@ -48,6 +48,10 @@
     ticket_keys : tuple of TicketKey
         At least one, with exactly one issuing, where the fleet has calls
         that may not be repeated.
+    ticket_lifetime_timeout_ms : int
+        From a ticket's issue to the last moment that its call may start.
+    ticket_memory_max_bytes : int
+        Memory for the records of tickets.
     engine_adapter : str
         Name in the registry of engine adapters.
     statsd_host, statsd_port : str, int
@@ -82,6 +86,8 @@
     platform_addresses: tuple[str, ...]
     seed_addresses: tuple[str, ...] = ()
     ticket_keys: tuple[TicketKey, ...] = ()
+    ticket_lifetime_timeout_ms: int = 30000
+    ticket_memory_max_bytes: int = 8 * 1024 * 1024
     engine_adapter: str = 'completions'
     statsd_host: str = ''
     statsd_port: int = 8125
--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -112,10 +112,12 @@
 from bluebellthread.core._ticket_events import TicketAsked
 from bluebellthread.core._ticket_events import TicketReply
 from bluebellthread.core._ticket_events import TicketTick
+from bluebellthread.core._ticket_holders import TicketHolders
 from bluebellthread.core._ticket_messages import TicketCall
 from bluebellthread.core._ticket_messages import TicketCopy
 from bluebellthread.core._ticket_messages import TicketLookup
 from bluebellthread.core._ticket_messages import TicketRecords
+from bluebellthread.core._ticket_messages import TicketRequest
 from bluebellthread.core._ticket_messages import TicketResult
 from bluebellthread.core._ticket_messages import TicketsMoved
 from bluebellthread.core._ticket_outcomes import after_forward
@@ -130,10 +132,12 @@
 from bluebellthread.core._ticket_token import digest_call
 from bluebellthread.core._ticket_token import id_of_text
 from bluebellthread.core._ticket_token import InvalidTicketError
+from bluebellthread.core._ticket_token import origin_of
 from bluebellthread.core._ticket_token import Ticket
 from bluebellthread.core._ticket_token import TicketKey
 from bluebellthread.core._ticket_token import TicketKeysError
 from bluebellthread.core._ticket_token import TicketSigner
+from bluebellthread.core._tickets import longest_check_ms
 from bluebellthread.core._tickets import TicketKeeper
 from bluebellthread.core._tickets import TicketOptions
 from bluebellthread.core._token_bucket import TokenBucket
@@ -237,6 +241,7 @@
     'TicketBook',
     'TicketCall',
     'TicketCopy',
+    'TicketHolders',
     'TicketIssued',
     'TicketKeeper',
     'TicketKey',
@@ -247,6 +252,7 @@
     'TicketRecord',
     'TicketRecords',
     'TicketReply',
+    'TicketRequest',
     'TicketResult',
     'TicketSigner',
     'TicketTick',
@@ -267,6 +273,8 @@
     'estimate_tokens',
     'explain',
     'id_of_text',
+    'longest_check_ms',
+    'origin_of',
     'prefill_policies',
     'queue_policies',
     'rank_by_rendezvous',
--- a/bluebellthread/core/_configuration.py
+++ b/bluebellthread/core/_configuration.py
@@ -4,6 +4,9 @@
 
 from bluebellthread.core import _model
 
+SAFE_METHODS = ('GET', 'HEAD')
+"""Methods that may be repeated where no route says otherwise."""
+
 
 @attrs.frozen(kw_only=True)
 class Values:
@@ -98,12 +101,16 @@
     check_path : str
         For a call that may not be repeated: the idempotent read that
         tells whether it ran.
+    refusal_kinds : tuple of str
+        For a call that may not be repeated: each ``error.kind`` of a 503
+        answer by which the service promises that nothing ran.
     """
 
     method: str
     path_prefix: str
     repeatable: bool
     check_path: str = ''
+    refusal_kinds: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -115,11 +122,41 @@
 
 @attrs.frozen(kw_only=True)
 class Service:
-    """A plain service and its routes."""
+    """A plain service and its routes.
+
+    Examples
+    --------
+    >>> service = Service(name='ledger')
+    >>> service.find_route('GET', '/x').repeatable
+    True
+    >>> service.find_route('POST', '/x').repeatable
+    False
+    """
 
     name: str
     routes: tuple[Route, ...] = ()
 
+    def find_route(self, method, path):
+        """Return the route of a call: the longest prefix, then the method.
+
+        A call that no route covers may be repeated if its method is safe.
+        """
+        matching = [
+            route
+            for route in self.routes
+            if route.method in (method, '*')
+            and path.startswith(route.path_prefix)
+        ]
+        if not matching:
+            return Route(
+                method=method,
+                path_prefix='/',
+                repeatable=method in SAFE_METHODS,
+            )
+        return max(
+            matching, key=lambda r: (len(r.path_prefix), r.method == method)
+        )
+
 
 @attrs.frozen(kw_only=True)
 class Configuration:
--- a/bluebellthread/core/_ticket_events.py
+++ b/bluebellthread/core/_ticket_events.py
@@ -67,11 +67,14 @@
     refused : bool
         Whether the answer means by the service's contract that nothing
         ran.
+    whole : bool
+        False if the answer was too large to be read.
     """
 
     ticket_id: str
     answer: outcomes.ServerAnswer
     refused: bool = False
+    whole: bool = True
 
 
 @attrs.frozen(kw_only=True)
--- a/bluebellthread/core/_ticket_messages.py
+++ b/bluebellthread/core/_ticket_messages.py
@@ -1,5 +1,7 @@
 """Messages between VMs about tickets."""
 
+import dataclasses
+
 import attrs
 
 from bluebellthread.core import _ticket_book
@@ -21,6 +23,15 @@
 }
 
 
+@attrs.frozen(kw_only=True)
+class TicketRequest:
+    """The gateway asks for a ticket; never travels between VMs."""
+
+    caller: str
+    serves: str
+    check_path: str = ''
+
+
 @attrs.frozen(kw_only=True)
 class TicketCall:
     """Another VM forwards a call to the issuer of its ticket.
@@ -103,7 +114,7 @@
     def to_result(self):
         """Return the outcome or state that the message stands for."""
         result_class = _CLASSES[self.tag]
-        names = result_class.__dataclass_fields__
+        names = [field.name for field in dataclasses.fields(result_class)]
         values = {name: getattr(self, name) for name in _FIELDS}
         values['answer'] = outcomes.ServerAnswer(
             status=self.status, headers=self.headers, body=self.body
--- a/bluebellthread/core/_ticket_token.py
+++ b/bluebellthread/core/_ticket_token.py
@@ -180,6 +180,18 @@
     return parts[0] if len(parts) == 3 else text
 
 
+def origin_of(ticket_id):
+    """Return the name and incarnation of a ticket's issuer.
+
+    Examples
+    --------
+    >>> origin_of('vm-1-ff-3')
+    ('vm-1', 255)
+    """
+    issuer, incarnation, _ = ticket_id.rsplit('-', 2)
+    return issuer, int(incarnation, 16)
+
+
 def digest_call(method, path, body):
     """Return a digest that tells two calls apart.
 
--- a/bluebellthread/core/_tickets.py
+++ b/bluebellthread/core/_tickets.py
@@ -21,6 +21,11 @@
 """Memory of the records in one hand-over message, but for a single one."""
 
 
+CHECK_MARGIN_MS = 10000
+"""After a ticket's deadline: when a call that was sent just before it has
+certainly begun to run."""
+
+
 @attrs.frozen(kw_only=True)
 class TicketOptions:
     """Limits of one keeper.
@@ -33,15 +38,14 @@
         How long a record is kept after the deadline, and an outcome
         after it became known.
     check_margin_ms : int
-        After the deadline: when a call that was sent just before it has
-        certainly begun to run.
+        See `CHECK_MARGIN_MS`.
     limit_bytes : int
         Memory of all records.
     """
 
     lifetime_timeout_ms: int = 30000
     keep_timeout_ms: int = 120000
-    check_margin_ms: int = 10000
+    check_margin_ms: int = CHECK_MARGIN_MS
     limit_bytes: int = 8 * 1024 * 1024
 
 
@@ -218,7 +222,9 @@
         if event.refused:
             outcome = outcomes.RefusedByServer(answer=event.answer)
         else:
-            outcome = outcomes.Completed(answer=event.answer)
+            outcome = outcomes.Completed(
+                answer=event.answer, whole=event.whole
+            )
         return self._end_run(event.ticket_id, outcome, now_ms)
 
     def _on_answer_lost(self, event, now_ms):
@@ -348,6 +354,20 @@
     }
 
 
+def longest_check_ms(ticket):
+    """Return how long a ticket's call may still start, on any clock.
+
+    Examples
+    --------
+    >>> longest_check_ms(_ticket_token.Ticket(issuer='vm1',
+    ...     issuer_incarnation=255, number=3, host='127.0.0.1',
+    ...     peer_port=7000, serves='ledger', deadline_ms=60000,
+    ...     lifetime_ms=30000))
+    40000
+    """
+    return ticket.lifetime_ms + CHECK_MARGIN_MS
+
+
 def _reject(waiter, kind):
     rejected = outcomes.AttemptRejected(kind=kind)
     return events.TicketReply(waiter=waiter, result=rejected)
--- a/bluebellthread/daemon/_http.py
+++ b/bluebellthread/daemon/_http.py
@@ -11,9 +11,24 @@
 RUN_NOT_RUN = 'not-run'
 RUN_UNKNOWN = 'unknown'
 RUN_DONE = 'done'
+RUN_NOT_THIS_TIME = 'not-this-time'
 
 MS_PER_S = 1000
 
+HOP_HEADERS = frozenset(
+    {
+        'connection',
+        'content-length',
+        'host',
+        'keep-alive',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    }
+)
+"""Headers that hold for one connection only, or are made anew."""
+
 
 class Refusal(core.BluebellthreadError):
     """A final answer that is not the wanted one.
@@ -27,14 +42,25 @@
     remedy : str
         What the caller can do.
     run : str
-        ``'not-run'``, ``'unknown'`` or ``'done'``: whether the work ran.
+        ``'not-run'``, ``'not-this-time'`` (this attempt ran nothing),
+        ``'unknown'`` or ``'done'``: whether the work ran.
     retry_after_ms : int
         When to come back; 0 for no advice.
+    headers : tuple of (str, str)
+        Further headers.
     """
 
     def __init__(
-        self, *, status, kind, remedy, run=RUN_NOT_RUN, retry_after_ms=0
+        self,
+        *,
+        status,
+        kind,
+        remedy,
+        run=RUN_NOT_RUN,
+        retry_after_ms=0,
+        headers=(),
     ):
+        self.headers = headers
         self.status = status
         self.kind = kind
         self.remedy = remedy
@@ -123,7 +149,7 @@
 
     async def refuse(self, refusal):
         """Send a refusal as JSON."""
-        headers = [('x-run', refusal.run)]
+        headers = [('x-run', refusal.run), *refusal.headers]
         if refusal.retry_after_ms:
             retry_after_s = math.ceil(refusal.retry_after_ms / MS_PER_S)
             headers.append(('retry-after', str(retry_after_s)))
--- a/bluebellthread/daemon/_peers.py
+++ b/bluebellthread/daemon/_peers.py
@@ -21,10 +21,19 @@
 
 
 class PeerUnreachableError(core.BluebellthreadError):
-    """A VM could not be reached, or its link broke before the answer."""
+    """A VM could not be reached, or its link broke before the answer.
 
-    def __init__(self, peer, reason):
+    Parameters
+    ----------
+    peer, reason : str
+        Which VM, and what happened.
+    maybe_sent : bool
+        False if no byte of the message has gone out.
+    """
+
+    def __init__(self, peer, reason, *, maybe_sent=True):
         self.peer = peer
+        self.maybe_sent = maybe_sent
         super().__init__(
             f'VM {peer} is unreachable ({reason}); check that it runs and '
             'that its peer port is open'
@@ -210,7 +219,9 @@
             self._nursery.start_soon(self._run_link, link, address)
         await link.opened.wait()
         if link.closed:
-            raise PeerUnreachableError(member.name, link.reason)
+            raise PeerUnreachableError(
+                member.name, link.reason, maybe_sent=False
+            )
         return link
 
     async def _run_link(self, link, address):
--- a/bluebellthread/daemon/_service.py
+++ b/bluebellthread/daemon/_service.py
@@ -22,6 +22,8 @@
 from bluebellthread.daemon import _scheduler_task
 from bluebellthread.daemon import _service_path
 from bluebellthread.daemon import _status_task
+from bluebellthread.daemon import _ticket_path
+from bluebellthread.daemon import _ticket_task
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
 from bluebellthread.observe import Metrics
@@ -48,9 +50,11 @@
         self.incarnation = secrets.randbits(62)
         self.fleet = _fleet.Fleet()
         self._stop = trio.Event()
+        self._tickets_stopped = trio.Event()
         self._make_observers()
         self._make_peers()
         self._make_scheduling()
+        self._make_tickets()
         self._make_gateway()
 
     def _make_observers(self):
@@ -99,6 +103,31 @@
         ):
             self._mailboxes.register(message_class, self._scheduler_task.inbox)
 
+    def _make_tickets(self):
+        settings = self._settings
+        signer = _ticket_task.make_signer(settings.ticket_keys)
+        self._ticket_task = _ticket_task.TicketTask(
+            vm=settings.vm,
+            data_centre=settings.data_centre,
+            incarnation=self.incarnation,
+            keeper=_ticket_task.make_keeper(
+                settings, self.incarnation, signer
+            ),
+            fleet=self.fleet,
+            links=self._links,
+        )
+        for message_class in _ticket_task.MESSAGE_CLASSES:
+            self._mailboxes.register(message_class, self._ticket_task.inbox)
+        self._ticket_path = _ticket_path.TicketPath(
+            vm=settings.vm,
+            data_centre=settings.data_centre,
+            incarnation=self.incarnation,
+            fleet=self.fleet,
+            links=self._links,
+            task=self._ticket_task,
+            signer=signer,
+        )
+
     def _make_gateway(self):
         settings = self._settings
         self._model_path = _model_path.ModelPath(
@@ -111,7 +140,9 @@
             tracer=self._tracer,
         )
         self._service_path = _service_path.ServicePath(
-            data_centre=settings.data_centre, fleet=self.fleet
+            data_centre=settings.data_centre,
+            fleet=self.fleet,
+            ticket_path=self._ticket_path,
         )
         self._admission = _admission.Admission(
             data_centre=settings.data_centre,
@@ -124,6 +155,7 @@
             paths=(
                 ('/v1/', self._model_path),
                 (_service_path.PREFIX, self._service_path),
+                (_ticket_path.PREFIX, self._ticket_path),
             ),
             max_body_bytes=settings.request_body_max_bytes,
             body_timeout_ms=BODY_TIMEOUT_MS,
@@ -173,10 +205,24 @@
             nursery.start_soon(self._engine_control.run, self._scheduler_task)
             nursery.start_soon(self._status_task.run)
             nursery.start_soon(self._platform_watch.run)
+            await nursery.start(self._ticket_task.run)
+            nursery.start_soon(self._stop_tickets)
             await self._serve_callers(peers, task_status)
+            await self._tickets_stopped.wait()
             nursery.cancel_scope.cancel()
         await self.close()
 
+    async def _stop_tickets(self):
+        """Give no more tickets and hand the records over, from the stop on.
+
+        Peers may still ask for outcomes meanwhile.
+        """
+        await self._stop.wait()
+        await self._ticket_task.stop(
+            drain_timeout_ms=self._settings.drain_timeout_ms
+        )
+        self._tickets_stopped.set()
+
     async def _start_peer_server(self, nursery):
         listeners = await nursery.start(
             self._peer_server.serve,
@@ -184,6 +230,7 @@
             self._settings.peer_port,
         )
         host, port = listeners[0].socket.getsockname()
+        self._ticket_task.set_address(host, port)
         return f'{host}:{port}'
 
     async def close(self):
--- a/bluebellthread/daemon/_service_path.py
+++ b/bluebellthread/daemon/_service_path.py
@@ -8,20 +8,6 @@
 PREFIX = '/services/'
 RETRY_AFTER_MS = 1000
 MOST_CONNECTIONS = 200
-SAFE_METHODS = ('GET', 'HEAD')
-HOP_HEADERS = frozenset(
-    {
-        'connection',
-        'content-length',
-        'host',
-        'keep-alive',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-    }
-)
-"""Headers that hold for one connection only, or are made anew."""
 
 
 class ServicePath:
@@ -33,9 +19,12 @@
         Where this VM stands.
     fleet : object
         Has ``configuration``, the latest.
+    ticket_path : TicketPath
+        Serves the calls that may not be repeated.
     """
 
-    def __init__(self, *, data_centre, fleet):
+    def __init__(self, *, data_centre, fleet, ticket_path):
+        self._ticket_path = ticket_path
         self._data_centre = data_centre
         self._fleet = fleet
         self._pool = httpcore.AsyncConnectionPool(
@@ -57,13 +46,14 @@
                 kind='unknown-service',
                 remedy=f'no service {name!r}; check the name',
             )
-        if exchange.request.method not in SAFE_METHODS:
-            raise _http.Refusal(
-                status=501,
-                kind='not-repeatable',
-                remedy='calls that may not be repeated need a ticket',
-            )
-        await self._pass_on(exchange, self._choose_server(name), '/' + rest)
+        route = service.find_route(exchange.request.method, '/' + rest)
+        if route.repeatable:
+            server = self._choose_server(name)
+            await self._pass_on(exchange, server, '/' + rest)
+            return
+        query = exchange.request.query
+        path = f'/{rest}?{query}' if query else f'/{rest}'
+        await self._ticket_path.serve_call(exchange, service, route, path)
 
     def _choose_server(self, name):
         servers = [
@@ -89,7 +79,7 @@
         headers = [
             (key.encode(), value.encode('latin-1'))
             for key, value in request.headers
-            if key not in HOP_HEADERS
+            if key not in _http.HOP_HEADERS
         ]
         headers.append((b'x-request-id', exchange.request_id.encode()))
         try:
@@ -120,7 +110,7 @@
             [
                 (key, value)
                 for key, value in answer_headers
-                if key not in HOP_HEADERS and key != 'x-request-id'
+                if key not in _http.HOP_HEADERS and key != 'x-request-id'
             ],
             response.content,
         )
--- /dev/null
+++ b/bluebellthread/daemon/_ticket_answers.py
@@ -0,0 +1,120 @@
+"""Outcomes of calls that may not be repeated, as HTTP answers."""
+
+import base64
+
+from bluebellthread import core
+from bluebellthread.daemon import _http
+
+TICKET_HEADER = 'x-ticket'
+CHECK_PATH_HEADER = 'x-check-path'
+CHECK_AFTER_HEADER = 'x-check-after-ms'
+
+RETRY_AFTER_MS = 1000
+
+NOT_RUN_STATUSES = {'expired': 410}
+"""Statuses of `NotRun` by kind; 503 for the others."""
+
+REJECTED_STATUSES = {
+    'invalid-ticket': 403,
+    'other-call': 409,
+    'ticket-needed': 428,
+    'full': 503,
+    'stopping': 503,
+}
+"""Statuses of `AttemptRejected` by kind."""
+
+CLAIMLESS_KINDS = ('invalid-ticket', 'other-call')
+"""Rejections of attempts with a ticket, which may have run before."""
+
+answers = core.Registry('outcome')
+"""Coroutines that answer a caller with an outcome, by its tag."""
+
+
+async def answer_outcome(responder, outcome):
+    """Answer a caller with an outcome, or raise `Refusal`."""
+    await answers.get(outcome.tag)(responder, outcome)
+
+
+@answers.register('done')
+async def _answer_done(responder, outcome):
+    if not outcome.whole:
+        raise _http.Refusal(
+            status=502,
+            kind='answer-too-large',
+            remedy=outcome.next_step,
+            run=_http.RUN_DONE,
+        )
+    await _pass_answer_on(responder, outcome.answer, _http.RUN_DONE)
+
+
+@answers.register('refused')
+async def _answer_refused(responder, outcome):
+    await _pass_answer_on(responder, outcome.answer, _http.RUN_NOT_RUN)
+
+
+async def _pass_answer_on(responder, answer, run):
+    headers = [
+        (name, value)
+        for name, value in answer.headers
+        if name not in _http.HOP_HEADERS and name != 'x-request-id'
+    ]
+    headers.append(('x-run', run))
+    await responder.answer(answer.status, headers, answer.body)
+
+
+@answers.register('not-run')
+async def _answer_not_run(responder, outcome):
+    raise _http.Refusal(
+        status=NOT_RUN_STATUSES.get(outcome.kind, 503),
+        kind=outcome.kind,
+        remedy=outcome.next_step,
+        retry_after_ms=RETRY_AFTER_MS,
+    )
+
+
+@answers.register('unknown')
+async def _answer_unknown(responder, outcome):
+    headers = [(CHECK_AFTER_HEADER, str(outcome.check_after_ms))]
+    if outcome.check_path:
+        headers.append((CHECK_PATH_HEADER, outcome.check_path))
+    raise _http.Refusal(
+        status=504,
+        kind=outcome.kind,
+        remedy=outcome.next_step,
+        run=_http.RUN_UNKNOWN,
+        headers=tuple(headers),
+    )
+
+
+@answers.register('rejected')
+async def _answer_rejected(responder, outcome):
+    headers = ((TICKET_HEADER, outcome.ticket),) if outcome.ticket else ()
+    raise _http.Refusal(
+        status=REJECTED_STATUSES[outcome.kind],
+        kind=outcome.kind,
+        remedy=outcome.next_step,
+        run=(
+            _http.RUN_NOT_THIS_TIME
+            if outcome.kind in CLAIMLESS_KINDS
+            else _http.RUN_NOT_RUN
+        ),
+        headers=headers,
+    )
+
+
+def describe_ticket(result):
+    """Return what is known of a ticket, as fields of a JSON answer."""
+    if isinstance(result, core.TicketPending):
+        return {'state': result.state, 'remaining_ms': result.remaining_ms}
+    fields = {'state': result.tag, 'next_step': result.next_step}
+    if isinstance(result, (core.Completed, core.RefusedByServer)):
+        fields['answer'] = {
+            'status': result.answer.status,
+            'headers': [list(pair) for pair in result.answer.headers],
+            'body_base64': base64.b64encode(result.answer.body).decode(),
+        }
+        fields['whole'] = getattr(result, 'whole', True)
+    for name in ('kind', 'check_path', 'check_after_ms'):
+        if hasattr(result, name):
+            fields[name] = getattr(result, name)
+    return fields
--- /dev/null
+++ b/bluebellthread/daemon/_ticket_path.py
@@ -0,0 +1,319 @@
+"""Callers' tickets, and calls to services that may not be repeated."""
+
+import json
+
+from bluebellthread import core
+from bluebellthread.daemon import _clock
+from bluebellthread.daemon import _http
+from bluebellthread.daemon import _model_path
+from bluebellthread.daemon import _peers
+from bluebellthread.daemon import _ticket_answers
+
+PREFIX = '/tickets'
+
+BODY_MAX_BYTES = 1024 * 1024
+"""Longest body of a call that may not be repeated."""
+
+ANSWER_SLACK_MS = 300
+"""Wait for the issuer beyond the caller's deadline, at which the issuer
+itself says what is known."""
+
+TICKET_TIMEOUT_MS = 2000
+"""Wait for a ticket or for what a VM knows of one."""
+
+HELD_BACK_HEADERS = _http.HOP_HEADERS | {
+    _ticket_answers.TICKET_HEADER,
+    'x-request-id',
+    'x-request-timeout-ms',
+}
+"""Request headers that the backend server does not get."""
+
+
+class TicketPath:
+    """Issues tickets and brings calls to the issuers of theirs.
+
+    Parameters
+    ----------
+    vm, data_centre, incarnation : str, str, int
+        This process.
+    fleet : Fleet
+        Has the configuration and the view.
+    links : PeerLinks
+        To other VMs, and to this VM's own tasks.
+    task : TicketTask
+        Keeps this VM's records.
+    signer : TicketSigner
+        Checks tickets, or None where the settings name no key.
+    """
+
+    def __init__(
+        self, *, vm, data_centre, incarnation, fleet, links, task, signer
+    ):
+        self._vm = vm
+        self._data_centre = data_centre
+        self._incarnation = incarnation
+        self._fleet = fleet
+        self._links = links
+        self._task = task
+        self._signer = signer
+        self._self = core.Member(
+            name=vm,
+            data_centre=data_centre,
+            region='',
+            host='',
+            peer_port=0,
+            caller_port=0,
+        )
+
+    async def serve(self, exchange):
+        """Answer ``POST /tickets`` or ``GET /tickets/ID``."""
+        self._check_keys()
+        request = exchange.request
+        text = request.path[len(PREFIX) :].strip('/')
+        if request.method == 'POST' and not text:
+            await self._issue(exchange)
+        elif request.method == 'GET' and text:
+            await self._show(exchange, text)
+        else:
+            raise _http.Refusal(
+                status=405,
+                kind='bad-request',
+                remedy='use POST /tickets or GET /tickets/ID',
+            )
+
+    async def serve_call(self, exchange, service, route, path):
+        """Serve a call of a route that may not be repeated.
+
+        Parameters
+        ----------
+        exchange : Exchange
+            The caller's request.
+        service : Service
+            The plain service.
+        route : Route
+            The rule that covers the call.
+        path : str
+            Below the service's name, with its query.
+        """
+        self._check_keys()
+        text = exchange.request.header(_ticket_answers.TICKET_HEADER)
+        if not text:
+            await self._refuse_with_ticket(exchange, service.name, route)
+        ticket = self._verify(text, exchange.caller)
+        if len(exchange.request.body) > BODY_MAX_BYTES:
+            raise _http.Refusal(
+                status=413,
+                kind='body-too-large',
+                remedy=f'send at most {BODY_MAX_BYTES} bytes',
+                run=_http.RUN_NOT_THIS_TIME,
+            )
+        call = self._make_call(exchange, service.name, route, path, text)
+        outcome = await self._resolve(ticket, call)
+        await _ticket_answers.answer_outcome(exchange.responder, outcome)
+
+    def _check_keys(self):
+        if self._signer is None:
+            raise _http.Refusal(
+                status=501,
+                kind='no-ticket-keys',
+                remedy='an operator has to set ticket_keys',
+            )
+
+    def _verify(self, text, caller):
+        try:
+            return self._signer.verify(text, caller)
+        except core.InvalidTicketError as error:
+            raise _http.Refusal(
+                status=403,
+                kind='invalid-ticket',
+                remedy=str(error),
+                run=_http.RUN_NOT_THIS_TIME,
+            ) from error
+
+    async def _issue(self, exchange):
+        service, route = self._read_question(exchange.request)
+        issued = await self._ask_ticket(exchange.caller, service.name, route)
+        if isinstance(issued, core.AttemptRejected):
+            await _ticket_answers.answer_outcome(exchange.responder, issued)
+        fields = {
+            'ticket': issued.ticket,
+            'ticket_id': issued.ticket_id,
+            'remaining_ms': issued.remaining_ms,
+            'check_path': _check_path_of(service.name, route),
+        }
+        header = (_ticket_answers.TICKET_HEADER, issued.ticket)
+        await exchange.responder.answer_json(201, fields, [header])
+
+    def _read_question(self, request):
+        try:
+            fields = json.loads(request.body)
+            service = self._fleet.configuration.find_service(fields['service'])
+            method = str(fields.get('method', 'POST'))
+            path = str(fields.get('path', '/'))
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            raise _http.Refusal(
+                status=400,
+                kind='bad-request',
+                remedy='give {"service": str, "method": str, "path": str}',
+            ) from error
+        if service is None:
+            raise _http.Refusal(
+                status=404, kind='unknown-service', remedy='check the name'
+            )
+        return service, service.find_route(method, path)
+
+    async def _refuse_with_ticket(self, exchange, serves, route):
+        issued = await self._ask_ticket(exchange.caller, serves, route)
+        if isinstance(issued, core.TicketIssued):
+            issued = core.AttemptRejected(
+                kind='ticket-needed', ticket=issued.ticket
+            )
+        await _ticket_answers.answer_outcome(exchange.responder, issued)
+
+    async def _ask_ticket(self, caller, serves, route):
+        request = core.TicketRequest(
+            caller=caller,
+            serves=serves,
+            check_path=_check_path_of(serves, route),
+        )
+        result = await self._ask(self._self, request, _in_time())
+        if result is None:
+            return core.AttemptRejected(kind='full')
+        return result
+
+    async def _show(self, exchange, text):
+        ticket = self._verify(text, exchange.caller)
+        lookup = core.TicketLookup(
+            ticket_id=ticket.ticket_id, caller=exchange.caller
+        )
+        result = await self._look_up(ticket, lookup)
+        fields = {'ticket_id': ticket.ticket_id}
+        fields.update(_ticket_answers.describe_ticket(result))
+        await exchange.responder.answer_json(200, fields)
+
+    async def _look_up(self, ticket, lookup):
+        result = None
+        for member in self._members_to_ask(ticket):
+            result = await self._ask(member, lookup, _in_time())
+            if result is not None and not _is_no_record(result):
+                return result
+        service = self._fleet.configuration.find_service(ticket.serves)
+        routes = service.routes if service else ()
+        checks = [r for r in routes if r.check_path and not r.repeatable]
+        return core.OutcomeUnknown(
+            kind='no-record' if result else 'issuer-unreachable',
+            check_path=_check_path_of(ticket.serves, *checks[:1]),
+            check_after_ms=core.longest_check_ms(ticket),
+        )
+
+    def _make_call(self, exchange, serves, route, path, text):
+        request = exchange.request
+        now_ms = _clock.read_clock_ms()
+        values = core.resolve(
+            self._fleet.configuration,
+            data_centre=self._data_centre,
+            serves=serves,
+            caller=exchange.caller,
+        )
+        return core.TicketCall(
+            ticket=text,
+            caller=exchange.caller,
+            serves=serves,
+            method=request.method,
+            path=path,
+            headers=tuple(
+                (name, value)
+                for name, value in request.headers
+                if name not in HELD_BACK_HEADERS
+            ),
+            body=request.body,
+            check_path=_check_path_of(serves, route),
+            refusal_kinds=route.refusal_kinds,
+            deadline_ms=_model_path.read_deadline_ms(request, values, now_ms),
+        )
+
+    async def _resolve(self, ticket, call):
+        """Return the outcome of a call, asking each VM that may know it.
+
+        A first VM that does not answer may have run the call: the others
+        are asked only for what they know.
+        """
+        maybe_heard = False
+        outcome = None
+        for member in self._members_to_ask(ticket):
+            wait_ms = call.deadline_ms + ANSWER_SLACK_MS
+            result, sent = await self._try(member, call, wait_ms)
+            if result is None:
+                maybe_heard = maybe_heard or sent
+                continue
+            maybe_heard = maybe_heard or member is not self._self
+            outcome = core.after_forward(result) if maybe_heard else result
+            if not _is_no_record(outcome):
+                return outcome
+        if outcome is not None:
+            return outcome
+        return core.OutcomeUnknown(
+            kind='issuer-unreachable',
+            check_path=call.check_path,
+            check_after_ms=core.longest_check_ms(ticket),
+            may_renew=not maybe_heard,
+        )
+
+    def _members_to_ask(self, ticket):
+        """Return the VMs that may know a ticket, the best first.
+
+        No other VM than the issuer ever runs the call, so that asking
+        several is safe.
+        """
+        own = (self._vm, self._incarnation)
+        origin = (ticket.issuer, ticket.issuer_incarnation)
+        if origin == own or self._task.knows(ticket.ticket_id):
+            return [self._self]
+        holders = list(self._task.find_holders(ticket.ticket_id))
+        known = self._fleet.view.find(ticket.issuer)
+        if known and known.incarnation not in (0, ticket.issuer_incarnation):
+            return [*holders, self._self]
+        return [*holders, known or self._issuer_of(ticket)]
+
+    def _issuer_of(self, ticket):
+        return core.Member(
+            name=ticket.issuer,
+            data_centre=self._data_centre,
+            region='',
+            host=ticket.host,
+            peer_port=ticket.peer_port,
+            caller_port=0,
+        )
+
+    async def _try(self, member, message, wait_ms):
+        """Return a VM's result or None, and whether it may have heard."""
+        try:
+            answer = await self._links.call(
+                member, message, deadline_ms=wait_ms
+            )
+        except _peers.PeerUnreachableError as error:
+            return None, error.maybe_sent
+        if isinstance(answer, core.TicketResult):
+            return answer.to_result(), True
+        return None, True
+
+    async def _ask(self, member, message, wait_ms):
+        result, _ = await self._try(member, message, wait_ms)
+        return result
+
+
+def _is_no_record(result):
+    return isinstance(result, core.OutcomeUnknown) and result.kind in (
+        'issuer-gone',
+        'no-record',
+    )
+
+
+def _check_path_of(serves, route=None):
+    if route is None or not route.check_path:
+        return ''
+    return f'/services/{serves}{route.check_path}'
+
+
+def _in_time():
+    return _clock.read_clock_ms() + TICKET_TIMEOUT_MS
--- /dev/null
+++ b/bluebellthread/daemon/_ticket_task.py
@@ -0,0 +1,378 @@
+"""The task that owns this VM's tickets and runs their calls."""
+
+import json
+
+import attrs
+import trio
+
+from bluebellthread import core
+from bluebellthread.daemon import _clock
+from bluebellthread.daemon import _mailboxes
+from bluebellthread.daemon import _one_shot
+from bluebellthread.daemon import _peers
+from bluebellthread.observe import emit
+from bluebellthread.observe import events
+
+QUEUE_LENGTH = 1024
+
+TICK_S = 0.1
+"""Seconds between two looks at deadlines."""
+
+HAND_OVER_TIMEOUT_MS = 2000
+"""Wait for a peer that is to take records."""
+
+HAND_OVER_ROUNDS = 3
+"""How often each peer is asked to take a batch of records."""
+
+HAND_OVER_PEERS = 4
+"""Peers that are asked."""
+
+MESSAGE_CLASSES = (
+    core.TicketRequest,
+    core.TicketCall,
+    core.TicketLookup,
+    core.TicketRecords,
+    core.TicketsMoved,
+)
+
+
+class TicketTask:
+    """Keeps the records, sends the calls, hands over at a stop.
+
+    Parameters
+    ----------
+    vm, data_centre, incarnation : str, str, int
+        This process.
+    keeper : TicketKeeper
+        The state machine.
+    fleet : Fleet
+        Has the configuration and the view.
+    links : PeerLinks
+        To other VMs.
+    """
+
+    def __init__(self, *, vm, data_centre, incarnation, keeper, fleet, links):
+        self._vm = vm
+        self._data_centre = data_centre
+        self._incarnation = incarnation
+        self._keeper = keeper
+        self._fleet = fleet
+        self._links = links
+        self._holders = core.TicketHolders()
+        self._nursery = None
+        self._send_scopes = {}
+        self._rounds = {}
+        self._calls = 0
+        self.handed_over = trio.Event()
+        self.inbox, self._receive = trio.open_memory_channel(QUEUE_LENGTH)
+        self._obey_handlers = {
+            core.TicketReply: self._reply,
+            core.StartSend: self._start_send,
+            core.HandOver: self._start_hand_over,
+            core.HandOverFinished: self._finish_hand_over,
+        }
+
+    def knows(self, ticket_id):
+        """Tell whether this VM holds the record of a ticket."""
+        return self._keeper.book.find(ticket_id) is not None
+
+    def find_holders(self, ticket_id):
+        """Return the VMs that took over a ticket's record, latest first."""
+        return self._holders.find(
+            core.origin_of(ticket_id), now_ms=_clock.read_clock_ms()
+        )
+
+    def set_address(self, host, port):
+        """Tell where this process listens for other VMs."""
+        self._keeper.host = host
+        self._keeper.peer_port = port
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
+        """Handle messages until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            nursery.start_soon(self._tick)
+            task_status.started()
+            async for item in self._receive:
+                if isinstance(item, _mailboxes.Inbound):
+                    self._take_in(item)
+                else:
+                    self._handle(item)
+
+    async def stop(self, *, drain_timeout_ms):
+        """Hand every record over; return when done or out of time.
+
+        Calls in progress may end by themselves; what still runs at the
+        end of the time is given up and handed over as unknown.
+        """
+        await self.inbox.send(core.StopRequested())
+        with trio.move_on_after(drain_timeout_ms / _one_shot.MS_PER_S):
+            await self.handed_over.wait()
+            return
+        for scope in self._send_scopes.values():
+            scope.cancel()
+        with trio.move_on_after(HAND_OVER_TIMEOUT_MS / _one_shot.MS_PER_S):
+            await self.handed_over.wait()
+
+    async def _tick(self):
+        while True:
+            await trio.sleep(TICK_S)
+            self._handle(core.TicketTick())
+
+    def _handle(self, event):
+        for command in self._keeper.handle(event, _clock.read_clock_ms()):
+            self._obey_handlers[type(command)](command)
+
+    def _take_in(self, inbound):
+        message = inbound.message
+        if isinstance(message, core.TicketCall):
+            self._take_call(inbound)
+        elif isinstance(message, core.TicketsMoved):
+            self._note_move(message)
+            inbound.answer(core.Done())
+        elif isinstance(message, core.TicketRecords):
+            records = tuple(copy.to_record() for copy in message.records)
+            self._handle(core.RecordsOffered(waiter=inbound, records=records))
+        elif isinstance(message, core.TicketLookup):
+            self._handle(
+                core.LookupArrived(
+                    waiter=inbound,
+                    ticket_id=message.ticket_id,
+                    caller=message.caller,
+                )
+            )
+        else:
+            self._handle(
+                core.TicketAsked(
+                    waiter=inbound,
+                    caller=message.caller,
+                    serves=message.serves,
+                    check_path=message.check_path,
+                )
+            )
+
+    def _take_call(self, inbound):
+        call = inbound.message
+        try:
+            ticket = self._verify(call)
+        except core.InvalidTicketError:
+            rejected = core.AttemptRejected(kind='invalid-ticket')
+            inbound.answer(core.TicketResult.of(rejected))
+            return
+        if ticket.serves != call.serves:
+            rejected = core.AttemptRejected(kind='other-call')
+            inbound.answer(core.TicketResult.of(rejected))
+            return
+        self._handle(
+            core.CallArrived(
+                waiter=inbound,
+                ticket=ticket,
+                caller=call.caller,
+                call_digest=core.digest_call(
+                    call.method, call.path, call.body
+                ),
+                deadline_ms=call.deadline_ms,
+                check_path=call.check_path,
+            )
+        )
+
+    def _verify(self, call):
+        if self._keeper.signer is None:
+            raise core.InvalidTicketError
+        return self._keeper.signer.verify(call.ticket, call.caller)
+
+    def _note_move(self, message):
+        holder = core.Member(
+            name=message.holder,
+            data_centre=self._data_centre,
+            region='',
+            host=message.holder_host,
+            peer_port=message.holder_peer_port,
+            caller_port=0,
+        )
+        self._holders.note(
+            (message.issuer, message.issuer_incarnation),
+            holder,
+            keep_deadline_ms=message.keep_deadline_ms,
+        )
+
+    def _reply(self, command):
+        inbound = command.waiter
+        if command.result is None:
+            inbound.answer(core.Done())
+            return
+        result = core.TicketResult.of(command.result)
+        is_lookup = isinstance(inbound.message, core.TicketLookup)
+        if is_lookup and not inbound.message.caller:
+            # Operators see how a call ended, never what was answered.
+            result = attrs.evolve(result, headers=(), body=b'')
+        inbound.answer(result)
+
+    def _start_send(self, command):
+        scope = trio.CancelScope()
+        self._send_scopes[command.ticket_id] = scope
+        self._nursery.start_soon(self._send, command, scope)
+
+    async def _send(self, command, scope):
+        call = command.waiter.message
+        server = self._choose_server(call.serves)
+        if server is None:
+            ended = _one_shot.NothingSent(kind='no-backend')
+        else:
+            ended = await _one_shot.send_once(
+                server,
+                method=call.method,
+                path=call.path,
+                headers=[*call.headers, ('x-request-id', command.ticket_id)],
+                body=call.body,
+                deadline_ms=command.deadline_ms,
+                cancel_scope=scope,
+            )
+        self._send_scopes.pop(command.ticket_id, None)
+        self._report_late(command.ticket_id, getattr(ended, 'late_ms', 0))
+        self._handle(_to_event(command.ticket_id, ended, call))
+
+    def _choose_server(self, serves):
+        servers = [
+            server
+            for server in self._fleet.configuration.servers_of(
+                serves, self._data_centre
+            )
+            if server.role == core.ROLE_SERVICE and not server.leaving
+        ]
+        self._calls += 1
+        return servers[self._calls % len(servers)] if servers else None
+
+    def _report_late(self, ticket_id, late_ms):
+        if late_ms > self._keeper.options.check_margin_ms:
+            emit(events.TICKET_SENT_LATE, ticket_id=ticket_id, late_ms=late_ms)
+
+    def _start_hand_over(self, command):
+        self._nursery.start_soon(self._hand_over, command)
+
+    async def _hand_over(self, command):
+        copies = tuple(core.TicketCopy.of(r) for r in command.records)
+        peers = self._rank_peers()
+        count = self._rounds.get(command.batch, 0)
+        self._rounds[command.batch] = count + 1
+        if count >= len(peers) * HAND_OVER_ROUNDS:
+            # Nobody is left to ask; callers will be told "unknown".
+            emit(events.TICKETS_NOT_HANDED_OVER, count=len(copies))
+            self._handle(core.RecordsTaken(batch=command.batch))
+            return
+        peer = peers[count % len(peers)]
+        try:
+            answer = await self._links.call(
+                peer,
+                core.TicketRecords(records=copies),
+                deadline_ms=_clock.read_clock_ms() + HAND_OVER_TIMEOUT_MS,
+            )
+        except _peers.PeerUnreachableError:
+            answer = None
+        if not isinstance(answer, core.Done):
+            self._handle(core.RecordsNotTaken(batch=command.batch))
+            return
+        await self._announce(peer, copies)
+        self._handle(core.RecordsTaken(batch=command.batch))
+
+    def _rank_peers(self):
+        peers = {
+            member.name: member
+            for member in self._fleet.view.in_data_centre(self._data_centre)
+            if member.name != self._vm
+        }
+        key = f'{self._vm}-{self._incarnation:x}'
+        names = core.rank_by_rendezvous(key, peers)
+        return [peers[name] for name in names[:HAND_OVER_PEERS]]
+
+    async def _announce(self, holder, copies):
+        keep_deadlines_ms = {}
+        for copy in copies:
+            origin = core.origin_of(copy.ticket_id)
+            known_ms = keep_deadlines_ms.get(origin, 0)
+            keep_deadlines_ms[origin] = max(known_ms, copy.keep_deadline_ms)
+        for origin, keep_deadline_ms in keep_deadlines_ms.items():
+            moved = core.TicketsMoved(
+                issuer=origin[0],
+                issuer_incarnation=origin[1],
+                holder=holder.name,
+                holder_host=holder.host,
+                holder_peer_port=holder.peer_port,
+                keep_deadline_ms=keep_deadline_ms,
+            )
+            self._note_move(moved)
+            await self._send_to_all(moved)
+            emit(
+                events.TICKETS_HANDED_OVER,
+                count=len(copies),
+                issuer=origin[0],
+                holder=holder.name,
+            )
+
+    async def _send_to_all(self, message):
+        deadline_ms = _clock.read_clock_ms() + HAND_OVER_TIMEOUT_MS
+        async with trio.open_nursery() as nursery:
+            for member in self._fleet.view.members:
+                if member.name != self._vm:
+                    nursery.start_soon(
+                        self._tell, member, message, deadline_ms
+                    )
+
+    async def _tell(self, member, message, deadline_ms):
+        try:
+            await self._links.call(member, message, deadline_ms=deadline_ms)
+        except _peers.PeerUnreachableError:
+            # It answers "unknown" for these tickets, which is true.
+            return
+
+    def _finish_hand_over(self, command):
+        self.handed_over.set()
+
+
+def make_signer(keys):
+    """Return the signer for the settings' keys, or None without any."""
+    if not keys:
+        return None
+    return core.TicketSigner(
+        tuple(
+            core.TicketKey(key_id=key.key_id, secret=key.secret.encode())
+            for key in sorted(keys, key=lambda key: not key.issuing)
+        )
+    )
+
+
+def make_keeper(settings, incarnation, signer):
+    """Return the keeper of a process's tickets."""
+    return core.TicketKeeper(
+        vm=settings.vm,
+        incarnation=incarnation,
+        host=settings.host,
+        peer_port=settings.peer_port,
+        signer=signer,
+        options=core.TicketOptions(
+            lifetime_timeout_ms=settings.ticket_lifetime_timeout_ms,
+            limit_bytes=settings.ticket_memory_max_bytes,
+        ),
+    )
+
+
+def _to_event(ticket_id, ended, call):
+    if isinstance(ended, _one_shot.NothingSent):
+        return core.NothingSent(ticket_id=ticket_id, kind=ended.kind)
+    if isinstance(ended, _one_shot.MaybeSent):
+        return core.AnswerLost(ticket_id=ticket_id)
+    return core.AnswerArrived(
+        ticket_id=ticket_id,
+        answer=ended.answer,
+        refused=_is_refusal(ended.answer, call.refusal_kinds),
+        whole=ended.whole,
+    )
+
+
+def _is_refusal(answer, refusal_kinds):
+    if answer.status != 503 or not refusal_kinds:
+        return False
+    try:
+        return json.loads(answer.body)['error']['kind'] in refusal_kinds
+    except (ValueError, KeyError, TypeError):
+        return False
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -76,6 +76,18 @@
     4004, 'WARNING', 'no load report from {server}: {error}'
 )
 
+TICKET_SENT_LATE = Event(
+    6001,
+    'ERROR',
+    'the call of ticket {ticket_id} went out {late_ms} ms after its deadline',
+)
+TICKETS_HANDED_OVER = Event(
+    6002, 'INFO', '{count} ticket records of VM {issuer} went to VM {holder}'
+)
+TICKETS_NOT_HANDED_OVER = Event(
+    6003, 'WARNING', '{count} ticket records found no VM to take them'
+)
+
 
 def list_events():
     """Return every event of the catalogue in the order of its number."""
