--- a/tests/integration/_fleet.py
+++ b/tests/integration/_fleet.py
@@ -336,16 +336,16 @@
 class FleetTestCase(unittest.TestCase):
     """A test case whose tests are coroutines that take a `Fleet`."""
 
-    def run_fleet(self, test, *, timeout_s=TEST_TIMEOUT_S):
+    def run_fleet(self, test, *, timeout_s=TEST_TIMEOUT_S, fleet_class=Fleet):
         """Run a coroutine function with a fleet that is cleaned up after."""
         try:
-            trio.run(_run_fleet, test, timeout_s)
+            trio.run(_run_fleet, test, timeout_s, fleet_class)
         except BaseExceptionGroup as group:
             raise _unwrap(group) from None
 
 
-async def _run_fleet(test, timeout_s):
-    fleet = Fleet()
+async def _run_fleet(test, timeout_s, fleet_class):
+    fleet = fleet_class()
     await fleet.start()
     try:
         with trio.fail_after(timeout_s):
--- /dev/null
+++ b/tests/integration/_naive_daemon.py
@@ -0,0 +1,44 @@
+"""A daemon whose tickets fail: a hash-chosen owner, with retry at the next.
+
+Each VM runs a call that it has not seen; whoever gets no answer asks the
+next VM in the order of the hash.
+"""
+
+import sys
+
+from bluebellthread import core
+from bluebellthread.daemon import __main__
+from bluebellthread.daemon import _clock
+from bluebellthread.daemon import _ticket_path
+from bluebellthread.daemon import _ticket_task
+from tests.unit import _ticket_world
+
+RETRY_TIMEOUT_MS = 250
+
+
+class NaivePath(_ticket_path.TicketPath):
+    def _members_to_ask(self, ticket):
+        members = {m.name: m for m in self._fleet.view.members}
+        members[self._vm] = self._self
+        names = core.rank_by_rendezvous(ticket.ticket_id, members)
+        return [members[name] for name in names]
+
+    async def _try(self, member, message, wait_ms):
+        retry_ms = _clock.read_clock_ms() + RETRY_TIMEOUT_MS
+        return await super()._try(member, message, min(wait_ms, retry_ms))
+
+
+def make_keeper(settings, incarnation, signer):
+    return _ticket_world.NaiveOwner(
+        vm=settings.vm,
+        incarnation=incarnation,
+        host=settings.host,
+        peer_port=settings.peer_port,
+        signer=signer,
+    )
+
+
+if __name__ == '__main__':
+    _ticket_path.TicketPath = NaivePath
+    _ticket_task.make_keeper = make_keeper
+    sys.exit(__main__.main())
--- /dev/null
+++ b/tests/integration/_ticket_faults.py
@@ -0,0 +1,271 @@
+"""Orders at real processes while these fail, and what became of each."""
+
+import collections
+import random
+import time
+
+import attrs
+import trio
+
+from tests.integration import _fleet
+
+DATA_CENTRE = 'cluj-a'
+REGION = 'transilvania'
+SERVICE = 'magazin-piese'
+CALLER = {'x-caller-id': 'workshop-12'}
+VMS = ('vm1', 'vm2', 'vm3')
+KEY = {'key_id': 'k1', 'secret': 's' * 32, 'issuing': True}
+
+LIFETIME_MS = 1500
+CALLER_TIMEOUT_MS = 1200
+RUN_MS = 80
+ORDERS_PER_FAULT = 6
+SPREAD_S = 0.3
+HAND_OVER_TIMEOUT_S = 2.2
+
+FAULTS = (
+    'none',
+    'kill',
+    'freeze',
+    'cut peers',
+    'drop the request',
+    'drop the answer',
+    'stop',
+    'stop, acknowledgement lost',
+    'stop, then kill',
+    'stop, kill a peer',
+)
+
+
+@attrs.define(kw_only=True)
+class Order:
+    """One order of a caller; a renewed one has several tickets."""
+
+    order_id: str
+    fault: str
+    ticket: str
+    sent: bool = False
+    outcomes: list = attrs.Factory(list)
+
+
+class Workload:
+    """Runs orders against a fleet of three VMs behind proxies.
+
+    The same seed injects the same faults round the same offsets.
+    """
+
+    def __init__(self, fleet, seed):
+        self.fleet = fleet
+        self.orders = []
+        self._rng = random.Random(seed)
+
+    async def start(self):
+        fleet = self.fleet
+        proxies = [{'kind': 'proxy', 'name': f'{vm}-peers'} for vm in VMS]
+        service = {'kind': 'service', 'name': 's1', 'slots': 1000}
+        service['before_run_ms'] = service['after_run_ms'] = RUN_MS
+        await fleet.start_standins([{'kind': 'platform'}, service, *proxies])
+        target = fleet.standins['s1'].port
+        await fleet.start_standins(
+            [{'kind': 'proxy', 'name': 's1-proxy', 'target_port': target}]
+        )
+        await fleet.publish_config(self._make_configuration())
+        async with trio.open_nursery() as nursery:
+            for vm in VMS:
+                nursery.start_soon(self.start_vm, vm)
+        await self.publish()
+
+    async def start_vm(self, vm):
+        platform = self.fleet.standins['platform']
+        daemon = await self.fleet.start_daemon(
+            {
+                'vm': vm,
+                'data_centre': DATA_CENTRE,
+                'region': REGION,
+                'host': '127.0.0.1',
+                'peer_port': 0,
+                'caller_port': 0,
+                'platform_addresses': [f'{platform.host}:{platform.port}'],
+                'ticket_keys': [KEY],
+                'ticket_lifetime_timeout_ms': LIFETIME_MS,
+            }
+        )
+        proxy = self.fleet.standins[f'{vm}-peers']
+        control = attrs.evolve(proxy, port=proxy.control_port)
+        change = {'target_port': daemon.peers.port}
+        await self.fleet.call('POST', control, '/control', change)
+        await _fleet.until(lambda: self._ready(daemon))
+
+    async def _ready(self, daemon):
+        answer = await self.fleet.call('GET', daemon.callers, '/readyz')
+        return answer.status == 200
+
+    async def publish(self):
+        """List the VMs under the addresses of their proxies."""
+        vms = [
+            {
+                'name': vm,
+                'data_centre': DATA_CENTRE,
+                'region': REGION,
+                'host': '127.0.0.1',
+                'peer_port': self.fleet.standins[f'{vm}-peers'].port,
+                'caller_port': self.fleet.daemons[vm].callers.port,
+                'state': 'live',
+            }
+            for vm in VMS
+        ]
+        await self.fleet.post('platform', '/publish_vms', vms)
+
+    def _make_configuration(self):
+        proxy = self.fleet.standins['s1-proxy']
+        route = {'method': 'POST', 'path_prefix': '/', 'repeatable': False}
+        server = {'name': 's1', 'host': proxy.host, 'port': proxy.port}
+        server |= {'data_centre': DATA_CENTRE, 'serves': SERVICE}
+        return {
+            'revision': 1,
+            'regions': [{'name': REGION, 'data_centres': [DATA_CENTRE]}],
+            'services': [
+                {'name': SERVICE, 'routes': [{**route, 'check_path': '/o'}]}
+            ],
+            'backend_servers': [{**server, 'role': 'service'}],
+        }
+
+    async def run(self):
+        """Meet every fault once, then ask for every ticket once more."""
+        faults = list(FAULTS)
+        self._rng.shuffle(faults)
+        for fault in faults:
+            await self._meet(fault)
+        for order in self.orders:
+            await self._attempt(order, self._rng.choice(VMS))
+
+    async def _meet(self, fault):
+        victim, other = self._rng.sample(VMS, 2)
+        orders = [
+            await self._make_order(victim, fault, number)
+            for number in range(ORDERS_PER_FAULT)
+        ]
+        self.orders += orders
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._inject, fault, victim, other)
+            for order in orders:
+                offset_s = self._rng.uniform(0, SPREAD_S)
+                for vm in self._rng.sample(VMS, 2):
+                    nursery.start_soon(self._attempt, order, vm, offset_s)
+        await self._heal()
+
+    async def _make_order(self, vm, fault, number):
+        question = {'service': SERVICE, 'path': '/orders'}
+        callers = self.fleet.daemons[vm].callers
+        answer = await self.fleet.call(
+            'POST', callers, '/tickets', question, CALLER
+        )
+        assert answer.status == 201, answer
+        ticket = answer.json()['ticket']
+        order_id = f'{fault}-{number}'
+        return Order(order_id=order_id, fault=fault, ticket=ticket)
+
+    async def _attempt(self, order, vm, offset_s=0.0):
+        await _pass(offset_s)
+        headers = {**CALLER, 'x-ticket': order.ticket}
+        headers['x-request-timeout-ms'] = str(CALLER_TIMEOUT_MS)
+        order.sent = True
+        try:
+            answer = await self.fleet.call(
+                'POST',
+                self.fleet.daemons[vm].callers,
+                f'/services/{SERVICE}/orders',
+                {'order_id': order.order_id},
+                headers,
+            )
+        except Exception as error:
+            order.outcomes.append(('no answer', type(error).__name__))
+            return
+        kind = ''
+        if 'error' in answer.json():
+            kind = answer.json()['error']['kind']
+        order.outcomes.append((answer.headers['x-run'], kind))
+
+    async def _inject(self, fault, victim, other):
+        process = self.fleet.daemons[victim].process
+        await _pass(SPREAD_S / 2)
+        if fault == 'kill':
+            process.kill()
+        elif fault == 'freeze':
+            process.freeze()
+            await _pass((LIFETIME_MS + CALLER_TIMEOUT_MS) / 1000)
+            process.thaw()
+        elif fault == 'cut peers':
+            await self._rule(f'{victim}-peers', cut=True)
+        elif fault == 'drop the request':
+            await self._rule('s1-proxy', stall=True)
+            await _pass(SPREAD_S)
+            await self._rule('s1-proxy', cut=True)
+        elif fault == 'drop the answer':
+            await self._rule('s1-proxy', stall_answers=True)
+            await _pass(SPREAD_S + 2 * RUN_MS / 1000)
+            await self._rule('s1-proxy', cut=True)
+        elif fault.startswith('stop'):
+            await self._stop(fault, victim, other)
+
+    async def _stop(self, fault, victim, other):
+        process = self.fleet.daemons[victim].process
+        peers = [f'{vm}-peers' for vm in VMS if vm != victim]
+        if fault == 'stop, acknowledgement lost':
+            for name in peers:
+                await self._rule(name, stall_answers=True)
+        process.terminate()
+        if fault == 'stop, acknowledgement lost':
+            # The issuer asks one peer, waits in vain, and asks the next.
+            await _pass(HAND_OVER_TIMEOUT_S)
+            for name in peers:
+                await self._rule(name, cut=True)
+                await self._rule(name)
+        elif fault == 'stop, then kill':
+            await _pass(RUN_MS / 1000)
+            process.kill()
+        elif fault == 'stop, kill a peer':
+            self.fleet.daemons[other].process.kill()
+        await process.wait()
+
+    async def _rule(self, proxy, **rule):
+        await self.fleet.set_rules(proxy, {'*': rule})
+
+    async def _heal(self):
+        for name in self.fleet.standins:
+            if name.endswith(('-peers', '-proxy')):
+                await self.fleet.set_rules(name, {})
+        for vm in VMS:
+            if self.fleet.daemons[vm].process.exit_code is not None:
+                await self.start_vm(vm)
+        await self.publish()
+
+    async def judge(self):
+        """Return the faults against the service's ledger, and counts."""
+        answer = await self.fleet.call(
+            'GET', self.fleet.standins['s1'], '/ledger'
+        )
+        runs = answer.json()['runs']
+        faults = []
+        counts = collections.Counter()
+        for order in self.orders:
+            count = runs.get(order.order_id, 0)
+            said = {run for run, _ in order.outcomes}
+            if count > 1:
+                faults.append(('second run', order, count))
+            if 'not-run' in said and count:
+                faults.append(('false not run', order, count))
+            if 'done' in said and not count:
+                faults.append(('false done', order, count))
+            counts[order.fault, 'orders'] += 1
+            counts[order.fault, 'runs'] += count
+            for run, _ in order.outcomes:
+                counts[order.fault, run] += 1
+            settled = said & {'done', 'not-run'}
+            counts[order.fault, 'not settled'] += not settled
+        return faults, counts
+
+
+async def _pass(duration_s):
+    moment_s = time.monotonic() + duration_s
+    await _fleet.until(lambda: time.monotonic() >= moment_s)
