--- a/bluebellthread/core/_ticket_token.py
+++ b/bluebellthread/core/_ticket_token.py
@@ -151,7 +151,8 @@
             key_id, host, peer_port, serves, deadline_ms, lifetime_ms = rest
             key = self._keys[key_id]
             expected = _digest(key, f'{ticket_id}.{body}', caller)
-            if not hmac.compare_digest(expected, _from_base64(digest)):
+            # As text: several texts stand for the same bytes.
+            if not hmac.compare_digest(_to_base64(expected), digest):
                 raise InvalidTicketError
             issuer, incarnation, number = ticket_id.rsplit('-', 2)
             return Ticket(
--- /dev/null
+++ b/bluebellthread/daemon/_ticket_finder.py
@@ -0,0 +1,98 @@
+"""Which VMs may know what became of a ticket."""
+
+from bluebellthread import core
+
+LIKELY_HOLDERS = 2
+"""VMs that are asked where no hand-over was heard of."""
+
+
+class TicketFinder:
+    """Lists the VMs to ask about a ticket.
+
+    Asking several is safe: none but the issuer ever runs the call.
+
+    Parameters
+    ----------
+    vm, data_centre, incarnation : str, str, int
+        This process.
+    fleet : Fleet
+        Has the view.
+    task : TicketTask
+        Knows of records that were handed over.
+    """
+
+    def __init__(self, *, vm, data_centre, incarnation, fleet, task):
+        self._vm = vm
+        self._data_centre = data_centre
+        self._incarnation = incarnation
+        self._fleet = fleet
+        self._task = task
+        self.own = self._member(vm, '', 0)
+
+    def find(self, ticket):
+        """Return the VMs that may know a ticket, the best first."""
+        if self._is_own(ticket) or self._task.knows(ticket.ticket_id):
+            return [self.own]
+        found = list(self._task.find_holders(ticket.ticket_id))
+        if not self.is_gone(ticket):
+            known = self._fleet.view.find(ticket.issuer)
+            found.append(
+                known
+                or self._member(ticket.issuer, ticket.host, ticket.peer_port)
+            )
+        found += self._likely_holders(ticket)
+        return list({member.name: member for member in found}.values())
+
+    def is_gone(self, ticket):
+        """Tell whether another process has taken the issuer's place."""
+        known = self._fleet.view.find(ticket.issuer)
+        incarnation = known.incarnation if known else 0
+        if ticket.issuer == self._vm:
+            incarnation = self._incarnation
+        return incarnation not in (0, ticket.issuer_incarnation)
+
+    def may_be_issuer(self, member, ticket):
+        """Tell whether a message to a VM might reach the issuer."""
+        if member is self.own:
+            return self._is_own(ticket)
+        address = (member.host, member.peer_port)
+        return member.name == ticket.issuer or address == (
+            ticket.host,
+            ticket.peer_port,
+        )
+
+    def _is_own(self, ticket):
+        own = (self._vm, self._incarnation)
+        return own == (ticket.issuer, ticket.issuer_incarnation)
+
+    def _likely_holders(self, ticket):
+        """Return the first VMs that the issuer would have asked."""
+        peers = {
+            member.name: member
+            for member in self._fleet.view.in_data_centre(self._data_centre)
+            if member.name not in (self._vm, ticket.issuer)
+        }
+        key = hand_over_key(ticket.issuer, ticket.issuer_incarnation)
+        names = core.rank_by_rendezvous(key, peers)
+        return [peers[name] for name in names[:LIKELY_HOLDERS]]
+
+    def _member(self, name, host, peer_port):
+        return core.Member(
+            name=name,
+            data_centre=self._data_centre,
+            region='',
+            host=host,
+            peer_port=peer_port,
+            caller_port=0,
+        )
+
+
+def hand_over_key(vm, incarnation):
+    """Return the key by which a process ranks the peers to hand over to.
+
+    Examples
+    --------
+    >>> hand_over_key('vm1', 255)
+    'vm1-ff'
+    """
+    return f'{vm}-{incarnation:x}'
--- a/bluebellthread/daemon/_ticket_path.py
+++ b/bluebellthread/daemon/_ticket_path.py
@@ -8,6 +8,7 @@
 from bluebellthread.daemon import _model_path
 from bluebellthread.daemon import _peers
 from bluebellthread.daemon import _ticket_answers
+from bluebellthread.daemon import _ticket_finder
 
 PREFIX = '/tickets'
 
@@ -49,20 +50,16 @@
     def __init__(
         self, *, vm, data_centre, incarnation, fleet, links, task, signer
     ):
-        self._vm = vm
         self._data_centre = data_centre
-        self._incarnation = incarnation
         self._fleet = fleet
         self._links = links
-        self._task = task
         self._signer = signer
-        self._self = core.Member(
-            name=vm,
+        self._finder = _ticket_finder.TicketFinder(
+            vm=vm,
             data_centre=data_centre,
-            region='',
-            host='',
-            peer_port=0,
-            caller_port=0,
+            incarnation=incarnation,
+            fleet=fleet,
+            task=task,
         )
 
     async def serve(self, exchange):
@@ -176,7 +173,7 @@
             serves=serves,
             check_path=_check_path_of(serves, route),
         )
-        result = await self._ask(self._self, request, _in_time())
+        result = await self._ask(self._finder.own, request, _in_time())
         if result is None:
             return core.AttemptRejected(kind='full')
         return result
@@ -193,7 +190,7 @@
 
     async def _look_up(self, ticket, lookup):
         result = None
-        for member in self._members_to_ask(ticket):
+        for member in self._finder.find(ticket):
             result = await self._ask(member, lookup, _in_time())
             if result is not None and not _is_no_record(result):
                 return result
@@ -239,52 +236,23 @@
         are asked only for what they know.
         """
         maybe_heard = False
-        outcome = None
-        for member in self._members_to_ask(ticket):
-            wait_ms = call.deadline_ms + ANSWER_SLACK_MS
+        gone = self._finder.is_gone(ticket)
+        wait_ms = call.deadline_ms + ANSWER_SLACK_MS
+        for member in self._finder.find(ticket):
             result, sent = await self._try(member, call, wait_ms)
-            if result is None:
+            own_answer = member is self._finder.own and result is not None
+            if self._finder.may_be_issuer(member, ticket) and not own_answer:
                 maybe_heard = maybe_heard or sent
-                continue
-            maybe_heard = maybe_heard or member is not self._self
-            outcome = core.after_forward(result) if maybe_heard else result
-            if not _is_no_record(outcome):
-                return outcome
-        if outcome is not None:
-            return outcome
+                gone = gone or _is_no_record(result)
+            if result is not None and not _is_no_record(result):
+                return core.after_forward(result) if maybe_heard else result
         return core.OutcomeUnknown(
-            kind='issuer-unreachable',
+            kind='issuer-gone' if gone else 'issuer-unreachable',
             check_path=call.check_path,
             check_after_ms=core.longest_check_ms(ticket),
             may_renew=not maybe_heard,
         )
 
-    def _members_to_ask(self, ticket):
-        """Return the VMs that may know a ticket, the best first.
-
-        No other VM than the issuer ever runs the call, so that asking
-        several is safe.
-        """
-        own = (self._vm, self._incarnation)
-        origin = (ticket.issuer, ticket.issuer_incarnation)
-        if origin == own or self._task.knows(ticket.ticket_id):
-            return [self._self]
-        holders = list(self._task.find_holders(ticket.ticket_id))
-        known = self._fleet.view.find(ticket.issuer)
-        if known and known.incarnation not in (0, ticket.issuer_incarnation):
-            return [*holders, self._self]
-        return [*holders, known or self._issuer_of(ticket)]
-
-    def _issuer_of(self, ticket):
-        return core.Member(
-            name=ticket.issuer,
-            data_centre=self._data_centre,
-            region='',
-            host=ticket.host,
-            peer_port=ticket.peer_port,
-            caller_port=0,
-        )
-
     async def _try(self, member, message, wait_ms):
         """Return a VM's result or None, and whether it may have heard."""
         try:
--- a/bluebellthread/daemon/_ticket_task.py
+++ b/bluebellthread/daemon/_ticket_task.py
@@ -10,6 +10,7 @@
 from bluebellthread.daemon import _mailboxes
 from bluebellthread.daemon import _one_shot
 from bluebellthread.daemon import _peers
+from bluebellthread.daemon import _ticket_finder
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
 
@@ -281,7 +282,7 @@
             for member in self._fleet.view.in_data_centre(self._data_centre)
             if member.name != self._vm
         }
-        key = f'{self._vm}-{self._incarnation:x}'
+        key = _ticket_finder.hand_over_key(self._vm, self._incarnation)
         names = core.rank_by_rendezvous(key, peers)
         return [peers[name] for name in names[:HAND_OVER_PEERS]]
 
--- a/tests/integration/_naive_daemon.py
+++ b/tests/integration/_naive_daemon.py
@@ -9,6 +9,7 @@
 from bluebellthread import core
 from bluebellthread.daemon import __main__
 from bluebellthread.daemon import _clock
+from bluebellthread.daemon import _ticket_finder
 from bluebellthread.daemon import _ticket_path
 from bluebellthread.daemon import _ticket_task
 from tests.unit import _ticket_world
@@ -16,13 +17,15 @@
 RETRY_TIMEOUT_MS = 250
 
 
-class NaivePath(_ticket_path.TicketPath):
-    def _members_to_ask(self, ticket):
+class NaiveFinder(_ticket_finder.TicketFinder):
+    def find(self, ticket):
         members = {m.name: m for m in self._fleet.view.members}
-        members[self._vm] = self._self
+        members[self._vm] = self.own
         names = core.rank_by_rendezvous(ticket.ticket_id, members)
         return [members[name] for name in names]
 
+
+class NaivePath(_ticket_path.TicketPath):
     async def _try(self, member, message, wait_ms):
         retry_ms = _clock.read_clock_ms() + RETRY_TIMEOUT_MS
         return await super()._try(member, message, min(wait_ms, retry_ms))
@@ -39,6 +42,7 @@
 
 
 if __name__ == '__main__':
+    _ticket_finder.TicketFinder = NaiveFinder
     _ticket_path.TicketPath = NaivePath
     _ticket_task.make_keeper = make_keeper
     sys.exit(__main__.main())
