--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each module is a program."""
--- /dev/null
+++ b/bench/tickets.py
@@ -0,0 +1,320 @@
+"""What the path of tickets costs: ``python -m bench.tickets [CALLS]``.
+
+Prints the memory of records; then time and bytes of a call to the service
+itself, of a call that may be repeated, and of one with a ticket at its
+issuer and at another VM.
+"""
+
+import statistics
+import sys
+import time
+import tracemalloc
+
+import attrs
+import trio
+
+from bluebellthread import core
+
+from tests.integration import _fleet
+
+CALLS = 300
+WARM_UP_CALLS = 20
+RECORDS = 5000
+BUDGET_BYTES = 32 * 1024 * 1024
+BODY_BYTES = 200
+INCARNATION = 2**61
+PLACE = {'data_centre': 'cluj-a', 'region': 'transilvania'}
+SERVICE = 'magazin-piese'
+CALLER = {'x-caller-id': 'workshop-12'}
+PROXIES = ('s1-server', 'vm1-peers', 'vm1-callers', 'vm2-callers')
+HEADERS = (
+    ('content-type', 'application/json'),
+    ('content-length', '200'),
+    ('date', 'Thu, 03 Dec 2026 22:28:54 GMT'),
+    ('server', 'hypercorn-h11'),
+    ('connection', 'close'),
+)
+
+
+class Bench:
+    """Two VMs and a service, each behind a proxy that counts bytes."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.counted = False
+
+    async def start(self):
+        """Start everything."""
+        await self.fleet.start_standins(
+            [{'kind': 'platform'}, {'kind': 'service', 'name': 's1'}]
+        )
+        target = self.fleet.standins['s1'].port
+        proxy = {'kind': 'proxy', 'target_port': target}
+        await self.fleet.start_standins(
+            [{**proxy, 'name': name} for name in PROXIES]
+        )
+        for vm in ('vm1', 'vm2'):
+            daemon = await self._start_vm(vm)
+            await self._aim(f'{vm}-callers', daemon.callers.port)
+        await self._aim('vm1-peers', self.fleet.daemons['vm1'].peers.port)
+        await self.publish(revision=1)
+
+    async def _start_vm(self, vm):
+        platform = self.fleet.standins['platform']
+        key = {'key_id': 'k', 'secret': 's' * 32, 'issuing': True}
+        return await self.fleet.start_daemon(
+            {
+                **PLACE,
+                'vm': vm,
+                'host': '127.0.0.1',
+                'peer_port': 0,
+                'caller_port': 0,
+                'platform_addresses': [f'{platform.host}:{platform.port}'],
+                'ticket_keys': [key],
+            }
+        )
+
+    async def _aim(self, name, port):
+        control = self._control_of(self.fleet.standins[name])
+        target = {'target_port': port}
+        await self.fleet.call('POST', control, '/control', target)
+
+    def _control_of(self, proxy):
+        return attrs.evolve(proxy, port=proxy.control_port)
+
+    async def publish(self, *, revision):
+        """Publish addresses, the proxies' where bytes are counted."""
+        configuration = self._make_configuration(revision)
+        await self.fleet.publish_config(configuration)
+        daemons = self.fleet.daemons.values()
+        vms = [
+            {
+                **PLACE,
+                'name': daemon.name,
+                'host': '127.0.0.1',
+                'peer_port': self._peer_port(daemon),
+                'caller_port': daemon.callers.port,
+                'state': 'live',
+            }
+            for daemon in daemons
+        ]
+        await self.fleet.post('platform', '/publish_vms', vms)
+        line = f'E3001 configuration revision {revision}'
+        for daemon in daemons:
+            process = daemon.process
+            await _fleet.until(lambda p=process: line in p.stderr)
+
+    def _make_configuration(self, revision):
+        server = self.fleet.standins['s1-server' if self.counted else 's1']
+        route = {'method': 'POST', 'repeatable': True, 'path_prefix': '/free'}
+        region = {'name': PLACE['region'], 'data_centres': ['cluj-a']}
+        limits = {'caller_rate_per_s': 100000, 'caller_concurrency': 1000}
+        return {
+            'revision': revision,
+            'regions': [region],
+            'defaults': limits,
+            'services': [{'name': SERVICE, 'routes': [route]}],
+            'backend_servers': [
+                {
+                    'name': 's1',
+                    'host': server.host,
+                    'port': server.port,
+                    'data_centre': 'cluj-a',
+                    'serves': SERVICE,
+                    'role': 'service',
+                }
+            ],
+        }
+
+    def _peer_port(self, daemon):
+        if self.counted and daemon.name == 'vm1':
+            return self.fleet.standins['vm1-peers'].port
+        return daemon.peers.port
+
+    def _callers_of(self, vm):
+        if self.counted:
+            return self.fleet.standins[f'{vm}-callers']
+        return self.fleet.daemons[vm].callers
+
+    async def direct(self, name):
+        """Call the service itself."""
+        address = self.fleet.standins['s1-server' if self.counted else 's1']
+        await self._order(address, f'/orders/{name}')
+
+    async def repeatable(self, name):
+        """Make a call that may be repeated."""
+        path = f'/services/{SERVICE}/free/{name}'
+        await self._order(self._callers_of('vm1'), path)
+
+    async def at_issuer(self, name):
+        """Ask for a ticket, then call, both at the issuer."""
+        await self._order_with_ticket(name, 'vm1')
+
+    async def forwarded(self, name):
+        """Ask for a ticket, then call at another VM."""
+        await self._order_with_ticket(name, 'vm2')
+
+    async def _order_with_ticket(self, name, vm):
+        question = {'service': SERVICE, 'path': '/orders'}
+        answer = await self.fleet.call(
+            'POST', self._callers_of('vm1'), '/tickets', question, CALLER
+        )
+        headers = {'x-ticket': answer.json()['ticket']}
+        path = f'/services/{SERVICE}/orders/{name}'
+        await self._order(self._callers_of(vm), path, headers)
+
+    async def _order(self, address, path, headers=None):
+        headers = {**CALLER, **(headers or {})}
+        answer = await self.fleet.call('POST', address, path, b'{}', headers)
+        assert answer.status == 200, answer
+
+    async def time(self, call, count):
+        """Return the milliseconds of each of some calls, one by one."""
+        for number in range(WARM_UP_CALLS):
+            await call(f'w{number}')
+        taken_ms = []
+        for number in range(count):
+            start_s = time.perf_counter()
+            await call(f't{number}')
+            taken_ms.append((time.perf_counter() - start_s) * 1000)
+        return taken_ms
+
+    async def count_bytes(self, call, count):
+        """Return the bytes of a call on each kind of link."""
+        before = await self._read_counts()
+        for number in range(count):
+            await call(f'b{number}')
+        after = await self._read_counts()
+        return {kind: (after[kind] - before[kind]) / count for kind in after}
+
+    async def _read_counts(self):
+        sums = {'callers': 0, 'peers': 0, 'server': 0}
+        for name in PROXIES:
+            control = self._control_of(self.fleet.standins[name])
+            answer = await self.fleet.call('GET', control, '/counts')
+            sums[name.split('-')[1]] += answer.json().get('bytes', 0)
+        return sums
+
+
+async def measure_calls(count):
+    """Print what calls cost."""
+    fleet = _fleet.Fleet()
+    await fleet.start()
+    try:
+        await _measure_at(Bench(fleet), count)
+    except BaseException:
+        print(fleet.read_logs())
+        raise
+    finally:
+        await fleet.close()
+
+
+async def _measure_at(bench, count):
+    await bench.start()
+    calls = (bench.direct, bench.repeatable, bench.at_issuer, bench.forwarded)
+    print(f'{count} calls of each kind, one after another')
+    for call in calls:
+        taken_ms = await bench.time(call, count)
+        middle_ms = statistics.median(taken_ms)
+        high_ms = statistics.quantiles(taken_ms, n=20)[-1]
+        print(f'{call.__name__}: median {middle_ms:.2f} ms, p95 {high_ms:.2f}')
+    bench.counted = True
+    await bench.publish(revision=2)
+    for call in calls:
+        sizes = await bench.count_bytes(call, count)
+        parts = [f'{kind} {size:.0f}' for kind, size in sizes.items()]
+        print(f'{call.__name__}: bytes a call: {", ".join(parts)}')
+
+
+def measure_records():
+    """Print the memory of issued and of answered records."""
+    key = core.TicketKey(key_id='k', secret=b's' * 32)
+    tracemalloc.start()
+    keeper = core.TicketKeeper(
+        vm='vm1',
+        incarnation=INCARNATION,
+        host='127.0.0.1',
+        peer_port=7000,
+        signer=core.TicketSigner((key,)),
+        options=core.TicketOptions(limit_bytes=2**40),
+    )
+    start_bytes = tracemalloc.get_traced_memory()[0]
+    for number in range(RECORDS):
+        _issue(keeper, number)
+    _report(keeper, 'issued', start_bytes)
+    for number in range(RECORDS):
+        _answer(keeper, number)
+    what = f'answered, body of {BODY_BYTES} bytes'
+    _report(keeper, what, start_bytes)
+    tracemalloc.stop()
+
+
+def _issue(keeper, number):
+    asked = core.TicketAsked(
+        waiter=None,
+        caller=f'workshop-{number}',
+        serves=''.join(SERVICE),
+        check_path=f'/services/{SERVICE}/orders',
+    )
+    keeper.handle(asked, number)
+
+
+def _answer(keeper, number):
+    keeper.handle(
+        core.CallArrived(
+            waiter=None,
+            ticket=_make_ticket(number),
+            caller=f'workshop-{number}',
+            call_digest=core.digest_call('POST', f'/{number}', b''),
+            deadline_ms=10**6,
+            check_path=f'/services/{SERVICE}/orders',
+        ),
+        number,
+    )
+    # Each answer has texts of its own, as if read from a connection.
+    headers = tuple(
+        (name.encode().decode(), value.encode().decode())
+        for name, value in HEADERS
+    )
+    answer = core.ServerAnswer(
+        status=201, headers=headers, body=bytes(BODY_BYTES)
+    )
+    event = core.AnswerArrived(
+        ticket_id=_make_ticket(number).ticket_id, answer=answer
+    )
+    keeper.handle(event, number)
+
+
+def _make_ticket(number):
+    return core.Ticket(
+        issuer='vm1',
+        issuer_incarnation=INCARNATION,
+        number=number + 1,
+        host='127.0.0.1',
+        peer_port=7000,
+        serves=SERVICE,
+        deadline_ms=number + 30000,
+        lifetime_ms=30000,
+    )
+
+
+def _report(keeper, what, start_bytes):
+    used_bytes = tracemalloc.get_traced_memory()[0] - start_bytes
+    each_bytes = used_bytes / RECORDS
+    counted_bytes = keeper.book.used_bytes / RECORDS
+    print(
+        f'record, {what}: {each_bytes:.0f} bytes, counted as '
+        f'{counted_bytes:.0f}; by that count '
+        f'{BUDGET_BYTES / counted_bytes:.0f} in 32 MB'
+    )
+
+
+def main():
+    """Measure and print."""
+    count = int(sys.argv[1]) if len(sys.argv) > 1 else CALLS
+    measure_records()
+    trio.run(measure_calls, count)
+
+
+if __name__ == '__main__':
+    main()
