--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements; each module is a program."""
+"""The load tool: real daemons and stand-in engines on loopback."""
--- a/bluebellthread/core/_ticket_book.py
+++ b/bluebellthread/core/_ticket_book.py
@@ -6,10 +6,13 @@
 
 from bluebellthread.core import _ticket_outcomes as outcomes
 
-RECORD_BYTES = 2048
-"""Memory counted for a record besides its answer's body."""
+RECORD_BYTES = 1280
+"""Memory counted for a record besides its answer."""
 
-ANSWER_RESERVE_BYTES = 2048
+HEADER_BYTES = 160
+"""Memory counted for a header besides its characters."""
+
+ANSWER_RESERVE_BYTES = 2816
 """Memory held for an answer's body and headers from the issue on."""
 
 STATE_ISSUED = 'issued'
@@ -133,11 +136,7 @@
 
 
 def cost_bytes(record):
-    """Return the memory that a record counts for.
-
-    A final record without an answer still counts for the reserve's share
-    of its fixed size only.
-    """
+    """Return the memory that a record counts for."""
     if record.state != STATE_FINAL:
         return RECORD_BYTES + ANSWER_RESERVE_BYTES
     if isinstance(
@@ -154,7 +153,9 @@
     --------
     >>> answer_bytes(outcomes.ServerAnswer(status=200, body=b'abc',
     ...                                    headers=(('a', 'bc'),)))
-    6
+    166
     """
-    headers = sum(len(name) + len(value) for name, value in answer.headers)
+    headers = sum(
+        HEADER_BYTES + len(name) + len(value) for name, value in answer.headers
+    )
     return headers + len(answer.body)
--- a/bluebellthread/core/_ticket_outcomes.py
+++ b/bluebellthread/core/_ticket_outcomes.py
@@ -76,7 +76,7 @@
     ----------
     kind : str
         ``'expired'``, ``'stopping'``, ``'no-backend'``,
-        ``'unreachable'`` or ``'refused'``.
+        ``'unreachable'``, ``'refused'`` or ``'bad-request'``.
 
     Examples
     --------
--- a/bluebellthread/daemon/_http.py
+++ b/bluebellthread/daemon/_http.py
@@ -76,7 +76,9 @@
     Parameters
     ----------
     method, path, query : str
-        The request line.
+        The request line; the path is decoded.
+    raw_path : str
+        The path as it was sent.
     headers : tuple of (str, str)
         Names in lower case.
     body : bytes
@@ -88,6 +90,7 @@
     query: str
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    raw_path: str = ''
 
     def header(self, name, default=''):
         """Return the first value of a header."""
@@ -207,6 +210,7 @@
     return Request(
         method=scope['method'],
         path=scope['path'],
+        raw_path=scope['raw_path'].decode('latin-1'),
         query=scope['query_string'].decode('latin-1'),
         headers=tuple(
             (name.decode('latin-1').lower(), value.decode('latin-1'))
--- a/bluebellthread/daemon/_one_shot.py
+++ b/bluebellthread/daemon/_one_shot.py
@@ -139,8 +139,8 @@
     stream = None
     with cancel_scope:
         try:
-            stream = await _connect(server, deadline_ms)
             request = _make_request(server, method, path, headers, body)
+            stream = await _connect(server, deadline_ms)
             with trio.fail_after(ANSWER_TIMEOUT_S):
                 return await _exchange(stream, request)
         except DeadlinePassedError:
@@ -153,6 +153,9 @@
             OSError,
         ):
             return _lost(stream, 'unreachable')
+        except (ValueError, TypeError):
+            # Texts that HTTP/1.1 cannot carry.
+            return _lost(stream, 'bad-request')
         finally:
             if stream is not None:
                 with trio.CancelScope(shield=True):
--- a/bluebellthread/daemon/_service_path.py
+++ b/bluebellthread/daemon/_service_path.py
@@ -4,6 +4,7 @@
 
 from bluebellthread import core
 from bluebellthread.daemon import _http
+from bluebellthread.daemon._ticket_answers import TICKET_HEADER
 
 PREFIX = '/services/'
 RETRY_AFTER_MS = 1000
@@ -38,7 +39,9 @@
 
     async def serve(self, exchange):
         """Pass one call on and its answer back."""
-        name, _, rest = exchange.request.path[len(PREFIX) :].partition('/')
+        request = exchange.request
+        name, path = _split_path(request.path)
+        _, raw_path = _split_path(request.raw_path)
         service = self._fleet.configuration.find_service(name)
         if service is None:
             raise _http.Refusal(
@@ -46,14 +49,18 @@
                 kind='unknown-service',
                 remedy=f'no service {name!r}; check the name',
             )
-        route = service.find_route(exchange.request.method, '/' + rest)
-        if route.repeatable:
+        _check_path(path)
+        target = f'{raw_path}?{request.query}' if request.query else raw_path
+        route = service.find_route(request.method, path)
+        # A caller with a ticket means to run the call once, whatever this
+        # VM's configuration says by now.
+        if route.repeatable and not request.header(TICKET_HEADER):
             server = self._choose_server(name)
-            await self._pass_on(exchange, server, '/' + rest)
-            return
-        query = exchange.request.query
-        path = f'/{rest}?{query}' if query else f'/{rest}'
-        await self._ticket_path.serve_call(exchange, service, route, path)
+            await self._pass_on(exchange, server, target)
+        else:
+            await self._ticket_path.serve_call(
+                exchange, service, route, target
+            )
 
     def _choose_server(self, name):
         servers = [
@@ -73,9 +80,8 @@
         self._calls += 1
         return servers[self._calls % len(servers)]
 
-    async def _pass_on(self, exchange, server, path):
+    async def _pass_on(self, exchange, server, target):
         request = exchange.request
-        query = f'?{request.query}' if request.query else ''
         headers = [
             (key.encode(), value.encode('latin-1'))
             for key, value in request.headers
@@ -85,7 +91,7 @@
         try:
             response = await self._pool.request(
                 request.method,
-                f'http://{server.host}:{server.port}{path}{query}',
+                f'http://{server.host}:{server.port}{target}',
                 headers=headers,
                 content=request.body or None,
             )
@@ -114,3 +120,20 @@
             ],
             response.content,
         )
+
+
+def _split_path(path):
+    """Return the service's name and the path below it."""
+    name, _, rest = path[len(PREFIX) :].partition('/')
+    return name, f'/{rest}'
+
+
+def _check_path(path):
+    # The service may resolve such segments, after which another route
+    # would have covered the call.
+    if {'.', '..'} & set(path.split('/')):
+        raise _http.Refusal(
+            status=400,
+            kind='bad-request',
+            remedy="send a path without '.' and '..' segments",
+        )
--- a/bluebellthread/daemon/_ticket_answers.py
+++ b/bluebellthread/daemon/_ticket_answers.py
@@ -11,7 +11,7 @@
 
 RETRY_AFTER_MS = 1000
 
-NOT_RUN_STATUSES = {'expired': 410}
+NOT_RUN_STATUSES = {'expired': 410, 'bad-request': 400}
 """Statuses of `NotRun` by kind; 503 for the others."""
 
 REJECTED_STATUSES = {
--- a/bluebellthread/daemon/_ticket_path.py
+++ b/bluebellthread/daemon/_ticket_path.py
@@ -90,7 +90,7 @@
         route : Route
             The rule that covers the call.
         path : str
-            Below the service's name, with its query.
+            Below the service's name, as it was sent, with its query.
         """
         self._check_keys()
         text = exchange.request.header(_ticket_answers.TICKET_HEADER)
