--- a/bluebellthread/daemon/_ticket_path.py
+++ b/bluebellthread/daemon/_ticket_path.py
@@ -5,8 +5,8 @@
 from bluebellthread import core
 from bluebellthread.daemon import _clock
 from bluebellthread.daemon import _http
-from bluebellthread.daemon import _model_path
 from bluebellthread.daemon import _peers
+from bluebellthread.daemon import _question
 from bluebellthread.daemon import _ticket_answers
 from bluebellthread.daemon import _ticket_finder
 
@@ -226,7 +226,7 @@
             body=request.body,
             check_path=_check_path_of(serves, route),
             refusal_kinds=route.refusal_kinds,
-            deadline_ms=_model_path.read_deadline_ms(request, values, now_ms),
+            deadline_ms=_question.read_deadline_ms(request, values, now_ms),
         )
 
     async def _resolve(self, ticket, call):
