Claim 'not run' of a ticket only where the ticket is known

A refusal before the ticket was looked at (bad timeout, caller's limits, overload, no keys) said 'not run' also to a retry of a call that had run; its caller could have taken a new ticket. Such refusals now say 'not-this-time'. The new check in test_ticket_calls failed before and passes now. The sender has tests of its own: nothing from the deadline on, no retry of a lost answer, a redirect is an answer.

--- a/bluebellthread/daemon/_gateway.py
+++ b/bluebellthread/daemon/_gateway.py
@@ -85,6 +85,7 @@
         try:
             await self._serve_known(scope, receive, responder)
         except _http.Refusal as refusal:
+            _http.limit_claim(refusal, scope['headers'])
             self._metrics.count(metrics.REQUESTS_REFUSED, kind=refusal.kind)
             if not responder.started:
                 await responder.refuse(refusal)
--- a/bluebellthread/daemon/_http.py
+++ b/bluebellthread/daemon/_http.py
@@ -13,6 +13,9 @@
 RUN_DONE = 'done'
 RUN_NOT_THIS_TIME = 'not-this-time'
 
+TICKET_HEADER = 'x-ticket'
+"""Header of a call that may not be repeated."""
+
 MS_PER_S = 1000
 
 HOP_HEADERS = frozenset(
@@ -69,6 +72,38 @@
         super().__init__(f'{kind}: {remedy}')
 
 
+class OutcomeRefusal(Refusal):
+    """A refusal that speaks of a ticket, not of one attempt alone."""
+
+
+def limit_claim(refusal, headers):
+    """Let a refusal claim no more than is known of a call with a ticket.
+
+    An earlier attempt with the ticket may have run, so "not run" is left
+    to those that know the ticket.
+
+    Parameters
+    ----------
+    refusal : Refusal
+        Changed in place.
+    headers : list of (bytes, bytes)
+        Of the request.
+
+    Examples
+    --------
+    >>> refusal = Refusal(status=503, kind='overloaded', remedy='wait')
+    >>> limit_claim(refusal, [(b'x-ticket', b'vm1-ff-3.a.b')])
+    >>> refusal.run
+    'not-this-time'
+    """
+    if not find_header(headers, TICKET_HEADER.encode()):
+        return
+    if isinstance(refusal, OutcomeRefusal):
+        return
+    if refusal.run == RUN_NOT_RUN:
+        refusal.run = RUN_NOT_THIS_TIME
+
+
 @attrs.frozen(kw_only=True)
 class Request:
     """One HTTP request of a caller, its body read whole.
--- a/bluebellthread/daemon/_service_path.py
+++ b/bluebellthread/daemon/_service_path.py
@@ -4,7 +4,6 @@
 
 from bluebellthread import core
 from bluebellthread.daemon import _http
-from bluebellthread.daemon._ticket_answers import TICKET_HEADER
 
 PREFIX = '/services/'
 RETRY_AFTER_MS = 1000
@@ -54,7 +53,7 @@
         route = service.find_route(request.method, path)
         # A caller with a ticket means to run the call once, whatever this
         # VM's configuration says by now.
-        if route.repeatable and not request.header(TICKET_HEADER):
+        if route.repeatable and not request.header(_http.TICKET_HEADER):
             server = self._choose_server(name)
             await self._pass_on(exchange, server, target)
         else:
--- a/bluebellthread/daemon/_ticket_answers.py
+++ b/bluebellthread/daemon/_ticket_answers.py
@@ -5,7 +5,6 @@
 from bluebellthread import core
 from bluebellthread.daemon import _http
 
-TICKET_HEADER = 'x-ticket'
 CHECK_PATH_HEADER = 'x-check-path'
 CHECK_AFTER_HEADER = 'x-check-after-ms'
 
@@ -38,7 +37,7 @@
 @answers.register('done')
 async def _answer_done(responder, outcome):
     if not outcome.whole:
-        raise _http.Refusal(
+        raise _http.OutcomeRefusal(
             status=502,
             kind='answer-too-large',
             remedy=outcome.next_step,
@@ -64,7 +63,7 @@
 
 @answers.register('not-run')
 async def _answer_not_run(responder, outcome):
-    raise _http.Refusal(
+    raise _http.OutcomeRefusal(
         status=NOT_RUN_STATUSES.get(outcome.kind, 503),
         kind=outcome.kind,
         remedy=outcome.next_step,
@@ -77,7 +76,7 @@
     headers = [(CHECK_AFTER_HEADER, str(outcome.check_after_ms))]
     if outcome.check_path:
         headers.append((CHECK_PATH_HEADER, outcome.check_path))
-    raise _http.Refusal(
+    raise _http.OutcomeRefusal(
         status=504,
         kind=outcome.kind,
         remedy=outcome.next_step,
@@ -88,8 +87,10 @@
 
 @answers.register('rejected')
 async def _answer_rejected(responder, outcome):
-    headers = ((TICKET_HEADER, outcome.ticket),) if outcome.ticket else ()
-    raise _http.Refusal(
+    headers = (
+        ((_http.TICKET_HEADER, outcome.ticket),) if outcome.ticket else ()
+    )
+    raise _http.OutcomeRefusal(
         status=REJECTED_STATUSES[outcome.kind],
         kind=outcome.kind,
         remedy=outcome.next_step,
--- a/bluebellthread/daemon/_ticket_path.py
+++ b/bluebellthread/daemon/_ticket_path.py
@@ -23,7 +23,7 @@
 """Wait for a ticket or for what a VM knows of one."""
 
 HELD_BACK_HEADERS = _http.HOP_HEADERS | {
-    _ticket_answers.TICKET_HEADER,
+    _http.TICKET_HEADER,
     'x-request-id',
     'x-request-timeout-ms',
 }
@@ -93,7 +93,7 @@
             Below the service's name, as it was sent, with its query.
         """
         self._check_keys()
-        text = exchange.request.header(_ticket_answers.TICKET_HEADER)
+        text = exchange.request.header(_http.TICKET_HEADER)
         if not text:
             await self._refuse_with_ticket(exchange, service.name, route)
         ticket = self._verify(text, exchange.caller)
@@ -138,7 +138,7 @@
             'remaining_ms': issued.remaining_ms,
             'check_path': _check_path_of(service.name, route),
         }
-        header = (_ticket_answers.TICKET_HEADER, issued.ticket)
+        header = (_http.TICKET_HEADER, issued.ticket)
         await exchange.responder.answer_json(201, fields, [header])
 
     def _read_question(self, request):
--- a/tests/integration/test_ticket_calls.py
+++ b/tests/integration/test_ticket_calls.py
@@ -53,6 +53,12 @@
         ):
             self.assertEqual(status, answer.status, answer)
             self.assertEqual(kind, answer.json()['error']['kind'])
+        # An early refusal of a ticket that has run must not say "not run".
+        early = await call(
+            'vm1', ORDERS, {**mine, 'x-request-timeout-ms': '0'}
+        )
+        self.assertEqual('bad-timeout', early.json()['error']['kind'])
+        self.assertEqual('not-this-time', early.headers['x-run'])
         hidden = await call(
             'vm1', f'/tickets/{ticket}', {'x-caller-id': 'c2'}, 'GET'
         )
--- /dev/null
+++ b/tests/unit/test_one_shot.py
@@ -0,0 +1,79 @@
+import unittest
+
+import trio
+from trio import testing
+
+from bluebellthread import core
+from bluebellthread.daemon import _clock
+from bluebellthread.daemon import _one_shot
+
+REDIRECT = b'HTTP/1.1 302 Found\r\nlocation: /x\r\ncontent-length: 0\r\n\r\n'
+CUT_OFF = b'HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhalf'
+
+
+class TestSendOnce(unittest.TestCase):
+    def send(self, reply, *, remaining_ms=60000, listening=True):
+        """Return the result and what each connection received."""
+        return trio.run(self._send, reply, remaining_ms, listening)
+
+    async def _send(self, reply, remaining_ms, listening):
+        received = []
+
+        async def serve(stream):
+            try:
+                data = await stream.receive_some()
+            except trio.BrokenResourceError:
+                # The sender resets what it gives up.
+                data = b''
+            received.append(data)
+            if data and reply:
+                await stream.send_all(reply)
+            await stream.aclose()
+
+        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        port = listeners[0].socket.getsockname()[1]
+        server = core.BackendServer(
+            name='s1',
+            host='127.0.0.1',
+            port=port,
+            data_centre='cluj-a',
+            serves='ledger',
+            role=core.ROLE_SERVICE,
+        )
+        if not listening:
+            await listeners[0].aclose()
+        async with trio.open_nursery() as nursery:
+            if listening:
+                nursery.start_soon(trio.serve_listeners, serve, listeners)
+            result = await _one_shot.send_once(
+                server,
+                method='POST',
+                path='/orders',
+                headers=[],
+                body=b'',
+                deadline_ms=_clock.read_clock_ms() + remaining_ms,
+                cancel_scope=trio.CancelScope(),
+            )
+            await testing.wait_all_tasks_blocked()
+            nursery.cancel_scope.cancel()
+        return result, received
+
+    def test_nothing_goes_out_from_the_deadline_on(self):
+        result, received = self.send(REDIRECT, remaining_ms=0)
+        self.assertEqual(_one_shot.NothingSent(kind='expired'), result)
+        self.assertEqual(b'', b''.join(received))
+
+    def test_refused_connection_sends_nothing(self):
+        result, _ = self.send(b'', listening=False)
+        self.assertEqual(_one_shot.NothingSent(kind='unreachable'), result)
+
+    def test_lost_answer_is_not_asked_for_again(self):
+        for reply in (b'', CUT_OFF):
+            result, received = self.send(reply)
+            self.assertIsInstance(result, _one_shot.MaybeSent)
+            self.assertEqual(1, len(received))
+
+    def test_redirect_is_an_answer(self):
+        result, received = self.send(REDIRECT)
+        self.assertEqual(302, result.answer.status)
+        self.assertEqual(1, len(received))
