--- a/bluebellthread/core/_membership_context.py
+++ b/bluebellthread/core/_membership_context.py
@@ -46,13 +46,22 @@
 
     def send(self, member, message, correlation=0):
         """Ask for a datagram to a VM."""
-        self._add(member.host, member.peer_port, correlation, message)
+        self.send_to(member.host, member.peer_port, message, correlation)
 
     def answer(self, event, message):
-        """Ask for a datagram to where another came from."""
-        self._add(event.host, event.port, event.correlation, message)
+        """Ask for a datagram to the sender of another.
 
-    def _add(self, host, port, correlation, message):
+        A known VM is answered where it says that it is reached, any other
+        where the datagram came from.
+        """
+        record = self.table.find(event.sender)
+        if record is not None:
+            self.send(record.member, message, event.correlation)
+        else:
+            self.send_to(event.host, event.port, message, event.correlation)
+
+    def send_to(self, host, port, message, correlation):
+        """Ask for a datagram to an address."""
         self.commands.append(
             events.SendDatagram(
                 host=host, port=port, correlation=correlation, message=message
--- a/bluebellthread/daemon/_answer_task.py
+++ b/bluebellthread/daemon/_answer_task.py
@@ -11,6 +11,7 @@
 from bluebellthread import engines
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
+from bluebellthread.observe import metrics
 
 WRITE_GRACE_S = 5
 """Seconds past its deadline that a slow caller may read its answer."""
@@ -73,6 +74,7 @@
         self._metrics = metrics
         self._nursery = None
         self._scopes = {}
+        self._ask_scope = trio.CancelScope()
         self._send, self._receive = trio.open_memory_channel(float('inf'))
         self._executors = {
             core.AskPermit: self._ask_permit,
@@ -105,14 +107,14 @@
                 refusal = await self._write_answer()
         finally:
             # A caller that has gone leaves nothing behind; no step waits.
+            self._ask_scope.cancel()
             self._drain()
             self._step(core.CallerGone())
         if refusal is not None:
             raise refusal
 
     async def _write_answer(self):
-        deadline_ms = self.machine.deadline_ms
-        left_s = (deadline_ms - _clock.read_clock_ms()) / _http.MS_PER_S
+        left_s = _clock.read_remaining_s(self.machine.deadline_ms)
         with trio.move_on_after(left_s + WRITE_GRACE_S):
             return await self._writer.run()
         self.post(core.CallerGone())
@@ -121,9 +123,9 @@
     async def _decide(self):
         self._step(core.AnswerAsked())
         while not self.machine.ended:
-            left_ms = self.machine.wake_ms - _clock.read_clock_ms()
+            left_s = _clock.read_remaining_s(self.machine.wake_ms)
             event = core.Tick()
-            with trio.move_on_after(left_ms / _http.MS_PER_S):
+            with trio.move_on_after(left_s):
                 event = await self._receive.receive()
             self._step(event)
 
@@ -140,14 +142,14 @@
             self._executors[type(command)](command)
 
     def _ask_permit(self, command):
-        self._scheduler.ask(
+        self._ask_scope = self._scheduler.ask(
             command.request,
             self.post,
             traceparent=self._exchange.traceparent,
         )
 
     def _tell_scheduler(self, command):
-        self._scheduler.tell(command.permit.pool, command.message)
+        self._scheduler.tell(command.message)
 
     def _start_prefill(self, command):
         self._start_run(command, self._prefill, command.permit.prefill_server)
@@ -177,6 +179,12 @@
                         server=server_name,
                         detail='it is not in the configuration any more',
                     )
+                if not self._scheduler.is_current(command.permit):
+                    raise engines.EngineError(
+                        kind='refused',
+                        server=server_name,
+                        detail='its permit is from before a pause',
+                    )
                 await call(command, server)
             except engines.EngineError as error:
                 emit(
@@ -270,8 +278,9 @@
         )
 
     def _count_waste(self, command):
-        self._metrics.count('prefill_wasted_tokens', command.tokens)
-        self._metrics.count(f'prefill_wasted.{command.kind}')
+        self._metrics.count(
+            metrics.PREFILL_WASTED_TOKENS, command.tokens, kind=command.kind
+        )
 
     def _count_retry(self, command):
-        self._metrics.count(f'retries.{command.kind}')
+        self._metrics.count(metrics.RETRIES, kind=command.kind)
--- a/bluebellthread/daemon/_ticket_finder.py
+++ b/bluebellthread/daemon/_ticket_finder.py
@@ -34,17 +34,16 @@
         if self._is_own(ticket) or self._task.knows(ticket.ticket_id):
             return [self.own]
         found = list(self._task.find_holders(ticket.ticket_id))
-        if not self.is_gone(ticket):
-            known = self._fleet.view.find(ticket.issuer)
-            found.append(
-                known
-                or self._member(ticket.issuer, ticket.host, ticket.peer_port)
-            )
+        if ticket.issuer != self._vm:
+            found.append(self._issuer_of(ticket))
         found += self._likely_holders(ticket)
         return list({member.name: member for member in found}.values())
 
-    def is_gone(self, ticket):
-        """Tell whether another process has taken the issuer's place."""
+    def seems_gone(self, ticket):
+        """Tell whether the view has another process in the issuer's place.
+
+        The view may be older than the ticket.
+        """
         known = self._fleet.view.find(ticket.issuer)
         incarnation = known.incarnation if known else 0
         if ticket.issuer == self._vm:
@@ -61,6 +60,12 @@
             ticket.peer_port,
         )
 
+    def _issuer_of(self, ticket):
+        known = self._fleet.view.find(ticket.issuer)
+        if known is not None and not self.seems_gone(ticket):
+            return known
+        return self._member(ticket.issuer, ticket.host, ticket.peer_port)
+
     def _is_own(self, ticket):
         own = (self._vm, self._incarnation)
         return own == (ticket.issuer, ticket.issuer_incarnation)
--- a/bluebellthread/daemon/_ticket_path.py
+++ b/bluebellthread/daemon/_ticket_path.py
@@ -236,9 +236,11 @@
         are asked only for what they know.
         """
         maybe_heard = False
-        gone = self._finder.is_gone(ticket)
+        gone = self._finder.seems_gone(ticket)
         wait_ms = call.deadline_ms + ANSWER_SLACK_MS
         for member in self._finder.find(ticket):
+            if gone and not await self._knows(member, ticket, call.caller):
+                continue
             result, sent = await self._try(member, call, wait_ms)
             own_answer = member is self._finder.own and result is not None
             if self._finder.may_be_issuer(member, ticket) and not own_answer:
@@ -253,6 +255,16 @@
             may_renew=not maybe_heard,
         )
 
+    async def _knows(self, member, ticket, caller):
+        """Ask a VM for a record first, which can't run anything.
+
+        So an attempt with the ticket of a process that is gone can tell
+        its caller that it ran nothing.
+        """
+        lookup = core.TicketLookup(ticket_id=ticket.ticket_id, caller=caller)
+        result = await self._ask(member, lookup, _in_time())
+        return result is not None and not _is_no_record(result)
+
     async def _try(self, member, message, wait_ms):
         """Return a VM's result or None, and whether it may have heard."""
         try:
--- a/bluebellthread/daemon/_ticket_task.py
+++ b/bluebellthread/daemon/_ticket_task.py
@@ -330,33 +330,6 @@
         self.handed_over.set()
 
 
-def make_signer(keys):
-    """Return the signer for the settings' keys, or None without any."""
-    if not keys:
-        return None
-    return core.TicketSigner(
-        tuple(
-            core.TicketKey(key_id=key.key_id, secret=key.secret.encode())
-            for key in sorted(keys, key=lambda key: not key.issuing)
-        )
-    )
-
-
-def make_keeper(settings, incarnation, signer):
-    """Return the keeper of a process's tickets."""
-    return core.TicketKeeper(
-        vm=settings.vm,
-        incarnation=incarnation,
-        host=settings.host,
-        peer_port=settings.peer_port,
-        signer=signer,
-        options=core.TicketOptions(
-            lifetime_timeout_ms=settings.ticket_lifetime_timeout_ms,
-            limit_bytes=settings.ticket_memory_max_bytes,
-        ),
-    )
-
-
 def _to_event(ticket_id, ended, call):
     if isinstance(ended, _one_shot.NothingSent):
         return core.NothingSent(ticket_id=ticket_id, kind=ended.kind)
--- a/tests/integration/_naive_daemon.py
+++ b/tests/integration/_naive_daemon.py
@@ -10,8 +10,8 @@
 from bluebellthread.daemon import __main__
 from bluebellthread.daemon import _clock
 from bluebellthread.daemon import _ticket_finder
+from bluebellthread.daemon import _ticket_parts
 from bluebellthread.daemon import _ticket_path
-from bluebellthread.daemon import _ticket_task
 from tests.unit import _ticket_world
 
 RETRY_TIMEOUT_MS = 250
@@ -24,6 +24,9 @@
         names = core.rank_by_rendezvous(ticket.ticket_id, members)
         return [members[name] for name in names]
 
+    def seems_gone(self, ticket):
+        return False
+
 
 class NaivePath(_ticket_path.TicketPath):
     async def _try(self, member, message, wait_ms):
@@ -44,5 +47,5 @@
 if __name__ == '__main__':
     _ticket_finder.TicketFinder = NaiveFinder
     _ticket_path.TicketPath = NaivePath
-    _ticket_task.make_keeper = make_keeper
+    _ticket_parts.make_keeper = make_keeper
     sys.exit(__main__.main())
--- a/tests/integration/_ticket_faults.py
+++ b/tests/integration/_ticket_faults.py
@@ -61,7 +61,8 @@
 
     async def start(self):
         fleet = self.fleet
-        proxies = [{'kind': 'proxy', 'name': f'{vm}-peers'} for vm in VMS]
+        proxy = {'kind': 'proxy', 'forwards_udp': True}
+        proxies = [{**proxy, 'name': f'{vm}-peers'} for vm in VMS]
         service = {'kind': 'service', 'name': 's1', 'slots': 1000}
         service['before_run_ms'] = service['after_run_ms'] = RUN_MS
         await fleet.start_standins([{'kind': 'platform'}, service, *proxies])
@@ -77,6 +78,7 @@
 
     async def start_vm(self, vm):
         platform = self.fleet.standins['platform']
+        proxy = self.fleet.standins[f'{vm}-peers']
         daemon = await self.fleet.start_daemon(
             {
                 'vm': vm,
@@ -84,13 +86,14 @@
                 'region': REGION,
                 'host': '127.0.0.1',
                 'peer_port': 0,
+                'peer_address': f'{proxy.host}:{proxy.port}',
                 'caller_port': 0,
                 'platform_addresses': [f'{platform.host}:{platform.port}'],
+                'balancer_lag_ms': 0,
                 'ticket_keys': [KEY],
                 'ticket_lifetime_timeout_ms': LIFETIME_MS,
             }
         )
-        proxy = self.fleet.standins[f'{vm}-peers']
         control = attrs.evolve(proxy, port=proxy.control_port)
         change = {'target_port': daemon.peers.port}
         await self.fleet.call('POST', control, '/control', change)
