Announce a hand-over once a holder, within the data centre

At the target each call that ended during a stop told all 390 VMs again. Also: the settings refuse a third ticket key; the test of tickets asks for each ticket once more at the end of its own round, so that later rounds' faults don't count as unknown outcomes of earlier ones.

--- a/bluebellthread/configuration/_files.py
+++ b/bluebellthread/configuration/_files.py
@@ -198,6 +198,15 @@
                 remedy='set "issuing": true on exactly one',
             )
         )
+    if len(keys) > core.TICKET_KEYS_MAX:
+        problems.append(
+            core.Problem(
+                path='ticket_keys',
+                message=f'{len(keys)} keys',
+                remedy=f'give at most {core.TICKET_KEYS_MAX}, the old and '
+                'the new one of a rotation',
+            )
+        )
     if len({key.key_id for key in keys}) != len(keys):
         problems.append(
             core.Problem(
--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -164,6 +164,7 @@
 from bluebellthread.core._ticket_token import InvalidTicketError
 from bluebellthread.core._ticket_token import origin_of
 from bluebellthread.core._ticket_token import Ticket
+from bluebellthread.core._ticket_token import TICKET_KEYS_MAX
 from bluebellthread.core._ticket_token import TicketKey
 from bluebellthread.core._ticket_token import TicketKeysError
 from bluebellthread.core._ticket_token import TicketSigner
@@ -292,6 +293,7 @@
     'Stopped',
     'StreamEnded',
     'Superseded',
+    'TICKET_KEYS_MAX',
     'TellScheduler',
     'Tick',
     'Ticket',
--- a/bluebellthread/core/_ticket_outcomes.py
+++ b/bluebellthread/core/_ticket_outcomes.py
@@ -193,7 +193,7 @@
     remaining_ms: int
 
 
-def after_forward(outcome, *, kind=''):
+def after_forward(outcome):
     """Return an outcome for an attempt that was sent on to another VM.
 
     A forwarded message may arrive twice, first at the issuer and then at
@@ -208,6 +208,4 @@
     """
     if not isinstance(outcome, OutcomeUnknown):
         return outcome
-    return dataclasses.replace(
-        outcome, kind=kind or outcome.kind, may_renew=False
-    )
+    return dataclasses.replace(outcome, may_renew=False)
--- a/bluebellthread/core/_ticket_token.py
+++ b/bluebellthread/core/_ticket_token.py
@@ -21,7 +21,7 @@
 LONGEST_TEXT_CHARACTERS = 1024
 """Longer texts are refused before they are decoded."""
 
-ACCEPTED_KEYS = 2
+TICKET_KEYS_MAX = 2
 """Keys accepted at a time, so that a new one can replace an old one."""
 
 
@@ -114,7 +114,7 @@
     """
 
     def __init__(self, keys):
-        if not 1 <= len(keys) <= ACCEPTED_KEYS:
+        if not 1 <= len(keys) <= TICKET_KEYS_MAX:
             raise TicketKeysError(
                 f'{len(keys)} ticket keys; set one, or two while a new one '
                 'replaces an old one'
--- a/bluebellthread/daemon/_ticket_task.py
+++ b/bluebellthread/daemon/_ticket_task.py
@@ -25,6 +25,10 @@
 HAND_OVER_ROUNDS = 3
 """How often each peer is asked to take a batch of records."""
 
+HOLDER_KEPT_MS = 900000
+"""How long others remember who took records over; longer than any record
+is kept."""
+
 HAND_OVER_PEERS = 4
 """Peers that are asked."""
 
@@ -63,6 +67,7 @@
         self._nursery = None
         self._send_scopes = {}
         self._rounds = {}
+        self._announced = set()
         self._calls = 0
         self.handed_over = trio.Event()
         self.inbox, self._receive = trio.open_memory_channel(QUEUE_LENGTH)
@@ -277,47 +282,44 @@
         self._handle(core.RecordsTaken(batch=command.batch))
 
     def _rank_peers(self):
-        peers = {
-            member.name: member
-            for member in self._fleet.view.in_data_centre(self._data_centre)
-            if member.name != self._vm
-        }
+        peers = self._find_peers()
         key = _ticket_finder.hand_over_key(self._vm, self._incarnation)
         names = core.rank_by_rendezvous(key, peers)
         return [peers[name] for name in names[:HAND_OVER_PEERS]]
 
+    def _find_peers(self):
+        members = self._fleet.view.in_data_centre(self._data_centre)
+        return {m.name: m for m in members if m.name != self._vm}
+
     async def _announce(self, holder, copies):
-        keep_deadlines_ms = {}
-        for copy in copies:
-            origin = core.origin_of(copy.ticket_id)
-            known_ms = keep_deadlines_ms.get(origin, 0)
-            keep_deadlines_ms[origin] = max(known_ms, copy.keep_deadline_ms)
-        for origin, keep_deadline_ms in keep_deadlines_ms.items():
+        """Tell the others who answers now, once for each origin."""
+        now_ms = _clock.read_clock_ms()
+        for origin in {core.origin_of(copy.ticket_id) for copy in copies}:
+            emit(
+                events.TICKETS_HANDED_OVER,
+                count=len(copies),
+                issuer=origin[0],
+                holder=holder.name,
+            )
+            if (origin, holder.name) in self._announced:
+                continue
+            self._announced.add((origin, holder.name))
             moved = core.TicketsMoved(
                 issuer=origin[0],
                 issuer_incarnation=origin[1],
                 holder=holder.name,
                 holder_host=holder.host,
                 holder_peer_port=holder.peer_port,
-                keep_deadline_ms=keep_deadline_ms,
+                keep_deadline_ms=now_ms + HOLDER_KEPT_MS,
             )
             self._note_move(moved)
             await self._send_to_all(moved)
-            emit(
-                events.TICKETS_HANDED_OVER,
-                count=len(copies),
-                issuer=origin[0],
-                holder=holder.name,
-            )
 
     async def _send_to_all(self, message):
         deadline_ms = _clock.read_clock_ms() + HAND_OVER_TIMEOUT_MS
         async with trio.open_nursery() as nursery:
-            for member in self._fleet.view.members:
-                if member.name != self._vm:
-                    nursery.start_soon(
-                        self._tell, member, message, deadline_ms
-                    )
+            for member in self._find_peers().values():
+                nursery.start_soon(self._tell, member, message, deadline_ms)
 
     async def _tell(self, member, message, deadline_ms):
         try:
--- a/tests/integration/_ticket_faults.py
+++ b/tests/integration/_ticket_faults.py
@@ -134,13 +134,11 @@
         }
 
     async def run(self):
-        """Meet every fault once, then ask for every ticket once more."""
+        """Meet every fault once."""
         faults = list(FAULTS)
         self._rng.shuffle(faults)
         for fault in faults:
             await self._meet(fault)
-        for order in self.orders:
-            await self._attempt(order, self._rng.choice(VMS))
 
     async def _meet(self, fault):
         victim, other = self._rng.sample(VMS, 2)
@@ -156,6 +154,8 @@
                 for vm in self._rng.sample(VMS, 2):
                     nursery.start_soon(self._attempt, order, vm, offset_s)
         await self._heal()
+        for order in orders:
+            await self._attempt(order, self._rng.choice(VMS))
 
     async def _make_order(self, vm, fault, number):
         question = {'service': SERVICE, 'path': '/orders'}
