--- a/bench/tickets.py
+++ b/bench/tickets.py
@@ -16,6 +16,7 @@
 from bluebellthread import core
 
 from tests.integration import _fleet
+from tests.integration import _router
 
 CALLS = 300
 WARM_UP_CALLS = 20
@@ -23,8 +24,8 @@
 BUDGET_BYTES = 32 * 1024 * 1024
 BODY_BYTES = 200
 INCARNATION = 2**61
-PLACE = {'data_centre': 'cluj-a', 'region': 'transilvania'}
-SERVICE = 'magazin-piese'
+SERVICE = _router.SERVICE
+LIMITS = {'caller_rate_per_s': 100000, 'caller_concurrency': 1000}
 CALLER = {'x-caller-id': 'workshop-12'}
 PROXIES = ('s1-server', 'vm1-peers', 'vm1-callers', 'vm2-callers')
 HEADERS = (
@@ -37,11 +38,11 @@
 
 
 class Bench:
-    """Two VMs and a service, each behind a proxy that counts bytes."""
+    """Two VMs and a service, behind proxies where bytes are counted."""
 
-    def __init__(self, fleet):
+    def __init__(self, fleet, *, counted):
         self.fleet = fleet
-        self.counted = False
+        self.counted = counted
 
     async def start(self):
         """Start everything."""
@@ -54,82 +55,36 @@
             [{**proxy, 'name': name} for name in PROXIES]
         )
         for vm in ('vm1', 'vm2'):
-            daemon = await self._start_vm(vm)
-            await self._aim(f'{vm}-callers', daemon.callers.port)
-        await self._aim('vm1-peers', self.fleet.daemons['vm1'].peers.port)
-        await self.publish(revision=1)
+            await self._start_vm(vm)
+        await self._publish()
 
     async def _start_vm(self, vm):
-        platform = self.fleet.standins['platform']
         key = {'key_id': 'k', 'secret': 's' * 32, 'issuing': True}
-        return await self.fleet.start_daemon(
-            {
-                **PLACE,
-                'vm': vm,
-                'host': '127.0.0.1',
-                'peer_port': 0,
-                'caller_port': 0,
-                'platform_addresses': [f'{platform.host}:{platform.port}'],
-                'ticket_keys': [key],
-            }
-        )
+        changes = {'ticket_keys': [key]}
+        if vm == 'vm1' and self.counted:
+            proxy = self.fleet.standins['vm1-peers']
+            changes['peer_address'] = f'{proxy.host}:{proxy.port}'
+        settings = _router.make_settings(self.fleet, vm, **changes)
+        daemon = await self.fleet.start_daemon(settings)
+        await self._aim(f'{vm}-callers', daemon.callers.port)
+        if vm == 'vm1':
+            await self._aim('vm1-peers', daemon.peers.port)
 
     async def _aim(self, name, port):
-        control = self._control_of(self.fleet.standins[name])
-        target = {'target_port': port}
-        await self.fleet.call('POST', control, '/control', target)
-
-    def _control_of(self, proxy):
-        return attrs.evolve(proxy, port=proxy.control_port)
+        proxy = self.fleet.standins[name]
+        await self.fleet.control_proxy(proxy, target_port=port)
 
-    async def publish(self, *, revision):
-        """Publish addresses, the proxies' where bytes are counted."""
-        configuration = self._make_configuration(revision)
+    async def _publish(self):
+        address = self.fleet.standins['s1-server' if self.counted else 's1']
+        server = ('s1', address, _router.SERVICE, 'service')
+        configuration = _router.make_configuration([server], defaults=LIMITS)
+        route = {'method': 'POST', 'repeatable': True, 'path_prefix': '/free'}
+        configuration['services'][0]['routes'] = [route]
         await self.fleet.publish_config(configuration)
-        daemons = self.fleet.daemons.values()
-        vms = [
-            {
-                **PLACE,
-                'name': daemon.name,
-                'host': '127.0.0.1',
-                'peer_port': self._peer_port(daemon),
-                'caller_port': daemon.callers.port,
-                'state': 'live',
-            }
-            for daemon in daemons
-        ]
-        await self.fleet.post('platform', '/publish_vms', vms)
-        line = f'E3001 configuration revision {revision}'
-        for daemon in daemons:
+        await self.fleet.publish_vms()
+        for daemon in self.fleet.daemons.values():
             process = daemon.process
-            await _fleet.until(lambda p=process: line in p.stderr)
-
-    def _make_configuration(self, revision):
-        server = self.fleet.standins['s1-server' if self.counted else 's1']
-        route = {'method': 'POST', 'repeatable': True, 'path_prefix': '/free'}
-        region = {'name': PLACE['region'], 'data_centres': ['cluj-a']}
-        limits = {'caller_rate_per_s': 100000, 'caller_concurrency': 1000}
-        return {
-            'revision': revision,
-            'regions': [region],
-            'defaults': limits,
-            'services': [{'name': SERVICE, 'routes': [route]}],
-            'backend_servers': [
-                {
-                    'name': 's1',
-                    'host': server.host,
-                    'port': server.port,
-                    'data_centre': 'cluj-a',
-                    'serves': SERVICE,
-                    'role': 'service',
-                }
-            ],
-        }
-
-    def _peer_port(self, daemon):
-        if self.counted and daemon.name == 'vm1':
-            return self.fleet.standins['vm1-peers'].port
-        return daemon.peers.port
+            await _fleet.until(lambda p=process: 'E3001' in p.stderr)
 
     def _callers_of(self, vm):
         if self.counted:
@@ -190,7 +145,8 @@
     async def _read_counts(self):
         sums = {'callers': 0, 'peers': 0, 'server': 0}
         for name in PROXIES:
-            control = self._control_of(self.fleet.standins[name])
+            proxy = self.fleet.standins[name]
+            control = attrs.evolve(proxy, port=proxy.control_port)
             answer = await self.fleet.call('GET', control, '/counts')
             sums[name.split('-')[1]] += answer.json().get('bytes', 0)
         return sums
@@ -198,10 +154,20 @@
 
 async def measure_calls(count):
     """Print what calls cost."""
+    print(f'{count} calls of each kind, one after another')
+    await _measure_with(_measure_times, count, counted=False)
+    await _measure_with(_measure_bytes, count, counted=True)
+
+
+async def _measure_with(measure, count, *, counted):
     fleet = _fleet.Fleet()
     await fleet.start()
     try:
-        await _measure_at(Bench(fleet), count)
+        bench = Bench(fleet, counted=counted)
+        await bench.start()
+        calls = (bench.direct, bench.repeatable)
+        for call in (*calls, bench.at_issuer, bench.forwarded):
+            await measure(bench, call, count)
     except BaseException:
         print(fleet.read_logs())
         raise
@@ -209,21 +175,17 @@
         await fleet.close()
 
 
-async def _measure_at(bench, count):
-    await bench.start()
-    calls = (bench.direct, bench.repeatable, bench.at_issuer, bench.forwarded)
-    print(f'{count} calls of each kind, one after another')
-    for call in calls:
-        taken_ms = await bench.time(call, count)
-        middle_ms = statistics.median(taken_ms)
-        high_ms = statistics.quantiles(taken_ms, n=20)[-1]
-        print(f'{call.__name__}: median {middle_ms:.2f} ms, p95 {high_ms:.2f}')
-    bench.counted = True
-    await bench.publish(revision=2)
-    for call in calls:
-        sizes = await bench.count_bytes(call, count)
-        parts = [f'{kind} {size:.0f}' for kind, size in sizes.items()]
-        print(f'{call.__name__}: bytes a call: {", ".join(parts)}')
+async def _measure_times(bench, call, count):
+    taken_ms = await bench.time(call, count)
+    middle_ms = statistics.median(taken_ms)
+    high_ms = statistics.quantiles(taken_ms, n=20)[-1]
+    print(f'{call.__name__}: median {middle_ms:.2f} ms, p95 {high_ms:.2f}')
+
+
+async def _measure_bytes(bench, call, count):
+    sizes = await bench.count_bytes(call, count)
+    parts = [f'{kind} {size:.0f}' for kind, size in sizes.items()]
+    print(f'{call.__name__}: bytes a call: {", ".join(parts)}')
 
 
 def measure_records():
@@ -253,7 +215,7 @@
     asked = core.TicketAsked(
         waiter=None,
         caller=f'workshop-{number}',
-        serves=''.join(SERVICE),
+        serves=SERVICE,
         check_path=f'/services/{SERVICE}/orders',
     )
     keeper.handle(asked, number)
--- a/tests/integration/_ticket_faults.py
+++ b/tests/integration/_ticket_faults.py
@@ -8,10 +8,9 @@
 import trio
 
 from tests.integration import _fleet
+from tests.integration import _router
 
-DATA_CENTRE = 'cluj-a'
-REGION = 'transilvania'
-SERVICE = 'magazin-piese'
+SERVICE = _router.SERVICE
 CALLER = {'x-caller-id': 'workshop-12'}
 VMS = ('vm1', 'vm2', 'vm3')
 KEY = {'key_id': 'k1', 'secret': 's' * 32, 'issuing': True}
@@ -70,69 +69,31 @@
         await fleet.start_standins(
             [{'kind': 'proxy', 'name': 's1-proxy', 'target_port': target}]
         )
-        await fleet.publish_config(self._make_configuration())
+        server = ('s1', fleet.standins['s1-proxy'], _router.SERVICE, 'service')
+        await fleet.publish_config(_router.make_configuration([server]))
         async with trio.open_nursery() as nursery:
             for vm in VMS:
                 nursery.start_soon(self.start_vm, vm)
-        await self.publish()
+        await fleet.publish_vms()
 
     async def start_vm(self, vm):
-        platform = self.fleet.standins['platform']
         proxy = self.fleet.standins[f'{vm}-peers']
-        daemon = await self.fleet.start_daemon(
-            {
-                'vm': vm,
-                'data_centre': DATA_CENTRE,
-                'region': REGION,
-                'host': '127.0.0.1',
-                'peer_port': 0,
-                'peer_address': f'{proxy.host}:{proxy.port}',
-                'caller_port': 0,
-                'platform_addresses': [f'{platform.host}:{platform.port}'],
-                'balancer_lag_ms': 1,
-                'ticket_keys': [KEY],
-                'ticket_lifetime_timeout_ms': LIFETIME_MS,
-            }
+        settings = _router.make_settings(
+            self.fleet,
+            vm,
+            peer_address=f'{proxy.host}:{proxy.port}',
+            balancer_lag_ms=1,
+            ticket_keys=[KEY],
+            ticket_lifetime_timeout_ms=LIFETIME_MS,
         )
-        control = attrs.evolve(proxy, port=proxy.control_port)
-        change = {'target_port': daemon.peers.port}
-        await self.fleet.call('POST', control, '/control', change)
+        daemon = await self.fleet.start_daemon(settings)
+        await self.fleet.control_proxy(proxy, target_port=daemon.peers.port)
         await _fleet.until(lambda: self._ready(daemon))
 
     async def _ready(self, daemon):
         answer = await self.fleet.call('GET', daemon.callers, '/readyz')
         return answer.status == 200
 
-    async def publish(self):
-        """List the VMs under the addresses of their proxies."""
-        vms = [
-            {
-                'name': vm,
-                'data_centre': DATA_CENTRE,
-                'region': REGION,
-                'host': '127.0.0.1',
-                'peer_port': self.fleet.standins[f'{vm}-peers'].port,
-                'caller_port': self.fleet.daemons[vm].callers.port,
-                'state': 'live',
-            }
-            for vm in VMS
-        ]
-        await self.fleet.post('platform', '/publish_vms', vms)
-
-    def _make_configuration(self):
-        proxy = self.fleet.standins['s1-proxy']
-        route = {'method': 'POST', 'path_prefix': '/', 'repeatable': False}
-        server = {'name': 's1', 'host': proxy.host, 'port': proxy.port}
-        server |= {'data_centre': DATA_CENTRE, 'serves': SERVICE}
-        return {
-            'revision': 1,
-            'regions': [{'name': REGION, 'data_centres': [DATA_CENTRE]}],
-            'services': [
-                {'name': SERVICE, 'routes': [{**route, 'check_path': '/o'}]}
-            ],
-            'backend_servers': [{**server, 'role': 'service'}],
-        }
-
     async def run(self):
         """Meet every fault once."""
         faults = list(FAULTS)
@@ -241,7 +202,7 @@
         for vm in VMS:
             if self.fleet.daemons[vm].process.exit_code is not None:
                 await self.start_vm(vm)
-        await self.publish()
+        await self.fleet.publish_vms()
 
     async def judge(self):
         """Return the faults against the service's ledger, and counts."""
