--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -142,12 +142,15 @@
 from bluebellthread.core._ticket_events import TicketAsked
 from bluebellthread.core._ticket_events import TicketReply
 from bluebellthread.core._ticket_events import TicketTick
+from bluebellthread.core._ticket_holders import TicketHolders
 from bluebellthread.core._ticket_messages import TicketCall
 from bluebellthread.core._ticket_messages import TicketCopy
 from bluebellthread.core._ticket_messages import TicketLookup
 from bluebellthread.core._ticket_messages import TicketRecords
+from bluebellthread.core._ticket_messages import TicketRequest
 from bluebellthread.core._ticket_messages import TicketResult
 from bluebellthread.core._ticket_messages import TicketsMoved
+from bluebellthread.core._ticket_outcomes import after_forward
 from bluebellthread.core._ticket_outcomes import AttemptRejected
 from bluebellthread.core._ticket_outcomes import Completed
 from bluebellthread.core._ticket_outcomes import NotRun
@@ -159,10 +162,13 @@
 from bluebellthread.core._ticket_token import digest_call
 from bluebellthread.core._ticket_token import id_of_text
 from bluebellthread.core._ticket_token import InvalidTicketError
+from bluebellthread.core._ticket_token import origin_of
 from bluebellthread.core._ticket_token import Ticket
+from bluebellthread.core._ticket_token import TICKET_KEYS_MAX
 from bluebellthread.core._ticket_token import TicketKey
 from bluebellthread.core._ticket_token import TicketKeysError
 from bluebellthread.core._ticket_token import TicketSigner
+from bluebellthread.core._tickets import longest_check_ms
 from bluebellthread.core._tickets import TicketKeeper
 from bluebellthread.core._tickets import TicketOptions
 from bluebellthread.core._token_bucket import TokenBucket
@@ -287,6 +293,7 @@
     'Stopped',
     'StreamEnded',
     'Superseded',
+    'TICKET_KEYS_MAX',
     'TellScheduler',
     'Tick',
     'Ticket',
@@ -294,6 +301,7 @@
     'TicketBook',
     'TicketCall',
     'TicketCopy',
+    'TicketHolders',
     'TicketIssued',
     'TicketKeeper',
     'TicketKey',
@@ -304,6 +312,7 @@
     'TicketRecord',
     'TicketRecords',
     'TicketReply',
+    'TicketRequest',
     'TicketResult',
     'TicketSigner',
     'TicketTick',
@@ -313,6 +322,7 @@
     'UnknownNameError',
     'Values',
     'ViewChanged',
+    'after_forward',
     'backoff_ms',
     'check_configuration',
     'choose_owner',
@@ -324,7 +334,9 @@
     'estimate_tokens',
     'explain',
     'id_of_text',
+    'longest_check_ms',
     'make_permit_id',
+    'origin_of',
     'prefill_policies',
     'queue_policies',
     'rank_by_rendezvous',
--- a/bluebellthread/core/_ticket_token.py
+++ b/bluebellthread/core/_ticket_token.py
@@ -21,7 +21,7 @@
 LONGEST_TEXT_CHARACTERS = 1024
 """Longer texts are refused before they are decoded."""
 
-ACCEPTED_KEYS = 2
+TICKET_KEYS_MAX = 2
 """Keys accepted at a time, so that a new one can replace an old one."""
 
 
@@ -114,7 +114,7 @@
     """
 
     def __init__(self, keys):
-        if not 1 <= len(keys) <= ACCEPTED_KEYS:
+        if not 1 <= len(keys) <= TICKET_KEYS_MAX:
             raise TicketKeysError(
                 f'{len(keys)} ticket keys; set one, or two while a new one '
                 'replaces an old one'
@@ -151,7 +151,8 @@
             key_id, host, peer_port, serves, deadline_ms, lifetime_ms = rest
             key = self._keys[key_id]
             expected = _digest(key, f'{ticket_id}.{body}', caller)
-            if not hmac.compare_digest(expected, _from_base64(digest)):
+            # As text: several texts stand for the same bytes.
+            if not hmac.compare_digest(_to_base64(expected), digest):
                 raise InvalidTicketError
             issuer, incarnation, number = ticket_id.rsplit('-', 2)
             return Ticket(
@@ -180,6 +181,18 @@
     return parts[0] if len(parts) == 3 else text
 
 
+def origin_of(ticket_id):
+    """Return the name and incarnation of a ticket's issuer.
+
+    Examples
+    --------
+    >>> origin_of('vm-1-ff-3')
+    ('vm-1', 255)
+    """
+    issuer, incarnation, _ = ticket_id.rsplit('-', 2)
+    return issuer, int(incarnation, 16)
+
+
 def digest_call(method, path, body):
     """Return a digest that tells two calls apart.
 
--- a/bluebellthread/daemon/_service.py
+++ b/bluebellthread/daemon/_service.py
@@ -26,6 +26,8 @@
 from bluebellthread.daemon import _scheduler_task
 from bluebellthread.daemon import _service_path
 from bluebellthread.daemon import _status_task
+from bluebellthread.daemon import _ticket_parts
+from bluebellthread.daemon import _ticket_path
 from bluebellthread.daemon import _traffic
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
@@ -59,9 +61,17 @@
         self.incarnation = secrets.randbits(62)
         self.fleet = _fleet.Fleet()
         self._stop = trio.Event()
+        self._tickets_stopped = trio.Event()
         self._make_observers()
         self._make_peers()
         self._make_scheduling()
+        self._tickets = _ticket_parts.make_ticket_parts(
+            settings,
+            incarnation=self.incarnation,
+            fleet=self.fleet,
+            links=self._links,
+            mailboxes=self._mailboxes,
+        )
         self._make_membership()
         self._make_desk()
         self._make_gateway()
@@ -180,7 +190,9 @@
             metrics=self._metrics,
         )
         self._service_path = _service_path.ServicePath(
-            data_centre=settings.data_centre, fleet=self.fleet
+            data_centre=settings.data_centre,
+            fleet=self.fleet,
+            ticket_path=self._tickets.path,
         )
         self._admission = _admission.Admission(
             data_centre=settings.data_centre,
@@ -193,6 +205,7 @@
             paths=(
                 ('/v1/', self._model_path),
                 (_service_path.PREFIX, self._service_path),
+                (_ticket_path.PREFIX, self._tickets.path),
             ),
             max_body_bytes=settings.request_body_max_bytes,
             body_timeout_ms=BODY_TIMEOUT_MS,
@@ -246,12 +259,23 @@
             nursery.start_soon(self._engine_control.run, self._scheduler_task)
             nursery.start_soon(self._status_task.run)
             nursery.start_soon(self._platform_watch.run)
+            await nursery.start(self._tickets.task.run)
+            nursery.start_soon(self._stop_tickets)
             await self._serve_callers(nursery, peers, task_status)
+            await self._tickets_stopped.wait()
             await self._finish_permits()
             await self._membership_task.close()
             nursery.cancel_scope.cancel()
         await self.close()
 
+    async def _stop_tickets(self):
+        """Hand the tickets' records over while callers are still served."""
+        await self._wait_for_stop()
+        await self._tickets.task.stop(
+            drain_timeout_ms=self._settings.drain_timeout_ms
+        )
+        self._tickets_stopped.set()
+
     async def _start_peer_server(self, nursery):
         listeners = await nursery.start(
             self._peer_server.serve,
@@ -259,6 +283,8 @@
             self._settings.peer_port,
         )
         host, port = listeners[0].socket.getsockname()
+        reachable = self._settings.peer_address or f'{host}:{port}'
+        self._tickets.task.set_address(*_split_address(reachable))
         return f'{host}:{port}'
 
     def _make_member(self, callers, peers):
--- a/bluebellthread/daemon/_service_path.py
+++ b/bluebellthread/daemon/_service_path.py
@@ -8,20 +8,6 @@
 PREFIX = '/services/'
 RETRY_AFTER_MS = 1000
 MOST_CONNECTIONS = 200
-SAFE_METHODS = ('GET', 'HEAD')
-HOP_HEADERS = frozenset(
-    {
-        'connection',
-        'content-length',
-        'host',
-        'keep-alive',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-    }
-)
-"""Headers that hold for one connection only, or are made anew."""
 
 
 class ServicePath:
@@ -33,9 +19,12 @@
         Where this VM stands.
     fleet : object
         Has ``configuration``, the latest.
+    ticket_path : TicketPath
+        Serves the calls that may not be repeated.
     """
 
-    def __init__(self, *, data_centre, fleet):
+    def __init__(self, *, data_centre, fleet, ticket_path):
+        self._ticket_path = ticket_path
         self._data_centre = data_centre
         self._fleet = fleet
         self._pool = httpcore.AsyncConnectionPool(
@@ -49,7 +38,9 @@
 
     async def serve(self, exchange):
         """Pass one call on and its answer back."""
-        name, _, rest = exchange.request.path[len(PREFIX) :].partition('/')
+        request = exchange.request
+        name, path = _split_path(request.path)
+        _, raw_path = _split_path(request.raw_path)
         service = self._fleet.configuration.find_service(name)
         if service is None:
             raise _http.Refusal(
@@ -57,13 +48,18 @@
                 kind='unknown-service',
                 remedy=f'no service {name!r}; check the name',
             )
-        if exchange.request.method not in SAFE_METHODS:
-            raise _http.Refusal(
-                status=501,
-                kind='not-repeatable',
-                remedy='calls that may not be repeated need a ticket',
+        _check_path(path)
+        target = f'{raw_path}?{request.query}' if request.query else raw_path
+        route = service.find_route(request.method, path)
+        # A caller with a ticket means to run the call once, whatever this
+        # VM's configuration says by now.
+        if route.repeatable and not request.header(_http.TICKET_HEADER):
+            server = self._choose_server(name)
+            await self._pass_on(exchange, server, target)
+        else:
+            await self._ticket_path.serve_call(
+                exchange, service, route, target
             )
-        await self._pass_on(exchange, self._choose_server(name), '/' + rest)
 
     def _choose_server(self, name):
         servers = [
@@ -83,19 +79,18 @@
         self._calls += 1
         return servers[self._calls % len(servers)]
 
-    async def _pass_on(self, exchange, server, path):
+    async def _pass_on(self, exchange, server, target):
         request = exchange.request
-        query = f'?{request.query}' if request.query else ''
         headers = [
             (key.encode(), value.encode('latin-1'))
             for key, value in request.headers
-            if key not in HOP_HEADERS
+            if key not in _http.HOP_HEADERS
         ]
         headers.append((b'x-request-id', exchange.request_id.encode()))
         try:
             response = await self._pool.request(
                 request.method,
-                f'http://{server.host}:{server.port}{path}{query}',
+                f'http://{server.host}:{server.port}{target}',
                 headers=headers,
                 content=request.body or None,
             )
@@ -120,7 +115,24 @@
             [
                 (key, value)
                 for key, value in answer_headers
-                if key not in HOP_HEADERS and key != 'x-request-id'
+                if key not in _http.HOP_HEADERS and key != 'x-request-id'
             ],
             response.content,
         )
+
+
+def _split_path(path):
+    """Return the service's name and the path below it."""
+    name, _, rest = path[len(PREFIX) :].partition('/')
+    return name, f'/{rest}'
+
+
+def _check_path(path):
+    # The service may resolve such segments, after which another route
+    # would have covered the call.
+    if {'.', '..'} & set(path.split('/')):
+        raise _http.Refusal(
+            status=400,
+            kind='bad-request',
+            remedy="send a path without '.' and '..' segments",
+        )
