--- a/bluebellthread/configuration/_settings.py
+++ b/bluebellthread/configuration/_settings.py
@@ -73,10 +73,10 @@
     disabled_mechanisms : tuple of str
         For tests only, to show what a mechanism is for: ``'probes'``,
         ``'pause-detection'``, ``'gateway-cancel'``, ``'stray-cancel'``,
-        ``'registrations'``, ``'cautious-share'``, ``'release-resend'``
-        or ``'balancer-lag'``; for answers ``'answer-order'``,
-        ``'answer-resume'``, ``'answer-retry'``, ``'supersede'`` or
-        ``'caller-release'``.
+        ``'registrations'``, ``'cautious-share'``, ``'release-resend'``,
+        ``'minority-wait'`` or ``'balancer-lag'``; for answers
+        ``'answer-order'``, ``'answer-resume'``, ``'answer-retry'``,
+        ``'supersede'`` or ``'caller-release'``.
 
     Examples
     --------
