End an older request whose stream is cancelled before it hears why

Cause: an id asked again at another VM made the scheduler cancel the older permit. Where the engine's "cancelled" came before the scheduler's reason, the older gateway asked for a permit again and so superseded the newer request, and the two went on in turn.

Ruled out: telling the gateway before the engine; two paths keep no order.

Change: PermitCancelled goes to the model path again. A cancel at an engine is an outcome of its own: no resume there, no blame, and 200 ms for the reason before a permit is asked for. A request knows the permits it has held, so that the reason also ends it after the permit went back.

--- a/bluebellthread/core/_answer.py
+++ b/bluebellthread/core/_answer.py
@@ -21,12 +21,6 @@
 from bluebellthread.core import _prefix
 from bluebellthread.core import _scheduler_events
 
-RETRY_AFTER_MS = 1000
-"""When a refused caller should come back, where nothing better is known."""
-
-RAN_NOT = 'not-run'
-RAN_UNKNOWN = 'unknown'
-
 _FINAL_KINDS = ('superseded', 'deadline')
 
 
@@ -80,6 +74,7 @@
         self._step = 'new'
         self._step_deadline_ms = None
         self._permit = None
+        self._held_ids = set()
         self._asked = None
         self._run = 0
         self._transfer = None
@@ -87,7 +82,7 @@
         self._may_have_run = False
         self._answered = False
         self._handlers = {
-            events.AnswerAsked: self._on_asked,
+            events.AnswerAsked: self._ask_permit,
             _messages.PermitGranted: self._on_granted,
             _messages.PermitRefused: self._on_refused,
             _messages.PermitCancelled: self._on_permit_cancelled,
@@ -117,12 +112,15 @@
         """The permit in use, or None."""
         return self._permit
 
+    def has_held(self, permit_id):
+        """Return whether a permit is or was this request's."""
+        return permit_id in self._held_ids
+
     @property
     def wake_ms(self):
         """When the machine wants a `Tick` at the latest."""
-        if self._step_deadline_ms is None:
-            return self._request.deadline_ms
-        return min(self._step_deadline_ms, self._request.deadline_ms)
+        deadline_ms = self._request.deadline_ms
+        return min(self._step_deadline_ms or deadline_ms, deadline_ms)
 
     def handle(self, event, now_ms):
         """Take one event in and return the commands that follow."""
@@ -130,9 +128,6 @@
             return []
         return self._handlers[type(event)](event, now_ms)
 
-    def _on_asked(self, event, now_ms):
-        return self._ask_permit()
-
     def _on_granted(self, event, now_ms):
         permit = event.permit
         if not self._is_asked(permit):
@@ -140,6 +135,7 @@
             return [actions.tell_release(permit, clean=True)]
         self._asked = None
         self._permit = permit
+        self._held_ids.add(permit.permit_id)
         self._retries.note_granted()
         return self._start_prefill(now_ms)
 
@@ -157,12 +153,18 @@
         return self._back_off('no-scheduler', now_ms)
 
     def _on_permit_cancelled(self, event, now_ms):
-        if self._permit is None or event.permit_id != self._permit.permit_id:
+        present = self._permit is not None and (
+            event.permit_id == self._permit.permit_id
+        )
+        if self._answered or self.ended:
+            return self._end(clean=False) if present else []
+        if event.kind == 'superseded' and self.has_held(event.permit_id):
+            # Its stream may have ended, and the permit gone back, before.
+            return self._refuse(event.kind, actions.RETRY_AFTER_MS)
+        if not present:
             return []
-        if self._answered:
-            return self._end(clean=False)
         if event.kind in _FINAL_KINDS:
-            return self._refuse(event.kind, RETRY_AFTER_MS)
+            return self._refuse(event.kind, actions.RETRY_AFTER_MS)
         # Else the scheduler took the permit back, for reasons of its own.
         blame = event.kind == 'backend-lost'
         return self._try_elsewhere(event.kind, now_ms, blame=blame)
@@ -218,7 +220,7 @@
             return self._resume(event.kind, now_ms)
         if self._step == 'transferring' and event.kind == 'kv-evicted':
             return self._repeat_prefill(now_ms)
-        blame = event.kind != 'permit-lost'
+        blame = event.kind not in ('permit-lost', 'cancelled')
         return self._try_elsewhere(event.kind, now_ms, blame=blame)
 
     def _on_caller_gone(self, event, now_ms):
@@ -235,16 +237,16 @@
         if self._step == 'closing':
             return self._end(clean=False)
         if now_ms >= self._request.deadline_ms:
-            return self._refuse('deadline', RETRY_AFTER_MS)
+            return self._refuse('deadline', actions.RETRY_AFTER_MS)
         if self._step == 'backing-off':
-            return self._ask_permit()
+            return self._ask_permit(event, now_ms)
         if self._step == 'resuming':
             return self._start_decode(now_ms)
         if self._step == 'decoding':
             return self._resume('stalled', now_ms)
         return self._try_elsewhere('stalled', now_ms)
 
-    def _ask_permit(self):
+    def _ask_permit(self, event, now_ms):
         self._set_step('asking', None)
         self._retries.note_asked()
         text = self._prompt_so_far()
@@ -292,7 +294,7 @@
             return self._try_elsewhere(kind, now_ms)
         stop = actions.StopRun(run=self._run)
         self._run += 1
-        wait_ms = self._retries.choose_wait_ms()
+        wait_ms = self._retries.choose_wait_ms(kind)
         self._retries.note_failure()
         self._set_step('resuming', now_ms + wait_ms)
         return [stop, actions.CountRetry(kind=kind)]
@@ -314,14 +316,16 @@
         commands = self._let_go(clean=False, kind=kind)
         self._assembler.drop_held()
         if not self._retries.may_retry(begun=self._begun):
-            return commands + self._refuse('retries-spent', RETRY_AFTER_MS)
+            return commands + self._refuse(
+                'retries-spent', actions.RETRY_AFTER_MS
+            )
         self._retries.note_failure(failed_server)
         return commands + self._back_off(kind, now_ms)
 
     def _back_off(self, kind, now_ms):
         """Ask for a permit after a while, until the deadline if need be."""
         self._asked = None
-        wait_ms = self._retries.choose_wait_ms()
+        wait_ms = self._retries.choose_wait_ms(kind)
         self._set_step('backing-off', now_ms + wait_ms)
         return [actions.CountRetry(kind=kind)]
 
@@ -335,9 +339,9 @@
         )
 
     def _refuse(self, kind, retry_after_ms):
-        ran = RAN_UNKNOWN
+        ran = actions.RAN_UNKNOWN
         if not self._may_have_run and self._permit is None:
-            ran = RAN_NOT
+            ran = actions.RAN_NOT
         self._answered = True
         refusal = actions.RefuseAnswer(
             kind=kind, ran=ran, retry_after_ms=retry_after_ms
--- a/bluebellthread/core/_answer_commands.py
+++ b/bluebellthread/core/_answer_commands.py
@@ -5,6 +5,12 @@
 from bluebellthread.core import _messages
 from bluebellthread.core import _model
 
+RETRY_AFTER_MS = 1000
+"""When a refused caller should come back, where nothing better is known."""
+
+RAN_NOT = 'not-run'
+RAN_UNKNOWN = 'unknown'
+
 
 @attrs.frozen(kw_only=True)
 class AskPermit:
--- a/bluebellthread/core/_answer_events.py
+++ b/bluebellthread/core/_answer_events.py
@@ -44,8 +44,8 @@
     ----------
     kind : str
         ``'refused'`` if nothing ran, ``'kv-evicted'``, ``'unreachable'``,
-        ``'broken-stream'``, or ``'permit-lost'`` if it was not begun as
-        this VM was paused.
+        ``'broken-stream'``, ``'cancelled'`` by id at the server, or
+        ``'permit-lost'`` if it was not begun as this VM was paused.
     """
 
     run: int
--- a/bluebellthread/core/_answer_retries.py
+++ b/bluebellthread/core/_answer_retries.py
@@ -8,6 +8,9 @@
 MOST_RESUMES_HERE = 2
 """Failures in a row that are answered by a resume on the same engine."""
 
+CANCEL_REASON_MS = 200
+"""Time for the scheduler's reason to come when an engine says cancelled."""
+
 MOST_DOUBLINGS = 4
 """Times that the wait before asking for a permit again may double."""
 
@@ -90,7 +93,10 @@
             return self._options.resumes
         return self._options.retries and self._budget.take()
 
-    def choose_wait_ms(self):
-        """Return how long to wait before the next try."""
+    def choose_wait_ms(self, kind):
+        """Return how long to wait before the next try after a failure."""
         doublings = max(self._ask_count, self._failure_count)
-        return _retry.backoff_ms(min(doublings, MOST_DOUBLINGS), self._rng)
+        least_ms = CANCEL_REASON_MS if kind == 'cancelled' else 0
+        return least_ms + _retry.backoff_ms(
+            min(doublings, MOST_DOUBLINGS), self._rng
+        )
--- a/bluebellthread/daemon/_model_path.py
+++ b/bluebellthread/daemon/_model_path.py
@@ -187,8 +187,7 @@
 
     def _take_cancelled(self, message):
         for task in self._live.values():
-            permit = task.machine.permit
-            if permit is not None and permit.permit_id == message.permit_id:
+            if task.machine.has_held(message.permit_id):
                 task.post(message)
 
     def _find_server(self, name):
--- a/bluebellthread/daemon/_service.py
+++ b/bluebellthread/daemon/_service.py
@@ -180,6 +180,7 @@
             metrics=self._metrics,
             off=settings.disabled_mechanisms,
         )
+        self._mailboxes.register(core.PermitCancelled, self._model_path.inbox)
         self._service_path = _service_path.ServicePath(
             data_centre=settings.data_centre, fleet=self.fleet
         )
--- a/bluebellthread/engines/_completions.py
+++ b/bluebellthread/engines/_completions.py
@@ -166,7 +166,7 @@
         *events, buffer = (buffer + chunk).split(b'\n\n')
         for event in events:
             try:
-                item = _parse_event(event)
+                item = _parse_event(server, event)
             except (ValueError, KeyError, TypeError, IndexError) as error:
                 raise _registry.EngineError(
                     kind='broken-stream',
@@ -177,7 +177,7 @@
                 yield item
 
 
-def _parse_event(event):
+def _parse_event(server, event):
     data = event.removeprefix(b'data: ')
     if data == b'[DONE]':
         return None
@@ -185,7 +185,12 @@
     if 'imported' in fields:
         return _registry.Imported()
     if 'error' in fields:
-        raise ValueError(fields['error'].get('kind'))
+        kind = fields['error']['kind']
+        raise _registry.EngineError(
+            kind='cancelled' if kind == 'cancelled' else 'broken-stream',
+            server=server.name,
+            detail=kind,
+        )
     choice = fields['choices'][0]
     return _registry.Piece(
         offset=fields['offset'],
