--- a/bluebellthread/configuration/_settings.py
+++ b/bluebellthread/configuration/_settings.py
@@ -78,7 +78,9 @@
         For tests only, to show what a mechanism is for: ``'probes'``,
         ``'pause-detection'``, ``'gateway-cancel'``, ``'stray-cancel'``,
         ``'registrations'``, ``'cautious-share'``, ``'release-resend'``,
-        ``'minority-wait'`` or ``'balancer-lag'``.
+        ``'minority-wait'`` or ``'balancer-lag'``; for answers
+        ``'answer-order'``, ``'answer-resume'``, ``'answer-retry'``,
+        ``'supersede'`` or ``'caller-release'``.
 
     Examples
     --------
--- a/bluebellthread/core/_answer_retries.py
+++ b/bluebellthread/core/_answer_retries.py
@@ -8,6 +8,9 @@
 MOST_RESUMES_HERE = 2
 """Failures in a row that are answered by a resume on the same engine."""
 
+CANCEL_REASON_MS = 200
+"""Time for the scheduler's reason to come when an engine says cancelled."""
+
 MOST_DOUBLINGS = 4
 """Times that the wait before asking for a permit again may double."""
 
@@ -19,21 +22,26 @@
     ----------
     budget : RetryBudget
         Shared by the gateway's requests.
+    options : AnswerOptions
+        What is turned off.
     rng : random.Random
         The only source of randomness.
 
     Examples
     --------
     >>> import random
+    >>> from bluebellthread import core
     >>> retries = AnswerRetries(
-    ...     budget=_retry.RetryBudget(percent=10), rng=random.Random(1))
+    ...     budget=core.RetryBudget(percent=10),
+    ...     options=core.AnswerOptions(), rng=random.Random(1))
     >>> retries.note_failure('d1')
     >>> retries.avoid_servers
     ('d1',)
     """
 
-    def __init__(self, *, budget, rng):
+    def __init__(self, *, budget, options, rng):
         self._budget = budget
+        self._options = options
         self._rng = rng
         self._failure_count = 0
         self._ask_count = 0
@@ -64,7 +72,8 @@
 
     def may_resume_here(self):
         """Return whether the same engine may go on with the answer."""
-        return self._failure_count < MOST_RESUMES_HERE
+        few = self._failure_count < MOST_RESUMES_HERE
+        return few and self._options.resumes
 
     def may_repeat_prefill(self, *, begun):
         """Return whether to prefill under the same permit once more."""
@@ -80,9 +89,14 @@
         """
         if self._failure_count >= MOST_FAILURES:
             return False
-        return begun or self._budget.take()
+        if begun:
+            return self._options.resumes
+        return self._options.retries and self._budget.take()
 
-    def choose_wait_ms(self):
-        """Return how long to wait before the next try."""
+    def choose_wait_ms(self, kind):
+        """Return how long to wait before the next try after a failure."""
         doublings = max(self._ask_count, self._failure_count)
-        return _retry.backoff_ms(min(doublings, MOST_DOUBLINGS), self._rng)
+        least_ms = CANCEL_REASON_MS if kind == 'cancelled' else 0
+        return least_ms + _retry.backoff_ms(
+            min(doublings, MOST_DOUBLINGS), self._rng
+        )
--- a/bluebellthread/daemon/_model_path.py
+++ b/bluebellthread/daemon/_model_path.py
@@ -39,6 +39,8 @@
         Makes the spans.
     metrics : bluebellthread.observe.Metrics
         Counts retries and waste.
+    off : tuple of str
+        Disabled mechanisms; only tests name any.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         adapter,
         tracer,
         metrics,
+        off=(),
     ):
         self._vm = vm
         self._incarnation = incarnation
@@ -68,6 +71,13 @@
         self._engine = engines.engine_adapters.get(adapter)(pool=self._pool)
         self._rng = random.Random(incarnation)
         self._attempts = itertools.count(1)
+        self._options = core.AnswerOptions(
+            orders_pieces='answer-order' not in off,
+            resumes='answer-resume' not in off,
+            retries='answer-retry' not in off,
+        )
+        self._supersedes = 'supersede' not in off
+        self._releases = 'caller-release' not in off
         self._budgets = {}
         self._live = {}
         self.inbox, self._receive = trio.open_memory_channel(QUEUE_LENGTH)
@@ -96,7 +106,7 @@
         task = self._make_task(exchange)
         key = (exchange.caller, exchange.request_id)
         older = self._live.get(key)
-        if older is not None:
+        if older is not None and self._supersedes:
             older.post(core.Superseded())
         self._live[key] = task
         try:
@@ -123,6 +133,7 @@
             prompt=question.prompt,
             budget=self._budget_of(question.model, values),
             next_attempt=self._attempts.__next__,
+            options=self._options,
             rng=self._rng,
         )
         return _answer_task.AnswerTask(
@@ -137,12 +148,13 @@
             find_server=self._find_server,
             tracer=self._tracer,
             metrics=self._metrics,
+            releases=self._releases,
         )
 
     def _make_request(self, exchange, question, values):
         now_ms = _clock.read_clock_ms()
         return core.PermitRequest(
-            request_id=exchange.request_id,
+            request_id=self._name_request(exchange),
             gateway=self._vm,
             gateway_incarnation=self._incarnation,
             caller=exchange.caller,
@@ -158,6 +170,11 @@
             priority=values.priority,
         )
 
+    def _name_request(self, exchange):
+        if self._supersedes:
+            return exchange.request_id
+        return f'{exchange.request_id}/{next(self._attempts)}'
+
     def _budget_of(self, model, values):
         """Return the retry budget that a request counts into."""
         key = (model, values.retry_budget_percent)
@@ -170,8 +187,7 @@
 
     def _take_cancelled(self, message):
         for task in self._live.values():
-            permit = task.machine.permit
-            if permit is not None and permit.permit_id == message.permit_id:
+            if task.machine.has_held(message.permit_id):
                 task.post(message)
 
     def _find_server(self, name):
