Distribute revisions between VMs: sections, digests, two watchers

Cause: platform reads must not grow with VMs, and a VM may restart, or a data centre be cut off, while the platform is stale or down.

Change: core/_revisions.py decides from messages and the membership view which revision is in force; core/_sections.py splits a value by content, so that one more item changes at most two sections; core/_spread.py picks two watchers a data centre, a tree of four children a VM and six partners for digest exchange.

Ruled out: direct pushes by the watchers.

--- a/bluebellthread/configuration/__init__.py
+++ b/bluebellthread/configuration/__init__.py
@@ -2,8 +2,10 @@
 
 from bluebellthread.configuration._differences import describe_scope
 from bluebellthread.configuration._differences import list_differences
+from bluebellthread.configuration._files import build_configuration
 from bluebellthread.configuration._files import load_configuration
 from bluebellthread.configuration._files import load_settings
+from bluebellthread.configuration._files import load_value
 from bluebellthread.configuration._files import parse_configuration
 from bluebellthread.configuration._files import parse_settings
 from bluebellthread.configuration._files import read_text
@@ -15,10 +17,12 @@
     'Settings',
     'TicketKey',
     'UnreadableFileError',
+    'build_configuration',
     'describe_scope',
     'list_differences',
     'load_configuration',
     'load_settings',
+    'load_value',
     'parse_configuration',
     'parse_settings',
     'read_text',
--- a/bluebellthread/configuration/_files.py
+++ b/bluebellthread/configuration/_files.py
@@ -82,9 +82,47 @@
     return _parse(text, core.Configuration, core.check_configuration)
 
 
+def build_configuration(value):
+    """Return the `Configuration` of a decoded value, without lines.
+
+    Raises
+    ------
+    ConfigurationError
+        It breaks rules.
+
+    Examples
+    --------
+    >>> build_configuration({'revision': 4}).revision
+    4
+    """
+    result, problems = _judge(
+        value, core.Configuration, core.check_configuration
+    )
+    if problems:
+        raise core.ConfigurationError(problems)
+    return result
+
+
+def load_value(text):
+    """Return the decoded JSON of a text, or raise `ConfigurationError`.
+
+    Examples
+    --------
+    >>> load_value('[1] // one')
+    [1]
+    """
+    return _load_json(text)
+
+
 def _parse(text, cls, check):
+    result, problems = _judge(_load_json(text), cls, check)
+    if problems:
+        raise core.ConfigurationError(_add_lines(text, problems))
+    return result
+
+
+def _judge(value, cls, check):
     reader = _reader.Reader()
-    value = _load_json(text)
     result = reader.read(cls, value, '')
     problems = list(reader.problems)
     if result is not None:
@@ -94,9 +132,7 @@
             for problem in check(result)
             if not _overlaps(problem.path, faulty)
         )
-    if problems:
-        raise core.ConfigurationError(_add_lines(text, problems))
-    return result
+    return result, problems
 
 
 def _overlaps(path, faulty_paths):
--- a/bluebellthread/configuration/_rules.py
+++ b/bluebellthread/configuration/_rules.py
@@ -7,6 +7,8 @@
 
 NAME_PATTERN = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,62}')
 PORT_MAX = 65535
+NUMBER_MAX = 2**53
+"""Numbers up to here are the same in every JSON library."""
 METHODS = ('*', 'GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS')
 ROLES = (_model.ROLE_PREFILL, _model.ROLE_DECODE, _model.ROLE_SERVICE)
 LOG_LEVELS = ('TRACE', 'DEBUG', 'INFO', 'WARNING', 'ERROR')
@@ -92,6 +94,8 @@
             )
     if field.endswith('_percent') and not 0 <= value <= 100:
         return f'{value} is no share', 'use a number from 0 to 100'
+    if abs(value) > NUMBER_MAX:
+        return f'{value} is too large', f'use {NUMBER_MAX} or less'
     if field.endswith(POSITIVE_SUFFIXES) and value <= 0:
         return f'{value} is too small', 'use a number above 0'
     return None
--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -17,6 +17,11 @@
 from bluebellthread.core._configuration import ScopedException
 from bluebellthread.core._configuration import Service
 from bluebellthread.core._configuration import Values
+from bluebellthread.core._configuration_messages import ManifestAnswer
+from bluebellthread.core._configuration_messages import ManifestRequest
+from bluebellthread.core._configuration_messages import RevisionAnnounced
+from bluebellthread.core._configuration_messages import SectionsAnswer
+from bluebellthread.core._configuration_messages import SectionsRequest
 from bluebellthread.core._errors import BluebellthreadError
 from bluebellthread.core._errors import DuplicateNameError
 from bluebellthread.core._errors import UnknownNameError
@@ -57,6 +62,21 @@
 from bluebellthread.core._problems import ConfigurationError
 from bluebellthread.core._problems import Problem
 from bluebellthread.core._registry import Registry
+from bluebellthread.core._revision_events import AnswerPeer
+from bluebellthread.core._revision_events import ApplyConfiguration
+from bluebellthread.core._revision_events import AskPeer
+from bluebellthread.core._revision_events import PeerAnswered
+from bluebellthread.core._revision_events import PeerAsked
+from bluebellthread.core._revision_events import PeerFailed
+from bluebellthread.core._revision_events import PublishedInvalid
+from bluebellthread.core._revision_events import ReportConflict
+from bluebellthread.core._revision_events import ReportInvalid
+from bluebellthread.core._revision_events import ReportStale
+from bluebellthread.core._revision_events import RevisionPublished
+from bluebellthread.core._revision_events import TellPeer
+from bluebellthread.core._revision_events import WatchPlatform
+from bluebellthread.core._revisions import RevisionOptions
+from bluebellthread.core._revisions import Revisions
 from bluebellthread.core._scheduler import Scheduler
 from bluebellthread.core._scheduler import SchedulerOptions
 from bluebellthread.core._scheduler_events import CancelAtEngine
@@ -65,9 +85,19 @@
 from bluebellthread.core._scheduler_events import SendToGateway
 from bluebellthread.core._scheduler_events import ServersChanged
 from bluebellthread.core._scheduler_events import Tick
+from bluebellthread.core._sections import join_value
+from bluebellthread.core._sections import Manifest
+from bluebellthread.core._sections import ManifestPart
+from bluebellthread.core._sections import pack_sections
+from bluebellthread.core._sections import split_value
+from bluebellthread.core._sections import unpack_sections
+from bluebellthread.core._spread import choose_watchers
 
 __all__ = [
     'Accepted',
+    'AnswerPeer',
+    'ApplyConfiguration',
+    'AskPeer',
     'BackendServer',
     'BluebellthreadError',
     'CancelAtEngine',
@@ -80,9 +110,16 @@
     'GatewaysChanged',
     'Invalid',
     'LoadReport',
+    'Manifest',
+    'ManifestAnswer',
+    'ManifestPart',
+    'ManifestRequest',
     'Member',
     'MembershipView',
     'Model',
+    'PeerAnswered',
+    'PeerAsked',
+    'PeerFailed',
     'Permit',
     'PermitCancelled',
     'PermitGranted',
@@ -93,39 +130,56 @@
     'PermitsRegistered',
     'PoolKey',
     'Problem',
+    'PublishedInvalid',
     'ROLE_DECODE',
     'ROLE_PREFILL',
     'ROLE_SERVICE',
     'Region',
     'Registry',
     'Rejected',
+    'ReportConflict',
+    'ReportInvalid',
+    'ReportStale',
     'RequestFound',
     'RequestLookup',
     'Resolver',
+    'RevisionAnnounced',
+    'RevisionOptions',
+    'RevisionPublished',
+    'Revisions',
     'Route',
     'Scheduler',
     'SchedulerOptions',
     'Scope',
     'ScopedException',
+    'SectionsAnswer',
+    'SectionsRequest',
     'SendToGateway',
     'ServersChanged',
     'Service',
     'Stale',
     'StatusAnswer',
     'StatusRequest',
+    'TellPeer',
     'Tick',
     'UnknownNameError',
     'Values',
+    'WatchPlatform',
     'check_configuration',
     'choose_owner',
+    'choose_watchers',
     'count_pieces',
     'decide_acceptance',
     'decode_policies',
     'estimate_tokens',
     'explain',
+    'join_value',
+    'pack_sections',
     'prefill_policies',
     'queue_policies',
     'rank_by_rendezvous',
     'resolve',
     'spill_policies',
+    'split_value',
+    'unpack_sections',
 ]
--- /dev/null
+++ b/bluebellthread/core/_revisions.py
@@ -0,0 +1,413 @@
+"""Which revision of the configuration is in force on one VM.
+
+A VM applies only whole revisions that it has judged itself, and only
+upwards: by the revision's number, and between VMs by the digest where a
+number was published twice. What the platform serves is one source among
+others; it can be behind for long.
+"""
+
+import random
+
+import attrs
+
+from bluebellthread.core import _configuration_messages as messages
+from bluebellthread.core import _problems
+from bluebellthread.core import _revision_events as events
+from bluebellthread.core import _scheduler_events
+from bluebellthread.core import _sections
+from bluebellthread.core import _spread
+
+NOTHING_KEY = (0, 0)
+REMEMBERED_INVALID = 16
+
+
+@attrs.frozen(kw_only=True)
+class RevisionOptions:
+    """Waits of the distribution.
+
+    Parameters
+    ----------
+    exchange_interval_ms : int
+        Between two questions to partners in the data centre, on average.
+    far_interval_ms : int
+        Between two questions of a watcher to other data centres.
+    fetch_timeout_ms : int
+        Longest wait for a revision from one VM.
+    start_timeout_ms : int
+        How long a started VM holds the platform's revision back until a
+        peer has answered, since the platform may be behind the fleet.
+    """
+
+    exchange_interval_ms: int = 2000
+    far_interval_ms: int = 1000
+    fetch_timeout_ms: int = 2000
+    start_timeout_ms: int = 1000
+
+
+@attrs.frozen(kw_only=True)
+class _Held:
+    key: tuple
+    manifest: _sections.Manifest
+    sections: dict
+
+
+@attrs.frozen(kw_only=True)
+class _Fetch:
+    vm: str
+    manifest: _sections.Manifest
+    deadline_ms: int
+
+
+class Revisions:
+    """Pure state machine of one VM's configuration.
+
+    Parameters
+    ----------
+    vm, data_centre : str
+        This VM.
+    judge : callable
+        Takes a value and returns its `Configuration`, or raises
+        `ConfigurationError`.
+    rng : random.Random
+        The only source of randomness.
+    options : RevisionOptions
+        Waits.
+
+    Examples
+    --------
+    >>> revisions = Revisions(
+    ...     vm='vm1', data_centre='cluj-a', judge=lambda value: None)
+    >>> revisions.revision
+    0
+    """
+
+    def __init__(self, *, vm, data_centre, judge, rng=None, options=None):
+        self._vm = vm
+        self._data_centre = data_centre
+        self._judge = judge
+        self._rng = rng or random.Random(0)
+        self._options = options or RevisionOptions()
+        self._held = None
+        self._invalid = {}
+        self._fetch = None
+        self._names = [vm]
+        self._far_watchers = ()
+        self._exchanges = 0
+        self._far_exchanges = 0
+        self._next_exchange_ms = 0
+        self._next_far_ms = 0
+        self._start_deadline_ms = None
+        self._waiting_published = None
+        self._started = False
+        self._start_waits_for = None
+        self.watching = False
+        self.invalid_revision = 0
+        self.stale_revision = 0
+        self._handlers = {
+            _scheduler_events.Tick: self._on_tick,
+            events.RevisionPublished: self._on_published,
+            events.PublishedInvalid: self._on_published_invalid,
+            events.PeerAsked: self._on_asked,
+            events.PeerAnswered: self._on_answered,
+            events.PeerFailed: self._on_failed,
+        }
+
+    @property
+    def revision(self):
+        """The revision in force; 0 for none."""
+        return self._key()[0]
+
+    @property
+    def digest(self):
+        """The digest of the revision in force; 0 for none."""
+        return self._key()[1]
+
+    def handle(self, event, now_ms):
+        """Take one event in and return the commands that follow."""
+        if self._start_deadline_ms is None:
+            self._start_deadline_ms = now_ms + self._options.start_timeout_ms
+        commands = self._handlers[type(event)](event, now_ms)
+        if self._has_heard_peers():
+            commands = commands + self._end_start(now_ms)
+        return commands
+
+    def change_view(self, view, now_ms):
+        """Follow the membership view; return the commands that follow."""
+        near = view.in_data_centre(self._data_centre)
+        # This VM may not be listed yet; it still has to work alone.
+        names = {member.name for member in near} | {self._vm}
+        met_first = len(names) > 1 and len(self._names) == 1
+        self._names = sorted(names)
+        self._far_watchers = self._choose_far_watchers(view)
+        watching = self._vm in _spread.choose_watchers(
+            self._data_centre, self._names
+        )
+        commands = []
+        if watching != self.watching:
+            self.watching = watching
+            commands.append(events.WatchPlatform(active=watching))
+        if met_first:
+            partners = _spread.choose_partners(self._vm, self._names)
+            self._start_waits_for = set(partners)
+            commands.extend(self._ask_manifest(name) for name in partners)
+        return commands
+
+    def _choose_far_watchers(self, view):
+        places = {}
+        for member in view.members:
+            if member.state in ('alive', 'suspect'):
+                places.setdefault(member.data_centre, []).append(member.name)
+        places.pop(self._data_centre, None)
+        return tuple(
+            name
+            for place in sorted(places)
+            for name in _spread.choose_watchers(place, places[place])
+        )
+
+    def _key(self):
+        return self._held.key if self._held else NOTHING_KEY
+
+    def _on_tick(self, event, now_ms):
+        commands = []
+        if self._fetch and self._fetch.deadline_ms <= now_ms:
+            self._fetch = None
+        if not self._started and self._start_deadline_ms <= now_ms:
+            commands.extend(self._end_start(now_ms))
+        if self._next_exchange_ms <= now_ms:
+            self._next_exchange_ms = now_ms + self._spread_out(
+                self._options.exchange_interval_ms
+            )
+            commands.extend(self._ask_partner())
+        if self.watching and self._next_far_ms <= now_ms:
+            self._next_far_ms = now_ms + self._spread_out(
+                self._options.far_interval_ms
+            )
+            commands.extend(self._ask_far_watcher())
+        return commands
+
+    def _spread_out(self, interval_ms):
+        return round(interval_ms * self._rng.uniform(0.5, 1.5))
+
+    def _ask_partner(self):
+        partners = _spread.choose_partners(self._vm, self._names)
+        if not partners:
+            return []
+        self._exchanges += 1
+        return [self._ask_manifest(partners[self._exchanges % len(partners)])]
+
+    def _ask_far_watcher(self):
+        if not self._far_watchers:
+            return []
+        self._far_exchanges += 1
+        index = self._far_exchanges % len(self._far_watchers)
+        return [self._ask_manifest(self._far_watchers[index])]
+
+    def _ask_manifest(self, name):
+        revision, digest = self._key()
+        return events.AskPeer(
+            vm=name,
+            message=messages.ManifestRequest(
+                vm=self._vm, revision=revision, digest=digest
+            ),
+        )
+
+    def _has_heard_peers(self):
+        # An empty set: asked at the start, and none is left to answer.
+        if self._started or self._start_waits_for is None:
+            return False
+        return not self._start_waits_for and self._fetch is None
+
+    def _end_start(self, now_ms):
+        self._started = True
+        published, self._waiting_published = self._waiting_published, None
+        if published is None:
+            return []
+        return self._on_published(published, now_ms)
+
+    def _on_published(self, event, now_ms):
+        if not self._started:
+            self._waiting_published = event
+            return []
+        manifest, sections = _sections.split_value(event.value)
+        key = manifest.key()
+        self.stale_revision = 0
+        if key == self._key():
+            return []
+        if key[0] == self.revision:
+            return [events.ReportConflict(revision=key[0], source='')]
+        if key[0] < self.revision:
+            self.stale_revision = key[0]
+            return [
+                events.ReportStale(
+                    served_revision=key[0], in_force_revision=self.revision
+                )
+            ]
+        held = _Held(key=key, manifest=manifest, sections=sections)
+        return self._apply(held, event.configuration, source='')
+
+    def _on_published_invalid(self, event, now_ms):
+        self.invalid_revision = event.revision
+        return [
+            events.ReportInvalid(
+                revision=event.revision, problems=event.problems
+            )
+        ]
+
+    def _apply(self, held, configuration, *, source):
+        self._held = held
+        if held.key[0] >= self.invalid_revision:
+            self.invalid_revision = 0
+        if self._fetch and self._fetch.manifest.key() <= held.key:
+            self._fetch = None
+        applied = events.ApplyConfiguration(
+            configuration=configuration, source=source
+        )
+        return [applied] + self._announce(source)
+
+    def _announce(self, source):
+        tree = _spread.order_tree(self.revision, self._names)
+        told = _spread.list_children(self._vm, tree)
+        if source not in self._names and tree[0] != self._vm:
+            # Came from outside the data centre: start the tree.
+            told = told + [tree[0]]
+        return [self._tell(name) for name in told]
+
+    def _tell(self, name):
+        revision, digest = self._key()
+        return events.TellPeer(
+            vm=name,
+            message=messages.RevisionAnnounced(
+                vm=self._vm, revision=revision, digest=digest
+            ),
+        )
+
+    def _on_asked(self, event, now_ms):
+        message = event.message
+        if isinstance(message, messages.SectionsRequest):
+            answer = self._answer_sections(message)
+            return [events.AnswerPeer(token=event.token, message=answer)]
+        commands = []
+        if isinstance(message, messages.ManifestRequest):
+            answer = self._answer_manifest(message)
+            commands.append(
+                events.AnswerPeer(token=event.token, message=answer)
+            )
+        key = (message.revision, message.digest)
+        if key > self._key() and not self._is_fetching(key, now_ms):
+            commands.append(self._ask_manifest(message.vm))
+        return commands
+
+    def _answer_manifest(self, message):
+        revision, digest = self._key()
+        parts = ()
+        if (revision, digest) > (message.revision, message.digest):
+            parts = self._held.manifest.parts
+        return messages.ManifestAnswer(
+            revision=revision, digest=digest, parts=parts
+        )
+
+    def _answer_sections(self, message):
+        sections = self._held.sections if self._held else {}
+        found = [sections[d] for d in message.digests if d in sections]
+        return messages.SectionsAnswer(payload=_sections.pack_sections(found))
+
+    def _on_answered(self, event, now_ms):
+        self._note_heard(event.vm)
+        if isinstance(event.message, messages.ManifestAnswer):
+            commands = self._on_manifest(event, now_ms)
+        elif isinstance(event.message, messages.SectionsAnswer):
+            commands = self._on_sections(event)
+        else:
+            # Such as a refusal by a VM whose queue is full.
+            return self._on_failed(event, now_ms)
+        return commands
+
+    def _on_manifest(self, event, now_ms):
+        answer = event.message
+        key = (answer.revision, answer.digest)
+        if not answer.parts or key <= self._key() or key in self._invalid:
+            return []
+        commands = []
+        if answer.revision == self.revision:
+            commands.append(
+                events.ReportConflict(revision=key[0], source=event.vm)
+            )
+        manifest = _sections.Manifest(
+            revision=answer.revision, parts=answer.parts
+        )
+        if manifest.key() != key or self._is_fetching(key, now_ms):
+            return commands
+        self._fetch = _Fetch(
+            vm=event.vm,
+            manifest=manifest,
+            deadline_ms=now_ms + self._options.fetch_timeout_ms,
+        )
+        missing = self._list_missing(manifest)
+        if not missing:
+            return commands + self._finish_fetch({})
+        request = messages.SectionsRequest(digests=missing)
+        return commands + [events.AskPeer(vm=event.vm, message=request)]
+
+    def _is_fetching(self, key, now_ms):
+        fetch = self._fetch
+        if fetch is None or fetch.deadline_ms <= now_ms:
+            return False
+        return fetch.manifest.key() >= key
+
+    def _list_missing(self, manifest):
+        present = self._held.sections if self._held else {}
+        digests = manifest.section_digests()
+        return tuple(d for d in digests if d not in present)
+
+    def _on_sections(self, event):
+        if self._fetch is None or self._fetch.vm != event.vm:
+            return []
+        try:
+            received = _sections.unpack_sections(event.message.payload)
+        except _sections.SectionError:
+            self._fetch = None
+            return []
+        return self._finish_fetch(received)
+
+    def _finish_fetch(self, received):
+        fetch, self._fetch = self._fetch, None
+        known = {**(self._held.sections if self._held else {}), **received}
+        key = fetch.manifest.key()
+        try:
+            value = _sections.join_value(fetch.manifest, known)
+            configuration = self._judge(value)
+        except _sections.SectionError:
+            # The other VM has moved on; the next exchange fetches again.
+            return []
+        except _problems.ConfigurationError as error:
+            return self._note_invalid(key, error.problems)
+        sections = {d: known[d] for d in fetch.manifest.section_digests()}
+        held = _Held(key=key, manifest=fetch.manifest, sections=sections)
+        return self._apply(held, configuration, source=fetch.vm)
+
+    def _note_invalid(self, key, problems):
+        self._invalid[key] = None
+        while len(self._invalid) > REMEMBERED_INVALID:
+            del self._invalid[next(iter(self._invalid))]
+        self.invalid_revision = key[0]
+        return [events.ReportInvalid(revision=key[0], problems=problems)]
+
+    def _note_heard(self, vm):
+        if self._start_waits_for is not None:
+            self._start_waits_for.discard(vm)
+
+    def _on_failed(self, event, now_ms):
+        self._note_heard(event.vm)
+        if self._fetch is not None and self._fetch.vm == event.vm:
+            self._fetch = None
+        if not isinstance(event.message, messages.RevisionAnnounced):
+            return []
+        if event.message.revision != self.revision:
+            return []
+        # The VM's own children would miss the revision: tell them for it.
+        tree = _spread.order_tree(self.revision, self._names)
+        return [
+            self._tell(name)
+            for name in _spread.list_children(event.vm, tree)
+            if name != self._vm
+        ]
--- /dev/null
+++ b/bluebellthread/core/_sections.py
@@ -0,0 +1,206 @@
+"""Splits a configuration value into sections that are told by digest.
+
+A list is cut where an item's own digest says so, not after a fixed number
+of items. One more or one less item then changes one section and leaves the
+others, so that VMs fetch little for a small change.
+"""
+
+import hashlib
+import json
+import zlib
+
+import attrs
+
+from bluebellthread.core import _errors
+
+REVISION_KEY = 'revision'
+ITEMS_MEAN = 16
+"""Items of a list in a section, on average."""
+ITEMS_MAX = 64
+"""Items of a list in a section, at most."""
+PAYLOAD_MAX_BYTES = 4 * 1024 * 1024
+"""Sections that one message may hold once they are unpacked."""
+
+
+class SectionError(_errors.BluebellthreadError):
+    """Sections that do not make the value that their manifest names.
+
+    Examples
+    --------
+    >>> str(SectionError('digest 5 is missing'))
+    'digest 5 is missing; fetch the revision again'
+    """
+
+    def __init__(self, reason):
+        super().__init__(f'{reason}; fetch the revision again')
+
+
+@attrs.frozen(kw_only=True)
+class ManifestPart:
+    """The sections of one key of the value, in order.
+
+    Parameters
+    ----------
+    key : str
+        A key of the configuration value.
+    is_list : bool
+        Whether the sections are joined to a list; else there is one.
+    digests : tuple of int
+        The sections' digests.
+    """
+
+    key: str
+    is_list: bool
+    digests: tuple[int, ...]
+
+
+@attrs.frozen(kw_only=True)
+class Manifest:
+    """What a revision consists of.
+
+    Examples
+    --------
+    >>> Manifest(revision=3, parts=()).key()[0]
+    3
+    """
+
+    revision: int
+    parts: tuple[ManifestPart, ...]
+
+    def digest(self):
+        """Return the digest of the whole value."""
+        lines = [str(self.revision)]
+        for part in self.parts:
+            lines.append(f'{part.key} {part.is_list} {part.digests}')
+        return digest_bytes('\n'.join(lines).encode())
+
+    def key(self):
+        """Return what orders revisions: the number, then the digest."""
+        return (self.revision, self.digest())
+
+    def section_digests(self):
+        """Return the digests of all sections, each once."""
+        digests = (d for part in self.parts for d in part.digests)
+        return tuple(dict.fromkeys(digests))
+
+
+def digest_bytes(data):
+    """Return a digest of 63 bits.
+
+    Examples
+    --------
+    >>> digest_bytes(b'a') == digest_bytes(b'a')
+    True
+    """
+    digest = hashlib.blake2b(data, digest_size=8).digest()
+    return int.from_bytes(digest, 'big') >> 1
+
+
+def split_value(value):
+    """Return the manifest of a value, and its sections by digest.
+
+    Parameters
+    ----------
+    value : dict
+        A configuration as decoded JSON, accepted already.
+
+    Examples
+    --------
+    >>> manifest, sections = split_value({'revision': 2, 'models': []})
+    >>> manifest.revision, list(sections.values())
+    (2, [b'[]'])
+    """
+    parts = []
+    sections = {}
+    for key in sorted(value):
+        if key == REVISION_KEY:
+            continue
+        content = value[key]
+        is_list = isinstance(content, list)
+        chunks = _split_list(content) if is_list else [_encode(content)]
+        digests = tuple(digest_bytes(chunk) for chunk in chunks)
+        sections.update(zip(digests, chunks, strict=True))
+        parts.append(ManifestPart(key=key, is_list=is_list, digests=digests))
+    manifest = Manifest(revision=value[REVISION_KEY], parts=tuple(parts))
+    return manifest, sections
+
+
+def join_value(manifest, sections):
+    """Return the value of a manifest, or raise `SectionError`.
+
+    Examples
+    --------
+    >>> join_value(*split_value({'revision': 2, 'models': [{'name': 'm'}]}))
+    {'revision': 2, 'models': [{'name': 'm'}]}
+    """
+    value = {REVISION_KEY: manifest.revision}
+    for part in manifest.parts:
+        contents = [_decode(digest, sections) for digest in part.digests]
+        if part.is_list and all(isinstance(c, list) for c in contents):
+            value[part.key] = [item for chunk in contents for item in chunk]
+        elif not part.is_list and len(contents) == 1:
+            value[part.key] = contents[0]
+        else:
+            raise SectionError(f'{part.key!r} has sections of a wrong kind')
+    return value
+
+
+def pack_sections(sections):
+    """Return sections as one compressed payload.
+
+    Examples
+    --------
+    >>> unpack_sections(pack_sections([b'[1]', b'{}'])) == {
+    ...     digest_bytes(b'[1]'): b'[1]', digest_bytes(b'{}'): b'{}'}
+    True
+    """
+    # A section is JSON without line breaks.
+    return zlib.compress(b'\n'.join(sections))
+
+
+def unpack_sections(payload):
+    """Return the sections of a payload by digest, or raise `SectionError`."""
+    decompressor = zlib.decompressobj()
+    try:
+        data = decompressor.decompress(payload, PAYLOAD_MAX_BYTES)
+    except zlib.error as error:
+        raise SectionError(f'unreadable payload ({error})') from error
+    if not decompressor.eof:
+        raise SectionError('payload too long or cut')
+    if not data:
+        return {}
+    return {digest_bytes(chunk): chunk for chunk in data.split(b'\n')}
+
+
+def _split_list(items):
+    chunks = []
+    chunk = []
+    for item in items:
+        encoded = _encode(item)
+        chunk.append(encoded)
+        ends = digest_bytes(encoded) % ITEMS_MEAN == 0
+        if ends or len(chunk) == ITEMS_MAX:
+            chunks.append(_wrap(chunk))
+            chunk = []
+    if chunk or not chunks:
+        chunks.append(_wrap(chunk))
+    return chunks
+
+
+def _wrap(encoded_items):
+    return b'[' + b','.join(encoded_items) + b']'
+
+
+def _encode(content):
+    return json.dumps(
+        content, sort_keys=True, separators=(',', ':'), allow_nan=False
+    ).encode()
+
+
+def _decode(digest, sections):
+    if digest not in sections:
+        raise SectionError(f'section {digest:x} is missing')
+    try:
+        return json.loads(sections[digest])
+    except ValueError as error:
+        raise SectionError(f'section {digest:x} is no JSON') from error
--- /dev/null
+++ b/bluebellthread/core/_spread.py
@@ -0,0 +1,67 @@
+"""Whom a VM tells of a new revision, and whom it asks for one.
+
+All of it follows from the membership view, so that VMs with the same view
+agree without a message, and none sends to more than a constant number.
+"""
+
+from bluebellthread.core import _ownership
+
+WATCHERS = 2
+"""VMs of a data centre that watch the platform."""
+FANOUT = 4
+"""VMs that one VM tells of a new revision."""
+PARTNERS = 6
+"""VMs that one VM exchanges digests with, in turn."""
+
+
+def choose_watchers(data_centre, names):
+    """Return the VMs of a data centre that watch the platform.
+
+    Examples
+    --------
+    >>> len(choose_watchers('cluj-a', ['vm1', 'vm2', 'vm3']))
+    2
+    """
+    key = f'configuration-watch/{data_centre}'
+    return _ownership.rank_by_rendezvous(key, names)[:WATCHERS]
+
+
+def choose_partners(vm, names):
+    """Return the VMs that a VM exchanges digests with.
+
+    Examples
+    --------
+    >>> choose_partners('vm1', ['vm1', 'vm2'])
+    ['vm2']
+    """
+    others = [name for name in names if name != vm]
+    key = f'configuration-partner/{vm}'
+    return _ownership.rank_by_rendezvous(key, others)[:PARTNERS]
+
+
+def order_tree(revision, names):
+    """Return the VMs in the order of the revision's tree, the root first.
+
+    The order differs from one revision to the next, so that the work of
+    inner VMs moves round.
+
+    Examples
+    --------
+    >>> sorted(order_tree(7, ['vm1', 'vm2']))
+    ['vm1', 'vm2']
+    """
+    return _ownership.rank_by_rendezvous(f'revision/{revision}', names)
+
+
+def list_children(vm, tree):
+    """Return the VMs that a VM tells, by a tree from `order_tree`.
+
+    Examples
+    --------
+    >>> list_children('b', ['a', 'b', 'c', 'd', 'e', 'f', 'g'])
+    ['f', 'g']
+    """
+    if vm not in tree:
+        return []
+    first = FANOUT * tree.index(vm) + 1
+    return tree[first : first + FANOUT]
--- a/bluebellthread/wire/__init__.py
+++ b/bluebellthread/wire/__init__.py
@@ -1,5 +1,6 @@
 """Messages between VMs as thrift bytes."""
 
+from bluebellthread.core import _configuration_messages
 from bluebellthread.core import _messages
 from bluebellthread.wire._codec import decode
 from bluebellthread.wire._codec import encode
@@ -23,5 +24,10 @@
     _messages.StatusAnswer,
     _messages.RequestLookup,
     _messages.RequestFound,
+    _configuration_messages.RevisionAnnounced,
+    _configuration_messages.ManifestRequest,
+    _configuration_messages.ManifestAnswer,
+    _configuration_messages.SectionsRequest,
+    _configuration_messages.SectionsAnswer,
 ):
     register_message(_cls)
--- a/bluebellthread/wire/peer.thrift
+++ b/bluebellthread/wire/peer.thrift
@@ -123,6 +123,38 @@
   4: string detail,
 }
 
+struct RevisionAnnounced {
+  1: string vm,
+  2: i64 revision,
+  3: i64 digest,
+}
+
+struct ManifestPart {
+  1: string key,
+  2: bool is_list,
+  3: list<i64> digests,
+}
+
+struct ManifestRequest {
+  1: string vm,
+  2: i64 revision,
+  3: i64 digest,
+}
+
+struct ManifestAnswer {
+  1: i64 revision,
+  2: i64 digest,
+  3: list<ManifestPart> parts,
+}
+
+struct SectionsRequest {
+  1: list<i64> digests,
+}
+
+struct SectionsAnswer {
+  1: binary payload,
+}
+
 struct Envelope {
   1: string kind,
   2: i64 correlation,
--- /dev/null
+++ b/tests/unit/test_revisions.py
@@ -0,0 +1,292 @@
+import collections
+import random
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from bluebellthread import configuration
+from bluebellthread import core
+
+PLACES = {'a': ('a1', 'a2', 'a3'), 'b': ('b1', 'b2')}
+
+
+def make_value(revision, *, pace_ms=45, invalid=False):
+    models = [{'name': f'm{number}'} for number in range(40)]
+    if invalid:
+        models.append(models[0])
+    return {
+        'revision': revision,
+        'models': models,
+        'defaults': {'pace_target_ms': pace_ms},
+    }
+
+
+def make_view(names):
+    return core.MembershipView(
+        members=tuple(
+            core.Member(
+                name=name,
+                data_centre=name[0],
+                region='r',
+                host='127.0.0.1',
+                peer_port=1,
+                caller_port=2,
+            )
+            for name in sorted(names)
+        )
+    )
+
+
+class Network:
+    """VMs whose messages a test delivers, delays or loses."""
+
+    def __init__(self, places=PLACES):
+        self.vms = {}
+        self.applied = {}
+        self.reports = []
+        self.in_flight = []
+        self.now_ms = 0
+        self.cut = set()
+        self.names = [name for place in places.values() for name in place]
+        for name in self.names:
+            self.start(name)
+
+    def start(self, name):
+        """Start a VM anew; it has forgotten everything."""
+        self.in_flight = [
+            (vm, kind, item)
+            for vm, kind, item in self.in_flight
+            if vm != name and item[0] != name
+        ]
+        self.vms[name] = core.Revisions(
+            vm=name,
+            data_centre=name[0],
+            judge=configuration.build_configuration,
+            rng=random.Random(name),
+        )
+        self.applied[name] = []
+        self.feed(name, core.Tick())
+        view = make_view(self.names)
+        self.execute(name, self.vms[name].change_view(view, self.now_ms))
+
+    def feed(self, name, event):
+        self.execute(name, self.vms[name].handle(event, self.now_ms))
+
+    def publish(self, name, value):
+        try:
+            built = configuration.build_configuration(value)
+        except core.ConfigurationError as error:
+            event = core.PublishedInvalid(
+                revision=value['revision'], problems=error.problems
+            )
+        else:
+            event = core.RevisionPublished(value=value, configuration=built)
+        self.feed(name, event)
+
+    def execute(self, name, commands):
+        for command in commands:
+            if isinstance(command, core.ApplyConfiguration):
+                self.applied[name].append(command.configuration)
+            elif isinstance(command, (core.AskPeer, core.TellPeer)):
+                item = (name, command.message)
+                self.in_flight.append((command.vm, 'message', item))
+            elif isinstance(command, core.AnswerPeer):
+                asker = command.token
+                item = (name, command.message)
+                self.in_flight.append((asker, 'answer', item))
+            elif not isinstance(command, core.WatchPlatform):
+                self.reports.append((name, command))
+
+    def deliver(self, index=0):
+        to, kind, (sender, message) = self.in_flight.pop(index)
+        if {to[0], sender[0]} & self.cut and to[0] != sender[0]:
+            if kind == 'message':
+                failed = core.PeerFailed(vm=to, message=message)
+                self.feed(sender, failed)
+        elif kind == 'message':
+            self.feed(to, core.PeerAsked(token=sender, message=message))
+        else:
+            self.feed(to, core.PeerAnswered(vm=sender, message=message))
+
+    def settle(self, *, duration_ms=0):
+        """Deliver all messages while the time passes."""
+        end_ms = self.now_ms + duration_ms
+        while True:
+            while self.in_flight:
+                self.deliver()
+            if self.now_ms >= end_ms:
+                return
+            self.now_ms += 100
+            for name in self.names:
+                self.feed(name, core.Tick())
+
+    def revisions(self):
+        return {vm.revision for vm in self.vms.values()}
+
+
+class TestRevisions(unittest.TestCase):
+    def make_settled(self, revision):
+        network = Network()
+        network.settle(duration_ms=1500)
+        network.publish('a1', make_value(revision))
+        network.settle(duration_ms=3000)
+        self.assertEqual({revision}, network.revisions())
+        return network
+
+    def test_one_watcher_is_enough_for_all(self):
+        self.make_settled(4)
+
+    def test_every_data_centre_has_two_watchers_and_hands_over(self):
+        network = Network()
+        watching = [n for n, vm in network.vms.items() if vm.watching]
+        self.assertEqual(4, len(watching))
+        dead = next(name for name in watching if name[0] == 'a')
+        left = [name for name in network.names if name != dead]
+        for name in left:
+            network.vms[name].change_view(make_view(left), 0)
+        watching = [n for n in left if network.vms[n].watching]
+        self.assertEqual(4, len(watching))
+
+    def test_a_stale_platform_is_ignored_and_reported(self):
+        network = self.make_settled(4)
+        network.publish('a2', make_value(3))
+        self.assertEqual({4}, network.revisions())
+        expected = core.ReportStale(served_revision=3, in_force_revision=4)
+        self.assertIn(('a2', expected), network.reports)
+
+    def test_a_restarted_vm_takes_the_peers_higher_revision(self):
+        network = self.make_settled(4)
+        network.start('a1')
+        network.publish('a1', make_value(2))
+        network.settle(duration_ms=500)
+        found = [item.revision for item in network.applied['a1']]
+        self.assertEqual([4], found)
+
+    def test_a_restarted_vm_without_peers_takes_the_platforms(self):
+        network = Network({'a': ('a1',)})
+        network.publish('a1', make_value(2))
+        network.settle(duration_ms=1100)
+        self.assertEqual({2}, network.revisions())
+
+    def test_an_invalid_revision_is_reported_and_spreads_nowhere(self):
+        network = self.make_settled(4)
+        network.publish('a1', make_value(5, invalid=True))
+        network.settle(duration_ms=3000)
+        self.assertEqual({4}, network.revisions())
+        self.assertEqual(5, network.vms['a1'].invalid_revision)
+
+    def test_a_cut_data_centre_catches_up(self):
+        network = self.make_settled(4)
+        network.cut = {'b'}
+        network.publish('a1', make_value(5))
+        network.settle(duration_ms=3000)
+        self.assertEqual({4, 5}, network.revisions())
+        network.cut = set()
+        network.settle(duration_ms=3000)
+        self.assertEqual({5}, network.revisions())
+
+    def test_a_late_answer_with_an_older_revision_is_ignored(self):
+        network = self.make_settled(4)
+        network.publish('a2', make_value(5))
+        asked = core.ManifestRequest(vm='a1', revision=4, digest=0)
+        event = core.PeerAsked(token='a1', message=asked)
+        answer = network.vms['a2'].handle(event, 0)[0].message
+        network.publish('a1', make_value(6))
+        network.feed('a1', core.PeerAnswered(vm='a2', message=answer))
+        network.settle()
+        found = [item.revision for item in network.applied['a1']]
+        self.assertEqual([4, 6], found)
+
+    def test_the_tree_reaches_all_with_few_messages_each(self):
+        network = Network({'a': tuple(f'a{n}' for n in range(40))})
+        network.settle(duration_ms=1500)
+        network.publish('a7', make_value(4))
+        told = collections.Counter()
+        while network.in_flight:
+            sender, message = network.in_flight[0][2]
+            told[sender] += isinstance(message, core.RevisionAnnounced)
+            network.deliver()
+        self.assertEqual({4}, network.revisions())
+        self.assertLessEqual(max(told.values()), 5)
+
+    def test_lost_announcements_are_made_up_for(self):
+        network = Network({'a': ('a1', 'a2', 'a3')})
+        network.settle(duration_ms=1500)
+        network.publish('a1', make_value(5))
+        network.in_flight.clear()
+        network.settle(duration_ms=6000)
+        self.assertEqual({5}, network.revisions())
+
+    def test_two_contents_of_one_revision_converge(self):
+        network = self.make_settled(4)
+        network.cut = {'b'}
+        network.publish('a1', make_value(5))
+        network.publish('b1', make_value(5, pace_ms=46))
+        network.settle(duration_ms=3000)
+        network.cut = set()
+        network.settle(duration_ms=3000)
+        self.assertEqual(1, len({vm.digest for vm in network.vms.values()}))
+        kinds = {type(report) for _, report in network.reports}
+        self.assertIn(core.ReportConflict, kinds)
+
+    @hypothesis.settings(max_examples=60, deadline=None)
+    @hypothesis.given(strategies.data())
+    def test_no_revision_goes_back_in_any_interleaving(self, data):
+        network = Network()
+        names = strategies.sampled_from(network.names)
+        steps = data.draw(strategies.integers(1, 60))
+        for _ in range(steps):
+            step = data.draw(
+                strategies.sampled_from(
+                    ['publish', 'deliver', 'lose', 'tick', 'restart', 'cut']
+                )
+            )
+            if step == 'publish':
+                revision = data.draw(strategies.integers(1, 5))
+                pace_ms = data.draw(strategies.sampled_from([45, 46]))
+                value = make_value(revision, pace_ms=pace_ms)
+                network.publish(data.draw(names), value)
+            elif step == 'tick':
+                network.now_ms += data.draw(strategies.integers(1, 3000))
+                network.feed(data.draw(names), core.Tick())
+            elif step == 'restart':
+                network.start(data.draw(names))
+            elif step == 'cut':
+                network.cut = set() if network.cut else {'b'}
+            elif network.in_flight:
+                last = len(network.in_flight) - 1
+                index = data.draw(strategies.integers(0, last))
+                if step == 'lose':
+                    del network.in_flight[index]
+                else:
+                    network.deliver(index)
+            for applied in network.applied.values():
+                revisions = [item.revision for item in applied]
+                self.assertEqual(sorted(revisions), revisions)
+        network.cut = set()
+        network.settle(duration_ms=30000)
+        self.assertEqual(1, len({vm.digest for vm in network.vms.values()}))
+
+
+class TestSections(unittest.TestCase):
+    def test_one_more_item_changes_one_section(self):
+        value = make_value(1)
+        _, before = core.split_value(value)
+        value['models'].insert(20, {'name': 'another'})
+        _, after = core.split_value(value)
+        self.assertLessEqual(len(set(after) - set(before)), 2)
+
+    def test_parts_of_a_wrong_kind_are_refused(self):
+        manifest, sections = core.split_value(make_value(1))
+        for is_list in (True, False):
+            parts = tuple(
+                core.ManifestPart(
+                    key=part.key, is_list=is_list, digests=part.digests
+                )
+                for part in manifest.parts
+            )
+            with self.assertRaises(core.BluebellthreadError):
+                core.join_value(
+                    core.Manifest(revision=1, parts=parts), sections
+                )
