--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -9,6 +9,30 @@
 from bluebellthread.core._acceptance import decide_acceptance
 from bluebellthread.core._acceptance import Invalid
 from bluebellthread.core._acceptance import Stale
+from bluebellthread.core._answer import AnswerMachine
+from bluebellthread.core._answer import AnswerOptions
+from bluebellthread.core._answer_commands import AskPermit
+from bluebellthread.core._answer_commands import CountRetry
+from bluebellthread.core._answer_commands import CountWastedPrefill
+from bluebellthread.core._answer_commands import EmitPiece
+from bluebellthread.core._answer_commands import FinishAnswer
+from bluebellthread.core._answer_commands import RefuseAnswer
+from bluebellthread.core._answer_commands import StartDecode
+from bluebellthread.core._answer_commands import StartPrefill
+from bluebellthread.core._answer_commands import StopRun
+from bluebellthread.core._answer_commands import TellScheduler
+from bluebellthread.core._answer_events import AnswerAsked
+from bluebellthread.core._answer_events import CallerGone
+from bluebellthread.core._answer_events import ImportEnded
+from bluebellthread.core._answer_events import PieceArrived
+from bluebellthread.core._answer_events import PrefillEnded
+from bluebellthread.core._answer_events import RunFailed
+from bluebellthread.core._answer_events import SchedulerUnreachable
+from bluebellthread.core._answer_events import StreamEnded
+from bluebellthread.core._answer_events import Superseded
+from bluebellthread.core._assembler import AnswerPiece
+from bluebellthread.core._assembler import Assembler
+from bluebellthread.core._assembler import TooManyHeldPiecesError
 from bluebellthread.core._configuration import Configuration
 from bluebellthread.core._configuration import Model
 from bluebellthread.core._configuration import Region
@@ -22,6 +46,9 @@
 from bluebellthread.core._configuration_messages import RevisionAnnounced
 from bluebellthread.core._configuration_messages import SectionsAnswer
 from bluebellthread.core._configuration_messages import SectionsRequest
+from bluebellthread.core._decode_policies import BestFit
+from bluebellthread.core._decode_policies import FewestRunning
+from bluebellthread.core._early_refusal import EarlyRefusalQueue
 from bluebellthread.core._errors import BluebellthreadError
 from bluebellthread.core._errors import DuplicateNameError
 from bluebellthread.core._errors import UnknownNameError
@@ -29,6 +56,20 @@
 from bluebellthread.core._exceptions import explain
 from bluebellthread.core._exceptions import resolve
 from bluebellthread.core._exceptions import Resolver
+from bluebellthread.core._fair_queue import FairQueue
+from bluebellthread.core._first_come_queue import FirstComeQueue
+from bluebellthread.core._limits import BoundedQueue
+from bluebellthread.core._limits import CallerLimits
+from bluebellthread.core._limits import ConnectionCaps
+from bluebellthread.core._limits import LimitRefusal
+from bluebellthread.core._membership import Membership
+from bluebellthread.core._membership_events import DatagramReceived
+from bluebellthread.core._membership_events import LeaveStarted
+from bluebellthread.core._membership_events import PlatformListed
+from bluebellthread.core._membership_events import SendDatagram
+from bluebellthread.core._membership_events import Stopped
+from bluebellthread.core._membership_events import ViewChanged
+from bluebellthread.core._membership_options import MembershipOptions
 from bluebellthread.core._messages import Done
 from bluebellthread.core._messages import PermitCancelled
 from bluebellthread.core._messages import PermitGranted
@@ -56,12 +97,20 @@
 from bluebellthread.core._ownership import choose_owner
 from bluebellthread.core._ownership import rank_by_rendezvous
 from bluebellthread.core._policies import decode_policies
+from bluebellthread.core._policies import DecodeCandidate
 from bluebellthread.core._policies import prefill_policies
+from bluebellthread.core._policies import PrefillCandidate
 from bluebellthread.core._policies import queue_policies
+from bluebellthread.core._policies import QueueOptions
+from bluebellthread.core._policies import QueueRefusal
 from bluebellthread.core._policies import spill_policies
+from bluebellthread.core._prefill_policies import BoundedPrefix
+from bluebellthread.core._prefix_index import PrefixIndex
 from bluebellthread.core._problems import ConfigurationError
 from bluebellthread.core._problems import Problem
 from bluebellthread.core._registry import Registry
+from bluebellthread.core._retry import backoff_ms
+from bluebellthread.core._retry import RetryBudget
 from bluebellthread.core._revision_events import AnswerPeer
 from bluebellthread.core._revision_events import ApplyConfiguration
 from bluebellthread.core._revision_events import AskPeer
@@ -82,6 +131,7 @@
 from bluebellthread.core._scheduler_events import CancelAtEngine
 from bluebellthread.core._scheduler_events import CancelConfirmed
 from bluebellthread.core._scheduler_events import GatewaysChanged
+from bluebellthread.core._scheduler_events import OptionsChanged
 from bluebellthread.core._scheduler_events import SendToGateway
 from bluebellthread.core._scheduler_events import ServersChanged
 from bluebellthread.core._scheduler_events import Tick
@@ -91,32 +141,117 @@
 from bluebellthread.core._sections import pack_sections
 from bluebellthread.core._sections import split_value
 from bluebellthread.core._sections import unpack_sections
+from bluebellthread.core._spill_policies import PoolSummary
+from bluebellthread.core._spill_policies import RegionSpill
+from bluebellthread.core._spill_policies import SpillPolicy
 from bluebellthread.core._spread import choose_watchers
+from bluebellthread.core._ticket_book import cost_bytes
+from bluebellthread.core._ticket_book import TicketBook
+from bluebellthread.core._ticket_book import TicketRecord
+from bluebellthread.core._ticket_events import AnswerArrived
+from bluebellthread.core._ticket_events import AnswerLost
+from bluebellthread.core._ticket_events import CallArrived
+from bluebellthread.core._ticket_events import HandOver
+from bluebellthread.core._ticket_events import HandOverFinished
+from bluebellthread.core._ticket_events import LookupArrived
+from bluebellthread.core._ticket_events import NothingSent
+from bluebellthread.core._ticket_events import RecordsNotTaken
+from bluebellthread.core._ticket_events import RecordsOffered
+from bluebellthread.core._ticket_events import RecordsTaken
+from bluebellthread.core._ticket_events import StartSend
+from bluebellthread.core._ticket_events import StopRequested
+from bluebellthread.core._ticket_events import TicketAsked
+from bluebellthread.core._ticket_events import TicketReply
+from bluebellthread.core._ticket_events import TicketTick
+from bluebellthread.core._ticket_messages import TicketCall
+from bluebellthread.core._ticket_messages import TicketCopy
+from bluebellthread.core._ticket_messages import TicketLookup
+from bluebellthread.core._ticket_messages import TicketRecords
+from bluebellthread.core._ticket_messages import TicketResult
+from bluebellthread.core._ticket_messages import TicketsMoved
+from bluebellthread.core._ticket_outcomes import AttemptRejected
+from bluebellthread.core._ticket_outcomes import Completed
+from bluebellthread.core._ticket_outcomes import NotRun
+from bluebellthread.core._ticket_outcomes import OutcomeUnknown
+from bluebellthread.core._ticket_outcomes import RefusedByServer
+from bluebellthread.core._ticket_outcomes import ServerAnswer
+from bluebellthread.core._ticket_outcomes import TicketIssued
+from bluebellthread.core._ticket_outcomes import TicketPending
+from bluebellthread.core._ticket_token import digest_call
+from bluebellthread.core._ticket_token import id_of_text
+from bluebellthread.core._ticket_token import InvalidTicketError
+from bluebellthread.core._ticket_token import Ticket
+from bluebellthread.core._ticket_token import TicketKey
+from bluebellthread.core._ticket_token import TicketKeysError
+from bluebellthread.core._ticket_token import TicketSigner
+from bluebellthread.core._tickets import TicketKeeper
+from bluebellthread.core._tickets import TicketOptions
+from bluebellthread.core._token_bucket import TokenBucket
 
 __all__ = [
     'Accepted',
+    'AnswerArrived',
+    'AnswerAsked',
+    'AnswerLost',
+    'AnswerMachine',
+    'AnswerOptions',
     'AnswerPeer',
+    'AnswerPiece',
     'ApplyConfiguration',
     'AskPeer',
+    'AskPermit',
+    'Assembler',
+    'AttemptRejected',
     'BackendServer',
+    'BestFit',
     'BluebellthreadError',
+    'BoundedPrefix',
+    'BoundedQueue',
+    'CallArrived',
+    'CallerGone',
+    'CallerLimits',
     'CancelAtEngine',
     'CancelConfirmed',
+    'Completed',
     'Configuration',
     'ConfigurationError',
+    'ConnectionCaps',
+    'CountRetry',
+    'CountWastedPrefill',
+    'DatagramReceived',
     'Decision',
+    'DecodeCandidate',
     'Done',
     'DuplicateNameError',
+    'EarlyRefusalQueue',
+    'EmitPiece',
+    'FairQueue',
+    'FewestRunning',
+    'FinishAnswer',
+    'FirstComeQueue',
     'GatewaysChanged',
+    'HandOver',
+    'HandOverFinished',
+    'ImportEnded',
     'Invalid',
+    'InvalidTicketError',
+    'LeaveStarted',
+    'LimitRefusal',
     'LoadReport',
+    'LookupArrived',
     'Manifest',
     'ManifestAnswer',
     'ManifestPart',
     'ManifestRequest',
     'Member',
+    'Membership',
+    'MembershipOptions',
     'MembershipView',
     'Model',
+    'NotRun',
+    'NothingSent',
+    'OptionsChanged',
+    'OutcomeUnknown',
     'PeerAnswered',
     'PeerAsked',
     'PeerFailed',
@@ -128,13 +263,27 @@
     'PermitReleased',
     'PermitRequest',
     'PermitsRegistered',
+    'PieceArrived',
+    'PlatformListed',
     'PoolKey',
+    'PoolSummary',
+    'PrefillCandidate',
+    'PrefillEnded',
+    'PrefixIndex',
     'Problem',
     'PublishedInvalid',
+    'QueueOptions',
+    'QueueRefusal',
     'ROLE_DECODE',
     'ROLE_PREFILL',
     'ROLE_SERVICE',
+    'RecordsNotTaken',
+    'RecordsOffered',
+    'RecordsTaken',
+    'RefuseAnswer',
+    'RefusedByServer',
     'Region',
+    'RegionSpill',
     'Registry',
     'Rejected',
     'ReportConflict',
@@ -143,36 +292,77 @@
     'RequestFound',
     'RequestLookup',
     'Resolver',
+    'RetryBudget',
     'RevisionAnnounced',
     'RevisionOptions',
     'RevisionPublished',
     'Revisions',
     'Route',
+    'RunFailed',
     'Scheduler',
     'SchedulerOptions',
+    'SchedulerUnreachable',
     'Scope',
     'ScopedException',
     'SectionsAnswer',
     'SectionsRequest',
+    'SendDatagram',
     'SendToGateway',
+    'ServerAnswer',
     'ServersChanged',
     'Service',
+    'SpillPolicy',
     'Stale',
+    'StartDecode',
+    'StartPrefill',
+    'StartSend',
     'StatusAnswer',
     'StatusRequest',
+    'StopRequested',
+    'StopRun',
+    'Stopped',
+    'StreamEnded',
+    'Superseded',
     'TellPeer',
+    'TellScheduler',
     'Tick',
+    'Ticket',
+    'TicketAsked',
+    'TicketBook',
+    'TicketCall',
+    'TicketCopy',
+    'TicketIssued',
+    'TicketKeeper',
+    'TicketKey',
+    'TicketKeysError',
+    'TicketLookup',
+    'TicketOptions',
+    'TicketPending',
+    'TicketRecord',
+    'TicketRecords',
+    'TicketReply',
+    'TicketResult',
+    'TicketSigner',
+    'TicketTick',
+    'TicketsMoved',
+    'TokenBucket',
+    'TooManyHeldPiecesError',
     'UnknownNameError',
     'Values',
+    'ViewChanged',
     'WatchPlatform',
+    'backoff_ms',
     'check_configuration',
     'choose_owner',
     'choose_watchers',
+    'cost_bytes',
     'count_pieces',
     'decide_acceptance',
     'decode_policies',
+    'digest_call',
     'estimate_tokens',
     'explain',
+    'id_of_text',
     'join_value',
     'pack_sections',
     'prefill_policies',
--- a/bluebellthread/wire/__init__.py
+++ b/bluebellthread/wire/__init__.py
@@ -1,14 +1,26 @@
 """Messages between VMs as thrift bytes."""
 
 from bluebellthread.core import _configuration_messages
+from bluebellthread.core import _membership_messages
 from bluebellthread.core import _messages
+from bluebellthread.core import _ticket_messages
 from bluebellthread.wire._codec import decode
 from bluebellthread.wire._codec import encode
 from bluebellthread.wire._codec import Envelope
 from bluebellthread.wire._codec import register_message
 from bluebellthread.wire._codec import WireError
+from bluebellthread.wire._framing import encode_frame
+from bluebellthread.wire._framing import FrameReader
 
-__all__ = ['Envelope', 'WireError', 'decode', 'encode', 'register_message']
+__all__ = [
+    'Envelope',
+    'FrameReader',
+    'WireError',
+    'decode',
+    'encode',
+    'encode_frame',
+    'register_message',
+]
 
 for _cls in (
     _messages.PermitRequest,
@@ -29,5 +41,15 @@
     _configuration_messages.ManifestAnswer,
     _configuration_messages.SectionsRequest,
     _configuration_messages.SectionsAnswer,
+    _ticket_messages.TicketCall,
+    _ticket_messages.TicketLookup,
+    _ticket_messages.TicketResult,
+    _ticket_messages.TicketRecords,
+    _ticket_messages.TicketsMoved,
+    _membership_messages.Ping,
+    _membership_messages.Ack,
+    _membership_messages.IndirectPing,
+    _membership_messages.Gossip,
+    _membership_messages.TableDigests,
 ):
     register_message(_cls)
