Run the distribution of revisions in the daemon

Cause: every VM watched the platform's configuration by itself and lost it at a restart while the platform was down.

Change: daemon/_configuration_task.py runs the core's Revisions between the platform and the peers; the platform watch keeps the list of VMs. The stand-in platform sent a second answer when a wait of 0 s ended within the first one, which ended its process; nothing is sent inside the wait any more.

--- /dev/null
+++ b/bluebellthread/daemon/_configuration_task.py
@@ -0,0 +1,261 @@
+"""The task that keeps this VM's configuration at the fleet's newest."""
+
+import random
+
+import trio
+
+from bluebellthread import configuration
+from bluebellthread import core
+from bluebellthread.daemon import _clock
+from bluebellthread.daemon import _peers
+from bluebellthread.daemon import _platform
+from bluebellthread.daemon import _scheduler_task
+from bluebellthread.observe import emit
+from bluebellthread.observe import events
+
+QUEUE_LENGTH = 256
+TICK_INTERVAL_S = 0.1
+ASK_TIMEOUT_MS = 1500
+ASKS_MAX = 32
+"""Messages to peers in progress at a time; more are dropped."""
+
+WATCH_S = 4
+"""One waiting read at the platform; a lost connection shows after it."""
+
+INVALID_POLL_S = 1.0
+"""Between two reads while the platform serves what can't be accepted."""
+
+WHOLE_READ_INTERVAL_MS = 600_000
+"""Between two reads that show also a revision older than the one in force."""
+
+BACKOFF_FIRST_S = 0.25
+BACKOFF_MAX_S = 4.0
+
+MESSAGES = (
+    core.RevisionAnnounced,
+    core.ManifestRequest,
+    core.SectionsRequest,
+)
+"""What other VMs send to this task."""
+
+
+class ConfigurationTask:
+    """Runs `Revisions` between the platform and the peers.
+
+    Parameters
+    ----------
+    vm, data_centre : str
+        This VM.
+    fleet : Fleet
+        Gives the membership view and takes the configuration.
+    links : PeerLinks
+        To ask and tell peers.
+    platform : PlatformClient
+        Reads the platform.
+    listeners : tuple of trio.MemorySendChannel
+        Told of each `ConfigurationChanged`.
+    options : RevisionOptions
+        Waits.
+    """
+
+    def __init__(
+        self, *, vm, data_centre, fleet, links, platform, listeners, options
+    ):
+        self._vm = vm
+        self._fleet = fleet
+        self._links = links
+        self._platform = platform
+        self._listeners = listeners
+        self._rng = random.Random()
+        self.revisions = core.Revisions(
+            vm=vm,
+            data_centre=data_centre,
+            judge=configuration.build_configuration,
+            rng=self._rng,
+            options=options,
+        )
+        self._view = None
+        self._nursery = None
+        self._asks = 0
+        self._watch_scope = None
+        self._served_revision = 0
+        self._invalid_text = None
+        self.inbox, self._receive = trio.open_memory_channel(QUEUE_LENGTH)
+
+    async def run(self):
+        """Follow the configuration until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            nursery.start_soon(self._send_ticks)
+            async for event in self._receive:
+                await self._take(event)
+
+    async def _send_ticks(self):
+        while True:
+            await self.inbox.send(core.Tick())
+            await trio.sleep(TICK_INTERVAL_S)
+
+    async def _take(self, event):
+        now_ms = _clock.read_clock_ms()
+        if self._view is not self._fleet.view:
+            self._view = self._fleet.view
+            commands = self.revisions.change_view(self._view, now_ms)
+            await self._execute(commands)
+        if not isinstance(event, _KNOWN_EVENTS):
+            event = core.PeerAsked(token=event, message=event.message)
+        await self._execute(self.revisions.handle(event, now_ms))
+
+    async def _execute(self, commands):
+        for command in commands:
+            if isinstance(command, core.ApplyConfiguration):
+                await self._apply(command)
+            elif isinstance(command, core.AnswerPeer):
+                command.token.answer(command.message)
+            elif isinstance(command, core.AskPeer):
+                self._start_ask(self._ask, command)
+            elif isinstance(command, core.TellPeer):
+                self._start_ask(self._tell, command)
+            elif isinstance(command, core.WatchPlatform):
+                self._switch_watch(command.active)
+            else:
+                _report(command)
+
+    async def _apply(self, command):
+        value = command.configuration
+        self._fleet.configuration = value
+        emit(events.CONFIGURATION_ACCEPTED, revision=value.revision)
+        changed = _scheduler_task.ConfigurationChanged(configuration=value)
+        for listener in self._listeners:
+            await listener.send(changed)
+
+    def _start_ask(self, send, command):
+        if self._asks >= ASKS_MAX:
+            # Peers that hang this long; the next exchange makes up for it.
+            return
+        self._asks += 1
+        self._nursery.start_soon(send, command)
+
+    async def _ask(self, command):
+        await self._send(command, self._call)
+
+    async def _tell(self, command):
+        await self._send(command, self._links.send)
+
+    async def _call(self, member, message):
+        deadline_ms = _clock.read_clock_ms() + ASK_TIMEOUT_MS
+        return await self._links.call(member, message, deadline_ms=deadline_ms)
+
+    async def _send(self, command, send):
+        vm, message = command.vm, command.message
+        event = core.PeerFailed(vm=vm, message=message)
+        try:
+            member = self._fleet.view.find(vm)
+            if member is not None:
+                answer = await send(member, message)
+                event = core.PeerAnswered(vm=vm, message=answer)
+        except _peers.PeerUnreachableError:
+            # Logged by the link.
+            pass
+        finally:
+            self._asks -= 1
+        if not (isinstance(event, core.PeerAnswered) and answer is None):
+            await self.inbox.send(event)
+
+    def _switch_watch(self, active):
+        if self._watch_scope is not None:
+            self._watch_scope.cancel()
+            self._watch_scope = None
+        emit(
+            events.PLATFORM_WATCH_CHANGED,
+            vm=self._vm,
+            state='watches' if active else 'no longer watches',
+        )
+        if active:
+            self._watch_scope = trio.CancelScope()
+            self._nursery.start_soon(self._watch, self._watch_scope)
+
+    async def _watch(self, scope):
+        with scope:
+            failures = 0
+            while True:
+                try:
+                    await self._watch_session()
+                    failures = 0
+                except _platform.PlatformError as error:
+                    emit(events.PLATFORM_UNREACHABLE, error=error)
+                    failures += 1
+                    await trio.sleep(self._choose_backoff_s(failures))
+
+    def _choose_backoff_s(self, failures):
+        longest_s = min(BACKOFF_MAX_S, BACKOFF_FIRST_S * 2**failures)
+        return self._rng.uniform(0, longest_s)
+
+    async def _watch_session(self):
+        """Read all once, to see also an older revision, and then wait."""
+        read = self._platform.watch_configuration
+        await self._take_text(await read(after=0, wait_s=0))
+        end_ms = _clock.read_clock_ms() + WHOLE_READ_INTERVAL_MS
+        while _clock.read_clock_ms() < end_ms:
+            after = max(self.revisions.revision, self._served_revision)
+            await self._take_text(await read(after=after, wait_s=WATCH_S))
+
+    async def _take_text(self, text):
+        if text is None:
+            return
+        if text == self._invalid_text:
+            await trio.sleep(INVALID_POLL_S)
+            return
+        try:
+            value = configuration.load_value(text)
+            parsed = configuration.parse_configuration(text)
+        except core.ConfigurationError as error:
+            self._invalid_text = text
+            await self.inbox.send(_describe_invalid(text, error))
+            return
+        self._invalid_text = None
+        self._served_revision = parsed.revision
+        await self.inbox.send(
+            core.RevisionPublished(value=value, configuration=parsed)
+        )
+
+
+_KNOWN_EVENTS = (
+    core.Tick,
+    core.RevisionPublished,
+    core.PublishedInvalid,
+    core.PeerAnswered,
+    core.PeerFailed,
+)
+
+
+def _describe_invalid(text, error):
+    revision = 0
+    try:
+        value = configuration.load_value(text)
+        if isinstance(value, dict) and type(value.get('revision')) is int:
+            revision = value['revision']
+    except core.ConfigurationError:
+        # No JSON at all: there is no number to name.
+        pass
+    return core.PublishedInvalid(revision=revision, problems=error.problems)
+
+
+def _report(command):
+    if isinstance(command, core.ReportInvalid):
+        emit(
+            events.CONFIGURATION_REJECTED,
+            revision=command.revision,
+            error='; '.join(str(problem) for problem in command.problems),
+        )
+    elif isinstance(command, core.ReportStale):
+        emit(
+            events.PLATFORM_STALE,
+            served=command.served_revision,
+            revision=command.in_force_revision,
+        )
+    elif isinstance(command, core.ReportConflict):
+        emit(
+            events.REVISION_CONFLICT,
+            revision=command.revision,
+            source=command.source or 'the platform',
+        )
--- a/bluebellthread/daemon/_platform_watch.py
+++ b/bluebellthread/daemon/_platform_watch.py
@@ -1,8 +1,7 @@
-"""The task that follows the platform's configuration and VM list."""
+"""The task that follows the platform's list of VMs."""
 
 import trio
 
-from bluebellthread import configuration
 from bluebellthread import core
 from bluebellthread.daemon import _platform
 from bluebellthread.daemon import _scheduler_task
@@ -23,7 +22,7 @@
     fleet : Fleet
         The picture to replace.
     scheduler_task : SchedulerTask
-        Told of every change.
+        Told of every list.
     """
 
     def __init__(self, *, platform, fleet, scheduler_task):
@@ -34,7 +33,6 @@
     async def run(self):
         """Watch until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._watch, self._follow_configuration)
             nursery.start_soon(self._watch, self._follow_vms)
 
     async def _watch(self, follow):
@@ -46,25 +44,6 @@
                 emit(events.PLATFORM_UNREACHABLE, error=error)
                 await trio.sleep(RETRY_S)
 
-    async def _follow_configuration(self, revision):
-        text = await self._platform.watch_configuration(
-            after=revision, wait_s=WATCH_S
-        )
-        if text is None:
-            return revision
-        try:
-            value = configuration.parse_configuration(text)
-        except core.ConfigurationError as error:
-            emit(events.CONFIGURATION_REJECTED, revision='?', error=error)
-            await trio.sleep(RETRY_S)
-            return revision
-        self._fleet.configuration = value
-        emit(events.CONFIGURATION_ACCEPTED, revision=value.revision)
-        await self._inbox.send(
-            _scheduler_task.ConfigurationChanged(configuration=value)
-        )
-        return value.revision
-
     async def _follow_vms(self, version):
         answer = await self._platform.watch_vms(after=version, wait_s=WATCH_S)
         if answer is None:
--- a/bluebellthread/daemon/_service.py
+++ b/bluebellthread/daemon/_service.py
@@ -10,6 +10,7 @@
 
 from bluebellthread import core
 from bluebellthread.daemon import _admission
+from bluebellthread.daemon import _configuration_task
 from bluebellthread.daemon import _engine_control
 from bluebellthread.daemon import _fleet
 from bluebellthread.daemon import _gateway
@@ -52,6 +53,7 @@
         self._make_peers()
         self._make_scheduling()
         self._make_gateway()
+        self._make_configuration()
 
     def _make_observers(self):
         settings = self._settings
@@ -150,6 +152,22 @@
             scheduler_task=self._scheduler_task,
         )
 
+    def _make_configuration(self):
+        settings = self._settings
+        self._configuration_task = _configuration_task.ConfigurationTask(
+            vm=settings.vm,
+            data_centre=settings.data_centre,
+            fleet=self.fleet,
+            links=self._links,
+            platform=self._platform,
+            listeners=(self._scheduler_task.inbox,),
+            options=core.RevisionOptions(),
+        )
+        for message_class in _configuration_task.MESSAGES:
+            self._mailboxes.register(
+                message_class, self._configuration_task.inbox
+            )
+
     def stop(self):
         """Begin a planned stop: not ready first, then drain."""
         if self.fleet.draining:
@@ -176,6 +194,7 @@
             nursery.start_soon(self._engine_control.run, self._scheduler_task)
             nursery.start_soon(self._status_task.run)
             nursery.start_soon(self._platform_watch.run)
+            nursery.start_soon(self._configuration_task.run)
             await self._serve_callers(peers, task_status)
             nursery.cancel_scope.cancel()
         await self.close()
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -61,6 +61,17 @@
 PLATFORM_UNREACHABLE = Event(
     3003, 'WARNING', 'the platform is unreachable: {error}'
 )
+PLATFORM_STALE = Event(
+    3004,
+    'WARNING',
+    'the platform serves revision {served}, older than {revision} in force',
+)
+REVISION_CONFLICT = Event(
+    3005,
+    'ERROR',
+    'revision {revision} has other contents at {source} than here',
+)
+PLATFORM_WATCH_CHANGED = Event(3006, 'INFO', 'VM {vm} {state} the platform')
 REQUEST_FAILED = Event(
     5001, 'WARNING', 'request {request_id} failed at {hop}: {error}'
 )
--- a/standin/_platform.py
+++ b/standin/_platform.py
@@ -118,20 +118,26 @@
         self._counts_by_source[request.source] += 1
         after = int(request.query.get('after', -1))
         wait_s = float(request.query.get('wait_s', 0))
-        with trio.move_on_after(wait_s):
-            while not self.settings.down:
-                entry = find_visible()
-                if entry is not None and entry[1] > after:
-                    await request.answer(200, entry[2])
-                    return
-                if wait_s == 0:
-                    break
-                await trio.sleep(POLL_S * random.uniform(0.5, 1.5))
+        found = await self._wait_newer(find_visible, after, wait_s)
         if self.settings.down:
             await request.refuse(503, 'down')
-            return
-        await request.begin(304, 'text/plain')
-        await request.write(b'', more=False)
+        elif found is not None:
+            await request.answer(200, found[2])
+        else:
+            await request.begin(304, 'text/plain')
+            await request.write(b'', more=False)
+
+    async def _wait_newer(self, find_visible, after, wait_s):
+        # Nothing is sent in here: the wait's end must not cut an answer.
+        end_s = trio.current_time() + wait_s
+        while not self.settings.down:
+            entry = find_visible()
+            if entry is not None and entry[1] > after:
+                return entry
+            if trio.current_time() >= end_s:
+                return None
+            await trio.sleep(POLL_S * random.uniform(0.5, 1.5))
+        return None
 
 
 def _last(entries):
