--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -65,10 +65,13 @@
 from bluebellthread.core._membership import Membership
 from bluebellthread.core._membership_events import DatagramReceived
 from bluebellthread.core._membership_events import LeaveStarted
+from bluebellthread.core._membership_events import PauseNoticed
 from bluebellthread.core._membership_events import PlatformListed
+from bluebellthread.core._membership_events import SeedsTried
 from bluebellthread.core._membership_events import SendDatagram
 from bluebellthread.core._membership_events import Stopped
 from bluebellthread.core._membership_events import ViewChanged
+from bluebellthread.core._membership_messages import MEMBERSHIP_MESSAGES
 from bluebellthread.core._membership_options import MembershipOptions
 from bluebellthread.core._messages import Done
 from bluebellthread.core._messages import PermitCancelled
@@ -96,6 +99,8 @@
 from bluebellthread.core._model import ROLE_SERVICE
 from bluebellthread.core._ownership import choose_owner
 from bluebellthread.core._ownership import rank_by_rendezvous
+from bluebellthread.core._permit_messages import PermitAbandoned
+from bluebellthread.core._permit_messages import RegistrationWanted
 from bluebellthread.core._policies import decode_policies
 from bluebellthread.core._policies import DecodeCandidate
 from bluebellthread.core._policies import prefill_policies
@@ -127,7 +132,6 @@
 from bluebellthread.core._revisions import RevisionOptions
 from bluebellthread.core._revisions import Revisions
 from bluebellthread.core._scheduler import Scheduler
-from bluebellthread.core._scheduler import SchedulerOptions
 from bluebellthread.core._scheduler_events import CancelAtEngine
 from bluebellthread.core._scheduler_events import CancelConfirmed
 from bluebellthread.core._scheduler_events import GatewaysChanged
@@ -135,6 +139,7 @@
 from bluebellthread.core._scheduler_events import SendToGateway
 from bluebellthread.core._scheduler_events import ServersChanged
 from bluebellthread.core._scheduler_events import Tick
+from bluebellthread.core._scheduler_options import SchedulerOptions
 from bluebellthread.core._sections import join_value
 from bluebellthread.core._sections import Manifest
 from bluebellthread.core._sections import ManifestPart
@@ -145,6 +150,7 @@
 from bluebellthread.core._spill_policies import RegionSpill
 from bluebellthread.core._spill_policies import SpillPolicy
 from bluebellthread.core._spread import choose_watchers
+from bluebellthread.core._stray_watch import make_permit_id
 from bluebellthread.core._ticket_book import cost_bytes
 from bluebellthread.core._ticket_book import TicketBook
 from bluebellthread.core._ticket_book import TicketRecord
@@ -239,6 +245,7 @@
     'LimitRefusal',
     'LoadReport',
     'LookupArrived',
+    'MEMBERSHIP_MESSAGES',
     'Manifest',
     'ManifestAnswer',
     'ManifestPart',
@@ -252,10 +259,12 @@
     'NothingSent',
     'OptionsChanged',
     'OutcomeUnknown',
+    'PauseNoticed',
     'PeerAnswered',
     'PeerAsked',
     'PeerFailed',
     'Permit',
+    'PermitAbandoned',
     'PermitCancelled',
     'PermitGranted',
     'PermitProgressed',
@@ -284,6 +293,7 @@
     'RefusedByServer',
     'Region',
     'RegionSpill',
+    'RegistrationWanted',
     'Registry',
     'Rejected',
     'ReportConflict',
@@ -306,6 +316,7 @@
     'ScopedException',
     'SectionsAnswer',
     'SectionsRequest',
+    'SeedsTried',
     'SendDatagram',
     'SendToGateway',
     'ServerAnswer',
@@ -364,6 +375,7 @@
     'explain',
     'id_of_text',
     'join_value',
+    'make_permit_id',
     'pack_sections',
     'prefill_policies',
     'queue_policies',
--- a/bluebellthread/core/_revisions.py
+++ b/bluebellthread/core/_revisions.py
@@ -36,12 +36,20 @@
     start_timeout_ms : int
         How long a started VM holds the platform's revision back until a
         peer has answered, since the platform may be behind the fleet.
+    holds_at_start, ignores_older, exchanges, shares_watch : bool
+        Whether the hold at the start, the order of revisions, the
+        exchange of digests and the choice of watchers are on; tests turn
+        them off to show what they are for.
     """
 
     exchange_interval_ms: int = 2000
     far_interval_ms: int = 1000
     fetch_timeout_ms: int = 2000
     start_timeout_ms: int = 1000
+    holds_at_start: bool = True
+    ignores_older: bool = True
+    exchanges: bool = True
+    shares_watch: bool = True
 
 
 @attrs.frozen(kw_only=True)
@@ -98,7 +106,7 @@
         self._next_far_ms = 0
         self._start_deadline_ms = None
         self._waiting_published = None
-        self._started = False
+        self._started = not self._options.holds_at_start
         self._start_waits_for = None
         self.watching = False
         self.invalid_revision = 0
@@ -139,9 +147,8 @@
         met_first = len(names) > 1 and len(self._names) == 1
         self._names = sorted(names)
         self._far_watchers = self._choose_far_watchers(view)
-        watching = self._vm in _spread.choose_watchers(
-            self._data_centre, self._names
-        )
+        watchers = _spread.choose_watchers(self._data_centre, self._names)
+        watching = self._vm in watchers or not self._options.shares_watch
         commands = []
         if watching != self.watching:
             self.watching = watching
@@ -173,6 +180,8 @@
             self._fetch = None
         if not self._started and self._start_deadline_ms <= now_ms:
             commands.extend(self._end_start(now_ms))
+        if not self._options.exchanges:
+            return commands
         if self._next_exchange_ms <= now_ms:
             self._next_exchange_ms = now_ms + self._spread_out(
                 self._options.exchange_interval_ms
@@ -235,7 +244,7 @@
             return []
         if key[0] == self.revision:
             return [events.ReportConflict(revision=key[0], source='')]
-        if key[0] < self.revision:
+        if key[0] < self.revision and self._options.ignores_older:
             self.stale_revision = key[0]
             return [
                 events.ReportStale(
--- a/bluebellthread/daemon/_answer_task.py
+++ b/bluebellthread/daemon/_answer_task.py
@@ -147,7 +147,7 @@
         )
 
     def _tell_scheduler(self, command):
-        self._scheduler.tell(command.permit.pool, command.message)
+        self._scheduler.tell(command.message)
 
     def _start_prefill(self, command):
         self._start_run(command, self._prefill, command.permit.prefill_server)
@@ -177,6 +177,12 @@
                         server=server_name,
                         detail='it is not in the configuration any more',
                     )
+                if not self._scheduler.is_current(command.permit):
+                    raise engines.EngineError(
+                        kind='refused',
+                        server=server_name,
+                        detail='this VM was paused since the permit',
+                    )
                 await call(command, server)
             except engines.EngineError as error:
                 emit(
--- a/bluebellthread/daemon/_configuration_task.py
+++ b/bluebellthread/daemon/_configuration_task.py
@@ -54,18 +54,30 @@
         Reads the platform.
     listeners : tuple of trio.MemorySendChannel
         Told of each `ConfigurationChanged`.
+    list_watch : PlatformWatch
+        Switched on and off with the watch of the configuration.
     options : RevisionOptions
         Waits.
     """
 
     def __init__(
-        self, *, vm, data_centre, fleet, links, platform, listeners, options
+        self,
+        *,
+        vm,
+        data_centre,
+        fleet,
+        links,
+        platform,
+        listeners,
+        list_watch,
+        options,
     ):
         self._vm = vm
         self._fleet = fleet
         self._links = links
         self._platform = platform
         self._listeners = listeners
+        self._list_watch = list_watch
         self._rng = random.Random()
         self.revisions = core.Revisions(
             vm=vm,
@@ -162,6 +174,7 @@
             await self.inbox.send(event)
 
     def _switch_watch(self, active):
+        self._list_watch.switch(active)
         if self._watch_scope is not None:
             self._watch_scope.cancel()
             self._watch_scope = None
--- a/bluebellthread/daemon/_model_path.py
+++ b/bluebellthread/daemon/_model_path.py
@@ -29,7 +29,7 @@
     ----------
     vm, incarnation, data_centre : str, int, str
         This process.
-    links : PeerLinks
+    desk : PermitDesk
         To reach schedulers.
     fleet : object
         Has ``configuration`` and ``view``, the latest of each.
@@ -47,7 +47,7 @@
         vm,
         incarnation,
         data_centre,
-        links,
+        desk,
         fleet,
         adapter,
         tracer,
@@ -60,7 +60,7 @@
         self._tracer = tracer
         self._metrics = metrics
         self._scheduler = _scheduler_link.SchedulerLink(
-            fleet=fleet, links=links, tracer=tracer
+            desk=desk, tracer=tracer
         )
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=MOST_ENGINE_CONNECTIONS, retries=0
--- a/bluebellthread/wire/__init__.py
+++ b/bluebellthread/wire/__init__.py
@@ -3,6 +3,7 @@
 from bluebellthread.core import _configuration_messages
 from bluebellthread.core import _membership_messages
 from bluebellthread.core import _messages
+from bluebellthread.core import _permit_messages
 from bluebellthread.core import _ticket_messages
 from bluebellthread.wire._codec import decode
 from bluebellthread.wire._codec import encode
@@ -41,15 +42,13 @@
     _configuration_messages.ManifestAnswer,
     _configuration_messages.SectionsRequest,
     _configuration_messages.SectionsAnswer,
+    _permit_messages.PermitAbandoned,
+    _permit_messages.RegistrationWanted,
+    *_membership_messages.MEMBERSHIP_MESSAGES,
     _ticket_messages.TicketCall,
     _ticket_messages.TicketLookup,
     _ticket_messages.TicketResult,
     _ticket_messages.TicketRecords,
     _ticket_messages.TicketsMoved,
-    _membership_messages.Ping,
-    _membership_messages.Ack,
-    _membership_messages.IndirectPing,
-    _membership_messages.Gossip,
-    _membership_messages.TableDigests,
 ):
     register_message(_cls)
