--- /dev/null
+++ b/tests/integration/_place_fleet.py
@@ -0,0 +1,154 @@
+"""Fleets of VMs in two data centres that follow a configuration."""
+
+import re
+
+from tests.integration import _fleet
+
+PLACES = {'a': ('a1', 'a2', 'a3'), 'b': ('b1', 'b2')}
+HOSTS = {'a': '127.0.1.', 'b': '127.0.2.'}
+IN_FORCE = re.compile(r' E3001 configuration revision (\d+) ')
+WATCHING = re.compile(r' E3006 VM \S+ (watches|no longer watches) ')
+PROMISE_S = 9.0
+"""A change is in force everywhere within this time."""
+
+MODELS = 60
+
+
+def make_value(revision):
+    """Return a configuration with a list of some length."""
+    return {
+        'revision': revision,
+        'regions': [{'name': 'north', 'data_centres': sorted(PLACES)}],
+        'models': [{'name': f'model-{number}'} for number in range(MODELS)],
+        'defaults': {'pace_target_ms': 40 + revision},
+    }
+
+
+def make_settings(fleet, vm, *, off=(), seeds=(), **changes):
+    platform = fleet.standins[changes.pop('platform', 'platform')]
+    values = {
+        'vm': vm,
+        'data_centre': vm[0],
+        'region': 'north',
+        'host': HOSTS[vm[0]] + vm[1:],
+        'peer_port': 0,
+        'caller_port': 0,
+        'platform_addresses': [f'{platform.host}:{platform.port}'],
+        'seed_addresses': list(seeds),
+        'disabled_mechanisms': list(off),
+    }
+    return values | changes
+
+
+async def start(fleet, *, places=PLACES, off=(), platforms=None, proxied=()):
+    """Start VMs with revision 1 in force everywhere.
+
+    Parameters
+    ----------
+    platforms : dict or None
+        By data centre, the proxy through which it reaches the platform.
+    proxied : tuple of str
+        VMs that others reach through a proxy ``x-NAME``.
+    """
+    platforms = platforms or {}
+    await start_platform(fleet, platforms)
+    await fleet.publish_config(make_value(1))
+    names = [vm for place in places.values() for vm in place]
+    for vm in names:
+        await start_vm(
+            fleet,
+            vm,
+            off=off,
+            proxied=vm in proxied,
+            platform=platforms.get(vm[0], 'platform'),
+        )
+    await publish_vms(fleet)
+    for vm in names:
+        await _fleet.until(
+            lambda vm=vm: sees(fleet, vm, names), what=f'the view of {vm}'
+        )
+    await until_in_force(fleet, 1, names)
+
+
+async def start_platform(fleet, platforms):
+    await fleet.start_standins([{'kind': 'platform'}])
+    port = fleet.standins['platform'].port
+    for name in set(platforms.values()):
+        entry = {'kind': 'proxy', 'name': name, 'target_port': port}
+        await fleet.start_standins([entry])
+
+
+async def start_vm(fleet, vm, *, proxied=False, **changes):
+    """Start one VM; list it at its proxy if it has one."""
+    if proxied:
+        host = HOSTS[vm[0]] + vm[1:]
+        entry = {'kind': 'proxy', 'name': f'x-{vm}', 'target_host': host}
+        await fleet.start_standins([{**entry, 'forwards_udp': True}])
+        address = fleet.standins[f'x-{vm}']
+        changes['peer_address'] = f'{address.host}:{address.port}'
+    daemon = await fleet.start_daemon(make_settings(fleet, vm, **changes))
+    if proxied:
+        proxy = fleet.standins[f'x-{vm}']
+        await fleet.control_proxy(proxy, target_port=daemon.peers.port)
+    return daemon
+
+
+async def publish_vms(fleet):
+    listed = []
+    for vm, daemon in fleet.daemons.items():
+        address = fleet.standins.get(f'x-{vm}', daemon.peers)
+        listed.append(
+            {
+                'name': vm,
+                'data_centre': vm[0],
+                'region': 'north',
+                'host': address.host,
+                'peer_port': address.port,
+                'caller_port': daemon.callers.port,
+                'state': 'live',
+            }
+        )
+    await fleet.post('platform', '/publish_vms', listed)
+
+
+def sees(fleet, vm, names):
+    log = fleet.process_of(vm).stderr
+    return all(
+        re.search(rf' E2003 VM {name} went from \w+ to alive', log)
+        for name in names
+        if name != vm
+    )
+
+
+def revisions_of(fleet, vm):
+    """Return the revisions that came into force on a VM, in order."""
+    found = IN_FORCE.findall(fleet.process_of(vm).stderr)
+    return [int(number) for number in found]
+
+
+def has(fleet, vm, revision):
+    return revisions_of(fleet, vm)[-1:] == [revision]
+
+
+async def until_in_force(fleet, revision, names, *, timeout_s=PROMISE_S):
+    for vm in names:
+        await _fleet.until(
+            lambda vm=vm: has(fleet, vm, revision),
+            what=f'revision {revision} at {vm}',
+            timeout_s=timeout_s,
+        )
+
+
+def watchers_of(fleet, names):
+    """Return the VMs whose log says that they watch the platform."""
+    watching = []
+    for vm in names:
+        states = WATCHING.findall(fleet.process_of(vm).stderr)
+        if states[-1:] == ['watches']:
+            watching.append(vm)
+    return watching
+
+
+async def count_reads(fleet):
+    answer = await fleet.call('GET', fleet.standins['platform'], '/counts')
+    return answer.json().get('config', 0)
