Order models, adapters, versions and roles as the configuration says

Cause: engines take orders, some without checking who gives them.

Load reports may say role and targets.

--- a/bluebellthread/configuration/_differences.py
+++ b/bluebellthread/configuration/_differences.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+_SCALARS = ('revision', 'weight_loads_per_min')
 _NAMED_SECTIONS = ('regions', 'models', 'services', 'backend_servers')
 
 
@@ -17,8 +18,10 @@
     ['models a: removed']
     """
     lines = []
-    if old.revision != new.revision:
-        lines.append(f'revision: {old.revision} -> {new.revision}')
+    for name in _SCALARS:
+        before, after = getattr(old, name), getattr(new, name)
+        if before != after:
+            lines.append(f'{name}: {before} -> {after}')
     for section in _NAMED_SECTIONS:
         before = {item.name: item for item in getattr(old, section)}
         after = {item.name: item for item in getattr(new, section)}
--- a/bluebellthread/configuration/_rules.py
+++ b/bluebellthread/configuration/_rules.py
@@ -15,7 +15,14 @@
 SECRET_LENGTH_MIN = 16
 
 NAMES = ('name', 'vm', 'data_centre', 'region', 'serves', 'key_id')
-POSITIVE_SUFFIXES = ('_ms', '_tokens', '_bytes', '_per_s', '_concurrency')
+POSITIVE_SUFFIXES = (
+    '_ms',
+    '_tokens',
+    '_bytes',
+    '_per_s',
+    '_per_min',
+    '_concurrency',
+)
 
 
 def check_scalar(cls, field, value):
--- a/bluebellthread/configuration/_settings.py
+++ b/bluebellthread/configuration/_settings.py
@@ -75,7 +75,8 @@
         ``'pause-detection'``, ``'gateway-cancel'``, ``'stray-cancel'``,
         ``'registrations'``, ``'cautious-share'``, ``'release-resend'``,
         ``'balancer-lag'``, ``'start-hold'``, ``'revision-order'``,
-        ``'digest-exchange'`` or ``'shared-watch'``.
+        ``'digest-exchange'``, ``'shared-watch'`` or
+        ``'order-confirmation'``.
 
     Examples
     --------
--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -97,6 +97,15 @@
 from bluebellthread.core._model import ROLE_DECODE
 from bluebellthread.core._model import ROLE_PREFILL
 from bluebellthread.core._model import ROLE_SERVICE
+from bluebellthread.core._orders import EngineOrder
+from bluebellthread.core._orders import list_targets
+from bluebellthread.core._orders import OrderDone
+from bluebellthread.core._orders import OrderFailed
+from bluebellthread.core._orders import OrderOptions
+from bluebellthread.core._orders import OrderPlanner
+from bluebellthread.core._orders import OrdersConfigured
+from bluebellthread.core._orders import SendOrder
+from bluebellthread.core._orders import share_loads
 from bluebellthread.core._ownership import choose_owner
 from bluebellthread.core._ownership import rank_by_rendezvous
 from bluebellthread.core._permit_messages import PermitAbandoned
@@ -231,6 +240,7 @@
     'DuplicateNameError',
     'EarlyRefusalQueue',
     'EmitPiece',
+    'EngineOrder',
     'FairQueue',
     'FewestRunning',
     'FinishAnswer',
@@ -258,6 +268,11 @@
     'NotRun',
     'NothingSent',
     'OptionsChanged',
+    'OrderDone',
+    'OrderFailed',
+    'OrderOptions',
+    'OrderPlanner',
+    'OrdersConfigured',
     'OutcomeUnknown',
     'PauseNoticed',
     'PeerAnswered',
@@ -318,6 +333,7 @@
     'SectionsRequest',
     'SeedsTried',
     'SendDatagram',
+    'SendOrder',
     'SendToGateway',
     'ServerAnswer',
     'ServersChanged',
@@ -375,12 +391,14 @@
     'explain',
     'id_of_text',
     'join_value',
+    'list_targets',
     'make_permit_id',
     'pack_sections',
     'prefill_policies',
     'queue_policies',
     'rank_by_rendezvous',
     'resolve',
+    'share_loads',
     'spill_policies',
     'split_value',
     'unpack_sections',
--- a/bluebellthread/core/_configuration.py
+++ b/bluebellthread/core/_configuration.py
@@ -108,9 +108,19 @@
 
 @attrs.frozen(kw_only=True)
 class Model:
-    """A model that engines serve."""
+    """A model that engines serve.
+
+    Parameters
+    ----------
+    version : str
+        What its engines have to hold; empty where nobody steers it.
+    adapters : tuple of str
+        Adapters that its engines have to hold besides.
+    """
 
     name: str
+    version: str = ''
+    adapters: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -125,6 +135,11 @@
 class Configuration:
     """One accepted revision of the fleet's configuration.
 
+    Parameters
+    ----------
+    weight_loads_per_min : float
+        Loads that the weight store bears from the whole fleet.
+
     Examples
     --------
     >>> Configuration(revision=1).defaults.pace_target_ms
@@ -138,6 +153,7 @@
     backend_servers: tuple[_model.BackendServer, ...] = ()
     defaults: Values = Values()
     exceptions: tuple[ScopedException, ...] = ()
+    weight_loads_per_min: float = 6.0
 
     def __hash__(self):
         # Cheap, for caches that hold the revision in force; equality
--- a/bluebellthread/core/_model.py
+++ b/bluebellthread/core/_model.py
@@ -89,6 +89,11 @@
         Whether the backend server says that it is leaving.
     received_ms : int
         When the report arrived here.
+    role : str
+        The role that it has; empty if it does not say.
+    targets : tuple of str or None
+        Model versions and adapters that it holds; None if it does not
+        say.
 
     Examples
     --------
@@ -106,6 +111,8 @@
     running_ids: tuple[str, ...] = ()
     queued_count: int = 0
     leaving: bool = False
+    role: str = ''
+    targets: tuple[str, ...] | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/bluebellthread/core/_revisions.py
+++ b/bluebellthread/core/_revisions.py
@@ -130,6 +130,11 @@
         """The digest of the revision in force; 0 for none."""
         return self._key()[1]
 
+    @property
+    def partners(self):
+        """The VMs that this one exchanges digests with."""
+        return _spread.choose_partners(self._vm, self._names)
+
     def handle(self, event, now_ms):
         """Take one event in and return the commands that follow."""
         if self._start_deadline_ms is None:
@@ -154,9 +159,9 @@
             self.watching = watching
             commands.append(events.WatchPlatform(active=watching))
         if met_first:
-            partners = _spread.choose_partners(self._vm, self._names)
+            partners = self.partners
             self._start_waits_for = set(partners)
-            commands.extend(self._ask_manifest(name) for name in partners)
+            commands.extend(self.ask_manifest(name) for name in partners)
         return commands
 
     def _choose_far_watchers(self, view):
@@ -198,20 +203,21 @@
         return round(interval_ms * self._rng.uniform(0.5, 1.5))
 
     def _ask_partner(self):
-        partners = _spread.choose_partners(self._vm, self._names)
+        partners = self.partners
         if not partners:
             return []
         self._exchanges += 1
-        return [self._ask_manifest(partners[self._exchanges % len(partners)])]
+        return [self.ask_manifest(partners[self._exchanges % len(partners)])]
 
     def _ask_far_watcher(self):
         if not self._far_watchers:
             return []
         self._far_exchanges += 1
         index = self._far_exchanges % len(self._far_watchers)
-        return [self._ask_manifest(self._far_watchers[index])]
+        return [self.ask_manifest(self._far_watchers[index])]
 
-    def _ask_manifest(self, name):
+    def ask_manifest(self, name):
+        """Return the question to a VM for what is newer."""
         revision, digest = self._key()
         return events.AskPeer(
             vm=name,
@@ -303,7 +309,7 @@
             )
         key = (message.revision, message.digest)
         if key > self._key() and not self._is_fetching(key, now_ms):
-            commands.append(self._ask_manifest(message.vm))
+            commands.append(self.ask_manifest(message.vm))
         return commands
 
     def _answer_manifest(self, message):
--- a/bluebellthread/daemon/_configuration_task.py
+++ b/bluebellthread/daemon/_configuration_task.py
@@ -16,6 +16,7 @@
 QUEUE_LENGTH = 256
 TICK_INTERVAL_S = 0.1
 ASK_TIMEOUT_MS = 1500
+MS_PER_S = 1000
 ASKS_MAX = 32
 """Messages to peers in progress at a time; more are dropped."""
 
@@ -102,6 +103,36 @@
             async for event in self._receive:
                 await self._take(event)
 
+    async def confirm_newest(self, revision):
+        """Return whether peers confirm that a revision is the newest.
+
+        One answer is wanted at least, unless this VM is alone in its data
+        centre, and none may name a higher revision.
+        """
+        partners = self.revisions.partners
+        answers = []
+        with trio.move_on_after(ASK_TIMEOUT_MS / MS_PER_S):
+            async with trio.open_nursery() as nursery:
+                for vm in partners:
+                    nursery.start_soon(self._collect_revision, vm, answers)
+        if self.revisions.revision != revision:
+            return False
+        if any(answer > revision for answer in answers):
+            return False
+        return bool(answers) or not partners
+
+    async def _collect_revision(self, vm, answers):
+        command = self.revisions.ask_manifest(vm)
+        member = self._fleet.view.find(vm)
+        if member is None:
+            return
+        try:
+            answer = await self._call(member, command.message)
+        except _peers.PeerUnreachableError:
+            return
+        if isinstance(answer, core.ManifestAnswer):
+            answers.append(answer.revision)
+
     async def _send_ticks(self):
         while True:
             await self.inbox.send(core.Tick())
--- a/bluebellthread/daemon/_engine_control.py
+++ b/bluebellthread/daemon/_engine_control.py
@@ -37,11 +37,20 @@
         )
         self._engine = engines.engine_adapters.get(adapter)(pool=self._pool)
         self._polling = set()
+        self._listeners = []
         self._limits = {}
         self.cancels, self._receive = trio.open_memory_channel(
             CANCEL_QUEUE_LENGTH
         )
 
+    def add_listener(self, inbox):
+        """Pass every load report on to one more task."""
+        self._listeners.append(inbox)
+
+    async def give_order(self, server, order):
+        """Give an engine an order; return once it has taken it."""
+        await self._engine.give_order(server, order)
+
     async def run(self, scheduler_task):
         """Poll and cancel until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -80,6 +89,8 @@
             report = await self.read_report(server)
             if report is not None:
                 await inbox.send(report)
+                for listener in self._listeners:
+                    await listener.send(report)
         finally:
             self._polling.discard(server.name)
 
--- a/bluebellthread/daemon/_load_reports.py
+++ b/bluebellthread/daemon/_load_reports.py
@@ -28,6 +28,14 @@
             queued_count=int(fields.get('queued_count', 0)),
             leaving=bool(fields.get('leaving', False)),
             received_ms=now_ms,
+            role=str(fields.get('role', '')),
+            targets=_read_targets(fields),
         )
     except (KeyError, TypeError) as error:
         raise ValueError(f'bad field {error}') from error
+
+
+def _read_targets(fields):
+    if 'targets' not in fields:
+        return None
+    return tuple(map(str, fields['targets']))
--- /dev/null
+++ b/bluebellthread/daemon/_orders_task.py
@@ -0,0 +1,130 @@
+"""The task that gives orders to the engines of the owned pools."""
+
+import trio
+
+from bluebellthread import core
+from bluebellthread.daemon import _clock
+from bluebellthread import engines
+from bluebellthread.observe import emit
+from bluebellthread.observe import events
+
+QUEUE_LENGTH = 1024
+TICK_INTERVAL_S = 0.25
+ORDER_TIMEOUT_S = 120
+"""A load from the weight store may take this long."""
+
+
+class OrdersTask:
+    """Runs `OrderPlanner` for the pools that this VM owns.
+
+    Parameters
+    ----------
+    vm : str
+        This VM.
+    fleet : Fleet
+        The configuration and the view in force.
+    guard : PauseGuard
+        Notices a pause between the confirmation and the order.
+    scheduler_task : SchedulerTask
+        Knows the engines of the owned pools.
+    engine_control : EngineControl
+        Gives the orders.
+    confirm_newest : callable
+        Asks peers whether the revision in force is the newest.
+    confirms : bool
+        Whether engines that check no fencing number are guarded.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm,
+        fleet,
+        guard,
+        scheduler_task,
+        engine_control,
+        confirm_newest,
+        confirms=True,
+    ):
+        self._vm = vm
+        self._fleet = fleet
+        self._guard = guard
+        self._scheduler_task = scheduler_task
+        self._engine_control = engine_control
+        self._confirm_newest = confirm_newest
+        self._confirms = confirms
+        self._planner = core.OrderPlanner()
+        self._configured = None
+        self._nursery = None
+        self.inbox, self._receive = trio.open_memory_channel(QUEUE_LENGTH)
+
+    async def run(self):
+        """Give orders until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            nursery.start_soon(self._send_ticks)
+            async for event in self._receive:
+                self._follow_ownership()
+                self._handle(event)
+
+    async def _send_ticks(self):
+        while True:
+            await trio.sleep(TICK_INTERVAL_S)
+            await self.inbox.send(core.Tick())
+
+    def _follow_ownership(self):
+        configured = core.OrdersConfigured(
+            configuration=self._fleet.configuration,
+            servers=self._scheduler_task.owned_servers(),
+        )
+        seen = (configured.configuration.revision, configured.servers)
+        if seen != self._configured:
+            self._configured = seen
+            self._handle(configured)
+
+    def _handle(self, event):
+        for command in self._planner.handle(event, _clock.read_clock_ms()):
+            self._nursery.start_soon(self._give, command)
+
+    async def _give(self, command):
+        order = command.order
+        outcome = core.OrderFailed(order=order)
+        try:
+            if await self._may_give(command):
+                with trio.fail_after(ORDER_TIMEOUT_S):
+                    await self._engine_control.give_order(
+                        command.server, order
+                    )
+                outcome = core.OrderDone(order=order)
+                self._log(events.ORDER_GIVEN, order)
+            else:
+                self._log(events.ORDER_NOT_CONFIRMED, order)
+        except (engines.EngineError, trio.TooSlowError) as error:
+            self._log(events.ORDER_FAILED, order, error=error or 'timeout')
+        await self.inbox.send(outcome)
+
+    async def _may_give(self, command):
+        if command.server.checks_fencing or not self._confirms:
+            return True
+        epoch = self._guard.epoch
+        if not await self._confirm_newest(command.order.fencing_number):
+            return False
+        # Nothing may come between these looks and the order but the way
+        # to the engine; docs/DESIGN.md names the race that is left.
+        self._guard.check()
+        owned = self._scheduler_task.owned_servers()
+        return (
+            self._guard.epoch == epoch
+            and self._fleet.view.confirmed
+            and command.server in owned
+        )
+
+    def _log(self, event, order, **fields):
+        emit(
+            event,
+            action=order.action,
+            target=order.target,
+            server=order.server,
+            number=order.fencing_number,
+            **fields,
+        )
--- a/bluebellthread/daemon/_service.py
+++ b/bluebellthread/daemon/_service.py
@@ -18,6 +18,7 @@
 from bluebellthread.daemon import _mailboxes
 from bluebellthread.daemon import _membership_task
 from bluebellthread.daemon import _model_path
+from bluebellthread.daemon import _orders_task
 from bluebellthread.daemon import _pause_guard
 from bluebellthread.daemon import _peers
 from bluebellthread.daemon import _platform
@@ -64,6 +65,7 @@
         self._make_desk()
         self._make_gateway()
         self._make_configuration()
+        self._make_orders()
 
     def _make_observers(self):
         settings = self._settings
@@ -235,6 +237,18 @@
                 message_class, self._configuration_task.inbox
             )
 
+    def _make_orders(self):
+        self._orders_task = _orders_task.OrdersTask(
+            vm=self._settings.vm,
+            fleet=self.fleet,
+            guard=self._guard,
+            scheduler_task=self._scheduler_task,
+            engine_control=self._engine_control,
+            confirm_newest=self._configuration_task.confirm_newest,
+            confirms=self._has('order-confirmation'),
+        )
+        self._engine_control.add_listener(self._orders_task.inbox)
+
     def stop(self):
         """Begin a planned stop: not ready first, then drain."""
         if self.fleet.draining:
@@ -264,6 +278,7 @@
             nursery.start_soon(self._status_task.run)
             nursery.start_soon(self._platform_watch.run)
             nursery.start_soon(self._configuration_task.run)
+            nursery.start_soon(self._orders_task.run)
             await self._serve_callers(nursery, peers, task_status)
             await self._finish_permits()
             await self._membership_task.close()
--- a/bluebellthread/engines/_completions.py
+++ b/bluebellthread/engines/_completions.py
@@ -89,6 +89,15 @@
             server, '/v1/cancel', {'request_id': request_id}, headers=[]
         )
 
+    async def give_order(self, server, order):
+        """Make a server load, unload or change its role."""
+        body = {
+            'fencing_number': order.fencing_number,
+            'action': order.action,
+            'target': order.target,
+        }
+        await self._call_json(server, '/orders', body, headers=[])
+
     async def read_load(self, server):
         """Return the server's load report as decoded JSON."""
         return await self._call_json(server, '/load', None, headers=[])
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -80,6 +80,20 @@
     'revision {revision} has other contents at {source} than here',
 )
 PLATFORM_WATCH_CHANGED = Event(3006, 'INFO', 'VM {vm} {state} the platform')
+ORDER_GIVEN = Event(
+    3007, 'INFO', 'order {number}: {action} {target} taken by {server}'
+)
+ORDER_FAILED = Event(
+    3008,
+    'WARNING',
+    'order {number}: {action} {target} failed at {server}: {error}',
+)
+ORDER_NOT_CONFIRMED = Event(
+    3009,
+    'WARNING',
+    'order {number}: {action} {target} for {server} held back: the lease or '
+    'the revision is not confirmed',
+)
 REQUEST_FAILED = Event(
     5001, 'WARNING', 'request {request_id} failed at {hop}: {error}'
 )
--- a/standin/_engine.py
+++ b/standin/_engine.py
@@ -78,6 +78,7 @@
         self.cancelled_ids = set()
         self.fencing_number = 0
         self.targets = set()
+        self.role = settings.role
         self.orders = []
         self._report = _memory.LaggedReport(settings, self._snapshot)
         self._part = (
@@ -136,6 +137,8 @@
             'running_ids': sorted(self.memory.held),
             'queued_count': self._part.queued_count,
             'leaving': self.settings.leaving,
+            'role': self.role,
+            'targets': sorted(self.targets),
         }
 
     async def _complete(self, request):
@@ -180,6 +183,10 @@
             self.targets.add(order['target'])
         elif order['action'] == 'unload':
             self.targets.discard(order['target'])
+        elif order['action'] == 'role':
+            # Reported only; the stand-in goes on with its part.
+            self.role = order['target']
+        self._report.changed()
         await request.answer(200, {'applied': True})
 
     async def _state(self, request):
