--- a/bluebellthread/daemon/_configuration_task.py
+++ b/bluebellthread/daemon/_configuration_task.py
@@ -106,10 +106,13 @@
     async def confirm_newest(self, revision):
         """Return whether peers confirm that a revision is the newest.
 
-        One answer is wanted at least, unless this VM is alone in its data
-        centre, and none may name a higher revision.
+        One answer is wanted at least, and none may name a higher revision.
+        A VM that sees no other in its data centre asks the platform, since
+        it may be the one that is cut off.
         """
         partners = self.revisions.partners
+        if not partners:
+            return await self._is_newest_published(revision)
         answers = []
         with trio.move_on_after(ASK_TIMEOUT_MS / MS_PER_S):
             async with trio.open_nursery() as nursery:
@@ -119,7 +122,17 @@
             return False
         if any(answer > revision for answer in answers):
             return False
-        return bool(answers) or not partners
+        return bool(answers)
+
+    async def _is_newest_published(self, revision):
+        try:
+            newer = await self._platform.watch_configuration(
+                after=revision, wait_s=0
+            )
+        except _platform.PlatformError as error:
+            emit(events.PLATFORM_UNREACHABLE, error=error)
+            return False
+        return newer is None and self.revisions.revision == revision
 
     async def _collect_revision(self, vm, answers):
         command = self.revisions.ask_manifest(vm)
--- a/standin/_engine.py
+++ b/standin/_engine.py
@@ -80,6 +80,7 @@
         self.targets = set()
         self.role = settings.role
         self.orders = []
+        self.asked_count = 0
         self._report = _memory.LaggedReport(settings, self._snapshot)
         self._part = (
             _prefilling.Prefilling(self)
@@ -113,6 +114,7 @@
 
     def admit(self, request_id, tokens):
         """Hold memory for a request; return why not, or an empty string."""
+        self.asked_count += 1
         if self.settings.leaving:
             return 'leaving'
         if request_id in self.cancelled_ids:
@@ -194,6 +196,7 @@
         state = self._snapshot() | {
             'cancelled_ids': sorted(self.cancelled_ids),
             'orders': self.orders,
+            'asked_count': self.asked_count,
             'targets': sorted(self.targets),
         }
         await request.answer(200, state | self._part.state())
