--- a/bluebellthread/core/_messages.py
+++ b/bluebellthread/core/_messages.py
@@ -152,7 +152,15 @@
 
 @attrs.frozen(kw_only=True)
 class StatusAnswer:
-    """A VM's state, for operators."""
+    """A VM's state, for operators.
+
+    Parameters
+    ----------
+    invalid_revision : int
+        A newer revision that this VM does not accept; 0 for none.
+    stale_revision : int
+        The older revision that the platform served this VM; 0 for none.
+    """
 
     vm: str
     data_centre: str
@@ -164,6 +172,8 @@
     permits_held: int
     permits_granted: int
     members: tuple[_model.Member, ...]
+    invalid_revision: int = 0
+    stale_revision: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/bluebellthread/core/_request_log.py
+++ b/bluebellthread/core/_request_log.py
@@ -1,18 +1,15 @@
-"""Which asks wait in a queue, and which have been superseded.
-
-A request id is the caller's own: two callers may use the same.
-"""
+"""Which asks wait in a queue, and which have been superseded."""
 
 REMEMBER_MS = 120000
 """How long a superseded ask is remembered."""
 
 
 class RequestLog:
-    """Asks by caller and request id; an ask is an attempt of a gateway.
+    """Asks by request id; an ask is one attempt of one gateway process.
 
     Examples
     --------
-    >>> RequestLog().find_key('workshop-12 r1') is None
+    >>> RequestLog().find_waiting('r1') is None
     True
     """
 
@@ -21,13 +18,9 @@
         self._superseded = {}
         self._fresh = {}
 
-    def find_key(self, key):
-        """Return the ask that waits under a key, or None."""
-        return self._waiting.get(key)
-
-    def find_waiting(self, ask):
-        """Return the ask of the same request that waits, or None."""
-        return self._waiting.get(request_key(ask))
+    def find_waiting(self, request_id):
+        """Return the ask of a request id that waits, or None."""
+        return self._waiting.get(request_id)
 
     def list_waiting(self):
         """Return all asks that wait."""
@@ -35,16 +28,16 @@
 
     def note_waiting(self, request):
         """Remember an ask that now waits."""
-        self._waiting[request_key(request)] = request
+        self._waiting[request.request_id] = request
 
     def forget_waiting(self, request):
         """Forget an ask that waits no more, unless a newer one does."""
-        if self._waiting.get(request_key(request)) is request:
-            del self._waiting[request_key(request)]
+        if self._waiting.get(request.request_id) is request:
+            del self._waiting[request.request_id]
 
     def note_superseded(self, ask):
         """Remember that an ask is never to be granted."""
-        self._waiting.pop(request_key(ask), None)
+        self._waiting.pop(ask.request_id, None)
         self._fresh[_key_of(ask)] = None
 
     def is_superseded(self, ask):
@@ -66,12 +59,12 @@
 
 
 def _key_of(ask):
-    return (request_key(ask), *process_of(ask), ask.attempt_number)
-
-
-def request_key(item):
-    """Return what tells the request of an ask or a permit from others."""
-    return f'{item.caller}\0{item.request_id}'
+    return (
+        ask.request_id,
+        ask.gateway,
+        ask.gateway_incarnation,
+        ask.attempt_number,
+    )
 
 
 def process_of(item):
--- a/bluebellthread/core/_scheduler.py
+++ b/bluebellthread/core/_scheduler.py
@@ -9,8 +9,6 @@
 import itertools
 import random
 
-import attrs
-
 from bluebellthread.core import _ending_permits
 from bluebellthread.core import _gateway_watch
 from bluebellthread.core import _messages
@@ -137,10 +135,10 @@
             return []
         if self._requests.is_superseded(request):
             return [self._refuse(request, 'superseded')]
-        known = self._requests.find_waiting(request)
+        known = self._requests.find_waiting(request.request_id)
         if known is not None and _request_log.is_same_ask(known, request):
             return []
-        entry = self._ledger.find_request(request)
+        entry = self._ledger.find_request(request.request_id)
         if entry is not None and _request_log.is_same_ask(
             entry.permit, request
         ):
@@ -154,7 +152,7 @@
         """Make a newer ask of the same request id the only one."""
         commands = []
         if waiting is not None:
-            self._queue.remove(_request_log.request_key(waiting))
+            self._queue.remove(waiting.request_id)
             self._requests.note_superseded(waiting)
             commands.append(self._refuse(waiting, 'superseded'))
         if entry is not None:
@@ -166,19 +164,16 @@
         if not self._placement.has_both_roles():
             return [self._refuse(request, 'no-backend')]
         self._requests.note_waiting(request)
-        keyed = attrs.evolve(
-            request, request_id=_request_log.request_key(request)
-        )
-        refused = self._queue.push(keyed, now_ms=now_ms)
+        refused = self._queue.push(request, now_ms=now_ms)
         return [self._refuse_from_queue(item) for item in refused]
 
     def _on_abandoned(self, event, now_ms):
-        waiting = self._requests.find_waiting(event)
+        waiting = self._requests.find_waiting(event.request_id)
         if waiting is not None and _request_log.is_same_ask(waiting, event):
-            self._queue.remove(_request_log.request_key(event))
+            self._queue.remove(event.request_id)
             self._requests.forget_waiting(waiting)
             return []
-        entry = self._ledger.find_request(event)
+        entry = self._ledger.find_request(event.request_id)
         if entry is not None and _request_log.is_same_ask(entry.permit, event):
             return self._ending.end(entry, now_ms, '')
         # Comes before the request that it takes back.
@@ -188,15 +183,14 @@
     def _grant_waiting(self, now_ms):
         commands = []
         while len(self._queue):
-            keyed = self._queue.pop_next(
+            request = self._queue.pop_next(
                 lambda item: self._fits(item, now_ms), now_ms=now_ms
             )
-            if keyed is None:
+            if request is None:
                 break
-            request = self._requests.find_key(keyed.request_id)
             self._requests.forget_waiting(request)
             commands.append(self._grant(request, now_ms))
-            self._queue.note_granted(keyed, now_ms=now_ms)
+            self._queue.note_granted(request, now_ms=now_ms)
         return commands
 
     def _fits(self, request, now_ms):
@@ -239,9 +233,10 @@
         return events.SendToGateway(gateway=permit.gateway, message=granted)
 
     def _refuse_from_queue(self, refusal):
-        request = self._requests.find_key(refusal.request.request_id)
-        self._requests.forget_waiting(request)
-        return self._refuse(request, refusal.kind, refusal.retry_after_ms)
+        self._requests.forget_waiting(refusal.request)
+        return self._refuse(
+            refusal.request, refusal.kind, refusal.retry_after_ms
+        )
 
     def _refuse(self, request, kind, retry_after_ms=_policies.RETRY_AFTER_MS):
         refusal = _messages.PermitRefused(
@@ -259,8 +254,8 @@
         if entry is None or entry.ended_ms is not None:
             return []
         if event.stage == 'decoding':
-            key = _request_log.request_key(entry.permit)
-            self._queue.note_first_output(key, now_ms=now_ms)
+            request_id = entry.permit.request_id
+            self._queue.note_first_output(request_id, now_ms=now_ms)
         self._ledger.progress(entry, event.stage)
         return []
 
@@ -287,7 +282,7 @@
         released = self._ending.has_ended(permit.permit_id)
         if known is not None or released or permit.pool != self.pool:
             return []
-        other = self._ledger.find_request(permit)
+        other = self._ledger.find_request(permit.request_id)
         entry = self._ledger.add(permit, now_ms)
         self._strays.forget(permit.permit_id)
         if other is None:
@@ -369,7 +364,7 @@
         commands = []
         for request in self._requests.list_waiting():
             if self._gateways.is_gone(_request_log.process_of(request)):
-                self._queue.remove(_request_log.request_key(request))
+                self._queue.remove(request.request_id)
                 self._requests.forget_waiting(request)
         holders = self._ledger.gateways()
         for gateway in self._gateways.find_gone(holders, now_ms):
--- a/bluebellthread/daemon/_scheduler_link.py
+++ b/bluebellthread/daemon/_scheduler_link.py
@@ -1,19 +1,20 @@
-"""A gateway's way to the schedulers of pools."""
+"""A model request's way to the schedulers of pools."""
 
 import functools
 
 import trio
 
 from bluebellthread import core
+from bluebellthread.daemon import _recovery
 
 
 class SchedulerLink:
-    """Asks for permits and tells of progress, in the background.
+    """Asks for permits in the background and tells of their progress.
 
     Parameters
     ----------
     desk : PermitDesk
-        Finds the owners and keeps the permits.
+        Keeps the permits of this VM.
     tracer : bluebellthread.observe.Tracer
         Makes the spans.
     """
@@ -24,7 +25,7 @@
         self._nursery = None
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
-        """Carry messages until cancelled."""
+        """Carry asks until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             task_status.started()
@@ -33,31 +34,47 @@
     def ask(self, request, answer, *, traceparent):
         """Ask for a permit; later hand the outcome to a function.
 
-        The outcome comes even if its request has ended since, so that a
-        permit granted too late can be given back.
+        The function also takes a `PermitCancelled` of the permit. Returns
+        a scope whose cancellation takes the ask back.
         """
+        scope = trio.CancelScope()
         ask = functools.partial(
-            self._ask, request, answer, traceparent=traceparent
+            self._ask, request, answer, scope, traceparent=traceparent
         )
         self._nursery.start_soon(ask)
+        return scope
+
+    def is_current(self, permit):
+        """Return whether new work may be started under a permit."""
+        return self._desk.is_current(permit.permit_id)
 
     def tell(self, message):
-        """Pass a `PermitProgressed` or `PermitReleased` on."""
+        """Pass a permit's progress or release on."""
         if isinstance(message, core.PermitReleased):
-            self._desk.release(message)
+            self._desk.release(message.permit_id, clean=message.clean)
         else:
-            self._desk.progress(message)
+            self._desk.progress(message.permit_id, message.stage)
 
-    def is_current(self, permit):
-        """Return whether new work may be started under a permit."""
-        return self._desk.is_current(permit)
-
-    async def _ask(self, request, answer, *, traceparent):
-        with self._tracer.span('scheduler', parent=traceparent) as span:
-            outcome = await self._desk.ask(
-                request, traceparent=self._tracer.traceparent_of(span)
-            )
-        answer(
-            outcome
-            or core.SchedulerUnreachable(attempt_number=request.attempt_number)
-        )
+    async def _ask(self, request, answer, scope, *, traceparent):
+        with scope, self._tracer.span('scheduler', parent=traceparent) as span:
+            try:
+                hold = await self._desk.ask(
+                    request,
+                    on_cancel=answer,
+                    traceparent=self._tracer.traceparent_of(span),
+                )
+            except _recovery.PermitRefusedError as error:
+                answer(_to_refusal(request, error))
+                return
+            answer(hold.granted)
+
+
+def _to_refusal(request, error):
+    if error.kind == 'no-scheduler':
+        return core.SchedulerUnreachable(attempt_number=request.attempt_number)
+    return core.PermitRefused(
+        request_id=request.request_id,
+        attempt_number=request.attempt_number,
+        kind=error.kind,
+        retry_after_ms=error.retry_after_ms,
+    )
--- a/bluebellthread/daemon/_service.py
+++ b/bluebellthread/daemon/_service.py
@@ -63,9 +63,9 @@
         self._make_scheduling()
         self._make_membership()
         self._make_desk()
-        self._make_gateway()
         self._make_configuration()
         self._make_orders()
+        self._make_gateway()
 
     def _make_observers(self):
         settings = self._settings
@@ -163,7 +163,8 @@
             cancels=self._engine_control.cancels,
             resends_releases=self._has('release-resend'),
         )
-        self._mailboxes.register(core.RegistrationWanted, self._desk.inbox)
+        for message_class in (core.RegistrationWanted, core.PermitCancelled):
+            self._mailboxes.register(message_class, self._desk.inbox)
 
     def _make_gateway(self):
         settings = self._settings
@@ -177,7 +178,6 @@
             tracer=self._tracer,
             metrics=self._metrics,
         )
-        self._mailboxes.register(core.PermitCancelled, self._model_path.inbox)
         self._service_path = _service_path.ServicePath(
             data_centre=settings.data_centre, fleet=self.fleet
         )
@@ -207,16 +207,17 @@
             admission=self._admission,
             scheduler_task=self._scheduler_task,
             request_log=self._request_log,
+            revisions=self._configuration_task.revisions,
         )
         for message_class in (core.StatusRequest, core.RequestLookup):
             self._mailboxes.register(message_class, self._status_task.inbox)
+
+    def _make_configuration(self):
+        settings = self._settings
         self._platform_watch = _platform_watch.PlatformWatch(
             platform=self._platform,
             membership_inbox=self._membership_task.inbox,
         )
-
-    def _make_configuration(self):
-        settings = self._settings
         self._configuration_task = _configuration_task.ConfigurationTask(
             vm=settings.vm,
             data_centre=settings.data_centre,
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -100,6 +100,9 @@
 REQUEST_REFUSED = Event(
     5002, 'INFO', 'request {request_id} of {caller} refused: {kind}'
 )
+REQUEST_CRASHED = Event(
+    5003, 'ERROR', 'request {request_id} met a fault of the router: {error}'
+)
 POOL_OWNED = Event(4001, 'INFO', 'VM {vm} now schedules pool {pool}')
 POOL_LEFT = Event(4002, 'INFO', 'VM {vm} no longer schedules pool {pool}')
 ENGINE_CANCEL_FAILED = Event(
--- a/bluebellthread/wire/peer.thrift
+++ b/bluebellthread/wire/peer.thrift
@@ -111,6 +111,8 @@
   8: i32 permits_held,
   9: i32 permits_granted,
   10: list<Member> members,
+  11: i64 invalid_revision,
+  12: i64 stale_revision,
 }
 
 struct RequestLookup {
