--- a/tests/unit/test_revisions.py
+++ b/tests/unit/test_revisions.py
@@ -7,12 +7,21 @@
 
 from bluebellthread import configuration
 from bluebellthread import core
+from bluebellthread import wire
 
 PLACES = {'a': ('a1', 'a2', 'a3'), 'b': ('b1', 'b2')}
 
 
-def make_value(revision, *, pace_ms=45, invalid=False):
-    models = [{'name': f'm{number}'} for number in range(40)]
+TARGET_VMS = 78
+"""VMs of one data centre at the target's size."""
+TARGET_ITEMS = 2000
+CHANGES_PER_DAY = 1400
+SECONDS_PER_DAY = 86400
+BUDGET_BYTES_PER_S = 13_000
+
+
+def make_value(revision, *, pace_ms=45, invalid=False, models=40):
+    models = [{'name': f'm{number}'} for number in range(models)]
     if invalid:
         models.append(models[0])
     return {
@@ -38,6 +47,14 @@
     )
 
 
+def measure_bytes(message):
+    """Return the length of a message on its way between VMs."""
+    envelope = wire.Envelope(
+        message=message, sender='a1', sender_incarnation=2**61, correlation=1
+    )
+    return len(wire.encode_frame(envelope, now_ms=0))
+
+
 class Network:
     """VMs whose messages a test delivers, delays or loses."""
 
@@ -199,16 +216,25 @@
         self.assertEqual([4, 6], found)
 
     def test_the_tree_reaches_all_with_few_messages_each(self):
-        network = Network({'a': tuple(f'a{n}' for n in range(40))})
+        network = Network({'a': tuple(f'a{n}' for n in range(TARGET_VMS))})
         network.settle(duration_ms=1500)
-        network.publish('a7', make_value(4))
+        network.publish('a7', make_value(4, models=TARGET_ITEMS))
+        network.settle()
+        network.publish('a7', make_value(5, models=TARGET_ITEMS + 1))
         told = collections.Counter()
+        sent_bytes = collections.Counter()
         while network.in_flight:
             sender, message = network.in_flight[0][2]
             told[sender] += isinstance(message, core.RevisionAnnounced)
+            sent_bytes[sender] += measure_bytes(message)
             network.deliver()
-        self.assertEqual({4}, network.revisions())
+        self.assertEqual({5}, network.revisions())
         self.assertLessEqual(max(told.values()), 5)
+        mean_bytes = sum(sent_bytes.values()) / TARGET_VMS
+        most_bytes = max(sent_bytes.values())
+        print(f'one more item: {mean_bytes:.0f} B a VM, {most_bytes} at most')
+        per_s = most_bytes * CHANGES_PER_DAY / SECONDS_PER_DAY
+        self.assertLess(per_s, BUDGET_BYTES_PER_S / 10)
 
     def test_lost_announcements_are_made_up_for(self):
         network = Network({'a': ('a1', 'a2', 'a3')})
