--- a/bluebellthread/configuration/_settings.py
+++ b/bluebellthread/configuration/_settings.py
@@ -74,8 +74,8 @@
         For tests only, to show what a mechanism is for: ``'probes'``,
         ``'pause-detection'``, ``'gateway-cancel'``, ``'stray-cancel'``,
         ``'registrations'``, ``'cautious-share'``, ``'release-resend'``,
-        ``'balancer-lag'``, ``'start-hold'``, ``'revision-order'``,
-        ``'digest-exchange'``, ``'shared-watch'`` or
+        ``'minority-wait'``, ``'balancer-lag'``, ``'start-hold'``,
+        ``'revision-order'``, ``'digest-exchange'``, ``'shared-watch'`` or
         ``'order-confirmation'``.
 
     Examples
--- a/bluebellthread/core/_request_log.py
+++ b/bluebellthread/core/_request_log.py
@@ -1,15 +1,18 @@
-"""Which asks wait in a queue, and which have been superseded."""
+"""Which asks wait in a queue, and which have been superseded.
+
+A request id is the caller's own: two callers may use the same.
+"""
 
 REMEMBER_MS = 120000
 """How long a superseded ask is remembered."""
 
 
 class RequestLog:
-    """Asks by request id; an ask is one attempt of one gateway process.
+    """Asks by caller and request id; an ask is an attempt of a gateway.
 
     Examples
     --------
-    >>> RequestLog().find_waiting('r1') is None
+    >>> RequestLog().find_key('workshop-12 r1') is None
     True
     """
 
@@ -18,9 +21,13 @@
         self._superseded = {}
         self._fresh = {}
 
-    def find_waiting(self, request_id):
-        """Return the ask of a request id that waits, or None."""
-        return self._waiting.get(request_id)
+    def find_key(self, key):
+        """Return the ask that waits under a key, or None."""
+        return self._waiting.get(key)
+
+    def find_waiting(self, ask):
+        """Return the ask of the same request that waits, or None."""
+        return self._waiting.get(request_key(ask))
 
     def list_waiting(self):
         """Return all asks that wait."""
@@ -28,16 +35,16 @@
 
     def note_waiting(self, request):
         """Remember an ask that now waits."""
-        self._waiting[request.request_id] = request
+        self._waiting[request_key(request)] = request
 
     def forget_waiting(self, request):
         """Forget an ask that waits no more, unless a newer one does."""
-        if self._waiting.get(request.request_id) is request:
-            del self._waiting[request.request_id]
+        if self._waiting.get(request_key(request)) is request:
+            del self._waiting[request_key(request)]
 
     def note_superseded(self, ask):
         """Remember that an ask is never to be granted."""
-        self._waiting.pop(ask.request_id, None)
+        self._waiting.pop(request_key(ask), None)
         self._fresh[_key_of(ask)] = None
 
     def is_superseded(self, ask):
@@ -59,12 +66,12 @@
 
 
 def _key_of(ask):
-    return (
-        ask.request_id,
-        ask.gateway,
-        ask.gateway_incarnation,
-        ask.attempt_number,
-    )
+    return (request_key(ask), *process_of(ask), ask.attempt_number)
+
+
+def request_key(item):
+    """Return what tells the request of an ask or a permit from others."""
+    return f'{item.caller}\0{item.request_id}'
 
 
 def process_of(item):
--- a/bluebellthread/daemon/_scheduler_link.py
+++ b/bluebellthread/daemon/_scheduler_link.py
@@ -1,20 +1,19 @@
-"""A model request's way to the schedulers of pools."""
+"""A gateway's way to the schedulers of pools."""
 
 import functools
 
 import trio
 
 from bluebellthread import core
-from bluebellthread.daemon import _recovery
 
 
 class SchedulerLink:
-    """Asks for permits in the background and tells of their progress.
+    """Asks for permits and tells of progress, in the background.
 
     Parameters
     ----------
     desk : PermitDesk
-        Keeps the permits of this VM.
+        Finds the owners and keeps the permits.
     tracer : bluebellthread.observe.Tracer
         Makes the spans.
     """
@@ -25,7 +24,7 @@
         self._nursery = None
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
-        """Carry asks until cancelled."""
+        """Carry messages until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             task_status.started()
@@ -34,8 +33,9 @@
     def ask(self, request, answer, *, traceparent):
         """Ask for a permit; later hand the outcome to a function.
 
-        The function also takes a `PermitCancelled` of the permit. Returns
-        a scope whose cancellation takes the ask back.
+        Returns a scope: cancelling it takes the ask back. An outcome that
+        has come by then is handed over all the same, so that a permit
+        granted too late can be given back.
         """
         scope = trio.CancelScope()
         ask = functools.partial(
@@ -44,37 +44,29 @@
         self._nursery.start_soon(ask)
         return scope
 
-    def is_current(self, permit):
-        """Return whether new work may be started under a permit."""
-        return self._desk.is_current(permit.permit_id)
-
     def tell(self, message):
-        """Pass a permit's progress or release on."""
+        """Pass a `PermitProgressed` or `PermitReleased` on."""
         if isinstance(message, core.PermitReleased):
-            self._desk.release(message.permit_id, clean=message.clean)
+            self._desk.release(message)
         else:
-            self._desk.progress(message.permit_id, message.stage)
+            self._desk.progress(message)
+
+    def is_current(self, permit):
+        """Return whether new work may be started under a permit."""
+        return self._desk.is_current(permit)
 
     async def _ask(self, request, answer, scope, *, traceparent):
         with scope, self._tracer.span('scheduler', parent=traceparent) as span:
             try:
-                hold = await self._desk.ask(
-                    request,
-                    on_cancel=answer,
-                    traceparent=self._tracer.traceparent_of(span),
+                outcome = await self._desk.ask(
+                    request, traceparent=self._tracer.traceparent_of(span)
                 )
-            except _recovery.PermitRefusedError as error:
-                answer(_to_refusal(request, error))
-                return
-            answer(hold.granted)
-
-
-def _to_refusal(request, error):
-    if error.kind == 'no-scheduler':
-        return core.SchedulerUnreachable(attempt_number=request.attempt_number)
-    return core.PermitRefused(
-        request_id=request.request_id,
-        attempt_number=request.attempt_number,
-        kind=error.kind,
-        retry_after_ms=error.retry_after_ms,
-    )
+            except trio.Cancelled:
+                self._desk.abandon(request)
+                raise
+            answer(
+                outcome
+                or core.SchedulerUnreachable(
+                    attempt_number=request.attempt_number
+                )
+            )
--- a/bluebellthread/daemon/_service.py
+++ b/bluebellthread/daemon/_service.py
@@ -37,6 +37,9 @@
 
 MS_PER_S = 1000
 
+MINORITY_TIMEOUT_MS = 10000
+"""How long a VM that may be cut off waits to cancel for the dead."""
+
 RELEASE_TIMEOUT_S = 2
 RELEASE_POLL_S = 0.02
 
@@ -125,6 +128,9 @@
                 cancels_gone_gateways=self._has('gateway-cancel'),
                 cancels_strays=self._has('stray-cancel'),
                 asks_registrations=self._has('registrations'),
+                minority_timeout_ms=MINORITY_TIMEOUT_MS
+                if self._has('minority-wait')
+                else 0,
             ),
         )
         for message_class in (
@@ -163,8 +169,7 @@
             cancels=self._engine_control.cancels,
             resends_releases=self._has('release-resend'),
         )
-        for message_class in (core.RegistrationWanted, core.PermitCancelled):
-            self._mailboxes.register(message_class, self._desk.inbox)
+        self._mailboxes.register(core.RegistrationWanted, self._desk.inbox)
 
     def _make_gateway(self):
         settings = self._settings
@@ -178,6 +183,7 @@
             tracer=self._tracer,
             metrics=self._metrics,
         )
+        self._mailboxes.register(core.PermitCancelled, self._model_path.inbox)
         self._service_path = _service_path.ServicePath(
             data_centre=settings.data_centre, fleet=self.fleet
         )
