--- a/bluebellthread/configuration/_settings.py
+++ b/bluebellthread/configuration/_settings.py
@@ -78,9 +78,11 @@
         For tests only, to show what a mechanism is for: ``'probes'``,
         ``'pause-detection'``, ``'gateway-cancel'``, ``'stray-cancel'``,
         ``'registrations'``, ``'cautious-share'``, ``'release-resend'``,
-        ``'minority-wait'`` or ``'balancer-lag'``; for answers
-        ``'answer-order'``, ``'answer-resume'``, ``'answer-retry'``,
-        ``'supersede'`` or ``'caller-release'``.
+        ``'minority-wait'``, ``'balancer-lag'``, ``'start-hold'``,
+        ``'revision-order'``, ``'digest-exchange'``, ``'shared-watch'``,
+        ``'order-confirmation'``; for answers ``'answer-order'``,
+        ``'answer-resume'``, ``'answer-retry'``, ``'supersede'`` or
+        ``'caller-release'``.
 
     Examples
     --------
--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -41,6 +41,11 @@
 from bluebellthread.core._configuration import ScopedException
 from bluebellthread.core._configuration import Service
 from bluebellthread.core._configuration import Values
+from bluebellthread.core._configuration_messages import ManifestAnswer
+from bluebellthread.core._configuration_messages import ManifestRequest
+from bluebellthread.core._configuration_messages import RevisionAnnounced
+from bluebellthread.core._configuration_messages import SectionsAnswer
+from bluebellthread.core._configuration_messages import SectionsRequest
 from bluebellthread.core._decode_policies import BestFit
 from bluebellthread.core._decode_policies import FewestRunning
 from bluebellthread.core._early_refusal import EarlyRefusalQueue
@@ -92,6 +97,15 @@
 from bluebellthread.core._model import ROLE_DECODE
 from bluebellthread.core._model import ROLE_PREFILL
 from bluebellthread.core._model import ROLE_SERVICE
+from bluebellthread.core._orders import EngineOrder
+from bluebellthread.core._orders import list_targets
+from bluebellthread.core._orders import OrderDone
+from bluebellthread.core._orders import OrderFailed
+from bluebellthread.core._orders import OrderOptions
+from bluebellthread.core._orders import OrderPlanner
+from bluebellthread.core._orders import OrdersConfigured
+from bluebellthread.core._orders import SendOrder
+from bluebellthread.core._orders import share_loads
 from bluebellthread.core._ownership import choose_owner
 from bluebellthread.core._ownership import rank_by_rendezvous
 from bluebellthread.core._permit_messages import PermitAbandoned
@@ -111,6 +125,21 @@
 from bluebellthread.core._registry import Registry
 from bluebellthread.core._retry import backoff_ms
 from bluebellthread.core._retry import RetryBudget
+from bluebellthread.core._revision_events import AnswerPeer
+from bluebellthread.core._revision_events import ApplyConfiguration
+from bluebellthread.core._revision_events import AskPeer
+from bluebellthread.core._revision_events import PeerAnswered
+from bluebellthread.core._revision_events import PeerAsked
+from bluebellthread.core._revision_events import PeerFailed
+from bluebellthread.core._revision_events import PublishedInvalid
+from bluebellthread.core._revision_events import ReportConflict
+from bluebellthread.core._revision_events import ReportInvalid
+from bluebellthread.core._revision_events import ReportStale
+from bluebellthread.core._revision_events import RevisionPublished
+from bluebellthread.core._revision_events import TellPeer
+from bluebellthread.core._revision_events import WatchPlatform
+from bluebellthread.core._revision_options import RevisionOptions
+from bluebellthread.core._revisions import Revisions
 from bluebellthread.core._scheduler import Scheduler
 from bluebellthread.core._scheduler_events import CancelAtEngine
 from bluebellthread.core._scheduler_events import CancelConfirmed
@@ -120,9 +149,16 @@
 from bluebellthread.core._scheduler_events import ServersChanged
 from bluebellthread.core._scheduler_events import Tick
 from bluebellthread.core._scheduler_options import SchedulerOptions
+from bluebellthread.core._sections import join_value
+from bluebellthread.core._sections import Manifest
+from bluebellthread.core._sections import ManifestPart
+from bluebellthread.core._sections import pack_sections
+from bluebellthread.core._sections import split_value
+from bluebellthread.core._sections import unpack_sections
 from bluebellthread.core._spill_policies import PoolSummary
 from bluebellthread.core._spill_policies import RegionSpill
 from bluebellthread.core._spill_policies import SpillPolicy
+from bluebellthread.core._spread import choose_watchers
 from bluebellthread.core._stray_watch import make_permit_id
 from bluebellthread.core._ticket_book import cost_bytes
 from bluebellthread.core._ticket_book import TicketBook
@@ -180,7 +216,10 @@
     'AnswerLost',
     'AnswerMachine',
     'AnswerOptions',
+    'AnswerPeer',
     'AnswerPiece',
+    'ApplyConfiguration',
+    'AskPeer',
     'AskPermit',
     'Assembler',
     'AttemptRejected',
@@ -207,6 +246,7 @@
     'DuplicateNameError',
     'EarlyRefusalQueue',
     'EmitPiece',
+    'EngineOrder',
     'FairQueue',
     'FewestRunning',
     'FinishAnswer',
@@ -222,6 +262,10 @@
     'LoadReport',
     'LookupArrived',
     'MEMBERSHIP_MESSAGES',
+    'Manifest',
+    'ManifestAnswer',
+    'ManifestPart',
+    'ManifestRequest',
     'Member',
     'Membership',
     'MembershipOptions',
@@ -230,8 +274,16 @@
     'NotRun',
     'NothingSent',
     'OptionsChanged',
+    'OrderDone',
+    'OrderFailed',
+    'OrderOptions',
+    'OrderPlanner',
+    'OrdersConfigured',
     'OutcomeUnknown',
     'PauseNoticed',
+    'PeerAnswered',
+    'PeerAsked',
+    'PeerFailed',
     'Permit',
     'PermitAbandoned',
     'PermitCancelled',
@@ -249,6 +301,7 @@
     'PrefillEnded',
     'PrefixIndex',
     'Problem',
+    'PublishedInvalid',
     'QueueOptions',
     'QueueRefusal',
     'ROLE_DECODE',
@@ -264,10 +317,17 @@
     'RegistrationWanted',
     'Registry',
     'Rejected',
+    'ReportConflict',
+    'ReportInvalid',
+    'ReportStale',
     'RequestFound',
     'RequestLookup',
     'Resolver',
     'RetryBudget',
+    'RevisionAnnounced',
+    'RevisionOptions',
+    'RevisionPublished',
+    'Revisions',
     'Route',
     'RunFailed',
     'Scheduler',
@@ -275,8 +335,11 @@
     'SchedulerUnreachable',
     'Scope',
     'ScopedException',
+    'SectionsAnswer',
+    'SectionsRequest',
     'SeedsTried',
     'SendDatagram',
+    'SendOrder',
     'SendToGateway',
     'ServerAnswer',
     'ServersChanged',
@@ -294,6 +357,7 @@
     'StreamEnded',
     'Superseded',
     'TICKET_KEYS_MAX',
+    'TellPeer',
     'TellScheduler',
     'Tick',
     'Ticket',
@@ -322,10 +386,12 @@
     'UnknownNameError',
     'Values',
     'ViewChanged',
+    'WatchPlatform',
     'after_forward',
     'backoff_ms',
     'check_configuration',
     'choose_owner',
+    'choose_watchers',
     'cost_bytes',
     'count_pieces',
     'decide_acceptance',
@@ -334,12 +400,18 @@
     'estimate_tokens',
     'explain',
     'id_of_text',
+    'join_value',
+    'list_targets',
     'longest_check_ms',
     'make_permit_id',
     'origin_of',
+    'pack_sections',
     'prefill_policies',
     'queue_policies',
     'rank_by_rendezvous',
     'resolve',
+    'share_loads',
     'spill_policies',
+    'split_value',
+    'unpack_sections',
 ]
--- a/bluebellthread/daemon/_service.py
+++ b/bluebellthread/daemon/_service.py
@@ -11,12 +11,14 @@
 from bluebellthread import core
 from bluebellthread.daemon import _admission
 from bluebellthread.daemon import _cautious_share
+from bluebellthread.daemon import _configuration_task
 from bluebellthread.daemon import _engine_control
 from bluebellthread.daemon import _fleet
 from bluebellthread.daemon import _gateway
 from bluebellthread.daemon import _mailboxes
 from bluebellthread.daemon import _membership_task
 from bluebellthread.daemon import _model_path
+from bluebellthread.daemon import _orders_task
 from bluebellthread.daemon import _pause_guard
 from bluebellthread.daemon import _peers
 from bluebellthread.daemon import _platform
@@ -74,6 +76,8 @@
         )
         self._make_membership()
         self._make_desk()
+        self._make_configuration()
+        self._make_orders()
         self._make_gateway()
 
     def _make_observers(self):
@@ -223,15 +227,48 @@
             admission=self._admission,
             scheduler_task=self._scheduler_task,
             request_log=self._request_log,
+            revisions=self._configuration_task.revisions,
         )
         for message_class in (core.StatusRequest, core.RequestLookup):
             self._mailboxes.register(message_class, self._status_task.inbox)
+
+    def _make_configuration(self):
+        settings = self._settings
         self._platform_watch = _platform_watch.PlatformWatch(
             platform=self._platform,
+            membership_inbox=self._membership_task.inbox,
+        )
+        self._configuration_task = _configuration_task.ConfigurationTask(
+            vm=settings.vm,
+            data_centre=settings.data_centre,
             fleet=self.fleet,
+            links=self._links,
+            platform=self._platform,
+            listeners=(self._scheduler_task.inbox,),
+            list_watch=self._platform_watch,
+            options=core.RevisionOptions(
+                holds_at_start=self._has('start-hold'),
+                ignores_older=self._has('revision-order'),
+                exchanges=self._has('digest-exchange'),
+                shares_watch=self._has('shared-watch'),
+            ),
+        )
+        for message_class in _configuration_task.MESSAGES:
+            self._mailboxes.register(
+                message_class, self._configuration_task.inbox
+            )
+
+    def _make_orders(self):
+        self._orders_task = _orders_task.OrdersTask(
+            vm=self._settings.vm,
+            fleet=self.fleet,
+            guard=self._guard,
             scheduler_task=self._scheduler_task,
-            membership_inbox=self._membership_task.inbox,
+            engine_control=self._engine_control,
+            confirm_newest=self._configuration_task.confirm_newest,
+            confirms=self._has('order-confirmation'),
         )
+        self._engine_control.add_listener(self._orders_task.inbox)
 
     def stop(self):
         """Begin a planned stop: not ready first, then drain."""
@@ -263,6 +300,8 @@
             nursery.start_soon(self._platform_watch.run)
             await nursery.start(self._tickets.task.run)
             nursery.start_soon(self._stop_tickets)
+            nursery.start_soon(self._configuration_task.run)
+            nursery.start_soon(self._orders_task.run)
             await self._serve_callers(nursery, peers, task_status)
             await self._tickets_stopped.wait()
             await self._finish_permits()
--- a/bluebellthread/daemon/_status_task.py
+++ b/bluebellthread/daemon/_status_task.py
@@ -19,6 +19,7 @@
         admission,
         scheduler_task,
         request_log,
+        revisions,
     ):
         self._settings = settings
         self._incarnation = incarnation
@@ -26,6 +27,7 @@
         self._admission = admission
         self._scheduler_task = scheduler_task
         self._request_log = request_log
+        self._revisions = revisions
         self.inbox, self._receive = trio.open_memory_channel(QUEUE_LENGTH)
 
     async def run(self):
@@ -51,4 +53,6 @@
             permits_held=self._admission.in_progress,
             permits_granted=self._scheduler_task.permits_granted,
             members=self._fleet.view.members,
+            invalid_revision=self._revisions.invalid_revision,
+            stale_revision=self._revisions.stale_revision,
         )
