Add the load tool: real daemons and stand-in engines on loopback

Open-loop seeded arrivals, heavy-tailed prompts and callers, shared prefixes, both deployments, faults by a registry; one JSON line a run, a Markdown table and a plot compare runs.

--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,138 @@
+"""The command line: ``python -m bench --help``."""
+
+import argparse
+import functools
+import json
+import sys
+
+import trio
+
+from bench import _deployments
+from bench import _faults
+from bench import _report
+from bench import _rig
+from bench import _run
+from bluebellthread import core
+
+LOADS = (0.5, 0.8, 1.0, 1.2, 2.0)
+
+PRESETS = {
+    'random': ('random', 'random', 'first-come'),
+    'round-robin': ('round-robin', 'round-robin', 'first-come'),
+    'least-reported': ('least-reported', 'most-reported', 'first-come'),
+    'reserved': ('least-loaded', 'most-free', 'first-come'),
+    'fair': ('least-loaded', 'most-free', 'fair'),
+    'full': ('prefix', 'fewest-running', 'fair-early-refusal'),
+}
+
+
+def parse_policies(name):
+    """Return the policies of a preset, or of three joined names."""
+    parts = PRESETS.get(name) or tuple(name.split('+'))
+    if len(parts) != 3:
+        raise argparse.ArgumentTypeError(
+            f'{name!r} is unknown; use one of {", ".join(PRESETS)}, or '
+            'PREFILL+DECODE+QUEUE'
+        )
+    registries = (
+        core.prefill_policies,
+        core.decode_policies,
+        core.queue_policies,
+    )
+    for registry, part in zip(registries, parts, strict=True):
+        try:
+            registry.get(part)
+        except core.UnknownNameError as error:
+            raise argparse.ArgumentTypeError(str(error)) from error
+    return name, _rig.Policies(
+        prefill_policy=parts[0], decode_policy=parts[1], queue_policy=parts[2]
+    )
+
+
+def make_parser():
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(
+        prog='python -m bench',
+        description='Load real daemons and stand-in engines on loopback.',
+    )
+    commands = parser.add_subparsers(dest='command', required=True)
+    run = commands.add_parser(
+        'run', help='run policies at loads and print one JSON line a run'
+    )
+    run.add_argument(
+        '--deployment',
+        choices=sorted(_deployments.DEPLOYMENTS),
+        nargs='+',
+        default=['papuseria'],
+    )
+    run.add_argument(
+        '--places', nargs='+', help='only these data centres, all by default'
+    )
+    run.add_argument(
+        '--policy',
+        type=parse_policies,
+        nargs='+',
+        default=[parse_policies('full')],
+        help=f'{", ".join(PRESETS)}, or PREFILL+DECODE+QUEUE',
+    )
+    run.add_argument('--load', type=float, nargs='+', default=list(LOADS))
+    run.add_argument(
+        '--fault',
+        choices=_faults.fault_kinds.names(),
+        nargs='+',
+        default=['none'],
+    )
+    run.add_argument('--seed', type=int, nargs='+', default=[1])
+    run.add_argument('--duration-s', type=float, default=15.0)
+    run.set_defaults(call=run_all)
+    report = commands.add_parser(
+        'report', help='compare runs: a Markdown table and a plot'
+    )
+    report.add_argument('files', nargs='+', metavar='FILE')
+    report.add_argument('--plot', metavar='FILE.png')
+    report.set_defaults(call=report_all)
+    return parser
+
+
+def run_all(options):
+    """Run every combination, the policies side by side in each."""
+    for name in options.deployment:
+        deployment = _deployments.DEPLOYMENTS[name]
+        if options.places:
+            deployment = deployment.only(options.places)
+        for seed in options.seed:
+            for fault in options.fault:
+                for load in options.load:
+                    for policy, policies in options.policy:
+                        record = trio.run(
+                            functools.partial(
+                                _run.run_once,
+                                deployment=deployment,
+                                policy=policy,
+                                policies=policies,
+                                load=load,
+                                fault=fault,
+                                seed=seed,
+                                duration_s=options.duration_s,
+                            )
+                        )
+                        print(json.dumps(record), flush=True)
+
+
+def report_all(options):
+    """Print the table and draw the plot."""
+    records = _report.read_records(options.files)
+    print(_report.make_table(records))
+    if options.plot:
+        _report.make_plot(records, options.plot)
+
+
+def main(arguments=None):
+    """Run the command line."""
+    options = make_parser().parse_args(arguments)
+    options.call(options)
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/bench/_rig.py
@@ -0,0 +1,234 @@
+"""The processes of one run: platform, engines, daemons."""
+
+import os
+import pathlib
+import socket
+
+import attrs
+import trio
+
+from bluebellthread import core
+from tests.integration import _fleet
+
+from bench import _deployments
+
+REVISION = 1
+READY_TIMEOUT_S = 20
+CLOCK_TICKS_PER_S = os.sysconf('SC_CLK_TCK')
+
+
+@attrs.frozen(kw_only=True)
+class Policies:
+    """Names of the policies under test, as in the configuration."""
+
+    prefill_policy: str
+    decode_policy: str
+    queue_policy: str
+    spill_policy: str = 'none'
+
+
+class StatsdSink:
+    """Adds up the counters that the daemons send."""
+
+    def __init__(self):
+        self.counts = {}
+        self._socket = trio.socket.socket(type=socket.SOCK_DGRAM)
+
+    async def start(self, nursery):
+        """Begin to receive; return the port."""
+        await self._socket.bind(('127.0.0.1', 0))
+        nursery.start_soon(self._receive)
+        return self._socket.getsockname()[1]
+
+    def close(self):
+        """Close the socket."""
+        self._socket.close()
+
+    async def _receive(self):
+        while True:
+            data = await self._socket.recv(65536)
+            for line in data.decode().splitlines():
+                name, _, rest = line.partition(':')
+                value, _, kind = rest.partition('|')
+                if kind == 'c':
+                    name = name.split('.', 2)[-1]
+                    self.counts[name] = self.counts.get(name, 0) + int(value)
+
+
+class Rig:
+    """Starts a deployment and says what became of its engines."""
+
+    def __init__(self, *, deployment, policies, with_proxies):
+        self.deployment = deployment
+        self.fleet = _fleet.Fleet()
+        self._policies = policies
+        self._with_proxies = with_proxies
+        self._engines = []
+        self._last_states = {}
+        self.sink = StatsdSink()
+
+    async def start(self, nursery):
+        """Start every process and wait until the daemons serve."""
+        await self.fleet.start()
+        statsd_port = await self.sink.start(nursery)
+        await self.fleet.start_standins([{'kind': 'platform'}])
+        for place in self.deployment.places:
+            await self._start_engines(place)
+        if self._with_proxies:
+            await self._start_proxies()
+        await self.fleet.publish_config(self._configuration())
+        async with trio.open_nursery() as starting:
+            for place in self.deployment.places:
+                for number in range(_deployments.VMS_PER_PLACE):
+                    starting.start_soon(
+                        self._start_daemon, place, number, statsd_port
+                    )
+        await self.fleet.publish_vms()
+        for daemon in self.fleet.daemons.values():
+            await _fleet.until(
+                lambda daemon=daemon: self._is_ready(daemon),
+                what=f'{daemon.name} ready',
+                timeout_s=READY_TIMEOUT_S,
+            )
+
+    async def close(self):
+        """End every process."""
+        self.sink.close()
+        await self.fleet.close()
+
+    def addresses(self):
+        """Return where callers reach each VM."""
+        return {
+            (place.name, number): (daemon.callers.host, daemon.callers.port)
+            for place in self.deployment.places
+            for number in range(_deployments.VMS_PER_PLACE)
+            for daemon in [self.fleet.daemons[f'{place.name}-{number}']]
+        }
+
+    def first_decode(self):
+        """Return the name of the decode engine that faults strike."""
+        return f'{self.deployment.places[0].name}-d0'
+
+    def first_proxy(self):
+        """Return the name of the proxy that faults strike."""
+        return f'{self.deployment.places[0].name}-p0-proxy'
+
+    def owner_process(self):
+        """Return the process that schedules the first pool."""
+        place = self.deployment.places[0].name
+        pool = core.PoolKey(serves=self.deployment.model, data_centre=place)
+        names = [
+            f'{place}-{number}' for number in range(_deployments.VMS_PER_PLACE)
+        ]
+        return self.fleet.process_of(core.choose_owner(pool.text(), names))
+
+    async def read_states(self):
+        """Return each engine's state, the last one known if it is gone."""
+        for name, _ in self._engines:
+            if self.fleet.process_of(name).exit_code is None:
+                self._last_states[name] = await self.fleet.state(name)
+        return {
+            name: {'role': role, **self._last_states.get(name, {})}
+            for name, role in self._engines
+        }
+
+    def daemon_use(self):
+        """Return processor time and memory of each daemon that runs."""
+        return {
+            daemon.name: read_process_use(daemon.process.pid)
+            for daemon in self.fleet.daemons.values()
+            if daemon.process.exit_code is None
+        }
+
+    async def _start_engines(self, place):
+        entries = _deployments.engine_entries(place)
+        prefill = [item for item in entries if item['role'] == 'prefill']
+        decode = [item for item in entries if item['role'] == 'decode']
+        # A process of its own for each decode engine, so that one can be
+        # killed alone.
+        for group in [prefill, *[[item] for item in decode]]:
+            await self.fleet.start_standins(group)
+        self._engines += [(item['name'], item['role']) for item in entries]
+
+    async def _start_proxies(self):
+        names = [name for name, role in self._engines if role == 'prefill']
+        await self.fleet.start_standins(
+            [
+                {
+                    'kind': 'proxy',
+                    'name': f'{name}-proxy',
+                    'target_port': self.fleet.standins[name].port,
+                }
+                for name in names
+            ]
+        )
+        for name in names:
+            port = self.fleet.standins[f'{name}-proxy'].port
+            await self.fleet.control(name, export_port=port)
+
+    async def _start_daemon(self, place, number, statsd_port):
+        platform = self.fleet.standins['platform']
+        await self.fleet.start_daemon(
+            {
+                'vm': f'{place.name}-{number}',
+                'data_centre': place.name,
+                'region': place.region,
+                'host': '127.0.0.1',
+                'peer_port': 0,
+                'caller_port': 0,
+                'platform_addresses': [f'{platform.host}:{platform.port}'],
+                'statsd_host': '127.0.0.1',
+                'statsd_port': statsd_port,
+                'log_level': 'INFO',
+            }
+        )
+
+    async def _is_ready(self, daemon):
+        answer = await self.fleet.call('GET', daemon.callers, '/readyz')
+        return answer.status == 200
+
+    def _configuration(self):
+        regions = {}
+        for place in self.deployment.places:
+            regions.setdefault(place.region, []).append(place.name)
+        return {
+            'revision': REVISION,
+            'regions': [
+                {'name': name, 'data_centres': places}
+                for name, places in regions.items()
+            ],
+            'models': [{'name': self.deployment.model}],
+            'backend_servers': [
+                self._describe_server(name, role)
+                for name, role in self._engines
+            ],
+            'defaults': {
+                **attrs.asdict(self._policies),
+                'caller_concurrency': 10000,
+                'caller_rate_per_s': 10000.0,
+            },
+        }
+
+    def _describe_server(self, name, role):
+        address = self.fleet.standins[name]
+        return {
+            'name': name,
+            'host': address.host,
+            'port': address.port,
+            'data_centre': name.rsplit('-', 1)[0],
+            'serves': self.deployment.model,
+            'role': role,
+        }
+
+
+def read_process_use(pid):
+    """Return a process's processor time so far and its memory."""
+    directory = pathlib.Path('/proc') / str(pid)
+    fields = (directory / 'stat').read_text().rsplit(')', 1)[1].split()
+    ticks = int(fields[11]) + int(fields[12])
+    status = (directory / 'status').read_text()
+    resident_kb = int(status.split('VmRSS:')[1].split()[0])
+    return {
+        'processor_ms': ticks * 1000 / CLOCK_TICKS_PER_S,
+        'resident_mb': resident_kb / 1024,
+    }
--- /dev/null
+++ b/bench/_run.py
@@ -0,0 +1,91 @@
+"""One run: start a deployment, load it, let a fault strike, sum up."""
+
+import sys
+
+import trio
+
+from bench import _client
+from bench import _faults
+from bench import _rig
+from bench import _summary
+from bench import _workload
+
+GRACE_S = 4
+"""Time for the last answers."""
+
+FAULT_SHARE = 0.3
+"""Part of the run after which a fault strikes."""
+
+STATE_INTERVAL_S = 0.5
+"""Time between two looks at the engines, for one that will be lost."""
+
+
+async def run_once(
+    *, deployment, policy, policies, load, fault, seed, duration_s
+):
+    """Return the record of one run."""
+    rig = _rig.Rig(
+        deployment=deployment,
+        policies=policies,
+        with_proxies=fault in _faults.PROXIED,
+    )
+    try:
+        async with trio.open_nursery() as nursery:
+            await rig.start(nursery)
+            record = await _load_rig(
+                rig, nursery, load, fault, seed, duration_s
+            )
+            nursery.cancel_scope.cancel()
+    except BaseException:
+        print(rig.fleet.read_logs()[-4000:], file=sys.stderr)
+        raise
+    finally:
+        with trio.CancelScope(shield=True):
+            await rig.close()
+    return {
+        'deployment': deployment.name,
+        'places': [place.name for place in deployment.places],
+        'policy': policy,
+        'load': load,
+        'fault': fault,
+        'seed': seed,
+        'duration_s': duration_s,
+        **record,
+    }
+
+
+async def _load_rig(rig, nursery, load, fault, seed, duration_s):
+    workload = _workload.Workload(seed=seed, deployment=rig.deployment)
+    arrivals = workload.arrivals(duration_s=duration_s, load=load)
+    client = _client.Client(
+        addresses=rig.addresses(), model=rig.deployment.model
+    )
+    before = rig.daemon_use()
+    if fault != 'none':
+        nursery.start_soon(_strike, rig, fault, duration_s)
+    await client.run(arrivals, grace_s=GRACE_S)
+    states = await rig.read_states()
+    after = rig.daemon_use()
+    record = _summary.summarise(client.outcomes, states, duration_s=duration_s)
+    spent_ms = sum(
+        after[name]['processor_ms'] - before[name]['processor_ms']
+        for name in after
+    )
+    pieces = sum(outcome.pieces for outcome in client.outcomes)
+    return {
+        **record,
+        'pieces': pieces,
+        'retries': rig.sink.counts.get('retries', 0),
+        # No mechanism sends anything across yet; null is not measured.
+        'region_link_bytes': rig.sink.counts.get('region_link_bytes'),
+        'daemon_processor_ms': round(spent_ms),
+        'daemon_resident_mb': round(
+            max(use['resident_mb'] for use in after.values()), 1
+        ),
+    }
+
+
+async def _strike(rig, fault, duration_s):
+    await trio.sleep(FAULT_SHARE * duration_s)
+    await rig.read_states()
+    await _faults.fault_kinds.get(fault)(rig)
--- /dev/null
+++ b/bench/_summary.py
@@ -0,0 +1,148 @@
+"""One run as one flat record of figures."""
+
+import collections
+
+from hdrh.histogram import HdrHistogram
+
+FIRST_OUTPUT_TARGET_MS = 780
+PACE_TARGET_MS = 45
+
+LEAST_REQUESTS = 5
+"""Requests of a caller below which its share says nothing."""
+
+
+def is_good(outcome):
+    """Return whether an answer came whole and within both targets."""
+    return (
+        outcome.state == 'whole'
+        and outcome.first_ms <= FIRST_OUTPUT_TARGET_MS
+        and outcome.pace_ms <= PACE_TARGET_MS
+    )
+
+
+def summarise(outcomes, states, *, duration_s):
+    """Return the figures of a run."""
+    whole = [item for item in outcomes if item.state == 'whole']
+    good = [item for item in outcomes if is_good(item)]
+    refused = [item for item in outcomes if item.state == 'refused']
+    failed = [
+        item for item in outcomes if item.state in ('failed', 'unanswered')
+    ]
+    return {
+        'offered': len(outcomes),
+        'offered_per_s': round(len(outcomes) / duration_s, 2),
+        'whole': len(whole),
+        'goodput_per_s': round(len(good) / duration_s, 2),
+        'good_share': _share(len(good), len(outcomes)),
+        'good_share_of_whole': _share(len(good), len(whole)),
+        'first_output_ms': _percentiles(item.first_ms for item in whole),
+        'pace_ms': _percentiles(item.pace_ms for item in whole),
+        'refusals': dict(_count_kinds(refused)),
+        'refusal_answer_ms': _percentiles(item.ended_ms for item in refused),
+        'failures': dict(_count_kinds(failed)),
+        **summarise_prefill(states),
+        **summarise_fairness(outcomes),
+    }
+
+
+def summarise_prefill(states):
+    """Return the prefills that ran, and those that led to no answer."""
+    runs = collections.Counter()
+    cancelled = set()
+    computed_tokens = evicted_count = 0
+    started = set()
+    for state in states.values():
+        if state['role'] == 'prefill':
+            runs.update(state.get('runs', {}))
+            computed_tokens += state.get('computed_tokens', 0)
+            evicted_count += state.get('evicted_count', 0)
+        else:
+            started |= set(state.get('started', {}))
+        cancelled |= set(state.get('cancelled_ids', ()))
+    total = sum(runs.values())
+    wasted = {name for name in runs if name not in started}
+    causes = {
+        'evicted': min(evicted_count, len(wasted)),
+        'cancelled': len(wasted & cancelled),
+    }
+    causes['cancelled'] = min(
+        causes['cancelled'], len(wasted) - causes['evicted']
+    )
+    causes['other'] = len(wasted) - sum(causes.values())
+    return {
+        'prefills': total,
+        'prefill_tokens': computed_tokens,
+        'wasted_prefill_share': _share(len(wasted), total),
+        'wasted_prefill_causes': causes,
+    }
+
+
+def summarise_fairness(outcomes):
+    """Return Jain's index, and the share of the callers of small use.
+
+    The fair share is the level up to which every caller's demand is met
+    if the goodput is shared equally; a caller of small use asks for less.
+    """
+    asked = collections.Counter(item.arrival.caller for item in outcomes)
+    got = collections.Counter(
+        item.arrival.caller for item in outcomes if is_good(item)
+    )
+    level = _fair_level(asked.values(), sum(got.values()))
+    small = [
+        caller
+        for caller, count in asked.items()
+        if LEAST_REQUESTS <= count <= level
+    ]
+    shares = [
+        got[caller] / min(count, level) for caller, count in asked.items()
+    ]
+    small_asked = sum(asked[caller] for caller in small)
+    small_got = sum(got[caller] for caller in small)
+    return {
+        'fairness_index': round(_jain(shares), 4),
+        'small_callers': len(small),
+        'small_callers_asked': small_asked,
+        'small_callers_share': _share(small_got, small_asked),
+        'small_callers_worst': min(
+            (round(got[c] / asked[c], 4) for c in small), default=None
+        ),
+    }
+
+
+def _fair_level(demands, total):
+    """Return the level that shares a total over demands, max-min fair."""
+    left = total
+    demands = sorted(demands)
+    for index, demand in enumerate(demands):
+        level = left / (len(demands) - index)
+        if demand > level:
+            return level
+        left -= demand
+    return demands[-1] if demands else 0
+
+
+def _jain(shares):
+    squares = sum(share**2 for share in shares)
+    if not squares:
+        return 0.0
+    return sum(shares) ** 2 / (len(shares) * squares)
+
+
+def _share(part, total):
+    return round(part / total, 4) if total else None
+
+
+def _count_kinds(outcomes):
+    return collections.Counter(item.kind or item.state for item in outcomes)
+
+
+def _percentiles(values_ms):
+    histogram = HdrHistogram(1, 3_600_000, 3)
+    for value in values_ms:
+        histogram.record_value(max(1, round(value * 10)))
+    if not histogram.get_total_count():
+        return None
+    return {
+        f'p{percentile}': histogram.get_value_at_percentile(percentile) / 10
+        for percentile in (50, 95, 99)
+    }
--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -47,6 +47,7 @@
 from bluebellthread.core._messages import StatusAnswer
 from bluebellthread.core._messages import StatusRequest
 from bluebellthread.core._model import BackendServer
+from bluebellthread.core._model import CHARACTERS_PER_TOKEN
 from bluebellthread.core._model import count_pieces
 from bluebellthread.core._model import estimate_tokens
 from bluebellthread.core._model import LoadReport
@@ -95,6 +96,7 @@
     'BluebellthreadError',
     'BoundedPrefix',
     'BoundedQueue',
+    'CHARACTERS_PER_TOKEN',
     'CallerLimits',
     'CancelAtEngine',
     'CancelConfirmed',
