--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -33,6 +33,14 @@
 from bluebellthread.core._limits import CallerLimits
 from bluebellthread.core._limits import ConnectionCaps
 from bluebellthread.core._limits import LimitRefusal
+from bluebellthread.core._membership import Membership
+from bluebellthread.core._membership_events import DatagramReceived
+from bluebellthread.core._membership_events import LeaveStarted
+from bluebellthread.core._membership_events import PlatformListed
+from bluebellthread.core._membership_events import SendDatagram
+from bluebellthread.core._membership_events import Stopped
+from bluebellthread.core._membership_events import ViewChanged
+from bluebellthread.core._membership_options import MembershipOptions
 from bluebellthread.core._messages import Done
 from bluebellthread.core._messages import PermitCancelled
 from bluebellthread.core._messages import PermitGranted
@@ -87,22 +95,69 @@
 from bluebellthread.core._spill_policies import PoolSummary
 from bluebellthread.core._spill_policies import RegionSpill
 from bluebellthread.core._spill_policies import SpillPolicy
+from bluebellthread.core._ticket_book import cost_bytes
+from bluebellthread.core._ticket_book import TicketBook
+from bluebellthread.core._ticket_book import TicketRecord
+from bluebellthread.core._ticket_events import AnswerArrived
+from bluebellthread.core._ticket_events import AnswerLost
+from bluebellthread.core._ticket_events import CallArrived
+from bluebellthread.core._ticket_events import HandOver
+from bluebellthread.core._ticket_events import HandOverFinished
+from bluebellthread.core._ticket_events import LookupArrived
+from bluebellthread.core._ticket_events import NothingSent
+from bluebellthread.core._ticket_events import RecordsNotTaken
+from bluebellthread.core._ticket_events import RecordsOffered
+from bluebellthread.core._ticket_events import RecordsTaken
+from bluebellthread.core._ticket_events import StartSend
+from bluebellthread.core._ticket_events import StopRequested
+from bluebellthread.core._ticket_events import TicketAsked
+from bluebellthread.core._ticket_events import TicketReply
+from bluebellthread.core._ticket_events import TicketTick
+from bluebellthread.core._ticket_messages import TicketCall
+from bluebellthread.core._ticket_messages import TicketCopy
+from bluebellthread.core._ticket_messages import TicketLookup
+from bluebellthread.core._ticket_messages import TicketRecords
+from bluebellthread.core._ticket_messages import TicketResult
+from bluebellthread.core._ticket_messages import TicketsMoved
+from bluebellthread.core._ticket_outcomes import AttemptRejected
+from bluebellthread.core._ticket_outcomes import Completed
+from bluebellthread.core._ticket_outcomes import NotRun
+from bluebellthread.core._ticket_outcomes import OutcomeUnknown
+from bluebellthread.core._ticket_outcomes import RefusedByServer
+from bluebellthread.core._ticket_outcomes import ServerAnswer
+from bluebellthread.core._ticket_outcomes import TicketIssued
+from bluebellthread.core._ticket_outcomes import TicketPending
+from bluebellthread.core._ticket_token import digest_call
+from bluebellthread.core._ticket_token import id_of_text
+from bluebellthread.core._ticket_token import InvalidTicketError
+from bluebellthread.core._ticket_token import Ticket
+from bluebellthread.core._ticket_token import TicketKey
+from bluebellthread.core._ticket_token import TicketKeysError
+from bluebellthread.core._ticket_token import TicketSigner
+from bluebellthread.core._tickets import TicketKeeper
+from bluebellthread.core._tickets import TicketOptions
 from bluebellthread.core._token_bucket import TokenBucket
 
 __all__ = [
     'Accepted',
+    'AnswerArrived',
+    'AnswerLost',
+    'AttemptRejected',
     'BackendServer',
     'BestFit',
     'BluebellthreadError',
     'BoundedPrefix',
     'BoundedQueue',
     'CHARACTERS_PER_TOKEN',
+    'CallArrived',
     'CallerLimits',
     'CancelAtEngine',
     'CancelConfirmed',
+    'Completed',
     'Configuration',
     'ConfigurationError',
     'ConnectionCaps',
+    'DatagramReceived',
     'Decision',
     'DecodeCandidate',
     'Done',
@@ -112,13 +167,23 @@
     'FewestRunning',
     'FirstComeQueue',
     'GatewaysChanged',
+    'HandOver',
+    'HandOverFinished',
     'Invalid',
+    'InvalidTicketError',
+    'LeaveStarted',
     'LimitRefusal',
     'LoadReport',
+    'LookupArrived',
     'Member',
+    'Membership',
+    'MembershipOptions',
     'MembershipView',
     'Model',
+    'NotRun',
+    'NothingSent',
     'OptionsChanged',
+    'OutcomeUnknown',
     'Permit',
     'PermitCancelled',
     'PermitGranted',
@@ -127,6 +192,7 @@
     'PermitReleased',
     'PermitRequest',
     'PermitsRegistered',
+    'PlatformListed',
     'PoolKey',
     'PoolSummary',
     'PrefillCandidate',
@@ -137,6 +203,10 @@
     'ROLE_DECODE',
     'ROLE_PREFILL',
     'ROLE_SERVICE',
+    'RecordsNotTaken',
+    'RecordsOffered',
+    'RecordsTaken',
+    'RefusedByServer',
     'Region',
     'RegionSpill',
     'Registry',
@@ -150,25 +220,53 @@
     'SchedulerOptions',
     'Scope',
     'ScopedException',
+    'SendDatagram',
     'SendToGateway',
+    'ServerAnswer',
     'ServersChanged',
     'Service',
     'SpillPolicy',
     'Stale',
+    'StartSend',
     'StatusAnswer',
     'StatusRequest',
+    'StopRequested',
+    'Stopped',
     'Tick',
+    'Ticket',
+    'TicketAsked',
+    'TicketBook',
+    'TicketCall',
+    'TicketCopy',
+    'TicketIssued',
+    'TicketKeeper',
+    'TicketKey',
+    'TicketKeysError',
+    'TicketLookup',
+    'TicketOptions',
+    'TicketPending',
+    'TicketRecord',
+    'TicketRecords',
+    'TicketReply',
+    'TicketResult',
+    'TicketSigner',
+    'TicketTick',
+    'TicketsMoved',
     'TokenBucket',
     'UnknownNameError',
     'Values',
+    'ViewChanged',
     'backoff_ms',
     'check_configuration',
     'choose_owner',
+    'cost_bytes',
     'count_pieces',
     'decide_acceptance',
     'decode_policies',
+    'digest_call',
     'estimate_tokens',
     'explain',
+    'id_of_text',
     'prefill_policies',
     'queue_policies',
     'rank_by_rendezvous',
