--- a/bench/_summary.py
+++ b/bench/_summary.py
@@ -7,6 +7,9 @@
 FIRST_OUTPUT_TARGET_MS = 780
 PACE_TARGET_MS = 45
 
+LATE_REFUSAL_MS = 100
+"""Time after which a refusal counts as not given at once."""
+
 LEAST_REQUESTS = 5
 """Requests of a caller below which its share says nothing."""
 
@@ -38,6 +41,9 @@
         'first_output_ms': _percentiles(item.first_ms for item in whole),
         'pace_ms': _percentiles(item.pace_ms for item in whole),
         'refusals': dict(_count_kinds(refused)),
+        'late_refusals': sum(
+            item.ended_ms > LATE_REFUSAL_MS for item in refused
+        ),
         'refusal_answer_ms': _percentiles(item.ended_ms for item in refused),
         'failures': dict(_count_kinds(failed)),
         **summarise_prefill(states),
@@ -97,12 +103,17 @@
         got[caller] / min(count, level) for caller, count in asked.items()
     ]
     small_asked = sum(asked[caller] for caller in small)
+    whole = collections.Counter(
+        item.arrival.caller for item in outcomes if item.state == 'whole'
+    )
+    small_whole = sum(whole[caller] for caller in small)
     small_got = sum(got[caller] for caller in small)
     return {
         'fairness_index': round(_jain(shares), 4),
         'small_callers': len(small),
         'small_callers_asked': small_asked,
         'small_callers_share': _share(small_got, small_asked),
+        'small_callers_answered': _share(small_whole, small_asked),
         'small_callers_worst': min(
             (round(got[c] / asked[c], 4) for c in small), default=None
         ),
