Keep prefill queues short and let short requests of fair callers go first

Change: a prefill server takes another prompt only behind at most 1,000 reserved tokens. Callers within a window of 10,000 tokens of cost over the least served go by shortest request; a caller's lead by that is bounded by the window, so none starves. Requests that would be late on idle engines wait at one priority less. The load tool can write each outcome.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -86,6 +86,11 @@
     )
     run.add_argument('--seed', type=int, nargs='+', default=[1])
     run.add_argument('--duration-s', type=float, default=15.0)
+    run.add_argument(
+        '--outcomes',
+        metavar='FILE',
+        help='append a JSON line for each request to this file',
+    )
     run.set_defaults(call=run_all)
     report = commands.add_parser(
         'report', help='compare runs: a Markdown table and a plot'
@@ -127,6 +132,7 @@
                                 fault=fault,
                                 seed=seed,
                                 duration_s=options.duration_s,
+                                outcomes_path=options.outcomes,
                             )
                         )
                         print(json.dumps(record), flush=True)
--- a/bench/_run.py
+++ b/bench/_run.py
@@ -1,9 +1,13 @@
 """One run: start a deployment, load it, let a fault strike, sum up."""
 
+import json
 import sys
 
+import attrs
 import trio
 
+from bluebellthread import core
+
 from bench import _client
 from bench import _faults
 from bench import _rig
@@ -21,7 +25,15 @@
 
 
 async def run_once(
-    *, deployment, policy, policies, load, fault, seed, duration_s
+    *,
+    deployment,
+    policy,
+    policies,
+    load,
+    fault,
+    seed,
+    duration_s,
+    outcomes_path=None,
 ):
     """Return the record of one run."""
     rig = _rig.Rig(
@@ -32,7 +44,7 @@
     try:
         async with trio.open_nursery() as nursery:
             await rig.start(nursery)
-            record = await _load_rig(
+            outcomes, record = await _load_rig(
                 rig, nursery, load, fault, seed, duration_s
             )
             nursery.cancel_scope.cancel()
@@ -42,6 +54,8 @@
     finally:
         with trio.CancelScope(shield=True):
             await rig.close()
+    if outcomes_path:
+        _append_outcomes(outcomes_path, outcomes)
     return {
         'deployment': deployment.name,
         'places': [place.name for place in deployment.places],
@@ -72,7 +86,7 @@
         for name in after
     )
     pieces = sum(outcome.pieces for outcome in client.outcomes)
-    return {
+    return client.outcomes, {
         **record,
         'pieces': pieces,
         'retries': rig.sink.counts.get('retries', 0),
@@ -85,6 +99,15 @@
     }
 
 
+def _append_outcomes(path, outcomes):
+    with open(path, 'a', encoding='utf-8') as file:
+        for outcome in outcomes:
+            fields = attrs.asdict(outcome)
+            prompt = fields['arrival'].pop('prompt')
+            fields['arrival']['prompt_tokens'] = core.estimate_tokens(prompt)
+            file.write(json.dumps(fields) + '\n')
+
+
 async def _strike(rig, fault, duration_s):
     await trio.sleep(FAULT_SHARE * duration_s)
     await rig.read_states()
--- a/bench/_slopes.py
+++ b/bench/_slopes.py
@@ -7,11 +7,14 @@
 import gc
 import json
 import random
+import subprocess
+import sys
 import time
 import tracemalloc
 
 from bluebellthread import configuration
 from bluebellthread import core
+from bluebellthread.core import _membership_messages
 from bluebellthread import wire
 
 slopes = core.Registry('slope')
@@ -369,6 +372,97 @@
     return len(make_configuration(servers=720, exceptions=130))
 
 
+@slopes.register('probe_bytes')
+def measure_probe_bytes():
+    """Bytes of a ping and its answer without news, without UDP's own."""
+    return sum(len(wire.encode(wrap(m), now_ms=0)) for m in make_probe())
+
+
+@slopes.register('probe_us')
+def measure_probe():
+    """Processor time to encode and decode a ping and its answer."""
+    envelopes = [wrap(message) for message in make_probe()]
+
+    def step(index):
+        for envelope in envelopes:
+            wire.decode(wire.encode(envelope, now_ms=0), now_ms=0)
+
+    return measure_us(step, MESSAGES // 4)
+
+
+def make_probe():
+    """Return a ping and its answer as in a quiet data centre."""
+    return _membership_messages.Ping(digest=2**62), _membership_messages.Ack(
+        digest=2**62
+    )
+
+
+@slopes.register('member_update_bytes')
+def measure_update():
+    """Bytes that one VM's news add to a message."""
+    update = _membership_messages.MemberUpdate(
+        member=core.Member(
+            name='cluj-a-17',
+            data_centre='cluj-a',
+            region='transilvania',
+            host='10.10.0.17',
+            peer_port=7400,
+            caller_port=8400,
+            incarnation=2**61,
+        )
+    )
+    lengths = [
+        len(
+            wire.encode(
+                wrap(_membership_messages.Gossip(updates=(update,) * n)),
+                now_ms=0,
+            )
+        )
+        for n in (1, 11)
+    ]
+    return (lengths[1] - lengths[0]) // 10
+
+
+@slopes.register('load_report_bytes')
+def measure_report():
+    """Bytes of the body of a nearly full engine's load report."""
+    report = {
+        'server': 'atelier-llm-d1-cluj-a',
+        'incarnation': 2**61,
+        'sequence': 100000,
+        'total_pieces': 60,
+        'free_pieces': 2,
+        'running_ids': [make_permit(n).permit_id for n in range(20)],
+        'queued_count': 0,
+        'leaving': False,
+    }
+    return len(json.dumps(report))
+
+
+@slopes.register('bare_resident_mb')
+def measure_bare():
+    """Memory of a bare Python process."""
+    return measure_process('')
+
+
+@slopes.register('import_resident_mb')
+def measure_imports():
+    """Memory of a Python process that has imported the daemon."""
+    return measure_process('import bluebellthread.daemon._service')
+
+
+def measure_process(code):
+    """Return the memory of a Python process after running some code."""
+    show = "print(open('/proc/self/status').read())"
+    status = subprocess.run(
+        [sys.executable, '-c', f'{code}\n{show}'],
+        check=True,
+        capture_output=True,
+        text=True,
+    ).stdout
+    return round(int(status.split('VmRSS:')[1].split()[0]) / 1024, 1)
+
+
 @slopes.register('server_section_bytes')
 def measure_server_section():
     """Length of one backend server's entry in the text."""
--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,302 @@
+"""Works out each role's cost at the target's size from measured slopes.
+
+``python -m bench.capacity`` prints the tables of docs/CAPACITY.md. What is
+measured comes from bench/slopes.json; everything else is reckoned from the
+constants below and says so.
+"""
+
+import json
+import pathlib
+
+import attrs
+
+SLOPES_PATH = pathlib.Path(__file__).parent / 'slopes.json'
+
+VMS = 390
+WORKERS = 720
+REQUESTS_PER_S = 4200
+TOKENS_PER_S = 1_400_000
+CALLERS = 1300
+MODELS = 15
+DATA_CENTRES = 5
+CHANGES_PER_DAY = 1400
+RESTARTS_PER_DAY = 260 + 9
+"""The target's size."""
+
+PROCESSOR_MS_PER_S = 45
+MEMORY_MB = 32
+BYTES_PER_S = 13_000
+"""What a node may spend for control: 4.5 % of a core, 32 MB, 13 KB/s."""
+
+SECONDS_PER_DAY = 86400
+
+POLLS_PER_S = 4
+"""Load reports read from each backend server a second."""
+
+HTTP_HEAD_BYTES = 350
+"""Heads of one poll's call and answer."""
+
+UDP_HEAD_BYTES = 28
+"""IP and UDP heads of a datagram."""
+
+TCP_HEAD_BYTES = 52
+"""IP and TCP heads of a segment, one a message at worst."""
+
+PROBES_PER_S = 4
+"""Pings that a VM sends; it answers as many on average."""
+
+NEWS_COPIES = 24
+"""Times that a VM passes one piece of news on: 3 a doubling of 78 VMs,
+and as often again in answers."""
+
+HELD_S = 8.0
+"""Time that a request holds its permit at the target: 330 tokens."""
+
+QUEUED_S = 0.5
+"""Wait that a queue holds at most before it refuses."""
+
+SHORT_REPORT_POLLS_PER_S = 1
+"""Polls after the change that is proposed."""
+
+LEAN_BYTES_SHARE = 0.4
+"""Part of the permit messages' bytes left after the proposed change."""
+
+
+@attrs.frozen(kw_only=True)
+class Cost:
+    """What one role costs one VM.
+
+    Parameters
+    ----------
+    basis : str
+        ``'measured'`` where only rates were multiplied with slopes,
+        ``'reckoned'`` where a size was assumed as well.
+    """
+
+    role: str
+    mechanism: str
+    state: str
+    messages_per_s: float
+    bytes_per_s: float
+    processor_ms_per_s: float
+    memory_mb: float
+    basis: str
+
+
+def read_slopes(path=SLOPES_PATH):
+    """Return the measured values by name."""
+    records = json.loads(path.read_text(encoding='utf-8'))
+    return {name: record['value'] for name, record in records.items()}
+
+
+def pool_count():
+    """Return the pools of the fleet, one a model and data centre."""
+    return MODELS * DATA_CENTRES
+
+
+def gateway_cost(slopes):
+    """Return the cost of the gateway's part in permits."""
+    rate = REQUESTS_PER_S / VMS
+    half_us = (slopes['request_encode_us'] + slopes['request_decode_us']) / 2
+    return Cost(
+        role='gateway',
+        mechanism='a permit a request by metadata; limits before it',
+        state=f'{rate * HELD_S:.0f} permits, {CALLERS} callers',
+        messages_per_s=rate * slopes['request_messages_count'],
+        bytes_per_s=rate * _permit_bytes(slopes),
+        processor_ms_per_s=rate * (half_us + slopes['limit_admit_us']) / 1000,
+        memory_mb=(
+            rate * HELD_S * slopes['permit_bytes']
+            + CALLERS * slopes['caller_limits_bytes']
+        )
+        / 1e6,
+        basis='reckoned',
+    )
+
+
+def scheduler_cost(slopes, *, shards, polls_per_s=POLLS_PER_S):
+    """Return the cost of owning one shard of a pool."""
+    rate = REQUESTS_PER_S / pool_count() / shards
+    workers = WORKERS / pool_count() / shards
+    half_us = (slopes['request_encode_us'] + slopes['request_decode_us']) / 2
+    step_us = slopes['scheduler_request_us'] + slopes['queue_request_us']
+    poll_ms = slopes['polled_server_ms_per_s'] / POLLS_PER_S
+    poll_bytes = slopes['load_report_bytes'] + HTTP_HEAD_BYTES
+    return Cost(
+        role=f'owner of a pool, {shards} to a pool',
+        mechanism='rendezvous over the view; permits; polled reports',
+        state=f'{workers:.1f} backend servers, {rate * HELD_S:.0f} permits',
+        messages_per_s=rate * slopes['request_messages_count']
+        + workers * polls_per_s,
+        bytes_per_s=rate * _permit_bytes(slopes)
+        + workers * polls_per_s * poll_bytes,
+        processor_ms_per_s=rate * (half_us + step_us) / 1000
+        + workers * polls_per_s * poll_ms,
+        memory_mb=(
+            rate * HELD_S * slopes['permit_bytes']
+            + rate * QUEUED_S * slopes['waiting_request_bytes']
+            + workers * 4096 * slopes['prefix_hash_bytes']
+        )
+        / 1e6,
+        basis='reckoned',
+    )
+
+
+def membership_cost(slopes):
+    """Return the cost of knowing who is alive."""
+    probes = 2 * PROBES_PER_S
+    news = 2 * RESTARTS_PER_DAY / SECONDS_PER_DAY * NEWS_COPIES
+    probe_bytes = slopes['probe_bytes'] + 2 * UDP_HEAD_BYTES
+    return Cost(
+        role='membership',
+        mechanism='probes of one peer at a time, news carried along',
+        state=f'{VMS} members',
+        messages_per_s=2 * probes,
+        bytes_per_s=probes * probe_bytes
+        + news * slopes['member_update_bytes'],
+        processor_ms_per_s=probes * slopes['probe_us'] / 2 / 1000,
+        memory_mb=VMS * slopes['member_bytes'] / 1e6,
+        basis='reckoned',
+    )
+
+
+def configuration_cost(slopes):
+    """Return the cost of following the configuration, as a watcher."""
+    changes = CHANGES_PER_DAY / SECONDS_PER_DAY
+    return Cost(
+        role='configuration, watcher',
+        mechanism='two watchers a data centre read whole values',
+        state=f'{WORKERS} backend servers, 130 exceptions',
+        messages_per_s=changes,
+        bytes_per_s=changes * slopes['configuration_text_bytes'],
+        processor_ms_per_s=changes * slopes['configuration_parse_ms'],
+        memory_mb=(
+            slopes['configuration_bytes'] + slopes['configuration_text_bytes']
+        )
+        / 1e6,
+        basis='reckoned',
+    )
+
+
+def base_cost(slopes):
+    """Return what every VM spends at rest, above a bare process."""
+    return Cost(
+        role='process at rest',
+        mechanism='one process a VM; libraries shared by all parts',
+        state='imports, empty tables',
+        messages_per_s=0,
+        bytes_per_s=0,
+        processor_ms_per_s=slopes['rest_processor_ms_per_s'],
+        memory_mb=slopes['rest_resident_mb'] - slopes['bare_resident_mb'],
+        basis='measured',
+    )
+
+
+def add_up(role, costs):
+    """Return the sum of several roles on one VM."""
+    return Cost(
+        role=role,
+        mechanism='',
+        state='',
+        messages_per_s=sum(cost.messages_per_s for cost in costs),
+        bytes_per_s=sum(cost.bytes_per_s for cost in costs),
+        processor_ms_per_s=sum(cost.processor_ms_per_s for cost in costs),
+        memory_mb=sum(cost.memory_mb for cost in costs),
+        basis='reckoned',
+    )
+
+
+def lean(cost):
+    """Return a cost with the permit messages' bytes after the change."""
+    return attrs.evolve(cost, bytes_per_s=cost.bytes_per_s * LEAN_BYTES_SHARE)
+
+
+def make_tables(slopes):
+    """Return the page's tables: roles, then sums against the limits."""
+    common = [base_cost(slopes), membership_cost(slopes)]
+    gateway = gateway_cost(slopes)
+    watcher = configuration_cost(slopes)
+    whole = scheduler_cost(slopes, shards=1)
+    split = scheduler_cost(slopes, shards=5)
+    rare = scheduler_cost(
+        slopes, shards=5, polls_per_s=SHORT_REPORT_POLLS_PER_S
+    )
+    roles = [*common, gateway, watcher, whole, split]
+    every = [*common, gateway]
+    sums = [
+        add_up('a VM that owns nothing', every),
+        add_up('... and watches the configuration', [*every, watcher]),
+        add_up('... and owns a whole pool', [*every, watcher, whole]),
+        add_up('... or owns a fifth of a pool', [*every, watcher, split]),
+        add_up(
+            'a fifth, lean messages, one poll a second',
+            [*common, lean(gateway), watcher, lean(rare)],
+        ),
+    ]
+    return '\n\n'.join((_role_table(roles), _sum_table(sums)))
+
+
+def data_path_ms_per_s(slopes):
+    """Return what a VM spends on callers' data, which is not control."""
+    return (
+        REQUESTS_PER_S / VMS * slopes['request_processor_ms']
+        + TOKENS_PER_S / VMS * slopes['piece_processor_us'] / 1000
+    )
+
+
+def _permit_bytes(slopes):
+    heads = slopes['request_messages_count'] * TCP_HEAD_BYTES
+    return slopes['request_messages_bytes'] + heads
+
+
+def _role_table(costs):
+    lines = [
+        '| role | mechanism | state | messages/s | KB/s | ms/s | MB | basis |',
+        '|---|---|---|---|---|---|---|---|',
+    ]
+    lines += [
+        f'| {cost.role} | {cost.mechanism} | {cost.state} | '
+        f'{_figures(cost)} | {cost.basis} |'
+        for cost in costs
+    ]
+    return '\n'.join(lines)
+
+
+def _sum_table(costs):
+    lines = [
+        '| VM | messages/s | KB/s | ms/s | MB | over the limit |',
+        '|---|---|---|---|---|---|',
+    ]
+    for cost in costs:
+        over = [
+            name
+            for name, value, limit in (
+                ('bytes', cost.bytes_per_s, BYTES_PER_S),
+                ('processor', cost.processor_ms_per_s, PROCESSOR_MS_PER_S),
+                ('memory', cost.memory_mb, MEMORY_MB),
+            )
+            if value > limit
+        ]
+        verdict = ', '.join(over) or 'nothing'
+        lines.append(f'| {cost.role} | {_figures(cost)} | {verdict} |')
+    limits = f'{BYTES_PER_S / 1000:.1f} | {PROCESSOR_MS_PER_S} | {MEMORY_MB}'
+    lines.append(f'| **limit** | | {limits} | |')
+    return '\n'.join(lines)
+
+
+def _figures(cost):
+    return (
+        f'{cost.messages_per_s:.1f} | {cost.bytes_per_s / 1000:.2f} | '
+        f'{cost.processor_ms_per_s:.1f} | {cost.memory_mb:.1f}'
+    )
+
+
+def main():
+    """Print the tables."""
+    slopes = read_slopes()
+    print(make_tables(slopes))
+    print(f'\nData path: {data_path_ms_per_s(slopes):.0f} ms/s a VM.')
+
+
+if __name__ == '__main__':
+    main()
--- a/bluebellthread/core/_early_refusal.py
+++ b/bluebellthread/core/_early_refusal.py
@@ -71,10 +71,6 @@
                 prompt_tokens=prompt_tokens, elapsed_ms=now_ms - granted_ms
             )
 
-    def expected_wait_ms(self, request):
-        """Return how long a new request would wait, 0 if not known."""
-        return self._time_for(self._cost_ahead(request))
-
     def _advance(self, now_ms):
         if self._drain is None:
             self._drain = _estimates.DrainRate(last_ms=now_ms)
@@ -82,11 +78,14 @@
 
     def _expected_lateness_ms(self, request, now_ms):
         spare_ms = self._start_by_ms(request, now_ms) - now_ms
-        waiting_cost = sum(level.cost for level in self._levels.values())
-        if self._time_for(waiting_cost) <= spare_ms:
-            # In time even behind all that waits: no need to look closer.
-            return 0
-        return self.expected_wait_ms(request) - spare_ms
+        priority = self._priority_of(request, now_ms)
+        wait_ms = self._time_for(
+            sum(level.cost for level in self._levels.values())
+        )
+        if wait_ms > spare_ms:
+            # Late behind all that waits; look at what would go before it.
+            wait_ms = self._time_for(self._cost_ahead(request, priority))
+        return wait_ms - spare_ms
 
     def _time_for(self, cost):
         rate = self._drain.cost_per_ms() if self._drain else None
@@ -94,11 +93,22 @@
             return 0
         return round(cost / rate) if rate > 0 else LONGEST_RETRY_AFTER_MS
 
+    def _is_late_anyway(self, request, now_ms):
+        """Return whether even idle engines would miss the first target."""
+        service_ms = self._first_output.estimate_ms(request.prompt_tokens)
+        return now_ms + service_ms > request.first_output_deadline_ms
+
+    def _priority_of(self, request, now_ms):
+        # What is late anyway may not make others late as well.
+        if self._is_late_anyway(request, now_ms):
+            return request.priority - 1
+        return request.priority
+
     def _start_by_ms(self, request, now_ms):
         service_ms = self._first_output.estimate_ms(request.prompt_tokens)
-        if now_ms + service_ms > request.first_output_deadline_ms:
-            # Late for the target even on idle engines: a refusal would
-            # repeat for ever, so only its own deadline counts.
+        if self._is_late_anyway(request, now_ms):
+            # A refusal would repeat for ever, so only its own deadline
+            # counts.
             return request.deadline_ms - service_ms
         target_ms = min(request.first_output_deadline_ms, request.deadline_ms)
         return target_ms - service_ms
@@ -106,6 +116,7 @@
     def _make_entry(self, request, now_ms):
         entry = super()._make_entry(request, now_ms)
         entry.start_by_ms = self._start_by_ms(request, now_ms)
+        entry.priority = self._priority_of(request, now_ms)
         return entry
 
     def _charge(self, entry):
@@ -114,15 +125,16 @@
         if entry.pushed_ms < self._drain.last_ms:
             self._drain.add(entry.cost)
 
-    def _cost_ahead(self, request):
+    def _cost_ahead(self, request, priority):
         """Return the cost served before a new request would be."""
-        level = self._levels.get(request.priority)
-        ahead = _cost_ahead_in_level(request, level) if level else 0
+        level = self._levels.get(priority)
+        window = self._options.fair_window_tokens
+        ahead = _cost_ahead_in_level(request, level, window) if level else 0
         own = ahead + _fair_queue.cost_of(request)
-        weight = _fair_queue.weight_of(request.priority)
-        for priority, other in self._levels.items():
-            if priority != request.priority:
-                share = _fair_queue.weight_of(priority) / weight
+        weight = _fair_queue.weight_of(priority)
+        for other_priority, other in self._levels.items():
+            if other_priority != priority:
+                share = _fair_queue.weight_of(other_priority) / weight
                 ahead += min(other.cost, own * share)
         return ahead
 
@@ -150,15 +162,19 @@
         )
 
 
-def _cost_ahead_in_level(request, level):
+def _cost_ahead_in_level(request, level, window):
     order_ms = _fair_queue.order_of(request)
+    cost = _fair_queue.cost_of(request)
     own_flow = level.flows.get(request.caller)
     ahead = own_flow.cost_before(order_ms) if own_flow else 0
     tag = level.order.tag(request.caller) + ahead
     for caller, flow in level.flows.items():
-        start = level.order.tag(caller)
-        if flow is not own_flow and start <= tag:
-            # A request that has begun its turn is served whole.
-            served = max(flow.first().cost, tag - start)
-            ahead += min(flow.cost, served)
+        if flow is not own_flow:
+            first_cost = flow.first().cost
+            # Within the window a shorter request goes first.
+            last = tag + window if first_cost <= cost else tag - window
+            start = level.order.tag(caller)
+            if start <= last:
+                # A request that has begun its turn is served whole.
+                ahead += min(flow.cost, max(first_cost, last - start))
     return ahead
--- a/bluebellthread/core/_fair_queue.py
+++ b/bluebellthread/core/_fair_queue.py
@@ -2,8 +2,9 @@
 
 Three orders stand one in another. Priorities share by weight, so a low
 one is slowed but never starved; callers of one priority share equally, by
-start-time fair queueing over the cost of their requests; the requests of
-one caller go by earliest deadline.
+start-time fair queueing over the cost of their requests, and among callers
+that are within a window of their share the shortest request goes first;
+the requests of one caller go by earliest deadline.
 
 A full queue sheds in this order: what waits in vain already, then the
 lowest priority, in it the caller with the largest waiting cost, of its
@@ -49,6 +50,8 @@
     ----------
     request : PermitRequest
         The request.
+    priority : int
+        The priority that it waits at.
     cost : int
         Its cost.
     order_ms : int
@@ -62,6 +65,7 @@
     """
 
     request: _messages.PermitRequest
+    priority: int
     cost: int
     order_ms: int
     start_by_ms: int
@@ -101,7 +105,7 @@
 class Level:
     """The waiting requests of one priority."""
 
-    order: _fair_order.FairOrder = attrs.field(factory=_fair_order.FairOrder)
+    order: _fair_order.FairOrder
     flows: dict = attrs.field(factory=dict)
     cost: int = 0
 
@@ -149,11 +153,12 @@
         older = self.remove(request.request_id)
         if older is not None:
             refused += (self._refusal(older, 'superseded', now_ms),)
-        flow = self._find_flow(request.priority, request.caller)
+        entry = self._make_entry(request, now_ms)
+        flow = self._find_flow(entry.priority, request.caller)
         caller_count = flow.count if flow else 0
         if caller_count >= self._options.caller_maximum_count:
             return (*refused, self._refusal(request, 'caller-limit', now_ms))
-        self._add(self._make_entry(request, now_ms))
+        self._add(entry)
         if len(self._entries) > self._options.maximum_count:
             shed = self._choose_shed()
             self._take_out(shed)
@@ -197,6 +202,7 @@
     def _make_entry(self, request, now_ms):
         return Entry(
             request=request,
+            priority=request.priority,
             cost=cost_of(request),
             order_ms=order_of(request),
             start_by_ms=request.deadline_ms,
@@ -210,9 +216,16 @@
         level = self._levels.get(priority)
         return level.flows.get(caller) if level else None
 
+    def _find_level(self, priority):
+        if priority not in self._levels:
+            window = self._options.fair_window_tokens
+            order = _fair_order.FairOrder(window=window)
+            self._levels[priority] = Level(order=order)
+        return self._levels[priority]
+
     def _add(self, entry):
         request = entry.request
-        level = self._levels.setdefault(request.priority, Level())
+        level = self._find_level(entry.priority)
         flow = level.flows.setdefault(request.caller, Flow())
         self._counter += 1
         heapq.heappush(flow.entries, (entry.order_ms, self._counter, entry))
@@ -221,20 +234,20 @@
         flow.cost += entry.cost
         level.cost += entry.cost
         self._entries[request.request_id] = entry
-        level.order.activate(request.caller)
-        self._order.activate(request.priority)
+        level.order.activate(request.caller, rank=flow.first().cost)
+        self._order.activate(entry.priority, rank=-entry.priority)
 
     def _charge(self, entry):
         request = entry.request
-        level = self._levels[request.priority]
+        level = self._levels[entry.priority]
         level.order.charge(request.caller, entry.cost)
         # The shift keeps the division's remainder small at any weight.
-        scaled = (entry.cost << WEIGHT_SHIFT) // weight_of(request.priority)
-        self._order.charge(request.priority, scaled)
+        scaled = (entry.cost << WEIGHT_SHIFT) // weight_of(entry.priority)
+        self._order.charge(entry.priority, scaled)
 
     def _take_out(self, entry):
         request = entry.request
-        level = self._levels[request.priority]
+        level = self._levels[entry.priority]
         flow = level.flows[request.caller]
         entry.waiting = False
         del self._entries[request.request_id]
@@ -244,8 +257,10 @@
         if not flow.count:
             del level.flows[request.caller]
             level.order.deactivate(request.caller)
+        else:
+            level.order.activate(request.caller, rank=flow.first().cost)
         if not level.flows:
-            self._order.deactivate(request.priority)
+            self._order.deactivate(entry.priority)
 
     def _choose_shed(self):
         priority = min(p for p, level in self._levels.items() if level.flows)
--- a/bluebellthread/core/_policies.py
+++ b/bluebellthread/core/_policies.py
@@ -18,6 +18,9 @@
 LONGEST_CALLER_QUEUE = 200
 """Waiting requests of one caller above which its next one is refused."""
 
+FAIR_WINDOW_TOKENS = 10000
+"""Cost within which short requests go before long ones."""
+
 RETRY_AFTER_MS = 1000
 """When a refused caller should come back, where nothing better is known."""
 
@@ -107,6 +110,14 @@
 class QueueOptions:
     """Bounds of a queue.
 
+    Parameters
+    ----------
+    maximum_count, caller_maximum_count : int
+        Waiting requests, of all callers and of one.
+    fair_window_tokens : int
+        Cost, in prompt tokens, that a caller may get ahead of another
+        because its requests are shorter.
+
     Examples
     --------
     >>> QueueOptions(maximum_count=10).caller_maximum_count
@@ -115,6 +126,7 @@
 
     maximum_count: int = LONGEST_QUEUE
     caller_maximum_count: int = LONGEST_CALLER_QUEUE
+    fair_window_tokens: int = FAIR_WINDOW_TOKENS
 
 
 @attrs.frozen(kw_only=True)
--- a/bluebellthread/core/_prefill_policies.py
+++ b/bluebellthread/core/_prefill_policies.py
@@ -5,10 +5,38 @@
 from bluebellthread.core import _ownership
 from bluebellthread.core import _policies
 
+SHORT_BACKLOG_TOKENS = 1000
+"""Reserved prompt tokens up to which another prompt may be added."""
+
 LOAD_BOUND_PERCENT = 150
 """Share of the mean load up to which a server keeps its prefixes."""
 
 
+def has_room(reserved_tokens, slots):
+    """Return whether a prefill server may take one more prompt.
+
+    The next prompt is reserved while the last one is still read, so that
+    the server does not idle; but only behind a short rest, since what has
+    been granted can be neither reordered nor refused any more.
+
+    Parameters
+    ----------
+    reserved_tokens : list of int
+        Lengths of the prompts reserved there.
+    slots : int
+        Prompts that may be reserved at a time.
+
+    Examples
+    --------
+    >>> has_room([], 2), has_room([400], 2), has_room([9000], 2)
+    (True, True, False)
+    """
+    if not reserved_tokens:
+        return True
+    short = sum(reserved_tokens) <= SHORT_BACKLOG_TOKENS
+    return short and len(reserved_tokens) < slots
+
+
 @_policies.prefill_policies.register('random')
 @_policies.decode_policies.register('random')
 class RandomServer(_policies.ServerPolicy):
--- a/bluebellthread/core/_scheduler.py
+++ b/bluebellthread/core/_scheduler.py
@@ -11,6 +11,7 @@
 from bluebellthread.core import _messages
 from bluebellthread.core import _model
 from bluebellthread.core import _policies
+from bluebellthread.core import _prefill_policies
 from bluebellthread.core import _prefix_index
 from bluebellthread.core import _scheduler_events as events
 
@@ -246,9 +247,8 @@
                 if permit.prefill_server == server.name
                 and permit.stage in ('reserved', 'prefilling')
             ]
-            if (
-                len(reserved) < self._options.prefill_slots
-                or not self._prefill_policy.reserves
+            if not self._prefill_policy.reserves or _prefill_policies.has_room(
+                reserved, self._options.prefill_slots
             ):
                 candidates.append(
                     _policies.PrefillCandidate(
