--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -9,6 +9,30 @@
 from bluebellthread.core._acceptance import decide_acceptance
 from bluebellthread.core._acceptance import Invalid
 from bluebellthread.core._acceptance import Stale
+from bluebellthread.core._answer import AnswerMachine
+from bluebellthread.core._answer import AnswerOptions
+from bluebellthread.core._answer_commands import AskPermit
+from bluebellthread.core._answer_commands import CountRetry
+from bluebellthread.core._answer_commands import CountWastedPrefill
+from bluebellthread.core._answer_commands import EmitPiece
+from bluebellthread.core._answer_commands import FinishAnswer
+from bluebellthread.core._answer_commands import RefuseAnswer
+from bluebellthread.core._answer_commands import StartDecode
+from bluebellthread.core._answer_commands import StartPrefill
+from bluebellthread.core._answer_commands import StopRun
+from bluebellthread.core._answer_commands import TellScheduler
+from bluebellthread.core._answer_events import AnswerAsked
+from bluebellthread.core._answer_events import CallerGone
+from bluebellthread.core._answer_events import ImportEnded
+from bluebellthread.core._answer_events import PieceArrived
+from bluebellthread.core._answer_events import PrefillEnded
+from bluebellthread.core._answer_events import RunFailed
+from bluebellthread.core._answer_events import SchedulerUnreachable
+from bluebellthread.core._answer_events import StreamEnded
+from bluebellthread.core._answer_events import Superseded
+from bluebellthread.core._assembler import AnswerPiece
+from bluebellthread.core._assembler import Assembler
+from bluebellthread.core._assembler import TooManyHeldPiecesError
 from bluebellthread.core._configuration import Configuration
 from bluebellthread.core._configuration import Model
 from bluebellthread.core._configuration import Region
@@ -141,7 +165,13 @@
 __all__ = [
     'Accepted',
     'AnswerArrived',
+    'AnswerAsked',
     'AnswerLost',
+    'AnswerMachine',
+    'AnswerOptions',
+    'AnswerPiece',
+    'AskPermit',
+    'Assembler',
     'AttemptRejected',
     'BackendServer',
     'BestFit',
@@ -150,6 +180,7 @@
     'BoundedQueue',
     'CHARACTERS_PER_TOKEN',
     'CallArrived',
+    'CallerGone',
     'CallerLimits',
     'CancelAtEngine',
     'CancelConfirmed',
@@ -157,18 +188,23 @@
     'Configuration',
     'ConfigurationError',
     'ConnectionCaps',
+    'CountRetry',
+    'CountWastedPrefill',
     'DatagramReceived',
     'Decision',
     'DecodeCandidate',
     'Done',
     'DuplicateNameError',
     'EarlyRefusalQueue',
+    'EmitPiece',
     'FairQueue',
     'FewestRunning',
+    'FinishAnswer',
     'FirstComeQueue',
     'GatewaysChanged',
     'HandOver',
     'HandOverFinished',
+    'ImportEnded',
     'Invalid',
     'InvalidTicketError',
     'LeaveStarted',
@@ -192,10 +228,12 @@
     'PermitReleased',
     'PermitRequest',
     'PermitsRegistered',
+    'PieceArrived',
     'PlatformListed',
     'PoolKey',
     'PoolSummary',
     'PrefillCandidate',
+    'PrefillEnded',
     'PrefixIndex',
     'Problem',
     'QueueOptions',
@@ -206,6 +244,7 @@
     'RecordsNotTaken',
     'RecordsOffered',
     'RecordsTaken',
+    'RefuseAnswer',
     'RefusedByServer',
     'Region',
     'RegionSpill',
@@ -216,8 +255,10 @@
     'Resolver',
     'RetryBudget',
     'Route',
+    'RunFailed',
     'Scheduler',
     'SchedulerOptions',
+    'SchedulerUnreachable',
     'Scope',
     'ScopedException',
     'SendDatagram',
@@ -227,11 +268,17 @@
     'Service',
     'SpillPolicy',
     'Stale',
+    'StartDecode',
+    'StartPrefill',
     'StartSend',
     'StatusAnswer',
     'StatusRequest',
     'StopRequested',
+    'StopRun',
     'Stopped',
+    'StreamEnded',
+    'Superseded',
+    'TellScheduler',
     'Tick',
     'Ticket',
     'TicketAsked',
@@ -253,6 +300,7 @@
     'TicketTick',
     'TicketsMoved',
     'TokenBucket',
+    'TooManyHeldPiecesError',
     'UnknownNameError',
     'Values',
     'ViewChanged',
