Count waste and retries by their metrics, not by strings

Cause: the answer task passed plain strings where a metric is expected, so a daemon with a statsd server failed at the first retry (seen in a run of the load tool; no test had a statsd server and a retry).

Change: the three counters are in the catalogue; the load tool sums them up by cause. A run in which nobody is answered has a fairness index of 0 instead of ending the tool.

--- a/bench/_report.py
+++ b/bench/_report.py
@@ -9,6 +9,7 @@
     ('goodput /s', 'goodput_per_s'),
     ('good share', 'good_share'),
     ('wasted prefill', 'wasted_prefill_share'),
+    ('wasted tokens', 'wasted_tokens_share'),
     ('small callers', 'small_callers_share'),
     ('fairness', 'fairness_index'),
 )
@@ -42,7 +43,13 @@
     """Return a Markdown table: means over seeds, with the range."""
     head = ['deployment', 'fault', 'load', 'policy', 'runs']
     head += [title for title, _ in COLUMNS]
-    head += ['first output p50/p95 ms', 'pace p95 ms', 'refused', 'failed']
+    head += [
+        'first output p50/p95 ms',
+        'pace p95 ms',
+        'wasted by',
+        'refused',
+        'failed',
+    ]
     lines = [_row(head), _row(['---'] * len(head))]
     for key, group in group_records(records).items():
         cells = [*map(str, key), str(len(group))]
@@ -50,6 +57,7 @@
         first = [_percentile(group, 'first_output_ms', p) for p in (50, 95)]
         cells.append('/'.join(first))
         cells.append(_percentile(group, 'pace_ms', 95))
+        cells.append(_kinds(group, 'wasted_prefill_kinds'))
         cells.append(_kinds(group, 'refusals'))
         cells.append(_kinds(group, 'failures'))
         lines.append(_row(cells))
@@ -93,7 +101,7 @@
 
 
 def _values(group, field):
-    return [item[field] for item in group if item[field] is not None]
+    return [item[field] for item in group if item.get(field) is not None]
 
 
 def _mean(group, field):
@@ -119,5 +127,5 @@
 def _kinds(group, field):
     total = collections.Counter()
     for item in group:
-        total.update(item[field])
+        total.update(item.get(field, {}))
     return ', '.join(f'{k} {n}' for k, n in sorted(total.items())) or '-'
--- a/bench/_run.py
+++ b/bench/_run.py
@@ -89,7 +89,9 @@
     return client.outcomes, {
         **record,
         'pieces': pieces,
-        'retries': rig.sink.counts.get('retries', 0),
+        **_summary.summarise_counters(
+            rig.sink.counts, record['prefill_tokens']
+        ),
         # No mechanism sends anything across yet; null is not measured.
         'region_link_bytes': rig.sink.counts.get('region_link_bytes'),
         'daemon_processor_ms': round(spent_ms),
--- a/bench/_summary.py
+++ b/bench/_summary.py
@@ -83,6 +83,25 @@
     }
 
 
+def summarise_counters(counts, prefill_tokens):
+    """Return what the daemons' own counters say of waste and retries."""
+    return {
+        'retries': _parts(counts, 'retries.'),
+        'wasted_prefill_kinds': _parts(counts, 'prefill.wasted.'),
+        'wasted_tokens_share': _share(
+            counts.get('prefill.wasted_tokens', 0), prefill_tokens
+        ),
+    }
+
+
+def _parts(counts, start):
+    return {
+        name.removeprefix(start): count
+        for name, count in sorted(counts.items())
+        if name.startswith(start)
+    }
+
+
 def summarise_fairness(outcomes):
     """Return Jain's index, and the share of the callers of small use.
 
@@ -100,7 +119,9 @@
         if LEAST_REQUESTS <= count <= level
     ]
     shares = [
-        got[caller] / min(count, level) for caller, count in asked.items()
+        got[caller] / min(count, level)
+        for caller, count in asked.items()
+        if level
     ]
     small_asked = sum(asked[caller] for caller in small)
     whole = collections.Counter(
--- a/bluebellthread/daemon/_answer_task.py
+++ b/bluebellthread/daemon/_answer_task.py
@@ -11,6 +11,7 @@
 from bluebellthread import engines
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
+from bluebellthread.observe import metrics
 
 WRITE_GRACE_S = 5
 """Seconds past its deadline that a slow caller may read its answer."""
@@ -270,8 +271,8 @@
         )
 
     def _count_waste(self, command):
-        self._metrics.count('prefill_wasted_tokens', command.tokens)
-        self._metrics.count(f'prefill_wasted.{command.kind}')
+        self._metrics.count(metrics.PREFILL_WASTED_TOKENS, command.tokens)
+        self._metrics.count(metrics.PREFILL_WASTED, kind=command.kind)
 
     def _count_retry(self, command):
-        self._metrics.count(f'retries.{command.kind}')
+        self._metrics.count(metrics.RETRIES, kind=command.kind)
--- a/bluebellthread/observe/_metrics.py
+++ b/bluebellthread/observe/_metrics.py
@@ -37,6 +37,9 @@
 
 REQUESTS = Metric('requests', 'counter')
 REQUESTS_REFUSED = Metric('requests.refused.{kind}', 'counter')
+PREFILL_WASTED = Metric('prefill.wasted.{kind}', 'counter')
+PREFILL_WASTED_TOKENS = Metric('prefill.wasted_tokens', 'counter')
+RETRIES = Metric('retries.{kind}', 'counter')
 
 
 def list_metrics():
