--- a/bench/_report.py
+++ b/bench/_report.py
@@ -57,7 +57,7 @@
         first = [_percentile(group, 'first_output_ms', p) for p in (50, 95)]
         cells.append('/'.join(first))
         cells.append(_percentile(group, 'pace_ms', 95))
-        cells.append(_kinds(group, 'wasted_prefill_kinds'))
+        cells.append(_kinds(group, 'wasted_tokens'))
         cells.append(_kinds(group, 'refusals'))
         cells.append(_kinds(group, 'failures'))
         lines.append(_row(cells))
--- a/bench/_summary.py
+++ b/bench/_summary.py
@@ -85,12 +85,11 @@
 
 def summarise_counters(counts, prefill_tokens):
     """Return what the daemons' own counters say of waste and retries."""
+    wasted = _parts(counts, 'prefill.wasted_tokens.')
     return {
         'retries': _parts(counts, 'retries.'),
-        'wasted_prefill_kinds': _parts(counts, 'prefill.wasted.'),
-        'wasted_tokens_share': _share(
-            counts.get('prefill.wasted_tokens', 0), prefill_tokens
-        ),
+        'wasted_tokens': wasted,
+        'wasted_tokens_share': _share(sum(wasted.values()), prefill_tokens),
     }
 
 
--- a/bluebellthread/configuration/_settings.py
+++ b/bluebellthread/configuration/_settings.py
@@ -38,6 +38,9 @@
     peer_port : int
         For other VMs and operators, over TCP and UDP; 0 lets the
         operating system choose.
+    peer_address : str
+        ``host:port`` that other VMs reach it by, where an address
+        translation makes this differ from `host` and `peer_port`.
     caller_port : int
         For callers, over HTTP; 0 lets the operating system choose.
     platform_addresses : tuple of str
@@ -64,6 +67,14 @@
         Connections from callers at a time.
     drain_timeout_ms : int
         Longest wait for streams to finish at a planned stop.
+    balancer_lag_ms : int
+        How long the balancer may still send new requests to a VM that
+        is not ready any more; at a planned stop they are still taken.
+    disabled_mechanisms : tuple of str
+        For tests only, to show what a mechanism is for: ``'probes'``,
+        ``'pause-detection'``, ``'gateway-cancel'``, ``'stray-cancel'``,
+        ``'registrations'``, ``'cautious-share'``, ``'release-resend'``
+        or ``'balancer-lag'``.
 
     Examples
     --------
@@ -81,6 +92,7 @@
     caller_port: int
     platform_addresses: tuple[str, ...]
     seed_addresses: tuple[str, ...] = ()
+    peer_address: str = ''
     ticket_keys: tuple[TicketKey, ...] = ()
     engine_adapter: str = 'completions'
     statsd_host: str = ''
@@ -91,3 +103,5 @@
     request_header_max_bytes: int = 16 * 1024
     caller_connections_max: int = 1024
     drain_timeout_ms: int = 120000
+    balancer_lag_ms: int = 3000
+    disabled_mechanisms: tuple[str, ...] = ()
--- a/bluebellthread/core/_scheduler_events.py
+++ b/bluebellthread/core/_scheduler_events.py
@@ -17,6 +17,13 @@
     servers: tuple[_model.BackendServer, ...]
 
 
+@attrs.frozen(kw_only=True)
+class ServerFailed:
+    """A backend server could not be reached."""
+
+    server: str
+
+
 @attrs.frozen(kw_only=True)
 class OptionsChanged:
     """The configuration names other policies for the pool."""
--- a/bluebellthread/observe/_metrics.py
+++ b/bluebellthread/observe/_metrics.py
@@ -35,10 +35,11 @@
         return self.name.format(**parts)
 
 
+PREFILL_WASTED_TOKENS = Metric('prefill.wasted_tokens.{kind}', 'counter')
 REQUESTS = Metric('requests', 'counter')
+CONTROL_MESSAGES = Metric('control.messages', 'counter')
+CONTROL_BYTES = Metric('control.bytes', 'counter')
 REQUESTS_REFUSED = Metric('requests.refused.{kind}', 'counter')
-PREFILL_WASTED = Metric('prefill.wasted.{kind}', 'counter')
-PREFILL_WASTED_TOKENS = Metric('prefill.wasted_tokens', 'counter')
 RETRIES = Metric('retries.{kind}', 'counter')
 
 
