--- a/Makefile
+++ b/Makefile
@@ -28,4 +28,4 @@
 	$(PY) -m standin.demo
 
 bench: setup
-	$(PY) -m bench $(BENCH)
+	$(PY) -m bench $(or $(BENCH),run --places brasov-b)
--- a/bench/_summary.py
+++ b/bench/_summary.py
@@ -54,7 +54,7 @@
 def summarise_prefill(states):
     """Return the prefills that ran, and those that led to no answer."""
     runs = collections.Counter()
-    cancelled = set()
+    cancelled_ids = set()
     computed_tokens = evicted_count = 0
     started = set()
     for state in states.values():
@@ -64,22 +64,22 @@
             evicted_count += state.get('evicted_count', 0)
         else:
             started |= set(state.get('started', {}))
-        cancelled |= set(state.get('cancelled_ids', ()))
+        cancelled_ids |= set(state.get('cancelled_ids', ()))
     total = sum(runs.values())
-    wasted = {name for name in runs if name not in started}
-    causes = {
-        'evicted': min(evicted_count, len(wasted)),
-        'cancelled': len(wasted & cancelled),
-    }
-    causes['cancelled'] = min(
-        causes['cancelled'], len(wasted) - causes['evicted']
-    )
-    causes['other'] = len(wasted) - sum(causes.values())
+    # A prompt that was read twice for one answer was read once in vain.
+    wasted = total - len(started & set(runs))
+    evicted = min(evicted_count, wasted)
+    unstarted = set(runs) - started
+    cancelled = min(len(unstarted & cancelled_ids), wasted - evicted)
     return {
         'prefills': total,
         'prefill_tokens': computed_tokens,
-        'wasted_prefill_share': _share(len(wasted), total),
-        'wasted_prefill_causes': causes,
+        'wasted_prefill_share': _share(wasted, total),
+        'wasted_prefill_causes': {
+            'evicted': evicted,
+            'cancelled': cancelled,
+            'other': wasted - evicted - cancelled,
+        },
     }
 
 
