--- a/bluebellthread/core/_placement.py
+++ b/bluebellthread/core/_placement.py
@@ -139,7 +139,8 @@
                 cautious=is_cautious(account.name)
             )
             has_link = account.transfer_count < self._options.transfer_slots
-            has_room = free_pieces >= needed and has_link
+            keeps_pace = len(account.entries) < self._options.decode_slots
+            has_room = free_pieces >= needed and has_link and keeps_pace
             if not has_room and self._decode_policy.reserves:
                 continue
             candidates.append(
--- a/bluebellthread/core/_scheduler_options.py
+++ b/bluebellthread/core/_scheduler_options.py
@@ -7,6 +7,9 @@
 PREFILL_SLOTS = 2
 """Prompts reserved at a time on one prefill server."""
 
+DECODE_SLOTS = 24
+"""Requests on one decode server at a time: each slows all the others."""
+
 TRANSFER_SLOTS = 4
 """KV caches reserved at a time on the link into one decode server."""
 
@@ -19,9 +22,9 @@
     ----------
     prefill_policy, decode_policy, queue_policy : str
         Names in the registries.
-    prefill_slots, transfer_slots : int
-        Reservations at a time on a prefill server, and on the link into
-        a decode server.
+    prefill_slots, transfer_slots, decode_slots : int
+        Reservations at a time on a prefill server, on the link into a
+        decode server, and in its memory, however small they are.
     queue : QueueOptions
         Bounds of the queue.
     report_timeout_ms : int
@@ -56,6 +59,7 @@
     queue_policy: str = 'first-come'
     prefill_slots: int = PREFILL_SLOTS
     transfer_slots: int = TRANSFER_SLOTS
+    decode_slots: int = DECODE_SLOTS
     queue: _policies.QueueOptions = attrs.field(factory=_policies.QueueOptions)
     report_timeout_ms: int = 3000
     settle_timeout_ms: int = 1000
--- a/tests/unit/test_server_policies.py
+++ b/tests/unit/test_server_policies.py
@@ -182,3 +182,14 @@
         scheduler = _pool.start_scheduler()
         scheduler.handle(core.ServerFailed(server='d1'), 10)
         self.assertEqual('d1', self.place(scheduler, 'r1', 11))
+
+    def test_small_requests_do_not_crowd_a_decode_server(self):
+        scheduler = _pool.make_scheduler(decode_slots=1)
+        servers = ('p1', 'p2', 'd1')
+        scheduler.handle(_pool.make_servers(*servers), 0)
+        for server in servers:
+            report = _pool.make_report(server, 1, 0, total=40)
+            scheduler.handle(report, 0)
+        self.place(scheduler, 'r1', 1)
+        second = scheduler.handle(_pool.make_request('r2'), 1)
+        self.assertEqual([], _pool.find_granted(second))
