--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -87,6 +87,7 @@
 from bluebellthread.core._messages import StatusAnswer
 from bluebellthread.core._messages import StatusRequest
 from bluebellthread.core._model import BackendServer
+from bluebellthread.core._model import CHARACTERS_PER_TOKEN
 from bluebellthread.core._model import count_pieces
 from bluebellthread.core._model import estimate_tokens
 from bluebellthread.core._model import LoadReport
@@ -146,6 +147,7 @@
 from bluebellthread.core._scheduler_events import GatewaysChanged
 from bluebellthread.core._scheduler_events import OptionsChanged
 from bluebellthread.core._scheduler_events import SendToGateway
+from bluebellthread.core._scheduler_events import ServerFailed
 from bluebellthread.core._scheduler_events import ServersChanged
 from bluebellthread.core._scheduler_events import Tick
 from bluebellthread.core._scheduler_options import SchedulerOptions
@@ -228,6 +230,7 @@
     'BluebellthreadError',
     'BoundedPrefix',
     'BoundedQueue',
+    'CHARACTERS_PER_TOKEN',
     'CallArrived',
     'CallerGone',
     'CallerLimits',
@@ -342,6 +345,7 @@
     'SendOrder',
     'SendToGateway',
     'ServerAnswer',
+    'ServerFailed',
     'ServersChanged',
     'Service',
     'SpillPolicy',
--- a/bluebellthread/core/_scheduler.py
+++ b/bluebellthread/core/_scheduler.py
@@ -86,6 +86,7 @@
             _permit_messages.PermitAbandoned: self._on_abandoned,
             _model.LoadReport: self._on_report,
             events.ServersChanged: self._on_servers,
+            events.ServerFailed: self._on_failed,
             events.OptionsChanged: self._on_options,
             events.GatewaysChanged: self._on_gateways,
             events.CancelConfirmed: self._on_confirmed,
@@ -131,6 +132,8 @@
     # Requests
 
     def _on_request(self, request, now_ms):
+        for server in request.avoid_servers:
+            self._placement.note_failed(server, now_ms)
         if self._gateways.is_gone(_request_log.process_of(request)):
             return []
         if self._waiting.is_superseded(request):
@@ -305,6 +308,10 @@
         self._placement.set_servers(event.servers)
         return []
 
+    def _on_failed(self, event, now_ms):
+        self._placement.note_failed(event.server, now_ms)
+        return []
+
     def _on_options(self, event, now_ms):
         if event.options == self._options:
             return []
--- a/bluebellthread/daemon/_engine_control.py
+++ b/bluebellthread/daemon/_engine_control.py
@@ -91,6 +91,8 @@
                 await inbox.send(report)
                 for listener in self._listeners:
                     await listener.send(report)
+            else:
+                await inbox.send(core.ServerFailed(server=server.name))
         finally:
             self._polling.discard(server.name)
 
--- a/tests/unit/test_server_policies.py
+++ b/tests/unit/test_server_policies.py
@@ -2,6 +2,7 @@
 import unittest
 
 from bluebellthread import core
+from tests.unit import _pool
 from tests.unit import _requests
 
 
@@ -152,3 +153,43 @@
             self.summary('brasov-b', 'transilvania', 750),
         ):
             self.assertEqual('', self.choose('regions', [peer]))
+
+
+class TestFailedServers(unittest.TestCase):
+    def place(self, scheduler, request_id, now_ms, **fields):
+        request = _pool.make_request(request_id, **fields)
+        (permit,) = _pool.find_granted(scheduler.handle(request, now_ms))
+        return permit.decode_server
+
+    def start(self):
+        return _pool.start_scheduler(servers=('p1', 'p2', 'd1', 'd2'))
+
+    def test_unreachable_server_gets_nothing_until_it_reports(self):
+        scheduler = self.start()
+        scheduler.handle(core.ServerFailed(server='d1'), 10)
+        for number in range(2):
+            placed = self.place(scheduler, f'r{number}', 11)
+            self.assertEqual('d2', placed)
+        scheduler.handle(_pool.make_report('d1', 2, 20), 20)
+        self.assertEqual('d1', self.place(scheduler, 'r9', 21))
+
+    def test_what_failed_one_request_is_spared_the_others(self):
+        scheduler = self.start()
+        self.place(scheduler, 'r1', 10, avoid_servers=('d1',))
+        self.assertEqual('d2', self.place(scheduler, 'r2', 11))
+
+    def test_the_only_server_is_still_tried(self):
+        scheduler = _pool.start_scheduler()
+        scheduler.handle(core.ServerFailed(server='d1'), 10)
+        self.assertEqual('d1', self.place(scheduler, 'r1', 11))
+
+    def test_small_requests_do_not_crowd_a_decode_server(self):
+        scheduler = _pool.make_scheduler(decode_slots=1)
+        servers = ('p1', 'p2', 'd1')
+        scheduler.handle(_pool.make_servers(*servers), 0)
+        for server in servers:
+            report = _pool.make_report(server, 1, 0, total=40)
+            scheduler.handle(report, 0)
+        self.place(scheduler, 'r1', 1)
+        second = scheduler.handle(_pool.make_request('r2'), 1)
+        self.assertEqual([], _pool.find_granted(second))
