--- a/tests/integration/test_orders.py
+++ b/tests/integration/test_orders.py
@@ -12,9 +12,9 @@
     names = [name for name in ('p1', 'd1', 'd2') if name in fleet.standins]
     roles = {'p1': 'prefill', 'd1': 'decode', 'd2': 'decode'}
     value = _router.make_configuration(
-        [(n, fleet.standins[n], _router.MODEL, roles[n]) for n in names],
-        revision=revision,
+        [(n, fleet.standins[n], _router.MODEL, roles[n]) for n in names]
     )
+    value['revision'] = revision
     value['models'] = [{'name': _router.MODEL, 'version': version}]
     value['weight_loads_per_min'] = 6000
     for server in value['backend_servers']:
@@ -65,9 +65,8 @@
 
     async def start(self, fleet, *, checks, off=()):
         await fleet.start_standins([{'kind': 'platform'}])
-        await _router.start_engine(
-            fleet, 'd1', 'decode', checks_fencing=checks
-        )
+        engine = {'kind': 'engine', 'name': 'd1', 'role': 'decode'}
+        await fleet.start_standins([{**engine, 'checks_fencing': checks}])
         await fleet.publish_config(
             make_value(fleet, 1, version='1', checks=checks)
         )
