--- a/bluebellthread/core/_answer.py
+++ b/bluebellthread/core/_answer.py
@@ -153,9 +153,7 @@
         return self._back_off('no-scheduler', now_ms)
 
     def _on_permit_cancelled(self, event, now_ms):
-        present = self._permit is not None and (
-            event.permit_id == self._permit.permit_id
-        )
+        present = event.permit_id == getattr(self._permit, 'permit_id', '')
         if self._answered or self.ended:
             return self._end(clean=False) if present else []
         if event.kind == 'superseded' and self.has_held(event.permit_id):
