--- a/bluebellthread/configuration/_settings.py
+++ b/bluebellthread/configuration/_settings.py
@@ -51,6 +51,10 @@
     ticket_keys : tuple of TicketKey
         At least one, with exactly one issuing, where the fleet has calls
         that may not be repeated.
+    ticket_lifetime_timeout_ms : int
+        From a ticket's issue to the last moment that its call may start.
+    ticket_memory_max_bytes : int
+        Memory for the records of tickets.
     engine_adapter : str
         Name in the registry of engine adapters.
     statsd_host, statsd_port : str, int
@@ -74,9 +78,11 @@
         For tests only, to show what a mechanism is for: ``'probes'``,
         ``'pause-detection'``, ``'gateway-cancel'``, ``'stray-cancel'``,
         ``'registrations'``, ``'cautious-share'``, ``'release-resend'``,
-        ``'minority-wait'`` or ``'balancer-lag'``; for answers
-        ``'answer-order'``, ``'answer-resume'``, ``'answer-retry'``,
-        ``'supersede'`` or ``'caller-release'``.
+        ``'minority-wait'``, ``'balancer-lag'``, ``'start-hold'``,
+        ``'revision-order'``, ``'digest-exchange'``, ``'shared-watch'``,
+        ``'order-confirmation'``; for answers ``'answer-order'``,
+        ``'answer-resume'``, ``'answer-retry'``, ``'supersede'`` or
+        ``'caller-release'``.
 
     Examples
     --------
@@ -96,6 +102,8 @@
     seed_addresses: tuple[str, ...] = ()
     peer_address: str = ''
     ticket_keys: tuple[TicketKey, ...] = ()
+    ticket_lifetime_timeout_ms: int = 30000
+    ticket_memory_max_bytes: int = 8 * 1024 * 1024
     engine_adapter: str = 'completions'
     statsd_host: str = ''
     statsd_port: int = 8125
--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -41,6 +41,11 @@
 from bluebellthread.core._configuration import ScopedException
 from bluebellthread.core._configuration import Service
 from bluebellthread.core._configuration import Values
+from bluebellthread.core._configuration_messages import ManifestAnswer
+from bluebellthread.core._configuration_messages import ManifestRequest
+from bluebellthread.core._configuration_messages import RevisionAnnounced
+from bluebellthread.core._configuration_messages import SectionsAnswer
+from bluebellthread.core._configuration_messages import SectionsRequest
 from bluebellthread.core._decode_policies import BestFit
 from bluebellthread.core._decode_policies import FewestRunning
 from bluebellthread.core._early_refusal import EarlyRefusalQueue
@@ -82,6 +87,7 @@
 from bluebellthread.core._messages import StatusAnswer
 from bluebellthread.core._messages import StatusRequest
 from bluebellthread.core._model import BackendServer
+from bluebellthread.core._model import CHARACTERS_PER_TOKEN
 from bluebellthread.core._model import count_pieces
 from bluebellthread.core._model import estimate_tokens
 from bluebellthread.core._model import LoadReport
@@ -92,6 +98,15 @@
 from bluebellthread.core._model import ROLE_DECODE
 from bluebellthread.core._model import ROLE_PREFILL
 from bluebellthread.core._model import ROLE_SERVICE
+from bluebellthread.core._orders import EngineOrder
+from bluebellthread.core._orders import list_targets
+from bluebellthread.core._orders import OrderDone
+from bluebellthread.core._orders import OrderFailed
+from bluebellthread.core._orders import OrderOptions
+from bluebellthread.core._orders import OrderPlanner
+from bluebellthread.core._orders import OrdersConfigured
+from bluebellthread.core._orders import SendOrder
+from bluebellthread.core._orders import share_loads
 from bluebellthread.core._ownership import choose_owner
 from bluebellthread.core._ownership import rank_by_rendezvous
 from bluebellthread.core._permit_messages import PermitAbandoned
@@ -111,18 +126,41 @@
 from bluebellthread.core._registry import Registry
 from bluebellthread.core._retry import backoff_ms
 from bluebellthread.core._retry import RetryBudget
+from bluebellthread.core._revision_events import AnswerPeer
+from bluebellthread.core._revision_events import ApplyConfiguration
+from bluebellthread.core._revision_events import AskPeer
+from bluebellthread.core._revision_events import PeerAnswered
+from bluebellthread.core._revision_events import PeerAsked
+from bluebellthread.core._revision_events import PeerFailed
+from bluebellthread.core._revision_events import PublishedInvalid
+from bluebellthread.core._revision_events import ReportConflict
+from bluebellthread.core._revision_events import ReportInvalid
+from bluebellthread.core._revision_events import ReportStale
+from bluebellthread.core._revision_events import RevisionPublished
+from bluebellthread.core._revision_events import TellPeer
+from bluebellthread.core._revision_events import WatchPlatform
+from bluebellthread.core._revision_options import RevisionOptions
+from bluebellthread.core._revisions import Revisions
 from bluebellthread.core._scheduler import Scheduler
 from bluebellthread.core._scheduler_events import CancelAtEngine
 from bluebellthread.core._scheduler_events import CancelConfirmed
 from bluebellthread.core._scheduler_events import GatewaysChanged
 from bluebellthread.core._scheduler_events import OptionsChanged
 from bluebellthread.core._scheduler_events import SendToGateway
+from bluebellthread.core._scheduler_events import ServerFailed
 from bluebellthread.core._scheduler_events import ServersChanged
 from bluebellthread.core._scheduler_events import Tick
 from bluebellthread.core._scheduler_options import SchedulerOptions
+from bluebellthread.core._sections import join_value
+from bluebellthread.core._sections import Manifest
+from bluebellthread.core._sections import ManifestPart
+from bluebellthread.core._sections import pack_sections
+from bluebellthread.core._sections import split_value
+from bluebellthread.core._sections import unpack_sections
 from bluebellthread.core._spill_policies import PoolSummary
 from bluebellthread.core._spill_policies import RegionSpill
 from bluebellthread.core._spill_policies import SpillPolicy
+from bluebellthread.core._spread import choose_watchers
 from bluebellthread.core._stray_watch import make_permit_id
 from bluebellthread.core._ticket_book import cost_bytes
 from bluebellthread.core._ticket_book import TicketBook
@@ -142,12 +180,15 @@
 from bluebellthread.core._ticket_events import TicketAsked
 from bluebellthread.core._ticket_events import TicketReply
 from bluebellthread.core._ticket_events import TicketTick
+from bluebellthread.core._ticket_holders import TicketHolders
 from bluebellthread.core._ticket_messages import TicketCall
 from bluebellthread.core._ticket_messages import TicketCopy
 from bluebellthread.core._ticket_messages import TicketLookup
 from bluebellthread.core._ticket_messages import TicketRecords
+from bluebellthread.core._ticket_messages import TicketRequest
 from bluebellthread.core._ticket_messages import TicketResult
 from bluebellthread.core._ticket_messages import TicketsMoved
+from bluebellthread.core._ticket_outcomes import after_forward
 from bluebellthread.core._ticket_outcomes import AttemptRejected
 from bluebellthread.core._ticket_outcomes import Completed
 from bluebellthread.core._ticket_outcomes import NotRun
@@ -159,10 +200,13 @@
 from bluebellthread.core._ticket_token import digest_call
 from bluebellthread.core._ticket_token import id_of_text
 from bluebellthread.core._ticket_token import InvalidTicketError
+from bluebellthread.core._ticket_token import origin_of
 from bluebellthread.core._ticket_token import Ticket
+from bluebellthread.core._ticket_token import TICKET_KEYS_MAX
 from bluebellthread.core._ticket_token import TicketKey
 from bluebellthread.core._ticket_token import TicketKeysError
 from bluebellthread.core._ticket_token import TicketSigner
+from bluebellthread.core._tickets import longest_check_ms
 from bluebellthread.core._tickets import TicketKeeper
 from bluebellthread.core._tickets import TicketOptions
 from bluebellthread.core._token_bucket import TokenBucket
@@ -174,7 +218,10 @@
     'AnswerLost',
     'AnswerMachine',
     'AnswerOptions',
+    'AnswerPeer',
     'AnswerPiece',
+    'ApplyConfiguration',
+    'AskPeer',
     'AskPermit',
     'Assembler',
     'AttemptRejected',
@@ -183,6 +230,7 @@
     'BluebellthreadError',
     'BoundedPrefix',
     'BoundedQueue',
+    'CHARACTERS_PER_TOKEN',
     'CallArrived',
     'CallerGone',
     'CallerLimits',
@@ -201,6 +249,7 @@
     'DuplicateNameError',
     'EarlyRefusalQueue',
     'EmitPiece',
+    'EngineOrder',
     'FairQueue',
     'FewestRunning',
     'FinishAnswer',
@@ -216,6 +265,10 @@
     'LoadReport',
     'LookupArrived',
     'MEMBERSHIP_MESSAGES',
+    'Manifest',
+    'ManifestAnswer',
+    'ManifestPart',
+    'ManifestRequest',
     'Member',
     'Membership',
     'MembershipOptions',
@@ -224,8 +277,16 @@
     'NotRun',
     'NothingSent',
     'OptionsChanged',
+    'OrderDone',
+    'OrderFailed',
+    'OrderOptions',
+    'OrderPlanner',
+    'OrdersConfigured',
     'OutcomeUnknown',
     'PauseNoticed',
+    'PeerAnswered',
+    'PeerAsked',
+    'PeerFailed',
     'Permit',
     'PermitAbandoned',
     'PermitCancelled',
@@ -243,6 +304,7 @@
     'PrefillEnded',
     'PrefixIndex',
     'Problem',
+    'PublishedInvalid',
     'QueueOptions',
     'QueueRefusal',
     'ROLE_DECODE',
@@ -258,10 +320,17 @@
     'RegistrationWanted',
     'Registry',
     'Rejected',
+    'ReportConflict',
+    'ReportInvalid',
+    'ReportStale',
     'RequestFound',
     'RequestLookup',
     'Resolver',
     'RetryBudget',
+    'RevisionAnnounced',
+    'RevisionOptions',
+    'RevisionPublished',
+    'Revisions',
     'Route',
     'RunFailed',
     'Scheduler',
@@ -269,10 +338,14 @@
     'SchedulerUnreachable',
     'Scope',
     'ScopedException',
+    'SectionsAnswer',
+    'SectionsRequest',
     'SeedsTried',
     'SendDatagram',
+    'SendOrder',
     'SendToGateway',
     'ServerAnswer',
+    'ServerFailed',
     'ServersChanged',
     'Service',
     'SpillPolicy',
@@ -287,6 +360,8 @@
     'Stopped',
     'StreamEnded',
     'Superseded',
+    'TICKET_KEYS_MAX',
+    'TellPeer',
     'TellScheduler',
     'Tick',
     'Ticket',
@@ -294,6 +369,7 @@
     'TicketBook',
     'TicketCall',
     'TicketCopy',
+    'TicketHolders',
     'TicketIssued',
     'TicketKeeper',
     'TicketKey',
@@ -304,6 +380,7 @@
     'TicketRecord',
     'TicketRecords',
     'TicketReply',
+    'TicketRequest',
     'TicketResult',
     'TicketSigner',
     'TicketTick',
@@ -313,9 +390,12 @@
     'UnknownNameError',
     'Values',
     'ViewChanged',
+    'WatchPlatform',
+    'after_forward',
     'backoff_ms',
     'check_configuration',
     'choose_owner',
+    'choose_watchers',
     'cost_bytes',
     'count_pieces',
     'decide_acceptance',
@@ -324,10 +404,18 @@
     'estimate_tokens',
     'explain',
     'id_of_text',
+    'join_value',
+    'list_targets',
+    'longest_check_ms',
     'make_permit_id',
+    'origin_of',
+    'pack_sections',
     'prefill_policies',
     'queue_policies',
     'rank_by_rendezvous',
     'resolve',
+    'share_loads',
     'spill_policies',
+    'split_value',
+    'unpack_sections',
 ]
--- a/bluebellthread/core/_placement.py
+++ b/bluebellthread/core/_placement.py
@@ -4,6 +4,7 @@
 
 from bluebellthread.core import _model
 from bluebellthread.core import _policies
+from bluebellthread.core import _prefill_policies
 from bluebellthread.core import _prefix_index
 
 
@@ -29,6 +30,7 @@
         self.set_options(options)
         self._prefix_index = _prefix_index.PrefixIndex()
         self._servers = {}
+        self._failed_ms = {}
 
     @property
     def servers(self):
@@ -48,6 +50,15 @@
         ordered = sorted(servers, key=lambda server: server.name)
         self._servers = {server.name: server for server in ordered}
 
+    def note_failed(self, server, now_ms):
+        """Place nothing on a server until its next report, if others are.
+
+        A dead engine looks empty by the account, so that every policy
+        would choose it until its last report is too old.
+        """
+        if server in self._servers:
+            self._failed_ms[server] = now_ms
+
     def has_both_roles(self):
         """Return whether the pool can serve a request at all."""
         roles = {server.role for server in self._servers.values()}
@@ -84,6 +95,7 @@
 
     def _usable_accounts(self, role, now_ms):
         oldest_ms = now_ms - self._options.report_timeout_ms
+        usable = []
         for server in self._servers.values():
             if server.role != role or server.leaving:
                 continue
@@ -92,7 +104,16 @@
             if report is None or report.leaving:
                 continue
             if report.received_ms >= oldest_ms:
-                yield account
+                usable.append(account)
+        return [
+            item for item in usable if not self._has_failed(item)
+        ] or usable
+
+    def _has_failed(self, account):
+        failed_ms = self._failed_ms.get(account.name)
+        return failed_ms is not None and (
+            account.report.received_ms <= failed_ms
+        )
 
     def _prefill_candidates(self, now_ms):
         return tuple(
@@ -102,8 +123,12 @@
                 reported_queued=account.report.queued_count,
             )
             for account in self._usable_accounts(_model.ROLE_PREFILL, now_ms)
-            if account.prefill_count < self._options.prefill_slots
-            or not self._prefill_policy.reserves
+            if not self._prefill_policy.reserves
+            or _prefill_policies.has_room(
+                reserved_tokens=account.prefill_tokens,
+                reserved_count=account.prefill_count,
+                slots=self._options.prefill_slots,
+            )
         )
 
     def _decode_candidates(self, request, now_ms, is_cautious):
@@ -114,7 +139,8 @@
                 cautious=is_cautious(account.name)
             )
             has_link = account.transfer_count < self._options.transfer_slots
-            has_room = free_pieces >= needed and has_link
+            keeps_pace = len(account.entries) < self._options.decode_slots
+            has_room = free_pieces >= needed and has_link and keeps_pace
             if not has_room and self._decode_policy.reserves:
                 continue
             candidates.append(
--- a/bluebellthread/core/_prefill_policies.py
+++ b/bluebellthread/core/_prefill_policies.py
@@ -5,10 +5,40 @@
 from bluebellthread.core import _ownership
 from bluebellthread.core import _policies
 
+SHORT_BACKLOG_TOKENS = 2000
+"""Reserved prompt tokens up to which another prompt may be added."""
+
 LOAD_BOUND_PERCENT = 150
 """Share of the mean load up to which a server keeps its prefixes."""
 
 
+def has_room(*, reserved_tokens, reserved_count, slots):
+    """Return whether a prefill server may take one more prompt.
+
+    The next prompt is reserved while the last one is still read, so that
+    the server does not idle; but only behind a short rest, since what has
+    been granted can be neither reordered nor refused any more.
+
+    Parameters
+    ----------
+    reserved_tokens, reserved_count : int
+        Prompts reserved there, and their length in all.
+    slots : int
+        Prompts that may be reserved at a time.
+
+    Examples
+    --------
+    >>> has_room(reserved_tokens=400, reserved_count=1, slots=2)
+    True
+    >>> has_room(reserved_tokens=9000, reserved_count=1, slots=2)
+    False
+    """
+    if not reserved_count:
+        return True
+    short = reserved_tokens <= SHORT_BACKLOG_TOKENS
+    return short and reserved_count < slots
+
+
 @_policies.prefill_policies.register('random')
 @_policies.decode_policies.register('random')
 class RandomServer(_policies.ServerPolicy):
--- a/bluebellthread/core/_scheduler_options.py
+++ b/bluebellthread/core/_scheduler_options.py
@@ -7,6 +7,9 @@
 PREFILL_SLOTS = 2
 """Prompts reserved at a time on one prefill server."""
 
+DECODE_SLOTS = 24
+"""Requests on one decode server at a time: each slows all the others."""
+
 TRANSFER_SLOTS = 4
 """KV caches reserved at a time on the link into one decode server."""
 
@@ -19,9 +22,9 @@
     ----------
     prefill_policy, decode_policy, queue_policy : str
         Names in the registries.
-    prefill_slots, transfer_slots : int
-        Reservations at a time on a prefill server, and on the link into
-        a decode server.
+    prefill_slots, transfer_slots, decode_slots : int
+        Reservations at a time on a prefill server, on the link into a
+        decode server, and in its memory, however small they are.
     queue : QueueOptions
         Bounds of the queue.
     report_timeout_ms : int
@@ -37,6 +40,9 @@
         How long a request that belongs to no live process may run.
     live_stray_timeout_ms : int
         The same where the process that granted it lives.
+    cut_off_stray_timeout_ms : int
+        The same where it granted more after it looked dead: it is cut
+        off from this VM.
     unknown_gateway_timeout_ms : int
         How long a gateway may ask before the view shows it.
     minority_timeout_ms : int
@@ -56,6 +62,7 @@
     queue_policy: str = 'first-come'
     prefill_slots: int = PREFILL_SLOTS
     transfer_slots: int = TRANSFER_SLOTS
+    decode_slots: int = DECODE_SLOTS
     queue: _policies.QueueOptions = attrs.field(factory=_policies.QueueOptions)
     report_timeout_ms: int = 3000
     settle_timeout_ms: int = 1000
@@ -63,6 +70,7 @@
     register_period_ms: int = 300
     stray_timeout_ms: int = 1500
     live_stray_timeout_ms: int = 10000
+    cut_off_stray_timeout_ms: int = 60000
     unknown_gateway_timeout_ms: int = 3000
     minority_timeout_ms: int = 10000
     cancels_gone_gateways: bool = True
--- a/bluebellthread/core/_stray_watch.py
+++ b/bluebellthread/core/_stray_watch.py
@@ -16,8 +16,8 @@
 
     A stray is cancelled when it has run for a grace time. The time is
     longer while the process that granted it lives, since that process
-    will tell of it, and it starts again while new ids of that process
-    appear: then it is not dead but cut off from this VM.
+    will tell of it. It is longest where new ids of that process appear
+    after it looked dead: then it is not dead but cut off from this VM.
 
     Parameters
     ----------
@@ -27,9 +27,12 @@
     Examples
     --------
     >>> from bluebellthread.core import _scheduler_options
-    >>> watch = StrayWatch(_scheduler_options.SchedulerOptions())
+    >>> from bluebellthread.core import _gateway_watch
+    >>> options = _scheduler_options.SchedulerOptions()
+    >>> gateways = _gateway_watch.GatewayWatch(options)
+    >>> watch = StrayWatch(options)
     >>> watch.note_report('d1', ('vm9-7-1',), 0)
-    >>> watch.pop_due(frozenset(), 1499), watch.pop_due(frozenset(), 1500)
+    >>> watch.pop_due(gateways, 1499), watch.pop_due(gateways, 1500)
     ([], [('d1', 'vm9-7-1')])
     """
 
@@ -65,34 +68,35 @@
             for stray in strays.values():
                 stray.first_seen_ms = now_ms
 
-    def pop_due(self, live_processes, now_ms, *, least_wait_ms=0):
+    def pop_due(self, gateways, now_ms):
         """Return (server, id) of the strays to cancel now.
 
         Parameters
         ----------
-        live_processes : container of (str, int)
-            Name and incarnation of the live VM processes.
+        gateways : GatewayWatch
+            Knows which VM processes live, and since when others do not.
         now_ms : int
             Now.
-        least_wait_ms : int
-            Least time that a stray may run.
         """
         due = []
         for server, strays in self._strays.items():
             for permit_id, stray in strays.items():
-                timeout_ms = max(
-                    self._timeout_ms(permit_id, live_processes), least_wait_ms
-                )
+                timeout_ms = self._timeout_ms(granter_of(permit_id), gateways)
                 if self._is_due(permit_id, stray, timeout_ms, now_ms):
                     stray.cancelled_ms = now_ms
                     due.append((server, permit_id))
         self._forget_old_granters(now_ms)
         return due
 
-    def _timeout_ms(self, permit_id, live_processes):
-        if granter_of(permit_id) in live_processes:
+    def _timeout_ms(self, granter, gateways):
+        if granter in gateways.live:
             return self._options.live_stray_timeout_ms
-        return self._options.stray_timeout_ms
+        settled_ms = (
+            gateways.gone_since_ms(granter) + self._options.settle_timeout_ms
+        )
+        if self._newest_ms.get(granter, settled_ms) > settled_ms:
+            return self._options.cut_off_stray_timeout_ms
+        return max(self._options.stray_timeout_ms, gateways.wait_ms)
 
     def _is_due(self, permit_id, stray, timeout_ms, now_ms):
         if stray.cancelled_ms is not None:
@@ -103,7 +107,7 @@
         return now_ms >= max(stray.first_seen_ms, newest_ms) + timeout_ms
 
     def _forget_old_granters(self, now_ms):
-        horizon_ms = now_ms - self._options.live_stray_timeout_ms
+        horizon_ms = now_ms - self._options.cut_off_stray_timeout_ms
         self._newest_ms = {
             granter: seen_ms
             for granter, seen_ms in self._newest_ms.items()
--- a/bluebellthread/core/_tickets.py
+++ b/bluebellthread/core/_tickets.py
@@ -21,6 +21,11 @@
 """Memory of the records in one hand-over message, but for a single one."""
 
 
+CHECK_MARGIN_MS = 10000
+"""After a ticket's deadline: when a call that was sent just before it has
+certainly begun to run."""
+
+
 @attrs.frozen(kw_only=True)
 class TicketOptions:
     """Limits of one keeper.
@@ -33,15 +38,14 @@
         How long a record is kept after the deadline, and an outcome
         after it became known.
     check_margin_ms : int
-        After the deadline: when a call that was sent just before it has
-        certainly begun to run.
+        See `CHECK_MARGIN_MS`.
     limit_bytes : int
         Memory of all records.
     """
 
     lifetime_timeout_ms: int = 30000
     keep_timeout_ms: int = 120000
-    check_margin_ms: int = 10000
+    check_margin_ms: int = CHECK_MARGIN_MS
     limit_bytes: int = 8 * 1024 * 1024
 
 
@@ -86,23 +90,10 @@
         self._waiters = {}
         self._batches = {}
         self._batch_count = 0
-        self._handlers = {
-            events.TicketAsked: self._on_asked,
-            events.CallArrived: self._on_call,
-            events.LookupArrived: self._on_lookup,
-            events.NothingSent: self._on_nothing_sent,
-            events.AnswerArrived: self._on_answer,
-            events.AnswerLost: self._on_answer_lost,
-            events.StopRequested: self._on_stop,
-            events.RecordsOffered: self._on_offered,
-            events.RecordsTaken: self._on_taken,
-            events.RecordsNotTaken: self._on_not_taken,
-            events.TicketTick: self._on_tick,
-        }
 
     def handle(self, event, now_ms):
         """Take one event in and return the commands that follow."""
-        commands = self._handlers[type(event)](event, now_ms)
+        commands = self._HANDLERS[type(event)](self, event, now_ms)
         self.book.drop_expired(now_ms)
         return commands
 
@@ -231,7 +222,9 @@
         if event.refused:
             outcome = outcomes.RefusedByServer(answer=event.answer)
         else:
-            outcome = outcomes.Completed(answer=event.answer)
+            outcome = outcomes.Completed(
+                answer=event.answer, whole=event.whole
+            )
         return self._end_run(event.ticket_id, outcome, now_ms)
 
     def _on_answer_lost(self, event, now_ms):
@@ -346,6 +339,34 @@
                 return [_reject(event.waiter, 'full')]
         return [events.TicketReply(waiter=event.waiter, result=None)]
 
+    _HANDLERS = {
+        events.TicketAsked: _on_asked,
+        events.CallArrived: _on_call,
+        events.LookupArrived: _on_lookup,
+        events.NothingSent: _on_nothing_sent,
+        events.AnswerArrived: _on_answer,
+        events.AnswerLost: _on_answer_lost,
+        events.StopRequested: _on_stop,
+        events.RecordsOffered: _on_offered,
+        events.RecordsTaken: _on_taken,
+        events.RecordsNotTaken: _on_not_taken,
+        events.TicketTick: _on_tick,
+    }
+
+
+def longest_check_ms(ticket):
+    """Return how long a ticket's call may still start, on any clock.
+
+    Examples
+    --------
+    >>> longest_check_ms(_ticket_token.Ticket(issuer='vm1',
+    ...     issuer_incarnation=255, number=3, host='127.0.0.1',
+    ...     peer_port=7000, serves='ledger', deadline_ms=60000,
+    ...     lifetime_ms=30000))
+    40000
+    """
+    return ticket.lifetime_ms + CHECK_MARGIN_MS
+
 
 def _reject(waiter, kind):
     rejected = outcomes.AttemptRejected(kind=kind)
--- a/bluebellthread/daemon/_http.py
+++ b/bluebellthread/daemon/_http.py
@@ -11,9 +11,27 @@
 RUN_NOT_RUN = 'not-run'
 RUN_UNKNOWN = 'unknown'
 RUN_DONE = 'done'
+RUN_NOT_THIS_TIME = 'not-this-time'
+
+TICKET_HEADER = 'x-ticket'
+"""Header of a call that may not be repeated."""
 
 MS_PER_S = 1000
 
+HOP_HEADERS = frozenset(
+    {
+        'connection',
+        'content-length',
+        'host',
+        'keep-alive',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    }
+)
+"""Headers that hold for one connection only, or are made anew."""
+
 
 class Refusal(core.BluebellthreadError):
     """A final answer that is not the wanted one.
@@ -27,14 +45,25 @@
     remedy : str
         What the caller can do.
     run : str
-        ``'not-run'``, ``'unknown'`` or ``'done'``: whether the work ran.
+        ``'not-run'``, ``'not-this-time'`` (this attempt ran nothing),
+        ``'unknown'`` or ``'done'``: whether the work ran.
     retry_after_ms : int
         When to come back; 0 for no advice.
+    headers : tuple of (str, str)
+        Further headers.
     """
 
     def __init__(
-        self, *, status, kind, remedy, run=RUN_NOT_RUN, retry_after_ms=0
+        self,
+        *,
+        status,
+        kind,
+        remedy,
+        run=RUN_NOT_RUN,
+        retry_after_ms=0,
+        headers=(),
     ):
+        self.headers = headers
         self.status = status
         self.kind = kind
         self.remedy = remedy
@@ -43,6 +72,38 @@
         super().__init__(f'{kind}: {remedy}')
 
 
+class OutcomeRefusal(Refusal):
+    """A refusal that speaks of a ticket, not of one attempt alone."""
+
+
+def limit_claim(refusal, headers):
+    """Let a refusal claim no more than is known of a call with a ticket.
+
+    An earlier attempt with the ticket may have run, so "not run" is left
+    to those that know the ticket.
+
+    Parameters
+    ----------
+    refusal : Refusal
+        Changed in place.
+    headers : list of (bytes, bytes)
+        Of the request.
+
+    Examples
+    --------
+    >>> refusal = Refusal(status=503, kind='overloaded', remedy='wait')
+    >>> limit_claim(refusal, [(b'x-ticket', b'vm1-ff-3.a.b')])
+    >>> refusal.run
+    'not-this-time'
+    """
+    if not find_header(headers, TICKET_HEADER.encode()):
+        return
+    if isinstance(refusal, OutcomeRefusal):
+        return
+    if refusal.run == RUN_NOT_RUN:
+        refusal.run = RUN_NOT_THIS_TIME
+
+
 @attrs.frozen(kw_only=True)
 class Request:
     """One HTTP request of a caller, its body read whole.
@@ -50,7 +111,9 @@
     Parameters
     ----------
     method, path, query : str
-        The request line.
+        The request line; the path is decoded.
+    raw_path : str
+        The path as it was sent.
     headers : tuple of (str, str)
         Names in lower case.
     body : bytes
@@ -62,6 +125,7 @@
     query: str
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    raw_path: str = ''
 
     def header(self, name, default=''):
         """Return the first value of a header."""
@@ -123,7 +187,7 @@
 
     async def refuse(self, refusal):
         """Send a refusal as JSON."""
-        headers = [('x-run', refusal.run)]
+        headers = [('x-run', refusal.run), *refusal.headers]
         if refusal.retry_after_ms:
             retry_after_s = math.ceil(refusal.retry_after_ms / MS_PER_S)
             headers.append(('retry-after', str(retry_after_s)))
@@ -181,6 +245,7 @@
     return Request(
         method=scope['method'],
         path=scope['path'],
+        raw_path=scope['raw_path'].decode('latin-1'),
         query=scope['query_string'].decode('latin-1'),
         headers=tuple(
             (name.decode('latin-1').lower(), value.decode('latin-1'))
--- a/bluebellthread/daemon/_scheduler_task.py
+++ b/bluebellthread/daemon/_scheduler_task.py
@@ -140,7 +140,9 @@
             if self._fleet.view is not self._followed_view:
                 await self._follow_ownership()
             await self._pass_to_all(event)
-        elif isinstance(event, (core.LoadReport, core.CancelConfirmed)):
+        elif isinstance(
+            event, (core.LoadReport, core.ServerFailed, core.CancelConfirmed)
+        ):
             await self._pass_to_all(event)
         elif isinstance(event, core.PermitsRegistered):
             await self._pass_to_owner(event)
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -69,6 +69,31 @@
 PLATFORM_UNREACHABLE = Event(
     3003, 'WARNING', 'the platform is unreachable: {error}'
 )
+PLATFORM_STALE = Event(
+    3004,
+    'WARNING',
+    'the platform serves revision {served}, older than {revision} in force',
+)
+REVISION_CONFLICT = Event(
+    3005,
+    'ERROR',
+    'revision {revision} has other contents at {source} than here',
+)
+PLATFORM_WATCH_CHANGED = Event(3006, 'INFO', 'VM {vm} {state} the platform')
+ORDER_GIVEN = Event(
+    3007, 'INFO', 'order {number}: {action} {target} taken by {server}'
+)
+ORDER_FAILED = Event(
+    3008,
+    'WARNING',
+    'order {number}: {action} {target} failed at {server}: {error}',
+)
+ORDER_NOT_CONFIRMED = Event(
+    3009,
+    'WARNING',
+    'order {number}: {action} {target} for {server} held back: the lease or '
+    'the revision is not confirmed',
+)
 REQUEST_FAILED = Event(
     5001, 'WARNING', 'request {request_id} failed at {hop}: {error}'
 )
@@ -93,6 +118,18 @@
     4004, 'WARNING', 'no load report from {server}: {error}'
 )
 
+TICKET_SENT_LATE = Event(
+    6001,
+    'ERROR',
+    'the call of ticket {ticket_id} went out {late_ms} ms after its deadline',
+)
+TICKETS_HANDED_OVER = Event(
+    6002, 'INFO', '{count} ticket records of VM {issuer} went to VM {holder}'
+)
+TICKETS_NOT_HANDED_OVER = Event(
+    6003, 'WARNING', '{count} ticket records found no VM to take them'
+)
+
 
 def list_events():
     """Return every event of the catalogue in the order of its number."""
--- a/bluebellthread/wire/peer.thrift
+++ b/bluebellthread/wire/peer.thrift
@@ -111,6 +111,8 @@
   8: i32 permits_held,
   9: i32 permits_granted,
   10: list<Member> members,
+  11: i64 invalid_revision,
+  12: i64 stale_revision,
 }
 
 struct RequestLookup {
@@ -160,6 +162,38 @@
   2: bool is_answer,
 }
 
+struct RevisionAnnounced {
+  1: string vm,
+  2: i64 revision,
+  3: i64 digest,
+}
+
+struct ManifestPart {
+  1: string key,
+  2: bool is_list,
+  3: list<i64> digests,
+}
+
+struct ManifestRequest {
+  1: string vm,
+  2: i64 revision,
+  3: i64 digest,
+}
+
+struct ManifestAnswer {
+  1: i64 revision,
+  2: i64 digest,
+  3: list<ManifestPart> parts,
+}
+
+struct SectionsRequest {
+  1: list<i64> digests,
+}
+
+struct SectionsAnswer {
+  1: binary payload,
+}
+
 struct RegistrationWanted {
   1: PoolKey pool,
   2: string scheduler,
