--- a/tests/unit/_ticket_world.py
+++ b/tests/unit/_ticket_world.py
@@ -6,10 +6,8 @@
 had not: hearing it later or never would only leave it less to do.
 """
 
-import collections
 import copy
 import functools
-import gc
 import typing
 
 import attrs
@@ -360,54 +358,3 @@
         nodes=tuple(Node(keeper=keeper) for keeper in keepers),
         longest_pause_ms=longest_pause_ms,
     )
-
-
-@attrs.frozen(kw_only=True)
-class Found:
-    """What a search saw; ``steps`` lead to the first state of a fault."""
-
-    states: int
-    faults: dict
-
-
-def search(world, *, stop_at=()):
-    """Visit every reachable state, breadth first.
-
-    Ends early once each kind of fault in ``stop_at`` has been found.
-    """
-    # The states hold no cycles; looking for some takes half of the time.
-    gc.disable()
-    try:
-        return _search(world, stop_at)
-    finally:
-        gc.enable()
-
-
-def _search(world, stop_at):
-    seen = {world.key()}
-    queue = collections.deque([(world, None)])
-    faults = {}
-    while queue:
-        world, path = queue.popleft()
-        for label, successor in world.successors():
-            key = successor.key()
-            if key in seen:
-                continue
-            seen.add(key)
-            steps = (label, path)
-            fault = successor.fault()
-            if fault is None:
-                queue.append((successor, steps))
-            elif fault not in faults:
-                faults[fault] = _unwind(steps)
-                if stop_at and set(stop_at) <= set(faults):
-                    return Found(states=len(seen), faults=faults)
-    return Found(states=len(seen), faults=faults)
-
-
-def _unwind(steps):
-    labels = []
-    while steps:
-        label, steps = steps
-        labels.append(label)
-    return labels[::-1]
--- a/tests/unit/test_ticket_model.py
+++ b/tests/unit/test_ticket_model.py
@@ -3,6 +3,7 @@
 import unittest
 
 from bluebellthread import core
+from tests.unit import _state_search
 from tests.unit import _ticket_world as worlds
 
 
@@ -13,13 +14,13 @@
         world = worlds.make_world(
             core.TicketKeeper, longest_pause_ms=worlds.LIFETIME_MS
         )
-        found = worlds.search(world)
+        found = _state_search.search(world)
         print(f'{found.states} states', end=' ')
         self.assertEqual({}, found.faults)
         self.assertGreater(found.states, 100000)
 
     def test_naive_owner_fails_the_same_search(self):
-        found = worlds.search(
+        found = _state_search.search(
             worlds.make_world(worlds.NaiveOwner),
             stop_at=('second run', 'false not run'),
         )
@@ -29,7 +30,7 @@
     def test_pause_before_the_write_longer_than_the_margin(self):
         # The race that remains; docs/TICKETS.md describes it.
         world = worlds.make_world(core.TicketKeeper)
-        found = worlds.search(world, stop_at=('second run',))
+        found = _state_search.search(world, stop_at=('second run',))
         steps = found.faults['second run']
         self.assertIn('clock read', steps)
         self.assertIn('time', steps[steps.index('clock read') :])
