--- a/bench/_client.py
+++ b/bench/_client.py
@@ -23,6 +23,9 @@
         ``'whole'``, ``'refused'``, ``'failed'`` or ``'unanswered'``.
     kind : str
         The refusal's kind, or how it failed.
+    lag_ms : float
+        How late the request went out; large where the machine is short
+        of processor time, so that the run says little.
     first_ms : float
         From the planned arrival to the first piece of the answer.
     pace_ms : float
@@ -32,6 +35,7 @@
     arrival: object
     state: str = 'unanswered'
     kind: str = ''
+    lag_ms: float = 0.0
     first_ms: float = 0.0
     pace_ms: float = 0.0
     pieces: int = 0
@@ -69,7 +73,8 @@
             async with trio.open_nursery() as nursery:
                 for arrival in arrivals:
                     await trio.sleep_until(self._start_s + arrival.offset_s)
-                    outcome = Outcome(arrival=arrival)
+                    lag_ms = self._elapsed_ms(arrival)
+                    outcome = Outcome(arrival=arrival, lag_ms=lag_ms)
                     self.outcomes.append(outcome)
                     nursery.start_soon(self._send, arrival, outcome)
                 nursery.cancel_scope.deadline = trio.current_time() + grace_s
--- a/bench/_summary.py
+++ b/bench/_summary.py
@@ -33,6 +33,7 @@
     ]
     return {
         'offered': len(outcomes),
+        'send_lag_ms': _percentiles(item.lag_ms for item in outcomes),
         'offered_per_s': round(len(outcomes) / duration_s, 2),
         'whole': len(whole),
         'goodput_per_s': round(len(good) / duration_s, 2),
--- a/tests/unit/test_bench.py
+++ b/tests/unit/test_bench.py
@@ -10,7 +10,8 @@
 
 
 def make_outcome(caller, state='whole', first_ms=100.0, **fields):
-    values = {'kind': '', 'pace_ms': 30.0, 'ended_ms': 900.0, **fields}
+    values = {'kind': '', 'pace_ms': 30.0, 'ended_ms': 900.0, 'lag_ms': 1.0}
+    values.update(fields)
     return types.SimpleNamespace(
         arrival=types.SimpleNamespace(caller=caller),
         state=state,
