--- a/bluebellthread/cli/_status.py
+++ b/bluebellthread/cli/_status.py
@@ -104,6 +104,8 @@
         **fields,
         'incarnation': answer.incarnation,
         'revision': answer.revision,
+        'invalid_revision': answer.invalid_revision,
+        'stale_revision': answer.stale_revision,
         'pools_owned': list(answer.pools_owned),
         'permits_held': answer.permits_held,
         'permits_granted': answer.permits_granted,
@@ -120,6 +122,15 @@
         print('  '.join(cells).rstrip())
 
 
+def _describe_revision(answer):
+    text = str(answer.revision)
+    if answer.invalid_revision:
+        text += f' (rejected: {answer.invalid_revision})'
+    if answer.stale_revision:
+        text += f' (platform: {answer.stale_revision})'
+    return text
+
+
 def _to_row(status):
     member = status.member
     start = (member.name, member.data_centre, _describe_state(status))
@@ -128,7 +139,7 @@
         return (*start, '-', '-', '-', '-')
     return (
         *start,
-        str(answer.revision),
+        _describe_revision(answer),
         ','.join(answer.pools_owned) or '-',
         str(answer.permits_held),
         str(answer.permits_granted),
--- a/bluebellthread/configuration/_files.py
+++ b/bluebellthread/configuration/_files.py
@@ -82,9 +82,73 @@
     return _parse(text, core.Configuration, core.check_configuration)
 
 
-def _parse(text, cls, check):
-    reader = _reader.Reader()
+def build_configuration(value, *, cache=None):
+    """Return the `Configuration` of a decoded value, without lines.
+
+    Parameters
+    ----------
+    value : object
+        Decoded JSON.
+    cache : ItemCache or None
+        Items of the value before, to read only what is new.
+
+    Raises
+    ------
+    ConfigurationError
+        It breaks rules.
+
+    Examples
+    --------
+    >>> build_configuration({'revision': 4}).revision
+    4
+    """
+    result, problems = _judge(
+        value, core.Configuration, core.check_configuration, cache
+    )
+    if problems:
+        raise core.ConfigurationError(problems)
+    return result
+
+
+def load_value(text):
+    """Return the decoded JSON of a text, or raise `ConfigurationError`.
+
+    Examples
+    --------
+    >>> load_value('[1] // one')
+    [1]
+    """
+    return _load_json(text)
+
+
+def parse_published(text, *, cache=None):
+    """Return a published value as decoded JSON and as `Configuration`.
+
+    Raises as `parse_configuration`.
+
+    Examples
+    --------
+    >>> parse_published('{"revision": 4}')[0]
+    {'revision': 4}
+    """
     value = _load_json(text)
+    result, problems = _judge(
+        value, core.Configuration, core.check_configuration, cache
+    )
+    if problems:
+        raise core.ConfigurationError(_add_lines(text, problems))
+    return value, result
+
+
+def _parse(text, cls, check):
+    result, problems = _judge(_load_json(text), cls, check)
+    if problems:
+        raise core.ConfigurationError(_add_lines(text, problems))
+    return result
+
+
+def _judge(value, cls, check, cache=None):
+    reader = _reader.Reader(cache)
     result = reader.read(cls, value, '')
     problems = list(reader.problems)
     if result is not None:
@@ -94,9 +158,7 @@
             for problem in check(result)
             if not _overlaps(problem.path, faulty)
         )
-    if problems:
-        raise core.ConfigurationError(_add_lines(text, problems))
-    return result
+    return result, problems
 
 
 def _overlaps(path, faulty_paths):
@@ -198,6 +260,15 @@
                 remedy='set "issuing": true on exactly one',
             )
         )
+    if len(keys) > core.TICKET_KEYS_MAX:
+        problems.append(
+            core.Problem(
+                path='ticket_keys',
+                message=f'{len(keys)} keys',
+                remedy=f'give at most {core.TICKET_KEYS_MAX}, the old and '
+                'the new one of a rotation',
+            )
+        )
     if len({key.key_id for key in keys}) != len(keys):
         problems.append(
             core.Problem(
--- a/bluebellthread/core/_answer.py
+++ b/bluebellthread/core/_answer.py
@@ -13,6 +13,7 @@
 
 from bluebellthread.core import _answer_commands as actions
 from bluebellthread.core import _answer_events as events
+from bluebellthread.core import _answer_options
 from bluebellthread.core import _answer_retries
 from bluebellthread.core import _assembler
 from bluebellthread.core import _messages
@@ -20,22 +21,7 @@
 from bluebellthread.core import _prefix
 from bluebellthread.core import _scheduler_events
 
-RETRY_AFTER_MS = 1000
-"""When a refused caller should come back, where nothing better is known."""
-
-RAN_NOT = 'not-run'
-RAN_UNKNOWN = 'unknown'
-
-_FINAL_CANCELS = ('superseded', 'deadline')
-
-
-@attrs.frozen(kw_only=True)
-class AnswerOptions:
-    """How long each step may stay without progress."""
-
-    prefill_timeout_ms: int = 20000
-    transfer_timeout_ms: int = 3000
-    piece_timeout_ms: int = 3000
+_FINAL_KINDS = ('superseded', 'deadline')
 
 
 class AnswerMachine:
@@ -78,22 +64,25 @@
         self._request = request
         self._prompt = prompt
         self._next_attempt = next_attempt
-        self._options = options or AnswerOptions()
+        self._options = options or _answer_options.AnswerOptions()
         self._retries = _answer_retries.AnswerRetries(
-            budget=budget, rng=rng or random.Random(0)
+            budget=budget, options=self._options, rng=rng or random.Random(0)
+        )
+        self._assembler = _assembler.Assembler(
+            ordered=self._options.orders_pieces
         )
-        self._assembler = _assembler.Assembler()
         self._step = 'new'
         self._step_deadline_ms = None
         self._permit = None
-        self._asked_number = None
+        self._held_ids = set()
+        self._asked = None
         self._run = 0
         self._transfer = None
         self._transfer_tokens = 0
         self._may_have_run = False
         self._answered = False
         self._handlers = {
-            events.AnswerAsked: self._on_asked,
+            events.AnswerAsked: self._ask_permit,
             _messages.PermitGranted: self._on_granted,
             _messages.PermitRefused: self._on_refused,
             _messages.PermitCancelled: self._on_permit_cancelled,
@@ -123,12 +112,15 @@
         """The permit in use, or None."""
         return self._permit
 
+    def has_held(self, permit_id):
+        """Return whether a permit is or was this request's."""
+        return permit_id in self._held_ids
+
     @property
     def wake_ms(self):
         """When the machine wants a `Tick` at the latest."""
-        if self._step_deadline_ms is None:
-            return self._request.deadline_ms
-        return min(self._step_deadline_ms, self._request.deadline_ms)
+        deadline_ms = self._request.deadline_ms
+        return min(self._step_deadline_ms or deadline_ms, deadline_ms)
 
     def handle(self, event, now_ms):
         """Take one event in and return the commands that follow."""
@@ -136,38 +128,44 @@
             return []
         return self._handlers[type(event)](event, now_ms)
 
-    def _on_asked(self, event, now_ms):
-        return self._ask_permit()
-
     def _on_granted(self, event, now_ms):
         permit = event.permit
-        expected = self._step == 'asking'
-        if not expected or permit.attempt_number != self._asked_number:
+        if not self._is_asked(permit):
             # It was granted too late to be of use.
             return [actions.tell_release(permit, clean=True)]
+        self._asked = None
         self._permit = permit
+        self._held_ids.add(permit.permit_id)
         self._retries.note_granted()
         return self._start_prefill(now_ms)
 
     def _on_refused(self, event, now_ms):
-        if not self._is_asked(event.attempt_number):
+        if not self._is_asked(event):
             return []
-        if self._begun or event.kind == 'not-owner':
+        self._asked = None
+        if self._begun and event.kind not in _FINAL_KINDS:
             return self._back_off(event.kind, now_ms)
         return self._refuse(event.kind, event.retry_after_ms)
 
     def _on_unreachable(self, event, now_ms):
-        if not self._is_asked(event.attempt_number):
+        if not self._is_asked(event):
             return []
         return self._back_off('no-scheduler', now_ms)
 
     def _on_permit_cancelled(self, event, now_ms):
-        if self._permit is None or event.permit_id != self._permit.permit_id:
+        present = self._permit is not None and (
+            event.permit_id == self._permit.permit_id
+        )
+        if self._answered or self.ended:
+            return self._end(clean=False) if present else []
+        if event.kind == 'superseded' and self.has_held(event.permit_id):
+            # Its stream may have ended, and the permit gone back, before.
+            return self._refuse(event.kind, actions.RETRY_AFTER_MS)
+        if not present:
             return []
-        if self._answered:
-            return self._end(clean=False)
-        if event.kind in _FINAL_CANCELS:
-            return self._refuse(event.kind, RETRY_AFTER_MS)
+        if event.kind in _FINAL_KINDS:
+            return self._refuse(event.kind, actions.RETRY_AFTER_MS)
+        # Else the scheduler took the permit back, for reasons of its own.
         blame = event.kind == 'backend-lost'
         return self._try_elsewhere(event.kind, now_ms, blame=blame)
 
@@ -222,7 +220,8 @@
             return self._resume(event.kind, now_ms)
         if self._step == 'transferring' and event.kind == 'kv-evicted':
             return self._repeat_prefill(now_ms)
-        return self._try_elsewhere(event.kind, now_ms)
+        blame = event.kind not in ('permit-lost', 'cancelled')
+        return self._try_elsewhere(event.kind, now_ms, blame=blame)
 
     def _on_caller_gone(self, event, now_ms):
         return [] if self.ended else self._end(clean=False)
@@ -238,30 +237,29 @@
         if self._step == 'closing':
             return self._end(clean=False)
         if now_ms >= self._request.deadline_ms:
-            return self._refuse('deadline', RETRY_AFTER_MS)
+            return self._refuse('deadline', actions.RETRY_AFTER_MS)
         if self._step == 'backing-off':
-            return self._ask_permit()
+            return self._ask_permit(event, now_ms)
         if self._step == 'resuming':
             return self._start_decode(now_ms)
         if self._step == 'decoding':
             return self._resume('stalled', now_ms)
         return self._try_elsewhere('stalled', now_ms)
 
-    def _ask_permit(self):
+    def _ask_permit(self, event, now_ms):
         self._set_step('asking', None)
         self._retries.note_asked()
-        self._asked_number = self._next_attempt()
         text = self._prompt_so_far()
         sent_count = self._assembler.first_gap
-        request = attrs.evolve(
+        self._asked = attrs.evolve(
             self._request,
-            attempt_number=self._asked_number,
+            attempt_number=self._next_attempt(),
             prompt_tokens=_model.estimate_tokens(text),
             output_tokens=self._request.output_tokens - sent_count,
             prefix_hashes=_prefix.hash_prefixes(text),
             avoid_servers=self._retries.avoid_servers,
         )
-        return [actions.AskPermit(request=request)]
+        return [actions.AskPermit(request=self._asked)]
 
     def _start_prefill(self, now_ms):
         self._run += 1
@@ -296,7 +294,7 @@
             return self._try_elsewhere(kind, now_ms)
         stop = actions.StopRun(run=self._run)
         self._run += 1
-        wait_ms = self._retries.choose_wait_ms()
+        wait_ms = self._retries.choose_wait_ms(kind)
         self._retries.note_failure()
         self._set_step('resuming', now_ms + wait_ms)
         return [stop, actions.CountRetry(kind=kind)]
@@ -318,13 +316,16 @@
         commands = self._let_go(clean=False, kind=kind)
         self._assembler.drop_held()
         if not self._retries.may_retry(begun=self._begun):
-            return commands + self._refuse('retries-spent', RETRY_AFTER_MS)
+            return commands + self._refuse(
+                'retries-spent', actions.RETRY_AFTER_MS
+            )
         self._retries.note_failure(failed_server)
         return commands + self._back_off(kind, now_ms)
 
     def _back_off(self, kind, now_ms):
         """Ask for a permit after a while, until the deadline if need be."""
-        wait_ms = self._retries.choose_wait_ms()
+        self._asked = None
+        wait_ms = self._retries.choose_wait_ms(kind)
         self._set_step('backing-off', now_ms + wait_ms)
         return [actions.CountRetry(kind=kind)]
 
@@ -338,9 +339,9 @@
         )
 
     def _refuse(self, kind, retry_after_ms):
-        ran = RAN_UNKNOWN
+        ran = actions.RAN_UNKNOWN
         if not self._may_have_run and self._permit is None:
-            ran = RAN_NOT
+            ran = actions.RAN_NOT
         self._answered = True
         refusal = actions.RefuseAnswer(
             kind=kind, ran=ran, retry_after_ms=retry_after_ms
@@ -349,6 +350,7 @@
 
     def _end(self, *, clean):
         commands = self._let_go(clean=clean, kind='abandoned')
+        self._asked = None
         self._set_step('ended', None)
         return commands
 
@@ -386,8 +388,10 @@
     def _is_present(self, run):
         return self._permit is not None and run == self._run
 
-    def _is_asked(self, attempt_number):
-        return self._step == 'asking' and attempt_number == self._asked_number
+    def _is_asked(self, event):
+        return self._asked is not None and (
+            self._asked.attempt_number == event.attempt_number
+        )
 
     def _prompt_so_far(self):
         return self._prompt + self._assembler.text
--- a/bluebellthread/core/_configuration.py
+++ b/bluebellthread/core/_configuration.py
@@ -4,6 +4,9 @@
 
 from bluebellthread.core import _model
 
+SAFE_METHODS = ('GET', 'HEAD')
+"""Methods that may be repeated where no route says otherwise."""
+
 
 @attrs.frozen(kw_only=True)
 class Values:
@@ -98,33 +101,82 @@
     check_path : str
         For a call that may not be repeated: the idempotent read that
         tells whether it ran.
+    refusal_kinds : tuple of str
+        For a call that may not be repeated: each ``error.kind`` of a 503
+        answer by which the service promises that nothing ran.
     """
 
     method: str
     path_prefix: str
     repeatable: bool
     check_path: str = ''
+    refusal_kinds: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
 class Model:
-    """A model that engines serve."""
+    """A model that engines serve.
+
+    Parameters
+    ----------
+    version : str
+        What its engines have to hold; empty where nobody steers it.
+    adapters : tuple of str
+        Adapters that its engines have to hold besides.
+    """
 
     name: str
+    version: str = ''
+    adapters: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
 class Service:
-    """A plain service and its routes."""
+    """A plain service and its routes.
+
+    Examples
+    --------
+    >>> service = Service(name='ledger')
+    >>> service.find_route('GET', '/x').repeatable
+    True
+    >>> service.find_route('POST', '/x').repeatable
+    False
+    """
 
     name: str
     routes: tuple[Route, ...] = ()
 
+    def find_route(self, method, path):
+        """Return the route of a call: the longest prefix, then the method.
+
+        A call that no route covers may be repeated if its method is safe.
+        """
+        matching = [
+            route
+            for route in self.routes
+            if route.method in (method, '*')
+            and path.startswith(route.path_prefix)
+        ]
+        if not matching:
+            return Route(
+                method=method,
+                path_prefix='/',
+                repeatable=method in SAFE_METHODS,
+            )
+        return max(
+            matching, key=lambda r: (len(r.path_prefix), r.method == method)
+        )
+
 
 @attrs.frozen(kw_only=True)
 class Configuration:
     """One accepted revision of the fleet's configuration.
 
+    Parameters
+    ----------
+    weight_loads_per_min : float
+        Loads that the weight store bears from the whole fleet.
+
     Examples
     --------
     >>> Configuration(revision=1).defaults.pace_target_ms
@@ -138,6 +190,7 @@
     backend_servers: tuple[_model.BackendServer, ...] = ()
     defaults: Values = Values()
     exceptions: tuple[ScopedException, ...] = ()
+    weight_loads_per_min: float = 6.0
 
     def __hash__(self):
         # Cheap, for caches that hold the revision in force; equality
--- a/bluebellthread/core/_ticket_outcomes.py
+++ b/bluebellthread/core/_ticket_outcomes.py
@@ -76,7 +76,7 @@
     ----------
     kind : str
         ``'expired'``, ``'stopping'``, ``'no-backend'``,
-        ``'unreachable'`` or ``'refused'``.
+        ``'unreachable'``, ``'refused'`` or ``'bad-request'``.
 
     Examples
     --------
@@ -191,3 +191,21 @@
     )
     state: str
     remaining_ms: int
+
+
+def after_forward(outcome):
+    """Return an outcome for an attempt that was sent on to another VM.
+
+    A forwarded message may arrive twice, first at the issuer and then at
+    the process that replaced it. So no such attempt may claim that it
+    certainly ran nothing.
+
+    Examples
+    --------
+    >>> unknown = OutcomeUnknown(kind='issuer-gone', may_renew=True)
+    >>> after_forward(unknown).may_renew
+    False
+    """
+    if not isinstance(outcome, OutcomeUnknown):
+        return outcome
+    return dataclasses.replace(outcome, may_renew=False)
--- a/bluebellthread/daemon/_peers.py
+++ b/bluebellthread/daemon/_peers.py
@@ -18,13 +18,24 @@
 
 LONGEST_SEND_QUEUE = 4096
 CONNECT_TIMEOUT_S = 1.0
+UNACKNOWLEDGED_TIMEOUT_MS = 3000
+"""How long the other side's kernel may leave sent bytes unacknowledged."""
 
 
 class PeerUnreachableError(core.BluebellthreadError):
-    """A VM could not be reached, or its link broke before the answer."""
+    """A VM could not be reached, or its link broke before the answer.
 
-    def __init__(self, peer, reason):
+    Parameters
+    ----------
+    peer, reason : str
+        Which VM, and what happened.
+    maybe_sent : bool
+        False if no byte of the message has gone out.
+    """
+
+    def __init__(self, peer, reason, *, maybe_sent=True):
         self.peer = peer
+        self.maybe_sent = maybe_sent
         super().__init__(
             f'VM {peer} is unreachable ({reason}); check that it runs and '
             'that its peer port is open'
@@ -76,6 +87,7 @@
         )
 
     async def _serve_connection(self, stream):
+        _limit_silence(stream)
         send, receive = trio.open_memory_channel(LONGEST_SEND_QUEUE)
         try:
             async with trio.open_nursery() as nursery:
@@ -220,7 +232,9 @@
             self._nursery.start_soon(self._run_link, link, address)
         await link.opened.wait()
         if link.closed:
-            raise PeerUnreachableError(member.name, link.reason)
+            raise PeerUnreachableError(
+                member.name, link.reason, maybe_sent=False
+            )
         return link
 
     async def _run_link(self, link, address):
@@ -269,6 +283,7 @@
         except (OSError, trio.TooSlowError) as error:
             self._close(f'connecting failed: {error or "timeout"}')
             return
+        _limit_silence(stream)
         self.opened.set()
         try:
             async with trio.open_nursery() as nursery:
@@ -336,3 +351,13 @@
 
 def _ignore_answer(message):
     """Take an answer that nobody waits for."""
+
+
+def _limit_silence(stream):
+    # Else a link that was cut for minutes would wait for as long again
+    # before the kernel's next try. A frozen process still acknowledges.
+    stream.setsockopt(
+        trio.socket.IPPROTO_TCP,
+        trio.socket.TCP_USER_TIMEOUT,
+        UNACKNOWLEDGED_TIMEOUT_MS,
+    )
--- a/bluebellthread/daemon/_service.py
+++ b/bluebellthread/daemon/_service.py
@@ -11,12 +11,14 @@
 from bluebellthread import core
 from bluebellthread.daemon import _admission
 from bluebellthread.daemon import _cautious_share
+from bluebellthread.daemon import _configuration_task
 from bluebellthread.daemon import _engine_control
 from bluebellthread.daemon import _fleet
 from bluebellthread.daemon import _gateway
 from bluebellthread.daemon import _mailboxes
 from bluebellthread.daemon import _membership_task
 from bluebellthread.daemon import _model_path
+from bluebellthread.daemon import _orders_task
 from bluebellthread.daemon import _pause_guard
 from bluebellthread.daemon import _peers
 from bluebellthread.daemon import _platform
@@ -26,6 +28,8 @@
 from bluebellthread.daemon import _scheduler_task
 from bluebellthread.daemon import _service_path
 from bluebellthread.daemon import _status_task
+from bluebellthread.daemon import _ticket_parts
+from bluebellthread.daemon import _ticket_path
 from bluebellthread.daemon import _traffic
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
@@ -59,11 +63,21 @@
         self.incarnation = secrets.randbits(62)
         self.fleet = _fleet.Fleet()
         self._stop = trio.Event()
+        self._tickets_stopped = trio.Event()
         self._make_observers()
         self._make_peers()
         self._make_scheduling()
+        self._tickets = _ticket_parts.make_ticket_parts(
+            settings,
+            incarnation=self.incarnation,
+            fleet=self.fleet,
+            links=self._links,
+            mailboxes=self._mailboxes,
+        )
         self._make_membership()
         self._make_desk()
+        self._make_configuration()
+        self._make_orders()
         self._make_gateway()
 
     def _make_observers(self):
@@ -178,9 +192,13 @@
             adapter=settings.engine_adapter,
             tracer=self._tracer,
             metrics=self._metrics,
+            off=settings.disabled_mechanisms,
         )
+        self._mailboxes.register(core.PermitCancelled, self._model_path.inbox)
         self._service_path = _service_path.ServicePath(
-            data_centre=settings.data_centre, fleet=self.fleet
+            data_centre=settings.data_centre,
+            fleet=self.fleet,
+            ticket_path=self._tickets.path,
         )
         self._admission = _admission.Admission(
             data_centre=settings.data_centre,
@@ -193,6 +211,7 @@
             paths=(
                 ('/v1/', self._model_path),
                 (_service_path.PREFIX, self._service_path),
+                (_ticket_path.PREFIX, self._tickets.path),
             ),
             max_body_bytes=settings.request_body_max_bytes,
             body_timeout_ms=BODY_TIMEOUT_MS,
@@ -208,15 +227,48 @@
             admission=self._admission,
             scheduler_task=self._scheduler_task,
             request_log=self._request_log,
+            revisions=self._configuration_task.revisions,
         )
         for message_class in (core.StatusRequest, core.RequestLookup):
             self._mailboxes.register(message_class, self._status_task.inbox)
+
+    def _make_configuration(self):
+        settings = self._settings
         self._platform_watch = _platform_watch.PlatformWatch(
             platform=self._platform,
+            membership_inbox=self._membership_task.inbox,
+        )
+        self._configuration_task = _configuration_task.ConfigurationTask(
+            vm=settings.vm,
+            data_centre=settings.data_centre,
+            fleet=self.fleet,
+            links=self._links,
+            platform=self._platform,
+            listeners=(self._scheduler_task.inbox,),
+            list_watch=self._platform_watch,
+            options=core.RevisionOptions(
+                holds_at_start=self._has('start-hold'),
+                ignores_older=self._has('revision-order'),
+                exchanges=self._has('digest-exchange'),
+                shares_watch=self._has('shared-watch'),
+            ),
+        )
+        for message_class in _configuration_task.MESSAGES:
+            self._mailboxes.register(
+                message_class, self._configuration_task.inbox
+            )
+
+    def _make_orders(self):
+        self._orders_task = _orders_task.OrdersTask(
+            vm=self._settings.vm,
             fleet=self.fleet,
+            guard=self._guard,
             scheduler_task=self._scheduler_task,
-            membership_inbox=self._membership_task.inbox,
+            engine_control=self._engine_control,
+            confirm_newest=self._configuration_task.confirm_newest,
+            confirms=self._has('order-confirmation'),
         )
+        self._engine_control.add_listener(self._orders_task.inbox)
 
     def stop(self):
         """Begin a planned stop: not ready first, then drain."""
@@ -246,12 +298,25 @@
             nursery.start_soon(self._engine_control.run, self._scheduler_task)
             nursery.start_soon(self._status_task.run)
             nursery.start_soon(self._platform_watch.run)
+            await nursery.start(self._tickets.task.run)
+            nursery.start_soon(self._stop_tickets)
+            nursery.start_soon(self._configuration_task.run)
+            nursery.start_soon(self._orders_task.run)
             await self._serve_callers(nursery, peers, task_status)
+            await self._tickets_stopped.wait()
             await self._finish_permits()
             await self._membership_task.close()
             nursery.cancel_scope.cancel()
         await self.close()
 
+    async def _stop_tickets(self):
+        """Hand the tickets' records over while callers are still served."""
+        await self._wait_for_stop()
+        await self._tickets.task.stop(
+            drain_timeout_ms=self._settings.drain_timeout_ms
+        )
+        self._tickets_stopped.set()
+
     async def _start_peer_server(self, nursery):
         listeners = await nursery.start(
             self._peer_server.serve,
@@ -259,6 +324,8 @@
             self._settings.peer_port,
         )
         host, port = listeners[0].socket.getsockname()
+        reachable = self._settings.peer_address or f'{host}:{port}'
+        self._tickets.task.set_address(*_split_address(reachable))
         return f'{host}:{port}'
 
     def _make_member(self, callers, peers):
--- a/bluebellthread/wire/__init__.py
+++ b/bluebellthread/wire/__init__.py
@@ -1,5 +1,6 @@
 """Messages between VMs as thrift bytes."""
 
+from bluebellthread.core import _configuration_messages
 from bluebellthread.core import _membership_messages
 from bluebellthread.core import _messages
 from bluebellthread.core import _permit_messages
@@ -36,6 +37,11 @@
     _messages.StatusAnswer,
     _messages.RequestLookup,
     _messages.RequestFound,
+    _configuration_messages.RevisionAnnounced,
+    _configuration_messages.ManifestRequest,
+    _configuration_messages.ManifestAnswer,
+    _configuration_messages.SectionsRequest,
+    _configuration_messages.SectionsAnswer,
     _permit_messages.PermitAbandoned,
     _permit_messages.RegistrationWanted,
     *_membership_messages.MEMBERSHIP_MESSAGES,
--- a/standin/_engine.py
+++ b/standin/_engine.py
@@ -78,7 +78,9 @@
         self.cancelled_ids = set()
         self.fencing_number = 0
         self.targets = set()
+        self.role = settings.role
         self.orders = []
+        self.asked_count = 0
         self._report = _memory.LaggedReport(settings, self._snapshot)
         self._part = (
             _prefilling.Prefilling(self)
@@ -112,6 +114,7 @@
 
     def admit(self, request_id, tokens):
         """Hold memory for a request; return why not, or an empty string."""
+        self.asked_count += 1
         if self.settings.leaving:
             return 'leaving'
         if request_id in self.cancelled_ids:
@@ -136,6 +139,8 @@
             'running_ids': sorted(self.memory.held),
             'queued_count': self._part.queued_count,
             'leaving': self.settings.leaving,
+            'role': self.role,
+            'targets': sorted(self.targets),
         }
 
     async def _complete(self, request):
@@ -180,6 +185,10 @@
             self.targets.add(order['target'])
         elif order['action'] == 'unload':
             self.targets.discard(order['target'])
+        elif order['action'] == 'role':
+            # Reported only; the stand-in goes on with its part.
+            self.role = order['target']
+        self._report.changed()
         await request.answer(200, {'applied': True})
 
     async def _state(self, request):
@@ -187,6 +196,7 @@
         state = self._snapshot() | {
             'cancelled_ids': sorted(self.cancelled_ids),
             'orders': self.orders,
+            'asked_count': self.asked_count,
             'targets': sorted(self.targets),
         }
         await request.answer(200, state | self._part.state())
