Keep one class for a piece of an answer, one loop that asks every VM

The daemon's service module is split: the process with its signals, and the HTTP server's configuration, stand apart from the parts of a VM.

--- a/bluebellthread/cli/_request.py
+++ b/bluebellthread/cli/_request.py
@@ -40,20 +40,6 @@
 
 async def find_request(host, port, request_id):
     """Return what each VM that knows a request says of it."""
-    first = await _vm_calls.ask(host, port, core.StatusRequest())
-    found = []
-    async with trio.open_nursery() as nursery:
-        for member in first.members:
-            nursery.start_soon(_find_at, member, request_id, found)
-    return sorted(found, key=lambda item: item.vm)
-
-
-async def _find_at(member, request_id, found):
     question = core.RequestLookup(request_id=request_id)
-    try:
-        answer = await _vm_calls.ask(member.host, member.peer_port, question)
-    except _registry.CommandError:
-        # A VM that is gone can't know; the others are asked all the same.
-        return
-    if answer.state != STATE_UNKNOWN:
-        found.append(answer)
+    answers = await _vm_calls.ask_every_vm(host, port, question)
+    return [item for _, item in answers if item.state != STATE_UNKNOWN]
--- a/bluebellthread/cli/_ticket.py
+++ b/bluebellthread/cli/_ticket.py
@@ -1,7 +1,5 @@
 """``ticket``: what VMs know of a call that may not be repeated."""
 
-import functools
-
 import trio
 
 from bluebellthread.cli import _registry
@@ -44,24 +42,9 @@
 
 async def find_ticket(host, port, ticket_id):
     """Return what each VM that knows a ticket says of it."""
-    first = await _vm_calls.ask(host, port, core.StatusRequest())
-    found = []
-    async with trio.open_nursery() as nursery:
-        for member in first.members:
-            ask = functools.partial(_find_at, member, ticket_id, found)
-            nursery.start_soon(ask)
-    return sorted(found, key=lambda item: item[0])
-
-
-async def _find_at(member, ticket_id, found):
     question = core.TicketLookup(ticket_id=ticket_id)
-    try:
-        answer = await _vm_calls.ask(member.host, member.peer_port, question)
-    except _registry.CommandError:
-        # A VM that is gone can't know; the others are asked all the same.
-        return
-    if answer.kind != 'no-record':
-        found.append((member.name, answer))
+    answers = await _vm_calls.ask_every_vm(host, port, question)
+    return [item for item in answers if item[1].kind != 'no-record']
 
 
 def describe(result):
--- a/bluebellthread/cli/_vm_calls.py
+++ b/bluebellthread/cli/_vm_calls.py
@@ -5,6 +5,7 @@
 import trio
 
 from bluebellthread.cli import _registry
+from bluebellthread import core
 from bluebellthread import wire
 
 CALL_TIMEOUT_S = 3
@@ -44,6 +45,28 @@
     )
 
 
+async def ask_every_vm(host, port, message):
+    """Return VM names and answers of the VMs that one VM knows.
+
+    A VM that gives no answer is left out: it can't know, and the others
+    are asked all the same.
+    """
+    first = await ask(host, port, core.StatusRequest())
+    found = []
+    async with trio.open_nursery() as nursery:
+        for member in first.members:
+            nursery.start_soon(_ask_member, member, message, found)
+    return sorted(found, key=lambda item: item[0])
+
+
+async def _ask_member(member, message, found):
+    try:
+        answer = await ask(member.host, member.peer_port, message)
+    except _registry.CommandError:
+        return
+    found.append((member.name, answer))
+
+
 async def _ask(host, port, message):
     envelope = wire.Envelope(
         message=message, sender=SENDER, sender_incarnation=0, correlation=1
--- a/bluebellthread/daemon/__main__.py
+++ b/bluebellthread/daemon/__main__.py
@@ -6,7 +6,7 @@
 import bluebellthread
 from bluebellthread import configuration
 from bluebellthread import core
-from bluebellthread.daemon import _service
+from bluebellthread.daemon import _process
 
 EXIT_BAD_SETTINGS = 2
 
@@ -37,7 +37,7 @@
     except core.BluebellthreadError as error:
         print(f'bluebellthreadd: {error}', file=sys.stderr)
         return EXIT_BAD_SETTINGS
-    _service.run_service(settings)
+    _process.run_service(settings)
     return 0
 
 
--- a/bluebellthread/daemon/_answer_task.py
+++ b/bluebellthread/daemon/_answer_task.py
@@ -239,7 +239,7 @@
             )
             async with contextlib.aclosing(items):
                 async for item in items:
-                    if isinstance(item, engines.Piece):
+                    if isinstance(item, core.AnswerPiece):
                         self._post_piece(command.run, item)
                     elif not resumed:
                         spans.close()
--- /dev/null
+++ b/bluebellthread/daemon/_process.py
@@ -0,0 +1,27 @@
+"""One operating system process round a `Service`."""
+
+import signal
+
+import trio
+
+from bluebellthread.daemon import _service
+from bluebellthread.observe import start_log
+
+
+def run_service(settings):
+    """Run the daemon until a signal tells it to stop."""
+    start_log(settings.log_level)
+    trio.run(_run_until_signal, _service.Service(settings))
+
+
+async def _run_until_signal(service):
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_stop_on_signal, service)
+        await service.run()
+        nursery.cancel_scope.cancel()
+
+
+async def _stop_on_signal(service):
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+        async for _ in received:
+            service.stop()
--- a/bluebellthread/daemon/_service.py
+++ b/bluebellthread/daemon/_service.py
@@ -2,9 +2,7 @@
 
 import functools
 import secrets
-import signal
 
-import hypercorn
 from hypercorn import trio as hypercorn_trio
 import trio
 
@@ -15,6 +13,7 @@
 from bluebellthread.daemon import _engine_control
 from bluebellthread.daemon import _fleet
 from bluebellthread.daemon import _gateway
+from bluebellthread.daemon import _http_server
 from bluebellthread.daemon import _mailboxes
 from bluebellthread.daemon import _membership_task
 from bluebellthread.daemon import _model_path
@@ -34,7 +33,6 @@
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
 from bluebellthread.observe import Metrics
-from bluebellthread.observe import start_log
 from bluebellthread.observe import Tracer
 
 MS_PER_S = 1000
@@ -365,7 +363,7 @@
             await trio.sleep(self._settings.balancer_lag_ms / MS_PER_S)
 
     async def _serve_callers(self, daemon_nursery, peers, task_status):
-        config = make_server_config(self._settings)
+        config = _http_server.make_server_config(self._settings)
         serve = functools.partial(
             hypercorn_trio.serve,
             self.gateway,
@@ -393,33 +391,3 @@
 def _split_address(text):
     host, _, port = text.rpartition(':')
     return host, int(port)
-
-
-def make_server_config(settings):
-    """Return the HTTP server's configuration."""
-    config = hypercorn.Config()
-    config.bind = [f'{settings.host}:{settings.caller_port}']
-    config.graceful_timeout = settings.drain_timeout_ms / MS_PER_S
-    config.h11_max_incomplete_size = settings.request_header_max_bytes
-    config.accesslog = None
-    config.errorlog = None
-    return config
-
-
-def run_service(settings):
-    """Run the daemon until a signal tells it to stop."""
-    start_log(settings.log_level)
-    trio.run(_run_until_signal, Service(settings))
-
-
-async def _run_until_signal(service):
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(_stop_on_signal, service)
-        await service.run()
-        nursery.cancel_scope.cancel()
-
-
-async def _stop_on_signal(service):
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
-        async for _ in received:
-            service.stop()
--- a/bluebellthread/engines/__init__.py
+++ b/bluebellthread/engines/__init__.py
@@ -5,14 +5,12 @@
 from bluebellthread.engines._registry import EngineError
 from bluebellthread.engines._registry import Generation
 from bluebellthread.engines._registry import Imported
-from bluebellthread.engines._registry import Piece
 from bluebellthread.engines._registry import Prefilled
 
 __all__ = [
     'EngineError',
     'Generation',
     'Imported',
-    'Piece',
     'Prefilled',
     'engine_adapters',
 ]
--- a/bluebellthread/engines/_completions.py
+++ b/bluebellthread/engines/_completions.py
@@ -7,6 +7,7 @@
 
 import httpcore
 
+from bluebellthread import core
 from bluebellthread.engines import _registry
 
 _JSON_HEADER = (b'content-type', b'application/json')
@@ -50,7 +51,7 @@
     async def decode(
         self, server, request_id, generation, transfer, *, traceparent=''
     ):
-        """Yield `Imported` and then each `Piece` of the answer.
+        """Yield `Imported` and then each `AnswerPiece` of the answer.
 
         Without a transfer, a stream that the server holds is gone on with.
         """
@@ -201,7 +202,7 @@
             detail=kind,
         )
     choice = fields['choices'][0]
-    return _registry.Piece(
+    return core.AnswerPiece(
         offset=fields['offset'],
         text=choice['text'],
         finish_reason=choice.get('finish_reason') or '',
--- a/bluebellthread/engines/_registry.py
+++ b/bluebellthread/engines/_registry.py
@@ -55,25 +55,6 @@
     """The KV cache has arrived at the decode server."""
 
 
-@attrs.frozen(kw_only=True)
-class Piece:
-    """One piece of an answer.
-
-    Parameters
-    ----------
-    offset : int
-        Its place in the answer, in tokens from 0.
-    text : str
-        The text.
-    finish_reason : str
-        ``'stop'`` or ``'length'`` on the last piece, else empty.
-    """
-
-    offset: int
-    text: str
-    finish_reason: str = ''
-
-
 @attrs.frozen(kw_only=True)
 class Generation:
     """What a request asks of the engines."""
