--- a/bench/_slopes.py
+++ b/bench/_slopes.py
@@ -12,6 +12,7 @@
 import time
 import tracemalloc
 
+from bench import _slope_samples
 from bluebellthread import configuration
 from bluebellthread import core
 from bluebellthread.core import _membership_messages
@@ -22,14 +23,8 @@
 REPEATS = 5
 """Times that each slope is measured; the least is kept."""
 
-POOL = core.PoolKey(serves='atelier-llm', data_centre='cluj-a')
-
-POOL_WORKERS = 10
-"""Backend servers of one pool: 720 over 15 models and 5 data centres."""
-
 MESSAGES = 2000
 DEPTH = 400
-CALLERS = 1300
 
 
 def measure_us(step, count):
@@ -55,93 +50,28 @@
     return round((after - before) / len(kept))
 
 
-def make_request(index, *, hashes=4, caller=None):
-    """Return a request for a permit as gateways send it."""
-    return core.PermitRequest(
-        request_id=f'{index:032x}',
-        gateway='cluj-a-17',
-        gateway_incarnation=2**61 + index,
-        caller=caller or f'caller-{index % CALLERS}',
-        pool=POOL,
-        prompt_tokens=2000,
-        output_tokens=60,
-        deadline_ms=60000,
-        first_output_deadline_ms=780,
-        prefix_hashes=tuple(2**62 + n for n in range(hashes)),
-    )
-
-
-def make_permit(index):
-    """Return a permit with names of the usual length."""
-    return core.Permit(
-        permit_id=f'cluj-a-17-{2**61 + 7:x}-{index}',
-        request_id=f'{index:032x}',
-        gateway='cluj-a-17',
-        gateway_incarnation=2**61,
-        caller=f'caller-{index % CALLERS}',
-        pool=POOL,
-        prefill_server='atelier-llm-p1-cluj-a',
-        decode_server='atelier-llm-d1-cluj-a',
-        prompt_tokens=2000,
-        pieces=2,
-        deadline_ms=60000,
-    )
-
-
-def make_granted(index):
-    """Return the answer that carries a permit."""
-    return core.PermitGranted(
-        permit=make_permit(index),
-        scheduler='cluj-a-3',
-        scheduler_incarnation=2**61,
-    )
-
-
-def wrap(message):
-    """Return a message in its envelope."""
-    return wire.Envelope(
-        message=message,
-        sender='cluj-a-17',
-        sender_incarnation=2**61,
-        correlation=12345,
-        traceparent='00-' + 'a' * 32 + '-' + 'b' * 16 + '-01',
-    )
-
-
-def request_messages():
-    """Return what two VMs say to each other for one request."""
-    permit = make_permit(1)
-    stages = [
-        core.PermitProgressed(
-            permit_id=permit.permit_id, pool=POOL, stage=stage
-        )
-        for stage in ('transferring', 'decoding')
-    ]
-    released = core.PermitReleased(
-        permit_id=permit.permit_id, pool=POOL, clean=True
-    )
-    return [make_request(1), make_granted(1), *stages, released]
-
-
 @slopes.register('request_messages_count')
 def count_messages():
     """Messages between gateway and scheduler for one request."""
-    return len(request_messages())
+    return len(_slope_samples.request_messages())
 
 
 @slopes.register('request_messages_bytes')
 def measure_message_bytes():
     """Bytes of these messages, with frame lengths, without TCP's own."""
     return sum(
-        4 + len(wire.encode(wrap(message), now_ms=0))
-        for message in request_messages()
+        4 + len(wire.encode(_slope_samples.wrap(message), now_ms=0))
+        for message in _slope_samples.request_messages()
     )
 
 
 @slopes.register('request_encode_us')
 def measure_encode():
     """Processor time to encode these messages."""
-    envelopes = [wrap(message) for message in request_messages()]
+    envelopes = [
+        _slope_samples.wrap(message)
+        for message in _slope_samples.request_messages()
+    ]
 
     def step(index):
         for envelope in envelopes:
@@ -154,7 +84,8 @@
 def measure_decode():
     """Processor time to decode these messages."""
     frames = [
-        wire.encode(wrap(message), now_ms=0) for message in request_messages()
+        wire.encode(_slope_samples.wrap(message), now_ms=0)
+        for message in _slope_samples.request_messages()
     ]
 
     def step(index):
@@ -164,35 +95,6 @@
     return measure_us(step, MESSAGES // 4)
 
 
-def make_scheduler(options):
-    """Return the scheduler of a pool of the usual size, with reports."""
-    scheduler = core.Scheduler(
-        pool=POOL, vm='vm1', incarnation=7, options=options
-    )
-    servers = tuple(
-        core.BackendServer(
-            name=f's{number}',
-            host='127.0.0.1',
-            port=9000 + number,
-            data_centre='cluj-a',
-            serves='atelier-llm',
-            role=core.ROLE_PREFILL if number % 5 < 2 else core.ROLE_DECODE,
-        )
-        for number in range(POOL_WORKERS)
-    )
-    scheduler.handle(core.ServersChanged(servers=servers), 0)
-    for server in servers:
-        report = core.LoadReport(
-            server=server.name,
-            sequence=1,
-            total_pieces=60,
-            free_pieces=60,
-            received_ms=0,
-        )
-        scheduler.handle(report, 0)
-    return scheduler
-
-
 @slopes.register('scheduler_request_us')
 def measure_scheduler():
     """Take one request through a scheduler whose pool is nearly full."""
@@ -201,18 +103,20 @@
         decode_policy='fewest-running',
         queue_policy='fair-early-refusal',
     )
-    scheduler = make_scheduler(options)
+    scheduler = _slope_samples.make_scheduler(options)
     held = []
 
     def step(index):
         # Every request gets an id of its own, over all repeats.
         number = step.counter = step.counter + 1
-        commands = scheduler.handle(make_request(number), 0)
+        commands = scheduler.handle(_slope_samples.make_request(number), 0)
         permit = commands[0].message.permit
         for stage in ('transferring', 'decoding'):
             scheduler.handle(
                 core.PermitProgressed(
-                    permit_id=permit.permit_id, pool=POOL, stage=stage
+                    permit_id=permit.permit_id,
+                    pool=_slope_samples.POOL,
+                    stage=stage,
                 ),
                 0,
             )
@@ -220,7 +124,9 @@
         if len(held) > 100:
             scheduler.handle(
                 core.PermitReleased(
-                    permit_id=held.pop(0).permit_id, pool=POOL, clean=True
+                    permit_id=held.pop(0).permit_id,
+                    pool=_slope_samples.POOL,
+                    clean=True,
                 ),
                 0,
             )
@@ -235,11 +141,13 @@
     queue = core.EarlyRefusalQueue(core.QueueOptions(maximum_count=DEPTH * 2))
     rng = random.Random(1)
     for index in range(DEPTH):
-        queue.push(make_request(index), now_ms=0)
+        queue.push(_slope_samples.make_request(index), now_ms=0)
 
     def step(index):
         number = step.counter = step.counter + 1
-        request = make_request(number, caller=f'c{rng.randrange(CALLERS)}')
+        request = _slope_samples.make_request(
+            number, caller=f'c{rng.randrange(_slope_samples.CALLERS)}'
+        )
         queue.push(request, now_ms=number // 10)
         queue.pop_next(_fits, now_ms=number // 10)
 
@@ -253,7 +161,7 @@
     limits = core.CallerLimits()
 
     def step(index):
-        caller = f'caller-{index % CALLERS}'
+        caller = f'caller-{index % _slope_samples.CALLERS}'
         limits.admit(caller, concurrency=64, rate_per_s=1e6, now_ms=index)
         limits.finish(caller)
 
@@ -263,7 +171,7 @@
 @slopes.register('permit_bytes')
 def measure_permit():
     """Memory of one permit in a scheduler's table."""
-    return measure_bytes(make_permit, MESSAGES)
+    return measure_bytes(_slope_samples.make_permit, MESSAGES)
 
 
 @slopes.register('waiting_request_bytes')
@@ -273,7 +181,8 @@
         core.QueueOptions(maximum_count=10**6, caller_maximum_count=10**6)
     )
     return measure_bytes(
-        lambda index: queue.push(make_request(index), now_ms=0), MESSAGES
+        lambda index: queue.push(_slope_samples.make_request(index), now_ms=0),
+        MESSAGES,
     )
 
 
@@ -315,42 +224,10 @@
     )
 
 
-def make_configuration(*, servers, exceptions):
-    """Return the text of a configuration of a given size."""
-    value = {
-        'revision': 1,
-        'regions': [
-            {'name': 'r1', 'data_centres': ['a', 'b', 'c']},
-            {'name': 'r2', 'data_centres': ['d', 'e']},
-        ],
-        'models': [{'name': f'model-{n}'} for n in range(15)],
-        'backend_servers': [
-            {
-                'name': f'model-{n % 15}-{n}',
-                'host': f'10.{n // 250}.0.{n % 250}',
-                'port': 9000,
-                'data_centre': 'abcde'[n % 5],
-                'serves': f'model-{n % 15}',
-                'role': 'prefill' if n % 5 < 2 else 'decode',
-            }
-            for n in range(servers)
-        ],
-        'exceptions': [
-            {
-                'scope': {'caller': f'caller-{n}'},
-                'reason': 'files before the cut-off of its council',
-                'values': {'priority': 1},
-            }
-            for n in range(exceptions)
-        ],
-    }
-    return json.dumps(value)
-
-
 @slopes.register('configuration_parse_ms')
 def measure_configuration():
     """Parse and accept a whole configuration of the target's size."""
-    text = make_configuration(servers=720, exceptions=130)
+    text = _slope_samples.make_configuration(servers=720, exceptions=130)
     step_us = measure_us(
         lambda index: configuration.parse_configuration(text), 1
     )
@@ -360,7 +237,7 @@
 @slopes.register('configuration_bytes')
 def measure_configuration_memory():
     """Memory of that configuration once accepted."""
-    text = make_configuration(servers=720, exceptions=130)
+    text = _slope_samples.make_configuration(servers=720, exceptions=130)
     return measure_bytes(
         lambda index: configuration.parse_configuration(text), 2
     )
@@ -369,19 +246,24 @@
 @slopes.register('configuration_text_bytes')
 def measure_configuration_text():
     """Length of that configuration's text."""
-    return len(make_configuration(servers=720, exceptions=130))
+    return len(_slope_samples.make_configuration(servers=720, exceptions=130))
 
 
 @slopes.register('probe_bytes')
 def measure_probe_bytes():
     """Bytes of a ping and its answer without news, without UDP's own."""
-    return sum(len(wire.encode(wrap(m), now_ms=0)) for m in make_probe())
+    return sum(
+        len(wire.encode(_slope_samples.wrap(m), now_ms=0))
+        for m in _slope_samples.make_probe()
+    )
 
 
 @slopes.register('probe_us')
 def measure_probe():
     """Processor time to encode and decode a ping and its answer."""
-    envelopes = [wrap(message) for message in make_probe()]
+    envelopes = [
+        _slope_samples.wrap(message) for message in _slope_samples.make_probe()
+    ]
 
     def step(index):
         for envelope in envelopes:
@@ -390,13 +272,6 @@
     return measure_us(step, MESSAGES // 4)
 
 
-def make_probe():
-    """Return a ping and its answer as in a quiet data centre."""
-    return _membership_messages.Ping(digest=2**62), _membership_messages.Ack(
-        digest=2**62
-    )
-
-
 @slopes.register('member_update_bytes')
 def measure_update():
     """Bytes that one VM's news add to a message."""
@@ -414,7 +289,9 @@
     lengths = [
         len(
             wire.encode(
-                wrap(_membership_messages.Gossip(updates=(update,) * n)),
+                _slope_samples.wrap(
+                    _membership_messages.Gossip(updates=(update,) * n)
+                ),
                 now_ms=0,
             )
         )
@@ -432,7 +309,9 @@
         'sequence': 100000,
         'total_pieces': 60,
         'free_pieces': 2,
-        'running_ids': [make_permit(n).permit_id for n in range(20)],
+        'running_ids': [
+            _slope_samples.make_permit(n).permit_id for n in range(20)
+        ],
         'queued_count': 0,
         'leaving': False,
     }
@@ -466,8 +345,8 @@
 @slopes.register('server_section_bytes')
 def measure_server_section():
     """Length of one backend server's entry in the text."""
-    long = len(make_configuration(servers=720, exceptions=0))
-    short = len(make_configuration(servers=0, exceptions=0))
+    long = len(_slope_samples.make_configuration(servers=720, exceptions=0))
+    short = len(_slope_samples.make_configuration(servers=0, exceptions=0))
     return round((long - short) / 720)
 
 
