--- a/bluebellthread/core/_configuration.py
+++ b/bluebellthread/core/_configuration.py
@@ -37,9 +37,9 @@
     45
     """
 
-    prefill_policy: str = 'least-loaded'
-    decode_policy: str = 'most-free'
-    queue_policy: str = 'first-come'
+    prefill_policy: str = 'prefix'
+    decode_policy: str = 'fewest-running'
+    queue_policy: str = 'fair-early-refusal'
     spill_policy: str = 'none'
     first_output_target_ms: int = 780
     pace_target_ms: int = 45
--- a/tests/integration/_small_fleet.py
+++ b/tests/integration/_small_fleet.py
@@ -23,6 +23,8 @@
         'regions': [{'name': REGION, 'data_centres': [DATA_CENTRE]}],
         'models': [{'name': 'atelier-llm'}],
         'services': [{'name': 'magazin-piese'}],
+        # Tests of failures wait for late answers.
+        'defaults': {'first_output_target_ms': 60000},
         'backend_servers': [
             {
                 'name': name,
