Log a request's end by its own entry; name the permit client as such

Cause: the end of a superseded request overwrote the newer one's state, and a caller that went away was logged as done.

--- a/bluebellthread/core/_messages.py
+++ b/bluebellthread/core/_messages.py
@@ -190,8 +190,8 @@
     Parameters
     ----------
     state : str
-        ``'unknown'``, ``'waiting'``, a permit's stage, ``'done'``,
-        ``'refused'`` or ``'failed'``.
+        ``'unknown'``, ``'in-progress'``, ``'done'``, ``'refused'`` or
+        ``'gone'`` where the caller went away.
     """
 
     request_id: str
--- a/bluebellthread/daemon/_gateway.py
+++ b/bluebellthread/daemon/_gateway.py
@@ -1,6 +1,5 @@
 """The callers' HTTP interface, as an ASGI application."""
 
-import functools
 import secrets
 import traceback
 
@@ -118,7 +117,6 @@
         )
         parent = request.header('traceparent')
         self._metrics.count(metrics.REQUESTS)
-        self._request_log.note(responder.request_id, 'waiting')
         with self._tracer.span(
             'gateway', parent=parent, request_id=responder.request_id
         ) as span:
@@ -133,10 +131,12 @@
 
     async def _serve_logged(self, path, exchange, receive):
         request_id = exchange.request_id
+        entry = self._request_log.begin(request_id)
         ended = ('gone', 'the caller went away')
         try:
             await _serve_until_gone(path, exchange, receive)
-            ended = ('done', '')
+            if exchange.responder.finished:
+                ended = ('done', '')
         except _http.Refusal as refusal:
             ended = ('refused', refusal.kind)
             emit(
@@ -147,7 +147,8 @@
             )
             raise
         finally:
-            self._request_log.end(request_id, *ended)
+            state, detail = ended
+            self._request_log.end(entry, state=state, detail=detail)
 
     def _find_path(self, url_path):
         for start, path in self._paths:
@@ -179,9 +180,7 @@
     """Serve an exchange; stop when the caller disconnects."""
     raised = []
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(
-            functools.partial(_cancel_when_gone, receive, nursery.cancel_scope)
-        )
+        nursery.start_soon(_cancel_when_gone, receive, nursery.cancel_scope)
         try:
             await path.serve(exchange)
         except _http.Refusal as refusal:
--- a/bluebellthread/daemon/_http.py
+++ b/bluebellthread/daemon/_http.py
@@ -143,11 +143,14 @@
     ----------
     request_id : str
         Echoed in every answer.
+    started, finished : bool
+        Whether the head, and the last part of the body, have been sent.
     """
 
     _send: object
     request_id: str
     started: bool = False
+    finished: bool = False
 
     async def start(self, status, headers):
         """Send the status and the headers."""
@@ -171,6 +174,8 @@
 
     async def finish(self, data=b''):
         """Send the last part of the body."""
+        # The server may tell of the connection's end before this returns.
+        self.finished = True
         await self._send({'type': 'http.response.body', 'body': data})
 
     async def answer(self, status, headers, body):
--- a/bluebellthread/daemon/_model_path.py
+++ b/bluebellthread/daemon/_model_path.py
@@ -29,7 +29,7 @@
     ----------
     vm, incarnation, data_centre : str, int, str
         This process.
-    desk : PermitDesk
+    permit_client : PermitClient
         To reach schedulers.
     fleet : object
         Has ``configuration`` and ``view``, the latest of each.
@@ -49,7 +49,7 @@
         vm,
         incarnation,
         data_centre,
-        desk,
+        permit_client,
         fleet,
         adapter,
         tracer,
@@ -63,7 +63,7 @@
         self._tracer = tracer
         self._metrics = metrics
         self._scheduler = _scheduler_link.SchedulerLink(
-            desk=desk, tracer=tracer
+            permit_client=permit_client, tracer=tracer
         )
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=MOST_ENGINE_CONNECTIONS, retries=0
--- a/bluebellthread/daemon/_recovery.py
+++ b/bluebellthread/daemon/_recovery.py
@@ -44,7 +44,7 @@
     epoch: int
 
 
-class PermitDesk:
+class PermitClient:
     """Asks schedulers for permits and keeps those that this VM holds.
 
     Parameters
--- a/bluebellthread/daemon/_scheduler_link.py
+++ b/bluebellthread/daemon/_scheduler_link.py
@@ -12,14 +12,14 @@
 
     Parameters
     ----------
-    desk : PermitDesk
+    permit_client : PermitClient
         Finds the owners and keeps the permits.
     tracer : bluebellthread.observe.Tracer
         Makes the spans.
     """
 
-    def __init__(self, *, desk, tracer):
-        self._desk = desk
+    def __init__(self, *, permit_client, tracer):
+        self._permit_client = permit_client
         self._tracer = tracer
         self._nursery = None
 
@@ -47,22 +47,22 @@
     def tell(self, message):
         """Pass a `PermitProgressed` or `PermitReleased` on."""
         if isinstance(message, core.PermitReleased):
-            self._desk.release(message)
+            self._permit_client.release(message)
         else:
-            self._desk.progress(message)
+            self._permit_client.progress(message)
 
     def is_current(self, permit):
         """Return whether new work may be started under a permit."""
-        return self._desk.is_current(permit)
+        return self._permit_client.is_current(permit)
 
     async def _ask(self, request, answer, scope, *, traceparent):
         with scope, self._tracer.span('scheduler', parent=traceparent) as span:
             try:
-                outcome = await self._desk.ask(
+                outcome = await self._permit_client.ask(
                     request, traceparent=self._tracer.traceparent_of(span)
                 )
             except trio.Cancelled:
-                self._desk.abandon(request)
+                self._permit_client.abandon(request)
                 raise
             answer(
                 outcome
--- a/bluebellthread/daemon/_service.py
+++ b/bluebellthread/daemon/_service.py
@@ -73,7 +73,7 @@
             mailboxes=self._mailboxes,
         )
         self._make_membership()
-        self._make_desk()
+        self._make_permit_client()
         self._make_configuration()
         self._make_orders()
         self._make_gateway()
@@ -161,13 +161,13 @@
             traffic=self._traffic,
         )
 
-    def _make_desk(self):
+    def _make_permit_client(self):
         share = _cautious_share.CautiousShare(
             fleet=self.fleet,
             engine_control=self._engine_control,
             enabled=self._has('cautious-share'),
         )
-        self._desk = _recovery.PermitDesk(
+        self._permit_client = _recovery.PermitClient(
             vm=self._settings.vm,
             incarnation=self.incarnation,
             fleet=self.fleet,
@@ -177,7 +177,9 @@
             cancels=self._engine_control.cancels,
             resends_releases=self._has('release-resend'),
         )
-        self._mailboxes.register(core.RegistrationWanted, self._desk.inbox)
+        self._mailboxes.register(
+            core.RegistrationWanted, self._permit_client.inbox
+        )
 
     def _make_gateway(self):
         settings = self._settings
@@ -185,7 +187,7 @@
             vm=settings.vm,
             incarnation=self.incarnation,
             data_centre=settings.data_centre,
-            desk=self._desk,
+            permit_client=self._permit_client,
             fleet=self.fleet,
             adapter=settings.engine_adapter,
             tracer=self._tracer,
@@ -292,7 +294,7 @@
             await nursery.start(self._model_path.run)
             peers = await self._start_peer_server(nursery)
             nursery.start_soon(self._scheduler_task.run)
-            nursery.start_soon(self._desk.run)
+            nursery.start_soon(self._permit_client.run)
             nursery.start_soon(self._engine_control.run, self._scheduler_task)
             nursery.start_soon(self._status_task.run)
             nursery.start_soon(self._platform_watch.run)
@@ -353,7 +355,7 @@
     async def _finish_permits(self):
         """Wait until the last permits have been taken back."""
         with trio.move_on_after(RELEASE_TIMEOUT_S):
-            while not self._desk.idle:
+            while not self._permit_client.idle:
                 await trio.sleep(RELEASE_POLL_S)
 
     async def _wait_for_stop(self):
