Log a cancelled permit again; drop an event that nothing writes

Cause: the merge of the answer machine with the permit client lost the line that writes E4006, which the catalogue still listed; live_permits and E1004 had no use left. Found by looking for names that stand only once. The catalogue's test passed before and after: it compares names, not uses.

--- a/bluebellthread/daemon/_model_path.py
+++ b/bluebellthread/daemon/_model_path.py
@@ -14,6 +14,8 @@
 from bluebellthread.daemon import _question
 from bluebellthread.daemon import _scheduler_link
 from bluebellthread import engines
+from bluebellthread.observe import emit
+from bluebellthread.observe import events
 
 MOST_ENGINE_CONNECTIONS = 1000
 """Connections to engines at a time."""
@@ -82,12 +84,6 @@
         self._live = {}
         self.inbox, self._receive = trio.open_memory_channel(QUEUE_LENGTH)
 
-    @property
-    def live_permits(self):
-        """The permits of the requests in progress."""
-        permits = [task.machine.permit for task in self._live.values()]
-        return tuple(permit for permit in permits if permit is not None)
-
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
         """Talk with schedulers until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -188,6 +184,11 @@
     def _take_cancelled(self, message):
         for task in self._live.values():
             if task.machine.has_held(message.permit_id):
+                emit(
+                    events.PERMIT_CANCELLED,
+                    permit_id=message.permit_id,
+                    kind=message.kind,
+                )
                 task.post(message)
 
     def _find_server(self, name):
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -47,7 +47,6 @@
     1002, 'INFO', 'VM {vm} is stopping: {requests} in progress'
 )
 VM_STOPPED = Event(1003, 'INFO', 'VM {vm} stopped')
-TASK_FAILED = Event(1004, 'ERROR', 'task {task} failed: {error}')
 PEER_BAD_FRAME = Event(
     2001, 'WARNING', 'peer at {address} sent an unreadable frame: {error}'
 )
