Keep one boot-time clock, one MS_PER_S in the daemon, one --vm option

The operators' tool read the clock by a copy of the daemon's code, four modules had their own MS_PER_S (one without a use), and three commands declared the same option.

--- a/bluebellthread/cli/_request.py
+++ b/bluebellthread/cli/_request.py
@@ -16,12 +16,7 @@
     def add_arguments(self, parser):
         """Declare the arguments."""
         parser.add_argument('id', metavar='ID', help="the answer's request id")
-        parser.add_argument(
-            '--vm',
-            required=True,
-            metavar='HOST:PORT',
-            help='peer address of any VM',
-        )
+        _vm_calls.add_vm_argument(parser)
 
     def run(self, arguments):
         """Print one line for each VM that knows the request."""
--- a/bluebellthread/cli/_status.py
+++ b/bluebellthread/cli/_status.py
@@ -35,12 +35,7 @@
 
     def add_arguments(self, parser):
         """Declare the arguments."""
-        parser.add_argument(
-            '--vm',
-            required=True,
-            metavar='HOST:PORT',
-            help='peer address of any VM',
-        )
+        _vm_calls.add_vm_argument(parser)
         parser.add_argument(
             '--json', action='store_true', help='one JSON object a VM'
         )
--- a/bluebellthread/cli/_ticket.py
+++ b/bluebellthread/cli/_ticket.py
@@ -17,12 +17,7 @@
     def add_arguments(self, parser):
         """Declare the arguments."""
         parser.add_argument('id', metavar='ID', help='a ticket or its id')
-        parser.add_argument(
-            '--vm',
-            required=True,
-            metavar='HOST:PORT',
-            help='peer address of any VM',
-        )
+        _vm_calls.add_vm_argument(parser)
 
     def run(self, arguments):
         """Print one line for each VM that knows the ticket."""
--- a/bluebellthread/cli/_vm_calls.py
+++ b/bluebellthread/cli/_vm_calls.py
@@ -1,17 +1,26 @@
 """Questions of the operators' tool to VMs, over their peer ports."""
 
-import time
-
 import trio
 
 from bluebellthread.cli import _registry
 from bluebellthread import core
+from bluebellthread.daemon import _clock
 from bluebellthread import wire
 
 CALL_TIMEOUT_S = 3
 SENDER = 'operator'
 
 
+def add_vm_argument(parser):
+    """Declare the option that names the VM to ask first."""
+    parser.add_argument(
+        '--vm',
+        required=True,
+        metavar='HOST:PORT',
+        help='peer address of any VM',
+    )
+
+
 def parse_address(text):
     """Return host and port of ``HOST:PORT``.
 
@@ -73,13 +82,9 @@
     )
     stream = await trio.open_tcp_stream(host, port)
     async with stream:
-        now_ms = _read_clock_ms()
+        now_ms = _clock.read_clock_ms()
         await stream.send_all(wire.encode_frame(envelope, now_ms=now_ms))
         frame = await wire.FrameReader(stream).read()
     if frame is None:
         raise wire.WireError('it closed the connection')
-    return wire.decode(frame, now_ms=_read_clock_ms()).message
-
-
-def _read_clock_ms():
-    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
+    return wire.decode(frame, now_ms=_clock.read_clock_ms()).message
--- a/bluebellthread/daemon/_configuration_task.py
+++ b/bluebellthread/daemon/_configuration_task.py
@@ -17,7 +17,6 @@
 QUEUE_LENGTH = 256
 TICK_INTERVAL_S = 0.1
 ASK_TIMEOUT_MS = 1500
-MS_PER_S = 1000
 ASKS_MAX = 32
 """Messages to peers in progress at a time; more are dropped."""
 
@@ -118,7 +117,7 @@
         if not partners:
             return await self._is_newest_published(revision)
         answers = []
-        with trio.move_on_after(ASK_TIMEOUT_MS / MS_PER_S):
+        with trio.move_on_after(ASK_TIMEOUT_MS / _clock.MS_PER_S):
             async with trio.open_nursery() as nursery:
                 for vm in partners:
                     nursery.start_soon(self._collect_revision, vm, answers)
--- a/bluebellthread/daemon/_http_server.py
+++ b/bluebellthread/daemon/_http_server.py
@@ -2,14 +2,14 @@
 
 import hypercorn
 
-MS_PER_S = 1000
+from bluebellthread.daemon import _clock
 
 
 def make_server_config(settings):
     """Return the HTTP server's configuration."""
     config = hypercorn.Config()
     config.bind = [f'{settings.host}:{settings.caller_port}']
-    config.graceful_timeout = settings.drain_timeout_ms / MS_PER_S
+    config.graceful_timeout = settings.drain_timeout_ms / _clock.MS_PER_S
     config.h11_max_incomplete_size = settings.request_header_max_bytes
     config.accesslog = None
     config.errorlog = None
--- a/bluebellthread/daemon/_one_shot.py
+++ b/bluebellthread/daemon/_one_shot.py
@@ -16,8 +16,6 @@
 from bluebellthread import core
 from bluebellthread.daemon import _clock
 
-MS_PER_S = 1000
-
 CONNECT_TIMEOUT_S = 2.0
 """Wait for a connection to the backend server."""
 
--- a/bluebellthread/daemon/_service.py
+++ b/bluebellthread/daemon/_service.py
@@ -9,6 +9,7 @@
 from bluebellthread import core
 from bluebellthread.daemon import _admission
 from bluebellthread.daemon import _cautious_share
+from bluebellthread.daemon import _clock
 from bluebellthread.daemon import _configuration_task
 from bluebellthread.daemon import _engine_control
 from bluebellthread.daemon import _fleet
@@ -35,8 +36,6 @@
 from bluebellthread.observe import Metrics
 from bluebellthread.observe import Tracer
 
-MS_PER_S = 1000
-
 MINORITY_TIMEOUT_MS = 10000
 """How long a VM that may be cut off waits to cancel for the dead."""
 
@@ -362,7 +361,7 @@
         """Wait for a stop, and then for the balancer to notice it."""
         await self._stop.wait()
         if self._has('balancer-lag'):
-            await trio.sleep(self._settings.balancer_lag_ms / MS_PER_S)
+            await trio.sleep(self._settings.balancer_lag_ms / _clock.MS_PER_S)
 
     async def _serve_callers(self, daemon_nursery, peers, task_status):
         config = _http_server.make_server_config(self._settings)
