--- a/bluebellthread/daemon/_ticket_task.py
+++ b/bluebellthread/daemon/_ticket_task.py
@@ -112,12 +112,12 @@
         end of the time is given up and handed over as unknown.
         """
         await self.inbox.send(core.StopRequested())
-        with trio.move_on_after(drain_timeout_ms / _one_shot.MS_PER_S):
+        with trio.move_on_after(drain_timeout_ms / _clock.MS_PER_S):
             await self.handed_over.wait()
             return
         for scope in self._send_scopes.values():
             scope.cancel()
-        with trio.move_on_after(HAND_OVER_TIMEOUT_MS / _one_shot.MS_PER_S):
+        with trio.move_on_after(HAND_OVER_TIMEOUT_MS / _clock.MS_PER_S):
             await self.handed_over.wait()
 
     async def _tick(self):
