--- /dev/null
+++ b/bluebellthread/core/routing/__init__.py
@@ -0,0 +1,57 @@
+"""Decisions about requests at the entry VMs, without input or output."""
+
+from bluebellthread.core.routing._allocator import Allocator
+from bluebellthread.core.routing._allocator import AllocatorOptions
+from bluebellthread.core.routing._directory import ListedServer
+from bluebellthread.core.routing._directory import ServerDirectory
+from bluebellthread.core.routing._engine_account import EngineServer
+from bluebellthread.core.routing._placement_messages import HeldPlacement
+from bluebellthread.core.routing._placement_messages import PLACEMENT_MESSAGES
+from bluebellthread.core.routing._placement_messages import PlacementAsk
+from bluebellthread.core.routing._placement_messages import PlacementEnded
+from bluebellthread.core.routing._placement_messages import PlacementGranted
+from bluebellthread.core.routing._placement_messages import PlacementPending
+from bluebellthread.core.routing._placement_messages import PlacementRefused
+from bluebellthread.core.routing._placement_messages import PlacementsHeld
+from bluebellthread.core.routing._placement_messages import PromptRead
+from bluebellthread.core.routing._repeat_budget import RepeatBudget
+from bluebellthread.core.routing._routes import CallerLimits
+from bluebellthread.core.routing._routes import EngineTraits
+from bluebellthread.core.routing._routes import KIND_ONCE
+from bluebellthread.core.routing._routes import KIND_REPEATABLE
+from bluebellthread.core.routing._routes import KIND_STREAM
+from bluebellthread.core.routing._routes import Route
+from bluebellthread.core.routing._routes import RoutingTable
+from bluebellthread.core.routing._routes import ServiceShare
+from bluebellthread.core.routing._routes import ServiceTraits
+from bluebellthread.core.routing._server_choice import ServerChoice
+from bluebellthread.core.routing._waiting_orders import waiting_orders
+
+__all__ = [
+    'Allocator',
+    'AllocatorOptions',
+    'CallerLimits',
+    'EngineServer',
+    'EngineTraits',
+    'HeldPlacement',
+    'KIND_ONCE',
+    'KIND_REPEATABLE',
+    'KIND_STREAM',
+    'ListedServer',
+    'PLACEMENT_MESSAGES',
+    'PlacementAsk',
+    'PlacementEnded',
+    'PlacementGranted',
+    'PlacementPending',
+    'PlacementRefused',
+    'PlacementsHeld',
+    'PromptRead',
+    'RepeatBudget',
+    'Route',
+    'RoutingTable',
+    'ServerChoice',
+    'ServerDirectory',
+    'ServiceShare',
+    'ServiceTraits',
+    'waiting_orders',
+]
--- /dev/null
+++ b/bluebellthread/core/routing/_allocator.py
@@ -0,0 +1,389 @@
+"""Pairs of engines for model requests, as the owner of a service gives them.
+
+Room on a decode server is reserved before a prompt is read, since the read
+prompt is kept for a fraction of a second only. Nothing is stored: a new
+owner learns of the places in use from the VMs that use them.
+"""
+
+import attrs
+
+from bluebellthread.core.routing import _engine_account
+from bluebellthread.core.routing import _placement_messages as messages
+from bluebellthread.core.routing import _waiting_orders
+
+FIRST_EVENT_GUESS_MS = 250.0
+"""Time from a grant to the first event before any was measured: a prompt of
+average length at the rate of the deployments' engines."""
+
+SMOOTHING = 0.1
+"""Weight of the newest of some ten measurements."""
+
+READING_TIMEOUT_MS = 2000
+"""A prefill that nobody has ended by then is taken as lost; several times
+the longest one."""
+
+NOTICE_DELAY_MS = 1000
+"""Longest time that a VM's notice is on its way to a new owner: the time
+that a connection may take."""
+
+RETRY_AFTER_MIN_MS = 500
+"""Shortest wait told to a refused caller: less than a burst lasts."""
+
+
+@attrs.frozen(kw_only=True)
+class AllocatorOptions:
+    """How an owner gives places.
+
+    Parameters
+    ----------
+    waiting_order : str
+        Name in `waiting_orders`.
+    prefill_depth : int
+        Prompts given to one prefill server at a time: one that it reads
+        and one that is on its way, so that it never idles for a round
+        trip between regions.
+    memory_share : float
+        Part of a decode server's memory that is given away; the rest is
+        for what the account does not see.
+    """
+
+    waiting_order: str = 'on-time-first'
+    prefill_depth: int = 2
+    memory_share: float = 0.97
+
+
+@attrs.define(kw_only=True)
+class _Place:
+    ask_id: str
+    vm: str
+    vm_incarnation: int
+    prefill_server: str
+    decode_server: str
+    tokens: int
+    deadline_ms: int
+    granted_ms: int
+    is_reading: bool
+
+
+@attrs.define(kw_only=True)
+class _Waiting:
+    ask: messages.PlacementAsk
+    arrived_ms: int
+
+
+class Allocator:
+    """Pure state machine of the owner of one service's engines.
+
+    Parameters
+    ----------
+    options : AllocatorOptions
+
+    Examples
+    --------
+    >>> allocator = Allocator()
+    >>> allocator.decide(0)
+    []
+    """
+
+    def __init__(self, *, options=None):
+        self._options = options or AllocatorOptions()
+        self._order = _waiting_orders.waiting_orders.get(
+            self._options.waiting_order
+        )
+        self._accounts = {}
+        self._waiting = {}
+        self._places = {}
+        self._first_event_ms = FIRST_EVENT_GUESS_MS
+
+    @property
+    def waiting_count(self):
+        """Requests without a place."""
+        return len(self._waiting)
+
+    @property
+    def place_count(self):
+        """Places in use."""
+        return len(self._places)
+
+    @property
+    def is_idle(self):
+        """Whether nobody waits for or uses a place."""
+        return not self._waiting and not self._places
+
+    def set_servers(self, servers):
+        """Replace the list of engines; places on others end."""
+        accounts = {}
+        for server in servers:
+            known = self._accounts.get(server.name)
+            if known is None or known.server.incarnation != server.incarnation:
+                known = _engine_account.EngineAccount(server=server)
+            known.server = server
+            accounts[server.name] = known
+        self._accounts = accounts
+
+    def ask(self, ask, now_ms):
+        """Take a request in, or keep its place in the queue.
+
+        Returns
+        -------
+        PlacementGranted or None
+            The grant again, where an earlier answer was lost.
+        """
+        place = self._places.get(ask.ask_id)
+        if place is not None:
+            return _grant_message(place)
+        known = self._waiting.get(ask.ask_id)
+        if known is None:
+            known = _Waiting(ask=ask, arrived_ms=now_ms)
+            self._waiting[ask.ask_id] = known
+        known.ask = ask
+        return None
+
+    def note_read(self, ask_id, now_ms):
+        """Free the prefill server of a request."""
+        place = self._places.get(ask_id)
+        if place is None or not place.is_reading:
+            return
+        place.is_reading = False
+        account = self._accounts.get(place.prefill_server)
+        if account is not None:
+            account.reading_tokens.pop(ask_id, None)
+            account.note_success()
+        took_ms = now_ms - place.granted_ms
+        self._first_event_ms += SMOOTHING * (took_ms - self._first_event_ms)
+
+    def end(self, ask_id, now_ms, *, failed_server=''):
+        """Free what a request holds; spare the server that failed it."""
+        self._waiting.pop(ask_id, None)
+        self._free(ask_id)
+        account = self._accounts.get(failed_server)
+        if account is not None:
+            account.note_failure(now_ms)
+
+    def hold(self, held, now_ms):
+        """Take in all places that one VM uses, in place of those known.
+
+        A place that was granted while the list was on its way stays.
+        """
+        for ask_id, place in list(self._places.items()):
+            age_ms = now_ms - place.granted_ms
+            if place.vm == held.vm and age_ms >= NOTICE_DELAY_MS:
+                self._free(ask_id)
+        for item in held.places:
+            self._waiting.pop(item.ask_id, None)
+            self._free(item.ask_id)
+            self._add(
+                _Place(
+                    ask_id=item.ask_id,
+                    vm=held.vm,
+                    vm_incarnation=held.vm_incarnation,
+                    prefill_server=item.prefill_server,
+                    decode_server=item.decode_server,
+                    tokens=item.tokens,
+                    deadline_ms=item.deadline_ms,
+                    granted_ms=now_ms,
+                    is_reading=False,
+                )
+            )
+
+    def drop_gone(self, is_gone):
+        """Free what processes hold for which ``is_gone`` says true.
+
+        Parameters
+        ----------
+        is_gone : callable
+            Takes a VM's name and incarnation.
+        """
+        for ask_id, place in list(self._places.items()):
+            if is_gone(place.vm, place.vm_incarnation):
+                self._free(ask_id)
+        for ask_id, waiting in list(self._waiting.items()):
+            if is_gone(waiting.ask.vm, waiting.ask.vm_incarnation):
+                del self._waiting[ask_id]
+
+    def decide(self, now_ms):
+        """Return the grants and refusals that are due.
+
+        Returns
+        -------
+        list of PlacementGranted or PlacementRefused
+        """
+        self._expire(now_ms)
+        answers = self._refuse_hopeless(now_ms)
+        for waiting in self._in_order(now_ms):
+            grant = self._grant(waiting.ask, now_ms)
+            if grant is None:
+                break
+            answers.append(grant)
+        return answers
+
+    # Waiting
+
+    def _in_order(self, now_ms):
+        return sorted(
+            self._waiting.values(),
+            key=lambda waiting: self._order(
+                waiting.ask, waiting.arrived_ms, self._first_event_ms, now_ms
+            ),
+        )
+
+    def _refuse_hopeless(self, now_ms):
+        refusals = []
+        for ask_id, waiting in list(self._waiting.items()):
+            kind = self._find_refusal(waiting.ask, now_ms)
+            if kind:
+                del self._waiting[ask_id]
+                refusals.append(
+                    messages.PlacementRefused(
+                        ask_id=ask_id,
+                        kind=kind,
+                        retry_after_ms=RETRY_AFTER_MIN_MS,
+                    )
+                )
+        return refusals
+
+    def _find_refusal(self, ask, now_ms):
+        if now_ms + self._first_event_ms >= ask.deadline_ms:
+            return 'too-late'
+        decoders = self._accounts_of('decode')
+        if not decoders:
+            return 'no-server'
+        need = _tokens_of(ask)
+        if all(need > item.server.memory_tokens for item in decoders):
+            return 'too-large'
+        return ''
+
+    # Places
+
+    def _grant(self, ask, now_ms):
+        pair = self._choose_pair(ask, now_ms)
+        if pair is None:
+            return None
+        prefill, decode = pair
+        del self._waiting[ask.ask_id]
+        place = _Place(
+            ask_id=ask.ask_id,
+            vm=ask.vm,
+            vm_incarnation=ask.vm_incarnation,
+            prefill_server=prefill.server.name if prefill else '',
+            decode_server=decode.server.name,
+            tokens=_tokens_of(ask),
+            deadline_ms=ask.deadline_ms,
+            granted_ms=now_ms,
+            is_reading=prefill is not None,
+        )
+        self._add(place)
+        if prefill is not None:
+            prefill.reading_tokens[ask.ask_id] = ask.prompt_tokens
+        return _grant_message(place)
+
+    def _choose_pair(self, ask, now_ms):
+        decode = self._choose_decode(ask, now_ms)
+        if decode is None:
+            return None
+        prefills = self._usable('prefill', ask, now_ms)
+        if not prefills:
+            return None, decode
+        free = [
+            item
+            for item in prefills
+            if len(item.reading_tokens) < self._options.prefill_depth
+        ]
+        if not free:
+            return None
+        prefill = min(
+            free,
+            key=lambda item: (
+                sum(item.reading_tokens.values()),
+                _distance(item.server, decode.server),
+                item.server.name,
+            ),
+        )
+        return prefill, decode
+
+    def _choose_decode(self, ask, now_ms):
+        need = _tokens_of(ask) / self._options.memory_share
+        fitting = [
+            item
+            for item in self._usable('decode', ask, now_ms)
+            if item.has_room(need)
+        ]
+        if not fitting:
+            return None
+        return min(
+            fitting,
+            key=lambda item: (
+                item.load
+                + 0.1 * (item.server.data_centre != ask.data_centre),
+                item.server.name,
+            ),
+        )
+
+    def _usable(self, role, ask, now_ms):
+        """Return engines of a role, those that failed only as a last way."""
+        accounts = self._accounts_of(role)
+        rested = [item for item in accounts if not item.is_spared(now_ms)]
+        preferred = [
+            item
+            for item in rested
+            if item.server.name not in ask.avoid_servers
+        ]
+        return preferred or rested or accounts
+
+    def _accounts_of(self, role):
+        return [
+            account
+            for account in self._accounts.values()
+            if account.server.role == role
+        ]
+
+    def _add(self, place):
+        self._places[place.ask_id] = place
+        account = self._accounts.get(place.decode_server)
+        if account is not None:
+            account.reserved_tokens[place.ask_id] = place.tokens
+
+    def _free(self, ask_id):
+        place = self._places.pop(ask_id, None)
+        if place is None:
+            return
+        for name in (place.prefill_server, place.decode_server):
+            account = self._accounts.get(name)
+            if account is not None:
+                account.reading_tokens.pop(ask_id, None)
+                account.reserved_tokens.pop(ask_id, None)
+
+    def _expire(self, now_ms):
+        for ask_id, place in list(self._places.items()):
+            if now_ms >= place.deadline_ms:
+                self._free(ask_id)
+            elif (
+                place.is_reading
+                and now_ms - place.granted_ms >= READING_TIMEOUT_MS
+            ):
+                place.is_reading = False
+                account = self._accounts.get(place.prefill_server)
+                if account is not None:
+                    account.reading_tokens.pop(ask_id, None)
+                    account.note_failure(now_ms)
+
+
+def _tokens_of(ask):
+    return _engine_account.round_up_to_blocks(
+        ask.prompt_tokens + ask.output_tokens
+    )
+
+
+def _grant_message(place):
+    return messages.PlacementGranted(
+        ask_id=place.ask_id,
+        prefill_server=place.prefill_server,
+        decode_server=place.decode_server,
+    )
+
+
+def _distance(server, other):
+    """Return how many times as long a transfer takes than a near one."""
+    if server.data_centre == other.data_centre:
+        return 1
+    return 2 if server.region == other.region else 10
--- /dev/null
+++ b/bluebellthread/core/routing/_repeat_budget.py
@@ -0,0 +1,56 @@
+"""The fleet's budget of repeats, of which each VM spends only its part.
+
+No VM tells another what it has spent. The parts of all VMs add up to less
+than the whole, also while a VM's picture of the fleet is too small.
+"""
+
+import collections
+
+
+class RepeatBudget:
+    """One VM's part of the repeats of one service.
+
+    Parameters
+    ----------
+    ratio : float
+        Repeats allowed for each request of the window.
+    window_ms : int
+        Length of the sliding window.
+    slack : float
+        Further repeats of the whole fleet in a window.
+
+    Examples
+    --------
+    >>> budget = RepeatBudget(ratio=0.5, window_ms=1000, slack=2)
+    >>> budget.note_request(0)
+    >>> [budget.spend(now_ms=0, vm_count=2) for _ in range(2)]
+    [True, False]
+    >>> budget.spend(now_ms=2000, vm_count=2)
+    True
+    """
+
+    def __init__(self, *, ratio, window_ms, slack):
+        self._ratio = ratio
+        self._window_ms = window_ms
+        self._slack = slack
+        self._requests_ms = collections.deque()
+        self._repeats_ms = collections.deque()
+
+    def note_request(self, now_ms):
+        """Count a caller's request."""
+        self._requests_ms.append(now_ms)
+
+    def spend(self, *, now_ms, vm_count, count=1):
+        """Count repeats if they are allowed, and return whether they are."""
+        horizon_ms = now_ms - self._window_ms
+        for times_ms in (self._requests_ms, self._repeats_ms):
+            while times_ms and times_ms[0] <= horizon_ms:
+                times_ms.popleft()
+        allowed = (
+            self._ratio * len(self._requests_ms)
+            + self._slack / max(1, vm_count)
+        )
+        if len(self._repeats_ms) + count > allowed:
+            return False
+        self._repeats_ms.extend([now_ms] * count)
+        return True
--- a/bluebellthread/daemon/_membership_task.py
+++ b/bluebellthread/daemon/_membership_task.py
@@ -88,6 +88,10 @@
                 async for event in self._receive:
                     self._handle(event)
 
+    def set_seeds(self, seeds):
+        """Replace the addresses to try while no peer is known."""
+        self._seeds = seeds
+
     def leave(self):
         """Announce that this VM is about to stop."""
         if self._membership is not None:
--- /dev/null
+++ b/bluebellthread/entry/__init__.py
@@ -0,0 +1,21 @@
+"""The entry: callers' requests to backend servers, by published routes."""
+
+from bluebellthread.entry._dialect import Dialect
+from bluebellthread.entry._platform_changes import HistoryLostError
+from bluebellthread.entry._platform_changes import PlatformUnavailableError
+from bluebellthread.entry._platform_changes import ServerChange
+from bluebellthread.entry._platform_changes import TableChange
+from bluebellthread.entry._service import EntryService
+from bluebellthread.entry._settings import EntrySettings
+from bluebellthread.entry._sockets import keep_alive_options
+
+__all__ = [
+    'Dialect',
+    'EntryService',
+    'EntrySettings',
+    'HistoryLostError',
+    'PlatformUnavailableError',
+    'ServerChange',
+    'TableChange',
+    'keep_alive_options',
+]
--- /dev/null
+++ b/bluebellthread/entry/_caller_connection.py
@@ -0,0 +1,325 @@
+"""One caller's connection: requests in, answers out, in order.
+
+h11 frames the messages. hypercorn can't be told to close its side first
+and read on, to end a connection so that an unfinished answer never looks
+whole, or to stop idle connections at a moment of the caller's choice.
+"""
+
+import http
+
+import h11
+import trio
+
+from bluebellthread.daemon import _clock
+from bluebellthread.entry import _http_messages
+
+RECEIVE_BYTES = 65536
+READ_AHEAD_BYTES = 262144
+"""Bytes read beyond a request while it is served, to notice the caller's
+leaving behind requests that it has sent ahead."""
+
+BODY_TIMEOUT_S = 10.0
+"""Longest pause while a body is sent, as long as callers commonly wait."""
+
+LINGER_S = 1.0
+"""How long a closed connection is still read, so that the caller receives
+the last answer: a few round trips of any caller."""
+
+REMEDIES = {
+    400: 'send one well-formed HTTP/1.1 request',
+    408: 'send the request faster',
+    413: 'send a shorter body',
+    431: 'send fewer or shorter headers',
+    501: 'send the body with a length or in chunks',
+}
+
+
+class CallerGoneError(Exception):
+    """The caller has closed its connection."""
+
+
+class BadRequestError(Exception):
+    """What a caller sent is no request that can be served."""
+
+    def __init__(self, status):
+        self.status = status
+        super().__init__(f'{status}: {REMEDIES[status]}')
+
+
+class CallerConnection:
+    """Reads requests from one connection and hands them to a handler.
+
+    Parameters
+    ----------
+    stream : trio.SocketStream
+    handler : callable
+        ``async`` with a `CallerExchange`.
+    control : ConnectionControl
+        The limits in force, and whether the process is stopping.
+    """
+
+    def __init__(self, *, stream, handler, control):
+        self._stream = stream
+        self._handler = handler
+        self._control = control
+        limits = control.limits
+        self._conn = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.header_max_bytes
+        )
+        self._first_byte_ms = None
+
+    async def run(self):
+        """Serve requests until either side ends the connection."""
+        try:
+            while await self._serve_next():
+                self._conn.start_next_cycle()
+                self._first_byte_ms = None
+        except (
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            CallerGoneError,
+        ):
+            # The caller has left; nobody is there to be told.
+            pass
+        except BadRequestError as error:
+            await self._refuse(error)
+        finally:
+            with trio.CancelScope(shield=True):
+                await trio.aclose_forcefully(self._stream)
+
+    async def _serve_next(self):
+        head = await self._read_head()
+        if head is None:
+            return False
+        request = await self._read_request(head)
+        exchange = CallerExchange(
+            request=request, conn=self._conn, stream=self._stream
+        )
+        if self._control.is_stopping:
+            exchange.closes_after = True
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_caller, exchange, nursery)
+            await self._handler(exchange)
+            nursery.cancel_scope.cancel()
+        if exchange.caller_gone or not exchange.is_complete:
+            return False
+        if self._conn.our_state is h11.MUST_CLOSE:
+            await self._linger()
+            return False
+        return self._conn.our_state is h11.DONE
+
+    # Reading
+
+    async def _read_head(self):
+        """Return the next head, or None where the connection has ended."""
+        if not await self._wait_first_byte():
+            return None
+        deadline_s = self._control.limits.header_timeout_ms / _clock.MS_PER_S
+        with trio.move_on_after(deadline_s):
+            event = await self._next_event()
+            if isinstance(event, h11.ConnectionClosed):
+                return None
+            return event
+        raise BadRequestError(408)
+
+    async def _wait_first_byte(self):
+        if self._conn.trailing_data[0]:
+            self._first_byte_ms = _clock.read_clock_ms()
+            return True
+        with self._control.idle_scope():
+            data = await self._stream.receive_some(RECEIVE_BYTES)
+            if not data:
+                return False
+            self._first_byte_ms = _clock.read_clock_ms()
+            self._conn.receive_data(data)
+            return True
+        # Idle for too long, or the process is stopping.
+        return False
+
+    async def _read_request(self, head):
+        _check_framing(head)
+        if self._conn.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            await self._stream.send_all(self._conn.send(go_on))
+        body = await self._read_body()
+        return _http_messages.Request(
+            method=bytes(head.method),
+            target=bytes(head.target),
+            headers=tuple(
+                (bytes(name), bytes(value)) for name, value in head.headers
+            ),
+            body=body,
+            received_ms=self._first_byte_ms,
+        )
+
+    async def _read_body(self):
+        body = bytearray()
+        while True:
+            with trio.move_on_after(BODY_TIMEOUT_S) as scope:
+                event = await self._next_event()
+            if scope.cancelled_caught:
+                raise BadRequestError(408)
+            if isinstance(event, h11.EndOfMessage):
+                return bytes(body)
+            if not isinstance(event, h11.Data):
+                raise CallerGoneError
+            body += event.data
+            if len(body) > self._control.limits.body_max_bytes:
+                raise BadRequestError(413)
+
+    async def _next_event(self):
+        while True:
+            try:
+                event = self._conn.next_event()
+            except h11.RemoteProtocolError as error:
+                raise BadRequestError(
+                    _known_status(error.error_status_hint)
+                ) from error
+            if event is not h11.NEED_DATA:
+                return event
+            data = await self._stream.receive_some(RECEIVE_BYTES)
+            if not data:
+                raise CallerGoneError
+            self._conn.receive_data(data)
+
+    async def _watch_caller(self, exchange, nursery):
+        """Cancel the exchange as soon as the caller has left."""
+        try:
+            while len(self._conn.trailing_data[0]) < READ_AHEAD_BYTES:
+                data = await self._stream.receive_some(RECEIVE_BYTES)
+                if not data:
+                    break
+                self._conn.receive_data(data)
+            else:
+                return
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            # A reset says the same as an end.
+            pass
+        exchange.caller_gone = True
+        nursery.cancel_scope.cancel()
+
+    # Ending
+
+    async def _refuse(self, error):
+        """Answer what is no request, then close."""
+        if self._conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        body = (REMEDIES[error.status] + '\n').encode()
+        response = h11.Response(
+            status_code=error.status,
+            reason=_reason(error.status),
+            headers=[
+                (b'content-type', b'text/plain'),
+                (b'content-length', str(len(body)).encode()),
+                (b'connection', b'close'),
+            ],
+        )
+        try:
+            data = self._conn.send(response)
+            data += self._conn.send(h11.Data(data=body))
+            data += self._conn.send(h11.EndOfMessage())
+            with trio.move_on_after(LINGER_S):
+                await self._stream.send_all(data)
+            await self._linger()
+        except (h11.LocalProtocolError, trio.BrokenResourceError):
+            # It has left, or an answer has begun; the close says the rest.
+            return
+
+    async def _linger(self):
+        """Close our side and read on: unread bytes would cause a reset."""
+        try:
+            await self._stream.send_eof()
+            with trio.move_on_after(LINGER_S):
+                while await self._stream.receive_some(RECEIVE_BYTES):
+                    pass
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            # The caller closed first.
+            return
+
+
+class CallerExchange:
+    """One request and the means to answer it.
+
+    Attributes
+    ----------
+    request : Request
+    caller_gone : bool
+        The caller has left; the exchange is being cancelled.
+    closes_after : bool
+        Whether the connection ends with this answer.
+    status : int or None
+        The status sent, once there is one.
+    """
+
+    def __init__(self, *, request, conn, stream):
+        self.request = request
+        self.caller_gone = False
+        self.closes_after = False
+        self.status = None
+        self._conn = conn
+        self._stream = stream
+
+    @property
+    def is_started(self):
+        """Whether any byte of the answer may have gone out."""
+        return self.status is not None
+
+    @property
+    def is_complete(self):
+        """Whether the whole answer has gone out."""
+        return self._conn.our_state in (h11.DONE, h11.MUST_CLOSE)
+
+    async def respond(self, status, headers, body):
+        """Send a whole answer."""
+        sized = [*headers, (b'content-length', str(len(body)).encode())]
+        data = self._begin(status, sized)
+        if body and self.request.method != b'HEAD':
+            data += self._conn.send(h11.Data(data=body))
+        data += self._conn.send(h11.EndOfMessage())
+        await self._stream.send_all(data)
+
+    async def start(self, status, headers):
+        """Send the head of a streamed answer."""
+        chunked = [*headers, (b'transfer-encoding', b'chunked')]
+        await self._stream.send_all(self._begin(status, chunked))
+
+    async def send(self, data):
+        """Send a piece of a streamed answer."""
+        await self._stream.send_all(self._conn.send(h11.Data(data=data)))
+
+    async def finish(self):
+        """End a streamed answer as whole."""
+        await self._stream.send_all(self._conn.send(h11.EndOfMessage()))
+
+    async def abort(self):
+        """End the connection so that the answer can't look whole."""
+        await trio.aclose_forcefully(self._stream)
+
+    def _begin(self, status, headers):
+        self.status = status
+        if self.closes_after:
+            headers = [*headers, (b'connection', b'close')]
+        response = h11.Response(
+            status_code=status, reason=_reason(status), headers=headers
+        )
+        return self._conn.send(response)
+
+
+def _check_framing(head):
+    """Refuse a head whose length two readers could take differently."""
+    names = [name for name, _ in head.headers]
+    lengths = names.count(b'content-length')
+    codings = names.count(b'transfer-encoding')
+    if lengths + codings > 1 or names.count(b'host') != 1:
+        raise BadRequestError(400)
+
+
+def _known_status(hint):
+    return hint if hint in REMEDIES else 400
+
+
+def _reason(status):
+    try:
+        return http.HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b''
--- /dev/null
+++ b/bluebellthread/entry/_connection_control.py
@@ -0,0 +1,53 @@
+"""What all callers' connections of a process share."""
+
+import contextlib
+
+import trio
+
+from bluebellthread.daemon import _clock
+
+
+class ConnectionControl:
+    """The limits in force, and the end of idle connections at a stop.
+
+    Parameters
+    ----------
+    read_limits : callable
+        Returns the `CallerLimits` in force.
+
+    Attributes
+    ----------
+    is_stopping : bool
+        Whether answers are to end their connections.
+    """
+
+    def __init__(self, read_limits):
+        self._read_limits = read_limits
+        self._idle_scopes = set()
+        self._idle_ended = False
+        self.is_stopping = False
+        self.open_count = 0
+
+    @property
+    def limits(self):
+        """The limits in force."""
+        return self._read_limits()
+
+    @contextlib.contextmanager
+    def idle_scope(self):
+        """Bound the wait for a request by the idle timeout and a stop."""
+        timeout_s = self.limits.idle_timeout_ms / _clock.MS_PER_S
+        with trio.move_on_after(timeout_s) as scope:
+            if self._idle_ended:
+                scope.cancel()
+            self._idle_scopes.add(scope)
+            try:
+                yield scope
+            finally:
+                self._idle_scopes.discard(scope)
+
+    def end_idle(self):
+        """Close the connections that wait for a request, now and later."""
+        self._idle_ended = True
+        for scope in list(self._idle_scopes):
+            scope.cancel()
--- /dev/null
+++ b/bluebellthread/entry/_http_messages.py
@@ -0,0 +1,123 @@
+"""Requests and answers as the entry handles them, and their headers."""
+
+import attrs
+
+CONNECTION_HEADERS = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+        b'content-length',
+    )
+)
+"""Headers that concern one connection only, or that framing sets anew."""
+
+TOKEN_SEPARATOR = b','
+
+
+@attrs.frozen(kw_only=True)
+class Request:
+    """A caller's request, read whole.
+
+    Parameters
+    ----------
+    method, target : bytes
+        As the caller sent them.
+    headers : tuple of (bytes, bytes)
+        Names in lower case.
+    body : bytes
+    received_ms : int
+        When its first byte was read, on the boot-time clock.
+    """
+
+    method: bytes
+    target: bytes
+    headers: tuple
+    body: bytes
+    received_ms: int
+
+    @property
+    def path(self):
+        """The target without its query, as text."""
+        return self.target.partition(b'?')[0].decode('latin-1')
+
+    @property
+    def host(self):
+        """The host without a port, in lower case."""
+        text = find_header(self.headers, b'host').decode('latin-1')
+        return text.partition(':')[0].lower()
+
+    def header(self, name):
+        """Return a header's text, or an empty string."""
+        return find_header(self.headers, name).decode('latin-1')
+
+
+@attrs.frozen(kw_only=True)
+class AnswerHead:
+    """The status and the headers of a backend server's answer."""
+
+    status: int
+    headers: tuple
+
+    def header(self, name):
+        """Return a header's text, or an empty string."""
+        return find_header(self.headers, name).decode('latin-1')
+
+
+@attrs.frozen(kw_only=True)
+class Answer:
+    """A backend server's whole answer."""
+
+    head: AnswerHead
+    body: bytes
+
+
+def find_header(headers, name):
+    """Return the value of the first header of a name, or empty bytes.
+
+    Examples
+    --------
+    >>> find_header([(b'host', b'a')], b'host')
+    b'a'
+    """
+    for known, value in headers:
+        if known == name:
+            return value
+    return b''
+
+
+def keep_end_to_end(headers, *, drop=frozenset()):
+    """Return the headers that are passed on.
+
+    Parameters
+    ----------
+    headers : iterable of (bytes, bytes)
+        Names in lower case.
+    drop : collection of bytes
+        Further names that are not passed on.
+
+    Examples
+    --------
+    >>> keep_end_to_end([(b'connection', b'x-a'), (b'x-a', b'1'),
+    ...                  (b'x-b', b'2')])
+    [(b'x-b', b'2')]
+    """
+    named = set()
+    for name, value in headers:
+        if name == b'connection':
+            named.update(
+                token.strip().lower() for token in value.split(TOKEN_SEPARATOR)
+            )
+    return [
+        (name, value)
+        for name, value in headers
+        if name not in CONNECTION_HEADERS
+        and name not in drop
+        and name not in named
+    ]
--- /dev/null
+++ b/bluebellthread/entry/_platform_task.py
@@ -0,0 +1,160 @@
+"""The task that follows what the platform publishes."""
+
+import random
+
+import trio
+
+from bluebellthread.daemon import _clock
+from bluebellthread.entry import _platform_changes as changes_module
+from bluebellthread.entry import _state
+from bluebellthread.observe import emit
+from bluebellthread.observe import events
+
+RETRY_FIRST_S = 0.1
+RETRY_MAX_S = 0.8
+"""Pauses between tries while the platform is away: a change has to be in
+force within seconds of its return."""
+
+EXPIRE_PERIOD_S = 0.2
+"""How often lapsed entries are looked at; a tenth of their time."""
+
+
+class PlatformTask:
+    """Keeps the configuration and the list of servers up to date.
+
+    Parameters
+    ----------
+    client : object
+        The adapter's client of the platform.
+    state : EntryState
+        Where both are published.
+    """
+
+    def __init__(self, *, client, state):
+        self._client = client
+        self._state = state
+        self._rng = random.Random(state.settings.vm)
+
+    async def run(self):
+        """Follow the platform until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._follow, 'configuration', self._step_table)
+            nursery.start_soon(self._follow, 'server list', self._step_servers)
+            nursery.start_soon(self._expire_lapsed)
+
+    async def _follow(self, name, step):
+        """Read and watch one thing; start anew after each failure."""
+        watch = _state.DependencyWatch(name=name)
+        after = None
+        pause_s = RETRY_FIRST_S
+        while True:
+            try:
+                after = await step(after, watch)
+                pause_s = RETRY_FIRST_S
+            except changes_module.HistoryLostError as error:
+                emit(events.PLATFORM_HISTORY_LOST, what=name, error=error)
+                after = None
+            except changes_module.PlatformUnavailableError as error:
+                if watch.note_lost(_clock.read_clock_ms()):
+                    emit(events.PLATFORM_LOST, what=name, error=error)
+                after = None
+                await trio.sleep(pause_s * self._rng.uniform(0.7, 1.3))
+                pause_s = min(RETRY_MAX_S, pause_s * 2)
+
+    def _note_back(self, watch):
+        lost_ms = watch.note_back(_clock.read_clock_ms())
+        if lost_ms:
+            emit(events.PLATFORM_REGAINED, what=watch.name, lost_ms=lost_ms)
+        return lost_ms
+
+    # The configuration
+
+    async def _step_table(self, after, watch):
+        if after is None:
+            change, revision = await self._client.read_table()
+            self._note_back(watch)
+            found = [change] if change is not None else []
+        else:
+            found, revision = await self._client.watch_table(after)
+        for change in found:
+            self._take_table(change)
+        return revision
+
+    def _take_table(self, change):
+        state = self._state
+        if change.problem:
+            emit(
+                events.CONFIGURATION_UNUSABLE,
+                revision=change.revision,
+                version=state.table.version,
+                error=change.problem,
+            )
+            return
+        if change.table.version <= state.table.version:
+            return
+        emit(
+            events.CONFIGURATION_IN_FORCE,
+            version=change.table.version,
+            previous=state.table.version,
+            revision=change.revision,
+            routes=len(change.table.routes),
+        )
+        state.table = change.table
+
+    # The backend servers
+
+    async def _step_servers(self, after, watch):
+        if after is None:
+            found, revision = await self._client.read_servers()
+            now_ms = _clock.read_clock_ms()
+            self._state.directory.note_return(self._note_back(watch), now_ms)
+            self._replace_servers(found, now_ms)
+        else:
+            found, revision = await self._client.watch_servers(after)
+            for change in found:
+                self._take_server(change, _clock.read_clock_ms())
+        return revision
+
+    def _replace_servers(self, found, now_ms):
+        servers = []
+        for change in found:
+            if change.server is not None:
+                servers.append(change.server)
+            else:
+                self._log_server(change, 'unusable')
+        self._state.directory.replace(servers, now_ms)
+        self._state.has_servers = True
+        emit(events.SERVER_LIST_READ, count=len(servers))
+
+    def _take_server(self, change, now_ms):
+        directory = self._state.directory
+        known = directory.find(change.name)
+        if change.server is None:
+            directory.remove(change.name, now_ms)
+            self._log_server(change, 'unusable' if change.problem else 'gone')
+            return
+        directory.put(change.server)
+        if known is None:
+            self._log_server(change, 'listed')
+        elif change.server.leaving and not known.leaving:
+            self._log_server(change, 'leaving')
+
+    def _log_server(self, change, state):
+        emit(
+            events.SERVER_CHANGED,
+            server=change.name,
+            state=state,
+            problem=change.problem,
+        )
+
+    async def _expire_lapsed(self):
+        while True:
+            await trio.sleep(EXPIRE_PERIOD_S)
+            now_ms = _clock.read_clock_ms()
+            for name in self._state.directory.expire(now_ms):
+                emit(
+                    events.SERVER_CHANGED,
+                    server=name,
+                    state='gone',
+                    problem='its entry lapsed and did not return',
+                )
--- /dev/null
+++ b/bluebellthread/entry/_server_calls.py
@@ -0,0 +1,192 @@
+"""One call to one backend server, and what became of it."""
+
+import attrs
+import trio
+
+from bluebellthread.daemon import _clock
+from bluebellthread.entry import _http_messages
+from bluebellthread.entry import _server_connection
+
+CONNECT_TIMEOUT_S = 0.5
+"""A dozen round trips between regions; a lost opening packet is only sent
+again after a second, by which time another server has answered."""
+
+IDLE_ONCE_MS = 1000
+"""Longest idle time of a connection for a request that must not run twice:
+its server may close an idle connection just as the request is written."""
+
+IDLE_REPEATABLE_MS = 10000
+"""The same for a request that can be sent again."""
+
+PROMISES_NOT_RUN = frozenset((408, 421, 429, 503))
+"""Statuses that tell a caller that its request has not run and never will."""
+
+OTHER_SERVER_STATUS = 421
+"""Sent, without running the request, by a server that was not meant."""
+
+BODYLESS_METHODS = frozenset((b'GET', b'HEAD', b'DELETE', b'OPTIONS'))
+
+
+class CallFailedError(Exception):
+    """A call gave no answer that can be passed on.
+
+    Parameters
+    ----------
+    reason : str
+    may_have_run : bool
+        Whether the server may have begun to work on the request.
+    """
+
+    def __init__(self, reason, *, may_have_run):
+        self.reason = reason
+        self.may_have_run = may_have_run
+        super().__init__(reason)
+
+
+@attrs.define
+class OpenCall:
+    """A call whose answer's head has been read."""
+
+    head: _http_messages.AnswerHead
+    exchange: _server_connection.ServerExchange
+
+    async def close(self):
+        """Give the connection back, or close it."""
+        with trio.CancelScope(shield=True):
+            await self.exchange.close(
+                keep_alive=''
+                if self._ends_connection()
+                else self.head.header(b'keep-alive')
+            )
+
+    def _ends_connection(self):
+        return 'close' in self.head.header(b'connection').lower()
+
+
+class ServerCaller:
+    """Makes calls to backend servers.
+
+    Parameters
+    ----------
+    connections : ServerConnections
+    dialect : Dialect
+    """
+
+    def __init__(self, *, connections, dialect):
+        self._connections = connections
+        self._dialect = dialect
+
+    async def open(
+        self, server, request, *, deadline_ms, may_repeat, extra=()
+    ):
+        """Send a caller's request to a server and read the answer's head.
+
+        Parameters
+        ----------
+        server : ListedServer
+        request : Request
+        deadline_ms : int
+            When the caller gives up, told to the server.
+        may_repeat : bool
+            Whether a second run would do no harm.
+        extra : iterable of (bytes, bytes)
+            Further headers.
+
+        Raises
+        ------
+        CallFailedError
+            If there is no answer, or one that says that nothing has run.
+        """
+        request_id = request.header(self._dialect.request_id)
+        exchange = await self._connect(server, request_id, may_repeat)
+        try:
+            head = await exchange.open(
+                request.method,
+                request.target,
+                self._make_headers(server, request, deadline_ms, extra),
+                request.body,
+            )
+            call = OpenCall(head=head, exchange=exchange)
+            await self._check_refusal(call)
+        except _server_connection.AnswerBrokenError as error:
+            await _close(exchange)
+            raise CallFailedError(
+                str(error), may_have_run=exchange.sent
+            ) from error
+        except BaseException:
+            await _close(exchange)
+            raise
+        return call
+
+    async def call_control(self, server, method, target, *, timeout_s):
+        """Make a call that is not a caller's; return its status."""
+        exchange = await self._connect(server, '', True)
+        try:
+            with trio.fail_after(timeout_s):
+                head = await exchange.open(
+                    method,
+                    target,
+                    [
+                        (b'host', f'{server.host}:{server.port}'.encode()),
+                        (self._dialect.expected_server, server.name.encode()),
+                    ],
+                    b'',
+                )
+                await exchange.read_all()
+                return head.status
+        except (
+            _server_connection.AnswerBrokenError,
+            trio.TooSlowError,
+        ) as error:
+            raise CallFailedError(str(error), may_have_run=True) from error
+        finally:
+            await _close(exchange)
+
+    async def _connect(self, server, request_id, may_repeat):
+        try:
+            connection = await self._connections.acquire(
+                (server.host, server.port),
+                idle_max_ms=IDLE_REPEATABLE_MS if may_repeat else IDLE_ONCE_MS,
+                connect_timeout_s=CONNECT_TIMEOUT_S,
+            )
+        except _server_connection.ServerUnreachableError as error:
+            raise CallFailedError(str(error), may_have_run=False) from error
+        return _server_connection.ServerExchange(
+            connections=self._connections,
+            connection=connection,
+            request_id=request_id,
+            request_id_header=self._dialect.request_id,
+        )
+
+    def _make_headers(self, server, request, deadline_ms, extra):
+        dialect = self._dialect
+        headers = _http_messages.keep_end_to_end(
+            request.headers, drop=dialect.router_only
+        )
+        replaced = {name for name, _ in extra}
+        headers = [item for item in headers if item[0] not in replaced]
+        remaining_ms = max(1, deadline_ms - _clock.read_clock_ms())
+        headers.append((dialect.remaining_ms, str(remaining_ms).encode()))
+        headers.append((dialect.expected_server, server.name.encode()))
+        headers.extend(extra)
+        if request.body or request.method not in BODYLESS_METHODS:
+            length = str(len(request.body)).encode()
+            headers.append((b'content-length', length))
+        return headers
+
+    async def _check_refusal(self, call):
+        """Raise if the server says that it has not run the request."""
+        head = call.head
+        refused = bool(head.header(self._dialect.not_run))
+        if not refused and head.status != OTHER_SERVER_STATUS:
+            return
+        await call.exchange.read_all()
+        await call.close()
+        raise CallFailedError(
+            f'the server refused with {head.status}', may_have_run=False
+        )
+
+
+async def _close(exchange):
+    with trio.CancelScope(shield=True):
+        await exchange.close()
--- /dev/null
+++ b/bluebellthread/entry/_server_connection.py
@@ -0,0 +1,349 @@
+"""Connections to backend servers, and one exchange on them.
+
+h11 frames the messages. What may be repeated depends on whether a byte of
+the request was written and what came back on the same connection, which
+httpcore's pool does not tell.
+"""
+
+import collections
+
+import h11
+import trio
+
+from bluebellthread.daemon import _clock
+from bluebellthread.entry import _http_messages
+from bluebellthread.entry import _sockets
+
+RECEIVE_BYTES = 65536
+IDLE_CONNECTIONS_MAX = 8
+"""Idle connections kept to one backend server: a burst of a VM's own."""
+
+IDLE_DEFAULT_MS = 2000
+"""How long a connection is kept whose server names no timeout; the
+shortest whole timeout that servers may name is one second more."""
+
+IDLE_MARGIN_MS = 1000
+"""A connection is not used in the last part of its announced time, since
+the time is told in whole seconds."""
+
+ANSWER_MAX_BYTES = 16 * 1024 * 1024
+"""Longest answer that is read whole: four of the longest requests."""
+
+
+class ServerUnreachableError(Exception):
+    """No connection could be made; nothing was sent."""
+
+
+class AnswerBrokenError(Exception):
+    """The connection ended before the whole answer was read.
+
+    Parameters
+    ----------
+    reason : str
+    sent : bool
+        Whether any byte of the request may have reached the server.
+    """
+
+    def __init__(self, reason, *, sent=True):
+        self.sent = sent
+        super().__init__(reason)
+
+
+class ServerConnection:
+    """One TCP connection to a backend server."""
+
+    def __init__(self, *, stream, address):
+        self.stream = stream
+        self.address = address
+        self.idle_deadline_ms = 0
+        self.is_used = False
+
+    async def close(self):
+        """Close the connection at once."""
+        await trio.aclose_forcefully(self.stream)
+
+
+class ServerConnections:
+    """Opens connections and keeps idle ones, the youngest used first.
+
+    Attributes
+    ----------
+    opened_count : int
+        Connections ever opened.
+    """
+
+    def __init__(self):
+        self._idle = collections.defaultdict(list)
+        self.opened_count = 0
+
+    async def acquire(self, address, *, idle_max_ms, connect_timeout_s):
+        """Return a connection to a backend server.
+
+        Parameters
+        ----------
+        address : (str, int)
+        idle_max_ms : int
+            Longest time that a kept connection may have been idle.
+        connect_timeout_s : float
+
+        Raises
+        ------
+        ServerUnreachableError
+            If none can be opened in time.
+        """
+        now_ms = _clock.read_clock_ms()
+        idle = self._idle[address]
+        while idle:
+            connection, kept_ms = idle.pop()
+            if (
+                now_ms < connection.idle_deadline_ms
+                and now_ms - kept_ms <= idle_max_ms
+                and not _sockets.has_unread(connection.stream)
+            ):
+                return connection
+            await connection.close()
+        return await self._open(address, connect_timeout_s)
+
+    async def _open(self, address, connect_timeout_s):
+        self.opened_count += 1
+        try:
+            with trio.fail_after(connect_timeout_s):
+                stream = await _sockets.connect(*address)
+        except (OSError, trio.TooSlowError) as error:
+            raise ServerUnreachableError(
+                f'connecting failed: {error or "timeout"}'
+            ) from error
+        return ServerConnection(stream=stream, address=address)
+
+    async def release(self, connection, idle_ms):
+        """Keep a connection for later requests, for some time."""
+        now_ms = _clock.read_clock_ms()
+        idle = self._idle[connection.address]
+        if idle_ms <= 0 or len(idle) >= IDLE_CONNECTIONS_MAX:
+            await connection.close()
+            return
+        connection.idle_deadline_ms = now_ms + idle_ms
+        connection.is_used = True
+        idle.append((connection, now_ms))
+
+    async def prune(self):
+        """Close what has been idle for too long."""
+        now_ms = _clock.read_clock_ms()
+        for address, idle in list(self._idle.items()):
+            kept = []
+            for connection, kept_ms in idle:
+                if now_ms >= connection.idle_deadline_ms:
+                    await connection.close()
+                else:
+                    kept.append((connection, kept_ms))
+            if kept:
+                self._idle[address] = kept
+            else:
+                del self._idle[address]
+
+    async def close(self):
+        """Close every idle connection."""
+        for idle in self._idle.values():
+            for connection, _ in idle:
+                await connection.close()
+        self._idle.clear()
+
+
+class ServerExchange:
+    """One request to a backend server, and its answer.
+
+    Parameters
+    ----------
+    connections : ServerConnections
+    connection : ServerConnection
+    request_id : str
+        The id that the answer has to echo.
+    request_id_header : bytes
+        The header that carries it.
+    """
+
+    def __init__(
+        self, *, connections, connection, request_id, request_id_header
+    ):
+        self._connections = connections
+        self._connection = connection
+        self._request_id = request_id
+        self._request_id_header = request_id_header
+        self._request = None
+        self._conn = None
+        self._ended = False
+        self._sent_whole = False
+        self.sent = False
+        self.skipped_count = 0
+
+    async def open(self, method, target, headers, body):
+        """Send a request and return the head of its answer.
+
+        The answer is read while the request is still being sent, since a
+        server may answer before it has read a long body.
+
+        Raises
+        ------
+        AnswerBrokenError
+            If the connection ends before the head.
+        """
+        self._request = h11.Request(
+            method=method, target=target, headers=headers
+        )
+        self._conn = h11.Connection(h11.CLIENT)
+        data = self._conn.send(self._request)
+        if body:
+            data += self._conn.send(h11.Data(data=body))
+        data += self._conn.send(h11.EndOfMessage())
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._send, data)
+            head = await self._read_own_head()
+            nursery.cancel_scope.cancel()
+        return head
+
+    async def _send(self, data):
+        self.sent = True
+        try:
+            await self._connection.stream.send_all(data)
+        except trio.BrokenResourceError:
+            # An early answer may still be read.
+            return
+        self._sent_whole = True
+
+    async def _read_own_head(self):
+        while True:
+            head = await self._read_head()
+            echoed = head.header(self._request_id_header)
+            if not echoed or echoed == self._request_id:
+                return head
+            await self._skip_foreign_answer()
+
+    async def _read_head(self):
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if isinstance(event, h11.Response):
+                return _http_messages.AnswerHead(
+                    status=event.status_code,
+                    headers=tuple(
+                        (bytes(name), bytes(value))
+                        for name, value in event.headers
+                    ),
+                )
+            raise AnswerBrokenError('the connection ended before an answer')
+
+    async def _skip_foreign_answer(self):
+        """Read past a late answer to an earlier request."""
+        self.skipped_count += 1
+        while await self.read() is not None:
+            pass
+        trailing, _ = self._conn.trailing_data
+        self._ended = False
+        self._conn = h11.Connection(h11.CLIENT)
+        # Awaits the answer of the same request, whose bytes have gone out.
+        self._conn.send(self._request)
+        length = _http_messages.find_header(
+            self._request.headers, b'content-length'
+        )
+        if length and int(length):
+            self._conn.send(h11.Data(data=bytes(int(length))))
+        self._conn.send(h11.EndOfMessage())
+        if trailing:
+            self._conn.receive_data(trailing)
+
+    async def read(self):
+        """Return the next piece of the body, or None at its end.
+
+        Raises
+        ------
+        AnswerBrokenError
+            If the connection ends before the body does.
+        """
+        if self._ended:
+            return None
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Data):
+                return bytes(event.data)
+            if isinstance(event, h11.EndOfMessage):
+                self._ended = True
+                return None
+            raise AnswerBrokenError('the connection ended within an answer')
+
+    async def read_all(self):
+        """Return the whole body."""
+        body = bytearray()
+        while True:
+            piece = await self.read()
+            if piece is None:
+                return bytes(body)
+            body += piece
+            if len(body) > ANSWER_MAX_BYTES:
+                raise AnswerBrokenError(
+                    f'the answer is longer than {ANSWER_MAX_BYTES} bytes'
+                )
+
+    async def _next_event(self):
+        while True:
+            try:
+                event = self._conn.next_event()
+            except h11.RemoteProtocolError as error:
+                raise AnswerBrokenError(f'no HTTP answer: {error}') from error
+            if event is not h11.NEED_DATA:
+                return event
+            try:
+                data = await self._connection.stream.receive_some(
+                    RECEIVE_BYTES
+                )
+            except (
+                trio.BrokenResourceError,
+                trio.ClosedResourceError,
+            ) as error:
+                raise AnswerBrokenError(
+                    f'the connection broke: {error}'
+                ) from error
+            self._conn.receive_data(data)
+
+    async def close(self, *, keep_alive=''):
+        """Give the connection back if it is clean, else close it.
+
+        Parameters
+        ----------
+        keep_alive : str
+            The answer's ``Keep-Alive`` header.
+        """
+        if self._is_clean():
+            await self._connections.release(
+                self._connection, read_idle_ms(keep_alive)
+            )
+        else:
+            await self._connection.close()
+
+    def _is_clean(self):
+        return (
+            self._conn is not None
+            and self._sent_whole
+            and self._ended
+            and self._conn.our_state is h11.DONE
+            and self._conn.their_state is h11.DONE
+            and not self._conn.trailing_data[0]
+            and not _sockets.has_unread(self._connection.stream)
+        )
+
+
+def read_idle_ms(keep_alive):
+    """Return how long a connection may stay idle by a ``Keep-Alive``.
+
+    Examples
+    --------
+    >>> read_idle_ms('timeout=5'), read_idle_ms(''), read_idle_ms('timeout=1')
+    (4000, 2000, 0)
+    """
+    for part in keep_alive.split(','):
+        name, _, value = part.strip().partition('=')
+        if name.lower() == 'timeout' and value.strip().isdigit():
+            timeout_ms = int(value) * _clock.MS_PER_S
+            return max(0, timeout_ms - IDLE_MARGIN_MS)
+    return IDLE_DEFAULT_MS
+
--- /dev/null
+++ b/bluebellthread/entry/_service.py
@@ -0,0 +1,317 @@
+"""One entry process: its tasks, started and closed together."""
+
+import functools
+import random
+import secrets
+
+import attrs
+import trio
+
+from bluebellthread import core
+from bluebellthread.core import routing
+from bluebellthread.daemon import _clock
+from bluebellthread.daemon import _mailboxes
+from bluebellthread.daemon import _membership_task
+from bluebellthread.daemon import _pause_guard
+from bluebellthread.daemon import _peers
+from bluebellthread.entry import _budgets
+from bluebellthread.entry import _caller_connection
+from bluebellthread.entry import _connection_control
+from bluebellthread.entry import _gateway
+from bluebellthread.entry import _placement_client
+from bluebellthread.entry import _placement_task
+from bluebellthread.entry import _plain_path
+from bluebellthread.entry import _platform_task
+from bluebellthread.entry import _server_calls
+from bluebellthread.entry import _server_connection
+from bluebellthread.entry import _sockets
+from bluebellthread.entry import _state
+from bluebellthread.entry import _stats
+from bluebellthread.entry import _stream_path
+from bluebellthread.observe import emit
+from bluebellthread.observe import events
+from bluebellthread.observe import read_dropped_count
+
+BALANCER_LAG_S = 2.6
+"""After a stop begins, the balancer asks once a second and needs two misses
+before it sends nobody here any more."""
+
+STOP_MARGIN_S = 1.0
+"""Time left before the process would be killed, for closing."""
+
+PRUNE_PERIOD_S = 1.0
+LISTEN_BACKLOG = 512
+"""Connections that may wait to be accepted: all callers of a VM at once
+after another one is lost."""
+
+
+class EntryService:
+    """The entry's parts on one VM.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+    dialect : Dialect
+        How backend servers are spoken to.
+    platform_client : object
+        The adapter's client of the platform.
+    """
+
+    def __init__(self, *, settings, dialect, platform_client):
+        self._settings = settings
+        self._incarnation = secrets.randbits(62)
+        self._platform_client = platform_client
+        self.state = _state.EntryState(settings)
+        self.stats = _stats.EntryStats()
+        self._stop = trio.Event()
+        self._connections = _server_connection.ServerConnections()
+        self._control = _connection_control.ConnectionControl(
+            lambda: self.state.table.limits
+        )
+        self._make_peers()
+        self._make_tasks()
+        self._make_gateway(dialect)
+
+    def _make_peers(self):
+        settings = self._settings
+        traffic = _NoTraffic()
+        self._mailboxes = _mailboxes.Mailboxes()
+        self._peer_server = _peers.PeerServer(
+            vm=settings.vm,
+            incarnation=self._incarnation,
+            mailboxes=self._mailboxes,
+            traffic=traffic,
+        )
+        self._links = _peers.PeerLinks(
+            vm=settings.vm,
+            incarnation=self._incarnation,
+            host=settings.host,
+            mailboxes=self._mailboxes,
+            traffic=traffic,
+        )
+        options = core.MembershipOptions()
+        self._scheduler_views, self._unused = trio.open_memory_channel(0)
+        self._membership = _membership_task.MembershipTask(
+            fleet=self.state,
+            guard=_pause_guard.PauseGuard(
+                lease_timeout_ms=options.lease_timeout_ms
+            ),
+            options=options,
+            scheduler_inbox=self._scheduler_views,
+            seeds=_seeds_of(settings),
+            traffic=traffic,
+        )
+
+    def _make_tasks(self):
+        self._platform = _platform_task.PlatformTask(
+            client=self._platform_client, state=self.state
+        )
+        self._placement_task = _placement_task.PlacementTask(state=self.state)
+        self._placement_task.register(self._mailboxes)
+        self._placements = _placement_client.PlacementClient(
+            state=self.state, links=self._links, incarnation=self._incarnation
+        )
+
+    def _make_gateway(self, dialect):
+        settings = self._settings
+        budgets = _budgets.RepeatBudgets(self.state)
+        caller = _server_calls.ServerCaller(
+            connections=self._connections, dialect=dialect
+        )
+        plain = _plain_path.PlainPath(
+            state=self.state,
+            caller=caller,
+            choice=routing.ServerChoice(
+                data_centre=settings.data_centre,
+                region=settings.region,
+                regions=settings.regions,
+                rng=random.Random(self._incarnation),
+            ),
+            budgets=budgets,
+            dialect=dialect,
+        )
+        stream = _stream_path.StreamPath(
+            _stream_path.StreamParts(
+                state=self.state,
+                caller=caller,
+                placements=self._placements,
+                budgets=budgets,
+                dialect=dialect,
+                stats=self.stats,
+            )
+        )
+        self._gateway = _gateway.EntryGateway(
+            state=self.state,
+            paths=_gateway.make_paths(plain=plain, stream=stream),
+            budgets=budgets,
+            dialect=dialect,
+            stats=self.stats,
+        )
+
+    def stop(self):
+        """Begin a planned stop: not ready first, then drain."""
+        self._stop.set()
+
+    def take_settings(self, settings):
+        """Take new settings in; only the seeds can change in a process."""
+        changed = [
+            field.name
+            for field in attrs.fields(type(settings))
+            if getattr(settings, field.name)
+            != getattr(self._settings, field.name)
+        ]
+        self._settings = settings
+        self._membership.set_seeds(_seeds_of(settings))
+        emit(events.SETTINGS_RELOADED, changed=', '.join(changed) or 'nothing')
+
+    async def run(self):
+        """Serve until stopped and drained."""
+        settings = self._settings
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self._links.run)
+            await nursery.start(
+                self._peer_server.serve, settings.host, settings.peer_port
+            )
+            member = core.Member(
+                name=settings.vm,
+                data_centre=settings.data_centre,
+                region=settings.region,
+                host=settings.host,
+                peer_port=settings.peer_port,
+                caller_port=settings.caller_port,
+                incarnation=self._incarnation,
+            )
+            await nursery.start(
+                functools.partial(
+                    self._membership.run,
+                    address=(settings.host, settings.peer_port),
+                ),
+                member,
+            )
+            nursery.start_soon(self._placement_task.run)
+            nursery.start_soon(self._placements.run)
+            nursery.start_soon(self._platform.run)
+            nursery.start_soon(self._prune)
+            await self._listen(nursery)
+            emit(
+                events.ENTRY_STARTED,
+                vm=settings.vm,
+                incarnation=self._incarnation,
+                caller_port=settings.caller_port,
+                peer_port=settings.peer_port,
+            )
+            await self._stop.wait()
+            await self._drain()
+            nursery.cancel_scope.cancel()
+        await self._close()
+
+    async def _listen(self, nursery):
+        settings = self._settings
+        for port, handler in (
+            (settings.caller_port, self._serve_caller),
+            (settings.ready_port, self._serve_question),
+            (settings.metrics_port, self._serve_question),
+        ):
+            await nursery.start(
+                functools.partial(
+                    trio.serve_tcp,
+                    handler,
+                    port,
+                    host=settings.host,
+                    backlog=LISTEN_BACKLOG,
+                )
+            )
+
+    async def _serve_caller(self, stream):
+        _sockets.limit_silence(stream.socket)
+        self._control.open_count += 1
+        try:
+            await _caller_connection.CallerConnection(
+                stream=stream,
+                handler=self._gateway.serve,
+                control=self._control,
+            ).run()
+        finally:
+            self._control.open_count -= 1
+
+    async def _serve_question(self, stream):
+        control = _connection_control.ConnectionControl(
+            lambda: self.state.table.limits
+        )
+        await _caller_connection.CallerConnection(
+            stream=stream, handler=self._answer_question, control=control
+        ).run()
+
+    async def _answer_question(self, exchange):
+        """Answer the balancer's question, or with the metrics."""
+        if exchange.request.path.endswith('/metrics'):
+            self._collect()
+            headers = [(b'content-type', _stats.CONTENT_TYPE)]
+            await exchange.respond(200, headers, self.stats.render())
+            return
+        await exchange.respond(200 if self.state.is_ready else 503, [], b'')
+
+    def _collect(self):
+        stats = self.stats
+        counts = self._placement_task.counts.values()
+        stats.set_gauge('config_version', self.state.table.version)
+        stats.set_gauge(
+            'server_connections_opened', self._connections.opened_count
+        )
+        stats.set_gauge('log_lines_dropped', read_dropped_count())
+        stats.set_gauge('placements_waiting', sum(item[0] for item in counts))
+        stats.set_gauge('placements_held', sum(item[1] for item in counts))
+
+    async def _prune(self):
+        while True:
+            await trio.sleep(PRUNE_PERIOD_S)
+            await self._connections.prune()
+
+    async def _drain(self):
+        """Finish what callers have sent, within the time that is given."""
+        settings = self._settings
+        stop_s = settings.stop_grace_ms / _clock.MS_PER_S - STOP_MARGIN_S
+        emit(
+            events.ENTRY_STOPPING,
+            vm=settings.vm,
+            connections=self._control.open_count,
+        )
+        self.state.is_stopping = True
+        self._control.is_stopping = True
+        self._membership.leave()
+        with trio.move_on_after(stop_s):
+            await trio.sleep(BALANCER_LAG_S)
+            self._control.end_idle()
+            while self._control.open_count:
+                await trio.sleep(_DRAIN_POLL_S)
+        emit(
+            events.ENTRY_STOPPED,
+            vm=settings.vm,
+            connections=self._control.open_count,
+        )
+
+    async def _close(self):
+        with trio.CancelScope(shield=True):
+            await self._connections.close()
+            await self._platform_client.close()
+
+
+_DRAIN_POLL_S = 0.05
+
+
+def _seeds_of(settings):
+    return tuple(
+        (host, settings.peer_port)
+        for host in settings.seed_hosts
+        if host != settings.host
+    )
+
+
+class _NoTraffic:
+    """Takes the counts of control traffic, which nobody reads here."""
+
+    def count(self, size_bytes, *, messages=1):
+        """Count what is sent."""
+
+    def flush(self):
+        """Report the sums."""
--- /dev/null
+++ b/bluebellthread/entry/_state.py
@@ -0,0 +1,119 @@
+"""What a process believes now, shared by its tasks."""
+
+import attrs
+
+from bluebellthread import core
+from bluebellthread.core import routing
+
+
+class EntryState:
+    """The configuration, the backend servers and the other VMs.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+
+    Attributes
+    ----------
+    table : RoutingTable
+        Version 0 while no configuration is known.
+    directory : ServerDirectory
+    has_servers : bool
+        Whether the list of backend servers has been read once.
+    view : MembershipView
+    is_stopping : bool
+    """
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.table = routing.RoutingTable()
+        self.directory = routing.ServerDirectory()
+        self.has_servers = False
+        self.view = core.MembershipView(members=(), confirmed=False)
+        self.is_stopping = False
+        self._engines = {}
+
+    @property
+    def is_ready(self):
+        """Whether the balancer should send callers here."""
+        return (
+            self.table.version > 0
+            and self.has_servers
+            and not self.is_stopping
+        )
+
+    def publish_view(self, view):
+        """Replace the membership view."""
+        self.view = view
+
+    def live_vms(self):
+        """Return the members that take requests, this VM included."""
+        return tuple(
+            member
+            for member in self.view.members
+            if member.state in ('alive', 'suspect')
+        )
+
+    @property
+    def vm_count(self):
+        """How many VMs may be serving, at least one.
+
+        VMs that look dead count too: they may only be out of reach.
+        """
+        return max(1, len(self.view.members))
+
+    def engines_of(self, service):
+        """Return the `EngineServer` of a service that may get work."""
+        key = (self.directory.version, self.table.version)
+        known_key, engines = self._engines.get(service, (None, ()))
+        if known_key != key:
+            engines = self._make_engines(service)
+            self._engines[service] = (key, engines)
+        return engines
+
+    def _make_engines(self, service):
+        traits = self.table.services.get(service)
+        if traits is None or traits.engine is None:
+            return ()
+        return tuple(
+            routing.EngineServer(
+                name=server.name,
+                incarnation=server.incarnation,
+                role=server.role,
+                data_centre=server.data_centre,
+                region=self.settings.regions.get(server.data_centre, ''),
+                slot_count=server.slot_count,
+                memory_tokens=traits.engine.memory_tokens,
+            )
+            for server in self.directory.usable(service)
+            if server.role
+        )
+
+
+@attrs.define(kw_only=True)
+class DependencyWatch:
+    """Tells when something that is needed is lost and regained.
+
+    Examples
+    --------
+    >>> watch = DependencyWatch(name='platform')
+    >>> watch.note_lost(10), watch.note_lost(20), watch.note_back(30)
+    (True, False, 20)
+    """
+
+    name: str
+    lost_ms: int | None = None
+
+    def note_lost(self, now_ms):
+        """Return whether this is news."""
+        if self.lost_ms is not None:
+            return False
+        self.lost_ms = now_ms
+        return True
+
+    def note_back(self, now_ms):
+        """Return how long it was lost in milliseconds, 0 if it was not."""
+        if self.lost_ms is None:
+            return 0
+        lost_ms, self.lost_ms = self.lost_ms, None
+        return now_ms - lost_ms
--- /dev/null
+++ b/bluebellthread/entry/_stats.py
@@ -0,0 +1,107 @@
+"""Counters and histograms, served as text."""
+
+import prometheus_client
+
+from bluebellthread.daemon import _clock
+
+PREFIX = 'bluebellthread'
+LATENCY_BUCKETS_S = (
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.2,
+    0.3,
+    0.5,
+    0.75,
+    1.0,
+    1.5,
+    2.5,
+    5.0,
+    10.0,
+    15.0,
+)
+"""Bounds in seconds, around the target of the first token."""
+
+CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST.encode()
+
+
+class EntryStats:
+    """What one process counts.
+
+    Examples
+    --------
+    >>> stats = EntryStats()
+    >>> stats.count_request(kind='once', outcome='answered', took_ms=12)
+    >>> b'bluebellthread_requests_total' in stats.render()
+    True
+    """
+
+    def __init__(self):
+        self._registry = prometheus_client.CollectorRegistry()
+        self._requests = self._counter(
+            'requests', 'Requests of callers', ('kind', 'outcome')
+        )
+        self._failures = self._counter(
+            'failed_calls', 'Calls to servers that failed', ('stage',)
+        )
+        self._latency = self._histogram(
+            'request_seconds', 'From first byte to end', ('kind',)
+        )
+        self._first_event = self._histogram(
+            'first_event_seconds', 'From first byte to first event'
+        )
+        self._prefill = self._histogram(
+            'prefill_seconds', 'Calls that have a prompt read'
+        )
+        self._gauges = {
+            name: prometheus_client.Gauge(
+                f'{PREFIX}_{name}', text, registry=self._registry
+            )
+            for name, text in (
+                ('config_version', 'Version of the configuration in force'),
+                ('server_connections_opened', 'Connections to servers opened'),
+                ('log_lines_dropped', 'Log lines over the limit'),
+                ('placements_waiting', 'Requests that wait for engines here'),
+                ('placements_held', 'Places at engines given here'),
+            )
+        }
+
+    def _counter(self, name, text, labels):
+        return prometheus_client.Counter(
+            f'{PREFIX}_{name}', text, labels, registry=self._registry
+        )
+
+    def _histogram(self, name, text, labels=()):
+        return prometheus_client.Histogram(
+            f'{PREFIX}_{name}',
+            text,
+            labels,
+            buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
+
+    def count_request(self, *, kind, outcome, took_ms):
+        """Count a request that has ended."""
+        self._requests.labels(kind=kind, outcome=outcome).inc()
+        self._latency.labels(kind=kind).observe(took_ms / _clock.MS_PER_S)
+
+    def count_failure(self, stage):
+        """Count a call to a server that failed."""
+        self._failures.labels(stage=stage).inc()
+
+    def observe_first_event(self, took_ms):
+        """Record how long a caller waited for the first event."""
+        self._first_event.observe(took_ms / _clock.MS_PER_S)
+
+    def observe_prefill(self, took_ms):
+        """Record how long a call for a prompt took."""
+        self._prefill.observe(took_ms / _clock.MS_PER_S)
+
+    def set_gauge(self, name, value):
+        """Set one of the gauges."""
+        self._gauges[name].set(value)
+
+    def render(self):
+        """Return all of them as text in bytes."""
+        return prometheus_client.generate_latest(self._registry)
--- /dev/null
+++ b/bluebellthread/entry/_stream_path.py
@@ -0,0 +1,410 @@
+"""Requests to models: a place, the prompt read, the answer streamed."""
+
+import attrs
+import trio
+
+from bluebellthread.core import routing
+from bluebellthread.daemon import _clock
+from bluebellthread.entry import _event_splitter
+from bluebellthread.entry import _http_messages
+from bluebellthread.entry import _placement_client
+from bluebellthread.entry import _server_calls
+from bluebellthread.entry import _server_connection
+from bluebellthread.entry import _work
+from bluebellthread.observe import emit
+from bluebellthread.observe import events
+
+PREFILL_TIMEOUT_S = 1.2
+"""Several times what reading two long prompts takes; a server that is
+silent for as long is taken as lost."""
+
+SILENCE_MIN_S = 1.2
+SILENCE_FACTOR = 4
+"""A stream that may be resumed is taken as lost after this many times its
+allowed pause: callers give up after eight times."""
+
+CONTROL_TIMEOUT_S = 0.5
+"""For freeing a read prompt, which its server does by itself as late."""
+
+DEFAULT_TOKEN_COUNTS = (4000, 200)
+"""For requests that do not tell their size: a long one of the users."""
+
+
+@attrs.frozen(kw_only=True)
+class ReadPrompt:
+    """A prompt whose cache is kept for a moment at its prefill server."""
+
+    server: routing.ListedServer
+    handle: str
+
+
+class StreamBrokenError(Exception):
+    """One try of a stream failed.
+
+    Parameters
+    ----------
+    server : str
+        The server that failed it.
+    repeat_count : int
+        How many repeats of calls another try costs.
+    """
+
+    def __init__(self, server, repeat_count):
+        self.server = server
+        self.repeat_count = repeat_count
+        super().__init__(server)
+
+
+@attrs.frozen(kw_only=True)
+class StreamParts:
+    """What the streams of a process share.
+
+    Parameters
+    ----------
+    state : EntryState
+    caller : ServerCaller
+    placements : PlacementClient
+    budgets : RepeatBudgets
+    dialect : Dialect
+    stats : EntryStats
+    """
+
+    state: object
+    caller: object
+    placements: object
+    budgets: object
+    dialect: object
+    stats: object
+
+
+class StreamPath:
+    """Serves routes of the kind stream.
+
+    Parameters
+    ----------
+    parts : StreamParts
+    """
+
+    def __init__(self, parts):
+        self._parts = parts
+
+    async def serve(self, work):
+        """Answer one `Work`."""
+        stream = _Stream(work=work, parts=self._parts)
+        with trio.move_on_after(_clock.read_remaining_s(work.deadline_ms)):
+            await stream.run()
+            return
+        if not work.exchange.is_started:
+            await work.end_late()
+        else:
+            await work.exchange.abort()
+
+
+class _Stream:
+    """One request's tries."""
+
+    def __init__(self, *, work, parts):
+        self._state = parts.state
+        self._caller = parts.caller
+        self._placements = parts.placements
+        self._budgets = parts.budgets
+        self._dialect = parts.dialect
+        self._stats = parts.stats
+        self._work = work
+        self._failed_servers = []
+        self._resume_after = ''
+
+    async def run(self):
+        work = self._work
+        while True:
+            try:
+                place = await self._ask_place()
+            except _placement_client.NoPlaceError as error:
+                await self._end_failed(error.kind, error.retry_after_ms)
+                return
+            failed_server = ''
+            try:
+                await self._try(place)
+                return
+            except StreamBrokenError as error:
+                failed_server = error.server
+                if not self._may_go_on(error):
+                    await self._end_failed()
+                    return
+            finally:
+                self._placements.end(place, failed_server=failed_server)
+            self._failed_servers.append(failed_server)
+            emit(
+                events.STREAM_RETRIED,
+                request_id=work.request_id,
+                failed_server=failed_server,
+                resume_after=self._resume_after,
+                runs=work.run_count,
+            )
+
+    async def _ask_place(self):
+        work = self._work
+        counts = self._dialect.read_token_counts(
+            work.request.header(self._dialect.token_counts)
+        )
+        prompt_tokens, output_tokens = counts or DEFAULT_TOKEN_COUNTS
+        settings = self._state.settings
+        ask = routing.PlacementAsk(
+            ask_id='',
+            vm=settings.vm,
+            vm_incarnation=self._placements.incarnation,
+            data_centre=settings.data_centre,
+            serves=work.service,
+            prompt_tokens=prompt_tokens,
+            output_tokens=output_tokens,
+            target_deadline_ms=work.request.received_ms + work.route.target_ms,
+            deadline_ms=work.deadline_ms,
+            poll_deadline_ms=0,
+        )
+        place = await self._placements.ask(
+            ask, avoid=tuple(self._failed_servers)
+        )
+        work.waited_ms += place.waited_ms
+        emit(
+            events.PLACE_GRANTED,
+            request_id=work.request_id,
+            owner=place.owner,
+            prefill_server=place.prefill_server,
+            decode_server=place.decode_server,
+            waited_ms=place.waited_ms,
+        )
+        return place
+
+    async def _try(self, place):
+        prompt = None
+        if place.prefill_server:
+            prompt = await self._read_prompt(place)
+        call = None
+        try:
+            call = await self._open_answer(place, prompt)
+        finally:
+            if call is None and prompt is not None:
+                self._free_prompt(prompt)
+        try:
+            await self._pass_on(place, call)
+        finally:
+            await call.close()
+
+    # The prompt
+
+    async def _read_prompt(self, place):
+        server = self._find_server(place.prefill_server)
+        begun_ms = _clock.read_clock_ms()
+        try:
+            with trio.fail_after(PREFILL_TIMEOUT_S):
+                handle = await self._call_prefill(server)
+        except trio.TooSlowError:
+            error = _server_calls.CallFailedError(
+                'the prompt was not read in time', may_have_run=False
+            )
+            self._note_prefill_failed(server, error, begun_ms)
+            raise StreamBrokenError(server.name, 1) from error
+        except _server_calls.CallFailedError as error:
+            self._note_prefill_failed(server, error, begun_ms)
+            raise StreamBrokenError(server.name, 1) from error
+        finally:
+            self._placements.note_read(place)
+        self._stats.observe_prefill(_clock.read_clock_ms() - begun_ms)
+        return ReadPrompt(server=server, handle=handle)
+
+    def _note_prefill_failed(self, server, error, begun_ms):
+        took_ms = _clock.read_clock_ms() - begun_ms
+        self._work.note_failed(
+            server.name, _work.STAGE_PREFILL, error, took_ms
+        )
+
+    async def _call_prefill(self, server):
+        call = await self._caller.open(
+            server,
+            self._work.request,
+            deadline_ms=self._work.deadline_ms,
+            may_repeat=True,
+            extra=[(self._dialect.stage, self._dialect.stage_prefill)]
+            + self._resume_headers(),
+        )
+        try:
+            body = await call.exchange.read_all()
+        except _server_connection.AnswerBrokenError as error:
+            raise _server_calls.CallFailedError(
+                str(error), may_have_run=False
+            ) from error
+        finally:
+            await call.close()
+        handle = self._dialect.read_handle(body)
+        if call.head.status != 200 or handle is None:
+            raise _server_calls.CallFailedError(
+                f'status {call.head.status} and no handle', may_have_run=False
+            )
+        return handle
+
+    def _free_prompt(self, prompt):
+        self._placements.start_soon(self._call_free, prompt)
+
+    async def _call_free(self, prompt):
+        method, target = self._dialect.make_handle_release(prompt.handle)
+        try:
+            await self._caller.call_control(
+                prompt.server, method, target, timeout_s=CONTROL_TIMEOUT_S
+            )
+        except _server_calls.CallFailedError as error:
+            emit(
+                events.PROMPT_NOT_FREED,
+                server=prompt.server.name,
+                error=error.reason,
+            )
+
+    # The answer
+
+    async def _open_answer(self, place, prompt):
+        """Return the open call of the decode server."""
+        work = self._work
+        server = self._find_server(place.decode_server)
+        extra = self._resume_headers()
+        if prompt is not None:
+            source = self._dialect.write_cache_source(
+                prompt.server.host, prompt.server.port, prompt.handle
+            )
+            extra.append((self._dialect.cache_source, source))
+        begun_ms = _clock.read_clock_ms()
+        work.note_sent(server.name)
+        try:
+            with trio.fail_after(self._silence_s()):
+                call = await self._caller.open(
+                    server,
+                    work.request,
+                    deadline_ms=work.deadline_ms,
+                    may_repeat=work.route.may_repeat,
+                    extra=extra,
+                )
+        except trio.TooSlowError:
+            error = _server_calls.CallFailedError(
+                'no answer in time', may_have_run=True
+            )
+            self._note_run_failed(server.name, error, begun_ms)
+            raise StreamBrokenError(server.name, 2) from error
+        except _server_calls.CallFailedError as error:
+            self._note_run_failed(server.name, error, begun_ms)
+            raise StreamBrokenError(server.name, 2) from error
+        work.note_run()
+        return call
+
+    def _note_run_failed(self, server, error, begun_ms):
+        took_ms = _clock.read_clock_ms() - begun_ms
+        self._work.note_failed(server, _work.STAGE_RUN, error, took_ms)
+
+    async def _pass_on(self, place, call):
+        try:
+            self._work.check_answer(call.head)
+        except _server_calls.CallFailedError as error:
+            self._fail_run(place, error)
+        if not 200 <= call.head.status < 300:
+            await self._pass_failure_on(place, call)
+            return
+        await self._pass_events_on(place, call)
+
+    def _fail_run(self, place, error):
+        """Note that a run that was counted already has failed."""
+        emit(
+            events.STREAM_BROKEN,
+            request_id=self._work.request_id,
+            server=place.decode_server,
+            last_event=self._resume_after,
+            reason=str(error),
+        )
+        self._stats.count_failure(_work.STAGE_RUN)
+        raise StreamBrokenError(place.decode_server, 2) from error
+
+    async def _pass_failure_on(self, place, call):
+        """Pass a server's own failure on, unless another may do better."""
+        error = StreamBrokenError(place.decode_server, 2)
+        if self._work.exchange.is_started or (
+            self._work.route.may_repeat and self._has_runs_left()
+        ):
+            raise error
+        try:
+            body = await call.exchange.read_all()
+        except _server_connection.AnswerBrokenError:
+            raise error from None
+        await self._work.pass_on(
+            _http_messages.Answer(head=call.head, body=body)
+        )
+
+    async def _pass_events_on(self, place, call):
+        work = self._work
+        exchange = work.exchange
+        splitter = _event_splitter.EventSplitter()
+        if not exchange.is_started:
+            await exchange.start(
+                call.head.status, work.answer_headers(call.head)
+            )
+        try:
+            while True:
+                with trio.fail_after(self._silence_s()):
+                    data = await call.exchange.read()
+                if data is None:
+                    break
+                whole = splitter.push(data)
+                if whole:
+                    await self._pass_piece_on(whole, splitter)
+        except (_server_connection.AnswerBrokenError, trio.TooSlowError) as e:
+            self._fail_run(place, e)
+        if splitter.rest:
+            await exchange.send(splitter.rest)
+        await exchange.finish()
+        work.outcome = 'answered'
+
+    async def _pass_piece_on(self, whole, splitter):
+        if not self._resume_after:
+            self._stats.observe_first_event(self._work.age_ms)
+        self._resume_after = splitter.last_id or self._resume_after
+        await self._work.exchange.send(whole)
+
+    def _resume_headers(self):
+        if not self._resume_after:
+            return []
+        value = self._resume_after.encode('latin-1')
+        return [(self._dialect.resume_after, value)]
+
+    def _silence_s(self):
+        """Return how long a server may be silent."""
+        work = self._work
+        remaining_s = _clock.read_remaining_s(work.deadline_ms)
+        if not work.route.is_resumable:
+            return remaining_s
+        gap_s = work.route.gap_target_ms / _clock.MS_PER_S
+        return min(remaining_s, max(SILENCE_MIN_S, SILENCE_FACTOR * gap_s))
+
+    # What follows a failure
+
+    def _has_runs_left(self):
+        return self._work.run_count < self._work.route.send_max
+
+    def _may_go_on(self, error):
+        work = self._work
+        if work.may_have_run and not (
+            work.route.is_resumable and self._has_runs_left()
+        ):
+            return False
+        return self._budgets.spend(work.service, error.repeat_count)
+
+    async def _end_failed(
+        self, kind='servers-failed', retry_after_ms=_work.UNSERVED_RETRY_MS
+    ):
+        work = self._work
+        if work.exchange.is_started:
+            await work.exchange.abort()
+        elif work.may_have_run:
+            await work.fail('answer-lost')
+        else:
+            await work.refuse(kind, retry_after_ms)
+
+    def _find_server(self, name):
+        server = self._state.directory.find(name)
+        if server is None:
+            raise StreamBrokenError(name, 0)
+        return server
--- a/bluebellthread/observe/__init__.py
+++ b/bluebellthread/observe/__init__.py
@@ -5,6 +5,8 @@
 from bluebellthread.observe._events import Event
 from bluebellthread.observe._events import list_events
 from bluebellthread.observe._events import start_log
+from bluebellthread.observe._json_log import read_dropped_count
+from bluebellthread.observe._json_log import start_json_log
 from bluebellthread.observe import _metrics as metrics
 from bluebellthread.observe._metrics import list_metrics
 from bluebellthread.observe._metrics import Metrics
@@ -21,5 +23,7 @@
     'list_events',
     'list_metrics',
     'metrics',
+    'read_dropped_count',
+    'start_json_log',
     'start_log',
 ]
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -130,6 +130,109 @@
 )
 
 
+ENTRY_STARTED = Event(
+    7001,
+    'INFO',
+    'entry {vm} started as {incarnation}: callers at {caller_port}, peers at '
+    '{peer_port}',
+)
+ENTRY_STOPPING = Event(
+    7002, 'INFO', 'entry {vm} is stopping with {connections} connections'
+)
+ENTRY_STOPPED = Event(
+    7003, 'INFO', 'entry {vm} stopped with {connections} connections open'
+)
+SETTINGS_RELOADED = Event(7004, 'INFO', 'settings read again: {changed}')
+SETTINGS_UNUSABLE = Event(
+    7005, 'ERROR', 'settings kept as they were: {error}'
+)
+PLATFORM_LOST = Event(7011, 'WARNING', 'the {what} is not to be had: {error}')
+PLATFORM_REGAINED = Event(
+    7012, 'INFO', 'the {what} is to be had again after {lost_ms} ms'
+)
+PLATFORM_HISTORY_LOST = Event(
+    7013, 'INFO', 'the {what} is read anew: {error}'
+)
+CONFIGURATION_IN_FORCE = Event(
+    7014,
+    'INFO',
+    'configuration {version} of revision {revision} is in force after '
+    '{previous}: {routes} routes',
+)
+CONFIGURATION_UNUSABLE = Event(
+    7015,
+    'ERROR',
+    'configuration of revision {revision} rejected, {version} stays in '
+    'force: {error}',
+)
+SERVER_LIST_READ = Event(
+    7016, 'INFO', 'the list of backend servers was read: {count} usable'
+)
+SERVER_CHANGED = Event(
+    7017, 'INFO', 'backend server {server} is {state}: {problem}'
+)
+PLACEMENT_OWNED = Event(
+    7021, 'INFO', 'this VM is asked for places of service {service}'
+)
+PLACEMENT_OWNER_CHANGED = Event(
+    7022,
+    'INFO',
+    'places of {service} are asked of {owner} instead of {previous}; '
+    '{places} are in use here',
+)
+PLACEMENT_OWNER_LOST = Event(
+    7023, 'WARNING', 'owner {owner} of {service} does not answer: {error}'
+)
+PLACEMENT_NOTICE_DROPPED = Event(
+    7024, 'WARNING', 'a notice about places of {service} was dropped'
+)
+REQUEST_NOT_ROUTED = Event(
+    7031,
+    'INFO',
+    'request {request_id} for {host}{path} has no route in version '
+    '{version}: {status} {kind}',
+)
+PLACE_GRANTED = Event(
+    7032,
+    'INFO',
+    'request {request_id} has a place of {owner} at {prefill_server} and '
+    '{decode_server} after {waited_ms} ms',
+)
+ATTEMPT_FAILED = Event(
+    7033,
+    'WARNING',
+    'request {request_id}: {stage} at {server} failed after {took_ms} ms, '
+    '{remaining_ms} ms left, may have run {may_have_run}: {reason}',
+)
+SERVER_FAILED_REQUEST = Event(
+    7034,
+    'WARNING',
+    'request {request_id}: {server} answered {status} after {took_ms} ms',
+)
+STREAM_BROKEN = Event(
+    7035,
+    'WARNING',
+    'request {request_id}: the stream of {server} broke after event '
+    '{last_event}: {reason}',
+)
+STREAM_RETRIED = Event(
+    7036,
+    'INFO',
+    'request {request_id} is tried again without {failed_server} after '
+    'event {resume_after}, {runs} runs so far',
+)
+PROMPT_NOT_FREED = Event(
+    7037, 'INFO', 'a read prompt at {server} was not freed: {error}'
+)
+REQUEST_ENDED = Event(
+    7039,
+    'INFO',
+    'request {request_id} of route {route} in version {version} ended: '
+    '{outcome} {status} in {took_ms} ms, {waited_ms} of them waiting, '
+    '{runs} runs, servers {servers} of {service}',
+)
+
+
 def list_events():
     """Return every event of the catalogue in the order of its number."""
     found = [item for item in globals().values() if isinstance(item, Event)]
--- /dev/null
+++ b/bluebellthread/platform/__main__.py
@@ -0,0 +1,78 @@
+"""The entry process on the users' platform."""
+
+import argparse
+import os
+import signal
+import sys
+
+import trio
+
+from bluebellthread import observe
+from bluebellthread import platform
+from bluebellthread.entry import EntryService
+from bluebellthread.observe import emit
+from bluebellthread.observe import events
+
+EXIT_BAD_SETTINGS = 2
+
+
+def main(arguments=None):
+    """Run one entry process; return the exit code."""
+    parser = argparse.ArgumentParser(
+        prog='python3 -m bluebellthread.platform',
+        description='Serve callers on the users\' platform.',
+    )
+    parser.add_argument(
+        '--settings',
+        metavar='FILE',
+        default=os.environ.get(platform.SETTINGS_VARIABLE),
+        help='the platform\'s settings file; by default the one that '
+        f'{platform.SETTINGS_VARIABLE} names',
+    )
+    options = parser.parse_args(arguments)
+    if not options.settings:
+        parser.error(f'name --settings or set {platform.SETTINGS_VARIABLE}')
+    observe.start_json_log()
+    try:
+        settings = platform.load_settings(options.settings)
+    except platform.SettingsError as error:
+        print(error, file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    trio.run(_run, settings, options.settings)
+    return 0
+
+
+async def _run(settings, path):
+    service = EntryService(
+        settings=settings,
+        dialect=platform.make_dialect(),
+        platform_client=platform.StoreClient(
+            host=settings.platform_host, port=settings.platform_port
+        ),
+    )
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_follow_signals, service, path)
+        await service.run()
+        nursery.cancel_scope.cancel()
+
+
+async def _follow_signals(service, path):
+    caught = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    with trio.open_signal_receiver(*caught) as received:
+        async for number in received:
+            if number == signal.SIGHUP:
+                _reload(service, path)
+            else:
+                service.stop()
+
+
+def _reload(service, path):
+    """Read the settings again; unusable ones change nothing."""
+    try:
+        service.take_settings(platform.load_settings(path))
+    except platform.SettingsError as error:
+        emit(events.SETTINGS_UNUSABLE, error=error)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/bluebellthread/platform/_settings.py
@@ -0,0 +1,104 @@
+"""The platform's settings file as the product's settings."""
+
+import json
+
+import attrs
+
+from bluebellthread import core
+from bluebellthread.entry import EntrySettings
+
+SETTINGS_VARIABLE = 'BLUEBELLTHREAD_CONFIG'
+METRICS_PORT = 9464
+"""Where metrics are served; `deploy/system.toml` names the same port."""
+
+
+@attrs.frozen
+class SettingsError(core.BluebellthreadError):
+    """A settings file that can't be used.
+
+    Examples
+    --------
+    >>> str(SettingsError('/x', 'no field "ip"'))
+    'settings /x are unusable: no field "ip"; mend the file'
+    """
+
+    path: str
+    problem: str
+
+    def __str__(self):
+        return (
+            f'settings {self.path} are unusable: {self.problem}; mend the file'
+        )
+
+
+def load_settings(path):
+    """Return the settings in a file.
+
+    Raises
+    ------
+    SettingsError
+        If the file can't be read or lacks something needed.
+    """
+    try:
+        with open(path, encoding='utf-8') as file:
+            fields = json.load(file)
+        return decode_settings(fields)
+    except OSError as error:
+        raise SettingsError(path, str(error)) from error
+    except KeyError as error:
+        raise SettingsError(path, f'no field {error}') from error
+    except (ValueError, TypeError, AttributeError) as error:
+        raise SettingsError(path, repr(error)) from error
+
+
+def decode_settings(fields):
+    """Return the product's settings for the platform's fields.
+
+    Raises
+    ------
+    KeyError, ValueError, TypeError
+        If a needed field is missing or of another type.
+    """
+    bounds = fields['bounds']
+    limits = fields['limits']
+    listen = fields['listen']
+    platform_host, platform_port = split_address(
+        fields['platform']['address']
+    )
+    return EntrySettings(
+        vm=fields['nodeName'],
+        data_centre=fields['zone'],
+        region=fields['region'],
+        host=fields['ip'],
+        regions=dict(fields['zones']),
+        caller_port=split_address(listen['front'])[1],
+        ready_port=split_address(listen['ready'])[1],
+        peer_port=int(fields['internalPorts'][0]),
+        metrics_port=METRICS_PORT,
+        # The seeds name the port of a role; peers use another one, which
+        # is the same on all VMs.
+        seed_hosts=tuple(
+            split_address(seed)[0] for seed in fields.get('seedNodes') or ()
+        ),
+        platform_host=platform_host,
+        platform_port=platform_port,
+        heartbeat_ms=int(fields.get('heartbeatMs') or 0),
+        stop_grace_ms=int(float(bounds['graceS']) * 1000),
+        repeat_ratio=float(bounds['retryBudgetRatio']),
+        repeat_window_ms=int(float(bounds['budgetWindowS']) * 1000),
+        repeat_slack=float(bounds['budgetSlack']),
+        memory_mb=int(limits['memoryMb']),
+        descriptor_max=int(limits['fdLimit']),
+    )
+
+
+def split_address(text):
+    """Return host and port of ``HOST:PORT``.
+
+    Examples
+    --------
+    >>> split_address('10.1.0.38:8149')
+    ('10.1.0.38', 8149)
+    """
+    host, _, port = text.rpartition(':')
+    return host, int(port)
--- /dev/null
+++ b/bluebellthread/platform/_store_client.py
@@ -0,0 +1,180 @@
+"""Reads and watches of the platform's store."""
+
+import json
+import urllib.parse
+
+import httpcore
+import trio
+
+from bluebellthread.entry import HistoryLostError
+from bluebellthread.entry import keep_alive_options
+from bluebellthread.entry import PlatformUnavailableError
+from bluebellthread.entry import ServerChange
+from bluebellthread.entry import TableChange
+from bluebellthread.platform import _decoding
+
+READ_TIMEOUT_S = 1.5
+"""A read takes milliseconds; a store that is slow by the platform's own
+measure takes some hundred."""
+
+WATCH_MS = 20000
+"""How long a watch waits for a change; the store allows 30 s."""
+
+WATCH_MARGIN_S = 2.0
+"""Time for the answer of a watch after its wait."""
+
+CONNECTION_MAX = 8
+"""Two watches, two reads, and as many again that are being given up."""
+
+HISTORY_LOST_STATUS = 410
+NOT_FOUND_STATUS = 404
+
+
+class StoreClient:
+    """The only client of the platform's store.
+
+    Parameters
+    ----------
+    host, port : str, int
+        Where the store answers.
+    """
+
+    def __init__(self, *, host, port):
+        self._origin = f'http://{host}:{port}'
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=CONNECTION_MAX,
+            retries=0,
+            socket_options=keep_alive_options(),
+        )
+
+    async def close(self):
+        """Close the connections."""
+        await self._pool.aclose()
+
+    async def read_table(self):
+        """Return the `TableChange` in force and the store's revision."""
+        fields = await self._get(
+            '/-/kv-key',
+            {'key': _decoding.CONFIGURATION_KEY},
+            READ_TIMEOUT_S,
+            absent_is_none=True,
+        )
+        if fields is None:
+            return None, 0
+        return _to_table_change(fields), _revision_of(fields)
+
+    async def watch_table(self, after):
+        """Return `TableChange` since a revision, and the next revision."""
+        events, revision = await self._watch(
+            _decoding.CONFIGURATION_KEY, after
+        )
+        changes = [
+            _to_table_change(event)
+            for event in events
+            if event.get('key') == _decoding.CONFIGURATION_KEY
+            and not event.get('removed')
+        ]
+        return changes, revision
+
+    async def read_servers(self):
+        """Return all `ServerChange` and the revision to watch from."""
+        changes = []
+        first_revision = None
+        after = ''
+        while True:
+            query = {'prefix': _decoding.SERVERS_PREFIX}
+            if after:
+                query['after'] = after
+            fields = await self._get('/-/kv-range', query, READ_TIMEOUT_S)
+            if first_revision is None:
+                # Pages are no snapshot: what changes between them is seen
+                # again by a watch from the first one's revision.
+                first_revision = _revision_of(fields)
+            items = _list_of(fields, 'items')
+            changes += [_to_server_change(item) for item in items]
+            if not fields.get('hasMore') or not items:
+                return changes, first_revision
+            after = items[-1]['key']
+
+    async def watch_servers(self, after):
+        """Return `ServerChange` since a revision, and the next revision."""
+        events, revision = await self._watch(_decoding.SERVERS_PREFIX, after)
+        return [_to_server_change(event) for event in events], revision
+
+    async def _watch(self, prefix, after):
+        fields = await self._get(
+            '/-/kv-watch',
+            {'prefix': prefix, 'after': after, 'waitMs': WATCH_MS},
+            WATCH_MS / 1000 + WATCH_MARGIN_S,
+        )
+        return _list_of(fields, 'events'), _revision_of(fields)
+
+    async def _get(self, path, query, timeout_s, *, absent_is_none=False):
+        url = f'{self._origin}{path}?{urllib.parse.urlencode(query)}'
+        try:
+            with trio.fail_after(timeout_s):
+                response = await self._pool.request('GET', url)
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+            trio.TooSlowError,
+        ) as error:
+            raise PlatformUnavailableError(repr(error)) from error
+        if response.status == HISTORY_LOST_STATUS:
+            raise HistoryLostError
+        if response.status == NOT_FOUND_STATUS and absent_is_none:
+            return None
+        if response.status != 200:
+            raise PlatformUnavailableError(f'status {response.status}')
+        try:
+            fields = json.loads(response.content)
+        except ValueError as error:
+            raise PlatformUnavailableError(f'unreadable body: {error}') from error
+        if not isinstance(fields, dict):
+            raise PlatformUnavailableError('the body is no table of fields')
+        return fields
+
+
+def _revision_of(fields):
+    # The revision of the whole store, from which a watch goes on.
+    revision = fields.get('storeRevision')
+    if not isinstance(revision, int):
+        raise PlatformUnavailableError('no revision in the answer')
+    return revision
+
+
+def _list_of(fields, name):
+    items = fields.get(name)
+    if not isinstance(items, list):
+        raise PlatformUnavailableError(f'no list {name!r} in the answer')
+    return [
+        item
+        for item in items
+        if isinstance(item, dict) and isinstance(item.get('key'), str)
+    ]
+
+
+def _to_table_change(item):
+    revision = item.get('revision') or 0
+    try:
+        table = _decoding.decode_table(_decoding.decode_value(item))
+    except _decoding.EntryError as error:
+        return TableChange(revision=revision, problem=str(error))
+    return TableChange(table=table, revision=revision)
+
+
+def _to_server_change(item):
+    key = item['key']
+    name = key.removeprefix(_decoding.SERVERS_PREFIX)
+    if item.get('removed'):
+        return ServerChange(name=name)
+    try:
+        fields = _decoding.decode_value(item)
+        return ServerChange(
+            name=name, server=_decoding.decode_server(key, fields)
+        )
+    except _decoding.EntryError as error:
+        return ServerChange(name=name, problem=str(error))
+
+
--- a/bluebellthread/wire/__init__.py
+++ b/bluebellthread/wire/__init__.py
@@ -5,6 +5,7 @@
 from bluebellthread.core import _messages
 from bluebellthread.core import _permit_messages
 from bluebellthread.core import _ticket_messages
+from bluebellthread.core import routing
 from bluebellthread.wire._codec import decode
 from bluebellthread.wire._codec import encode
 from bluebellthread.wire._codec import Envelope
@@ -50,5 +51,6 @@
     _ticket_messages.TicketResult,
     _ticket_messages.TicketRecords,
     _ticket_messages.TicketsMoved,
+    *routing.PLACEMENT_MESSAGES,
 ):
     register_message(_cls)
--- a/bluebellthread/wire/peer.thrift
+++ b/bluebellthread/wire/peer.thrift
@@ -275,3 +275,59 @@
   5: i32 holder_peer_port,
   6: i64 keep_deadline_ms,
 }
+
+struct PlacementAsk {
+  1: string ask_id,
+  2: string vm,
+  3: i64 vm_incarnation,
+  4: string data_centre,
+  5: string serves,
+  6: i32 prompt_tokens,
+  7: i32 output_tokens,
+  8: i64 target_deadline_ms,
+  9: i64 deadline_ms,
+  10: i64 poll_deadline_ms,
+  11: list<string> avoid_servers,
+}
+
+struct PlacementGranted {
+  1: string ask_id,
+  2: string prefill_server,
+  3: string decode_server,
+}
+
+struct PlacementRefused {
+  1: string ask_id,
+  2: string kind,
+  3: i64 retry_after_ms,
+}
+
+struct PlacementPending {
+  1: string ask_id,
+}
+
+struct PromptRead {
+  1: string ask_id,
+  2: string serves,
+}
+
+struct PlacementEnded {
+  1: string ask_id,
+  2: string serves,
+  3: string failed_server,
+}
+
+struct HeldPlacement {
+  1: string ask_id,
+  2: string prefill_server,
+  3: string decode_server,
+  4: i32 tokens,
+  5: i64 deadline_ms,
+}
+
+struct PlacementsHeld {
+  1: string vm,
+  2: i64 vm_incarnation,
+  3: string serves,
+  4: list<HeldPlacement> places,
+}
