Give decode memory by its use and growth, and know callers' patience

Cause: every request was reserved its longest answer of 3,060 tokens, of which the mean is 1,278; half of the streams waited 500 ms and more while a third of the memory was idle, and 69 of 354 waited past the 3.6 s after which callers leave. Ruled out: the prefill servers (100 to 300 ms a prompt, never more than two each) and refused calls (none). Change: a registry of memory models; 'growth' reserves what is in use now and its growth for 600 ms. An ask carries when its caller leaves; what can't start by then is refused. First events are predicted from the prompt.

--- a/bluebellthread/core/routing/_allocator.py
+++ b/bluebellthread/core/routing/_allocator.py
@@ -8,16 +8,11 @@
 import attrs
 
 from bluebellthread.core.routing import _engine_account
+from bluebellthread.core.routing import _memory_models
 from bluebellthread.core.routing import _placement_messages as messages
+from bluebellthread.core.routing import _reading_time
 from bluebellthread.core.routing import _waiting_orders
 
-FIRST_EVENT_GUESS_MS = 250.0
-"""Time from a grant to the first event before any was measured: a prompt of
-average length at the rate of the deployments' engines."""
-
-SMOOTHING = 0.1
-"""Weight of the newest of some ten measurements."""
-
 READING_TIMEOUT_MS = 2000
 """A prefill that nobody has ended by then is taken as lost; several times
 the longest one."""
@@ -26,8 +21,9 @@
 """Longest time that a VM's notice is on its way to a new owner: the time
 that a connection may take."""
 
-RETRY_AFTER_MIN_MS = 500
-"""Shortest wait told to a refused caller: less than a burst lasts."""
+RETRY_AFTER_MS = 1500
+"""Told to refused callers: a third of a burst, after which some of what
+waits has been served."""
 
 
 @attrs.frozen(kw_only=True)
@@ -38,31 +34,17 @@
     ----------
     waiting_order : str
         Name in `waiting_orders`.
+    memory_model : str
+        Name in `memory_models`.
     prefill_depth : int
         Prompts given to one prefill server at a time: one that it reads
         and one that is on its way, so that it never idles for a round
         trip between regions.
-    memory_share : float
-        Part of a decode server's memory that is given away; the rest is
-        for what the account does not see.
     """
 
     waiting_order: str = 'on-time-first'
+    memory_model: str = 'growth'
     prefill_depth: int = 2
-    memory_share: float = 0.97
-
-
-@attrs.define(kw_only=True)
-class _Place:
-    ask_id: str
-    vm: str
-    vm_incarnation: int
-    prefill_server: str
-    decode_server: str
-    tokens: int
-    deadline_ms: int
-    granted_ms: int
-    is_reading: bool
 
 
 @attrs.define(kw_only=True)
@@ -90,10 +72,13 @@
         self._order = _waiting_orders.waiting_orders.get(
             self._options.waiting_order
         )
+        self._fits = _memory_models.memory_models.get(
+            self._options.memory_model
+        )
         self._accounts = {}
         self._waiting = {}
         self._places = {}
-        self._first_event_ms = FIRST_EVENT_GUESS_MS
+        self._reading_time = _reading_time.ReadingTime()
 
     @property
     def waiting_count(self):
@@ -121,6 +106,8 @@
             accounts[server.name] = known
         self._accounts = accounts
 
+    # What VMs say
+
     def ask(self, ask, now_ms):
         """Take a request in, or keep its place in the queue.
 
@@ -142,15 +129,17 @@
     def note_read(self, ask_id, now_ms):
         """Free the prefill server of a request."""
         place = self._places.get(ask_id)
-        if place is None or not place.is_reading:
+        if place is None or place.read_ms is not None:
             return
-        place.is_reading = False
+        place.read_ms = now_ms
         account = self._accounts.get(place.prefill_server)
         if account is not None:
-            account.reading_tokens.pop(ask_id, None)
+            tokens = account.reading_tokens
+            account.reading.pop(ask_id, None)
             account.note_success()
-        took_ms = now_ms - place.granted_ms
-        self._first_event_ms += SMOOTHING * (took_ms - self._first_event_ms)
+            self._reading_time.note(
+                tokens=tokens, took_ms=now_ms - place.granted_ms
+            )
 
     def end(self, ask_id, now_ms, *, failed_server=''):
         """Free what a request holds; spare the server that failed it."""
@@ -173,16 +162,18 @@
             self._waiting.pop(item.ask_id, None)
             self._free(item.ask_id)
             self._add(
-                _Place(
+                _engine_account.Place(
                     ask_id=item.ask_id,
                     vm=held.vm,
                     vm_incarnation=held.vm_incarnation,
                     prefill_server=item.prefill_server,
                     decode_server=item.decode_server,
-                    tokens=item.tokens,
+                    prompt_tokens=item.prompt_tokens,
+                    output_tokens=item.output_tokens,
                     deadline_ms=item.deadline_ms,
                     granted_ms=now_ms,
-                    is_reading=False,
+                    read_ms=now_ms,
+                    written_before=item.written_tokens,
                 )
             )
 
@@ -201,6 +192,8 @@
             if is_gone(waiting.ask.vm, waiting.ask.vm_incarnation):
                 del self._waiting[ask_id]
 
+    # Decisions
+
     def decide(self, now_ms):
         """Return the grants and refusals that are due.
 
@@ -217,16 +210,20 @@
             answers.append(grant)
         return answers
 
-    # Waiting
-
     def _in_order(self, now_ms):
         return sorted(
             self._waiting.values(),
             key=lambda waiting: self._order(
-                waiting.ask, waiting.arrived_ms, self._first_event_ms, now_ms
+                waiting.ask,
+                waiting.arrived_ms,
+                self._first_event_ms(waiting.ask),
+                now_ms,
             ),
         )
 
+    def _first_event_ms(self, ask):
+        return self._reading_time.first_event_ms(ask.prompt_tokens)
+
     def _refuse_hopeless(self, now_ms):
         refusals = []
         for ask_id, waiting in list(self._waiting.items()):
@@ -237,18 +234,18 @@
                     messages.PlacementRefused(
                         ask_id=ask_id,
                         kind=kind,
-                        retry_after_ms=RETRY_AFTER_MIN_MS,
+                        retry_after_ms=RETRY_AFTER_MS,
                     )
                 )
         return refusals
 
     def _find_refusal(self, ask, now_ms):
-        if now_ms + self._first_event_ms >= ask.deadline_ms:
+        if now_ms + self._first_event_ms(ask) >= ask.start_deadline_ms:
             return 'too-late'
         decoders = self._accounts_of('decode')
         if not decoders:
             return 'no-server'
-        need = _tokens_of(ask)
+        need = ask.prompt_tokens + ask.output_tokens
         if all(need > item.server.memory_tokens for item in decoders):
             return 'too-large'
         return ''
@@ -261,20 +258,21 @@
             return None
         prefill, decode = pair
         del self._waiting[ask.ask_id]
-        place = _Place(
+        place = _engine_account.Place(
             ask_id=ask.ask_id,
             vm=ask.vm,
             vm_incarnation=ask.vm_incarnation,
             prefill_server=prefill.server.name if prefill else '',
             decode_server=decode.server.name,
-            tokens=_tokens_of(ask),
+            prompt_tokens=ask.prompt_tokens,
+            output_tokens=ask.output_tokens,
             deadline_ms=ask.deadline_ms,
             granted_ms=now_ms,
-            is_reading=prefill is not None,
+            read_ms=None if prefill else now_ms,
         )
         self._add(place)
         if prefill is not None:
-            prefill.reading_tokens[ask.ask_id] = ask.prompt_tokens
+            prefill.reading[ask.ask_id] = place
         return _grant_message(place)
 
     def _choose_pair(self, ask, now_ms):
@@ -287,14 +285,14 @@
         free = [
             item
             for item in prefills
-            if len(item.reading_tokens) < self._options.prefill_depth
+            if len(item.reading) < self._options.prefill_depth
         ]
         if not free:
             return None
         prefill = min(
             free,
             key=lambda item: (
-                sum(item.reading_tokens.values()),
+                item.reading_tokens,
                 _distance(item.server, decode.server),
                 item.server.name,
             ),
@@ -302,18 +300,18 @@
         return prefill, decode
 
     def _choose_decode(self, ask, now_ms):
-        need = _tokens_of(ask) / self._options.memory_share
         fitting = [
             item
             for item in self._usable('decode', ask, now_ms)
-            if item.has_room(need)
+            if len(item.writing) < item.server.slot_count
+            and self._fits(item, ask, now_ms)
         ]
         if not fitting:
             return None
         return min(
             fitting,
             key=lambda item: (
-                item.load
+                item.load(now_ms)
                 + 0.1 * (item.server.data_centre != ask.data_centre),
                 item.server.name,
             ),
@@ -341,7 +339,7 @@
         self._places[place.ask_id] = place
         account = self._accounts.get(place.decode_server)
         if account is not None:
-            account.reserved_tokens[place.ask_id] = place.tokens
+            account.writing[place.ask_id] = place
 
     def _free(self, ask_id):
         place = self._places.pop(ask_id, None)
@@ -350,30 +348,24 @@
         for name in (place.prefill_server, place.decode_server):
             account = self._accounts.get(name)
             if account is not None:
-                account.reading_tokens.pop(ask_id, None)
-                account.reserved_tokens.pop(ask_id, None)
+                account.reading.pop(ask_id, None)
+                account.writing.pop(ask_id, None)
 
     def _expire(self, now_ms):
         for ask_id, place in list(self._places.items()):
             if now_ms >= place.deadline_ms:
                 self._free(ask_id)
             elif (
-                place.is_reading
+                place.read_ms is None
                 and now_ms - place.granted_ms >= READING_TIMEOUT_MS
             ):
-                place.is_reading = False
+                place.read_ms = now_ms
                 account = self._accounts.get(place.prefill_server)
                 if account is not None:
-                    account.reading_tokens.pop(ask_id, None)
+                    account.reading.pop(ask_id, None)
                     account.note_failure(now_ms)
 
 
-def _tokens_of(ask):
-    return _engine_account.round_up_to_blocks(
-        ask.prompt_tokens + ask.output_tokens
-    )
-
-
 def _grant_message(place):
     return messages.PlacementGranted(
         ask_id=place.ask_id,
--- a/bluebellthread/core/routing/_engine_account.py
+++ b/bluebellthread/core/routing/_engine_account.py
@@ -2,9 +2,7 @@
 
 import attrs
 
-BLOCK_TOKENS = 16
-"""Engines hand memory out in blocks of this many tokens (the platform's
-pages)."""
+from bluebellthread.core.routing import _memory_models
 
 SPARE_FIRST_MS = 500
 """How long an engine is spared after a first failure, about the time that
@@ -14,17 +12,6 @@
 """Longest pause between two tries of a failing engine."""
 
 
-def round_up_to_blocks(tokens):
-    """Return the tokens of the whole blocks that a request occupies.
-
-    Examples
-    --------
-    >>> round_up_to_blocks(17)
-    32
-    """
-    return -(-tokens // BLOCK_TOKENS) * BLOCK_TOKENS
-
-
 @attrs.frozen(kw_only=True)
 class EngineServer:
     """One engine that may get work.
@@ -44,36 +31,74 @@
     memory_tokens: int
 
 
+@attrs.define(kw_only=True)
+class Place:
+    """Room at a pair of engines that one request has been given.
+
+    Parameters
+    ----------
+    granted_ms, read_ms : int, int or None
+        When it was given, and when its prompt had been read.
+    written_before : int
+        Tokens written before this owner knew of the place.
+    """
+
+    ask_id: str
+    vm: str
+    vm_incarnation: int
+    prefill_server: str
+    decode_server: str
+    prompt_tokens: int
+    output_tokens: int
+    deadline_ms: int
+    granted_ms: int
+    read_ms: int | None = None
+    written_before: int = 0
+
+    def written_tokens(self, now_ms):
+        """Return about how many tokens have been written by now."""
+        if self.read_ms is None:
+            return 0
+        written = self.written_before + int(
+            (now_ms - self.read_ms) / _memory_models.TOKEN_MS
+        )
+        return min(self.output_tokens, written)
+
+
 @attrs.define(kw_only=True)
 class EngineAccount:
     """Reservations and failures of one engine.
 
-    ``reading_tokens`` are prompts on their way through a prefill server by
-    ask id, ``reserved_tokens`` the memory that granted requests need on a
-    decode server.
+    Parameters
+    ----------
+    reading : dict of str to Place
+        Places whose prompts this prefill server reads, by ask id.
+    writing : dict of str to Place
+        Places with memory on this decode server, by ask id.
     """
 
     server: EngineServer
-    reading_tokens: dict = attrs.field(factory=dict)
-    reserved_tokens: dict = attrs.field(factory=dict)
+    reading: dict = attrs.field(factory=dict)
+    writing: dict = attrs.field(factory=dict)
     failures: int = 0
     spared_until_ms: int = 0
 
-    def has_room(self, tokens):
-        """Return whether a request's memory and slot fit."""
-        used = sum(self.reserved_tokens.values())
-        return (
-            used + tokens <= self.server.memory_tokens
-            and len(self.reserved_tokens) < self.server.slot_count
-        )
-
     @property
-    def load(self):
-        """The part of the memory that is reserved."""
-        return sum(self.reserved_tokens.values()) / max(
-            1, self.server.memory_tokens
+    def reading_tokens(self):
+        """Tokens of the prompts that are on their way."""
+        return sum(place.prompt_tokens for place in self.reading.values())
+
+    def used_tokens(self, now_ms):
+        """Return about how much memory is in use by now."""
+        return sum(
+            place.prompt_tokens + place.written_tokens(now_ms)
+            for place in self.writing.values()
         )
 
+    def load(self, now_ms):
+        """Return the part of the memory that is in use by now."""
+        return self.used_tokens(now_ms) / max(1, self.server.memory_tokens)
+
     def is_spared(self, now_ms):
         """Return whether the engine should rest after a failure."""
         return now_ms < self.spared_until_ms
--- a/bluebellthread/core/routing/_placement_messages.py
+++ b/bluebellthread/core/routing/_placement_messages.py
@@ -26,6 +26,8 @@
         Tokens to read, and at most to write.
     target_deadline_ms : int
         When the first event is due to be on time.
+    start_deadline_ms : int
+        When the caller leaves if no event has come.
     deadline_ms : int
         When the answer is of no use any more.
     poll_deadline_ms : int
@@ -42,6 +44,7 @@
     prompt_tokens: int
     output_tokens: int
     target_deadline_ms: int
+    start_deadline_ms: int
     deadline_ms: int
     poll_deadline_ms: int
     avoid_servers: tuple[str, ...] = ()
@@ -113,12 +116,22 @@
 
 @attrs.frozen(kw_only=True)
 class HeldPlacement:
-    """One place that a VM uses."""
+    """One place that a VM uses.
+
+    Parameters
+    ----------
+    prompt_tokens, output_tokens : int
+        Tokens to read, and at most to write.
+    written_tokens : int
+        An estimate of what has been written.
+    """
 
     ask_id: str
     prefill_server: str
     decode_server: str
-    tokens: int
+    prompt_tokens: int
+    output_tokens: int
+    written_tokens: int
     deadline_ms: int
 
 
--- a/bluebellthread/core/routing/_routes.py
+++ b/bluebellthread/core/routing/_routes.py
@@ -49,6 +49,9 @@
         Whether a stream may go on at another backend server.
     gap_target_ms : int
         Longest pause between events for a stream that is on time.
+    patience_ms : int
+        How long callers wait for an event before they leave; 0 if that is
+        not known.
 
     Examples
     --------
@@ -69,6 +72,7 @@
     priority: int = 0
     is_resumable: bool = False
     gap_target_ms: int = 0
+    patience_ms: int = 0
 
     @property
     def may_repeat(self):
--- a/bluebellthread/entry/_placement_client.py
+++ b/bluebellthread/entry/_placement_client.py
@@ -52,16 +52,20 @@
         The VM that gave it.
     waited_ms : int
         From the first ask to the grant.
+    written_tokens : int
+        An estimate of what the decode server has written.
     """
 
     ask_id: str
     service: str
     prefill_server: str
     decode_server: str
-    tokens: int
+    prompt_tokens: int
+    output_tokens: int
     deadline_ms: int
     owner: str
     waited_ms: int
+    written_tokens: int = 0
 
 
 class PlacementClient:
@@ -159,7 +163,8 @@
             service=ask.serves,
             prefill_server=answer.prefill_server,
             decode_server=answer.decode_server,
-            tokens=ask.prompt_tokens + ask.output_tokens,
+            prompt_tokens=ask.prompt_tokens,
+            output_tokens=ask.output_tokens,
             deadline_ms=ask.deadline_ms,
             owner=owner,
             waited_ms=_clock.read_clock_ms() - asked_ms,
@@ -235,7 +240,9 @@
                 ask_id=place.ask_id,
                 prefill_server=place.prefill_server,
                 decode_server=place.decode_server,
-                tokens=place.tokens,
+                prompt_tokens=place.prompt_tokens,
+                output_tokens=place.output_tokens,
+                written_tokens=place.written_tokens,
                 deadline_ms=place.deadline_ms,
             )
             for place in self._held.values()
--- a/bluebellthread/entry/_stream_path.py
+++ b/bluebellthread/entry/_stream_path.py
@@ -158,6 +158,7 @@
             prompt_tokens=prompt_tokens,
             output_tokens=output_tokens,
             target_deadline_ms=work.request.received_ms + work.route.target_ms,
+            start_deadline_ms=self._find_start_deadline_ms(),
             deadline_ms=work.deadline_ms,
             poll_deadline_ms=0,
         )
@@ -171,10 +172,25 @@
             owner=place.owner,
             prefill_server=place.prefill_server,
             decode_server=place.decode_server,
+            prompt_tokens=prompt_tokens,
+            output_tokens=output_tokens,
             waited_ms=place.waited_ms,
         )
         return place
 
+    def _find_start_deadline_ms(self):
+        """Return when the caller leaves if no event has come."""
+        work = self._work
+        patience_ms = work.route.patience_ms
+        if not patience_ms:
+            return work.deadline_ms
+        begun_ms = (
+            _clock.read_clock_ms()
+            if work.exchange.is_started
+            else work.request.received_ms
+        )
+        return min(work.deadline_ms, begun_ms + patience_ms)
+
     async def _try(self, place):
         prompt = None
         if place.prefill_server:
@@ -209,7 +225,8 @@
             raise StreamBrokenError(server.name, 1) from error
         finally:
             self._placements.note_read(place)
-        self._stats.observe_prefill(_clock.read_clock_ms() - begun_ms)
+        self._work.prefill_ms = _clock.read_clock_ms() - begun_ms
+        self._stats.observe_prefill(self._work.prefill_ms)
         return ReadPrompt(server=server, handle=handle)
 
     def _note_prefill_failed(self, server, error, begun_ms):
@@ -360,7 +377,8 @@
 
     async def _pass_piece_on(self, whole, splitter):
         if not self._resume_after:
-            self._stats.observe_first_event(self._work.age_ms)
+            self._work.first_event_ms = self._work.age_ms
+            self._stats.observe_first_event(self._work.first_event_ms)
         self._resume_after = splitter.last_id or self._resume_after
         await self._work.exchange.send(whole)
 
--- a/bluebellthread/entry/_work.py
+++ b/bluebellthread/entry/_work.py
@@ -46,6 +46,8 @@
         self.may_have_run = False
         self.outcome = ''
         self.waited_ms = 0
+        self.prefill_ms = None
+        self.first_event_ms = None
         self._servers = []
         self._in_flight = False
         self._table_version = table_version
@@ -170,6 +172,8 @@
             servers=','.join(self._servers),
             runs=self.run_count,
             waited_ms=self.waited_ms,
+            prefill_ms=self.prefill_ms,
+            first_event_ms=self.first_event_ms,
             took_ms=self.age_ms,
             status=exchange.status,
             outcome=outcome,
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -195,8 +195,9 @@
 PLACE_GRANTED = Event(
     7032,
     'INFO',
-    'request {request_id} has a place of {owner} at {prefill_server} and '
-    '{decode_server} after {waited_ms} ms',
+    'request {request_id} of {prompt_tokens} and {output_tokens} tokens has '
+    'a place of {owner} at {prefill_server} and {decode_server} after '
+    '{waited_ms} ms',
 )
 ATTEMPT_FAILED = Event(
     7033,
@@ -229,6 +230,7 @@
     'INFO',
     'request {request_id} of route {route} in version {version} ended: '
     '{outcome} {status} in {took_ms} ms, {waited_ms} of them waiting, '
+    'prompt read in {prefill_ms} ms, first event after {first_event_ms} ms, '
     '{runs} runs, servers {servers} of {service}',
 )
 
--- a/bluebellthread/platform/_decoding.py
+++ b/bluebellthread/platform/_decoding.py
@@ -22,6 +22,12 @@
 STATES = {'ready': False, 'draining': True}
 """Whether a server in a state is leaving."""
 
+PATIENCE_MIN_MS = 2000
+PATIENCE_TARGETS = 4
+PATIENCE_GAPS = 8
+"""Callers leave a stream after the longest of a fixed time and so many
+times its target and its pause (the platform's pages)."""
+
 STAGES = ('prefill', 'decode')
 
 
@@ -121,6 +127,18 @@
         priority=int(fields.get('priority') or 0),
         is_resumable=bool(fields.get('resumable')),
         gap_target_ms=int(fields.get('gapAimMs') or 0),
+        patience_ms=_find_patience_ms(fields),
+    )
+
+
+def _find_patience_ms(fields):
+    """Return how long callers of a stream wait for an event."""
+    if fields['kind'] != 'stream':
+        return 0
+    return max(
+        PATIENCE_MIN_MS,
+        PATIENCE_TARGETS * int(fields.get('targetLatencyMs') or 0),
+        PATIENCE_GAPS * int(fields.get('gapAimMs') or 0),
     )
 
 
--- a/bluebellthread/wire/peer.thrift
+++ b/bluebellthread/wire/peer.thrift
@@ -288,6 +288,7 @@
   9: i64 deadline_ms,
   10: i64 poll_deadline_ms,
   11: list<string> avoid_servers,
+  12: i64 start_deadline_ms,
 }
 
 struct PlacementGranted {
@@ -321,8 +322,10 @@
   1: string ask_id,
   2: string prefill_server,
   3: string decode_server,
-  4: i32 tokens,
+  4: i32 prompt_tokens,
   5: i64 deadline_ms,
+  6: i32 output_tokens,
+  7: i32 written_tokens,
 }
 
 struct PlacementsHeld {
