Close a call's connection once; read a lost prompt at the decode server

Ruled out: a second reader of the same stream; the trace shows the pool handing out one connection twice. Change: close is idempotent and given by the opener; run_beside and run_until_either raise the error itself; a decode server that refuses a fetched prompt is asked to read it itself, and the prefill server is spared.

--- a/bluebellthread/entry/_caller_connection.py
+++ b/bluebellthread/entry/_caller_connection.py
@@ -5,6 +5,7 @@
 whole, or to stop idle connections at a moment of the caller's choice.
 """
 
+import functools
 import http
 
 import h11
@@ -12,6 +13,7 @@
 
 from bluebellthread.daemon import _clock
 from bluebellthread.entry import _http_messages
+from bluebellthread.entry import _nursery
 
 RECEIVE_BYTES = 65536
 READ_AHEAD_BYTES = 262144
@@ -97,10 +99,10 @@
         )
         if self._control.is_stopping:
             exchange.closes_after = True
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._watch_caller, exchange, nursery)
-            await self._handler(exchange)
-            nursery.cancel_scope.cancel()
+        await _nursery.run_until_either(
+            functools.partial(self._watch_caller, exchange),
+            functools.partial(self._handler, exchange),
+        )
         if exchange.caller_gone or not exchange.is_complete:
             return False
         if self._conn.our_state is h11.MUST_CLOSE:
@@ -182,8 +184,8 @@
                 raise CallerGoneError
             self._conn.receive_data(data)
 
-    async def _watch_caller(self, exchange, nursery):
-        """Cancel the exchange as soon as the caller has left."""
+    async def _watch_caller(self, exchange):
+        """Return as soon as the caller has left."""
         try:
             while len(self._conn.trailing_data[0]) < READ_AHEAD_BYTES:
                 data = await self._stream.receive_some(RECEIVE_BYTES)
@@ -191,12 +193,12 @@
                     break
                 self._conn.receive_data(data)
             else:
-                return
+                # Read no further ahead; the deadline ends the exchange.
+                await trio.sleep_forever()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             # A reset says the same as an end.
             pass
         exchange.caller_gone = True
-        nursery.cancel_scope.cancel()
 
     # Ending
 
--- a/bluebellthread/entry/_gateway.py
+++ b/bluebellthread/entry/_gateway.py
@@ -64,7 +64,7 @@
             emit(
                 events.REQUEST_CRASHED,
                 request_id=request_id,
-                error=''.join(traceback.format_exception(error)),
+                error=''.join(traceback.format_exception(error))[-2000:],
             )
             if exchange.is_started:
                 await exchange.abort()
--- a/bluebellthread/entry/_placement_client.py
+++ b/bluebellthread/entry/_placement_client.py
@@ -54,6 +54,8 @@
         From the first ask to the grant.
     written_tokens : int
         An estimate of what the decode server has written.
+    failed_prefill : str
+        The prefill server, where its read prompt could not be fetched.
     """
 
     ask_id: str
@@ -66,6 +68,7 @@
     owner: str
     waited_ms: int
     written_tokens: int = 0
+    failed_prefill: str = ''
 
 
 class PlacementClient:
--- a/bluebellthread/entry/_server_calls.py
+++ b/bluebellthread/entry/_server_calls.py
@@ -35,11 +35,14 @@
     reason : str
     may_have_run : bool
         Whether the server may have begun to work on the request.
+    was_refused : bool
+        Whether the server has said that it did not run the request.
     """
 
-    def __init__(self, reason, *, may_have_run):
+    def __init__(self, reason, *, may_have_run, was_refused=False):
         self.reason = reason
         self.may_have_run = may_have_run
+        self.was_refused = was_refused
         super().__init__(reason)
 
 
@@ -181,9 +184,10 @@
         if not refused and head.status != OTHER_SERVER_STATUS:
             return
         await call.exchange.read_all()
-        await call.close()
         raise CallFailedError(
-            f'the server refused with {head.status}', may_have_run=False
+            f'the server refused with {head.status}',
+            may_have_run=False,
+            was_refused=True,
         )
 
 
--- a/bluebellthread/entry/_server_connection.py
+++ b/bluebellthread/entry/_server_connection.py
@@ -6,12 +6,14 @@
 """
 
 import collections
+import functools
 
 import h11
 import trio
 
 from bluebellthread.daemon import _clock
 from bluebellthread.entry import _http_messages
+from bluebellthread.entry import _nursery
 from bluebellthread.entry import _sockets
 
 RECEIVE_BYTES = 65536
@@ -173,6 +175,7 @@
         self._conn = None
         self._ended = False
         self._sent_whole = False
+        self._closed = False
         self.sent = False
         self.skipped_count = 0
 
@@ -195,11 +198,9 @@
         if body:
             data += self._conn.send(h11.Data(data=body))
         data += self._conn.send(h11.EndOfMessage())
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._send, data)
-            head = await self._read_own_head()
-            nursery.cancel_scope.cancel()
-        return head
+        return await _nursery.run_beside(
+            functools.partial(self._send, data), self._read_own_head
+        )
 
     async def _send(self, data):
         self.sent = True
@@ -313,6 +314,10 @@
         keep_alive : str
             The answer's ``Keep-Alive`` header.
         """
+        if self._closed:
+            # The connection may serve another request by now.
+            return
+        self._closed = True
         if self._is_clean():
             await self._connections.release(
                 self._connection, read_idle_ms(keep_alive)
--- a/bluebellthread/entry/_service.py
+++ b/bluebellthread/entry/_service.py
@@ -3,6 +3,7 @@
 import functools
 import random
 import secrets
+import traceback
 
 import attrs
 import trio
@@ -40,6 +41,9 @@
 """Time left before the process would be killed, for closing."""
 
 PRUNE_PERIOD_S = 1.0
+ERROR_CHARACTERS = 2000
+"""Most of a fault's traceback that a log line holds: its last frames."""
+
 LISTEN_BACKLOG = 512
 """Connections that may wait to be accepted: all callers of a VM at once
 after another one is lost."""
@@ -231,6 +235,9 @@
                 handler=self._gateway.serve,
                 control=self._control,
             ).run()
+        except Exception as error:
+            # One connection's fault must not end the process.
+            emit(events.CONNECTION_CRASHED, error=_format_error(error))
         finally:
             self._control.open_count -= 1
 
@@ -299,6 +306,10 @@
 _DRAIN_POLL_S = 0.05
 
 
+def _format_error(error):
+    return ''.join(traceback.format_exception(error))[-ERROR_CHARACTERS:]
+
+
 def _seeds_of(settings):
     return tuple(
         (host, settings.peer_port)
--- a/bluebellthread/entry/_stream_path.py
+++ b/bluebellthread/entry/_stream_path.py
@@ -47,11 +47,14 @@
         The server that failed it.
     repeat_count : int
         How many repeats of calls another try costs.
+    was_refused : bool
+        Whether the decode server said that it did not run the request.
     """
 
-    def __init__(self, server, repeat_count):
+    def __init__(self, server, repeat_count, *, was_refused=False):
         self.server = server
         self.repeat_count = repeat_count
+        self.was_refused = was_refused
         super().__init__(server)
 
 
@@ -132,7 +135,9 @@
                     await self._end_failed()
                     return
             finally:
-                self._placements.end(place, failed_server=failed_server)
+                self._placements.end(
+                    place, failed_server=failed_server or place.failed_prefill
+                )
             self._failed_servers.append(failed_server)
             emit(
                 events.STREAM_RETRIED,
@@ -198,14 +203,36 @@
         call = None
         try:
             call = await self._open_answer(place, prompt)
+        except StreamBrokenError as error:
+            if prompt is None or not self._may_read_there(error):
+                raise
         finally:
             if call is None and prompt is not None:
                 self._free_prompt(prompt)
+        if call is None:
+            emit(
+                events.PROMPT_LOST,
+                request_id=self._work.request_id,
+                prefill_server=place.prefill_server,
+                decode_server=place.decode_server,
+            )
+            place.failed_prefill = place.prefill_server
+            call = await self._open_answer(place, None)
         try:
             await self._pass_on(place, call)
         finally:
             await call.close()
 
+    def _may_read_there(self, error):
+        """Return whether the decode server may read the prompt itself.
+
+        Its place is still reserved. A refusal then mostly means that the
+        prompt's cache could not be fetched.
+        """
+        return error.was_refused and self._budgets.spend(
+            self._work.service, 1
+        )
+
     # The prompt
 
     async def _read_prompt(self, place):
@@ -306,7 +333,9 @@
             raise StreamBrokenError(server.name, 2) from error
         except _server_calls.CallFailedError as error:
             self._note_run_failed(server.name, error, begun_ms)
-            raise StreamBrokenError(server.name, 2) from error
+            raise StreamBrokenError(
+                server.name, 2, was_refused=error.was_refused
+            ) from error
         work.note_run()
         return call
 
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -146,6 +146,9 @@
 SETTINGS_UNUSABLE = Event(
     7005, 'ERROR', 'settings kept as they were: {error}'
 )
+CONNECTION_CRASHED = Event(
+    7006, 'ERROR', 'a connection met a fault of the router: {error}'
+)
 PLATFORM_LOST = Event(7011, 'WARNING', 'the {what} is not to be had: {error}')
 PLATFORM_REGAINED = Event(
     7012, 'INFO', 'the {what} is to be had again after {lost_ms} ms'
@@ -225,6 +228,12 @@
 PROMPT_NOT_FREED = Event(
     7037, 'INFO', 'a read prompt at {server} was not freed: {error}'
 )
+PROMPT_LOST = Event(
+    7038,
+    'WARNING',
+    'request {request_id}: {decode_server} could not fetch the prompt that '
+    '{prefill_server} had read, and reads it itself',
+)
 REQUEST_ENDED = Event(
     7039,
     'INFO',
