Tell late requests at once when to come back; reach the decode server first

Prompts were read for decode servers that were down. Change: of the requests that can't be on time any more 0.6 for each decode server may wait, those whose callers leave first; the others are refused at once and told to come back in 3.0 to 4.6 s. The connection to the decode server is opened before the prompt is read.

--- /dev/null
+++ b/bench/_replay_world.py
@@ -0,0 +1,378 @@
+"""Plays a recorded load against the pure allocator, in virtual time.
+
+Engines are modelled by their published figures: a prefill server reads one
+prompt after another, a decode server writes a token of each request a step
+and preempts the newest when its memory runs out.
+"""
+
+import heapq
+import itertools
+
+import attrs
+
+from bluebellthread.core import routing
+
+STEP_MS = 2.2
+STEP_MS_PER_K_TOKENS = 0.0175
+PREFILL_TOKENS_PER_MS = 33.3
+TRANSFER_MS = 6
+FIRST_PIECE_TOKENS = 18
+"""The engines' published figures; a transfer is mostly its set-up."""
+
+HOP_MS = 12
+"""A message between VMs of two regions, on average over all pairs."""
+
+TICK_MS = 10
+TARGET_MS = 900
+PATIENCE_MS = 3600
+TIMEOUT_MS = 14000
+RETRY_SHARE = 1 / 3
+"""Callers honour a time to come back up to this part of what is left."""
+
+WORTH_ON_TIME = 23.0
+WORTH_LATE = 4.7
+"""What an answer is worth to the users, on time and late."""
+
+
+@attrs.define(kw_only=True)
+class _Job:
+    """One caller's request and how it fares."""
+
+    number: int
+    request: object
+    first_sent_ms: int
+    sent_ms: int
+    tries: int = 0
+    ask_id: str = ''
+    prefill: str = ''
+    decode: str = ''
+    written: float = 0.0
+    begun_ms: float = 0.0
+    first_event_ms: float | None = None
+    stalled_ms: float = 0.0
+    outcome: str = ''
+
+    @property
+    def memory(self):
+        return self.request.prompt_tokens + self.written
+
+
+@attrs.define(kw_only=True)
+class _Decode:
+    engine: object
+    running: list = attrs.field(factory=list)
+    stalled: list = attrs.field(factory=list)
+
+
+@attrs.define(kw_only=True)
+class Result:
+    """What became of a load.
+
+    Parameters
+    ----------
+    on_time, late, unserved : int
+        Requests by how they ended.
+    worth_share : float
+        Worth earned over the worth of all on time.
+    wasted_tokens : int
+        Tokens read a second time after a preemption or a failure.
+    """
+
+    on_time: int = 0
+    late: int = 0
+    unserved: int = 0
+    refusals: int = 0
+    preemptions: int = 0
+    wasted_tokens: int = 0
+    price: float = 0.0
+    worth: float = 0.0
+    worth_owed: float = 0.0
+    samples: list = attrs.field(factory=list)
+
+    @property
+    def worth_share(self):
+        return self.worth / self.worth_owed if self.worth_owed else 0.0
+
+    @property
+    def served_share(self):
+        """Part of the requests that were answered at all."""
+        total = self.on_time + self.late + self.unserved
+        return 1 - self.unserved / total if total else 1.0
+
+
+class ReplayWorld:
+    """Engines, callers and one allocator in virtual time.
+
+    Parameters
+    ----------
+    load : Load
+    options : AllocatorOptions
+    """
+
+    def __init__(self, load, options=None):
+        self._load = load
+        self._allocator = routing.Allocator(options=options)
+        self._events = []
+        self._order = itertools.count()
+        self._now_ms = 0
+        self._jobs = {}
+        self._down = set()
+        self._prefill_free_ms = {}
+        self._decodes = {
+            item.name: _Decode(engine=item)
+            for item in load.engines
+            if item.role == 'decode'
+        }
+        self.result = Result()
+        sizes = [_size_of(item) for item in load.requests]
+        self._mean_size = sum(sizes) / max(1, len(sizes))
+        self._open = len(load.requests)
+
+    def run(self):
+        """Play the whole load and return its `Result`."""
+        for number, request in enumerate(self._load.requests):
+            job = _Job(
+                number=number,
+                request=request,
+                first_sent_ms=request.at_ms,
+                sent_ms=request.at_ms,
+            )
+            self._at(request.at_ms, self._send, job)
+        for failure in self._load.failures:
+            self._at(failure.at_ms, self._fail, failure)
+            self._at(failure.back_ms, self._restore, failure)
+        self._list_servers()
+        self._at(0, self._tick)
+        while self._events and self._open:
+            self._now_ms, _, function, arguments = heapq.heappop(self._events)
+            function(*arguments)
+        return self.result
+
+    def _at(self, at_ms, function, *arguments):
+        heapq.heappush(
+            self._events, (at_ms, next(self._order), function, arguments)
+        )
+
+    def _after(self, delay_ms, function, *arguments):
+        self._at(self._now_ms + delay_ms, function, *arguments)
+
+    # Callers
+
+    def _send(self, job):
+        job.tries += 1
+        job.sent_ms = self._now_ms
+        job.ask_id = f'{job.number}/{job.tries}'
+        self._jobs[job.ask_id] = job
+        self._after(HOP_MS, self._ask, job, job.ask_id)
+
+    def _ask(self, job, ask_id):
+        request = job.request
+        self._allocator.ask(
+            routing.PlacementAsk(
+                ask_id=ask_id,
+                vm='vm',
+                vm_incarnation=1,
+                data_centre='a',
+                serves='m',
+                prompt_tokens=request.prompt_tokens,
+                output_tokens=request.output_tokens,
+                target_deadline_ms=job.first_sent_ms + TARGET_MS
+                if job.tries == 1
+                else job.sent_ms + TARGET_MS,
+                start_deadline_ms=job.sent_ms + PATIENCE_MS,
+                deadline_ms=job.first_sent_ms + TIMEOUT_MS,
+                poll_deadline_ms=self._now_ms + TIMEOUT_MS,
+            ),
+            self._now_ms,
+        )
+        self._decide()
+
+    def _refused(self, job, retry_after_ms):
+        held = max(0, self._now_ms - job.sent_ms - TARGET_MS/8)/(TIMEOUT_MS*.5)
+        v = 23*min(4.0, 0.3 + 0.7 * _size_of(job.request) / self._mean_size)
+        self.result.price += v*min(1,held) + (0.3*v if job.tries>1 else 0)
+        self.result.refusals += 1
+        left_ms = job.first_sent_ms + TIMEOUT_MS - self._now_ms
+        if job.tries > 1:
+            self._finish(job, 'unserved')
+            return
+        self._after(min(retry_after_ms, left_ms * RETRY_SHARE), self._send, job)
+
+    def _finish(self, job, outcome):
+        if job.outcome:
+            return
+        job.outcome = outcome
+        self._open -= 1
+        result = self.result
+        value = 0.3 + 0.7 * _size_of(job.request) / self._mean_size
+        value = min(4.0, value)
+        result.worth_owed += WORTH_ON_TIME * value
+        if outcome == 'unserved':
+            result.unserved += 1
+            return
+        first_ms = job.first_event_ms - job.first_sent_ms
+        if first_ms <= TARGET_MS and job.stalled_ms <= 300:
+            result.on_time += 1
+            result.worth += WORTH_ON_TIME * value
+        else:
+            result.late += 1
+            result.worth += WORTH_LATE * value
+
+    # The allocator
+
+    def _decide(self):
+        for answer in self._allocator.decide(self._now_ms):
+            job = self._jobs[answer.ask_id]
+            if isinstance(answer, routing.PlacementRefused):
+                self._after(
+                    HOP_MS, self._refused, job, answer.retry_after_ms
+                )
+            else:
+                job.prefill = answer.prefill_server
+                job.decode = answer.decode_server
+                self._after(HOP_MS, self._read, job, answer.ask_id)
+
+    def _list_servers(self):
+        self._allocator.set_servers(
+            tuple(
+                routing.EngineServer(
+                    name=item.name,
+                    incarnation=1,
+                    role=item.role,
+                    data_centre=item.data_centre,
+                    region='r',
+                    slot_count=item.slot_count,
+                    memory_tokens=item.memory_tokens,
+                )
+                for item in self._load.engines
+                if item.name not in self._down
+            )
+        )
+
+    # Prefill
+
+    def _read(self, job, ask_id):
+        if not job.prefill:
+            took_ms = 2 * job.request.prompt_tokens / PREFILL_TOKENS_PER_MS
+            self._after(took_ms, self._begin, job, ask_id)
+            return
+        if job.prefill in self._down:
+            self._end_ask(job, ask_id, job.prefill)
+            self._retry(job)
+            return
+        free_ms = max(
+            self._now_ms, self._prefill_free_ms.get(job.prefill, 0)
+        )
+        done_ms = free_ms + job.request.prompt_tokens / PREFILL_TOKENS_PER_MS
+        self._prefill_free_ms[job.prefill] = done_ms
+        self._at(done_ms + TRANSFER_MS, self._begin, job, ask_id)
+        self._at(done_ms + HOP_MS, self._note_read, ask_id)
+
+    def _note_read(self, ask_id):
+        self._allocator.note_read(ask_id, self._now_ms)
+        self._decide()
+
+    # Decode
+
+    def _begin(self, job, ask_id):
+        if job.outcome or job.ask_id != ask_id:
+            return
+        if job.decode in self._down:
+            self._end_ask(job, ask_id, job.decode)
+            self._retry(job)
+            return
+        job.begun_ms = self._now_ms
+        self._decodes[job.decode].running.append(job)
+
+    def _retry(self, job):
+        """Try a request again whose engine was lost."""
+        self.result.wasted_tokens += int(job.memory)
+        job.written = 0.0
+        self._send(job)
+        job.tries -= 1
+
+    def _tick(self):
+        for decode in self._decodes.values():
+            self._step(decode)
+        self._decide()
+        waiting = self._allocator.waiting_count
+        self.result.samples.append((self._now_ms, waiting))
+        self._after(TICK_MS, self._tick)
+
+    def _step(self, decode):
+        context = sum(job.memory for job in decode.running)
+        step_ms = STEP_MS + STEP_MS_PER_K_TOKENS * context / 1000
+        for job in list(decode.running):
+            job.written += TICK_MS / step_ms
+            if job.first_event_ms is None and job.written >= min(
+                FIRST_PIECE_TOKENS, job.request.written_tokens
+            ):
+                self._note_first_event(job)
+            if job.written >= job.request.written_tokens:
+                decode.running.remove(job)
+                self._end_ask(job, job.ask_id, '')
+                self._finish(job, 'served')
+        self._preempt(decode)
+        self._resume(decode)
+
+    def _note_first_event(self, job):
+        job.first_event_ms = self._now_ms
+        if self._now_ms - job.sent_ms > PATIENCE_MS:
+            self._decodes[job.decode].running.remove(job)
+            self._end_ask(job, job.ask_id, '')
+            self._finish(job, 'unserved')
+
+    def _preempt(self, decode):
+        """Put the newest requests back while the memory is too small."""
+        most = decode.engine.memory_tokens
+        while sum(job.memory for job in decode.running) > most:
+            job = decode.running.pop()
+            self.result.preemptions += 1
+            self.result.wasted_tokens += int(job.memory)
+            decode.stalled.append((self._now_ms, job))
+
+    def _resume(self, decode):
+        """Read requests in again that were put back, as memory is free."""
+        used = sum(job.memory for job in decode.running)
+        for entry in list(decode.stalled):
+            since_ms, job = entry
+            read_ms = 2 * job.memory / PREFILL_TOKENS_PER_MS
+            ready = self._now_ms - since_ms >= read_ms
+            if ready and used + job.memory <= decode.engine.memory_tokens:
+                decode.stalled.remove(entry)
+                decode.running.append(job)
+                job.stalled_ms = max(
+                    job.stalled_ms, self._now_ms - since_ms
+                )
+                used += job.memory
+
+    def _end_ask(self, job, ask_id, failed):
+        self._after(
+            HOP_MS, self._note_end, ask_id, failed
+        )
+
+    def _note_end(self, ask_id, failed):
+        self._allocator.end(ask_id, self._now_ms, failed_server=failed)
+        self._decide()
+
+    # Failures
+
+    def _fail(self, failure):
+        self._down.add(failure.engine)
+        self._after(HOP_MS, self._list_servers)
+        decode = self._decodes.get(failure.engine)
+        if decode is None:
+            return
+        lost = decode.running + [job for _, job in decode.stalled]
+        decode.running, decode.stalled = [], []
+        for job in lost:
+            self._end_ask(job, job.ask_id, failure.engine)
+            self._retry(job)
+
+    def _restore(self, failure):
+        self._down.discard(failure.engine)
+        self._list_servers()
+
+
+def _size_of(request):
+    return request.prompt_tokens + 10 * request.written_tokens
--- a/bluebellthread/core/routing/_allocator.py
+++ b/bluebellthread/core/routing/_allocator.py
@@ -5,6 +5,8 @@
 owner learns of the places in use from the VMs that use them.
 """
 
+import random
+
 import attrs
 
 from bluebellthread.core.routing import _engine_account
@@ -21,9 +23,10 @@
 """Longest time that a VM's notice is on its way to a new owner: the time
 that a connection may take."""
 
-RETRY_AFTER_MS = 1500
-"""Told to refused callers: a third of a burst, after which some of what
-waits has been served."""
+RETRY_FIRST_MS = 3000
+RETRY_LAST_MS = 4600
+"""Refused callers are told to come back between these: bursts last four to
+five seconds, and callers heed up to a third of the time that they have."""
 
 
 @attrs.frozen(kw_only=True)
@@ -40,11 +43,15 @@
         Prompts given to one prefill server at a time: one that it reads
         and one that is on its way, so that it never idles for a round
         trip between regions.
+    late_per_server : float
+        Requests for each decode server that may wait though they can't be
+        on time any more. The others are told at once when to come back.
     """
 
     waiting_order: str = 'on-time-first'
     memory_model: str = 'growth'
     prefill_depth: int = 2
+    late_per_server: float = 0.6
 
 
 @attrs.define(kw_only=True)
@@ -59,6 +66,8 @@
     Parameters
     ----------
     options : AllocatorOptions
+    rng : random.Random
+        Spreads the return of refused callers.
 
     Examples
     --------
@@ -67,8 +76,9 @@
     []
     """
 
-    def __init__(self, *, options=None):
+    def __init__(self, *, options=None, rng=None):
         self._options = options or AllocatorOptions()
+        self._rng = rng or random.Random(0)
         self._order = _waiting_orders.waiting_orders.get(
             self._options.waiting_order
         )
@@ -221,24 +231,47 @@
             ),
         )
 
+    def _is_late(self, ask, now_ms):
+        return now_ms + self._first_event_ms(ask) > ask.target_deadline_ms
+
     def _first_event_ms(self, ask):
         return self._reading_time.first_event_ms(ask.prompt_tokens)
 
     def _refuse_hopeless(self, now_ms):
         refusals = []
+        over_limit = self._find_over_limit(now_ms)
         for ask_id, waiting in list(self._waiting.items()):
             kind = self._find_refusal(waiting.ask, now_ms)
+            if not kind and ask_id in over_limit:
+                kind = 'overloaded'
             if kind:
                 del self._waiting[ask_id]
                 refusals.append(
                     messages.PlacementRefused(
                         ask_id=ask_id,
                         kind=kind,
-                        retry_after_ms=RETRY_AFTER_MS,
+                        retry_after_ms=self._rng.randint(
+                            RETRY_FIRST_MS, RETRY_LAST_MS
+                        ),
                     )
                 )
         return refusals
 
+    def _find_over_limit(self, now_ms):
+        """Return the ids of the late asks that are too many to wait.
+
+        Those whose callers leave first stay: most of them have come back
+        after a refusal.
+        """
+        late = sorted(
+            (waiting.ask.deadline_ms, ask_id)
+            for ask_id, waiting in self._waiting.items()
+            if self._is_late(waiting.ask, now_ms)
+        )
+        server_count = len(self._accounts_of('decode'))
+        most = max(1, round(self._options.late_per_server * server_count))
+        return {ask_id for _, ask_id in late[most:]}
+
     def _find_refusal(self, ask, now_ms):
         if now_ms + self._first_event_ms(ask) >= ask.start_deadline_ms:
             return 'too-late'
--- a/bluebellthread/entry/_placement_task.py
+++ b/bluebellthread/entry/_placement_task.py
@@ -4,6 +4,8 @@
 VM's view alone. Two owners at a time cost refused places, never an answer.
 """
 
+import random
+
 import trio
 
 from bluebellthread.core import routing
@@ -97,7 +99,9 @@
     def _allocator_of(self, service):
         allocator = self._allocators.get(service)
         if allocator is None:
-            allocator = routing.Allocator(options=self._options)
+            allocator = routing.Allocator(
+                options=self._options, rng=random.Random()
+            )
             self._allocators[service] = allocator
             emit(events.PLACEMENT_OWNED, service=service)
         return allocator
--- a/bluebellthread/entry/_server_calls.py
+++ b/bluebellthread/entry/_server_calls.py
@@ -79,8 +79,26 @@
         self._connections = connections
         self._dialect = dialect
 
+    async def connect(self, server, request, *, may_repeat):
+        """Return an exchange with a server, over a connection that stands.
+
+        Raises
+        ------
+        CallFailedError
+            If the server can't be reached; nothing was sent.
+        """
+        request_id = request.header(self._dialect.request_id)
+        return await self._connect(server, request_id, may_repeat)
+
     async def open(
-        self, server, request, *, deadline_ms, may_repeat, extra=()
+        self,
+        server,
+        request,
+        *,
+        deadline_ms,
+        may_repeat,
+        extra=(),
+        exchange=None,
     ):
         """Send a caller's request to a server and read the answer's head.
 
@@ -94,14 +112,18 @@
             Whether a second run would do no harm.
         extra : iterable of (bytes, bytes)
             Further headers.
+        exchange : ServerExchange or None
+            What `connect` returned; by default a new one.
 
         Raises
         ------
         CallFailedError
             If there is no answer, or one that says that nothing has run.
         """
-        request_id = request.header(self._dialect.request_id)
-        exchange = await self._connect(server, request_id, may_repeat)
+        if exchange is None:
+            exchange = await self.connect(
+                server, request, may_repeat=may_repeat
+            )
         try:
             head = await exchange.open(
                 request.method,
--- a/bluebellthread/entry/_server_connection.py
+++ b/bluebellthread/entry/_server_connection.py
@@ -325,6 +325,12 @@
         else:
             await self._connection.close()
 
+    async def close_unused(self):
+        """Close the connection if no request was written to it."""
+        if not self.sent and not self._closed:
+            self._closed = True
+            await self._connection.close()
+
     def _is_clean(self):
         return (
             self._conn is not None
--- a/bluebellthread/entry/_stream_path.py
+++ b/bluebellthread/entry/_stream_path.py
@@ -197,12 +197,37 @@
         return min(work.deadline_ms, begun_ms + patience_ms)
 
     async def _try(self, place):
-        prompt = None
-        if place.prefill_server:
+        # A decode server that can't be reached costs no prompt this way.
+        exchange = await self._connect(place)
+        try:
             prompt = await self._read_prompt(place)
+            call = await self._open_answer_or_read(place, prompt, exchange)
+        finally:
+            with trio.CancelScope(shield=True):
+                await exchange.close_unused()
+        try:
+            await self._pass_on(place, call)
+        finally:
+            await call.close()
+
+    async def _connect(self, place):
+        server = self._find_server(place.decode_server)
+        begun_ms = _clock.read_clock_ms()
+        try:
+            return await self._caller.connect(
+                server,
+                self._work.request,
+                may_repeat=self._work.route.may_repeat,
+            )
+        except _server_calls.CallFailedError as error:
+            self._note_run_failed(server.name, error, begun_ms)
+            raise StreamBrokenError(server.name, 0) from error
+
+    async def _open_answer_or_read(self, place, prompt, exchange):
+        """Return the open call; have the prompt read there if it is lost."""
         call = None
         try:
-            call = await self._open_answer(place, prompt)
+            call = await self._open_answer(place, prompt, exchange)
         except StreamBrokenError as error:
             if prompt is None or not self._may_read_there(error):
                 raise
@@ -218,10 +243,7 @@
             )
             place.failed_prefill = place.prefill_server
             call = await self._open_answer(place, None)
-        try:
-            await self._pass_on(place, call)
-        finally:
-            await call.close()
+        return call
 
     def _may_read_there(self, error):
         """Return whether the decode server may read the prompt itself.
@@ -236,6 +258,9 @@
     # The prompt
 
     async def _read_prompt(self, place):
+        """Return the `ReadPrompt`, or None if the decode server reads it."""
+        if not place.prefill_server:
+            return None
         server = self._find_server(place.prefill_server)
         begun_ms = _clock.read_clock_ms()
         try:
@@ -304,7 +329,7 @@
 
     # The answer
 
-    async def _open_answer(self, place, prompt):
+    async def _open_answer(self, place, prompt, exchange=None):
         """Return the open call of the decode server."""
         work = self._work
         server = self._find_server(place.decode_server)
@@ -324,6 +349,7 @@
                     deadline_ms=work.deadline_ms,
                     may_repeat=work.route.may_repeat,
                     extra=extra,
+                    exchange=exchange,
                 )
         except trio.TooSlowError:
             error = _server_calls.CallFailedError(
