Let a new owner of engines learn what is in use before it gives places

Each new owner gave places from an empty account, and places that were registered before the list of engines was set were counted on no engine at all; at 12.1 s one decode server held 44,500 tokens by the trace, of 35,962. Engines refused 65 prompts that had been read. Ruled out: two owners at a time (the trace shows one), lost registrations (40 places were told), a handle that lapsed. Change: an owner's epoch begins when it is first asked and waits up to 600 ms for all live VMs to tell their places; VMs always do, with how long an answer has been written; accounts take up places that were known first.

--- a/bluebellthread/core/routing/__init__.py
+++ b/bluebellthread/core/routing/__init__.py
@@ -5,6 +5,7 @@
 from bluebellthread.core.routing._directory import ListedServer
 from bluebellthread.core.routing._directory import ServerDirectory
 from bluebellthread.core.routing._engine_account import EngineServer
+from bluebellthread.core.routing._ownership_epoch import OwnedAllocator
 from bluebellthread.core.routing._placement_messages import HeldPlacement
 from bluebellthread.core.routing._placement_messages import PLACEMENT_MESSAGES
 from bluebellthread.core.routing._placement_messages import PlacementAsk
@@ -38,6 +39,7 @@
     'KIND_REPEATABLE',
     'KIND_STREAM',
     'ListedServer',
+    'OwnedAllocator',
     'PLACEMENT_MESSAGES',
     'PlacementAsk',
     'PlacementEnded',
--- a/bluebellthread/core/routing/_allocator.py
+++ b/bluebellthread/core/routing/_allocator.py
@@ -106,16 +106,30 @@
         return not self._waiting and not self._places
 
     def set_servers(self, servers):
-        """Replace the list of engines; places on others end."""
+        """Replace the list of engines.
+
+        Places may be known before their engine is; a process that has
+        started anew holds none of them.
+        """
         accounts = {}
         for server in servers:
             known = self._accounts.get(server.name)
-            if known is None or known.server.incarnation != server.incarnation:
+            if known is None:
+                known = self._make_account(server)
+            elif known.server.incarnation != server.incarnation:
                 known = _engine_account.EngineAccount(server=server)
             known.server = server
             accounts[server.name] = known
         self._accounts = accounts
 
+    def _make_account(self, server):
+        places = {
+            ask_id: place
+            for ask_id, place in self._places.items()
+            if place.decode_server == server.name
+        }
+        return _engine_account.EngineAccount(server=server, writing=places)
+
     # What VMs say
 
     def ask(self, ask, now_ms):
@@ -182,8 +196,7 @@
                     output_tokens=item.output_tokens,
                     deadline_ms=item.deadline_ms,
                     granted_ms=now_ms,
-                    read_ms=now_ms,
-                    written_before=item.written_tokens,
+                    read_ms=now_ms - item.writing_ms,
                 )
             )
 
--- a/bluebellthread/core/routing/_engine_account.py
+++ b/bluebellthread/core/routing/_engine_account.py
@@ -39,8 +39,6 @@
     ----------
     granted_ms, read_ms : int, int or None
         When it was given, and when its prompt had been read.
-    written_before : int
-        Tokens written before this owner knew of the place.
     """
 
     ask_id: str
@@ -53,15 +51,12 @@
     deadline_ms: int
     granted_ms: int
     read_ms: int | None = None
-    written_before: int = 0
 
     def written_tokens(self, now_ms):
         """Return about how many tokens have been written by now."""
         if self.read_ms is None:
             return 0
-        written = self.written_before + int(
-            (now_ms - self.read_ms) / _memory_models.TOKEN_MS
-        )
+        written = int((now_ms - self.read_ms) / _memory_models.TOKEN_MS)
         return min(self.output_tokens, written)
 
 
--- a/bluebellthread/core/routing/_placement_messages.py
+++ b/bluebellthread/core/routing/_placement_messages.py
@@ -122,8 +122,8 @@
     ----------
     prompt_tokens, output_tokens : int
         Tokens to read, and at most to write.
-    written_tokens : int
-        An estimate of what has been written.
+    writing_ms : int
+        How long its answer has been written; 0 before that.
     """
 
     ask_id: str
@@ -131,7 +131,7 @@
     decode_server: str
     prompt_tokens: int
     output_tokens: int
-    written_tokens: int
+    writing_ms: int
     deadline_ms: int
 
 
--- a/bluebellthread/entry/_placement_client.py
+++ b/bluebellthread/entry/_placement_client.py
@@ -23,7 +23,7 @@
 """How long an owner that did not answer is passed over; by then the
 membership has noticed its death, or it is back."""
 
-FOLLOW_PERIOD_S = 0.2
+FOLLOW_PERIOD_S = 0.1
 """How often the owner is looked up, to tell a new one what is held."""
 
 
@@ -52,8 +52,8 @@
         The VM that gave it.
     waited_ms : int
         From the first ask to the grant.
-    written_tokens : int
-        An estimate of what the decode server has written.
+    read_ms : int or None
+        When the prompt had been read.
     failed_prefill : str
         The prefill server, where its read prompt could not be fetched.
     """
@@ -67,7 +67,7 @@
     deadline_ms: int
     owner: str
     waited_ms: int
-    written_tokens: int = 0
+    read_ms: int | None = None
     failed_prefill: str = ''
 
 
@@ -142,6 +142,7 @@
 
     def note_read(self, place):
         """Tell the owner that the prompt has been read."""
+        place.read_ms = _clock.read_clock_ms()
         self._post(
             place.service,
             routing.PromptRead(ask_id=place.ask_id, serves=place.service),
@@ -200,6 +201,7 @@
         if owner is None:
             await trio.sleep(FOLLOW_PERIOD_S)
             return None, ''
+        self._register_with(ask.serves, owner)
         now_ms = _clock.read_clock_ms()
         ask = attrs.evolve(ask, poll_deadline_ms=now_ms + POLL_MS)
         try:
@@ -245,7 +247,9 @@
                 decode_server=place.decode_server,
                 prompt_tokens=place.prompt_tokens,
                 output_tokens=place.output_tokens,
-                written_tokens=place.written_tokens,
+                writing_ms=_clock.read_clock_ms() - place.read_ms
+                if place.read_ms is not None
+                else 0,
                 deadline_ms=place.deadline_ms,
             )
             for place in self._held.values()
@@ -258,14 +262,13 @@
             previous=previous[0] if previous else '',
             places=len(places),
         )
-        if places or previous is not None:
-            held = routing.PlacementsHeld(
-                vm=self._state.settings.vm,
-                vm_incarnation=self.incarnation,
-                serves=service,
-                places=places,
-            )
-            self._post(service, held)
+        held = routing.PlacementsHeld(
+            vm=self._state.settings.vm,
+            vm_incarnation=self.incarnation,
+            serves=service,
+            places=places,
+        )
+        self._post(service, held)
 
     def _post(self, service, message):
         try:
--- a/bluebellthread/entry/_placement_task.py
+++ b/bluebellthread/entry/_placement_task.py
@@ -18,20 +18,25 @@
 """How often waiting requests are looked at without an event: a few times
 in the time that reading a prompt takes."""
 
+HOLDER_STATES = ('alive', 'suspect', 'leaving')
+
 
 class PlacementTask:
-    """Runs an `Allocator` for each service that others ask about.
+    """Runs an allocator for each service that others ask about.
 
     Parameters
     ----------
     state : EntryState
+    find_owner : callable
+        Takes a service; returns the VM that owns it by this VM's view.
     options : AllocatorOptions
     """
 
-    def __init__(self, *, state, options=None):
+    def __init__(self, *, state, find_owner, options=None):
         self._state = state
+        self._find_owner = find_owner
         self._options = options
-        self._allocators = {}
+        self._owned = {}
         self._asked = {}
         self.inbox, self._receive = trio.open_memory_channel(QUEUE_LENGTH)
 
@@ -49,8 +54,11 @@
     def counts(self):
         """Waiting requests and places in use, by service."""
         return {
-            service: (allocator.waiting_count, allocator.place_count)
-            for service, allocator in self._allocators.items()
+            service: (
+                owned.allocator.waiting_count,
+                owned.allocator.place_count,
+            )
+            for service, owned in self._owned.items()
         }
 
     async def run(self):
@@ -64,54 +72,73 @@
         while True:
             await trio.sleep(TICK_PERIOD_S)
             now_ms = _clock.read_clock_ms()
-            for service, allocator in self._allocators.items():
-                if not allocator.is_idle:
-                    allocator.set_servers(self._state.engines_of(service))
-                    allocator.drop_gone(self._is_gone)
-                    self._answer_all(allocator.decide(now_ms))
+            for service, owned in self._owned.items():
+                self._follow_ownership(service, owned, now_ms)
+                if not owned.allocator.is_idle:
+                    owned.allocator.set_servers(
+                        self._state.engines_of(service)
+                    )
+                    owned.allocator.drop_gone(self._is_gone)
+                    self._decide(owned, now_ms)
             self._answer_polls(now_ms)
 
+    def _follow_ownership(self, service, owned, now_ms):
+        owner = self._find_owner(service)
+        is_owner = owner is not None and owner.name == self._state.settings.vm
+        if owned.check_ended(is_owner, now_ms):
+            emit(events.PLACEMENT_LEFT, service=service)
+
     def _handle(self, inbound, now_ms):
         message = inbound.message
-        allocator = self._allocator_of(message.serves)
+        owned = self._owned_of(message.serves)
         if isinstance(message, routing.PlacementAsk):
-            self._take_ask(allocator, inbound, now_ms)
+            self._take_ask(owned, inbound, now_ms)
         elif isinstance(message, routing.PromptRead):
-            allocator.note_read(message.ask_id, now_ms)
+            owned.allocator.note_read(message.ask_id, now_ms)
         elif isinstance(message, routing.PlacementEnded):
             self._asked.pop(message.ask_id, None)
-            allocator.end(
+            owned.allocator.end(
                 message.ask_id, now_ms, failed_server=message.failed_server
             )
         else:
-            allocator.hold(message, now_ms)
-        self._answer_all(allocator.decide(now_ms))
+            owned.hold(message, now_ms)
+        self._decide(owned, now_ms)
 
-    def _take_ask(self, allocator, inbound, now_ms):
+    def _take_ask(self, owned, inbound, now_ms):
         ask = inbound.message
-        allocator.set_servers(self._state.engines_of(ask.serves))
-        known = allocator.ask(ask, now_ms)
+        owned.note_asked(now_ms)
+        owned.allocator.set_servers(self._state.engines_of(ask.serves))
+        known = owned.allocator.ask(ask, now_ms)
         if known is not None:
             inbound.answer(known)
             return
         self._asked[ask.ask_id] = inbound
 
-    def _allocator_of(self, service):
-        allocator = self._allocators.get(service)
-        if allocator is None:
-            allocator = routing.Allocator(
+    def _owned_of(self, service):
+        owned = self._owned.get(service)
+        if owned is None:
+            owned = routing.OwnedAllocator(
                 options=self._options, rng=random.Random()
             )
-            self._allocators[service] = allocator
+            self._owned[service] = owned
             emit(events.PLACEMENT_OWNED, service=service)
-        return allocator
+        return owned
 
-    def _answer_all(self, answers):
-        for answer in answers:
+    def _decide(self, owned, now_ms):
+        if not owned.may_grant(self._live_processes(), now_ms):
+            return
+        for answer in owned.allocator.decide(now_ms):
             inbound = self._asked.pop(answer.ask_id, None)
             if inbound is not None:
                 inbound.answer(answer)
 
+    def _live_processes(self):
+        return {
+            (member.name, member.incarnation)
+            for member in self._state.view.members
+            if member.state in HOLDER_STATES
+        }
+
     def _answer_polls(self, now_ms):
         """Tell those whose poll is due that their requests still wait."""
         due = [
--- a/bluebellthread/entry/_service.py
+++ b/bluebellthread/entry/_service.py
@@ -110,11 +110,13 @@
         self._platform = _platform_task.PlatformTask(
             client=self._platform_client, state=self.state
         )
-        self._placement_task = _placement_task.PlacementTask(state=self.state)
-        self._placement_task.register(self._mailboxes)
         self._placements = _placement_client.PlacementClient(
             state=self.state, links=self._links, incarnation=self._incarnation
         )
+        self._placement_task = _placement_task.PlacementTask(
+            state=self.state, find_owner=self._placements.find_owner
+        )
+        self._placement_task.register(self._mailboxes)
 
     def _make_gateway(self, dialect):
         settings = self._settings
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -177,6 +177,9 @@
 PLACEMENT_OWNED = Event(
     7021, 'INFO', 'this VM is asked for places of service {service}'
 )
+PLACEMENT_LEFT = Event(
+    7025, 'INFO', 'this VM is no longer asked for places of {service}'
+)
 PLACEMENT_OWNER_CHANGED = Event(
     7022,
     'INFO',
--- a/bluebellthread/wire/peer.thrift
+++ b/bluebellthread/wire/peer.thrift
@@ -325,7 +325,7 @@
   4: i32 prompt_tokens,
   5: i64 deadline_ms,
   6: i32 output_tokens,
-  7: i32 written_tokens,
+  7: i32 writing_ms,
 }
 
 struct PlacementsHeld {
