Let more late requests wait; test the entry against stand-ins and replays

Cause: of the requests that can't be on time 0.6 for each decode server could wait. Change: 1.5 for each server. Changes of the platform that come together cost one watch (0.25 s pause).

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,6 +10,7 @@
 from bench import _deployments
 from bench import _faults
 from bench import _proxy_cost
+from bench import _replay
 from bench import _report
 from bench import _rig
 from bench import _run
@@ -109,6 +110,23 @@
         'proxy-cost', help="measure a daemon's processor time and memory"
     )
     cost.set_defaults(call=measure_cost)
+    replay = commands.add_parser(
+        'replay', help="play a recorded load against the entry's policies"
+    )
+    replay.add_argument('files', nargs='+', metavar='FILE')
+    replay.add_argument(
+        '--policy',
+        nargs='+',
+        default=[_replay.DEFAULT_POLICY],
+        help='WAITING-ORDER+MEMORY-MODEL',
+    )
+    replay.add_argument('--plot', metavar='FILE.png')
+    replay.set_defaults(call=_replay.replay_all)
+    record = commands.add_parser(
+        'record', help='write a load of bursts to a file'
+    )
+    _replay.add_record_arguments(record)
+    record.set_defaults(call=_replay.record)
     return parser
 
 
--- a/bench/_replay_world.py
+++ b/bench/_replay_world.py
@@ -76,18 +76,29 @@
         Worth earned over the worth of all on time.
     wasted_tokens : int
         Tokens read a second time after a preemption or a failure.
+    samples : list of (int, int)
+        Times and how many waited then.
+    refused_ms, held_ms, on_time_ms : list of int
+        When requests were refused, how long they had been held, and when
+        answers that began on time were whole.
     """
 
     on_time: int = 0
     late: int = 0
     unserved: int = 0
-    refusals: int = 0
     preemptions: int = 0
     wasted_tokens: int = 0
-    price: float = 0.0
     worth: float = 0.0
     worth_owed: float = 0.0
     samples: list = attrs.field(factory=list)
+    refused_ms: list = attrs.field(factory=list)
+    held_ms: list = attrs.field(factory=list)
+    on_time_ms: list = attrs.field(factory=list)
+
+    @property
+    def refusals(self):
+        """How often callers were refused."""
+        return len(self.refused_ms)
 
     @property
     def worth_share(self):
@@ -188,15 +199,15 @@
         self._decide()
 
     def _refused(self, job, retry_after_ms):
-        held = max(0, self._now_ms - job.sent_ms - TARGET_MS/8)/(TIMEOUT_MS*.5)
-        v = 23*min(4.0, 0.3 + 0.7 * _size_of(job.request) / self._mean_size)
-        self.result.price += v*min(1,held) + (0.3*v if job.tries>1 else 0)
-        self.result.refusals += 1
+        self.result.refused_ms.append(self._now_ms)
+        self.result.held_ms.append(self._now_ms - job.sent_ms)
         left_ms = job.first_sent_ms + TIMEOUT_MS - self._now_ms
         if job.tries > 1:
             self._finish(job, 'unserved')
             return
-        self._after(min(retry_after_ms, left_ms * RETRY_SHARE), self._send, job)
+        self._after(
+            min(retry_after_ms, left_ms * RETRY_SHARE), self._send, job
+        )
 
     def _finish(self, job, outcome):
         if job.outcome:
@@ -213,6 +224,7 @@
         first_ms = job.first_event_ms - job.first_sent_ms
         if first_ms <= TARGET_MS and job.stalled_ms <= 300:
             result.on_time += 1
+            result.on_time_ms.append(self._now_ms)
             result.worth += WORTH_ON_TIME * value
         else:
             result.late += 1
@@ -224,9 +236,7 @@
         for answer in self._allocator.decide(self._now_ms):
             job = self._jobs[answer.ask_id]
             if isinstance(answer, routing.PlacementRefused):
-                self._after(
-                    HOP_MS, self._refused, job, answer.retry_after_ms
-                )
+                self._after(HOP_MS, self._refused, job, answer.retry_after_ms)
             else:
                 job.prefill = answer.prefill_server
                 job.decode = answer.decode_server
@@ -260,9 +270,7 @@
             self._end_ask(job, ask_id, job.prefill)
             self._retry(job)
             return
-        free_ms = max(
-            self._now_ms, self._prefill_free_ms.get(job.prefill, 0)
-        )
+        free_ms = max(self._now_ms, self._prefill_free_ms.get(job.prefill, 0))
         done_ms = free_ms + job.request.prompt_tokens / PREFILL_TOKENS_PER_MS
         self._prefill_free_ms[job.prefill] = done_ms
         self._at(done_ms + TRANSFER_MS, self._begin, job, ask_id)
@@ -341,15 +349,11 @@
             if ready and used + job.memory <= decode.engine.memory_tokens:
                 decode.stalled.remove(entry)
                 decode.running.append(job)
-                job.stalled_ms = max(
-                    job.stalled_ms, self._now_ms - since_ms
-                )
+                job.stalled_ms = max(job.stalled_ms, self._now_ms - since_ms)
                 used += job.memory
 
     def _end_ask(self, job, ask_id, failed):
-        self._after(
-            HOP_MS, self._note_end, ask_id, failed
-        )
+        self._after(HOP_MS, self._note_end, ask_id, failed)
 
     def _note_end(self, ask_id, failed):
         self._allocator.end(ask_id, self._now_ms, failed_server=failed)
--- a/bluebellthread/core/routing/__init__.py
+++ b/bluebellthread/core/routing/__init__.py
@@ -5,6 +5,7 @@
 from bluebellthread.core.routing._directory import ListedServer
 from bluebellthread.core.routing._directory import ServerDirectory
 from bluebellthread.core.routing._engine_account import EngineServer
+from bluebellthread.core.routing._memory_models import memory_models
 from bluebellthread.core.routing._ownership_epoch import OwnedAllocator
 from bluebellthread.core.routing._placement_messages import HeldPlacement
 from bluebellthread.core.routing._placement_messages import PLACEMENT_MESSAGES
@@ -55,5 +56,6 @@
     'ServerDirectory',
     'ServiceShare',
     'ServiceTraits',
+    'memory_models',
     'waiting_orders',
 ]
--- a/bluebellthread/core/routing/_allocator.py
+++ b/bluebellthread/core/routing/_allocator.py
@@ -51,7 +51,7 @@
     waiting_order: str = 'on-time-first'
     memory_model: str = 'growth'
     prefill_depth: int = 2
-    late_per_server: float = 0.6
+    late_per_server: float = 1.5
 
 
 @attrs.define(kw_only=True)
--- a/bluebellthread/core/routing/_repeat_budget.py
+++ b/bluebellthread/core/routing/_repeat_budget.py
@@ -46,9 +46,8 @@
         for times_ms in (self._requests_ms, self._repeats_ms):
             while times_ms and times_ms[0] <= horizon_ms:
                 times_ms.popleft()
-        allowed = (
-            self._ratio * len(self._requests_ms)
-            + self._slack / max(1, vm_count)
+        allowed = self._ratio * len(self._requests_ms) + self._slack / max(
+            1, vm_count
         )
         if len(self._repeats_ms) + count > allowed:
             return False
--- a/bluebellthread/entry/_event_splitter.py
+++ b/bluebellthread/entry/_event_splitter.py
@@ -5,7 +5,7 @@
 
 
 class EventSplitter:
-    """Holds back what is not yet a whole event.
+    r"""Holds back what is not yet a whole event.
 
     A server may stop in the middle of an event; what has been passed on
     then still ends between two.
@@ -18,8 +18,8 @@
     Examples
     --------
     >>> splitter = EventSplitter()
-    >>> splitter.push(b'id: 1\\ndata: a\\n\\nid: 2')
-    b'id: 1\\ndata: a\\n\\n'
+    >>> splitter.push(b'id: 1\ndata: a\n\nid: 2')
+    b'id: 1\ndata: a\n\n'
     >>> splitter.last_id, splitter.rest
     ('1', b'id: 2')
     """
--- a/bluebellthread/entry/_plain_path.py
+++ b/bluebellthread/entry/_plain_path.py
@@ -5,7 +5,6 @@
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
 from bluebellthread.entry import _http_messages
-from bluebellthread.entry import _refusals
 from bluebellthread.entry import _server_calls
 from bluebellthread.entry import _server_connection
 from bluebellthread.entry import _work
@@ -107,7 +106,9 @@
         except _server_calls.CallFailedError as error:
             now_ms = _clock.read_clock_ms()
             self._choice.note_failure(server, now_ms)
-            work.note_failed(server.name, _work.STAGE_RUN, error, now_ms - begun_ms)
+            work.note_failed(
+                server.name, _work.STAGE_RUN, error, now_ms - begun_ms
+            )
             return error
         finally:
             self._choice.end(server)
--- a/bluebellthread/entry/_platform_task.py
+++ b/bluebellthread/entry/_platform_task.py
@@ -15,6 +15,11 @@
 """Pauses between tries while the platform is away: a change has to be in
 force within seconds of its return."""
 
+GATHER_S = 0.25
+"""Pause after a change before the next watch, so that changes that come
+together cost one call; a tenth of the time in which a change has to be in
+force."""
+
 EXPIRE_PERIOD_S = 0.2
 """How often lapsed entries are looked at; a tenth of their time."""
 
@@ -51,6 +56,7 @@
             try:
                 after = await step(after, watch)
                 pause_s = RETRY_FIRST_S
+                await trio.sleep(GATHER_S)
             except changes_module.HistoryLostError as error:
                 emit(events.PLATFORM_HISTORY_LOST, what=name, error=error)
                 after = None
--- a/bluebellthread/entry/_server_connection.py
+++ b/bluebellthread/entry/_server_connection.py
@@ -357,4 +357,3 @@
             timeout_ms = int(value) * _clock.MS_PER_S
             return max(0, timeout_ms - IDLE_MARGIN_MS)
     return IDLE_DEFAULT_MS
-
--- a/bluebellthread/entry/_service.py
+++ b/bluebellthread/entry/_service.py
@@ -59,6 +59,12 @@
         How backend servers are spoken to.
     platform_client : object
         The adapter's client of the platform.
+
+    Attributes
+    ----------
+    state : EntryState
+    ports : dict of str to int
+        Where it listens, by the names of the settings.
     """
 
     def __init__(self, *, settings, dialect, platform_client):
@@ -66,6 +72,7 @@
         self._incarnation = secrets.randbits(62)
         self._platform_client = platform_client
         self.state = _state.EntryState(settings)
+        self.ports = {}
         self.stats = _stats.EntryStats()
         self._stop = trio.Event()
         self._connections = _server_connection.ServerConnections()
@@ -170,42 +177,30 @@
         self._membership.set_seeds(_seeds_of(settings))
         emit(events.SETTINGS_RELOADED, changed=', '.join(changed) or 'nothing')
 
-    async def run(self):
-        """Serve until stopped and drained."""
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
+        """Serve until stopped and drained.
+
+        The task status is told once all ports listen.
+        """
         settings = self._settings
         async with trio.open_nursery() as nursery:
             await nursery.start(self._links.run)
-            await nursery.start(
-                self._peer_server.serve, settings.host, settings.peer_port
-            )
-            member = core.Member(
-                name=settings.vm,
-                data_centre=settings.data_centre,
-                region=settings.region,
-                host=settings.host,
-                peer_port=settings.peer_port,
-                caller_port=settings.caller_port,
-                incarnation=self._incarnation,
-            )
-            await nursery.start(
-                functools.partial(
-                    self._membership.run,
-                    address=(settings.host, settings.peer_port),
-                ),
-                member,
-            )
-            nursery.start_soon(self._placement_task.run)
-            nursery.start_soon(self._placements.run)
-            nursery.start_soon(self._platform.run)
-            nursery.start_soon(self._prune)
             await self._listen(nursery)
+            await self._join(nursery)
+            for task in (
+                self._placement_task,
+                self._placements,
+                self._platform,
+            ):
+                nursery.start_soon(task.run)
+            nursery.start_soon(self._prune)
             emit(
                 events.ENTRY_STARTED,
                 vm=settings.vm,
                 incarnation=self._incarnation,
-                caller_port=settings.caller_port,
-                peer_port=settings.peer_port,
+                **self.ports,
             )
+            task_status.started()
             await self._stop.wait()
             await self._drain()
             nursery.cancel_scope.cancel()
@@ -213,20 +208,42 @@
 
     async def _listen(self, nursery):
         settings = self._settings
-        for port, handler in (
-            (settings.caller_port, self._serve_caller),
-            (settings.ready_port, self._serve_question),
-            (settings.metrics_port, self._serve_question),
+        listeners = await nursery.start(
+            self._peer_server.serve, settings.host, settings.peer_port
+        )
+        self.ports['peer_port'] = _port_of(listeners)
+        for name, handler in (
+            ('caller_port', self._serve_caller),
+            ('ready_port', self._serve_question),
+            ('metrics_port', self._serve_question),
         ):
-            await nursery.start(
+            listeners = await nursery.start(
                 functools.partial(
                     trio.serve_tcp,
                     handler,
-                    port,
+                    getattr(settings, name),
                     host=settings.host,
                     backlog=LISTEN_BACKLOG,
                 )
             )
+            self.ports[name] = _port_of(listeners)
+
+    async def _join(self, nursery):
+        """Become a member that other VMs know of."""
+        settings = self._settings
+        member = core.Member(
+            name=settings.vm,
+            data_centre=settings.data_centre,
+            region=settings.region,
+            host=settings.host,
+            peer_port=self.ports['peer_port'],
+            caller_port=self.ports['caller_port'],
+            incarnation=self._incarnation,
+        )
+        address = (settings.host, self.ports['peer_port'])
+        await nursery.start(
+            functools.partial(self._membership.run, address=address), member
+        )
 
     async def _serve_caller(self, stream):
         _sockets.limit_silence(stream.socket)
@@ -308,6 +325,10 @@
 _DRAIN_POLL_S = 0.05
 
 
+def _port_of(listeners):
+    return listeners[0].socket.getsockname()[1]
+
+
 def _format_error(error):
     return ''.join(traceback.format_exception(error))[-ERROR_CHARACTERS:]
 
--- a/bluebellthread/entry/_stream_path.py
+++ b/bluebellthread/entry/_stream_path.py
@@ -251,9 +251,7 @@
         Its place is still reserved. A refusal then mostly means that the
         prompt's cache could not be fetched.
         """
-        return error.was_refused and self._budgets.spend(
-            self._work.service, 1
-        )
+        return error.was_refused and self._budgets.spend(self._work.service, 1)
 
     # The prompt
 
--- a/bluebellthread/entry/_work.py
+++ b/bluebellthread/entry/_work.py
@@ -156,10 +156,8 @@
         """Write the line that tells how the request ended."""
         exchange = self.exchange
         outcome = self.outcome
-        if exchange.caller_gone:
-            outcome = 'caller-gone'
-        elif exchange.is_started and not exchange.is_complete:
-            outcome = 'broken-off'
+        if not exchange.is_complete:
+            outcome = 'caller-gone' if exchange.caller_gone else 'broken-off'
         self._stats.count_request(
             kind=self.route.kind, outcome=outcome, took_ms=self.age_ms
         )
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -133,8 +133,8 @@
 ENTRY_STARTED = Event(
     7001,
     'INFO',
-    'entry {vm} started as {incarnation}: callers at {caller_port}, peers at '
-    '{peer_port}',
+    'entry {vm} started as {incarnation}: callers at {caller_port}, ready at '
+    '{ready_port}, metrics at {metrics_port}, peers at {peer_port}',
 )
 ENTRY_STOPPING = Event(
     7002, 'INFO', 'entry {vm} is stopping with {connections} connections'
@@ -143,9 +143,7 @@
     7003, 'INFO', 'entry {vm} stopped with {connections} connections open'
 )
 SETTINGS_RELOADED = Event(7004, 'INFO', 'settings read again: {changed}')
-SETTINGS_UNUSABLE = Event(
-    7005, 'ERROR', 'settings kept as they were: {error}'
-)
+SETTINGS_UNUSABLE = Event(7005, 'ERROR', 'settings kept as they were: {error}')
 CONNECTION_CRASHED = Event(
     7006, 'ERROR', 'a connection met a fault of the router: {error}'
 )
@@ -153,9 +151,7 @@
 PLATFORM_REGAINED = Event(
     7012, 'INFO', 'the {what} is to be had again after {lost_ms} ms'
 )
-PLATFORM_HISTORY_LOST = Event(
-    7013, 'INFO', 'the {what} is read anew: {error}'
-)
+PLATFORM_HISTORY_LOST = Event(7013, 'INFO', 'the {what} is read anew: {error}')
 CONFIGURATION_IN_FORCE = Event(
     7014,
     'INFO',
--- a/bluebellthread/platform/__main__.py
+++ b/bluebellthread/platform/__main__.py
@@ -5,13 +5,14 @@
 import signal
 import sys
 
+import attrs
 import trio
 
-from bluebellthread import observe
-from bluebellthread import platform
 from bluebellthread.entry import EntryService
+from bluebellthread import observe
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
+from bluebellthread import platform
 
 EXIT_BAD_SETTINGS = 2
 
@@ -20,21 +21,30 @@
     """Run one entry process; return the exit code."""
     parser = argparse.ArgumentParser(
         prog='python3 -m bluebellthread.platform',
-        description='Serve callers on the users\' platform.',
+        description="Serve callers on the users' platform.",
     )
     parser.add_argument(
         '--settings',
         metavar='FILE',
         default=os.environ.get(platform.SETTINGS_VARIABLE),
-        help='the platform\'s settings file; by default the one that '
+        help="the platform's settings file; by default the one that "
         f'{platform.SETTINGS_VARIABLE} names',
     )
+    parser.add_argument(
+        '--metrics-port',
+        type=int,
+        help='where to serve metrics; 0 lets the system choose',
+    )
     options = parser.parse_args(arguments)
     if not options.settings:
         parser.error(f'name --settings or set {platform.SETTINGS_VARIABLE}')
     observe.start_json_log()
     try:
         settings = platform.load_settings(options.settings)
+        if options.metrics_port is not None:
+            settings = attrs.evolve(
+                settings, metrics_port=options.metrics_port
+            )
     except platform.SettingsError as error:
         print(error, file=sys.stderr)
         return EXIT_BAD_SETTINGS
--- a/bluebellthread/platform/_settings.py
+++ b/bluebellthread/platform/_settings.py
@@ -62,9 +62,7 @@
     bounds = fields['bounds']
     limits = fields['limits']
     listen = fields['listen']
-    platform_host, platform_port = split_address(
-        fields['platform']['address']
-    )
+    platform_host, platform_port = split_address(fields['platform']['address'])
     return EntrySettings(
         vm=fields['nodeName'],
         data_centre=fields['zone'],
--- a/bluebellthread/platform/_store_client.py
+++ b/bluebellthread/platform/_store_client.py
@@ -130,7 +130,9 @@
         try:
             fields = json.loads(response.content)
         except ValueError as error:
-            raise PlatformUnavailableError(f'unreadable body: {error}') from error
+            raise PlatformUnavailableError(
+                f'unreadable body: {error}'
+            ) from error
         if not isinstance(fields, dict):
             raise PlatformUnavailableError('the body is no table of fields')
         return fields
@@ -176,5 +178,3 @@
         )
     except _decoding.EntryError as error:
         return ServerChange(name=name, problem=str(error))
-
-
--- /dev/null
+++ b/standin/site/_backend.py
@@ -0,0 +1,164 @@
+"""Stand-ins for plain servers and model engines of the platform."""
+
+import itertools
+import json
+
+import attrs
+import trio
+
+from standin.site import _connection
+
+ATTEMPT = 'x-request-attempt-id'
+SEAL = 'x-server-seal'
+
+
+@attrs.define(kw_only=True)
+class PlainServer:
+    """A server of a plain service.
+
+    Parameters
+    ----------
+    script : list of callable
+        Each takes a `SiteRequest` and answers the next call instead of
+        the server; ``async``.
+    runs : list of SiteRequest
+        The calls that it has run.
+    """
+
+    name: str
+    port: int = 0
+    slots: int = 6
+    script: list = attrs.field(factory=list)
+    runs: list = attrs.field(factory=list)
+    arrivals: list = attrs.field(factory=list)
+
+    async def start(self, nursery):
+        """Listen and serve."""
+        self.port = await _connection.serve(nursery, self._handle)
+
+    def entry(self, service, **changes):
+        """Return the server's entry in the store."""
+        return {
+            'service': service,
+            'address': f'127.0.0.1:{self.port}',
+            'zone': 'cluj-a',
+            'version': 'v1',
+            'slots': self.slots,
+            'state': 'ready',
+            'coldLeftMs': 0,
+            'sequence': 1,
+            **changes,
+        }
+
+    async def _handle(self, request):
+        self.arrivals.append(request)
+        if request.headers.get('x-expect-instance') != self.name:
+            await request.answer(421, headers=[('x-not-executed', '1')])
+            return
+        if self.script:
+            await self.script.pop(0)(request)
+            return
+        await self.run(request)
+
+    async def run(self, request):
+        """Run a call and answer it."""
+        self.runs.append(request)
+        body = b'from ' + self.name.encode() + b': ' + request.body
+        await request.answer(200, body, self.answer_headers(request))
+
+    def answer_headers(self, request):
+        """Return what a server puts on its answers."""
+        return [
+            (ATTEMPT, request.headers.get(ATTEMPT, '')),
+            (SEAL, f'seal-of-{self.name}'),
+            ('x-instance-load', f'1,0,{self.slots}'),
+        ]
+
+
+@attrs.define(kw_only=True)
+class Engine(PlainServer):
+    """A model engine of one stage.
+
+    Parameters
+    ----------
+    stage : str
+        ``'prefill'`` or ``'decode'``.
+    event_count : int
+        Events of an answer.
+    break_after : list of int
+        For each run in turn: the events after which its stream breaks.
+    hold : trio.Event or None
+        What a stream waits for before its last event.
+    """
+
+    stage: str = 'decode'
+    event_count: int = 4
+    break_after: list = attrs.field(factory=list)
+    hold: object = None
+    loses_handles: bool = False
+    freed: list = attrs.field(factory=list)
+    prefills: list = attrs.field(factory=list)
+    _numbers: object = attrs.field(factory=lambda: itertools.count(1))
+
+    def entry(self, service, **changes):
+        """Return the engine's entry in the store."""
+        fields = super().entry(service, **changes)
+        return {'stage': self.stage, 'slots': 48, **fields}
+
+    async def run(self, request):
+        """Read a prompt, or stream an answer."""
+        if request.method == 'DELETE':
+            self.freed.append(request.path.rpartition('/')[2])
+            await request.answer(200)
+        elif request.headers.get('x-serving-stage') == 'prefill':
+            await self._read(request)
+        elif self.loses_handles and 'x-kv-source' in request.headers:
+            await request.answer(503, headers=[('x-not-executed', '1')])
+        else:
+            self.runs.append(request)
+            await self._stream(request)
+
+    async def _read(self, request):
+        if self.stage != 'prefill':
+            await request.answer(421, headers=[('x-not-executed', '1')])
+            return
+        self.prefills.append(request)
+        handle = f'{self.name}-{next(self._numbers)}'
+        body = {'handle': handle, 'tokens': 1, 'version': 1}
+        await request.answer(
+            200,
+            json.dumps(body).encode(),
+            [(ATTEMPT, request.headers.get(ATTEMPT, ''))],
+        )
+
+    async def _stream(self, request):
+        begin = int(request.headers.get('last-event-id') or 0) + 1
+        broken = self.break_after.pop(0) if self.break_after else None
+        await request.begin_chunks(
+            200,
+            [
+                *self.answer_headers(request),
+                ('content-type', 'text/event-stream'),
+            ],
+        )
+        for number in range(begin, self.event_count + 1):
+            if broken is not None and number > broken:
+                # In the middle of an event.
+                await request.send_chunk(f'id: {number}\nda'.encode())
+                await request.reset()
+                return
+            if self.hold is not None and number == self.event_count:
+                await self.hold.wait()
+            await request.send_chunk(make_event(number))
+        await request.send_chunk(b'')
+
+
+def make_event(number):
+    """Return the bytes of one event of an answer."""
+    return f'id: {number}\ndata: piece {number}\n\n'.encode()
+
+
+async def never(request):
+    """Never answer a call."""
+    del request
+    await trio.sleep_forever()
--- /dev/null
+++ b/standin/site/_connection.py
@@ -0,0 +1,137 @@
+"""A raw HTTP/1.1 server, whose handlers may misbehave on the wire."""
+
+import functools
+from urllib import parse
+
+import h11
+import trio
+
+RECEIVE_BYTES = 65536
+
+
+class SiteRequest:
+    """One call, read whole, and the stream to answer on."""
+
+    def __init__(self, *, head, body, stream):
+        self.method = head.method.decode()
+        self.target = head.target.decode()
+        self.path, _, query = self.target.partition('?')
+        self.query = dict(parse.parse_qsl(query))
+        self.headers = {
+            name.decode(): value.decode() for name, value in head.headers
+        }
+        self.body = body
+        self.stream = stream
+        self.keeps_connection = True
+
+    async def answer(self, status, body=b'', headers=()):
+        """Send a whole answer."""
+        await self.stream.send_all(make_answer(status, body, headers))
+
+    async def begin_chunks(self, status, headers=()):
+        """Send the head of an answer in chunks."""
+        lines = [f'HTTP/1.1 {status} X', 'transfer-encoding: chunked']
+        lines += [f'{name}: {value}' for name, value in headers]
+        await self.stream.send_all(_join(lines))
+
+    async def send_chunk(self, data):
+        """Send one chunk; an empty one ends the answer."""
+        size = f'{len(data):x}\r\n'.encode()
+        await self.stream.send_all(size + data + b'\r\n')
+
+    async def reset(self):
+        """End the connection without an answer."""
+        self.keeps_connection = False
+        await trio.aclose_forcefully(self.stream)
+
+
+def make_answer(status, body=b'', headers=()):
+    """Return the bytes of a whole answer."""
+    lines = [f'HTTP/1.1 {status} X', f'content-length: {len(body)}']
+    lines += [f'{name}: {value}' for name, value in headers]
+    return _join(lines) + body
+
+
+def _join(lines):
+    return ('\r\n'.join(lines) + '\r\n\r\n').encode()
+
+
+async def serve(nursery, handler, *, host='127.0.0.1'):
+    """Serve a handler on a port of the system's choice; return the port."""
+    listeners = await nursery.start(
+        functools.partial(
+            trio.serve_tcp,
+            functools.partial(_serve_connection, handler),
+            0,
+            host=host,
+        )
+    )
+    return listeners[0].socket.getsockname()[1]
+
+
+async def _serve_connection(handler, stream):
+    conn = h11.Connection(h11.SERVER)
+    try:
+        while True:
+            request = await _read_request(conn, stream)
+            if request is None:
+                return
+            await _run_until_gone(handler, request, conn)
+            if not request.keeps_connection:
+                return
+            # Answers are written raw; the parser only needs the next cycle.
+            rest = conn.trailing_data[0]
+            conn = h11.Connection(h11.SERVER)
+            if rest:
+                conn.receive_data(rest)
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        # The caller has left.
+        return
+    finally:
+        await trio.aclose_forcefully(stream)
+
+
+async def _run_until_gone(handler, request, conn):
+    """Run a handler; cancel it when the other side closes."""
+    raised = None
+
+    async def watch(scope):
+        try:
+            data = await request.stream.receive_some(RECEIVE_BYTES)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            data = b''
+        if data:
+            conn.receive_data(data)
+        else:
+            request.keeps_connection = False
+            scope.cancel()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(watch, nursery.cancel_scope)
+        try:
+            await handler(request)
+        except Exception as error:
+            raised = error
+        nursery.cancel_scope.cancel()
+    if raised is not None:
+        raise raised
+
+
+async def _read_request(conn, stream):
+    head = None
+    body = bytearray()
+    while True:
+        event = conn.next_event()
+        if event is h11.NEED_DATA:
+            data = await stream.receive_some(RECEIVE_BYTES)
+            if not data:
+                return None
+            conn.receive_data(data)
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += event.data
+        elif isinstance(event, h11.EndOfMessage):
+            return SiteRequest(head=head, body=bytes(body), stream=stream)
+        else:
+            return None
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -8,6 +8,8 @@
 import sys
 import unittest
 
+from loguru import logger
+
 KNOWN_RED_PATH = pathlib.Path(__file__).parent.parent / 'KNOWN-RED.txt'
 
 
@@ -31,6 +33,8 @@
 
 def main():
     """Run the tests that the command line names, or all of them."""
+    # What entries inside the tests' own loops log is not looked at.
+    logger.remove()
     known_red = read_known_red()
     runner = unittest.TextTestRunner(verbosity=2, stream=sys.stdout)
     result = runner.run(load_tests(sys.argv[1:]))
--- /dev/null
+++ b/tests/integration/test_entry_plain.py
@@ -0,0 +1,313 @@
+import functools
+import unittest
+
+import trio
+
+from standin.site import _backend
+from standin.site import _connection
+from tests.integration import _entry_site as sites
+
+
+def run(test):
+    """Run an ``async`` test in its own loop."""
+
+    @functools.wraps(test)
+    def wrapper(self):
+        trio.run(test, self)
+
+    return wrapper
+
+
+async def reset(request):
+    await request.reset()
+
+
+async def refuse(request):
+    await request.answer(503, headers=[('x-not-executed', '1')])
+
+
+def fail_with(server, status):
+    async def fail(request):
+        server.runs.append(request)
+        await request.answer(status, b'bad', server.answer_headers(request))
+
+    return fail
+
+
+def runs_of(site):
+    return sum(len(server.runs) for server in site.servers.values())
+
+
+class TestAnswers(unittest.TestCase):
+    @run
+    async def test_answer_is_the_servers_own(self):
+        async with sites.running_site() as site:
+            answer = await site.call('POST', '/order/x?q=1', b'two wigs')
+            self.assertEqual(200, answer.status)
+            self.assertIn(b'two wigs', answer.body)
+            self.assertIn('seal-of-s', answer.headers['x-server-seal'])
+            (server,) = [s for s in site.servers.values() if s.runs]
+            sent = server.runs[0]
+            self.assertEqual('/order/x?q=1', sent.target)
+            self.assertLessEqual(int(sent.headers['x-deadline-ms']), 8000)
+
+    @run
+    async def test_headers_of_the_router_are_not_taken_from_callers(self):
+        async with sites.running_site(plain=('s1',)) as site:
+            await site.call(
+                'POST',
+                '/order/x',
+                headers=['X-Kv-Source: 10.0.0.1:1/h', 'X-Other: kept'],
+            )
+            sent = site.servers['s1'].runs[0].headers
+            self.assertNotIn('x-kv-source', sent)
+            self.assertEqual('kept', sent['x-other'])
+
+    @run
+    async def test_unknown_route_is_404_and_no_configuration_503(self):
+        async with sites.running_site() as site:
+            answer = await site.call('GET', '/nowhere/')
+            self.assertEqual(404, answer.status)
+            site.entry.state.table = type(site.entry.state.table)()
+            answer = await site.call('GET', '/nowhere/')
+            self.assertEqual(503, answer.status)
+            self.assertIn('retry-after', answer.headers)
+
+    @run
+    async def test_connection_serves_many_requests(self):
+        async with sites.running_site() as site:
+            async with await site.connect() as caller:
+                for number in range(3):
+                    answer = await caller.call(
+                        'GET', '/read/x', request_id=f'id-{number}'
+                    )
+                    self.assertEqual(200, answer.status)
+
+
+class TestRepeats(unittest.TestCase):
+    @run
+    async def test_read_is_sent_again_after_a_failure(self):
+        async with sites.running_site() as site:
+            for server in site.servers.values():
+                server.script.append(fail_with(server, 500))
+            answer = await site.call('GET', '/read/x')
+            # Each of two servers may run it once.
+            self.assertEqual(500, answer.status)
+            self.assertEqual(2, runs_of(site))
+            answer = await site.call('GET', '/read/x', request_id='id-2')
+            self.assertEqual(200, answer.status)
+
+    @run
+    async def test_order_is_not_sent_again_once_written(self):
+        async with sites.running_site() as site:
+            for server in site.servers.values():
+                server.script.append(reset)
+            answer = await site.call('POST', '/order/x', b'one wig')
+            self.assertEqual(502, answer.status)
+            arrivals = sum(len(s.arrivals) for s in site.servers.values())
+            self.assertEqual(1, arrivals)
+
+    @run
+    async def test_order_is_sent_on_after_a_refusal(self):
+        async with sites.running_site() as site:
+            for server in site.servers.values():
+                server.script.append(refuse)
+            site.servers['s1'].script.clear()
+            answer = await site.call('POST', '/order/x', b'one wig')
+            self.assertEqual(200, answer.status)
+            self.assertEqual(1, runs_of(site))
+
+    @run
+    async def test_refusal_by_all_is_told_as_not_run(self):
+        async with sites.running_site() as site:
+            for server in site.servers.values():
+                server.script.append(refuse)
+            answer = await site.call('POST', '/order/x', b'one wig')
+            self.assertEqual(503, answer.status)
+            self.assertIn('retry-after', answer.headers)
+            self.assertEqual(0, runs_of(site))
+
+    @run
+    async def test_refused_calls_share_no_connection(self):
+        # A connection that was given back twice served two requests.
+        async with sites.running_site(plain=('s1',)) as site:
+            server = site.servers['s1']
+            server.script.append(refuse)
+            await site.call('GET', '/read/x')
+            idle = site.entry._connections._idle
+            kept = [item for items in idle.values() for item, _ in items]
+            self.assertEqual(len(set(map(id, kept))), len(kept))
+
+    @run
+    async def test_status_without_a_promise_is_not_passed_on_as_one(self):
+        async with sites.running_site(plain=('s1',)) as site:
+            server = site.servers['s1']
+            server.script.append(fail_with(server, 503))
+            answer = await site.call('POST', '/order/x', b'one wig')
+            self.assertEqual(502, answer.status)
+
+
+class TestOddAnswers(unittest.TestCase):
+    async def check_order(self, site, answer_bytes, status):
+        async def odd(request):
+            await request.stream.send_all(answer_bytes(request))
+            request.keeps_connection = False
+
+        site.servers['s1'].script.append(odd)
+        answer = await site.call('POST', '/order/x', b'one wig')
+        self.assertEqual(status, answer.status)
+        return answer
+
+    @run
+    async def test_late_answer_to_another_request_is_skipped(self):
+        async with sites.running_site(plain=('s1',)) as site:
+            server = site.servers['s1']
+
+            def two_answers(request):
+                foreign = [('x-request-attempt-id', 'older')]
+                return _connection.make_answer(
+                    200, b'foreign', foreign
+                ) + _connection.make_answer(
+                    200, b'own', server.answer_headers(request)
+                )
+
+            answer = await self.check_order(site, two_answers, 200)
+            self.assertEqual(b'own', answer.body)
+
+    @run
+    async def test_bytes_after_an_answer_end_the_connection(self):
+        async with sites.running_site(plain=('s1',)) as site:
+            server = site.servers['s1']
+
+            def extra(request):
+                own = server.answer_headers(request)
+                return _connection.make_answer(
+                    200, b'own', own
+                ) + _connection.make_answer(200, b'extra', own)
+
+            answer = await self.check_order(site, extra, 200)
+            self.assertEqual(b'own', answer.body)
+            answer = await site.call('POST', '/order/x', b'next')
+            self.assertIn(b'next', answer.body)
+
+    @run
+    async def test_success_without_proof_is_no_success(self):
+        async with sites.running_site(plain=('s1',)) as site:
+            await self.check_order(
+                site,
+                lambda request: _connection.make_answer(200, b'x'),
+                502,
+            )
+
+    @run
+    async def test_encoded_answer_is_no_answer(self):
+        async with sites.running_site(plain=('s1',)) as site:
+            server = site.servers['s1']
+
+            def encoded(request):
+                headers = server.answer_headers(request)
+                headers.append(('content-encoding', 'gzip'))
+                return _connection.make_answer(200, b'x', headers)
+
+            await self.check_order(site, encoded, 502)
+
+    @run
+    async def test_answer_that_breaks_off_is_no_answer(self):
+        async with sites.running_site(plain=('s1',)) as site:
+            server = site.servers['s1']
+
+            def half(request):
+                return _connection.make_answer(
+                    200, b'0123456789', server.answer_headers(request)
+                )[:-5]
+
+            await self.check_order(site, half, 502)
+
+    @run
+    async def test_answer_without_length_ends_with_its_connection(self):
+        async with sites.running_site(plain=('s1',)) as site:
+            server = site.servers['s1']
+
+            def unframed(request):
+                lines = ['HTTP/1.1 200 OK']
+                for name, value in server.answer_headers(request):
+                    lines.append(f'{name}: {value}')
+                return ('\r\n'.join(lines) + '\r\n\r\nall').encode()
+
+            answer = await self.check_order(site, unframed, 200)
+            self.assertEqual(b'all', answer.body)
+
+    @run
+    async def test_bytes_that_are_no_answer_are_not_passed_on(self):
+        async with sites.running_site(plain=('s1',)) as site:
+            await self.check_order(site, lambda request: b'\0\1 junk\r\n', 502)
+
+
+class TestCallers(unittest.TestCase):
+    @run
+    async def test_leaving_caller_ends_the_work(self):
+        async with sites.running_site(plain=('s1',)) as site:
+            ended = trio.Event()
+
+            async def hang(request):
+                try:
+                    await _backend.never(request)
+                finally:
+                    ended.set()
+
+            server = site.servers['s1']
+            server.script.append(hang)
+            async with await site.connect() as caller:
+                await caller.send('POST', '/order/x', b'one wig')
+                await sites.until(lambda: server.arrivals)
+            await ended.wait()
+
+    @run
+    async def test_timeout_of_the_route_is_answered(self):
+        async with sites.running_site(plain=('s1',)) as site:
+            site.servers['s1'].script.append(_backend.never)
+            answer = await site.call(
+                'POST', '/order/x', b'one wig', deadline_ms=150
+            )
+            self.assertEqual(504, answer.status)
+
+    async def check_raw(self, data, status):
+        async with sites.running_site() as site:
+            async with await site.connect() as caller:
+                await caller.stream.send_all(data)
+                answer = await caller.read_answer()
+                self.assertEqual(status, answer.status)
+                self.assertEqual('close', answer.headers['connection'])
+            self.assertEqual(0, runs_of(site))
+
+    @run
+    async def test_two_lengths_are_refused(self):
+        await self.check_raw(
+            b'POST /order/x HTTP/1.1\r\nHost: calls.example\r\n'
+            b'Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n'
+            b'0\r\n\r\nGET /order/y HTTP/1.1\r\n\r\n',
+            400,
+        )
+
+    @run
+    async def test_long_head_is_refused(self):
+        await self.check_raw(
+            b'GET /read/x HTTP/1.1\r\nHost: calls.example\r\nX: '
+            + b'y' * 20000,
+            431,
+        )
+
+    @run
+    async def test_what_is_no_request_is_refused(self):
+        await self.check_raw(b'nonsense\r\n\r\n', 400)
+
+    @run
+    async def test_long_body_is_refused(self):
+        async with sites.running_site() as site:
+            site.store.put(
+                'op/config', sites.make_configuration(2, maxBodyBytes=10)
+            )
+            await sites.until(lambda: site.entry.state.table.version == 2)
+            answer = await site.call('POST', '/order/x', b'x' * 11)
+            self.assertEqual(413, answer.status)
+            self.assertEqual(0, runs_of(site))
--- /dev/null
+++ b/tests/unit/test_allocator.py
@@ -0,0 +1,208 @@
+import random
+import unittest
+
+from bluebellthread.core import routing
+from bluebellthread.core.routing import _allocator
+from bluebellthread.core.routing import _ownership_epoch
+from tests.unit import _allocation as make
+
+PAIR = (make.make_engine('p1', 'prefill'), make.make_engine('d1', 'decode'))
+
+
+class TestPlaces(unittest.TestCase):
+    def setUp(self):
+        self.allocator = routing.Allocator()
+        self.allocator.set_servers(PAIR)
+
+    def ask(self, ask_id, now_ms=0, **changes):
+        self.allocator.ask(make.make_ask(ask_id, **changes), now_ms)
+
+    def test_grant_names_both_engines(self):
+        self.ask('a')
+        (answer,) = self.allocator.decide(0)
+        self.assertEqual(
+            ('p1', 'd1'), (answer.prefill_server, answer.decode_server)
+        )
+
+    def test_ask_after_a_lost_grant_is_answered_again(self):
+        self.ask('a')
+        (answer,) = self.allocator.decide(0)
+        known = self.allocator.ask(make.make_ask('a'), 5)
+        self.assertEqual(answer, known)
+        self.assertEqual(1, self.allocator.place_count)
+
+    def test_memory_bounds_the_places(self):
+        for name in 'abcd':
+            self.ask(name, prompt_tokens=2900)
+        self.assertEqual(['a', 'b'], make.granted(self.allocator.decide(0)))
+        for name in 'ab':
+            self.allocator.note_read(name, 100)
+        # Three prompts and their growth leave no room for a fourth.
+        self.assertEqual(['c'], make.granted(self.allocator.decide(100)))
+        self.allocator.note_read('c', 200)
+        self.assertEqual([], make.granted(self.allocator.decide(200)))
+        self.allocator.end('a', 300)
+        self.assertEqual(['d'], make.granted(self.allocator.decide(300)))
+
+    def test_prefill_server_gets_two_prompts_at_a_time(self):
+        for name in 'abc':
+            self.ask(name, prompt_tokens=100)
+        self.assertEqual(['a', 'b'], make.granted(self.allocator.decide(0)))
+        self.allocator.note_read('a', 50)
+        self.assertEqual(['c'], make.granted(self.allocator.decide(50)))
+
+    def test_decode_server_reads_where_no_prefill_server_is_left(self):
+        self.allocator.set_servers([PAIR[1]])
+        self.ask('a')
+        (answer,) = self.allocator.decide(0)
+        self.assertEqual('', answer.prefill_server)
+
+    def test_failed_engine_is_spared(self):
+        engines = [*PAIR, make.make_engine('d2', 'decode')]
+        self.allocator.set_servers(engines)
+        self.ask('a')
+        (answer,) = self.allocator.decide(0)
+        self.allocator.end('a', 10, failed_server=answer.decode_server)
+        for name in 'bc':
+            self.ask(name, now_ms=10, prompt_tokens=100)
+        chosen = {item.decode_server for item in self.allocator.decide(10)}
+        self.assertEqual(1, len(chosen))
+        self.assertNotIn(answer.decode_server, chosen)
+
+    def test_place_that_nobody_ends_is_free_at_its_deadline(self):
+        self.ask('a', deadline_ms=5000)
+        self.allocator.decide(0)
+        self.allocator.decide(4999)
+        self.assertEqual(1, self.allocator.place_count)
+        self.allocator.decide(5000)
+        self.assertEqual(0, self.allocator.place_count)
+
+    def test_places_of_a_gone_vm_are_free(self):
+        self.ask('a', vm='vm1')
+        self.ask('b', vm='vm2')
+        self.allocator.decide(0)
+        self.allocator.drop_gone(lambda vm, incarnation: vm == 'vm1')
+        self.assertEqual(1, self.allocator.place_count)
+
+    def test_places_known_before_their_engine_are_counted(self):
+        # An owner of some milliseconds hears of places before it has
+        # looked at the list of engines.
+        allocator = routing.Allocator()
+        held = make.make_held(*(make.make_held_place(name) for name in 'xyz'))
+        allocator.hold(held, 0)
+        allocator.set_servers(PAIR)
+        allocator.ask(make.make_ask('a'), 0)
+        self.assertEqual([], make.granted(allocator.decide(0)))
+
+    def test_engine_that_started_anew_is_empty(self):
+        for name in 'abc':
+            self.ask(name)
+        self.allocator.decide(0)
+        anew = make.make_engine('d1', 'decode', incarnation=2)
+        self.allocator.set_servers([PAIR[0], anew])
+        for name in 'ab':
+            self.allocator.note_read(name, 10)
+        self.assertEqual(['c'], make.granted(self.allocator.decide(10)))
+
+    def test_held_places_replace_older_knowledge(self):
+        self.ask('a')
+        self.allocator.decide(0)
+        late_ms = _allocator.NOTICE_DELAY_MS
+        held = make.make_held(make.make_held_place('b'))
+        self.allocator.hold(held, late_ms)
+        self.assertEqual(1, self.allocator.place_count)
+
+    def test_place_granted_while_a_list_was_under_way_stays(self):
+        self.ask('a')
+        self.allocator.decide(0)
+        self.allocator.hold(make.make_held(), 10)
+        self.assertEqual(1, self.allocator.place_count)
+
+
+class TestRefusals(unittest.TestCase):
+    def setUp(self):
+        self.allocator = routing.Allocator()
+        self.allocator.set_servers(PAIR)
+
+    def test_no_engine_is_told_at_once(self):
+        allocator = routing.Allocator()
+        allocator.ask(make.make_ask('a'), 0)
+        self.assertEqual({'a': 'no-server'}, make.refused(allocator.decide(0)))
+
+    def test_request_that_fits_no_engine_is_told_at_once(self):
+        self.allocator.ask(make.make_ask('a', prompt_tokens=20000), 0)
+        self.assertEqual(
+            {'a': 'too-large'}, make.refused(self.allocator.decide(0))
+        )
+
+    def test_request_whose_caller_leaves_first_is_told_so(self):
+        self.allocator.ask(make.make_ask('a', start_deadline_ms=100), 0)
+        self.assertEqual(
+            {'a': 'too-late'}, make.refused(self.allocator.decide(0))
+        )
+
+    def test_few_late_requests_may_wait(self):
+        self.allocator.set_servers([PAIR[0]] + [PAIR[1]])
+        full = make.make_held(*(make.make_held_place(name) for name in 'xyz'))
+        self.allocator.hold(full, 0)
+        for index, name in enumerate('abc'):
+            late = make.make_ask(
+                name, target_deadline_ms=0, deadline_ms=9000 + index
+            )
+            self.allocator.ask(late, 0)
+        answers = self.allocator.decide(0)
+        self.assertEqual(
+            {'b': 'overloaded', 'c': 'overloaded'}, make.refused(answers)
+        )
+        for answer in answers:
+            self.assertTrue(
+                _allocator.RETRY_FIRST_MS
+                <= answer.retry_after_ms
+                <= _allocator.RETRY_LAST_MS
+            )
+
+
+class TestWaitingOrder(unittest.TestCase):
+    def test_what_can_be_on_time_goes_before_what_cannot(self):
+        allocator = routing.Allocator()
+        allocator.set_servers(PAIR)
+        allocator.hold(
+            make.make_held(*(make.make_held_place(name) for name in 'xyz')), 0
+        )
+        allocator.ask(make.make_ask('late', target_deadline_ms=0), 0)
+        allocator.ask(make.make_ask('second', target_deadline_ms=950), 0)
+        allocator.ask(make.make_ask('first', target_deadline_ms=900), 0)
+        allocator.decide(0)
+        order = []
+        for name in 'xyz':
+            allocator.end(name, 10)
+            order += make.granted(allocator.decide(10))
+        self.assertEqual(['first', 'second'], order[:2])
+
+
+class TestEpoch(unittest.TestCase):
+    def setUp(self):
+        self.owned = routing.OwnedAllocator(options=None, rng=random.Random(1))
+
+    def test_new_owner_waits_for_all_live_vms(self):
+        live = {('vm1', 1), ('vm2', 7)}
+        self.owned.note_asked(0)
+        self.owned.hold(make.make_held(), 1)
+        self.assertFalse(self.owned.may_grant(live, 2))
+        self.owned.hold(make.make_held(vm='vm2', incarnation=7), 3)
+        self.assertTrue(self.owned.may_grant(live, 4))
+
+    def test_wait_is_bounded(self):
+        live = {('silent', 1)}
+        self.owned.note_asked(0)
+        end_ms = _ownership_epoch.REBUILD_TIMEOUT_MS
+        self.assertFalse(self.owned.may_grant(live, end_ms - 1))
+        self.assertTrue(self.owned.may_grant(live, end_ms))
+
+    def test_account_of_an_earlier_epoch_is_dropped(self):
+        self.owned.hold(make.make_held(make.make_held_place('a')), 0)
+        end_ms = _ownership_epoch.UNASKED_TIMEOUT_MS
+        self.assertFalse(self.owned.check_ended(False, end_ms - 1))
+        self.assertFalse(self.owned.check_ended(True, end_ms))
+        self.assertTrue(self.owned.check_ended(False, end_ms))
+        self.assertEqual(0, self.owned.allocator.place_count)
--- /dev/null
+++ b/tests/unit/test_json_log.py
@@ -0,0 +1,56 @@
+import datetime
+import json
+import os
+import unittest
+
+from bluebellthread.observe import _json_log
+
+
+class Record:
+    """As much of a loguru message as the sink reads."""
+
+    def __init__(self, text):
+        self.record = {
+            'time': datetime.datetime(2026, 1, 1),
+            'level': type('Level', (), {'name': 'INFO'}),
+            'extra': {'event': 1, 'vm': 'vm1'},
+            'message': text,
+        }
+
+
+class TestBoundedSink(unittest.TestCase):
+    def setUp(self):
+        self.reader, writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, writer)
+        os.set_blocking(writer, False)
+        self.now_s = 0.0
+        self.sink = _json_log.BoundedSink(
+            descriptor=writer, read_clock_s=lambda: self.now_s
+        )
+
+    def read_lines(self):
+        data = os.read(self.reader, 1 << 20).decode()
+        return [json.loads(line) for line in data.splitlines()]
+
+    def test_line_holds_fields_and_message(self):
+        self.sink.write(Record('E1 hello'))
+        (line,) = self.read_lines()
+        self.assertEqual(1, line['event'])
+        self.assertEqual('E1 hello', line['message'])
+
+    def test_lines_over_the_limit_are_counted_and_told(self):
+        for _ in range(_json_log.BURST_LINES + 3):
+            self.sink.write(Record('x'))
+        self.assertEqual(3, self.sink.dropped_count)
+        self.read_lines()
+        self.now_s += 1.0
+        self.sink.write(Record('y'))
+        (line,) = self.read_lines()
+        self.assertEqual(3, line['dropped_before'])
+
+    def test_reader_that_does_not_read_never_blocks(self):
+        text = 'x' * 4000
+        for _ in range(100):
+            self.sink.write(Record(text))
+        self.assertGreater(self.sink.dropped_count, 0)
--- /dev/null
+++ b/tests/unit/test_server_choice.py
@@ -0,0 +1,63 @@
+import random
+import unittest
+
+from bluebellthread.core import routing
+from bluebellthread.core.routing import _server_choice
+
+REGIONS = {'a': 'north', 'b': 'north', 'z': 'south'}
+
+
+def make_server(name, data_centre='a'):
+    return routing.ListedServer(
+        name=name,
+        service='s',
+        host='h',
+        port=1,
+        data_centre=data_centre,
+        slot_count=6,
+    )
+
+
+class TestChoice(unittest.TestCase):
+    def setUp(self):
+        self.choice = routing.ServerChoice(
+            data_centre='a',
+            region='north',
+            regions=REGIONS,
+            rng=random.Random(1),
+        )
+
+    def choose(self, servers, now_ms=0, **options):
+        return self.choice.choose(servers, now_ms, **options).name
+
+    def test_near_server_first_until_it_is_busy(self):
+        near, far = make_server('near'), make_server('far', 'z')
+        self.assertEqual('near', self.choose([far, near]))
+        for _ in range(12):
+            self.choice.begin(near)
+        self.assertEqual('far', self.choose([far, near]))
+
+    def test_failed_server_is_spared_longer_each_time(self):
+        servers = [make_server('x'), make_server('y', 'z')]
+        self.choice.note_failure(servers[0], 0)
+        first = _server_choice.SPARE_FIRST_MS
+        self.assertEqual('y', self.choose(servers, first - 1))
+        self.assertEqual('x', self.choose(servers, first))
+        self.choice.note_failure(servers[0], first)
+        self.assertEqual('y', self.choose(servers, first + 2 * first - 1))
+
+    def test_spared_server_serves_when_no_other_is_left(self):
+        server = make_server('x')
+        self.choice.note_failure(server, 0)
+        self.assertEqual('x', self.choose([server], 1))
+
+    def test_avoided_servers_are_not_chosen(self):
+        server = make_server('x')
+        self.assertIsNone(self.choice.choose([server], 0, avoid=['x']))
+
+    def test_load_that_a_server_tells_counts_for_a_while(self):
+        servers = [make_server('x'), make_server('y', 'b')]
+        self.choice.note_load(servers[0], (6, 3, 6), 0)
+        self.assertEqual('y', self.choose(servers, 100))
+        later = _server_choice.FOREIGN_LOAD_AGE_MS
+        self.assertEqual('x', self.choose(servers, later))
--- /dev/null
+++ b/tests/unit/test_server_directory.py
@@ -0,0 +1,74 @@
+import unittest
+
+from bluebellthread.core import routing
+from bluebellthread.core.routing import _directory
+
+
+def make_server(name, **changes):
+    return routing.ListedServer(
+        name=name,
+        service='s',
+        host='10.0.0.1',
+        port=80,
+        data_centre='cluj-a',
+        **changes,
+    )
+
+
+def names(directory):
+    return [server.name for server in directory.usable('s')]
+
+
+class TestDirectory(unittest.TestCase):
+    def setUp(self):
+        self.directory = routing.ServerDirectory()
+
+    def test_removal_while_the_platform_is_steady_is_final(self):
+        self.directory.put(make_server('a'))
+        self.directory.remove('a', 1000)
+        self.assertEqual([], names(self.directory))
+
+    def test_leaving_server_gets_no_work(self):
+        self.directory.put(make_server('a'))
+        self.directory.put(make_server('a', leaving=True))
+        self.assertEqual([], names(self.directory))
+
+    def test_lapsed_entry_stays_until_its_time_is_over(self):
+        self.directory.put(make_server('a'))
+        self.directory.note_return(_directory.LAPSE_OUTAGE_MS, 10000)
+        self.directory.replace([], 10000)
+        self.assertEqual(['a'], names(self.directory))
+        end_ms = 10000 + _directory.LAPSE_RETURN_MS
+        self.assertEqual([], self.directory.expire(end_ms - 1))
+        self.assertEqual(['a'], self.directory.expire(end_ms))
+        self.assertEqual([], names(self.directory))
+
+    def test_lapsed_entry_that_returns_stays(self):
+        self.directory.put(make_server('a'))
+        self.directory.note_return(_directory.LAPSE_OUTAGE_MS, 10000)
+        self.directory.remove('a', 10100)
+        self.directory.put(make_server('a'))
+        self.assertEqual([], self.directory.expire(99999))
+        self.assertEqual(['a'], names(self.directory))
+
+    def test_short_silence_lets_nothing_lapse(self):
+        self.directory.put(make_server('a'))
+        self.directory.note_return(_directory.LAPSE_OUTAGE_MS - 1, 10000)
+        self.directory.remove('a', 10000)
+        self.assertEqual([], names(self.directory))
+
+    def test_delayed_entry_does_not_undo_leaving(self):
+        self.directory.put(make_server('a', incarnation=5))
+        self.directory.put(make_server('a', incarnation=5, leaving=True))
+        self.directory.put(make_server('a', incarnation=5))
+        self.assertEqual([], names(self.directory))
+
+    def test_new_process_of_a_leaving_name_is_used(self):
+        self.directory.put(make_server('a', incarnation=5, leaving=True))
+        self.directory.put(make_server('a', incarnation=6))
+        self.assertEqual(['a'], names(self.directory))
+
+    def test_older_process_does_not_replace_a_newer(self):
+        self.directory.put(make_server('a', incarnation=6, slot_count=2))
+        self.directory.put(make_server('a', incarnation=5, slot_count=1))
+        self.assertEqual(2, self.directory.find('a').slot_count)
