Add a randomized soak of real entry processes

Ruled out: a third proxy; the stand-ins' one is reused, within the loop. Change: tests/soak runs entries as processes on loopback addresses, stops, pauses and kills them, bends their links to store and servers, replaces servers and publishes versions; it checks what callers and servers saw.

--- a/standin/_proxy.py
+++ b/standin/_proxy.py
@@ -116,15 +116,19 @@
         """Return the rule for a source IP."""
         return self._rules.get(source) or self._rules.get('*') or Rule()
 
-    async def _set_rules(self, request):
-        self._rules = {
-            source: Rule(**rule) for source, rule in request.json().items()
-        }
+    def set_rules(self, rules):
+        """Replace all rules, by source IP."""
+        self._rules = dict(rules)
         for scope, source in self._connections.items():
             if self.rule_of(source).cut:
                 scope.cancel()
         self._changed.set()
         self._changed = trio.Event()
+
+    async def _set_rules(self, request):
+        self.set_rules(
+            {source: Rule(**rule) for source, rule in request.json().items()}
+        )
         await request.answer(200, {})
 
     async def _get_counts(self, request):
--- a/standin/site/_backend.py
+++ b/standin/site/_backend.py
@@ -89,6 +89,8 @@
         For each run in turn: the events after which its stream breaks.
     hold : trio.Event or None
         What a stream waits for before its last event.
+    event_pause_s : float
+        Time from one event to the next.
     """
 
     stage: str = 'decode'
@@ -96,6 +98,7 @@
     break_after: list = attrs.field(factory=list)
     hold: object = None
     loses_handles: bool = False
+    event_pause_s: float = 0.0
     freed: list = attrs.field(factory=list)
     prefills: list = attrs.field(factory=list)
     _numbers: object = attrs.field(factory=lambda: itertools.count(1))
@@ -150,6 +153,7 @@
             if self.hold is not None and number == self.event_count:
                 await self.hold.wait()
             await request.send_chunk(make_event(number))
+            await trio.sleep(self.event_pause_s)
         await request.send_chunk(b'')
 
 
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of real entry processes under injected faults."""
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,44 @@
+"""The command ``python -m tests.soak``: soaks with given or fresh seeds."""
+
+import argparse
+import functools
+import pathlib
+import secrets
+import sys
+
+import trio
+
+from tests.soak import _run
+
+
+def main(arguments=None):
+    """Run soaks one after another; return 1 if a promise was broken."""
+    parser = argparse.ArgumentParser(prog='python -m tests.soak')
+    parser.add_argument('--seed', type=int, nargs='*', help='seeds to run')
+    parser.add_argument('--count', type=int, default=1, help='fresh seeds')
+    parser.add_argument('--length-s', type=float, default=20.0)
+    parser.add_argument('--logs', help='folder to keep logs and settings in')
+    options = parser.parse_args(arguments)
+    seeds = options.seed or [
+        secrets.randbelow(10**9) for _ in range(options.count)
+    ]
+    failed = []
+    for seed in seeds:
+        folder = None
+        if options.logs:
+            folder = pathlib.Path(options.logs) / str(seed)
+            folder.mkdir(parents=True, exist_ok=True)
+        soak = functools.partial(
+            _run.run_soak, seed, length_s=options.length_s, folder=folder
+        )
+        broken = trio.run(soak)
+        for line in broken:
+            print(f'  broken: {line}', flush=True)
+        if broken:
+            failed.append(seed)
+    print(f'{len(seeds) - len(failed)} passed, {len(failed)} failed')
+    return 1 if failed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
