--- a/bluebellthread/core/routing/_allocator.py
+++ b/bluebellthread/core/routing/_allocator.py
@@ -266,6 +266,8 @@
                         retry_after_ms=self._rng.randint(
                             RETRY_FIRST_MS, RETRY_LAST_MS
                         ),
+                        waiting_count=len(self._waiting),
+                        place_count=len(self._places),
                     )
                 )
         return refusals
--- a/bluebellthread/core/routing/_placement_messages.py
+++ b/bluebellthread/core/routing/_placement_messages.py
@@ -74,14 +74,19 @@
     Parameters
     ----------
     kind : str
-        ``'no-server'``, ``'too-late'`` or ``'too-large'``.
+        ``'no-server'``, ``'too-late'``, ``'too-large'`` or
+        ``'overloaded'``.
     retry_after_ms : int
         When a new try makes sense.
+    waiting_count, place_count : int
+        Requests that waited and that held places at the owner then.
     """
 
     ask_id: str
     kind: str
     retry_after_ms: int
+    waiting_count: int = 0
+    place_count: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/bluebellthread/entry/_placement_client.py
+++ b/bluebellthread/entry/_placement_client.py
@@ -5,7 +5,6 @@
 import attrs
 import trio
 
-from bluebellthread import core
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
 from bluebellthread.daemon import _peers
@@ -32,14 +31,15 @@
 
     Parameters
     ----------
-    kind : str
-    retry_after_ms : int
+    refusal : PlacementRefused
+    owner : str
+        The VM that refused.
     """
 
-    def __init__(self, kind, retry_after_ms):
-        self.kind = kind
-        self.retry_after_ms = retry_after_ms
-        super().__init__(kind)
+    def __init__(self, refusal, owner):
+        self.refusal = refusal
+        self.owner = owner
+        super().__init__(refusal.kind)
 
 
 @attrs.define(kw_only=True)
@@ -126,18 +126,18 @@
             avoid_servers=tuple(avoid),
         )
         asked_ms = _clock.read_clock_ms()
-        granted = False
+        answered = False
         try:
             while True:
                 answer, owner = await self._poll(ask)
                 if isinstance(answer, routing.PlacementGranted):
-                    granted = True
+                    answered = True
                     return self._take(ask, answer, owner, asked_ms)
                 if isinstance(answer, routing.PlacementRefused):
-                    granted = True
-                    raise NoPlaceError(answer.kind, answer.retry_after_ms)
+                    answered = True
+                    raise NoPlaceError(answer, owner)
         finally:
-            if not granted:
+            if not answered:
                 self._end(ask.ask_id, ask.serves)
 
     def note_read(self, place):
@@ -185,15 +185,10 @@
     def find_owner(self, service):
         """Return the VM to ask about a service."""
         now_ms = _clock.read_clock_ms()
-        members = {
-            member.name: member
-            for member in self._state.live_vms()
-            if self._suspected_until_ms.get(member.name, 0) <= now_ms
-        }
-        name = core.choose_owner(service, members)
-        if name is None:
-            return self._state.view.find(self._state.settings.vm)
-        return members[name]
+        for member in self._state.rank_owners(service):
+            if self._suspected_until_ms.get(member.name, 0) <= now_ms:
+                return member
+        return self._state.find_vm(self._state.settings.vm)
 
     async def _poll(self, ask):
         """Ask the owner once; return its answer and its name."""
--- a/bluebellthread/entry/_placement_task.py
+++ b/bluebellthread/entry/_placement_task.py
@@ -18,8 +18,6 @@
 """How often waiting requests are looked at without an event: a few times
 in the time that reading a prompt takes."""
 
-HOLDER_STATES = ('alive', 'suspect', 'leaving')
-
 
 class PlacementTask:
     """Runs an allocator for each service that others ask about.
@@ -125,20 +123,13 @@
         return owned
 
     def _decide(self, owned, now_ms):
-        if not owned.may_grant(self._live_processes(), now_ms):
+        if not owned.may_grant(self._state.holders, now_ms):
             return
         for answer in owned.allocator.decide(now_ms):
             inbound = self._asked.pop(answer.ask_id, None)
             if inbound is not None:
                 inbound.answer(answer)
 
-    def _live_processes(self):
-        return {
-            (member.name, member.incarnation)
-            for member in self._state.view.members
-            if member.state in HOLDER_STATES
-        }
-
     def _answer_polls(self, now_ms):
         """Tell those whose poll is due that their requests still wait."""
         due = [
@@ -151,7 +142,7 @@
             inbound.answer(routing.PlacementPending(ask_id=ask_id))
 
     def _is_gone(self, vm, incarnation):
-        member = self._state.view.find(vm)
+        member = self._state.find_vm(vm)
         if member is None or not member.incarnation:
             return False
         return member.state == 'dead' or member.incarnation != incarnation
--- a/bluebellthread/entry/_state.py
+++ b/bluebellthread/entry/_state.py
@@ -6,6 +6,10 @@
 from bluebellthread.core import routing
 
 
+OWNER_STATES = ('alive', 'suspect')
+HOLDER_STATES = (*OWNER_STATES, 'leaving')
+
+
 class EntryState:
     """The configuration, the backend servers and the other VMs.
 
@@ -21,6 +25,8 @@
     has_servers : bool
         Whether the list of backend servers has been read once.
     view : MembershipView
+    holders : frozenset of (str, int)
+        Names and incarnations of the VMs that may hold places.
     is_stopping : bool
     """
 
@@ -31,7 +37,10 @@
         self.has_servers = False
         self.view = core.MembershipView(members=(), confirmed=False)
         self.is_stopping = False
+        self.holders = frozenset()
+        self._members = {}
         self._engines = {}
+        self._ranked = {}
 
     @property
     def is_ready(self):
@@ -45,15 +54,37 @@
     def publish_view(self, view):
         """Replace the membership view."""
         self.view = view
-
-    def live_vms(self):
-        """Return the members that take requests, this VM included."""
-        return tuple(
-            member
-            for member in self.view.members
-            if member.state in ('alive', 'suspect')
+        self._members = {member.name: member for member in view.members}
+        self._ranked = {}
+        self.holders = frozenset(
+            (member.name, member.incarnation)
+            for member in view.members
+            if member.state in HOLDER_STATES
         )
 
+    def find_vm(self, name):
+        """Return the member of a name, or None."""
+        return self._members.get(name)
+
+    def rank_owners(self, service):
+        """Return the VMs that may own a service, the first owner first.
+
+        VMs that are leaving or dead are not among them.
+        """
+        ranked = self._ranked.get(service)
+        if ranked is None:
+            names = [
+                member.name
+                for member in self.view.members
+                if member.state in OWNER_STATES
+            ]
+            ranked = tuple(
+                self._members[name]
+                for name in core.rank_by_rendezvous(service, names)
+            )
+            self._ranked[service] = ranked
+        return ranked
+
     @property
     def vm_count(self):
         """How many VMs may be serving, at least one.
--- a/bluebellthread/entry/_stream_path.py
+++ b/bluebellthread/entry/_stream_path.py
@@ -123,7 +123,9 @@
             try:
                 place = await self._ask_place()
             except _placement_client.NoPlaceError as error:
-                await self._end_failed(error.kind, error.retry_after_ms)
+                self._log_refusal(error)
+                refusal = error.refusal
+                await self._end_failed(refusal.kind, refusal.retry_after_ms)
                 return
             failed_server = ''
             try:
@@ -183,6 +185,18 @@
         )
         return place
 
+    def _log_refusal(self, error):
+        emit(
+            events.PLACE_REFUSED,
+            request_id=self._work.request_id,
+            owner=error.owner,
+            kind=error.refusal.kind,
+            age_ms=self._work.age_ms,
+            waiting=error.refusal.waiting_count,
+            places=error.refusal.place_count,
+            retry_after_ms=error.refusal.retry_after_ms,
+        )
+
     def _find_start_deadline_ms(self):
         """Return when the caller leaves if no event has come."""
         work = self._work
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -233,6 +233,13 @@
     'request {request_id}: {decode_server} could not fetch the prompt that '
     '{prefill_server} had read, and reads it itself',
 )
+PLACE_REFUSED = Event(
+    7040,
+    'INFO',
+    'request {request_id} was refused a place by {owner} after {age_ms} ms: '
+    '{kind}, {waiting} waiting, {places} places in use, come back in '
+    '{retry_after_ms} ms',
+)
 REQUEST_ENDED = Event(
     7039,
     'INFO',
--- a/bluebellthread/platform/__main__.py
+++ b/bluebellthread/platform/__main__.py
@@ -20,7 +20,7 @@
 def main(arguments=None):
     """Run one entry process; return the exit code."""
     parser = argparse.ArgumentParser(
-        prog='python3 -m bluebellthread.platform',
+        prog='python3 -m bluebellthread.run_entry',
         description="Serve callers on the users' platform.",
     )
     parser.add_argument(
--- a/bluebellthread/wire/peer.thrift
+++ b/bluebellthread/wire/peer.thrift
@@ -301,6 +301,8 @@
   1: string ask_id,
   2: string kind,
   3: i64 retry_after_ms,
+  4: i32 waiting_count,
+  5: i32 place_count,
 }
 
 struct PlacementPending {
--- /dev/null
+++ b/tests/integration/test_soak.py
@@ -0,0 +1,29 @@
+import unittest
+
+import trio
+
+from tests.soak import _run
+
+SEEDS = {
+    693138890: 'a SIGHUP during the start ended the process',
+}
+"""Seeds that have failed, each with its cause."""
+
+SEED = 20260712
+LENGTH_S = 8.0
+
+
+class TestSoak(unittest.TestCase):
+    """A short soak; ``python -m tests.soak`` runs longer ones."""
+
+    def soak(self, seed):
+        broken = trio.run(lambda: _run.run_soak(seed, length_s=LENGTH_S))
+        self.assertEqual([], broken, f'seed {seed}')
+
+    def test_short_soak_keeps_all_promises(self):
+        self.soak(SEED)
+
+    def test_seeds_that_have_failed(self):
+        for seed, cause in SEEDS.items():
+            with self.subTest(seed=seed, cause=cause):
+                self.soak(seed)
--- a/tests/soak/_callers.py
+++ b/tests/soak/_callers.py
@@ -116,6 +116,9 @@
             return
         except AttributeError:
             return
+        if self.site.version != newest:
+            # The route of a version is gone with the next one.
+            return
         if answer.status == 200:
             self.versions[vm.name, pid] = max(known, newest)
         elif answer.status == 404 and newest <= known:
