Answer a deadline as a deadline, not as a server's silence

The wait for a server's answer was limited by the time that the request had left, which is also its deadline; whichever timer fired first decided whether the caller was told of a lost answer or of a timeout. Ruled out: a slow test machine (the status differs, not the time), the stand-in (it never answers). Change: a server's silence has a limit of its own or none; the deadline of the request ends every wait by itself. The same in streams.

--- a/bluebellthread/entry/_plain_path.py
+++ b/bluebellthread/entry/_plain_path.py
@@ -1,5 +1,7 @@
 """Requests to plain services: one server after another, within limits."""
 
+import math
+
 import trio
 
 from bluebellthread.core import routing
@@ -149,9 +151,13 @@
         raise _server_calls.CallFailedError('no answer yet', may_have_run=True)
 
     def _patience_s(self, work):
-        remaining_s = _clock.read_remaining_s(work.deadline_ms)
+        """Return how long a server may be silent.
+
+        The deadline of the request ends every wait by itself, and is
+        answered in another way than a server's silence.
+        """
         is_last = work.run_count + 1 >= work.route.send_max
         if work.route.kind != routing.KIND_REPEATABLE or is_last:
-            return remaining_s
+            return math.inf
         silence_s = SILENCE_FACTOR * work.route.target_ms / _clock.MS_PER_S
-        return min(remaining_s, silence_s) if silence_s else remaining_s
+        return silence_s or math.inf
--- a/bluebellthread/entry/_stream_path.py
+++ b/bluebellthread/entry/_stream_path.py
@@ -1,5 +1,7 @@
 """Requests to models: a place, the prompt read, the answer streamed."""
 
+import math
+
 import attrs
 import trio
 
@@ -456,13 +458,15 @@
         return [(self._dialect.resume_after, value)]
 
     def _silence_s(self):
-        """Return how long a server may be silent."""
-        work = self._work
-        remaining_s = _clock.read_remaining_s(work.deadline_ms)
-        if not work.route.is_resumable:
-            return remaining_s
-        gap_s = work.route.gap_target_ms / _clock.MS_PER_S
-        return min(remaining_s, max(SILENCE_MIN_S, SILENCE_FACTOR * gap_s))
+        """Return how long a server may be silent.
+
+        The deadline of the request ends every wait by itself.
+        """
+        route = self._work.route
+        if not route.is_resumable:
+            return math.inf
+        gap_s = route.gap_target_ms / _clock.MS_PER_S
+        return max(SILENCE_MIN_S, SILENCE_FACTOR * gap_s)
 
     # What follows a failure
 
