Drop two fields of server connections that nothing reads

Cause: is_used and skipped_count were written and never read. Ruled out: a reader in tests or metrics; a search finds none. Change: both removed; behaviour is as before.

--- a/bluebellthread/entry/_server_connection.py
+++ b/bluebellthread/entry/_server_connection.py
@@ -58,7 +58,6 @@
         self.stream = stream
         self.address = address
         self.idle_deadline_ms = 0
-        self.is_used = False
 
     async def close(self):
         """Close the connection at once."""
@@ -125,7 +124,6 @@
             await connection.close()
             return
         connection.idle_deadline_ms = now_ms + idle_ms
-        connection.is_used = True
         idle.append((connection, now_ms))
 
     async def prune(self):
@@ -177,7 +175,6 @@
         self._sent_whole = False
         self._closed = False
         self.sent = False
-        self.skipped_count = 0
 
     async def open(self, method, target, headers, body):
         """Send a request and return the head of its answer.
@@ -236,7 +233,6 @@
 
     async def _skip_foreign_answer(self):
         """Read past a late answer to an earlier request."""
-        self.skipped_count += 1
         while await self.read() is not None:
             pass
         trailing, _ = self._conn.trailing_data
