Order spare prefill servers to decode before the first caller comes

No store may be written and no quorum is to be kept, so two VMs in a cut could both believe that they may order an engine, and a process that starts again can't know what it ordered.

Change: the VM with the smallest address among the seeds, only in the first start of the whole system and only in its first five seconds, orders as many prefill servers to decode as leaves enough to read what all decode servers write; the last of a region stays. An order that is refused or not answered is not repeated.

--- a/bench/_replay_load.py
+++ b/bench/_replay_load.py
@@ -47,6 +47,7 @@
     name: str
     role: str
     data_centre: str = 'a'
+    region: str = 'north'
     slot_count: int = 48
     memory_tokens: int = 35962
 
@@ -124,6 +125,17 @@
     )
 
 
+def move_to_decode(load, names):
+    """Return a load whose engines of these names decode."""
+    return attrs.evolve(
+        load,
+        engines=tuple(
+            attrs.evolve(item, role='decode') if item.name in names else item
+            for item in load.engines
+        ),
+    )
+
+
 def make_burst_load(
     *, seed, pattern, engines, rate_per_s, bursts, length_s, failures=()
 ):
--- a/bluebellthread/core/routing/__init__.py
+++ b/bluebellthread/core/routing/__init__.py
@@ -17,6 +17,7 @@
 from bluebellthread.core.routing._placement_messages import PlacementsHeld
 from bluebellthread.core.routing._placement_messages import PromptRead
 from bluebellthread.core.routing._repeat_budget import RepeatBudget
+from bluebellthread.core.routing._role_plan import plan_decode_switches
 from bluebellthread.core.routing._routes import CallerLimits
 from bluebellthread.core.routing._routes import EngineTraits
 from bluebellthread.core.routing._routes import KIND_ONCE
@@ -57,5 +58,6 @@
     'ServiceShare',
     'ServiceTraits',
     'memory_models',
+    'plan_decode_switches',
     'waiting_orders',
 ]
--- a/bluebellthread/entry/__init__.py
+++ b/bluebellthread/entry/__init__.py
@@ -1,5 +1,6 @@
 """The entry: callers' requests to backend servers, by published routes."""
 
+from bluebellthread.entry._dialect import ControlCall
 from bluebellthread.entry._dialect import Dialect
 from bluebellthread.entry._platform_changes import HistoryLostError
 from bluebellthread.entry._platform_changes import PlatformUnavailableError
@@ -10,6 +11,7 @@
 from bluebellthread.entry._sockets import keep_alive_options
 
 __all__ = [
+    'ControlCall',
     'Dialect',
     'EntryService',
     'EntrySettings',
--- a/bluebellthread/entry/_dialect.py
+++ b/bluebellthread/entry/_dialect.py
@@ -3,6 +3,20 @@
 import attrs
 
 
+@attrs.frozen(kw_only=True)
+class ControlCall:
+    """A call to a backend server that is not a caller's.
+
+    Parameters
+    ----------
+    method, target, body : bytes
+    """
+
+    method: bytes
+    target: bytes
+    body: bytes = b''
+
+
 @attrs.frozen(kw_only=True)
 class Dialect:
     """Header names and calls that an adapter supplies.
@@ -47,8 +61,12 @@
         Takes a server's host, port and a handle; returns the value of
         `cache_source`.
     make_handle_release : callable
-        Takes a handle; returns method and target of the call that frees
-        it at its server.
+        Takes a handle; returns the `ControlCall` that frees it at its
+        server.
+    make_role_order : callable
+        Takes a role and, by name, the VM that gives the order as
+        ``holder``; returns the `ControlCall` that has an engine change to
+        that role.
     """
 
     request_id: bytes
@@ -68,3 +86,4 @@
     read_handle: object
     write_cache_source: object
     make_handle_release: object
+    make_role_order: object
--- a/bluebellthread/entry/_server_calls.py
+++ b/bluebellthread/entry/_server_calls.py
@@ -143,20 +143,32 @@
             raise
         return call
 
-    async def call_control(self, server, method, target, *, timeout_s):
-        """Make a call that is not a caller's; return its status."""
+    async def call_control(
+        self, server, method, target, *, timeout_s, body=b''
+    ):
+        """Make a call that is not a caller's; return its status.
+
+        Parameters
+        ----------
+        body : bytes
+            JSON, or nothing.
+
+        Raises
+        ------
+        CallFailedError
+            If there is no answer in time.
+        """
+        headers = [
+            (b'host', f'{server.host}:{server.port}'.encode()),
+            (self._dialect.expected_server, server.name.encode()),
+        ]
+        if body:
+            headers.append((b'content-type', b'application/json'))
+            headers.append((b'content-length', str(len(body)).encode()))
         exchange = await self._connect(server, '', True)
         try:
             with trio.fail_after(timeout_s):
-                head = await exchange.open(
-                    method,
-                    target,
-                    [
-                        (b'host', f'{server.host}:{server.port}'.encode()),
-                        (self._dialect.expected_server, server.name.encode()),
-                    ],
-                    b'',
-                )
+                head = await exchange.open(method, target, headers, body)
                 await exchange.read_all()
                 return head.status
         except (
--- a/bluebellthread/entry/_service.py
+++ b/bluebellthread/entry/_service.py
@@ -23,6 +23,7 @@
 from bluebellthread.entry import _placement_task
 from bluebellthread.entry import _plain_path
 from bluebellthread.entry import _platform_task
+from bluebellthread.entry import _role_task
 from bluebellthread.entry import _server_calls
 from bluebellthread.entry import _server_connection
 from bluebellthread.entry import _sockets
@@ -143,6 +144,9 @@
         caller = _server_calls.ServerCaller(
             connections=self._connections, dialect=dialect
         )
+        self._roles = _role_task.RoleTask(
+            state=self.state, caller=caller, dialect=dialect
+        )
         plain = _plain_path.PlainPath(
             state=self.state,
             caller=caller,
@@ -203,6 +207,7 @@
                 self._placement_task,
                 self._placements,
                 self._platform,
+                self._roles,
             ):
                 nursery.start_soon(task.run)
             nursery.start_soon(self._prune)
--- a/bluebellthread/entry/_settings.py
+++ b/bluebellthread/entry/_settings.py
@@ -20,6 +20,8 @@
         other VMs and for metrics.
     seed_hosts : tuple of str
         IP numbers of some VMs, perhaps gone.
+    is_first_start : bool
+        Whether the whole system starts for the first time.
     platform_host, platform_port : str, int
         The platform's configuration service.
     heartbeat_ms : int
@@ -42,6 +44,7 @@
     peer_port: int
     metrics_port: int
     seed_hosts: tuple[str, ...]
+    is_first_start: bool
     platform_host: str
     platform_port: int
     heartbeat_ms: int
--- a/bluebellthread/entry/_stream_path.py
+++ b/bluebellthread/entry/_stream_path.py
@@ -329,10 +329,13 @@
         self._placements.start_soon(self._call_free, prompt)
 
     async def _call_free(self, prompt):
-        method, target = self._dialect.make_handle_release(prompt.handle)
+        release = self._dialect.make_handle_release(prompt.handle)
         try:
             await self._caller.call_control(
-                prompt.server, method, target, timeout_s=CONTROL_TIMEOUT_S
+                prompt.server,
+                release.method,
+                release.target,
+                timeout_s=CONTROL_TIMEOUT_S,
             )
         except _server_calls.CallFailedError as error:
             emit(
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -249,6 +249,12 @@
     '{runs} runs, servers {servers} of {service}',
 )
 
+ENGINE_ROLE_ORDERED = Event(
+    7041,
+    'INFO',
+    'engine {server} was ordered to {role}: {outcome}, status {status}',
+)
+
 
 def list_events():
     """Return every event of the catalogue in the order of its number."""
--- a/bluebellthread/platform/_dialect.py
+++ b/bluebellthread/platform/_dialect.py
@@ -2,6 +2,7 @@
 
 import json
 
+from bluebellthread.entry import ControlCall
 from bluebellthread.entry import Dialect
 
 ROUTER_ONLY = frozenset(
@@ -19,6 +20,9 @@
     )
 )
 
+ONLY_FENCE = 1
+"""Fence of every order: one process of one VM gives all there ever are."""
+
 
 def read_load(text):
     """Return running, waiting and slots, or None if it is unreadable.
@@ -67,8 +71,23 @@
 
 
 def make_handle_release(handle):
-    """Return method and target of the call that frees a read prompt."""
-    return b'DELETE', f'/-/kv-handle/{handle}'.encode()
+    """Return the call that frees a read prompt."""
+    return ControlCall(
+        method=b'DELETE', target=f'/-/kv-handle/{handle}'.encode()
+    )
+
+
+def make_role_order(role, *, holder):
+    """Return the call that has an engine change to a role."""
+    fields = {
+        'opcode': 'stage',
+        'stage': role,
+        'holder': holder,
+        'fencingToken': ONLY_FENCE,
+    }
+    return ControlCall(
+        method=b'POST', target=b'/-/order', body=json.dumps(fields).encode()
+    )
 
 
 def make_dialect():
@@ -91,4 +110,5 @@
         read_handle=read_handle,
         write_cache_source=write_cache_source,
         make_handle_release=make_handle_release,
+        make_role_order=make_role_order,
     )
--- a/bluebellthread/platform/_settings.py
+++ b/bluebellthread/platform/_settings.py
@@ -78,6 +78,7 @@
         seed_hosts=tuple(
             split_address(seed)[0] for seed in fields.get('seedNodes') or ()
         ),
+        is_first_start=fields.get('bootstrap') is True,
         platform_host=platform_host,
         platform_port=platform_port,
         heartbeat_ms=int(fields.get('heartbeatMs') or 0),
--- a/standin/site/_backend.py
+++ b/standin/site/_backend.py
@@ -100,6 +100,7 @@
     loses_handles: bool = False
     event_pause_s: float = 0.0
     freed: list = attrs.field(factory=list)
+    orders: list = attrs.field(factory=list)
     prefills: list = attrs.field(factory=list)
     _numbers: object = attrs.field(factory=lambda: itertools.count(1))
 
@@ -113,6 +114,11 @@
         if request.method == 'DELETE':
             self.freed.append(request.path.rpartition('/')[2])
             await request.answer(200)
+        elif request.path == '/-/order':
+            order = json.loads(request.body)
+            self.orders.append(order)
+            self.stage = order['stage']
+            await request.answer(202)
         elif request.headers.get('x-serving-stage') == 'prefill':
             await self._read(request)
         elif self.loses_handles and 'x-kv-source' in request.headers:
--- a/tests/integration/_entry_site.py
+++ b/tests/integration/_entry_site.py
@@ -28,6 +28,7 @@
         'peer_port': 0,
         'metrics_port': 0,
         'seed_hosts': (),
+        'is_first_start': False,
         'platform_host': '127.0.0.1',
         'platform_port': store.port,
         'heartbeat_ms': 1200,
--- /dev/null
+++ b/tests/integration/test_entry_roles.py
@@ -0,0 +1,89 @@
+import unittest
+
+import trio
+
+from bluebellthread.entry import _role_task
+from tests.integration import _entry_site as sites
+from tests.integration.test_entry_plain import run
+
+ENGINES = ('p1', 'p2', 'p3', 'd1', 'd2', 'd3', 'd4', 'd5', 'd6')
+
+
+def running_engines(**settings):
+    return sites.running_site(plain=(), engines=ENGINES, **settings)
+
+
+def orders_of(site):
+    return {
+        name: server.orders
+        for name, server in site.servers.items()
+        if server.orders
+    }
+
+
+class TestRoles(unittest.TestCase):
+    @run
+    async def test_first_start_moves_a_spare_prefill_server(self):
+        seeds = {'is_first_start': True, 'seed_hosts': ('127.0.0.1',)}
+        async with running_engines(**seeds) as site:
+            await sites.until(lambda: orders_of(site))
+            (order,) = orders_of(site)['p3']
+            self.assertEqual('decode', order['stage'])
+            self.assertEqual('vm1', order['holder'])
+            site.list_server('p3', 'model')
+            await sites.until(
+                lambda: site.entry.state.directory.find('p3').role == 'decode'
+            )
+            answer = await site.call('POST', '/ask/x', b'a crack')
+            self.assertEqual(200, answer.status)
+            self.assertEqual(['p3'], list(orders_of(site)))
+
+    @run
+    async def test_engine_that_refuses_gets_no_second_order(self):
+        asked = trio.Event()
+
+        async def refuse(request):
+            asked.set()
+            await request.answer(409)
+
+        seeds = {'is_first_start': True, 'seed_hosts': ('127.0.0.1',)}
+        async with running_engines(**seeds) as site:
+            site.servers['p3'].script = [refuse, refuse]
+            await asked.wait()
+            # The entry goes on, and its one order stays the only one.
+            answer = await site.call('POST', '/ask/x', b'a crack')
+            self.assertEqual(200, answer.status)
+            self.assertEqual(1, len(site.servers['p3'].script))
+
+
+class TestGiver(unittest.TestCase):
+    """Who may order: one VM at most, in the system's first start only."""
+
+    SEEDS = ('10.1.0.1', '10.2.0.1', '10.3.0.1')
+
+    def givers(self, **changes):
+        class _Store:
+            port = 1
+
+        return [
+            host
+            for host in (*self.SEEDS, '10.4.0.1')
+            if _role_task.may_order(
+                sites.make_settings(
+                    _Store, host=host, **{'seed_hosts': self.SEEDS, **changes}
+                )
+            )
+        ]
+
+    def test_one_of_all_vms_may(self):
+        self.assertEqual(['10.1.0.1'], self.givers(is_first_start=True))
+
+    def test_the_order_of_the_seeds_does_not_matter(self):
+        givers = self.givers(is_first_start=True, seed_hosts=self.SEEDS[::-1])
+        self.assertEqual(['10.1.0.1'], givers)
+
+    def test_nobody_may_at_a_later_start(self):
+        self.assertEqual([], self.givers(is_first_start=False))
+
+    def test_nobody_may_without_seeds(self):
+        self.assertEqual([], self.givers(is_first_start=True, seed_hosts=()))
