--- a/bluebellthread/core/routing/__init__.py
+++ b/bluebellthread/core/routing/__init__.py
@@ -2,6 +2,7 @@
 
 from bluebellthread.core.routing._allocator import Allocator
 from bluebellthread.core.routing._allocator import AllocatorOptions
+from bluebellthread.core.routing._caller_age import CallerAges
 from bluebellthread.core.routing._directory import ListedServer
 from bluebellthread.core.routing._directory import ServerDirectory
 from bluebellthread.core.routing._engine_account import EngineServer
@@ -33,6 +34,7 @@
 __all__ = [
     'Allocator',
     'AllocatorOptions',
+    'CallerAges',
     'CallerLimits',
     'EngineServer',
     'EngineTraits',
--- a/bluebellthread/entry/_stream_path.py
+++ b/bluebellthread/entry/_stream_path.py
@@ -92,10 +92,16 @@
 
     def __init__(self, parts):
         self._parts = parts
+        self._ages = routing.CallerAges()
+        self._aged_table = None
 
     async def serve(self, work):
         """Answer one `Work`."""
-        stream = _Stream(work=work, parts=self._parts)
+        stream = _Stream(
+            work=work,
+            parts=self._parts,
+            caller_age_ms=self._estimate_age_ms(work),
+        )
         with trio.move_on_after(_clock.read_remaining_s(work.deadline_ms)):
             await stream.run()
             return
@@ -104,11 +110,21 @@
         else:
             await work.exchange.abort()
 
+    def _estimate_age_ms(self, work):
+        table = self._parts.state.table
+        if self._aged_table is not table:
+            self._aged_table = table
+            self._ages.keep_only({route.name for route in table.routes})
+        if work.patience_ms is None:
+            return 0
+        return self._ages.estimate_ms(work.route.name, work.patience_ms)
+
 
 class _Stream:
     """One request's tries."""
 
-    def __init__(self, *, work, parts):
+    def __init__(self, *, work, parts, caller_age_ms):
+        self._caller_age_ms = caller_age_ms
         self._state = parts.state
         self._caller = parts.caller
         self._placements = parts.placements
@@ -166,7 +182,9 @@
             serves=work.service,
             prompt_tokens=prompt_tokens,
             output_tokens=output_tokens,
-            target_deadline_ms=work.request.received_ms + work.route.target_ms,
+            target_deadline_ms=work.request.received_ms
+            - self._caller_age_ms
+            + work.route.target_ms,
             start_deadline_ms=self._find_start_deadline_ms(),
             deadline_ms=work.deadline_ms,
             poll_deadline_ms=0,
@@ -183,6 +201,7 @@
             decode_server=place.decode_server,
             prompt_tokens=prompt_tokens,
             output_tokens=output_tokens,
+            caller_age_ms=self._caller_age_ms,
             waited_ms=place.waited_ms,
         )
         return place
@@ -194,6 +213,7 @@
             owner=error.owner,
             kind=error.refusal.kind,
             age_ms=self._work.age_ms,
+            caller_age_ms=self._caller_age_ms,
             waiting=error.refusal.waiting_count,
             places=error.refusal.place_count,
             retry_after_ms=error.refusal.retry_after_ms,
--- a/bluebellthread/entry/_work.py
+++ b/bluebellthread/entry/_work.py
@@ -53,17 +53,20 @@
         self._table_version = table_version
         self._dialect = dialect
         self._stats = stats
+        self.patience_ms = self._read_patience_ms()
         self.deadline_ms = self._find_deadline_ms()
 
+    def _read_patience_ms(self):
+        """Return how long the caller said it would wait, or None."""
+        text = self.request.header(self._dialect.remaining_ms)
+        return int(text) if text.isdigit() else None
+
     def _find_deadline_ms(self):
-        bounds_ms = [
-            int(text)
-            for text in (self.request.header(self._dialect.remaining_ms),)
-            if text.isdigit()
-        ]
-        if self.route.timeout_ms:
-            bounds_ms.append(self.route.timeout_ms)
-        longest_ms = min(bounds_ms, default=DEFAULT_TIMEOUT_MS)
+        bounds_ms = (self.patience_ms, self.route.timeout_ms)
+        longest_ms = min(
+            (bound_ms for bound_ms in bounds_ms if bound_ms),
+            default=DEFAULT_TIMEOUT_MS,
+        )
         return self.request.received_ms + longest_ms
 
     @property
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -199,7 +199,7 @@
     'INFO',
     'request {request_id} of {prompt_tokens} and {output_tokens} tokens has '
     'a place of {owner} at {prefill_server} and {decode_server} after '
-    '{waited_ms} ms',
+    '{waited_ms} ms, {caller_age_ms} ms after its caller first tried',
 )
 ATTEMPT_FAILED = Event(
     7033,
@@ -236,8 +236,9 @@
 PLACE_REFUSED = Event(
     7040,
     'INFO',
-    'request {request_id} was refused a place by {owner} after {age_ms} ms: '
-    '{kind}, {waiting} waiting, {places} places in use, come back in '
+    'request {request_id} was refused a place by {owner} after {age_ms} ms, '
+    '{caller_age_ms} ms after its caller first tried: {kind}, '
+    '{waiting} waiting, {places} places in use, come back in '
     '{retry_after_ms} ms',
 )
 REQUEST_ENDED = Event(
--- a/tests/integration/test_entry_stream.py
+++ b/tests/integration/test_entry_stream.py
@@ -72,6 +72,27 @@
             ]
             self.assertIn(resumed, ([], ['2']))
 
+    @run
+    async def test_silent_stream_goes_on_at_another_engine(self):
+        async with running_engines() as site:
+            engines = [site.servers[name] for name in ('d1', 'd2')]
+            for engine in engines:
+                engine.hold = trio.Event()
+            async with await site.connect() as caller:
+                await caller.send('POST', '/ask/x', b'a crack')
+                await sites.until(lambda: runs_of(site))
+                for engine in engines:
+                    if not engine.runs:
+                        engine.hold = None
+                answer = await caller.read_answer()
+            self.assertEqual(WHOLE, answer.body)
+            self.assertTrue(answer.whole)
+            resumed = [
+                request.headers.get('last-event-id')
+                for _, request in runs_of(site)
+            ]
+            self.assertCountEqual([None, '3'], resumed)
+
     @run
     async def test_stream_that_may_not_be_resumed_is_cut_at_an_event(self):
         async with running_engines(('p1', 'd1')) as site:
