Keep prefill servers in reserve; have decode servers read only where none is

Change: own reads are taken back, with their load. Roles are planned so that a fifth of the prefill servers, one at least, can be lost: 16 and 29 become 10 and 35, 4 and 5 become 3 and 6, 3 and 6 stay.

--- a/bluebellthread/core/routing/_allocator.py
+++ b/bluebellthread/core/routing/_allocator.py
@@ -34,11 +34,6 @@
 five seconds, and callers heed up to a third of the time that they have."""
 
 
-OWN_READ_FACTOR = 2
-"""How many times as long a decode server takes to read a prompt (the
-platform's pages)."""
-
-
 @attrs.frozen(kw_only=True)
 class AllocatorOptions:
     """How an owner gives places.
@@ -56,21 +51,12 @@
     late_per_server : float
         Requests for each decode server that may wait though they can't be
         on time any more. The others are told at once when to come back.
-    own_read_slack_ms : float
-        While all prefill servers are busy, a request that has at most this
-        long left to begin on time is read by its decode server.
-    own_read_load_max : float
-        Part of a decode server's memory up to which it reads prompts
-        itself while there are prefill servers. The answers that run there
-        pause meanwhile, which costs less than memory that nobody uses.
     """
 
     waiting_order: str = 'on-time-first'
     memory_model: str = 'growth'
     prefill_depth: int = 2
     late_per_server: float = 1.5
-    own_read_slack_ms: float = 300
-    own_read_load_max: float = 0.6
 
 
 @attrs.define(kw_only=True)
@@ -371,8 +357,6 @@
         self._add(place)
         if prefill is not None:
             prefill.reading[ask.ask_id] = place
-        else:
-            decode.own_read_end_ms = now_ms + self._own_read_ms(ask)
         return _grant_message(place)
 
     def _choose_pair(self, ask, now_ms):
@@ -382,11 +366,13 @@
             for item in prefills
             if len(item.reading) < self._options.prefill_depth
         ]
-        if not free:
-            return self._choose_reading_decode(ask, now_ms, prefills)
+        if prefills and not free:
+            return None
         decode = self._choose_decode(ask, now_ms)
         if decode is None:
             return None
+        if not prefills:
+            return None, decode
         prefill = min(
             free,
             key=lambda item: (
@@ -397,37 +383,11 @@
         )
         return prefill, decode
 
-    def _choose_reading_decode(self, ask, now_ms, prefills):
-        """Return a pair without a prefill server, or None to wait."""
-        load_max = 1.0
-        if prefills:
-            load_max = self._options.own_read_load_max
-            event_ms = now_ms + self._reading_time.first_event_ms(
-                OWN_READ_FACTOR * ask.prompt_tokens
-            )
-            slack_ms = ask.target_deadline_ms - event_ms
-            if slack_ms > self._options.own_read_slack_ms:
-                return None
-        decode = self._choose_decode(
-            ask,
-            now_ms,
-            lambda item: (
-                now_ms >= item.own_read_end_ms
-                and item.load(now_ms) <= load_max
-            ),
-        )
-        return None if decode is None else (None, decode)
-
-    def _own_read_ms(self, ask):
-        return OWN_READ_FACTOR * (
-            self._reading_time.read_ms(ask.prompt_tokens)
-        )
-
-    def _choose_decode(self, ask, now_ms, may_take=lambda item: True):
+    def _choose_decode(self, ask, now_ms):
         fitting = [
             item
             for item in self._usable('decode', ask, now_ms)
-            if may_take(item) and self._has_room(item, ask, now_ms)
+            if self._has_room(item, ask, now_ms)
         ]
         if not fitting:
             return None
--- a/bluebellthread/core/routing/_reading_time.py
+++ b/bluebellthread/core/routing/_reading_time.py
@@ -33,10 +33,6 @@
         sample = max(0.0, took_ms - OVERHEAD_MS / 2) / tokens
         self._ms_per_token += SMOOTHING * (sample - self._ms_per_token)
 
-    def read_ms(self, prompt_tokens):
-        """Return how long a prefill server reads a prompt."""
-        return self._ms_per_token * prompt_tokens
-
     def first_event_ms(self, prompt_tokens):
         """Return the time from a place to the first event."""
-        return OVERHEAD_MS + self.read_ms(prompt_tokens)
+        return OVERHEAD_MS + self._ms_per_token * prompt_tokens
--- a/bluebellthread/core/routing/_role_plan.py
+++ b/bluebellthread/core/routing/_role_plan.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import math
 
 from bluebellthread.core.routing import _memory_models
 
@@ -16,12 +17,19 @@
 request has been seen when roles are planned."""
 
 
+LOST_SHARE = 0.2
+"""Part of the prefill servers, one at least, without which prompts must
+still be read as fast as they are answered: crashes of a fifth of a
+deployment's servers are usual."""
+
+
 def plan_decode_switches(engines):
     """Return the prefill servers of one service that should decode.
 
-    A server is moved as long as the others read at least as many requests
-    a second as all decode servers then write. The last prefill server of a
-    region stays, so that prompts need not cross regions.
+    A server is moved as long as the others, with some of them lost, read
+    at least as many requests a second as all decode servers then write.
+    The last prefill server of a region stays, so that prompts need not
+    cross regions.
 
     Parameters
     ----------
@@ -49,7 +57,8 @@
             return moved
         write_rate += _write_rate(server)
         prefills.remove(server)
-        if read_rate * len(prefills) < write_rate:
+        lost_count = max(1, math.ceil(LOST_SHARE * len(prefills)))
+        if read_rate * (len(prefills) - lost_count) < write_rate:
             return moved
         moved.append(server.name)
 
