Watch longer and gather more changes in a call to the store

Change: changes within half a second come together, a fifth of the time in which they have to be in force; a watch waits for 28 s of the 30 allowed.

--- a/bluebellthread/entry/_platform_task.py
+++ b/bluebellthread/entry/_platform_task.py
@@ -15,9 +15,9 @@
 """Pauses between tries while the platform is away: a change has to be in
 force within seconds of its return."""
 
-GATHER_S = 0.25
+GATHER_S = 0.5
 """Pause after a change before the next watch, so that changes that come
-together cost one call; a tenth of the time in which a change has to be in
+together cost one call; a fifth of the time in which a change has to be in
 force."""
 
 EXPIRE_PERIOD_S = 0.2
--- a/bluebellthread/platform/_store_client.py
+++ b/bluebellthread/platform/_store_client.py
@@ -17,7 +17,7 @@
 """A read takes milliseconds; a store that is slow by the platform's own
 measure takes some hundred."""
 
-WATCH_MS = 20000
+WATCH_MS = 28000
 """How long a watch waits for a change; the store allows 30 s."""
 
 WATCH_MARGIN_S = 2.0
