Split the engines' accounts from the waiting asks, prompts from streams

An engine whose published memory grew stayed known as full until a place there ended.

Change: _engine_pool.py keeps the engines and the places on them, _allocator.py what waits; _prompt_reader.py has prompts read. A changed list of engines has every engine asked again (test_engine_with_more_memory).

--- a/bluebellthread/core/routing/_allocator.py
+++ b/bluebellthread/core/routing/_allocator.py
@@ -5,12 +5,12 @@
 owner learns of the places in use from the VMs that use them.
 """
 
-import math
 import random
 
 import attrs
 
 from bluebellthread.core.routing import _engine_account
+from bluebellthread.core.routing import _engine_pool
 from bluebellthread.core.routing import _memory_models
 from bluebellthread.core.routing import _placement_messages as messages
 from bluebellthread.core.routing import _reading_time
@@ -20,10 +20,6 @@
 """How often waiting asks are looked over for refusals when none arrives: a
 fraction of what a refusal may be late by without a caller noticing."""
 
-READING_TIMEOUT_MS = 2000
-"""A prefill that nobody has ended by then is taken as lost; several times
-the longest one."""
-
 NOTICE_DELAY_MS = 1000
 """Longest time that a VM's notice is on its way to a new owner: the time
 that a connection may take."""
@@ -87,16 +83,11 @@
         self._order = _waiting_orders.waiting_orders.get(
             self._options.waiting_order
         )
-        self._fits = _memory_models.memory_models.get(
-            self._options.memory_model
+        self._pool = _engine_pool.EnginePool(
+            fits=_memory_models.memory_models.get(self._options.memory_model),
+            prefill_depth=self._options.prefill_depth,
         )
-        self._servers = ()
-        self._accounts = {}
-        self._by_role = {'prefill': [], 'decode': []}
-        self._largest_tokens = 0
         self._waiting = {}
-        self._places = {}
-        self._next_expire_ms = math.inf
         self._next_refusal_ms = 0
         self._reading_time = _reading_time.ReadingTime()
 
@@ -108,52 +99,16 @@
     @property
     def place_count(self):
         """Places in use."""
-        return len(self._places)
+        return len(self._pool)
 
     @property
     def is_idle(self):
         """Whether nobody waits for or uses a place."""
-        return not self._waiting and not self._places
+        return not self._waiting and not len(self._pool)
 
     def set_servers(self, servers):
-        """Replace the list of engines.
-
-        Places may be known before their engine is; a process that has
-        started anew holds none of them.
-        """
-        if servers is self._servers:
-            return
-        self._servers = servers
-        accounts = {}
-        for server in servers:
-            known = self._accounts.get(server.name)
-            if known is None:
-                known = self._make_account(server)
-            elif known.server.incarnation != server.incarnation:
-                known = _engine_account.EngineAccount(server=server)
-            known.server = server
-            accounts[server.name] = known
-        self._accounts = accounts
-        self._by_role = {
-            role: [
-                account
-                for account in accounts.values()
-                if account.server.role == role
-            ]
-            for role in self._by_role
-        }
-        self._largest_tokens = max(
-            (item.server.memory_tokens for item in self._by_role['decode']),
-            default=0,
-        )
-
-    def _make_account(self, server):
-        places = {
-            ask_id: place
-            for ask_id, place in self._places.items()
-            if place.decode_server == server.name
-        }
-        return _engine_account.EngineAccount(server=server, writing=places)
+        """Replace the list of engines."""
+        self._pool.set_servers(servers)
 
     # What VMs say
 
@@ -165,7 +120,7 @@
         PlacementGranted or None
             The grant again, where an earlier answer was lost.
         """
-        place = self._places.get(ask.ask_id)
+        place = self._pool.find_place(ask.ask_id)
         if place is not None:
             return _grant_message(place)
         known = self._waiting.get(ask.ask_id)
@@ -178,11 +133,11 @@
 
     def note_read(self, ask_id, now_ms):
         """Free the prefill server of a request."""
-        place = self._places.get(ask_id)
+        place = self._pool.find_place(ask_id)
         if place is None or place.read_ms is not None:
             return
         place.read_ms = now_ms
-        account = self._accounts.get(place.prefill_server)
+        account = self._pool.find_account(place.prefill_server)
         if account is not None:
             tokens = account.reading_tokens
             account.reading.pop(ask_id, None)
@@ -194,8 +149,8 @@
     def end(self, ask_id, now_ms, *, failed_server=''):
         """Free what a request holds; spare the server that failed it."""
         self._waiting.pop(ask_id, None)
-        self._free(ask_id)
-        account = self._accounts.get(failed_server)
+        self._pool.free(ask_id)
+        account = self._pool.find_account(failed_server)
         if account is not None:
             account.note_failure(now_ms)
 
@@ -204,14 +159,16 @@
 
         A place that was granted while the list was on its way stays.
         """
-        for ask_id, place in list(self._places.items()):
-            age_ms = now_ms - place.granted_ms
-            if place.vm == held.vm and age_ms >= NOTICE_DELAY_MS:
-                self._free(ask_id)
+        self._pool.free_where(
+            lambda place: (
+                place.vm == held.vm
+                and now_ms - place.granted_ms >= NOTICE_DELAY_MS
+            )
+        )
         for item in held.places:
             self._waiting.pop(item.ask_id, None)
-            self._free(item.ask_id)
-            self._add(
+            self._pool.free(item.ask_id)
+            self._pool.add(
                 _engine_account.Place(
                     ask_id=item.ask_id,
                     vm=held.vm,
@@ -234,9 +191,9 @@
         is_gone : callable
             Takes a VM's name and incarnation.
         """
-        for ask_id, place in list(self._places.items()):
-            if is_gone(place.vm, place.vm_incarnation):
-                self._free(ask_id)
+        self._pool.free_where(
+            lambda place: is_gone(place.vm, place.vm_incarnation)
+        )
         for ask_id, waiting in list(self._waiting.items()):
             if is_gone(waiting.ask.vm, waiting.ask.vm_incarnation):
                 del self._waiting[ask_id]
@@ -250,8 +207,7 @@
         -------
         list of PlacementGranted or PlacementRefused
         """
-        if now_ms >= self._next_expire_ms:
-            self._expire(now_ms)
+        self._pool.expire(now_ms)
         if not self._waiting:
             return []
         answers = self._refuse_hopeless(now_ms)
@@ -288,7 +244,7 @@
             kind=kind,
             retry_after_ms=self._rng.randint(RETRY_FIRST_MS, RETRY_LAST_MS),
             waiting_count=len(self._waiting),
-            place_count=len(self._places),
+            place_count=len(self._pool),
         )
 
     def _find_refusals(self, now_ms):
@@ -319,7 +275,7 @@
         late : list of (int, str)
             Deadlines and ids.
         """
-        server_count = len(self._by_role['decode'])
+        server_count = len(self._pool.by_role['decode'])
         most = max(1, round(self._options.late_per_server * server_count))
         if len(late) <= most:
             return []
@@ -328,16 +284,16 @@
     def _find_refusal(self, ask, event_ms):
         if event_ms >= ask.start_deadline_ms:
             return 'too-late'
-        if not self._by_role['decode']:
+        if not self._pool.by_role['decode']:
             return 'no-server'
-        if ask.prompt_tokens + ask.output_tokens > self._largest_tokens:
+        if ask.prompt_tokens + ask.output_tokens > self._pool.largest_tokens:
             return 'too-large'
         return ''
 
     # Places
 
     def _grant(self, ask, now_ms):
-        pair = self._choose_pair(ask, now_ms)
+        pair = self._pool.choose_pair(ask, now_ms)
         if pair is None:
             return None
         prefill, decode = pair
@@ -354,112 +310,11 @@
             granted_ms=now_ms,
             read_ms=None if prefill else now_ms,
         )
-        self._add(place)
+        self._pool.add(place)
         if prefill is not None:
             prefill.reading[ask.ask_id] = place
         return _grant_message(place)
 
-    def _choose_pair(self, ask, now_ms):
-        prefills = self._usable('prefill', ask, now_ms)
-        free = [
-            item
-            for item in prefills
-            if len(item.reading) < self._options.prefill_depth
-        ]
-        if prefills and not free:
-            return None
-        decode = self._choose_decode(ask, now_ms)
-        if decode is None:
-            return None
-        if not prefills:
-            return None, decode
-        prefill = min(
-            free,
-            key=lambda item: (
-                item.reading_tokens,
-                _distance(item.server, decode.server),
-                item.server.name,
-            ),
-        )
-        return prefill, decode
-
-    def _choose_decode(self, ask, now_ms):
-        fitting = [
-            item
-            for item in self._usable('decode', ask, now_ms)
-            if self._has_room(item, ask, now_ms)
-        ]
-        if not fitting:
-            return None
-        return min(
-            fitting,
-            key=lambda item: (
-                item.load(now_ms)
-                + 0.1 * (item.server.data_centre != ask.data_centre),
-                item.server.name,
-            ),
-        )
-
-    def _has_room(self, account, ask, now_ms):
-        if len(account.writing) >= account.server.slot_count:
-            return False
-        if account.is_full_for(ask):
-            return False
-        if self._fits(account, ask, now_ms):
-            return True
-        account.full_for = ask
-        return False
-
-    def _usable(self, role, ask, now_ms):
-        """Return engines of a role, those that failed only as a last way."""
-        accounts = self._by_role[role]
-        rested = [item for item in accounts if not item.is_spared(now_ms)]
-        preferred = [
-            item
-            for item in rested
-            if item.server.name not in ask.avoid_servers
-        ]
-        return preferred or rested or accounts
-
-    def _add(self, place):
-        self._places[place.ask_id] = place
-        self._next_expire_ms = min(
-            self._next_expire_ms, _find_expiry_ms(place)
-        )
-        account = self._accounts.get(place.decode_server)
-        if account is not None:
-            account.writing[place.ask_id] = place
-
-    def _free(self, ask_id):
-        place = self._places.pop(ask_id, None)
-        if place is None:
-            return
-        for name in (place.prefill_server, place.decode_server):
-            account = self._accounts.get(name)
-            if account is not None:
-                account.give_back(ask_id)
-
-    def _expire(self, now_ms):
-        for ask_id, place in list(self._places.items()):
-            if now_ms >= place.deadline_ms:
-                self._free(ask_id)
-            elif now_ms >= _find_expiry_ms(place):
-                place.read_ms = now_ms
-                account = self._accounts.get(place.prefill_server)
-                if account is not None:
-                    account.reading.pop(ask_id, None)
-                    account.note_failure(now_ms)
-        self._next_expire_ms = min(
-            map(_find_expiry_ms, self._places.values()), default=math.inf
-        )
-
-
-def _find_expiry_ms(place):
-    """Return when a place changes by itself."""
-    if place.read_ms is not None:
-        return place.deadline_ms
-    return min(place.deadline_ms, place.granted_ms + READING_TIMEOUT_MS)
-
 
 def _grant_message(place):
     return messages.PlacementGranted(
@@ -467,10 +322,3 @@
         prefill_server=place.prefill_server,
         decode_server=place.decode_server,
     )
-
-
-def _distance(server, other):
-    """Return how many times as long a transfer takes than a near one."""
-    if server.data_centre == other.data_centre:
-        return 1
-    return 2 if server.region == other.region else 10
--- a/bluebellthread/entry/_service.py
+++ b/bluebellthread/entry/_service.py
@@ -29,6 +29,7 @@
 from bluebellthread.entry import _sockets
 from bluebellthread.entry import _state
 from bluebellthread.entry import _stats
+from bluebellthread.entry import _stream_parts
 from bluebellthread.entry import _stream_path
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
@@ -160,7 +161,7 @@
             dialect=dialect,
         )
         stream = _stream_path.StreamPath(
-            _stream_path.StreamParts(
+            _stream_parts.StreamParts(
                 state=self.state,
                 caller=caller,
                 placements=self._placements,
--- a/bluebellthread/entry/_stream_path.py
+++ b/bluebellthread/entry/_stream_path.py
@@ -2,7 +2,6 @@
 
 import math
 
-import attrs
 import trio
 
 from bluebellthread.core import routing
@@ -10,78 +9,23 @@
 from bluebellthread.entry import _event_splitter
 from bluebellthread.entry import _http_messages
 from bluebellthread.entry import _placement_client
+from bluebellthread.entry import _prompt_reader
 from bluebellthread.entry import _server_calls
 from bluebellthread.entry import _server_connection
+from bluebellthread.entry import _stream_parts
 from bluebellthread.entry import _work
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
 
-PREFILL_TIMEOUT_S = 1.2
-"""Several times what reading two long prompts takes; a server that is
-silent for as long is taken as lost."""
-
 SILENCE_MIN_S = 1.2
 SILENCE_FACTOR = 4
 """A stream that may be resumed is taken as lost after this many times its
 allowed pause: callers give up after eight times."""
 
-CONTROL_TIMEOUT_S = 0.5
-"""For freeing a read prompt, which its server does by itself as late."""
-
 DEFAULT_TOKEN_COUNTS = (4000, 200)
 """For requests that do not tell their size: a long one of the users."""
 
 
-@attrs.frozen(kw_only=True)
-class ReadPrompt:
-    """A prompt whose cache is kept for a moment at its prefill server."""
-
-    server: routing.ListedServer
-    handle: str
-
-
-class StreamBrokenError(Exception):
-    """One try of a stream failed.
-
-    Parameters
-    ----------
-    server : str
-        The server that failed it.
-    repeat_count : int
-        How many repeats of calls another try costs.
-    was_refused : bool
-        Whether the decode server said that it did not run the request.
-    """
-
-    def __init__(self, server, repeat_count, *, was_refused=False):
-        self.server = server
-        self.repeat_count = repeat_count
-        self.was_refused = was_refused
-        super().__init__(server)
-
-
-@attrs.frozen(kw_only=True)
-class StreamParts:
-    """What the streams of a process share.
-
-    Parameters
-    ----------
-    state : EntryState
-    caller : ServerCaller
-    placements : PlacementClient
-    budgets : RepeatBudgets
-    dialect : Dialect
-    stats : EntryStats
-    """
-
-    state: object
-    caller: object
-    placements: object
-    budgets: object
-    dialect: object
-    stats: object
-
-
 class StreamPath:
     """Serves routes of the kind stream.
 
@@ -132,6 +76,7 @@
         self._dialect = parts.dialect
         self._stats = parts.stats
         self._work = work
+        self._prompts = _prompt_reader.PromptReader(work=work, parts=parts)
         self._failed_servers = []
         self._resume_after = ''
 
@@ -149,7 +94,7 @@
             try:
                 await self._try(place)
                 return
-            except StreamBrokenError as error:
+            except _stream_parts.StreamBrokenError as error:
                 failed_server = error.server
                 if not self._may_go_on(error):
                     await self._end_failed()
@@ -246,6 +191,13 @@
         finally:
             await call.close()
 
+    async def _read_prompt(self, place):
+        """Return the `ReadPrompt`, or None if the decode server reads it."""
+        if not place.prefill_server:
+            return None
+        server = self._find_server(place.prefill_server)
+        return await self._prompts.read(place, server, self._resume_headers())
+
     async def _connect(self, place):
         server = self._find_server(place.decode_server)
         begun_ms = _clock.read_clock_ms()
@@ -257,19 +209,19 @@
             )
         except _server_calls.CallFailedError as error:
             self._note_run_failed(server.name, error, begun_ms)
-            raise StreamBrokenError(server.name, 0) from error
+            raise _stream_parts.StreamBrokenError(server.name, 0) from error
 
     async def _open_answer_or_read(self, place, prompt, exchange):
         """Return the open call; have the prompt read there if it is lost."""
         call = None
         try:
             call = await self._open_answer(place, prompt, exchange)
-        except StreamBrokenError as error:
+        except _stream_parts.StreamBrokenError as error:
             if prompt is None or not self._may_read_there(error):
                 raise
         finally:
             if call is None and prompt is not None:
-                self._free_prompt(prompt)
+                self._prompts.free(prompt)
         if call is None:
             emit(
                 events.PROMPT_LOST,
@@ -289,81 +241,6 @@
         """
         return error.was_refused and self._budgets.spend(self._work.service, 1)
 
-    # The prompt
-
-    async def _read_prompt(self, place):
-        """Return the `ReadPrompt`, or None if the decode server reads it."""
-        if not place.prefill_server:
-            return None
-        server = self._find_server(place.prefill_server)
-        begun_ms = _clock.read_clock_ms()
-        try:
-            with trio.fail_after(PREFILL_TIMEOUT_S):
-                handle = await self._call_prefill(server)
-        except trio.TooSlowError:
-            error = _server_calls.CallFailedError(
-                'the prompt was not read in time', may_have_run=False
-            )
-            self._note_prefill_failed(server, error, begun_ms)
-            raise StreamBrokenError(server.name, 1) from error
-        except _server_calls.CallFailedError as error:
-            self._note_prefill_failed(server, error, begun_ms)
-            raise StreamBrokenError(server.name, 1) from error
-        finally:
-            self._placements.note_read(place)
-        self._work.prefill_ms = _clock.read_clock_ms() - begun_ms
-        self._stats.observe_prefill(self._work.prefill_ms)
-        return ReadPrompt(server=server, handle=handle)
-
-    def _note_prefill_failed(self, server, error, begun_ms):
-        took_ms = _clock.read_clock_ms() - begun_ms
-        self._work.note_failed(
-            server.name, _work.STAGE_PREFILL, error, took_ms
-        )
-
-    async def _call_prefill(self, server):
-        call = await self._caller.open(
-            server,
-            self._work.request,
-            deadline_ms=self._work.deadline_ms,
-            may_repeat=True,
-            extra=[(self._dialect.stage, self._dialect.stage_prefill)]
-            + self._resume_headers(),
-        )
-        try:
-            body = await call.exchange.read_all()
-        except _server_connection.AnswerBrokenError as error:
-            raise _server_calls.CallFailedError(
-                str(error), may_have_run=False
-            ) from error
-        finally:
-            await call.close()
-        handle = self._dialect.read_handle(body)
-        if call.head.status != 200 or handle is None:
-            raise _server_calls.CallFailedError(
-                f'status {call.head.status} and no handle', may_have_run=False
-            )
-        return handle
-
-    def _free_prompt(self, prompt):
-        self._placements.start_soon(self._call_free, prompt)
-
-    async def _call_free(self, prompt):
-        release = self._dialect.make_handle_release(prompt.handle)
-        try:
-            await self._caller.call_control(
-                prompt.server,
-                release.method,
-                release.target,
-                timeout_s=CONTROL_TIMEOUT_S,
-            )
-        except _server_calls.CallFailedError as error:
-            emit(
-                events.PROMPT_NOT_FREED,
-                server=prompt.server.name,
-                error=error.reason,
-            )
-
     # The answer
 
     async def _open_answer(self, place, prompt, exchange=None):
@@ -393,10 +270,10 @@
                 'no answer in time', may_have_run=True
             )
             self._note_run_failed(server.name, error, begun_ms)
-            raise StreamBrokenError(server.name, 2) from error
+            raise _stream_parts.StreamBrokenError(server.name, 2) from error
         except _server_calls.CallFailedError as error:
             self._note_run_failed(server.name, error, begun_ms)
-            raise StreamBrokenError(
+            raise _stream_parts.StreamBrokenError(
                 server.name, 2, was_refused=error.was_refused
             ) from error
         work.note_run()
@@ -426,11 +303,13 @@
             reason=str(error),
         )
         self._stats.count_failure(_work.STAGE_RUN)
-        raise StreamBrokenError(place.decode_server, 2) from error
+        raise _stream_parts.StreamBrokenError(
+            place.decode_server, 2
+        ) from error
 
     async def _pass_failure_on(self, place, call):
         """Pass a server's own failure on, unless another may do better."""
-        error = StreamBrokenError(place.decode_server, 2)
+        error = _stream_parts.StreamBrokenError(place.decode_server, 2)
         if self._work.exchange.is_started or (
             self._work.route.may_repeat and self._has_runs_left()
         ):
@@ -538,5 +417,5 @@
     def _find_server(self, name):
         server = self._state.directory.find(name)
         if server is None:
-            raise StreamBrokenError(name, 0)
+            raise _stream_parts.StreamBrokenError(name, 0)
         return server
--- a/tests/unit/test_allocator.py
+++ b/tests/unit/test_allocator.py
@@ -104,6 +104,18 @@
             self.allocator.note_read(name, 10)
         self.assertEqual(['c'], make.granted(self.allocator.decide(10)))
 
+    def test_engine_with_more_memory_is_asked_again(self):
+        for name in 'abc':
+            self.ask(name)
+        self.allocator.decide(0)
+        for name in 'ab':
+            self.allocator.note_read(name, 10)
+        # Two fill the server, which is known to be full from now on.
+        self.assertEqual([], self.allocator.decide(10))
+        larger = make.make_engine('d1', 'decode', memory_tokens=20000)
+        self.allocator.set_servers([PAIR[0], larger])
+        self.assertEqual(['c'], make.granted(self.allocator.decide(20)))
+
     def test_held_places_replace_older_knowledge(self):
         self.ask('a')
         self.allocator.decide(0)
--- a/tests/unit/test_replay_loads.py
+++ b/tests/unit/test_replay_loads.py
@@ -7,7 +7,7 @@
 from bench import _replay_load
 from bench import _replay_world
 from bluebellthread.core import routing
-from bluebellthread.core.routing import _allocator
+from bluebellthread.core.routing import _engine_pool
 
 LOADS = pathlib.Path(__file__).parents[1] / 'loads'
 
@@ -80,7 +80,7 @@
         load = _replay_load.read_load(LOADS / 'crash.json')
         world = _replay_world.ReplayWorld(load)
         world.run()
-        world._now_ms += _allocator.READING_TIMEOUT_MS + 20000
+        world._now_ms += _engine_pool.READING_TIMEOUT_MS + 20000
         world._allocator.decide(world._now_ms)
         self.assertEqual(0, world._allocator.place_count)
 
