Keep two prefill servers in reserve at least

Change: two in reserve at least, so that fleets of nine engines keep the roles they have; 16 and 29 still become 10 and 35.

--- a/bluebellthread/core/routing/_role_plan.py
+++ b/bluebellthread/core/routing/_role_plan.py
@@ -18,9 +18,10 @@
 
 
 LOST_SHARE = 0.2
-"""Part of the prefill servers, one at least, without which prompts must
-still be read as fast as they are answered: crashes of a fifth of a
-deployment's servers are usual."""
+LOST_MIN = 2
+"""Part of the prefill servers, and how many at least, without which prompts
+must still be read as fast as they are answered. Crashes of a fifth of a
+deployment's servers are usual, and one more may be taken away meanwhile."""
 
 
 def plan_decode_switches(engines):
@@ -57,7 +58,7 @@
             return moved
         write_rate += _write_rate(server)
         prefills.remove(server)
-        lost_count = max(1, math.ceil(LOST_SHARE * len(prefills)))
+        lost_count = max(LOST_MIN, math.ceil(LOST_SHARE * len(prefills)))
         if read_rate * (len(prefills) - lost_count) < write_rate:
             return moved
         moved.append(server.name)
