Forget servers that are gone; drop settings that nothing reads

Cause: the choice of plain servers kept an account of every server that had ever been listed; three settings of the entry were decoded for nobody.

Change: accounts are dropped when the list of servers changes (test_servers_that_are_gone_are_forgotten). The entry's fields cold_ms and handle_hold_ms stay: reading them refuses entries of a wrong type.

--- a/bluebellthread/core/routing/_directory.py
+++ b/bluebellthread/core/routing/_directory.py
@@ -71,6 +71,11 @@
         """Return a listed server, or None."""
         return self._servers.get(name)
 
+    @property
+    def names(self):
+        """The names of all listed servers."""
+        return self._servers.keys()
+
     @property
     def has_lapsed(self):
         """Whether the entry of any server may have lapsed."""
--- a/bluebellthread/core/routing/_server_choice.py
+++ b/bluebellthread/core/routing/_server_choice.py
@@ -131,8 +131,8 @@
         )
         account.spared_until_ms = now_ms + spare_ms
 
-    def forget(self, names):
-        """Keep only the accounts of the named servers."""
+    def keep_only(self, names):
+        """Forget the accounts of servers that are not among some."""
         for name in set(self._accounts) - set(names):
             del self._accounts[name]
 
--- a/bluebellthread/entry/_plain_path.py
+++ b/bluebellthread/entry/_plain_path.py
@@ -45,6 +45,7 @@
         self._choice = choice
         self._budgets = budgets
         self._dialect = dialect
+        self._seen_version = None
 
     async def serve(self, work):
         """Answer one `Work`."""
@@ -77,7 +78,11 @@
                 return
 
     def _choose(self, work, tried):
-        servers = self._state.directory.usable(work.service)
+        directory = self._state.directory
+        if self._seen_version != directory.version:
+            self._seen_version = directory.version
+            self._choice.keep_only(directory.names)
+        servers = directory.usable(work.service)
         now_ms = _clock.read_clock_ms()
         server = self._choice.choose(servers, now_ms, avoid=tried)
         if server is None and work.route.kind == routing.KIND_REPEATABLE:
--- a/bluebellthread/entry/_settings.py
+++ b/bluebellthread/entry/_settings.py
@@ -24,14 +24,10 @@
         Whether the whole system starts for the first time.
     platform_host, platform_port : str, int
         The platform's configuration service.
-    heartbeat_ms : int
-        How often backend servers renew their entries.
     stop_grace_ms : int
         Time between SIGTERM and SIGKILL.
     repeat_ratio, repeat_window_ms, repeat_slack : float, int, float
         The fleet's budget of repeats.
-    memory_mb, descriptor_max : int
-        Limits of the process.
     """
 
     vm: str
@@ -47,10 +43,7 @@
     is_first_start: bool
     platform_host: str
     platform_port: int
-    heartbeat_ms: int
     stop_grace_ms: int
     repeat_ratio: float
     repeat_window_ms: int
     repeat_slack: float
-    memory_mb: int
-    descriptor_max: int
--- a/bluebellthread/platform/_settings.py
+++ b/bluebellthread/platform/_settings.py
@@ -60,7 +60,6 @@
         If a needed field is missing or of another type.
     """
     bounds = fields['bounds']
-    limits = fields['limits']
     listen = fields['listen']
     platform_host, platform_port = split_address(fields['platform']['address'])
     return EntrySettings(
@@ -81,13 +80,10 @@
         is_first_start=fields.get('bootstrap') is True,
         platform_host=platform_host,
         platform_port=platform_port,
-        heartbeat_ms=int(fields.get('heartbeatMs') or 0),
         stop_grace_ms=int(float(bounds['graceS']) * 1000),
         repeat_ratio=float(bounds['retryBudgetRatio']),
         repeat_window_ms=int(float(bounds['budgetWindowS']) * 1000),
         repeat_slack=float(bounds['budgetSlack']),
-        memory_mb=int(limits['memoryMb']),
-        descriptor_max=int(limits['fdLimit']),
     )
 
 
--- a/tests/integration/_entry_site.py
+++ b/tests/integration/_entry_site.py
@@ -31,13 +31,10 @@
         'is_first_start': False,
         'platform_host': '127.0.0.1',
         'platform_port': store.port,
-        'heartbeat_ms': 1200,
         'stop_grace_ms': 8000,
         'repeat_ratio': 0.2,
         'repeat_window_ms': 10000,
         'repeat_slack': 56,
-        'memory_mb': 150,
-        'descriptor_max': 4100,
         **changes,
     }
     return EntrySettings(**fields)
--- a/tests/unit/test_server_choice.py
+++ b/tests/unit/test_server_choice.py
@@ -61,3 +61,12 @@
         self.assertEqual('y', self.choose(servers, 100))
         later = _server_choice.FOREIGN_LOAD_AGE_MS
         self.assertEqual('x', self.choose(servers, later))
+
+    def test_servers_that_are_gone_are_forgotten(self):
+        server = make_server('s1')
+        self.choice.note_failure(server, 0)
+        self.choice.keep_only({'s1'})
+        other = make_server('s2', 'z')
+        self.assertEqual('s2', self.choose([server, other]).name)
+        self.choice.keep_only({'s2'})
+        self.assertEqual('s1', self.choose([server, other]).name)
