--- a/bluebellthread/core/routing/_caller_age.py
+++ b/bluebellthread/core/routing/_caller_age.py
@@ -15,9 +15,9 @@
 """Part of the requests that have at most the usual time left: even when
 most callers come back, more than a tenth are first tries."""
 
-AGE_MIN_MS = 250
-"""Smaller differences are taken for the time that a request was on its
-way."""
+AGE_MIN_MS = 2500
+"""Smaller differences are taken for first tries: callers' patience varies
+by up to two seconds, and who was refused comes back after three."""
 
 
 class CallerAges:
