Limit the wait for an event alone, not its passing on

Ruled out: the splitter and the engines' stand-in (the logs show the silence first, then the resumption after an event that the caller did not get).

Change: only the read is limited, and only for streams that may be resumed.

--- a/bluebellthread/entry/_stream_path.py
+++ b/bluebellthread/entry/_stream_path.py
@@ -331,40 +331,32 @@
                 call.head.status, work.answer_headers(call.head)
             )
         try:
-            with trio.CancelScope() as scope:
-                await self._pass_pieces_on(call, splitter, scope)
-        except _server_connection.AnswerBrokenError as error:
-            self._fail_run(place, error)
-        if scope.cancelled_caught:
-            error = _server_calls.CallFailedError(
-                'the server fell silent', may_have_run=True
-            )
-            self._fail_run(place, error)
+            while True:
+                data = await self._read_piece(call)
+                if data is None:
+                    break
+                whole = splitter.push(data)
+                if whole:
+                    await self._pass_piece_on(whole, splitter)
+        except (_server_connection.AnswerBrokenError, trio.TooSlowError) as e:
+            self._fail_run(place, e)
         if splitter.rest:
             await exchange.send(splitter.rest)
         await exchange.finish()
         work.outcome = 'answered'
 
-    async def _pass_pieces_on(self, call, splitter, scope):
-        """Pass events on until the answer ends.
+    async def _read_piece(self, call):
+        """Return the next bytes of an answer.
 
-        Parameters
-        ----------
-        scope : trio.CancelScope
-            Its deadline is when the server will have been silent for too
-            long; a caller that reads slowly has no part in that.
+        The wait is limited here and nowhere further out: after a pause of
+        the process, a scope that held the sending as well would be
+        cancelled with an event read but not yet passed on.
         """
         silence_s = self._silence_s()
-        while True:
-            scope.deadline = trio.current_time() + silence_s
-            data = await call.exchange.read()
-            if data is None:
-                scope.deadline = math.inf
-                return
-            whole = splitter.push(data)
-            if whole:
-                scope.deadline = math.inf
-                await self._pass_piece_on(whole, splitter)
+        if silence_s == math.inf:
+            return await call.exchange.read()
+        with trio.fail_after(silence_s):
+            return await call.exchange.read()
 
     async def _pass_piece_on(self, whole, splitter):
         if not self._resume_after:
--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -6,6 +6,8 @@
 
 SEEDS = {
     693138890: 'a SIGHUP during the start ended the process',
+    676263359: 'an event was lost as the time-out of its wait was found',
+    646920442: 'the same',
 }
 """Seeds that have failed, each with its cause."""
 
--- /dev/null
+++ b/tests/unit/test_stream_pieces.py
@@ -0,0 +1,124 @@
+import types
+import unittest
+
+import trio
+import trio.testing
+
+from bluebellthread.entry import _stream_parts
+from bluebellthread.entry import _stream_path
+
+EVENTS = [f'id: {n}\ndata: piece {n}\n\n'.encode() for n in (1, 2, 3)]
+
+
+class _Server:
+    """The answer of a server, whose events come when the test says so."""
+
+    def __init__(self):
+        self.send, self._receive = trio.open_memory_channel(10)
+
+    async def read(self):
+        return await self._receive.receive()
+
+
+class _Caller:
+    """A caller that notes what it has been sent."""
+
+    is_started = True
+
+    def __init__(self):
+        self.received = b''
+
+    async def send(self, data):
+        await trio.lowlevel.checkpoint()
+        self.received += data
+
+    async def finish(self):
+        await trio.lowlevel.checkpoint()
+        self.received += b'end'
+
+
+class _Stats:
+    def observe_first_event(self, first_event_ms):
+        del first_event_ms
+
+    def count_failure(self, stage):
+        del stage
+
+
+def make_stream(caller):
+    work = types.SimpleNamespace(
+        exchange=caller,
+        request_id='r',
+        age_ms=1,
+        first_event_ms=None,
+        outcome='',
+        route=types.SimpleNamespace(is_resumable=True, gap_target_ms=300),
+    )
+    parts = _stream_parts.StreamParts(
+        state=None,
+        caller=None,
+        placements=None,
+        budgets=None,
+        dialect=None,
+        stats=_Stats(),
+    )
+    return _stream_path._Stream(work=work, parts=parts, caller_age_ms=0)
+
+
+async def pass_events_on(stream, server):
+    place = types.SimpleNamespace(decode_server='d1')
+    call = types.SimpleNamespace(exchange=server)
+    await stream._pass_events_on(place, call)
+
+
+def run(clock, function, *arguments):
+    trio.run(function, *arguments, clock=clock)
+
+
+class TestPieces(unittest.TestCase):
+    def test_event_that_comes_as_the_silence_ends_is_passed_on(self):
+        """A process that was paused finds the event and the time-out."""
+        clock = trio.testing.MockClock()
+        caller = _Caller()
+
+        async def scenario():
+            server = _Server()
+            stream = make_stream(caller)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(pass_events_on, stream, server)
+                await trio.testing.wait_all_tasks_blocked()
+                server.send.send_nowait(EVENTS[0])
+                await trio.testing.wait_all_tasks_blocked()
+                # Both are found at once: the event and the end of the wait.
+                server.send.send_nowait(EVENTS[1])
+                clock.jump(10)
+                await trio.testing.wait_all_tasks_blocked()
+                server.send.send_nowait(EVENTS[2])
+                server.send.send_nowait(None)
+
+        run(clock, scenario)
+        self.assertEqual(b''.join(EVENTS) + b'end', caller.received)
+
+    def test_silent_server_fails_with_what_was_passed_on_known(self):
+        clock = trio.testing.MockClock()
+        caller = _Caller()
+        streams = []
+
+        async def scenario():
+            server = _Server()
+            stream = make_stream(caller)
+            streams.append(stream)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.expect_broken, stream, server)
+                await trio.testing.wait_all_tasks_blocked()
+                server.send.send_nowait(EVENTS[0])
+                await trio.testing.wait_all_tasks_blocked()
+                clock.jump(10)
+
+        run(clock, scenario)
+        self.assertEqual(EVENTS[0], caller.received)
+        self.assertEqual('1', streams[0]._resume_after)
+
+    async def expect_broken(self, stream, server):
+        with self.assertRaises(_stream_parts.StreamBrokenError):
+            await pass_events_on(stream, server)
