--- /dev/null
+++ b/bench/entry_costs.py
@@ -0,0 +1,160 @@
+"""Measures what placing costs the entry VM that owns a service's engines.
+
+    python -m bench.entry_costs
+
+Plays a seeded load of model requests against the pure allocator and the
+codec, without sockets, and prints one JSON line: processor time and bytes
+for each request, and how both grow with the rate.
+"""
+
+import json
+import time
+
+from bench import _replay_load
+from bench import _replay_world
+from bluebellthread.core import routing
+from bluebellthread import wire
+
+RATES_PER_S = (45, 90, 280)
+"""As played on the users' large deployment, at its bursts, and the share of
+one of 15 models in the target's 4,200 requests a second."""
+
+ENGINES_PER_RATE = 1.0
+"""Engines for each request a second, as on that deployment."""
+
+PREFILL_SHARE = 0.22
+"""Part of the engines that read prompts once roles are planned there."""
+
+LENGTH_S = 8
+REPEATS = 2000
+
+
+def main():
+    """Print the measures."""
+    print(json.dumps({'rates': measure_rates(), 'codec': measure_codec()}))
+
+
+def measure_rates():
+    """Return the processor time of decisions for each rate."""
+    return [measure_rate(rate) for rate in RATES_PER_S]
+
+
+def measure_rate(rate_per_s):
+    """Return the processor time of one owner at a rate, in ms a second."""
+    engine_count = round(rate_per_s * ENGINES_PER_RATE)
+    prefill_count = round(engine_count * PREFILL_SHARE)
+    load = _replay_load.make_burst_load(
+        seed=1,
+        pattern='steady',
+        engines=_replay_load.make_engines(
+            prefill_count=prefill_count,
+            decode_count=engine_count - prefill_count,
+            slot_count=12,
+            memory_tokens=29187,
+        ),
+        rate_per_s=rate_per_s,
+        bursts=(),
+        length_s=LENGTH_S,
+    )
+    allocator = _TimedAllocator()
+    world = _replay_world.ReplayWorld(load)
+    world._allocator = allocator
+    world.run()
+    return {
+        'rate_per_s': rate_per_s,
+        'engines': engine_count,
+        'decision_ms_per_request': round(
+            1000 * allocator.spent_s / len(load.requests), 3
+        ),
+    }
+
+
+class _TimedAllocator(routing.Allocator):
+    """Adds up the processor time of what VMs say and what is decided."""
+
+    def __init__(self):
+        super().__init__()
+        self.spent_s = 0.0
+
+    def _timed(self, method, *arguments, **options):
+        begun_s = time.process_time()
+        try:
+            return method(*arguments, **options)
+        finally:
+            self.spent_s += time.process_time() - begun_s
+
+    def ask(self, *arguments):
+        return self._timed(super().ask, *arguments)
+
+    def note_read(self, *arguments):
+        return self._timed(super().note_read, *arguments)
+
+    def end(self, *arguments, **options):
+        return self._timed(super().end, *arguments, **options)
+
+    def decide(self, now_ms):
+        return self._timed(super().decide, now_ms)
+
+
+def measure_codec():
+    """Return processor time and bytes of one request's messages."""
+    messages = (
+        routing.PlacementAsk(
+            ask_id='front-bucuresti-a-11/2305843009213693951/1234',
+            vm='front-bucuresti-a-11',
+            vm_incarnation=2305843009213693951,
+            data_centre='bucuresti-a',
+            serves='atelier-llm',
+            prompt_tokens=3200,
+            output_tokens=3060,
+            target_deadline_ms=1900,
+            start_deadline_ms=4600,
+            deadline_ms=15000,
+            poll_deadline_ms=1400,
+        ),
+        routing.PlacementGranted(
+            ask_id='front-bucuresti-a-11/2305843009213693951/1234',
+            prefill_server='i-59f8d36efa',
+            decode_server='i-5c4956471f',
+        ),
+        routing.PromptRead(
+            ask_id='front-bucuresti-a-11/2305843009213693951/1234',
+            serves='atelier-llm',
+        ),
+        routing.PlacementEnded(
+            ask_id='front-bucuresti-a-11/2305843009213693951/1234',
+            serves='atelier-llm',
+            failed_server='',
+        ),
+    )
+    envelopes = [
+        wire.Envelope(
+            message=message,
+            sender='front-bucuresti-a-11',
+            sender_incarnation=2305843009213693951,
+            correlation=77,
+        )
+        for message in messages
+    ]
+    frames = [wire.encode(envelope, now_ms=0) for envelope in envelopes]
+    return {
+        'bytes_per_request': sum(len(frame) for frame in frames),
+        'encode_ms_per_request': _time_ms(
+            lambda: [wire.encode(item, now_ms=0) for item in envelopes]
+        ),
+        'decode_ms_per_request': _time_ms(
+            lambda: [wire.decode(frame, now_ms=0) for frame in frames]
+        ),
+    }
+
+
+def _time_ms(function):
+    begun_s = time.process_time()
+    for _ in range(REPEATS):
+        function()
+    spent_s = time.process_time() - begun_s
+    return round(1000 * spent_s / REPEATS, 3)
+
+
+if __name__ == '__main__':
+    main()
