Have decode servers read what would be late; keep one prefill server in reserve

Change: while all prefill servers are busy, a request with at most 0.3 s left is read by a decode server of which at most half is in use, one prompt at a time. One prefill server in reserve, or a fifth.

--- a/bluebellthread/core/routing/_allocator.py
+++ b/bluebellthread/core/routing/_allocator.py
@@ -47,12 +47,16 @@
     late_per_server : float
         Requests for each decode server that may wait though they can't be
         on time any more. The others are told at once when to come back.
+    own_read_slack_ms : float
+        While all prefill servers are busy, a request that has at most this
+        long left to begin on time is read by its decode server.
     """
 
     waiting_order: str = 'on-time-first'
     memory_model: str = 'growth'
     prefill_depth: int = 2
     late_per_server: float = 1.5
+    own_read_slack_ms: float = 300
 
 
 @attrs.define(kw_only=True)
@@ -292,8 +296,19 @@
 
     # Places
 
+    def _is_urgent(self, ask, now_ms, own_read_ms):
+        """Return whether an ask should not wait for a prefill server."""
+        event_ms = now_ms + own_read_ms + _reading_time.OVERHEAD_MS
+        slack_ms = ask.target_deadline_ms - event_ms
+        return slack_ms <= self._options.own_read_slack_ms
+
     def _grant(self, ask, now_ms):
-        pair = self._pool.choose_pair(ask, now_ms)
+        own_read_ms = self._reading_time.own_read_ms(ask.prompt_tokens)
+        pair = self._pool.choose_pair(
+            ask,
+            now_ms,
+            is_urgent=self._is_urgent(ask, now_ms, own_read_ms),
+        )
         if pair is None:
             return None
         prefill, decode = pair
@@ -313,6 +328,8 @@
         self._pool.add(place)
         if prefill is not None:
             prefill.reading[ask.ask_id] = place
+        else:
+            decode.own_read_end_ms = now_ms + own_read_ms
         return _grant_message(place)
 
 
--- a/bluebellthread/core/routing/_engine_account.py
+++ b/bluebellthread/core/routing/_engine_account.py
@@ -70,6 +70,8 @@
         Places whose prompts this prefill server reads, by ask id.
     writing : dict of str to Place
         Places with memory on this decode server, by ask id.
+    own_read_end_ms : float
+        When this decode server will have read the prompt that it reads.
     full_for : PlacementAsk or None
         An ask that had no room since a place was last given back. What
         runs only grows meanwhile, so no larger one has room either.
@@ -80,6 +82,7 @@
     writing: dict = attrs.field(factory=dict)
     failures: int = 0
     spared_until_ms: int = 0
+    own_read_end_ms: float = 0
     full_for: object = None
 
     def give_back(self, ask_id):
--- a/bluebellthread/core/routing/_engine_pool.py
+++ b/bluebellthread/core/routing/_engine_pool.py
@@ -4,6 +4,10 @@
 
 from bluebellthread.core.routing import _engine_account
 
+OWN_READ_LOAD_MAX = 0.5
+"""Part of a decode server's memory up to which it reads prompts itself while
+there are prefill servers: the answers that run there pause meanwhile."""
+
 READING_TIMEOUT_MS = 2000
 """A prefill that nobody has ended by then is taken as lost; several times
 the longest one."""
@@ -96,14 +100,20 @@
 
     # Where work goes
 
-    def choose_pair(self, ask, now_ms):
+    def choose_pair(self, ask, now_ms, *, is_urgent=False):
         """Return a prefill and a decode account for an ask.
 
+        Parameters
+        ----------
+        is_urgent : bool
+            Whether a decode server should read the prompt rather than have
+            it wait for a prefill server.
+
         Returns
         -------
         (EngineAccount or None, EngineAccount) or None
-            Without a prefill server where there is none: the decode server
-            reads the prompt. None if the ask has to wait.
+            Without a prefill server the decode server reads the prompt.
+            None if the ask has to wait.
         """
         prefills = self._usable('prefill', ask, now_ms)
         free = [
@@ -111,13 +121,11 @@
             for item in prefills
             if len(item.reading) < self._prefill_depth
         ]
-        if prefills and not free:
-            return None
+        if not free:
+            return self._choose_reader(ask, now_ms, prefills, is_urgent)
         decode = self._choose_decode(ask, now_ms)
         if decode is None:
             return None
-        if not prefills:
-            return None, decode
         prefill = min(
             free,
             key=lambda item: (
@@ -128,11 +136,28 @@
         )
         return prefill, decode
 
-    def _choose_decode(self, ask, now_ms):
+    def _choose_reader(self, ask, now_ms, prefills, is_urgent):
+        """Return the pair in which the decode server reads the prompt."""
+        if not prefills:
+            decode = self._choose_decode(ask, now_ms)
+        elif is_urgent:
+            decode = self._choose_decode(
+                ask,
+                now_ms,
+                lambda item: (
+                    now_ms >= item.own_read_end_ms
+                    and item.load(now_ms) <= OWN_READ_LOAD_MAX
+                ),
+            )
+        else:
+            return None
+        return None if decode is None else (None, decode)
+
+    def _choose_decode(self, ask, now_ms, may_take=lambda item: True):
         fitting = [
             item
             for item in self._usable('decode', ask, now_ms)
-            if self._has_room(item, ask, now_ms)
+            if may_take(item) and self._has_room(item, ask, now_ms)
         ]
         if not fitting:
             return None
--- a/bluebellthread/core/routing/_reading_time.py
+++ b/bluebellthread/core/routing/_reading_time.py
@@ -7,6 +7,9 @@
 OVERHEAD_MS = 110.0
 """Calls, the transfer of the prompt's cache, and the first tokens."""
 
+OWN_READ_FACTOR = 2
+"""How many times as long a decode server takes (the platform's pages)."""
+
 SMOOTHING = 0.1
 """Weight of the newest of some ten measurements."""
 
@@ -33,6 +36,10 @@
         sample = max(0.0, took_ms - OVERHEAD_MS / 2) / tokens
         self._ms_per_token += SMOOTHING * (sample - self._ms_per_token)
 
+    def own_read_ms(self, prompt_tokens):
+        """Return how long a decode server reads a prompt."""
+        return OWN_READ_FACTOR * self._ms_per_token * prompt_tokens
+
     def first_event_ms(self, prompt_tokens):
         """Return the time from a place to the first event."""
         return OVERHEAD_MS + self._ms_per_token * prompt_tokens
--- a/bluebellthread/core/routing/_role_plan.py
+++ b/bluebellthread/core/routing/_role_plan.py
@@ -18,10 +18,10 @@
 
 
 LOST_SHARE = 0.2
-LOST_MIN = 2
+LOST_MIN = 1
 """Part of the prefill servers, and how many at least, without which prompts
 must still be read as fast as they are answered. Crashes of a fifth of a
-deployment's servers are usual, and one more may be taken away meanwhile."""
+deployment's servers are usual."""
 
 
 def plan_decode_switches(engines):
--- a/tests/unit/test_allocator.py
+++ b/tests/unit/test_allocator.py
@@ -131,6 +131,41 @@
         self.assertEqual(1, self.allocator.place_count)
 
 
+class TestOwnReads(unittest.TestCase):
+    """Decode servers that read prompts while prefill servers are busy."""
+
+    def setUp(self):
+        self.allocator = routing.Allocator()
+        self.allocator.set_servers(
+            [PAIR[0], make.make_engine('d1', 'decode', memory_tokens=40000)]
+        )
+        for name in 'ab':
+            self.allocator.ask(make.make_ask(name), 0)
+        self.allocator.decide(0)
+
+    def ask(self, name, now_ms, **changes):
+        self.allocator.ask(make.make_ask(name, **changes), now_ms)
+        return {
+            answer.ask_id: answer.prefill_server
+            for answer in self.allocator.decide(now_ms)
+        }
+
+    def test_request_with_time_left_waits_for_a_prefill_server(self):
+        self.assertEqual({}, self.ask('c', 10, target_deadline_ms=5000))
+
+    def test_urgent_request_is_read_by_its_decode_server(self):
+        self.assertEqual({'c': ''}, self.ask('c', 10, target_deadline_ms=600))
+
+    def test_one_prompt_is_read_there_at_a_time(self):
+        self.ask('c', 10, target_deadline_ms=600)
+        self.assertEqual({}, self.ask('d', 20, target_deadline_ms=600))
+
+    def test_much_used_decode_server_reads_none(self):
+        held = (make.make_held_place(f'x{number}') for number in range(6))
+        self.allocator.hold(make.make_held(*held, vm='vm2'), 0)
+        self.assertEqual({}, self.ask('c', 10, target_deadline_ms=600))
+
+
 class TestRefusals(unittest.TestCase):
     def setUp(self):
         self.allocator = routing.Allocator()
--- a/tests/unit/test_replay_loads.py
+++ b/tests/unit/test_replay_loads.py
@@ -1,3 +1,4 @@
+import math
 import pathlib
 import statistics
 import tempfile
@@ -51,6 +52,23 @@
         self.assertTrue(all(at_ms > 6000 for at_ms in result.refused_ms))
 
 
+class TestPrefillLost(unittest.TestCase):
+    """One of two prefill servers is gone for good while decode has room."""
+
+    def test_fewer_are_refused_as_decode_servers_read(self):
+        waiting = replay('prefill-lost', own_read_slack_ms=-math.inf)
+        reading = replay('prefill-lost')
+        self.assertLess(reading.unserved, waiting.unserved / 2)
+        self.assertLess(reading.refusals, waiting.refusals)
+        # Answers that pause meanwhile cost less than that earns.
+        self.assertGreaterEqual(reading.worth_share, waiting.worth_share)
+
+    def test_bursts_that_prefill_servers_bear_are_no_worse(self):
+        waiting = replay('burst', own_read_slack_ms=-math.inf)
+        reading = replay('burst')
+        self.assertGreater(reading.worth_share, waiting.worth_share - 0.01)
+
+
 class TestHeavy(unittest.TestCase):
     """A steady load near capacity with bursts far beyond it."""
 
