Serve nobody who has no time left; pass control calls as one value

Change: 0 is a bound as before; test_caller_without_time_left_is_not_served failed before. call_control takes a ControlCall in place of its parts.

--- a/bluebellthread/entry/_dialect.py
+++ b/bluebellthread/entry/_dialect.py
@@ -10,6 +10,7 @@
     Parameters
     ----------
     method, target, body : bytes
+        The body is JSON, or empty.
     """
 
     method: bytes
--- a/bluebellthread/entry/_prompt_reader.py
+++ b/bluebellthread/entry/_prompt_reader.py
@@ -115,10 +115,7 @@
         release = self._dialect.make_handle_release(prompt.handle)
         try:
             await self._caller.call_control(
-                prompt.server,
-                release.method,
-                release.target,
-                timeout_s=CONTROL_TIMEOUT_S,
+                prompt.server, release, timeout_s=CONTROL_TIMEOUT_S
             )
         except _server_calls.CallFailedError as error:
             emit(
--- a/bluebellthread/entry/_role_task.py
+++ b/bluebellthread/entry/_role_task.py
@@ -96,11 +96,7 @@
         )
         try:
             status = await self._caller.call_control(
-                server,
-                order.method,
-                order.target,
-                body=order.body,
-                timeout_s=ORDER_TIMEOUT_S,
+                server, order, timeout_s=ORDER_TIMEOUT_S
             )
             outcome = 'taken' if status in ACCEPTED_STATUSES else 'refused'
         except _server_calls.CallFailedError as error:
--- a/bluebellthread/entry/_server_calls.py
+++ b/bluebellthread/entry/_server_calls.py
@@ -143,15 +143,14 @@
             raise
         return call
 
-    async def call_control(
-        self, server, method, target, *, timeout_s, body=b''
-    ):
+    async def call_control(self, server, call, *, timeout_s):
         """Make a call that is not a caller's; return its status.
 
         Parameters
         ----------
-        body : bytes
-            JSON, or nothing.
+        server : ListedServer
+        call : ControlCall
+        timeout_s : float
 
         Raises
         ------
@@ -162,13 +161,16 @@
             (b'host', f'{server.host}:{server.port}'.encode()),
             (self._dialect.expected_server, server.name.encode()),
         ]
-        if body:
+        if call.body:
+            length = str(len(call.body)).encode()
             headers.append((b'content-type', b'application/json'))
-            headers.append((b'content-length', str(len(body)).encode()))
+            headers.append((b'content-length', length))
         exchange = await self._connect(server, '', True)
         try:
             with trio.fail_after(timeout_s):
-                head = await exchange.open(method, target, headers, body)
+                head = await exchange.open(
+                    call.method, call.target, headers, call.body
+                )
                 await exchange.read_all()
                 return head.status
         except (
--- a/bluebellthread/entry/_work.py
+++ b/bluebellthread/entry/_work.py
@@ -62,11 +62,12 @@
         return int(text) if text.isdigit() else None
 
     def _find_deadline_ms(self):
-        bounds_ms = (self.patience_ms, self.route.timeout_ms)
-        longest_ms = min(
-            (bound_ms for bound_ms in bounds_ms if bound_ms),
-            default=DEFAULT_TIMEOUT_MS,
-        )
+        bounds_ms = []
+        if self.patience_ms is not None:
+            bounds_ms.append(self.patience_ms)
+        if self.route.timeout_ms:
+            bounds_ms.append(self.route.timeout_ms)
+        longest_ms = min(bounds_ms, default=DEFAULT_TIMEOUT_MS)
         return self.request.received_ms + longest_ms
 
     @property
--- a/tests/integration/test_entry_plain.py
+++ b/tests/integration/test_entry_plain.py
@@ -271,6 +271,15 @@
             )
             self.assertEqual(504, answer.status)
 
+    @run
+    async def test_caller_without_time_left_is_not_served(self):
+        async with sites.running_site(plain=('s1',)) as site:
+            answer = await site.call(
+                'POST', '/order/x', b'one wig', deadline_ms=0
+            )
+            self.assertIn(answer.status, (503, 504))
+            self.assertEqual([], site.servers['s1'].runs)
+
     async def check_raw(self, data, status):
         async with sites.running_site() as site:
             async with await site.connect() as caller:
