Give each soak addresses of its own; say why a process ended

Change: addresses follow from the soak's process id; a failure names the last line that the process wrote. No check or bound has changed.

--- a/tests/soak/_checks.py
+++ b/tests/soak/_checks.py
@@ -24,7 +24,8 @@
         broken += check_request(seen, runs.get(seen.request_id, 0))
     for vm in site.vms:
         broken += [
-            f'{name} ended by itself: {code}' for name, code in vm.exits
+            f'{name} ended by itself: {code}, {last_line}'
+            for name, code, last_line in vm.exits
         ]
     broken += [
         f'version {version} at {vm}: knew {known}'
--- a/tests/soak/_site.py
+++ b/tests/soak/_site.py
@@ -91,9 +91,14 @@
                 self._kill()
             self.disturbed_s = trio.current_time()
             if not self.expected_exit:
-                self.exits.append((self.name, code))
+                self.exits.append((self.name, code, self._read_last_line()))
             await trio.sleep(RESTART_S)
 
+    def _read_last_line(self):
+        """Return what the process said last, mostly why it ended."""
+        lines = self._log_path.read_text(errors='replace').splitlines()
+        return lines[-1].strip() if lines else ''
+
     def signal(self, number):
         """Send a signal to the process, if it runs."""
         if self.process is not None and self.process.returncode is None:
@@ -226,8 +231,13 @@
 
 
 def host_of(index):
-    """Return the loopback address of a VM."""
-    return f'127.0.7.{index + 1}'
+    """Return the loopback address of a VM.
+
+    Soaks that run at the same time use different ones: else a connection
+    of one takes the port of another's process that is starting again.
+    """
+    number = os.getpid()
+    return f'127.{16 + number // 250 % 200}.{number % 250}.{index + 1}'
 
 
 def _route(prefix, kind, service, **changes):
