Plan roles once engines are listed, not once the list was read

The log of its chosen VM: the list was read 0.5 s after the start with 0 servers, the configuration came 0.5 s later, and an empty list that stays empty for a second was taken for settled. On nine engines the entries were there in time.

Change: orders wait until each service has an engine and the list has not changed for 1.5 s, for 9 s from the start.

Test: test_orders_wait_for_the_engines failed before.

--- a/bluebellthread/entry/_role_task.py
+++ b/bluebellthread/entry/_role_task.py
@@ -12,13 +12,14 @@
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
 
-START_WINDOW_S = 5.0
+START_WINDOW_S = 9.0
 """Orders are given only in this time from the process's start: an engine
-takes six seconds to change its role, and callers come after twelve."""
+takes six seconds to change its role, and callers come after twelve or more.
+One that is ordered last misses the first three seconds."""
 
-SETTLE_S = 1.0
+SETTLE_S = 1.5
 """How long the list of servers must not have changed: engines register
-within fractions of a second of each other."""
+within about one period of their entries."""
 
 LOOK_PERIOD_S = 0.2
 ORDER_TIMEOUT_S = 1.0
@@ -70,12 +71,19 @@
         directory = self._state.directory
         seen = None
         while True:
-            version = directory.version if self._state.is_ready else None
+            version = directory.version if self._has_engines() else None
             if version is not None and version == seen:
                 return
             seen = version
             await trio.sleep(LOOK_PERIOD_S if version is None else SETTLE_S)
 
+    def _has_engines(self):
+        """Return whether an engine of each service has been listed."""
+        services = self._state.table.engine_services()
+        return bool(services) and all(
+            self._state.engines_of(traits.name) for traits in services
+        )
+
     async def _order_all(self):
         async with trio.open_nursery() as nursery:
             for traits in self._state.table.engine_services():
--- /dev/null
+++ b/tests/unit/test_role_task.py
@@ -0,0 +1,104 @@
+import types
+import unittest
+
+import trio
+import trio.testing
+
+from bluebellthread.core import routing
+from bluebellthread.entry import _role_task
+from bluebellthread import platform
+from tests.unit import _allocation
+
+HOST = '10.1.0.1'
+PREFILL_COUNT = 4
+DECODE_COUNT = 5
+
+
+class _State:
+    """What an entry believes; engines are listed when the test says so."""
+
+    def __init__(self):
+        self.is_ready = True
+        self.settings = types.SimpleNamespace(
+            vm='vm1', host=HOST, seed_hosts=(HOST,), is_first_start=True
+        )
+        self.directory = types.SimpleNamespace(
+            version=0, find=lambda name: name
+        )
+        traits = types.SimpleNamespace(name='m')
+        self.table = types.SimpleNamespace(engine_services=lambda: (traits,))
+        self.engines = ()
+
+    def engines_of(self, service):
+        del service
+        return self.engines
+
+    def list_engines(self, prefill_count, decode_count):
+        roles = ['prefill'] * prefill_count + ['decode'] * decode_count
+        self.engines = tuple(
+            _allocation.make_engine(f'e{number}', role, memory_tokens=35962)
+            for number, role in enumerate(roles)
+        )
+        self.directory.version += 1
+
+
+class _Caller:
+    def __init__(self):
+        self.ordered = []
+
+    async def call_control(self, server, call, *, timeout_s):
+        del call, timeout_s
+        await trio.lowlevel.checkpoint()
+        self.ordered.append(server)
+        return 202
+
+
+def play(*listings):
+    """Return what is ordered as engines are listed.
+
+    Parameters
+    ----------
+    listings : tuple of (float, int, int)
+        Seconds from the start, prefill and decode servers.
+    """
+    state, caller = _State(), _Caller()
+    task = _role_task.RoleTask(
+        state=state, caller=caller, dialect=platform.make_dialect()
+    )
+
+    async def list_all():
+        for at_s, *counts in listings:
+            await trio.sleep_until(trio.current_time() + at_s)
+            state.list_engines(*counts)
+
+    async def scenario():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(list_all)
+            nursery.start_soon(task.run)
+
+    trio.run(scenario, clock=trio.testing.MockClock(autojump_threshold=0))
+    return caller.ordered
+
+
+class TestRoleTask(unittest.TestCase):
+    def test_orders_wait_for_the_engines(self):
+        planned = routing.plan_decode_switches(
+            _made(PREFILL_COUNT, DECODE_COUNT)
+        )
+        self.assertEqual(1, len(planned))
+        # The list is read long before the first engine registers.
+        self.assertEqual(planned, play((4.0, PREFILL_COUNT, DECODE_COUNT)))
+
+    def test_orders_wait_until_the_list_has_settled(self):
+        # By the first four alone, three of them would be moved.
+        listings = ((1.0, 4, 0), (1.0, PREFILL_COUNT, DECODE_COUNT))
+        self.assertEqual(1, len(play(*listings)))
+
+    def test_late_engines_keep_their_roles(self):
+        self.assertEqual([], play((9.0, PREFILL_COUNT, DECODE_COUNT)))
+
+
+def _made(*counts):
+    state = _State()
+    state.list_engines(*counts)
+    return state.engines
