End a watch of the store before the next change would be late

At front-bucuresti-a-1 the watch of the configuration that began at 17.5 s never answered again after the store was away until 26.4 s, and version 77, acked at 27.7 s, was not in force at 30.2 s. The watch of the servers had noticed the loss.

Change: a watch waits 4 s and is given 1.5 s more, so that a lost one ends within the time for which the store has to be calm plus that for a change.

--- a/bluebellthread/platform/_store_client.py
+++ b/bluebellthread/platform/_store_client.py
@@ -17,11 +17,12 @@
 """A read takes milliseconds; a store that is slow by the platform's own
 measure takes some hundred."""
 
-WATCH_MS = 28000
-"""How long a watch waits for a change; the store allows 30 s."""
+WATCH_MS = 4000
+"""How long a watch waits for a change. A watch whose answer was lost is
+silent for good, and nothing but its end shows it."""
 
-WATCH_MARGIN_S = 2.0
-"""Time for the answer of a watch after its wait."""
+WATCH_MARGIN_S = 1.5
+"""Time for the answer of a watch after its wait, as for a read."""
 
 CONNECTION_MAX = 8
 """Two watches, two reads, and as many again that are being given up."""
