Reckon in one place how long a failed call took

Cause: the plain path, the stream's path and the reader of prompts each subtracted the begin of a call from the time before Work.note_failed, which read the clock again for the time that was left.

Change: note_failed takes the begin and reads the clock once. What is logged stays as it was.

--- a/bluebellthread/entry/_plain_path.py
+++ b/bluebellthread/entry/_plain_path.py
@@ -114,7 +114,7 @@
             now_ms = _clock.read_clock_ms()
             self._choice.note_failure(server, now_ms)
             work.note_failed(
-                server.name, _work.STAGE_RUN, error, now_ms - begun_ms
+                server.name, _work.STAGE_RUN, error, begun_ms=begun_ms
             )
             return error
         finally:
--- a/bluebellthread/entry/_prompt_reader.py
+++ b/bluebellthread/entry/_prompt_reader.py
@@ -78,9 +78,8 @@
         return ReadPrompt(server=server, handle=handle)
 
     def _note_prefill_failed(self, server, error, begun_ms):
-        took_ms = _clock.read_clock_ms() - begun_ms
         self._work.note_failed(
-            server.name, _work.STAGE_PREFILL, error, took_ms
+            server.name, _work.STAGE_PREFILL, error, begun_ms=begun_ms
         )
 
     async def _call_prefill(self, server, headers):
--- a/bluebellthread/entry/_stream_path.py
+++ b/bluebellthread/entry/_stream_path.py
@@ -280,8 +280,9 @@
         return call
 
     def _note_run_failed(self, server, error, begun_ms):
-        took_ms = _clock.read_clock_ms() - begun_ms
-        self._work.note_failed(server, _work.STAGE_RUN, error, took_ms)
+        self._work.note_failed(
+            server, _work.STAGE_RUN, error, begun_ms=begun_ms
+        )
 
     async def _pass_on(self, place, call):
         try:
--- a/bluebellthread/entry/_work.py
+++ b/bluebellthread/entry/_work.py
@@ -88,8 +88,15 @@
         self.run_count += 1
         self.may_have_run = True
 
-    def note_failed(self, server, stage, error, took_ms):
-        """Note that a server gave no answer that can be passed on."""
+    def note_failed(self, server, stage, error, *, begun_ms):
+        """Note that a server gave no answer that can be passed on.
+
+        Parameters
+        ----------
+        begun_ms : int
+            When it was asked.
+        """
+        now_ms = _clock.read_clock_ms()
         if stage == STAGE_RUN:
             self._in_flight = False
             if error.may_have_run:
@@ -102,8 +109,8 @@
             stage=stage,
             reason=error.reason,
             may_have_run=error.may_have_run,
-            took_ms=took_ms,
-            remaining_ms=self.deadline_ms - _clock.read_clock_ms(),
+            took_ms=now_ms - begun_ms,
+            remaining_ms=self.deadline_ms - now_ms,
         )
 
     def check_answer(self, head):
