Log size and times of each read of the configuration

The logs did not tell a slow link, a timeout, a slow decoding and a size limit apart: a failed call to the platform was logged once an outage and without what had arrived, a successful one not at all. Each failed call now has a line with its time and the bytes received (E7018), each read of the configuration one with its size, the wait for the first byte, the time of the transfer and that of the decoding (E7019). No decision changes.

--- a/bluebellthread/entry/_platform_changes.py
+++ b/bluebellthread/entry/_platform_changes.py
@@ -3,6 +3,7 @@
 import attrs
 
 from bluebellthread import core
+from bluebellthread.daemon import _clock
 
 
 class PlatformUnavailableError(core.BluebellthreadError):
@@ -50,6 +51,49 @@
     problem: str = ''
 
 
+@attrs.define(kw_only=True)
+class Transfer:
+    """Size and times of one answer of the platform.
+
+    Parameters
+    ----------
+    start_ms : int
+        Time of the call.
+    first_byte_ms : int or None
+        Time at which the body began to arrive; None before that.
+    end_ms : int or None
+        Time at which the whole body had arrived; None before that.
+    size_bytes : int
+        Bytes of the body that have arrived.
+    """
+
+    start_ms: int
+    first_byte_ms: int | None = None
+    end_ms: int | None = None
+    size_bytes: int = 0
+
+    @classmethod
+    def start(cls):
+        """Return the transfer of a call that starts now."""
+        return cls(start_ms=_clock.read_clock_ms())
+
+    def note_received(self, count):
+        """Record that ``count`` bytes of the body have arrived."""
+        if self.first_byte_ms is None:
+            self.first_byte_ms = _clock.read_clock_ms()
+        self.size_bytes += count
+
+    def note_end(self):
+        """Record that the whole answer has arrived."""
+        self.end_ms = _clock.read_clock_ms()
+        if self.first_byte_ms is None:
+            self.first_byte_ms = self.end_ms
+
+    def measure_ms(self):
+        """Return the milliseconds since the call."""
+        return _clock.read_clock_ms() - self.start_ms
+
+
 @attrs.frozen(kw_only=True)
 class TableChange:
     """A published configuration, valid or not.
@@ -62,8 +106,11 @@
         The platform's revision of the stored value.
     problem : str
         Why the configuration is invalid; empty if it is valid.
+    transfer : Transfer or None
+        How the answer with the configuration arrived.
     """
 
     table: object = None
     revision: int = 0
     problem: str = ''
+    transfer: Transfer | None = None
--- a/bluebellthread/entry/_platform_task.py
+++ b/bluebellthread/entry/_platform_task.py
@@ -76,6 +76,7 @@
                 emit(events.PLATFORM_HISTORY_LOST, what=name, error=error)
                 after = None
             except changes_module.PlatformUnavailableError as error:
+                emit(events.PLATFORM_CALL_FAILED, what=name, error=error)
                 if watch.note_lost(_clock.read_clock_ms()):
                     emit(events.PLATFORM_READ_FAILED, what=name, error=error)
                 after = None
@@ -107,6 +108,8 @@
 
     def _apply_table(self, change):
         state = self._state
+        if change.transfer is not None:
+            _log_transfer(change, _clock.read_clock_ms())
         if change.problem:
             emit(
                 events.CONFIGURATION_UNUSABLE,
@@ -192,3 +195,16 @@
                 state='gone',
                 problem='its entry lapsed and was not written again',
             )
+
+
+def _log_transfer(change, now_ms):
+    """Log how a configuration arrived, and how long its decoding took."""
+    transfer = change.transfer
+    emit(
+        events.CONFIGURATION_READ,
+        revision=change.revision,
+        size_bytes=transfer.size_bytes,
+        wait_ms=transfer.first_byte_ms - transfer.start_ms,
+        transfer_ms=transfer.end_ms - transfer.first_byte_ms,
+        decode_ms=now_ms - transfer.end_ms,
+    )
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -201,6 +201,16 @@
 SERVER_CHANGED = Event(
     7017, 'INFO', 'backend server {server} is {state}: {problem}'
 )
+PLATFORM_CALL_FAILED = Event(
+    7018, 'INFO', 'a call for the {what} failed: {error}'
+)
+CONFIGURATION_READ = Event(
+    7019,
+    'INFO',
+    'the configuration of revision {revision} was read: {size_bytes} bytes, '
+    'the first after {wait_ms} ms, the rest within {transfer_ms} ms, decoded '
+    'in {decode_ms} ms',
+)
 SERVICE_OWNED = Event(
     7021, 'INFO', 'this VM now schedules placements of service {service}'
 )
--- a/bluebellthread/platform/_store_client.py
+++ b/bluebellthread/platform/_store_client.py
@@ -11,6 +11,7 @@
 from bluebellthread.entry import PlatformUnavailableError
 from bluebellthread.entry import ServerChange
 from bluebellthread.entry import TableChange
+from bluebellthread.entry import Transfer
 from bluebellthread.platform import _decoding
 
 READ_TIMEOUT_S = 1.5
@@ -39,14 +40,17 @@
     ----------
     host, port : str, int
         Address of the store.
+    network_backend : httpcore.AsyncNetworkBackend or None
+        Opens the connections; None for the backend of httpcore.
     """
 
-    def __init__(self, *, host, port):
+    def __init__(self, *, host, port, network_backend=None):
         self._origin = f'http://{host}:{port}'
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=CONNECTION_MAX,
             retries=0,
             socket_options=keep_alive_options(),
+            network_backend=network_backend,
         )
 
     async def close(self):
@@ -62,15 +66,17 @@
             The configuration, None if there is none, and the store's
             revision.
         """
+        transfer = Transfer.start()
         fields = await self._get(
             '/-/kv-key',
             {'key': _decoding.CONFIGURATION_KEY},
             READ_TIMEOUT_S,
+            transfer,
             absent_is_none=True,
         )
         if fields is None:
             return None, 0
-        return _to_table_change(fields), _revision_of(fields)
+        return _to_table_change(fields, transfer), _revision_of(fields)
 
     async def watch_table(self, after):
         """Return the configuration's changes since a revision.
@@ -80,11 +86,12 @@
         (list of TableChange, int)
             The changes, and the revision to watch from next.
         """
+        transfer = Transfer.start()
         events, revision = await self._watch(
-            _decoding.CONFIGURATION_KEY, after
+            _decoding.CONFIGURATION_KEY, after, transfer
         )
         changes = [
-            _to_table_change(event)
+            _to_table_change(event, transfer)
             for event in events
             if event.get('key') == _decoding.CONFIGURATION_KEY
             and not event.get('removed')
@@ -106,7 +113,9 @@
             query = {'prefix': _decoding.SERVERS_PREFIX}
             if after:
                 query['after'] = after
-            fields = await self._get('/-/kv-range', query, READ_TIMEOUT_S)
+            fields = await self._get(
+                '/-/kv-range', query, READ_TIMEOUT_S, Transfer.start()
+            )
             if first_revision is None:
                 # The pages are not one snapshot. Changes made between them
                 # are reported by a watch from the first page's revision.
@@ -125,29 +134,42 @@
         (list of ServerChange, int)
             The changes, and the revision to watch from next.
         """
-        events, revision = await self._watch(_decoding.SERVERS_PREFIX, after)
+        events, revision = await self._watch(
+            _decoding.SERVERS_PREFIX, after, Transfer.start()
+        )
         return [_to_server_change(event) for event in events], revision
 
-    async def _watch(self, prefix, after):
+    async def _watch(self, prefix, after, transfer):
         fields = await self._get(
             '/-/kv-watch',
             {'prefix': prefix, 'after': after, 'waitMs': WATCH_MS},
             WATCH_MS / 1000 + WATCH_MARGIN_S,
+            transfer,
         )
         return _list_of(fields, 'events'), _revision_of(fields)
 
-    async def _get(self, path, query, timeout_s, *, absent_is_none=False):
+    async def _get(
+        self, path, query, timeout_s, transfer, *, absent_is_none=False
+    ):
         url = f'{self._origin}{path}?{urllib.parse.urlencode(query)}'
+        content = bytearray()
         try:
             with trio.fail_after(timeout_s):
-                response = await self._pool.request('GET', url)
+                async with self._pool.stream('GET', url) as response:
+                    async for chunk in response.aiter_stream():
+                        content += chunk
+                        transfer.note_received(len(chunk))
         except (
             httpcore.NetworkError,
             httpcore.ProtocolError,
             httpcore.TimeoutException,
             trio.TooSlowError,
         ) as error:
-            raise PlatformUnavailableError(repr(error)) from error
+            raise PlatformUnavailableError(
+                f'{error!r} {transfer.measure_ms()} ms after the call, '
+                f'{transfer.size_bytes} bytes received'
+            ) from error
+        transfer.note_end()
         if response.status == HISTORY_LOST_STATUS:
             raise HistoryLostError
         if response.status == NOT_FOUND_STATUS and absent_is_none:
@@ -155,7 +177,7 @@
         if response.status != 200:
             raise PlatformUnavailableError(f'status {response.status}')
         try:
-            fields = json.loads(response.content)
+            fields = json.loads(content)
         except ValueError as error:
             raise PlatformUnavailableError(
                 f'the body is not valid JSON: {error}'
@@ -187,13 +209,15 @@
     ]
 
 
-def _to_table_change(item):
+def _to_table_change(item, transfer):
     revision = item.get('revision') or 0
     try:
         table = _decoding.decode_table(_decoding.decode_value(item))
     except _decoding.EntryError as error:
-        return TableChange(revision=revision, problem=str(error))
-    return TableChange(table=table, revision=revision)
+        return TableChange(
+            revision=revision, problem=str(error), transfer=transfer
+        )
+    return TableChange(table=table, revision=revision, transfer=transfer)
 
 
 def _to_server_change(item):
