--- a/standin/site/_connection.py
+++ b/standin/site/_connection.py
@@ -61,7 +61,7 @@
     listeners = await nursery.start(
         functools.partial(
             trio.serve_tcp,
-            functools.partial(_serve_connection, handler),
+            functools.partial(serve_connection, handler),
             0,
             host=host,
         )
@@ -69,7 +69,7 @@
     return listeners[0].socket.getsockname()[1]
 
 
-async def _serve_connection(handler, stream):
+async def serve_connection(handler, stream):
     conn = h11.Connection(h11.SERVER)
     try:
         while True:
--- a/standin/site/_store.py
+++ b/standin/site/_store.py
@@ -35,7 +35,7 @@
 
     async def start(self, nursery):
         """Start to serve in a nursery, on a free port."""
-        self.port = await _connection.serve(nursery, self._handle)
+        self.port = await _connection.serve(nursery, self.handle)
 
     def put(self, key, fields):
         """Store an item as JSON, or as it is if `fields` is bytes."""
@@ -77,7 +77,7 @@
         self._changed.set()
         self._changed = trio.Event()
 
-    async def _handle(self, request):
+    async def handle(self, request):
         self.calls.append(request.target)
         if self.refuse_status:
             await request.answer(self.refuse_status)
--- /dev/null
+++ b/tests/unit/test_configuration_over_links.py
@@ -0,0 +1,85 @@
+import random
+import unittest
+
+import trio
+
+from tests.integration import _entry_site as sites
+from tests.unit import _shared_link
+
+CONFIGURATION_MS = 4000
+"""Time within which a published version must be in force on every VM."""
+REGION_MBPS = 30
+VM_MBPS = 5
+VM_COUNTS = {'bucuresti-a': 17, 'ploiesti-b': 13, 'pitesti-c': 14}
+"""A region of the largest deployment, and its links."""
+START_S = 12
+"""Time between the start of the VMs and the first request."""
+
+
+def make_configuration(version, *, route_count, timeout_ms=8000):
+    rng = random.Random(7)
+    routes = [
+        sites.make_route(
+            f'/{rng.randbytes(4).hex()}/',
+            'safe',
+            'plain',
+            name=f'route-{rng.randbytes(4).hex()}',
+            timeoutMs=timeout_ms,
+        )
+        for _ in range(route_count)
+    ]
+    return sites.make_configuration(version, routes)
+
+
+class TestLargeConfiguration(unittest.TestCase):
+    # Guards against a 404 for a route that one VM of many doesn't have yet.
+    def test_large_configuration_is_in_force_in_time_in_a_distant_region(self):
+        behind = _shared_link.run_simulated(publish_large_versions)
+        self.assertEqual({2: [], 3: [], 4: []}, behind)
+
+
+async def publish_large_versions():
+    """Return the VMs that each version reaches too late, by version."""
+    region = _shared_link.Region(
+        vm_counts=VM_COUNTS, region_mbps=REGION_MBPS, vm_mbps=VM_MBPS
+    )
+    region.store.put('op/config', make_configuration(1, route_count=10))
+    behind = {}
+    async with trio.open_nursery() as nursery:
+        region.start(nursery)
+        await trio.sleep(START_S)
+        for version, timeout_ms in ((2, 8000), (3, 7000), (4, 6000)):
+            region.store.put(
+                'op/config',
+                make_configuration(
+                    version, route_count=1610, timeout_ms=timeout_ms
+                ),
+            )
+            await trio.sleep(CONFIGURATION_MS / 1000)
+            behind[version] = region.list_behind(version)
+        nursery.cancel_scope.cancel()
+    return behind
+
+
+class TestSlowLink(unittest.TestCase):
+    # Guards against a read whose timeout ends each try before the value can
+    # have arrived.
+    def test_largest_value_arrives_over_the_slowest_link(self):
+        version = _shared_link.run_simulated(publish_largest_value)
+        self.assertEqual(2, version)
+
+
+async def publish_largest_value():
+    """Return the version that a VM has in force when the second is due."""
+    region = _shared_link.Region(
+        vm_counts={'bucuresti-a': 1}, region_mbps=REGION_MBPS, vm_mbps=VM_MBPS
+    )
+    region.store.put('op/config', make_configuration(1, route_count=10))
+    async with trio.open_nursery() as nursery:
+        region.start(nursery)
+        await trio.sleep(START_S)
+        region.store.put('op/config', make_configuration(2, route_count=4400))
+        await trio.sleep(CONFIGURATION_MS / 1000)
+        version = region.vms[0].state.table.version
+        nursery.cancel_scope.cancel()
+    return version
