Take the exchange of revisions between VMs out of the daemon's task

The entry needs the same exchange for its configuration. RevisionExchange runs the Revisions state machine with the peers; ConfigurationTask keeps what belongs to the product's own platform client. No decision changes.

--- a/bluebellthread/daemon/_configuration_task.py
+++ b/bluebellthread/daemon/_configuration_task.py
@@ -10,17 +10,12 @@
 from bluebellthread.daemon import _clock
 from bluebellthread.daemon import _peers
 from bluebellthread.daemon import _platform
+from bluebellthread.daemon import _revision_exchange
 from bluebellthread.daemon import _scheduler_task
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
 
-QUEUE_LENGTH = 256
 TICK_INTERVAL_S = 0.1
-CALL_TIMEOUT_MS = 1500
-IN_FLIGHT_MAX = 32
-"""Maximum number of messages to peers in flight at a time; further ones are
-dropped."""
-
 WATCH_S = 4
 """Longest duration of one long poll of the platform.
 
@@ -40,16 +35,9 @@
 BACKOFF_FIRST_S = 0.25
 BACKOFF_MAX_S = 4.0
 
-MESSAGE_CLASSES = (
-    core.RevisionAnnounced,
-    core.ManifestRequest,
-    core.SectionsRequest,
-)
-"""Classes of peer messages that `ConfigurationTask` handles."""
-
 
 class ConfigurationTask:
-    """Runs the `Revisions` state machine with the platform and the peers.
+    """Reads revisions from the platform and exchanges them with the peers.
 
     Parameters
     ----------
@@ -84,36 +72,39 @@
     ):
         self._vm = vm
         self._fleet = fleet
-        self._links = links
         self._platform = platform
         self._listeners = listeners
         self._list_watch = list_watch
         self._rng = random.Random()
         self._cache = configuration.ItemCache()
-        self.revisions = core.Revisions(
+        self._exchange = _revision_exchange.RevisionExchange(
             vm=vm,
             data_centre=data_centre,
+            fleet=fleet,
+            links=links,
             build_configuration=functools.partial(
                 configuration.build_configuration, cache=self._cache
             ),
-            rng=self._rng,
             options=options,
+            tick_interval_s=TICK_INTERVAL_S,
+            apply=self._apply,
+            set_watching=self._set_watching,
         )
-        self._view = None
+        self.revisions = self._exchange.revisions
         self._nursery = None
-        self._in_flight_count = 0
         self._watch_scope = None
         self._served_revision = 0
         self._invalid_text = None
-        self.inbox, self._receive = trio.open_memory_channel(QUEUE_LENGTH)
+
+    def register(self, mailboxes):
+        """Have the peers' messages about revisions delivered to this task."""
+        self._exchange.register(mailboxes)
 
     async def run(self):
         """Keep the configuration up to date until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            nursery.start_soon(self._send_ticks)
-            async for event in self._receive:
-                await self._handle_event(event)
+            await self._exchange.run()
 
     async def confirm_newest(self, revision):
         """Return whether peers confirm that a revision is the newest.
@@ -126,7 +117,8 @@
         if not partners:
             return await self._is_newest_published(revision)
         answers = []
-        with trio.move_on_after(CALL_TIMEOUT_MS / _clock.MS_PER_S):
+        timeout_s = _revision_exchange.CALL_TIMEOUT_MS / _clock.MS_PER_S
+        with trio.move_on_after(timeout_s):
             async with trio.open_nursery() as nursery:
                 for vm in partners:
                     nursery.start_soon(self._collect_revision, vm, answers)
@@ -152,42 +144,12 @@
         if member is None:
             return
         try:
-            answer = await self._call(member, command.message)
+            answer = await self._exchange.call(member, command.message)
         except _peers.PeerUnreachableError:
             return
         if isinstance(answer, core.ManifestAnswer):
             answers.append(answer.revision)
 
-    async def _send_ticks(self):
-        while True:
-            await self.inbox.send(core.Tick())
-            await trio.sleep(TICK_INTERVAL_S)
-
-    async def _handle_event(self, event):
-        now_ms = _clock.read_clock_ms()
-        if self._view is not self._fleet.view:
-            self._view = self._fleet.view
-            commands = self.revisions.change_view(self._view, now_ms)
-            await self._execute(commands)
-        if not isinstance(event, _CORE_EVENTS):
-            event = core.PeerAsked(token=event, message=event.message)
-        await self._execute(self.revisions.handle(event, now_ms))
-
-    async def _execute(self, commands):
-        for command in commands:
-            if isinstance(command, core.ApplyConfiguration):
-                await self._apply(command)
-            elif isinstance(command, core.AnswerPeer):
-                command.token.answer(command.message)
-            elif isinstance(command, core.AskPeer):
-                self._start_sending(self._ask, command)
-            elif isinstance(command, core.TellPeer):
-                self._start_sending(self._notify, command)
-            elif isinstance(command, core.WatchPlatform):
-                self._set_watching(command.active)
-            else:
-                _report(command)
-
     async def _apply(self, command):
         value = command.configuration
         self._fleet.configuration = value
@@ -196,40 +158,6 @@
         for listener in self._listeners:
             await listener.send(changed)
 
-    def _start_sending(self, send, command):
-        if self._in_flight_count >= IN_FLIGHT_MAX:
-            # Unresponsive peers hold all slots. The message is dropped; a
-            # later exchange of digests transfers its content.
-            return
-        self._in_flight_count += 1
-        self._nursery.start_soon(send, command)
-
-    async def _ask(self, command):
-        await self._send(command, self._call)
-
-    async def _notify(self, command):
-        await self._send(command, self._links.send)
-
-    async def _call(self, member, message):
-        deadline_ms = _clock.read_clock_ms() + CALL_TIMEOUT_MS
-        return await self._links.call(member, message, deadline_ms=deadline_ms)
-
-    async def _send(self, command, send):
-        vm, message = command.vm, command.message
-        event = core.PeerFailed(vm=vm, message=message)
-        try:
-            member = self._fleet.view.find(vm)
-            if member is not None:
-                answer = await send(member, message)
-                event = core.PeerAnswered(vm=vm, message=answer)
-        except _peers.PeerUnreachableError:
-            # The link has logged the error.
-            pass
-        finally:
-            self._in_flight_count -= 1
-        if not (isinstance(event, core.PeerAnswered) and answer is None):
-            await self.inbox.send(event)
-
     def _set_watching(self, active):
         self._list_watch.switch(active)
         if self._watch_scope is not None:
@@ -289,24 +217,15 @@
             )
         except core.ConfigurationError as error:
             self._invalid_text = text
-            await self.inbox.send(_describe_invalid(text, error))
+            await self._exchange.inbox.send(_describe_invalid(text, error))
             return
         self._invalid_text = None
         self._served_revision = parsed.revision
-        await self.inbox.send(
+        await self._exchange.inbox.send(
             core.RevisionPublished(value=value, configuration=parsed)
         )
 
 
-_CORE_EVENTS = (
-    core.Tick,
-    core.RevisionPublished,
-    core.PublishedInvalid,
-    core.PeerAnswered,
-    core.PeerFailed,
-)
-
-
 def _describe_invalid(text, error):
     revision = 0
     try:
@@ -317,24 +236,3 @@
         # The text is not JSON, so it has no revision number to report.
         pass
     return core.PublishedInvalid(revision=revision, problems=error.problems)
-
-
-def _report(command):
-    if isinstance(command, core.ReportInvalid):
-        emit(
-            events.CONFIGURATION_REJECTED,
-            revision=command.revision,
-            error='; '.join(str(problem) for problem in command.problems),
-        )
-    elif isinstance(command, core.ReportStale):
-        emit(
-            events.PLATFORM_STALE,
-            served=command.served_revision,
-            revision=command.in_force_revision,
-        )
-    elif isinstance(command, core.ReportConflict):
-        emit(
-            events.REVISION_CONFLICT,
-            revision=command.revision,
-            source=command.source or 'the platform',
-        )
--- a/bluebellthread/daemon/_service.py
+++ b/bluebellthread/daemon/_service.py
@@ -256,10 +256,7 @@
                 limits_watchers=self._is_enabled('shared-watch'),
             ),
         )
-        for message_class in _configuration_task.MESSAGE_CLASSES:
-            self._mailboxes.register(
-                message_class, self._configuration_task.inbox
-            )
+        self._configuration_task.register(self._mailboxes)
 
     def _make_orders_task(self):
         self._orders_task = _orders_task.OrdersTask(
