Have two VMs a data centre read the configuration, the others from them

Cause: every VM watched the store for the configuration, and the store sends the whole value for each change. 44 VMs of a region share one link of 30 Mbit/s to the store's region: 1,600 routes are 375 KB an answer, 16.5 MB a change. Requests and placements between the regions wait in the same queues; so do the watches of the server list.

Change: the entry takes the configuration by the product's own exchange of revisions. Two VMs of each data centre watch the store; the others fetch, compressed, the sections that changed. New in Revisions, each off in the daemon: a VM that starts waits a second for peers before it watches by itself; others than the chosen watchers watch while there is no news that anybody reads the store, and a VM that no peer answers always does.

--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -134,6 +134,7 @@
 from bluebellthread.core._revision_events import PeerAnswered
 from bluebellthread.core._revision_events import PeerAsked
 from bluebellthread.core._revision_events import PeerFailed
+from bluebellthread.core._revision_events import PlatformAnswered
 from bluebellthread.core._revision_events import PublishedInvalid
 from bluebellthread.core._revision_events import ReportConflict
 from bluebellthread.core._revision_events import ReportInvalid
@@ -158,6 +159,7 @@
 from bluebellthread.core._sections import Manifest
 from bluebellthread.core._sections import ManifestPart
 from bluebellthread.core._sections import pack_sections
+from bluebellthread.core._sections import REVISION_KEY
 from bluebellthread.core._sections import split_value
 from bluebellthread.core._sections import unpack_sections
 from bluebellthread.core._spill_policies import PoolSummary
@@ -305,6 +307,7 @@
     'PrefillEnded',
     'PrefixIndex',
     'Problem',
+    'PlatformAnswered',
     'PublishedInvalid',
     'QueueOptions',
     'QueueRefusal',
@@ -320,6 +323,7 @@
     'RegionSpill',
     'RegistrationWanted',
     'Registry',
+    'REVISION_KEY',
     'Rejected',
     'ReportConflict',
     'ReportInvalid',
--- a/bluebellthread/core/_configuration_messages.py
+++ b/bluebellthread/core/_configuration_messages.py
@@ -53,11 +53,15 @@
     parts : tuple of ManifestPart
         Digests of its sections; empty if the revision is not newer than
         the one in the request.
+    platform_age_ms : int
+        Time since any VM has read the platform, as far as the sender knows;
+        -1 if the sender does not keep track of it.
     """
 
     revision: int
     digest: int
     parts: tuple[_sections.ManifestPart, ...] = ()
+    platform_age_ms: int = -1
 
 
 @attrs.frozen(kw_only=True)
--- a/bluebellthread/core/_revision_events.py
+++ b/bluebellthread/core/_revision_events.py
@@ -38,6 +38,11 @@
     problems: tuple[_problems.Problem, ...]
 
 
+@attrs.frozen
+class PlatformAnswered:
+    """Event: the platform has answered this VM, with or without a change."""
+
+
 @attrs.frozen(kw_only=True)
 class PeerAsked:
     """Event: another VM has sent a message.
--- a/bluebellthread/core/_revision_options.py
+++ b/bluebellthread/core/_revision_options.py
@@ -25,6 +25,15 @@
         Whether a starting VM waits for its peers, and whether it ignores an
         older revision from the platform. Tests turn each off to show the
         failure that it prevents.
+    lone_watch_delay_ms : int
+        How long a VM that has just started and knows no other VM of its data
+        centre waits for one before it watches the platform: many VMs that
+        start together would otherwise all read the whole revision.
+    platform_silence_ms : int
+        Time without news that any VM reads the platform, after which others
+        than the chosen watchers watch it too; 0 if they never do.
+    substitution_ms : int
+        How long such a substitute then watches the platform.
     exchanges_digests, limits_watchers : bool
         Whether VMs regularly exchange the digests of their revisions, and
         whether only the chosen watchers watch the platform. Tests turn each
@@ -35,6 +44,9 @@
     remote_interval_ms: int = 1000
     fetch_timeout_ms: int = 2000
     start_timeout_ms: int = 1000
+    lone_watch_delay_ms: int = 0
+    platform_silence_ms: int = 0
+    substitution_ms: int = 30000
     waits_for_peers_at_start: bool = True
     ignores_older_revisions: bool = True
     exchanges_digests: bool = True
--- a/bluebellthread/core/_revision_topology.py
+++ b/bluebellthread/core/_revision_topology.py
@@ -9,22 +9,35 @@
 
 WATCHERS = 2
 """Number of VMs in a data centre that watch the platform."""
+SUBSTITUTES_MAX = 6
+"""Largest number of VMs in a data centre that watch the platform while the
+chosen watchers do not read it. All of them may read the whole revision at the
+same time when the platform returns."""
 FANOUT = 4
 """Maximum children of a VM in the tree along which a revision is announced."""
 PARTNERS = 6
 """Maximum number of VMs with which one VM exchanges digests, one at a time."""
 
 
-def choose_watchers(data_centre, names):
+def choose_watchers(data_centre, names, count=WATCHERS):
     """Return the VMs of a data centre that watch the platform.
 
+    Parameters
+    ----------
+    data_centre : str
+        Name of the data centre.
+    names : list of str
+        Names of its VMs.
+    count : int
+        Number of VMs to choose.
+
     Examples
     --------
     >>> len(choose_watchers('cluj-a', ['vm1', 'vm2', 'vm3']))
     2
     """
     key = f'configuration-watch/{data_centre}'
-    return _ownership.rank_by_rendezvous(key, names)[:WATCHERS]
+    return _ownership.rank_by_rendezvous(key, names)[:count]
 
 
 def choose_partners(vm, names):
--- a/bluebellthread/core/_revisions.py
+++ b/bluebellthread/core/_revisions.py
@@ -84,12 +84,18 @@
         self._deferred_publication = None
         self._started = not self._options.waits_for_peers_at_start
         self._awaited_at_start = None
+        self._platform_heard_ms = None
+        self._peer_heard_ms = None
+        self._lone_watch_ms = None
+        self._first_view_ms = None
+        self._substitution_deadline_ms = None
         self.watching = False
         self.invalid_revision = 0
         self.stale_revision = 0
         self._handlers = {
             _scheduler_events.Tick: self._on_tick,
             events.RevisionPublished: self._on_published,
+            events.PlatformAnswered: self._on_platform_answered,
             events.PublishedInvalid: self._on_published_invalid,
             events.PeerAsked: self._on_peer_asked,
             events.PeerAnswered: self._on_peer_answered,
@@ -129,14 +135,10 @@
         found_first_peers = len(names) > 1 and len(self._names) == 1
         self._names = sorted(names)
         self._remote_watchers = self._choose_remote_watchers(view)
-        watchers = _revision_topology.choose_watchers(
-            self._data_centre, self._names
-        )
-        watching = self._vm in watchers or not self._options.limits_watchers
-        commands = []
-        if watching != self.watching:
-            self.watching = watching
-            commands.append(events.WatchPlatform(active=watching))
+        if self._lone_watch_ms is None:
+            self._lone_watch_ms = now_ms + self._options.lone_watch_delay_ms
+            self._first_view_ms = now_ms
+        commands = self._update_watching(now_ms)
         if found_first_peers:
             partners = self.partners
             self._awaited_at_start = set(partners)
@@ -145,6 +147,59 @@
             )
         return commands
 
+    def _update_watching(self, now_ms):
+        watching = self._should_watch(now_ms)
+        if watching == self.watching:
+            return []
+        self.watching = watching
+        return [events.WatchPlatform(active=watching)]
+
+    def _should_watch(self, now_ms):
+        if not self._options.limits_watchers:
+            return True
+        if self._names == [self._vm] and now_ms < self._lone_watch_ms:
+            return False
+        return self._is_among_watchers() or self._is_substitute(now_ms)
+
+    def _is_among_watchers(self, count=_revision_topology.WATCHERS):
+        return self._vm in _revision_topology.choose_watchers(
+            self._data_centre, self._names, count
+        )
+
+    def _is_substitute(self, now_ms):
+        """Return whether this VM stands in for the chosen watchers.
+
+        The longer nobody reads the platform, the more VMs try it, up to a
+        limit. A VM whose requests no peer answers always does.
+        """
+        silence_ms = self._options.platform_silence_ms
+        if not silence_ms:
+            return False
+        deadline_ms = self._substitution_deadline_ms
+        if deadline_ms is not None and now_ms < deadline_ms:
+            return True
+        silences = (
+            self._measure_silence_ms(self._platform_heard_ms, now_ms)
+            // silence_ms
+        )
+        if silences < 1:
+            return False
+        count = min(
+            _revision_topology.WATCHERS * (1 + silences),
+            _revision_topology.SUBSTITUTES_MAX,
+        )
+        is_unanswered = (
+            self._measure_silence_ms(self._peer_heard_ms, now_ms) >= silence_ms
+        )
+        if not is_unanswered and not self._is_among_watchers(count):
+            return False
+        self._substitution_deadline_ms = now_ms + self._options.substitution_ms
+        return True
+
+    def _measure_silence_ms(self, heard_ms, now_ms):
+        """Return the time since ``heard_ms``, or since the first view."""
+        return now_ms - (self._first_view_ms if heard_ms is None else heard_ms)
+
     def _choose_remote_watchers(self, view):
         remote_names = {}
         for member in view.members:
@@ -164,8 +219,14 @@
     def _key(self):
         return self._current.key if self._current else NO_REVISION_KEY
 
+    def _on_platform_answered(self, event, now_ms):
+        self._platform_heard_ms = now_ms
+        return []
+
     def _on_tick(self, event, now_ms):
         commands = []
+        if self._lone_watch_ms is not None:
+            commands.extend(self._update_watching(now_ms))
         if self._fetch and self._fetch.deadline_ms <= now_ms:
             self._fetch = None
         if not self._started and self._start_deadline_ms <= now_ms:
@@ -305,7 +366,7 @@
             return [events.AnswerPeer(token=event.token, message=answer)]
         commands = []
         if isinstance(message, messages.ManifestRequest):
-            answer = self._answer_manifest(message)
+            answer = self._answer_manifest(message, now_ms)
             commands.append(
                 events.AnswerPeer(token=event.token, message=answer)
             )
@@ -314,13 +375,19 @@
             commands.append(self.make_manifest_request(message.vm))
         return commands
 
-    def _answer_manifest(self, message):
+    def _answer_manifest(self, message, now_ms):
         revision, digest = self._key()
         parts = ()
         if (revision, digest) > (message.revision, message.digest):
             parts = self._current.manifest.parts
+        platform_age_ms = -1
+        if self._platform_heard_ms is not None:
+            platform_age_ms = max(0, now_ms - self._platform_heard_ms)
         return messages.ManifestAnswer(
-            revision=revision, digest=digest, parts=parts
+            revision=revision,
+            digest=digest,
+            parts=parts,
+            platform_age_ms=platform_age_ms,
         )
 
     def _answer_sections(self, message):
@@ -341,6 +408,7 @@
 
     def _on_manifest(self, event, now_ms):
         answer = event.message
+        self._note_platform_age(answer, now_ms)
         key = (answer.revision, answer.digest)
         if not answer.parts or key <= self._key() or key in self._invalid:
             return []
@@ -365,6 +433,16 @@
         request = messages.SectionsRequest(digests=missing)
         return commands + [events.AskPeer(vm=event.vm, message=request)]
 
+    def _note_platform_age(self, answer, now_ms):
+        self._peer_heard_ms = now_ms
+        if answer.platform_age_ms < 0:
+            return
+        heard_ms = now_ms - answer.platform_age_ms
+        if self._platform_heard_ms is None or (
+            heard_ms > self._platform_heard_ms
+        ):
+            self._platform_heard_ms = heard_ms
+
     def _is_fetching(self, key, now_ms):
         fetch = self._fetch
         if fetch is None or fetch.deadline_ms <= now_ms:
--- a/bluebellthread/daemon/_revision_exchange.py
+++ b/bluebellthread/daemon/_revision_exchange.py
@@ -166,6 +166,7 @@
 _CORE_EVENTS = (
     core.Tick,
     core.RevisionPublished,
+    core.PlatformAnswered,
     core.PublishedInvalid,
     core.PeerAnswered,
     core.PeerFailed,
--- a/bluebellthread/entry/__init__.py
+++ b/bluebellthread/entry/__init__.py
@@ -6,6 +6,7 @@
 from bluebellthread.entry._platform_changes import PlatformUnavailableError
 from bluebellthread.entry._platform_changes import ServerChange
 from bluebellthread.entry._platform_changes import TableChange
+from bluebellthread.entry._platform_changes import TableError
 from bluebellthread.entry._platform_changes import Transfer
 from bluebellthread.entry._service import EntryService
 from bluebellthread.entry._settings import EntrySettings
@@ -20,6 +21,7 @@
     'PlatformUnavailableError',
     'ServerChange',
     'TableChange',
+    'TableError',
     'Transfer',
     'keep_alive_options',
 ]
--- /dev/null
+++ b/bluebellthread/entry/_configuration_task.py
@@ -0,0 +1,179 @@
+"""Keeps the configuration up to date from the platform and from other VMs.
+
+Only a few VMs of each data centre read it from the platform; the others get
+what has changed from them. The value can be large, and the links between
+regions are too slow to carry it once for each VM.
+"""
+
+import random
+
+import trio
+
+from bluebellthread import core
+from bluebellthread.daemon import _clock
+from bluebellthread.daemon import _revision_exchange
+from bluebellthread.entry import _platform_changes as changes_module
+from bluebellthread.entry import _platform_follower
+from bluebellthread.observe import emit
+from bluebellthread.observe import events
+
+TICK_INTERVAL_S = 0.25
+
+EXCHANGE_INTERVAL_MS = 1000
+"""A lost announcement is made good by the next exchange of digests, well
+within the time in which a version must be in force."""
+
+LONE_WATCH_DELAY_MS = 1000
+"""How long a VM that starts waits to hear of another one in its data centre:
+some ticks of the membership."""
+
+PLATFORM_SILENCE_MS = 10000
+"""Time without news of the platform after which other VMs than the chosen
+ones watch it. The news is as old as a watch, 5.5 s, and two or three exchanges
+when it has reached every VM."""
+
+
+class ConfigurationTask:
+    """Brings each new version of the configuration into force.
+
+    Parameters
+    ----------
+    client : object
+        The adapter's client of the platform.
+    state : EntryState
+        Supplies the membership view and receives the configuration.
+    links : PeerLinks
+        Connections to the other VMs.
+    """
+
+    def __init__(self, *, client, state, links):
+        self._client = client
+        self._state = state
+        self._exchange = _revision_exchange.RevisionExchange(
+            vm=state.settings.vm,
+            data_centre=state.settings.data_centre,
+            fleet=state,
+            links=links,
+            build_configuration=self._build,
+            options=_make_options(state.settings),
+            tick_interval_s=TICK_INTERVAL_S,
+            apply=self._apply,
+            set_watching=self._set_watching,
+        )
+        self._follower = _platform_follower.PlatformFollower(
+            name='configuration',
+            step=self._update,
+            rng=random.Random(state.settings.vm),
+        )
+        self._nursery = None
+        self._watch_scope = None
+
+    def register(self, mailboxes):
+        """Have the peers' messages about versions delivered to this task."""
+        self._exchange.register(mailboxes)
+
+    async def run(self):
+        """Keep the configuration up to date until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            await self._exchange.run()
+
+    def _build(self, value):
+        """Build the table of a value that another VM has sent.
+
+        Raises
+        ------
+        ConfigurationError
+            If this VM's version of the program can't use the value.
+        """
+        try:
+            return self._client.build_table(value)
+        except changes_module.TableError as error:
+            raise core.ConfigurationError(
+                [
+                    core.Problem(
+                        path='',
+                        message=str(error),
+                        remedy='publish a configuration that all VMs can use',
+                    )
+                ]
+            ) from error
+
+    async def _apply(self, command):
+        table, previous = command.configuration, self._state.table
+        self._state.table = table
+        emit(
+            events.CONFIGURATION_IN_FORCE,
+            version=table.version,
+            previous=previous.version,
+            source=command.source or 'the platform',
+            routes=len(table.routes),
+        )
+
+    def _set_watching(self, active):
+        if self._watch_scope is not None:
+            self._watch_scope.cancel()
+            self._watch_scope = None
+        emit(
+            events.PLATFORM_WATCH_CHANGED,
+            vm=self._state.settings.vm,
+            state='watches' if active else 'no longer watches',
+        )
+        if active:
+            self._watch_scope = trio.CancelScope()
+            self._nursery.start_soon(self._watch, self._watch_scope)
+
+    async def _watch(self, scope):
+        with scope:
+            await self._follower.run()
+
+    async def _update(self, after):
+        if after is None:
+            change, revision = await self._client.read_table()
+            changes = [change] if change is not None else []
+        else:
+            changes, revision = await self._client.watch_table(after)
+        self._follower.note_regained()
+        await self._exchange.inbox.send(core.PlatformAnswered())
+        for change in changes:
+            await self._publish(change)
+        return revision
+
+    async def _publish(self, change):
+        _log_transfer(change, _clock.read_clock_ms())
+        if change.problem:
+            emit(
+                events.CONFIGURATION_UNUSABLE,
+                revision=change.revision,
+                version=self._state.table.version,
+                error=change.problem,
+            )
+            return
+        await self._exchange.inbox.send(
+            core.RevisionPublished(
+                value=change.value, configuration=change.table
+            )
+        )
+
+
+def _make_options(settings):
+    has_peers = any(host != settings.host for host in settings.seed_hosts)
+    return core.RevisionOptions(
+        exchange_interval_ms=EXCHANGE_INTERVAL_MS,
+        lone_watch_delay_ms=LONE_WATCH_DELAY_MS if has_peers else 0,
+        waits_for_peers_at_start=has_peers,
+        platform_silence_ms=PLATFORM_SILENCE_MS,
+    )
+
+
+def _log_transfer(change, now_ms):
+    """Log how a configuration arrived, and how long its decoding took."""
+    transfer = change.transfer
+    emit(
+        events.CONFIGURATION_READ,
+        revision=change.revision,
+        size_bytes=transfer.size_bytes,
+        wait_ms=transfer.first_byte_ms - transfer.start_ms,
+        transfer_ms=transfer.end_ms - transfer.first_byte_ms,
+        decode_ms=now_ms - transfer.end_ms,
+    )
--- a/bluebellthread/entry/_platform_changes.py
+++ b/bluebellthread/entry/_platform_changes.py
@@ -32,6 +32,10 @@
         )
 
 
+class TableError(core.BluebellthreadError):
+    """Raised when a configuration value is invalid."""
+
+
 @attrs.frozen(kw_only=True)
 class ServerChange:
     """A change of one entry in the list of backend servers.
@@ -100,6 +104,9 @@
 
     Parameters
     ----------
+    value : dict or None
+        The configuration as decoded JSON, in the form that VMs send to each
+        other; None if it is invalid.
     table : RoutingTable or None
         None if the configuration is invalid.
     revision : int
@@ -110,6 +117,7 @@
         How the answer with the configuration arrived.
     """
 
+    value: dict | None = None
     table: object = None
     revision: int = 0
     problem: str = ''
--- a/bluebellthread/entry/_service.py
+++ b/bluebellthread/entry/_service.py
@@ -17,6 +17,7 @@
 from bluebellthread.daemon import _peers
 from bluebellthread.entry import _budgets
 from bluebellthread.entry import _caller_connection
+from bluebellthread.entry import _configuration_task
 from bluebellthread.entry import _connection_control
 from bluebellthread.entry import _gateway
 from bluebellthread.entry import _placement_client
@@ -135,6 +136,10 @@
         )
 
     def _make_tasks(self):
+        self._configuration = _configuration_task.ConfigurationTask(
+            client=self._platform_client, state=self.state, links=self._links
+        )
+        self._configuration.register(self._mailboxes)
         self._platform = _platform_task.PlatformTask(
             client=self._platform_client, state=self.state
         )
@@ -214,6 +219,7 @@
             for task in (
                 self._placement_task,
                 self._placements,
+                self._configuration,
                 self._platform,
                 self._roles,
             ):
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -186,8 +186,8 @@
 CONFIGURATION_IN_FORCE = Event(
     7014,
     'INFO',
-    'configuration version {version} of revision {revision} is in force and '
-    'replaces version {previous}: {routes} routes',
+    'configuration version {version} from {source} is in force and replaces '
+    'version {previous}: {routes} routes',
 )
 CONFIGURATION_UNUSABLE = Event(
     7015,
--- a/bluebellthread/platform/_decoding.py
+++ b/bluebellthread/platform/_decoding.py
@@ -13,6 +13,7 @@
 
 CONFIGURATION_KEY = 'op/config'
 SERVERS_PREFIX = 'servers/'
+VERSION_FIELD = 'version'
 
 KINDS = {
     'safe': routing.KIND_IDEMPOTENT,
@@ -99,7 +100,7 @@
     """
     try:
         return routing.RoutingTable(
-            version=int(fields['version']),
+            version=int(fields[VERSION_FIELD]),
             routes=[_decode_route(item) for item in fields['routes']],
             services=[_decode_service(item) for item in fields['services']],
             limits=_decode_limits(fields.get('limits') or {}),
@@ -110,6 +111,36 @@
         ) from error
 
 
+def make_value(fields, version):
+    """Return a configuration in the form that VMs send to each other.
+
+    Examples
+    --------
+    >>> make_value({'version': 7, 'routes': []}, 7)
+    {'routes': [], 'revision': 7}
+    """
+    value = {
+        name: content
+        for name, content in fields.items()
+        if name not in (VERSION_FIELD, core.REVISION_KEY)
+    }
+    value[core.REVISION_KEY] = version
+    return value
+
+
+def restore_fields(value):
+    """Return the fields of the store's entry from a value of `make_value`.
+
+    Examples
+    --------
+    >>> restore_fields({'routes': [], 'revision': 7})
+    {'routes': [], 'version': 7}
+    """
+    fields = dict(value)
+    fields[VERSION_FIELD] = fields.pop(core.REVISION_KEY)
+    return fields
+
+
 def _decode_route(fields):
     split = fields.get('trafficSplit')
     if split:
--- a/bluebellthread/platform/_store_client.py
+++ b/bluebellthread/platform/_store_client.py
@@ -11,6 +11,7 @@
 from bluebellthread.entry import PlatformUnavailableError
 from bluebellthread.entry import ServerChange
 from bluebellthread.entry import TableChange
+from bluebellthread.entry import TableError
 from bluebellthread.entry import Transfer
 from bluebellthread.platform import _decoding
 
@@ -57,6 +58,19 @@
         """Close all connections to the store."""
         await self._pool.aclose()
 
+    def build_table(self, value):
+        """Build the routing table of a value from a `TableChange`.
+
+        Raises
+        ------
+        TableError
+            If a field is missing or invalid.
+        """
+        try:
+            return _decoding.decode_table(_decoding.restore_fields(value))
+        except _decoding.EntryError as error:
+            raise TableError(str(error)) from error
+
     async def read_table(self):
         """Read the configuration.
 
@@ -212,12 +226,18 @@
 def _to_table_change(item, transfer):
     revision = item.get('revision') or 0
     try:
-        table = _decoding.decode_table(_decoding.decode_value(item))
+        fields = _decoding.decode_value(item)
+        table = _decoding.decode_table(fields)
     except _decoding.EntryError as error:
         return TableChange(
             revision=revision, problem=str(error), transfer=transfer
         )
-    return TableChange(table=table, revision=revision, transfer=transfer)
+    return TableChange(
+        value=_decoding.make_value(fields, table.version),
+        table=table,
+        revision=revision,
+        transfer=transfer,
+    )
 
 
 def _to_server_change(item):
--- a/bluebellthread/wire/peer.thrift
+++ b/bluebellthread/wire/peer.thrift
@@ -185,6 +185,7 @@
   1: i64 revision,
   2: i64 digest,
   3: list<ManifestPart> parts,
+  4: i64 platform_age_ms,
 }
 
 struct SectionsRequest {
--- a/tests/integration/test_entry_platform.py
+++ b/tests/integration/test_entry_platform.py
@@ -163,7 +163,7 @@
         process = await nursery.start(self.start_program, path)
         lines = LogLines(process.stdout)
         started = await lines.find(7001)
-        await lines.find(7016)
+        await wait_ready(started['ready_port'])
         stream = await trio.open_tcp_stream(
             '127.0.0.1', started['caller_port']
         )
@@ -227,6 +227,17 @@
                     await process.wait()
 
 
+async def wait_ready(port):
+    """Wait until the readiness probe at a port is answered with 200."""
+    while True:
+        stream = await trio.open_tcp_stream('127.0.0.1', port)
+        async with sites.Caller(stream) as caller:
+            answer = await caller.call('GET', '/-/ready')
+        if answer.status == 200:
+            return
+        await trio.sleep(0.02)
+
+
 def ignores_hup(pid):
     """Return whether a process ignores or handles SIGHUP already."""
     status = pathlib.Path(f'/proc/{pid}/status').read_text(encoding='ascii')
--- a/tests/unit/_shared_link.py
+++ b/tests/unit/_shared_link.py
@@ -7,10 +7,15 @@
 import trio
 import trio.testing
 
+from bluebellthread import core
+from bluebellthread.daemon import _mailboxes
+from bluebellthread.daemon import _peers
+from bluebellthread.entry import _configuration_task
 from bluebellthread.entry import _platform_task
 from bluebellthread.entry import _state
 from bluebellthread.entry import EntrySettings
 from bluebellthread import platform
+from bluebellthread import wire
 from standin import site
 from standin.site import _connection
 
@@ -39,6 +44,12 @@
             self.sent_bytes += size_bytes
 
 
+async def _transmit(size_bytes, links):
+    for start in range(0, size_bytes, CHUNK_BYTES):
+        for link in links:
+            await link.transmit(min(CHUNK_BYTES, size_bytes - start))
+
+
 class _PacedStream(trio.abc.Stream):
     """Server side of a connection; what it sends passes links in turn."""
 
@@ -50,8 +61,7 @@
         await trio.sleep(REGION_DELAY_S)
         for start in range(0, len(data), CHUNK_BYTES):
             chunk = data[start : start + CHUNK_BYTES]
-            for link in self._links:
-                await link.transmit(len(chunk))
+            await _transmit(len(chunk), self._links)
             await self._stream.send_all(chunk)
 
     async def wait_send_all_might_not_block(self):
@@ -114,6 +124,59 @@
     name: str
     state: _state.EntryState
     link: Link
+    mailboxes: _mailboxes.Mailboxes = attrs.field(factory=_mailboxes.Mailboxes)
+    is_deaf: bool = False
+
+
+class _PeerLinks:
+    """Delivers messages between the VMs of a region over their links.
+
+    A deaf VM rejects every message, as a VM of a version without the message
+    does.
+    """
+
+    def __init__(self, vm, vms):
+        self._vm = vm
+        self._vms = vms
+
+    async def call(self, member, message, *, deadline_ms):
+        remaining_s = deadline_ms / 1000 - trio.current_time()
+        with trio.move_on_after(remaining_s):
+            answers = []
+            answered = trio.Event()
+
+            def answer(answer_message):
+                answers.append(answer_message)
+                answered.set()
+
+            await self._deliver(member, message, answer)
+            await answered.wait()
+            receiver = self._vms[member.name]
+            await self._carry(answers[0], receiver, self._vm)
+            return answers[0]
+        raise _peers.PeerUnreachableError(member.name, 'no answer')
+
+    async def send(self, member, message):
+        await self._deliver(member, message, lambda answer: None)
+
+    async def _deliver(self, member, message, answer):
+        receiver = self._vms[member.name]
+        await self._carry(message, self._vm, receiver)
+        envelope = wire.Envelope(
+            message=message, sender=self._vm.name, sender_incarnation=1
+        )
+        inbound = _mailboxes.InboundMessage(envelope=envelope, answer=answer)
+        mailboxes = receiver.mailboxes
+        if receiver.is_deaf:
+            mailboxes = _mailboxes.Mailboxes()
+        mailboxes.deliver(inbound)
+
+    async def _carry(self, message, sender, receiver):
+        envelope = wire.Envelope(
+            message=message, sender=sender.name, sender_incarnation=1
+        )
+        size_bytes = len(wire.encode_frame(envelope, now_ms=0))
+        await _transmit(size_bytes, (sender.link, receiver.link))
 
 
 class Region:
@@ -145,8 +208,23 @@
                 )
 
     def start(self, nursery):
-        """Start all VMs."""
+        """Start all VMs, which know each other."""
+        view = core.MembershipView(
+            members=tuple(
+                core.Member(
+                    name=vm.name,
+                    data_centre=vm.state.settings.data_centre,
+                    region=vm.state.settings.region,
+                    host='127.0.0.1',
+                    peer_port=1,
+                    caller_port=2,
+                )
+                for vm in self.vms
+            )
+        )
+        by_name = {vm.name: vm for vm in self.vms}
         for vm in self.vms:
+            vm.state.publish_view(view)
             backend = _Backend(
                 store=self.store,
                 links=(self.region_link, vm.link),
@@ -155,8 +233,17 @@
             client = platform.StoreClient(
                 host='store', port=1, network_backend=backend
             )
-            task = _platform_task.PlatformTask(client=client, state=vm.state)
-            nursery.start_soon(task.run)
+            configuration = _configuration_task.ConfigurationTask(
+                client=client,
+                state=vm.state,
+                links=_PeerLinks(vm, by_name),
+            )
+            configuration.register(vm.mailboxes)
+            servers = _platform_task.PlatformTask(
+                client=client, state=vm.state
+            )
+            nursery.start_soon(configuration.run)
+            nursery.start_soon(servers.run)
 
     def list_behind(self, version):
         """Return the names of the VMs that have an older configuration."""
--- a/tests/unit/test_revisions.py
+++ b/tests/unit/test_revisions.py
@@ -303,6 +303,90 @@
         self.assertEqual(1, len({vm.digest for vm in network.vms.values()}))
 
 
+class TestSubstituteWatchers(unittest.TestCase):
+    """VMs that watch the platform in place of the chosen watchers."""
+
+    OPTIONS = core.RevisionOptions(
+        lone_watch_delay_ms=1000,
+        platform_silence_ms=10_000,
+        substitution_ms=30_000,
+    )
+
+    def make_vms(self, count):
+        names = [f'a{number}' for number in range(count)]
+        vms = {name: self.make_vm(name) for name in names}
+        for vm in vms.values():
+            vm.change_view(make_view(names), 0)
+        return vms
+
+    def make_vm(self, name):
+        return core.Revisions(
+            vm=name,
+            data_centre='a',
+            build_configuration=configuration.build_configuration,
+            rng=random.Random(name),
+            options=self.OPTIONS,
+        )
+
+    def answer(self, vm, now_ms, *, platform_age_ms):
+        answer = core.ManifestAnswer(
+            revision=0, digest=0, platform_age_ms=platform_age_ms
+        )
+        vm.handle(core.PeerAnswered(vm='a0', message=answer), now_ms)
+
+    def count_watching(self, vms, now_ms):
+        for vm in vms.values():
+            vm.handle(core.Tick(), now_ms)
+        return sum(vm.watching for vm in vms.values())
+
+    def test_more_vms_watch_the_longer_nobody_reads_the_platform(self):
+        vms = self.make_vms(20)
+        counts = []
+        for now_ms in (0, 9_000, 10_000, 20_000, 90_000):
+            for vm in vms.values():
+                self.answer(vm, now_ms, platform_age_ms=-1)
+            counts.append(self.count_watching(vms, now_ms))
+        self.assertEqual([2, 2, 4, 6, 6], counts)
+
+    def test_substitutes_stop_after_a_while_once_the_platform_is_read(self):
+        vms = self.make_vms(20)
+        for vm in vms.values():
+            self.answer(vm, 10_000, platform_age_ms=-1)
+        self.assertEqual(4, self.count_watching(vms, 10_000))
+        for now_ms, expected in ((39_000, 4), (41_000, 2)):
+            for vm in vms.values():
+                self.answer(vm, now_ms, platform_age_ms=4_000)
+            self.assertEqual(expected, self.count_watching(vms, now_ms))
+
+    def test_news_of_the_platform_is_passed_on_with_its_age(self):
+        reader, other = self.make_vms(2).values()
+        reader.handle(core.PlatformAnswered(), 5_000)
+        request = core.ManifestRequest(vm='a1', revision=0, digest=0)
+        asked = core.PeerAsked(token='a1', message=request)
+        answer = reader.handle(asked, 8_000)[0].message
+        self.assertEqual(3_000, answer.platform_age_ms)
+        other.handle(core.PeerAnswered(vm='a0', message=answer), 8_000)
+        answer = other.handle(asked, 9_000)[0].message
+        self.assertEqual(4_000, answer.platform_age_ms)
+
+    def test_vm_whose_requests_no_peer_answers_watches(self):
+        vms = self.make_vms(20)
+        name = next(name for name, vm in vms.items() if not vm.watching)
+        rejected = core.Rejected(kind='unexpected-message', remedy='')
+        event = core.PeerAnswered(vm='a0', message=rejected)
+        vms[name].handle(event, 9_000)
+        vms[name].handle(core.Tick(), 10_000)
+        self.assertTrue(vms[name].watching)
+
+    def test_vm_that_starts_waits_for_others_before_it_watches(self):
+        vm = self.make_vm('a0')
+        vm.change_view(make_view(['a0']), 0)
+        vm.handle(core.Tick(), 900)
+        self.assertFalse(vm.watching)
+        vm.handle(core.Tick(), 1_000)
+        self.assertTrue(vm.watching)
+
+
 class TestSections(unittest.TestCase):
     def test_one_more_item_changes_at_most_two_sections(self):
         value = make_value(1)
