Let a watch of the stand-in store end its answer after its wait

The wait's timeout also covered the sending of the answer: a large answer that began late in the wait was cut off and followed by a second one.

--- a/standin/site/_store.py
+++ b/standin/site/_store.py
@@ -112,8 +112,9 @@
     async def _answer_watch(self, request):
         prefix = request.query['prefix']
         after = int(request.query['after'])
+        found = []
         with trio.move_on_after(int(request.query['waitMs']) / 1000):
-            while True:
+            while not found:
                 if after + 1 < self._first_kept_revision:
                     await request.answer(410)
                     return
@@ -123,11 +124,9 @@
                     if event['revision'] > after
                     and event['key'].startswith(prefix)
                 ]
-                if found:
-                    await self._answer(request, {'events': found})
-                    return
-                await self._changed.wait()
-        await self._answer(request, {'events': []})
+                if not found:
+                    await self._changed.wait()
+        await self._answer(request, {'events': found})
 
     async def _answer(self, request, fields):
         fields['storeRevision'] = self.revision
