Let fleets of tests run an old build beside the new one

What callers saw: nothing.

Change: with BLUEBELLTHREAD_TEST_OLD_BUILD every other daemon of the integration tests, and every other entry of a data centre in the soak, runs another checkout; the stand-ins never do.

--- a/tests/integration/_fleet.py
+++ b/tests/integration/_fleet.py
@@ -19,7 +19,6 @@
 import contextlib
 import inspect
 import json
-import os
 import pathlib
 import re
 import signal
@@ -32,7 +31,9 @@
 import httpcore
 import trio
 
-ROOT = pathlib.Path(__file__).parent.parent.parent
+from tests import _checkouts
+
+ROOT = _checkouts.ROOT
 
 POLL_S = 0.01
 """Seconds between two checks of a condition."""
@@ -91,13 +92,14 @@
         Folder of the output files.
     name : str
         Name of the process and its files.
+    checkout : Path
+        Folder of the checkout that it runs.
     """
 
-    def __init__(self, arguments, directory, name):
+    def __init__(self, arguments, directory, name, checkout=ROOT):
         self.name = name
         self._stdout_path = directory / f'{name}.out'
         self._stderr_path = directory / f'{name}.err'
-        environment = {**os.environ, 'PYTHONPATH': str(ROOT)}
         with (
             self._stdout_path.open('ab') as stdout,
             self._stderr_path.open('ab') as stderr,
@@ -107,8 +109,8 @@
                 stdin=subprocess.DEVNULL,
                 stdout=stdout,
                 stderr=stderr,
-                env=environment,
-                cwd=ROOT,
+                env=_checkouts.make_environment(checkout),
+                cwd=checkout,
             )
 
     @property
@@ -256,7 +258,15 @@
 
     async def start_daemon(self, settings):
         """Start a daemon with these settings and return its `Daemon`."""
-        process = self._launch('bluebellthread.daemon', '--settings', settings)
+        # A VM that starts again runs the same checkout.
+        names = list({**self.daemons, settings['vm']: None})
+        number = names.index(settings['vm'])
+        process = self._launch(
+            'bluebellthread.daemon',
+            '--settings',
+            settings,
+            checkout=_checkouts.choose_checkout(number),
+        )
         match = await until(
             lambda: _find_started(process),
             what=f'the start of {settings["vm"]}',
@@ -373,12 +383,14 @@
         ) as response:
             yield response
 
-    def _launch(self, module, option, value):
+    def _launch(self, module, option, value, checkout=ROOT):
         number = len(self.processes)
         name = f'{number}-{value.get("vm", module)}'
         path = self._directory / f'{name}.json'
         path.write_text(json.dumps(value), encoding='utf-8')
-        process = Process([module, option, str(path)], self._directory, name)
+        process = Process(
+            [module, option, str(path)], self._directory, name, checkout
+        )
         self.processes.append(process)
         return process
 
--- a/tests/integration/test_tickets.py
+++ b/tests/integration/test_tickets.py
@@ -25,10 +25,10 @@
 
 
 class NaiveFleet(_fleet.Fleet):
-    def _launch(self, module, option, value):
+    def _launch(self, module, option, value, checkout=_fleet.ROOT):
         if module == 'bluebellthread.daemon':
             module = 'tests.integration._naive_daemon'
-        return super()._launch(module, option, value)
+        return super()._launch(module, option, value, checkout)
 
 
 class TestTickets(_fleet.FleetTestCase):
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -24,6 +24,9 @@
         '--count', type=int, default=1, help='number of random seeds'
     )
     parser.add_argument('--length-s', type=float, default=20.0)
+    parser.add_argument(
+        '--vms', type=int, default=3, help='number of entry processes'
+    )
     parser.add_argument('--logs', help='folder for logs and settings')
     options = parser.parse_args(arguments)
     seeds = options.seed or [
@@ -36,7 +39,11 @@
             folder = pathlib.Path(options.logs) / str(seed)
             folder.mkdir(parents=True, exist_ok=True)
         soak = functools.partial(
-            _run.run_soak, seed, length_s=options.length_s, folder=folder
+            _run.run_soak,
+            seed,
+            length_s=options.length_s,
+            folder=folder,
+            vm_count=options.vms,
         )
         broken = trio.run(soak)
         for line in broken:
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -21,7 +21,7 @@
 QUIET_S = 4.0
 
 
-async def run_soak(seed, *, length_s, log=print, folder=None):
+async def run_soak(seed, *, length_s, log=print, folder=None, vm_count=3):
     """Run one soak test and return one line for each broken guarantee.
 
     Parameters
@@ -34,10 +34,14 @@
         Function that is called with each line of progress.
     folder : str or None
         Folder for logs and settings; a temporary one by default.
+    vm_count : int
+        Number of entry processes.
     """
     with tempfile.TemporaryDirectory() as temporary:
         rng = random.Random(seed)
-        site = _site.SoakSite(rng=rng, folder=folder or temporary)
+        site = _site.SoakSite(
+            rng=rng, folder=folder or temporary, vm_count=vm_count
+        )
         callers = _callers.Callers(site)
         async with trio.open_nursery() as nursery:
             await site.start(nursery)
--- a/tests/soak/_site.py
+++ b/tests/soak/_site.py
@@ -12,6 +12,7 @@
 
 from standin import _proxy
 from standin import site
+from tests import _checkouts
 
 HOST = 'calls.example'
 DATA_CENTRES = ('cluj-a', 'brasov-b')
@@ -61,7 +62,7 @@
         self.exits = []
         self.disturbed_s = trio.current_time()
         self.expected_exit = False
-        self._path = pathlib.Path(folder) / f'{self.name}.json'
+        self._path = pathlib.Path(folder).resolve() / f'{self.name}.json'
         self._log_path = pathlib.Path(folder) / f'{self.name}.log'
         self._seeds = seeds
         self._index = index
@@ -93,11 +94,19 @@
         """Run the process and restart it whenever it ends, until cancelled."""
         command = [sys.executable, '-m', 'bluebellthread.run_entry']
         command += ['--settings', str(self._path), '--metrics-port', '0']
+        # Every other VM of each data centre.
+        number = sum(divmod(self._index, len(DATA_CENTRES)))
+        checkout = _checkouts.choose_checkout(number)
+        environment = _checkouts.make_environment(checkout)
         while True:
             self.expected_exit = False
             with open(self._log_path, 'ab') as log:
                 self.process = await trio.lowlevel.open_process(
-                    command, stdout=log, stderr=log, env=dict(os.environ)
+                    command,
+                    stdout=log,
+                    stderr=log,
+                    env=environment,
+                    cwd=checkout,
                 )
             try:
                 code = await self.process.wait()
