Let a VM watch the store for as long as no peer answers it

The only VM of the new build in a data centre had the versions of some changes later than 4 s after their publication: none for the first 10 s after its start, and again ten seconds every 40 s.

Cause: a VM whose requests no peer answers watched for 30 s. Its own reads then counted as news of the platform, so it stopped, and began again only after 10 s without news.

Change: while no peer answers, the time for which it watches is extended; so is that of a substitute while there is no news.

Measured: test_vm_that_no_peer_answers_watches_while_none_does fails before and passes now. The ten seconds after the start remain beside old builds.

--- a/bluebellthread/core/_revisions.py
+++ b/bluebellthread/core/_revisions.py
@@ -175,12 +175,18 @@
         silence_ms = self._options.platform_silence_ms
         if not silence_ms:
             return False
+        unanswered_ms = self._measure_silence_ms(self._peer_heard_ms, now_ms)
+        if unanswered_ms >= silence_ms or self._is_next_in_rank(now_ms):
+            self._substitution_deadline_ms = (
+                now_ms + self._options.substitution_ms
+            )
         deadline_ms = self._substitution_deadline_ms
-        if deadline_ms is not None and now_ms < deadline_ms:
-            return True
+        return deadline_ms is not None and now_ms < deadline_ms
+
+    def _is_next_in_rank(self, now_ms):
         silences = (
             self._measure_silence_ms(self._platform_heard_ms, now_ms)
-            // silence_ms
+            // self._options.platform_silence_ms
         )
         if silences < 1:
             return False
@@ -188,13 +194,7 @@
             _revision_topology.WATCHERS * (1 + silences),
             _revision_topology.SUBSTITUTES_MAX,
         )
-        is_unanswered = (
-            self._measure_silence_ms(self._peer_heard_ms, now_ms) >= silence_ms
-        )
-        if not is_unanswered and not self._is_among_watchers(count):
-            return False
-        self._substitution_deadline_ms = now_ms + self._options.substitution_ms
-        return True
+        return self._is_among_watchers(count)
 
     def _measure_silence_ms(self, heard_ms, now_ms):
         """Return the time since ``heard_ms``, or since the first view."""
--- a/tests/unit/test_revisions.py
+++ b/tests/unit/test_revisions.py
@@ -378,6 +378,19 @@
         vms[name].handle(core.Tick(), 10_000)
         self.assertTrue(vms[name].watching)
 
+    def test_vm_that_no_peer_answers_watches_while_none_does(self):
+        vms = self.make_vms(20)
+        name = next(name for name, vm in vms.items() if not vm.watching)
+        vm = vms[name]
+        for now_ms in range(10_000, 100_000, 1_000):
+            vm.handle(core.Tick(), now_ms)
+            self.assertTrue(vm.watching)
+            vm.handle(core.PlatformAnswered(), now_ms)
+        for now_ms, expected in ((100_000, True), (131_000, False)):
+            self.answer(vm, now_ms, platform_age_ms=4_000)
+            vm.handle(core.Tick(), now_ms)
+            self.assertEqual(expected, vm.watching)
+
     def test_vm_that_starts_waits_for_others_before_it_watches(self):
         vm = self.make_vm('a0')
         vm.change_view(make_view(['a0']), 0)
