Leave out VMs of older builds when watchers of the store are chosen

Where both chosen watchers of a data centre were of a build without messages about revisions, the entries of the new build had no configuration for the first 10 s after their start, so 503, and some versions later than 4 s after their publication. With six such VMs at the head of the ranking, they got none at all.

Cause: watchers, partners and the tree of announcements were chosen among all VMs of the view, also those that reject the messages and watch for themselves only. The new VMs answered each other, so none took itself for unanswered.

Change: an entry asks each new VM of its data centre once, likely watchers first, and leaves those out whose build rejects the message, until they start anew (PeerBuilds). The daemon's older builds know the messages; it leaves this off. Weighed: that every VM watches beside an older build, or until a watcher has answered; see PLATFORM.md.

Beside every other VM of an old build some of 17 VMs had a version late before, none now. TestLargeConfiguration, 44 VMs of the new build that start at once, passes.

--- a/bluebellthread/core/_revision_options.py
+++ b/bluebellthread/core/_revision_options.py
@@ -34,6 +34,11 @@
         than the chosen watchers watch it too; 0 if they never do.
     substitution_ms : int
         How long such a substitute then watches the platform.
+    leaves_out_older_builds : bool
+        Whether a VM asks each new VM of its data centre once and leaves those
+        out of all choices whose build rejects the messages about revisions.
+        All VMs have to leave out the same ones: a VM that others still count
+        on would not watch or announce.
     exchanges_digests, limits_watchers : bool
         Whether VMs regularly exchange the digests of their revisions, and
         whether only the chosen watchers watch the platform. Tests turn each
@@ -47,6 +52,7 @@
     lone_watch_delay_ms: int = 0
     platform_silence_ms: int = 0
     substitution_ms: int = 30000
+    leaves_out_older_builds: bool = False
     waits_for_peers_at_start: bool = True
     ignores_older_revisions: bool = True
     exchanges_digests: bool = True
--- a/bluebellthread/core/_revisions.py
+++ b/bluebellthread/core/_revisions.py
@@ -13,6 +13,7 @@
 
 from bluebellthread.core import _configuration_messages as messages
 from bluebellthread.core import _problems
+from bluebellthread.core import _revision_builds
 from bluebellthread.core import _revision_events as events
 from bluebellthread.core import _revision_options
 from bluebellthread.core import _revision_topology
@@ -21,6 +22,9 @@
 
 NO_REVISION_KEY = (0, 0)
 INVALID_KEYS_MAX = 16
+PROBES_MAX = 16
+"""Maximum number of VMs asked together whether their build knows the messages
+about revisions: half of the calls that a VM keeps in flight."""
 
 
 @attrs.frozen(kw_only=True)
@@ -75,6 +79,8 @@
         self._invalid = {}
         self._fetch = None
         self._names = [vm]
+        self._view = None
+        self._builds = _revision_builds.PeerBuilds()
         self._remote_watchers = ()
         self._exchanges = 0
         self._remote_exchanges = 0
@@ -128,24 +134,67 @@
 
     def change_view(self, view, now_ms):
         """Update to a new membership view and return resulting commands."""
+        had_peers = len(self._names) > 1
+        self._view = view
+        self._choose_names()
+        if self._lone_watch_ms is None:
+            self._lone_watch_ms = now_ms + self._options.lone_watch_delay_ms
+            self._first_view_ms = now_ms
+        commands = self._update_watching(now_ms)
+        asked = ()
+        if len(self._names) > 1 and not had_peers:
+            asked = self.partners
+            self._awaited_at_start = set(asked)
+            commands.extend(self.make_manifest_request(name) for name in asked)
+        return commands + self._ask_unknown_builds(asked)
+
+    def _choose_names(self):
+        """Choose the VMs that take part, by the view and the peers' builds."""
+        members = self._builds.leave_out_older(self._view.members)
+        view = attrs.evolve(self._view, members=members)
         local_members = view.in_data_centre(self._data_centre)
         # The view may not include this VM yet, but a VM has to work even
         # without peers.
         names = {member.name for member in local_members} | {self._vm}
-        found_first_peers = len(names) > 1 and len(self._names) == 1
         self._names = sorted(names)
         self._remote_watchers = self._choose_remote_watchers(view)
-        if self._lone_watch_ms is None:
-            self._lone_watch_ms = now_ms + self._options.lone_watch_delay_ms
-            self._first_view_ms = now_ms
-        commands = self._update_watching(now_ms)
-        if found_first_peers:
-            partners = self.partners
-            self._awaited_at_start = set(partners)
-            commands.extend(
-                self.make_manifest_request(name) for name in partners
-            )
-        return commands
+
+    def _ask_unknown_builds(self, asked=()):
+        """Return requests to VMs of the data centre that never answered.
+
+        Possible watchers come first.
+
+        Parameters
+        ----------
+        asked : sequence of str
+            VMs that have just been asked.
+        """
+        if not self._options.leaves_out_older_builds or self._view is None:
+            return []
+        members = self._view.in_data_centre(self._data_centre)
+        unknown = [
+            name
+            for name in self._builds.list_unknown(members)
+            if name != self._vm
+        ]
+        ranked = _revision_topology.choose_watchers(
+            self._data_centre, unknown, PROBES_MAX
+        )
+        return [
+            self.make_manifest_request(name)
+            for name in ranked
+            if name not in asked
+        ]
+
+    def _note_build(self, event, now_ms):
+        """Note whether a VM's build knows the messages about revisions."""
+        member = self._view.find(event.vm) if self._view else None
+        if member is None or not self._options.leaves_out_older_builds:
+            return []
+        if not self._builds.note_answer(member, event.message):
+            return []
+        self._choose_names()
+        return self._update_watching(now_ms)
 
     def _update_watching(self, now_ms):
         watching = self._should_watch(now_ms)
@@ -238,6 +287,7 @@
                 self._options.exchange_interval_ms
             )
             commands.extend(self._ask_partner())
+            commands.extend(self._ask_unknown_builds())
         if self.watching and self._next_remote_ms <= now_ms:
             self._next_remote_ms = now_ms + self._add_jitter(
                 self._options.remote_interval_ms
@@ -397,14 +447,13 @@
 
     def _on_peer_answered(self, event, now_ms):
         self._note_start_answer(event.vm)
+        commands = self._note_build(event, now_ms)
         if isinstance(event.message, messages.ManifestAnswer):
-            commands = self._on_manifest(event, now_ms)
-        elif isinstance(event.message, messages.SectionsAnswer):
-            commands = self._on_sections(event)
-        else:
-            # For example, a refusal by a VM whose queue is full.
-            return self._on_peer_failed(event, now_ms)
-        return commands
+            return commands + self._on_manifest(event, now_ms)
+        if isinstance(event.message, messages.SectionsAnswer):
+            return commands + self._on_sections(event)
+        # For example, a refusal by a VM whose queue is full.
+        return commands + self._on_peer_failed(event, now_ms)
 
     def _on_manifest(self, event, now_ms):
         answer = event.message
--- a/bluebellthread/entry/_configuration_task.py
+++ b/bluebellthread/entry/_configuration_task.py
@@ -164,6 +164,7 @@
         lone_watch_delay_ms=LONE_WATCH_DELAY_MS if has_peers else 0,
         waits_for_peers_at_start=has_peers,
         platform_silence_ms=PLATFORM_SILENCE_MS,
+        leaves_out_older_builds=True,
     )
 
 
--- a/tests/unit/test_configuration_over_links.py
+++ b/tests/unit/test_configuration_over_links.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from bluebellthread import core
 from tests.integration import _entry_site as sites
 from tests.unit import _shared_link
 
@@ -109,3 +110,73 @@
         version = region.vms[0].state.table.version
         nursery.cancel_scope.cancel()
     return version
+
+
+class TestOlderBuilds(unittest.TestCase):
+    """VMs beside others of a build without messages about versions."""
+
+    DATA_CENTRE = 'bucuresti-a'
+
+    def follow(self, *, vm_count, is_deaf):
+        """Return the VMs that each version reaches too late, by version.
+
+        Parameters
+        ----------
+        vm_count : int
+            Number of VMs.
+        is_deaf : callable
+            Takes a VM's rank among the watchers, from 0; returns whether the
+            VM is of the older build.
+        """
+        region = _shared_link.Region(
+            vm_counts={self.DATA_CENTRE: vm_count},
+            region_mbps=REGION_MBPS,
+            vm_mbps=VM_MBPS,
+        )
+        ranked = core.choose_watchers(
+            self.DATA_CENTRE, [vm.name for vm in region.vms], vm_count
+        )
+        for vm in region.vms:
+            vm.is_deaf = is_deaf(ranked.index(vm.name))
+        return _shared_link.run_simulated(
+            functools.partial(publish_often, region)
+        )
+
+    def test_versions_arrive_where_all_watchers_are_of_an_older_build(self):
+        behind = self.follow(vm_count=8, is_deaf=lambda rank: rank < 2)
+        self.assertEqual({}, behind)
+
+    def test_versions_arrive_where_all_substitutes_are_too(self):
+        behind = self.follow(vm_count=9, is_deaf=lambda rank: rank < 6)
+        self.assertEqual({}, behind)
+
+    def test_versions_arrive_at_the_only_vm_of_the_new_build(self):
+        behind = self.follow(vm_count=3, is_deaf=lambda rank: rank < 2)
+        self.assertEqual({}, behind)
+
+    def test_versions_arrive_where_every_other_vm_is_of_an_older_build(self):
+        for parity in (0, 1):
+            behind = self.follow(
+                vm_count=17, is_deaf=lambda rank, p=parity: rank % 2 == p
+            )
+            self.assertEqual({}, behind)
+
+
+async def publish_often(region):
+    """Return the VMs that each version reaches too late, by version.
+
+    The versions span the times for which other VMs stand in for watchers.
+    Version 1 is there at the start.
+    """
+    region.store.put('op/config', make_configuration(1, route_count=10))
+    behind = {}
+    async with trio.open_nursery() as nursery:
+        region.start(nursery)
+        for version in range(2, 17):
+            await trio.sleep(CONFIGURATION_MS / 1000)
+            behind[version - 1] = region.list_behind(version - 1)
+            region.store.put(
+                'op/config', make_configuration(version, route_count=10)
+            )
+        nursery.cancel_scope.cancel()
+    return {version: names for version, names in behind.items() if names}
--- a/tests/unit/test_revisions.py
+++ b/tests/unit/test_revisions.py
@@ -2,6 +2,7 @@
 import random
 import unittest
 
+import attrs
 import hypothesis
 from hypothesis import strategies
 
@@ -400,6 +401,106 @@
         self.assertTrue(vm.watching)
 
 
+class TestOlderBuilds(unittest.TestCase):
+    """VMs beside others whose build rejects the messages."""
+
+    NAMES = tuple(f'a{number}' for number in range(20))
+    RANKED = tuple(core.choose_watchers('a', list(NAMES), len(NAMES)))
+    REJECTED = core.Rejected(kind='unexpected-message', remedy='')
+    KNOWING = core.ManifestAnswer(revision=0, digest=0)
+
+    def start(self, name, older):
+        """Start a VM, and answer what it asks until it asks nothing.
+
+        Returns the VM and the names that it asked.
+        """
+        vm = core.Revisions(
+            vm=name,
+            data_centre='a',
+            build_configuration=configuration.build_configuration,
+            options=core.RevisionOptions(leaves_out_older_builds=True),
+        )
+        commands = vm.change_view(make_view(self.NAMES), 0)
+        asked = self.answer_all(vm, commands, older, 0)
+        for now_ms in (2_000, 4_000, 6_000):
+            commands = vm.handle(core.Tick(), now_ms)
+            asked += self.answer_all(vm, commands, older, now_ms)
+        return vm, asked
+
+    def answer_all(self, vm, commands, older, now_ms):
+        asked = []
+        while commands:
+            command = commands.pop(0)
+            if not isinstance(command, core.AskPeer):
+                continue
+            asked.append(command.vm)
+            message = self.REJECTED if command.vm in older else self.KNOWING
+            event = core.PeerAnswered(vm=command.vm, message=message)
+            commands += vm.handle(event, now_ms)
+        return asked
+
+    def test_watchers_are_the_first_that_know_the_messages(self):
+        older = self.RANKED[:7] + self.RANKED[8:9]
+        watching = [
+            name
+            for name in self.NAMES
+            if name not in older and self.start(name, older)[0].watching
+        ]
+        expected = {self.RANKED[7], self.RANKED[9]}
+        self.assertEqual(expected, set(watching))
+
+    def test_older_builds_get_no_announcements_and_are_no_partners(self):
+        older = set(self.RANKED[:12])
+        vm, _ = self.start(self.RANKED[12], older)
+        self.assertFalse(older & set(vm.partners))
+        for revision in range(1, 9):
+            value = make_value(revision)
+            built = configuration.build_configuration(value)
+            event = core.RevisionPublished(value=value, configuration=built)
+            told = {
+                command.vm
+                for command in vm.handle(event, 7_000)
+                if isinstance(command, core.TellPeer)
+            }
+            self.assertFalse(older & told)
+
+    def test_every_vm_is_asked_and_only_the_partners_again(self):
+        vm, asked = self.start('a0', ())
+        self.assertEqual(set(self.NAMES) - {'a0'}, set(asked))
+        counts = collections.Counter(asked)
+        again = {name for name, count in counts.items() if count > 1}
+        self.assertLessEqual(again, set(vm.partners))
+
+    def test_vm_that_does_not_answer_is_asked_again(self):
+        vm, _ = self.start('a0', ())
+        view = make_view((*self.NAMES, 'a99'))
+        request = vm.make_manifest_request('a99')
+        self.assertIn(request, vm.change_view(view, 7_000))
+        failed = core.PeerFailed(vm='a99', message=request.message)
+        vm.handle(failed, 8_000)
+        self.assertIn(request, vm.handle(core.Tick(), 12_000))
+
+    def test_busy_vm_still_counts(self):
+        vm, _ = self.start(self.RANKED[2], ())
+        busy = core.Rejected(kind='busy', remedy='')
+        for name in self.RANKED[:2]:
+            vm.handle(core.PeerAnswered(vm=name, message=busy), 7_000)
+        self.assertFalse(vm.watching)
+
+    def test_vm_that_starts_again_with_another_build_counts_again(self):
+        vm, _ = self.start(self.RANKED[2], self.RANKED[:2])
+        self.assertTrue(vm.watching)
+        members = tuple(
+            attrs.evolve(member, incarnation=member.name in self.RANKED[:2])
+            for member in make_view(self.NAMES).members
+        )
+        view = core.MembershipView(members=members)
+        commands = vm.change_view(view, 7_000)
+        self.assertFalse(vm.watching)
+        asked = {c.vm for c in commands if isinstance(c, core.AskPeer)}
+        self.assertEqual(set(self.RANKED[:2]), asked)
+
+
 class TestSections(unittest.TestCase):
     def test_one_more_item_changes_at_most_two_sections(self):
         value = make_value(1)
