Let the stand-in store come back from a copy, with its era in all answers

What callers would see: nothing yet; the stand-in could not play a store that loses its latest changes and gives their revisions out again.

Watches that wait across a restore, or that start from a revision the store doesn't have, get 410. An answer of 410 was sent within the wait of the watch, so that a watch with a short wait got a second answer; it is sent after the wait now.

--- a/standin/site/_store.py
+++ b/standin/site/_store.py
@@ -9,6 +9,16 @@
 from standin.site import _connection
 
 
+@attrs.frozen(kw_only=True)
+class StoreCopy:
+    """Copy of a store's contents at one moment."""
+
+    revision: int
+    items: dict
+    history: tuple
+    first_kept_revision: int
+
+
 @attrs.define(kw_only=True)
 class Store:
     """Store that serves reads, ranges and watches of items.
@@ -17,12 +27,15 @@
 
     Parameters
     ----------
+    era : object
+        Value of the header ``Store-Era``; None if answers don't have it.
     refuse_status : int
         If above 0, the status that every call is answered with.
     page_size : int
         Largest number of items in a page of a range.
     """
 
+    era: object = 1
     refuse_status: int = 0
     page_size: int = 500
     revision: int = 1
@@ -31,6 +44,7 @@
     _items: dict = attrs.field(factory=dict)
     _history: list = attrs.field(factory=list)
     _first_kept_revision: int = 1
+    _restores: int = 0
     _changed: trio.Event = attrs.field(factory=trio.Event)
 
     async def start(self, nursery):
@@ -69,6 +83,30 @@
         self._first_kept_revision = self.revision + 1
         self._wake()
 
+    def snapshot(self):
+        """Return a copy of the contents for `restore`."""
+        return StoreCopy(
+            revision=self.revision,
+            items=dict(self._items),
+            history=tuple(self._history),
+            first_kept_revision=self._first_kept_revision,
+        )
+
+    def restore(self, copy):
+        """Go back to a copy and begin a new era.
+
+        Later changes have gone, and their revisions are given out again.
+        Watches that wait are answered with 410.
+        """
+        self.revision = copy.revision
+        self._items = dict(copy.items)
+        self._history = list(copy.history)
+        self._first_kept_revision = copy.first_kept_revision
+        if self.era is not None:
+            self.era += 1
+        self._restores += 1
+        self._wake()
+
     def _record_event(self, event):
         self._history.append(event)
         self._wake()
@@ -80,7 +118,7 @@
     async def handle(self, request):
         self.calls.append(request.target)
         if self.refuse_status:
-            await request.answer(self.refuse_status)
+            await self._refuse(request, self.refuse_status)
         elif request.path == '/-/kv-key':
             await self._answer_key(request)
         elif request.path == '/-/kv-range':
@@ -88,12 +126,12 @@
         elif request.path == '/-/kv-watch':
             await self._answer_watch(request)
         else:
-            await request.answer(404)
+            await self._refuse(request, 404)
 
     async def _answer_key(self, request):
         item = self._items.get(request.query['key'])
         if item is None:
-            await request.answer(404)
+            await self._refuse(request, 404)
             return
         await self._answer(request, dict(item))
 
@@ -112,22 +150,37 @@
     async def _answer_watch(self, request):
         prefix = request.query['prefix']
         after = int(request.query['after'])
+        restores = self._restores
         found = []
         with trio.move_on_after(int(request.query['waitMs']) / 1000):
-            while not found:
-                if after + 1 < self._first_kept_revision:
-                    await request.answer(410)
-                    return
+            while self._has_history(after, restores):
                 found = [
                     event
                     for event in self._history
                     if event['revision'] > after
                     and event['key'].startswith(prefix)
                 ]
-                if not found:
-                    await self._changed.wait()
-        await self._answer(request, {'events': found})
+                if found:
+                    break
+                await self._changed.wait()
+        if self._has_history(after, restores):
+            await self._answer(request, {'events': found})
+        else:
+            await self._refuse(request, 410)
+
+    def _has_history(self, after, restores):
+        return (
+            restores == self._restores
+            and self._first_kept_revision - 1 <= after <= self.revision
+        )
 
     async def _answer(self, request, fields):
         fields['storeRevision'] = self.revision
-        await request.answer(200, json.dumps(fields).encode())
+        body = json.dumps(fields).encode()
+        await request.answer(200, body, self._make_headers())
+
+    async def _refuse(self, request, status):
+        await request.answer(status, headers=self._make_headers())
+
+    def _make_headers(self):
+        return () if self.era is None else [('Store-Era', self.era)]
