Watch the platform's store from a position that holds its era

What callers would see: after the store has come back from a copy, requests to servers that drain, and routes of an old configuration, until the next change or for good.

Cause: a restored store gives revisions out again. Once it has passed the revision from which a VM watches, it accepts the watch, and the changes up to that revision are never reported.

Change: the client returns a Position of era (header Store-Era) and revision. A watch that is answered in another era than its position's, and a range whose pages come from two eras, raise HistoryLostError, so everything is read again. A store that sends no era, or one that can't be read, is in era 0.

--- a/bluebellthread/entry/__init__.py
+++ b/bluebellthread/entry/__init__.py
@@ -4,6 +4,7 @@
 from bluebellthread.entry._dialect import Dialect
 from bluebellthread.entry._platform_changes import HistoryLostError
 from bluebellthread.entry._platform_changes import PlatformUnavailableError
+from bluebellthread.entry._platform_changes import Position
 from bluebellthread.entry._platform_changes import ServerChange
 from bluebellthread.entry._platform_changes import TableChange
 from bluebellthread.entry._platform_changes import TableError
@@ -19,6 +20,7 @@
     'EntrySettings',
     'HistoryLostError',
     'PlatformUnavailableError',
+    'Position',
     'ServerChange',
     'TableChange',
     'TableError',
--- a/bluebellthread/entry/_configuration_task.py
+++ b/bluebellthread/entry/_configuration_task.py
@@ -64,7 +64,7 @@
             name='configuration',
             step=self._update,
             rng=random.Random(state.settings.vm),
-            keeps_revision=True,
+            keeps_position=True,
         )
         self._nursery = None
         self._watch_scope = None
@@ -130,15 +130,15 @@
 
     async def _update(self, after):
         if after is None:
-            change, revision = await self._client.read_table()
+            change, position = await self._client.read_table()
             changes = [change] if change is not None else []
         else:
-            changes, revision = await self._client.watch_table(after)
+            changes, position = await self._client.watch_table(after)
         self._follower.note_regained()
         await self._exchange.inbox.send(core.PlatformAnswered())
         for change in changes:
             await self._publish(change)
-        return revision
+        return position
 
     async def _publish(self, change):
         _log_transfer(change, _clock.read_clock_ms())
--- a/bluebellthread/entry/_platform_changes.py
+++ b/bluebellthread/entry/_platform_changes.py
@@ -23,19 +23,42 @@
 
 
 class HistoryLostError(core.BluebellthreadError):
-    """Raised when the platform no longer has the changes since a revision."""
+    """Raised when the platform lacks the changes since a position.
 
-    def __init__(self):
-        super().__init__(
-            'the platform has dropped changes since the last revision read; '
-            'the complete state is read again'
-        )
+    Examples
+    --------
+    >>> str(HistoryLostError('the platform was restored'))
+    'the platform was restored; the complete state is read again'
+    """
+
+    def __init__(
+        self,
+        reason='the platform has dropped changes since the last revision read',
+    ):
+        super().__init__(f'{reason}; the complete state is read again')
 
 
 class TableError(core.BluebellthreadError):
     """Raised when a configuration value is invalid."""
 
 
+@attrs.frozen(kw_only=True)
+class Position:
+    """Position in the platform's history of changes, from which to watch.
+
+    Parameters
+    ----------
+    era : int
+        Rises each time the platform is restored from a copy, after which it
+        gives revisions out again; 0 if the platform doesn't tell it.
+    revision : int
+        Number of the last change that has been read, within the era.
+    """
+
+    era: int
+    revision: int
+
+
 @attrs.frozen(kw_only=True)
 class ServerChange:
     """A change of one entry in the list of backend servers.
--- a/bluebellthread/entry/_platform_follower.py
+++ b/bluebellthread/entry/_platform_follower.py
@@ -27,20 +27,20 @@
     name : str
         Name of the resource in the log.
     step : callable
-        ``async``; takes the revision to watch from, or None to read the
-        whole resource, and returns the next revision.
+        ``async``; takes the `Position` to watch from, or None to read the
+        whole resource, and returns the next position.
     rng : random.Random
         Spreads the retries of the VMs.
-    keeps_revision : bool
-        Whether the watch goes on from the last revision after a call has
+    keeps_position : bool
+        Whether the watch goes on from the last position after a call has
         failed. Otherwise the whole resource is read again.
     """
 
-    def __init__(self, *, name, step, rng, keeps_revision=False):
+    def __init__(self, *, name, step, rng, keeps_position=False):
         self._name = name
         self._step = step
         self._rng = rng
-        self._keeps_revision = keeps_revision
+        self._keeps_position = keeps_position
         self._watch = _state.DependencyWatch(name=name)
         self._after = None
 
@@ -59,7 +59,7 @@
                 self._after = None
             except changes_module.PlatformUnavailableError as error:
                 self._note_lost(error)
-                if not self._keeps_revision:
+                if not self._keeps_position:
                     self._after = None
                 await trio.sleep(pause_s * self._rng.uniform(0.7, 1.3))
                 pause_s = min(RETRY_MAX_S, pause_s * 2)
--- a/bluebellthread/entry/_platform_task.py
+++ b/bluebellthread/entry/_platform_task.py
@@ -43,19 +43,19 @@
 
     async def _update_servers(self, after):
         if after is None:
-            changes, revision = await self._client.read_servers()
+            changes, position = await self._client.read_servers()
             now_ms = _clock.read_clock_ms()
             self._state.directory.note_outage_end(
                 self._follower.note_regained(), now_ms
             )
             self._replace_servers(changes, now_ms)
         else:
-            changes, revision = await self._client.watch_servers(after)
+            changes, position = await self._client.watch_servers(after)
             for change in changes:
                 self._apply_server(change, _clock.read_clock_ms())
         if self._state.directory.has_missing:
             self._lapsed.set()
-        return revision
+        return position
 
     def _replace_servers(self, changes, now_ms):
         servers = []
--- a/bluebellthread/platform/_store_client.py
+++ b/bluebellthread/platform/_store_client.py
@@ -3,12 +3,14 @@
 import json
 import urllib.parse
 
+import attrs
 import httpcore
 import trio
 
 from bluebellthread.entry import HistoryLostError
 from bluebellthread.entry import keep_alive_options
 from bluebellthread.entry import PlatformUnavailableError
+from bluebellthread.entry import Position
 from bluebellthread.entry import ServerChange
 from bluebellthread.entry import TableChange
 from bluebellthread.entry import TableError
@@ -36,6 +38,18 @@
 HISTORY_LOST_STATUS = 410
 NOT_FOUND_STATUS = 404
 
+ERA_HEADER = b'store-era'
+ERA_DIGITS_MAX = 18
+"""Most digits of an era, so that it fits a signed integer of 64 bits."""
+
+
+@attrs.frozen(kw_only=True)
+class _StoreAnswer:
+    """The JSON object of an answer, None if the key is absent, and its era."""
+
+    era: int
+    fields: dict | None
+
 
 class StoreClient:
     """Client of the platform's store; nothing else accesses the store.
@@ -79,32 +93,40 @@
 
         Returns
         -------
-        (TableChange or None, int)
-            The configuration, None if there is none, and the store's
-            revision.
+        (TableChange or None, Position)
+            The configuration, None if there is none, and the position to
+            watch from next.
         """
         transfer = Transfer.start()
-        fields = await self._get(
+        answer = await self._get(
             '/-/kv-key',
             {'key': _decoding.CONFIGURATION_KEY},
             READ_TIMEOUT_S,
             transfer,
             absent_is_none=True,
         )
-        if fields is None:
-            return None, 0
-        return _to_table_change(fields, transfer), _revision_of(fields)
+        if answer.fields is None:
+            return None, Position(era=answer.era, revision=0)
+        return (
+            _to_table_change(answer.fields, transfer),
+            _position_of(answer),
+        )
 
     async def watch_table(self, after):
-        """Return the configuration's changes since a revision.
+        """Return the configuration's changes since a position.
 
         Returns
         -------
-        (list of TableChange, int)
-            The changes, and the revision to watch from next.
+        (list of TableChange, Position)
+            The changes, and the position to watch from next.
+
+        Raises
+        ------
+        HistoryLostError
+            If the store lacks these changes, or was restored from a copy.
         """
         transfer = Transfer.start()
-        events, revision = await self._watch(
+        events, position = await self._watch(
             _decoding.CONFIGURATION_KEY, after, transfer
         )
         changes = [
@@ -113,57 +135,69 @@
             if event.get('key') == _decoding.CONFIGURATION_KEY
             and not event.get('removed')
         ]
-        return changes, revision
+        return changes, position
 
     async def read_servers(self):
         """Return all servers.
 
         Returns
         -------
-        (list of ServerChange, int)
-            All servers, and the revision to watch from next.
+        (list of ServerChange, Position)
+            All servers, and the position to watch from next.
+
+        Raises
+        ------
+        HistoryLostError
+            If the store was restored from a copy between two pages.
         """
         changes = []
-        first_revision = None
+        first = None
         after = ''
         while True:
             query = {'prefix': _decoding.SERVERS_PREFIX}
             if after:
                 query['after'] = after
-            fields = await self._get(
+            answer = await self._get(
                 '/-/kv-range', query, READ_TIMEOUT_S, Transfer.start()
             )
-            if first_revision is None:
+            if first is None:
                 # The pages are not one snapshot. Changes made between them
                 # are reported by a watch from the first page's revision.
-                first_revision = _revision_of(fields)
-            items = _list_of(fields, 'items')
+                first = _position_of(answer)
+            _check_era(answer, first)
+            items = _list_of(answer.fields, 'items')
             changes += [_to_server_change(item) for item in items]
-            if not fields.get('hasMore') or not items:
-                return changes, first_revision
+            if not answer.fields.get('hasMore') or not items:
+                return changes, first
             after = items[-1]['key']
 
     async def watch_servers(self, after):
-        """Return the changes of servers since a revision.
+        """Return the changes of servers since a position.
 
         Returns
         -------
-        (list of ServerChange, int)
-            The changes, and the revision to watch from next.
+        (list of ServerChange, Position)
+            The changes, and the position to watch from next.
+
+        Raises
+        ------
+        HistoryLostError
+            If the store lacks these changes, or was restored from a copy.
         """
-        events, revision = await self._watch(
+        events, position = await self._watch(
             _decoding.SERVERS_PREFIX, after, Transfer.start()
         )
-        return [_to_server_change(event) for event in events], revision
+        return [_to_server_change(event) for event in events], position
 
     async def _watch(self, prefix, after, transfer):
-        fields = await self._get(
+        answer = await self._get(
             '/-/kv-watch',
-            {'prefix': prefix, 'after': after, 'waitMs': WATCH_MS},
+            {'prefix': prefix, 'after': after.revision, 'waitMs': WATCH_MS},
             WATCH_MS / 1000 + WATCH_MARGIN_S,
             transfer,
         )
-        return _list_of(fields, 'events'), _revision_of(fields)
+        _check_era(answer, after)
+        return _list_of(answer.fields, 'events'), _position_of(answer)
 
     async def _get(
         self, path, query, timeout_s, transfer, *, absent_is_none=False
@@ -190,8 +224,9 @@
         transfer.note_end()
         if response.status == HISTORY_LOST_STATUS:
             raise HistoryLostError
+        era = _read_era(response.headers)
         if response.status == NOT_FOUND_STATUS and absent_is_none:
-            return None
+            return _StoreAnswer(era=era, fields=None)
         if response.status != 200:
             raise PlatformUnavailableError(f'status {response.status}')
         try:
@@ -202,18 +237,37 @@
             ) from error
         if not isinstance(fields, dict):
             raise PlatformUnavailableError('the body is not a JSON object')
-        return fields
+        return _StoreAnswer(era=era, fields=fields)
+
+
+def _read_era(headers):
+    """Return the store's era; 0 if the header is missing or unreadable."""
+    for name, value in headers:
+        if name.lower() == ERA_HEADER:
+            is_era = value.isdigit() and len(value) <= ERA_DIGITS_MAX
+            return int(value) if is_era else 0
+    return 0
+
+
+def _check_era(answer, position):
+    # A restored store gives revisions out again, so it may accept a watch
+    # from a revision of an earlier era although it lacks changes before it.
+    if answer.era != position.era:
+        raise HistoryLostError(
+            f'the platform was restored from a copy: era {answer.era} in '
+            f'place of {position.era}'
+        )
 
 
-def _revision_of(fields):
+def _position_of(answer):
     # storeRevision is the revision of the whole store, from which the next
     # watch continues.
-    revision = fields.get('storeRevision')
+    revision = answer.fields.get('storeRevision')
     if not isinstance(revision, int):
         raise PlatformUnavailableError(
             'the answer has no integer storeRevision'
         )
-    return revision
+    return Position(era=answer.era, revision=revision)
 
 
 def _list_of(fields, name):
--- a/tests/unit/test_store_client.py
+++ b/tests/unit/test_store_client.py
@@ -1,6 +1,14 @@
+import contextlib
 import unittest
 
+import trio
+
+from bluebellthread.entry import HistoryLostError
+from bluebellthread.entry import PlatformUnavailableError
 from bluebellthread.platform import _store_client
+from standin import site
+from tests.integration import _entry_site as sites
+from tests.integration.test_entry_plain import run
 
 CONTACT_MS = 4000
 CONFIGURATION_MS = 2500
@@ -16,3 +24,116 @@
         # The remaining time is needed to read all entries again.
         rest_ms = CONTACT_MS + CONFIGURATION_MS - longest_ms
         self.assertGreaterEqual(rest_ms, 500)
+
+
+SERVER = {
+    'service': 's',
+    'address': '10.0.0.1:80',
+    'zone': 'cluj-a',
+    'state': 'ready',
+}
+
+
+@contextlib.asynccontextmanager
+async def connected_store(*, make_store=site.Store, **fields):
+    """Serve a stand-in store; yield it and a client of it."""
+    store = make_store(**fields)
+    with trio.fail_after(sites.TEST_TIMEOUT_S):
+        async with trio.open_nursery() as nursery:
+            await store.start(nursery)
+            client = _store_client.StoreClient(
+                host='127.0.0.1', port=store.port
+            )
+            yield store, client
+            await client.close()
+            nursery.cancel_scope.cancel()
+
+
+class RestoredBetweenPages(site.Store):
+    """Store that is restored once, before the second page of a range."""
+
+    async def handle(self, request):
+        if 'after' in request.query and self.era == 1:
+            self.restore(self.snapshot())
+        await super().handle(request)
+
+
+class TestEra(unittest.TestCase):
+    @run
+    async def test_position_holds_era_and_revision(self):
+        async with connected_store(era=7) as (store, client):
+            store.put('op/config', sites.make_configuration())
+            _, position = await client.read_table()
+            self.assertEqual(
+                (7, store.revision), (position.era, position.revision)
+            )
+            _, position = await client.read_servers()
+            self.assertEqual(
+                (7, store.revision), (position.era, position.revision)
+            )
+            store.put('servers/a', SERVER)
+            changes, position = await client.watch_servers(position)
+            self.assertEqual(['a'], [change.name for change in changes])
+            self.assertEqual(
+                (7, store.revision), (position.era, position.revision)
+            )
+
+    @run
+    async def test_read_of_an_absent_configuration_holds_the_era(self):
+        async with connected_store(era=7) as (_, client):
+            change, position = await client.read_table()
+            self.assertIsNone(change)
+            self.assertEqual((7, 0), (position.era, position.revision))
+
+    @run
+    async def test_watch_across_a_reused_revision_is_lost_history(self):
+        async with connected_store() as (store, client):
+            copy = store.snapshot()
+            store.put('op/config', sites.make_configuration(2))
+            _, servers_position = await client.read_servers()
+            _, table_position = await client.read_table()
+            store.restore(copy)
+            # The first change gets the revision from which is watched, the
+            # second a later one, so that the store accepts the watches.
+            store.put('servers/a', SERVER)
+            store.put('op/config', sites.make_configuration(3))
+            store.put('servers/b', SERVER)
+            with self.assertRaises(HistoryLostError):
+                await client.watch_servers(servers_position)
+            with self.assertRaises(HistoryLostError):
+                await client.watch_table(table_position)
+            changes, _ = await client.read_servers()
+            self.assertEqual(['a', 'b'], [change.name for change in changes])
+
+    @run
+    async def test_pages_of_two_eras_are_lost_history(self):
+        async with connected_store(
+            make_store=RestoredBetweenPages, page_size=1
+        ) as (store, client):
+            for name in 'abc':
+                store.put(f'servers/{name}', SERVER)
+            with self.assertRaises(HistoryLostError):
+                await client.read_servers()
+            changes, position = await client.read_servers()
+            self.assertEqual(3, len(changes))
+            self.assertEqual(2, position.era)
+
+    @run
+    async def test_missing_or_unreadable_era_is_era_0(self):
+        for era in (None, 'x', '-1', '', '1' * 5000):
+            async with connected_store(era=era) as (store, client):
+                _, position = await client.read_servers()
+                self.assertEqual(0, position.era)
+                store.put('servers/a', SERVER)
+                changes, position = await client.watch_servers(position)
+                self.assertEqual(1, len(changes))
+                self.assertEqual(0, position.era)
+
+    @run
+    async def test_refused_watch_after_a_restore_is_no_lost_history(self):
+        async with connected_store() as (store, client):
+            _, position = await client.read_servers()
+            store.restore(store.snapshot())
+            store.refuse_status = 503
+            with self.assertRaises(PlatformUnavailableError):
+                await client.watch_servers(position)
