Pause after a whole read of the platform that ends as lost history

What callers would see: a VM that spends its time, and the platform's limit of reads, on calls that are repeated without a pause.

Cause: a lost history led to a whole read at once. That read can itself end so, when its pages come from two eras, and was repeated at once again.

Change: the whole read after a lost watch still comes at once; one that fails is repeated after the same pauses as other failed calls.

--- a/bluebellthread/entry/_platform_follower.py
+++ b/bluebellthread/entry/_platform_follower.py
@@ -56,13 +56,20 @@
                 emit(
                     events.PLATFORM_HISTORY_LOST, what=self._name, error=error
                 )
+                was_whole_read = self._after is None
                 self._after = None
+                if was_whole_read:
+                    pause_s = await self._pause(pause_s)
             except changes_module.PlatformUnavailableError as error:
                 self._note_lost(error)
                 if not self._keeps_position:
                     self._after = None
-                await trio.sleep(pause_s * self._rng.uniform(0.7, 1.3))
-                pause_s = min(RETRY_MAX_S, pause_s * 2)
+                pause_s = await self._pause(pause_s)
+
+    async def _pause(self, pause_s):
+        """Pause before a retry; return the length of the next pause."""
+        await trio.sleep(pause_s * self._rng.uniform(0.7, 1.3))
+        return min(RETRY_MAX_S, pause_s * 2)
 
     def _note_lost(self, error):
         emit(events.PLATFORM_CALL_FAILED, what=self._name, error=error)
--- /dev/null
+++ b/tests/unit/test_platform_follower.py
@@ -0,0 +1,52 @@
+import random
+import unittest
+
+import trio
+
+from bluebellthread.entry import _platform_follower
+from bluebellthread.entry import HistoryLostError
+from tests.unit import _shared_link
+
+
+def make_follower(step):
+    return _platform_follower.PlatformFollower(
+        name='server list', step=step, rng=random.Random(1)
+    )
+
+
+class TestPauses(unittest.TestCase):
+    def test_whole_reads_that_fail_for_lost_history_pause(self):
+        calls = []
+
+        async def step(after):
+            calls.append(after)
+            await trio.sleep(0.01)
+            raise HistoryLostError
+
+        async def follow_for_a_while():
+            with trio.move_on_after(10):
+                await make_follower(step).run()
+
+        _shared_link.run_simulated(follow_for_a_while)
+        self.assertEqual({None}, set(calls))
+        # A pause is 0.8 s at most, give or take 30 %.
+        self.assertLessEqual(len(calls), 25)
+        self.assertGreaterEqual(len(calls), 8)
+
+    def test_whole_read_follows_a_lost_history_at_once(self):
+        times = []
+
+        async def step(after):
+            times.append((trio.current_time(), after))
+            if after is not None:
+                raise HistoryLostError
+            return 'position'
+
+        async def follow_for_a_while():
+            with trio.move_on_after(1):
+                await make_follower(step).run()
+
+        _shared_link.run_simulated(follow_for_a_while)
+        (_, first), (lost_s, second), (again_s, third) = times[:3]
+        self.assertEqual((None, 'position', None), (first, second, third))
+        self.assertEqual(lost_s, again_s)
