Log when the platform comes back from a copy

What operators would see: nothing in the log, though what was published in the last seconds may be gone.

Change: event 7020 names the era before and after, and what is read again. The era is compared after each read, apart for the configuration and the list of backend servers.

Measured: test_change_of_the_era_is_logged_once_and_reported fails before and passes now; tests.unit.test_events passes.

--- a/bluebellthread/entry/_configuration_task.py
+++ b/bluebellthread/entry/_configuration_task.py
@@ -134,6 +134,7 @@
             changes = [change] if change is not None else []
         else:
             changes, position = await self._client.watch_table(after)
+        self._follower.note_era(position.era)
         self._follower.note_regained()
         await self._exchange.inbox.send(core.PlatformAnswered())
         for change in changes:
--- a/bluebellthread/entry/_platform_follower.py
+++ b/bluebellthread/entry/_platform_follower.py
@@ -43,6 +43,7 @@
         self._keeps_position = keeps_position
         self._watch = _state.DependencyWatch(name=name)
         self._after = None
+        self._era = None
 
     async def run(self):
         """Follow the resource until cancelled."""
@@ -76,6 +77,14 @@
         if self._watch.note_lost(_clock.read_clock_ms()):
             emit(events.PLATFORM_READ_FAILED, what=self._name, error=error)
 
+    def note_era(self, era):
+        """Log a change of the platform's era; return whether it changed."""
+        old, self._era = self._era, era
+        if old is None or old == era:
+            return False
+        emit(events.PLATFORM_RESTORED, what=self._name, old=old, new=era)
+        return True
+
     def note_regained(self):
         """Log the end of an outage; return its milliseconds, or 0."""
         lost_ms = self._watch.note_regained(_clock.read_clock_ms())
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -211,6 +211,12 @@
     'the first after {wait_ms} ms, the rest within {transfer_ms} ms, decoded '
     'in {decode_ms} ms',
 )
+PLATFORM_RESTORED = Event(
+    7020,
+    'WARNING',
+    'the platform was restored from a copy: its era went from {old} to {new}; '
+    'the {what} is read again',
+)
 SERVICE_OWNED = Event(
     7021, 'INFO', 'this VM now schedules placements of service {service}'
 )
--- a/tests/unit/test_platform_follower.py
+++ b/tests/unit/test_platform_follower.py
@@ -1,10 +1,12 @@
 import random
 import unittest
+import unittest.mock
 
 import trio
 
 from bluebellthread.entry import _platform_follower
 from bluebellthread.entry import HistoryLostError
+from bluebellthread.observe import events
 from tests.unit import _shared_link
 
 
@@ -14,6 +16,17 @@
     )
 
 
+class TestEra(unittest.TestCase):
+    def test_change_of_the_era_is_logged_once_and_reported(self):
+        follower = make_follower(None)
+        with unittest.mock.patch.object(_platform_follower, 'emit') as emit:
+            changed = [follower.note_era(era) for era in (4, 4, 5, 5)]
+        self.assertEqual([False, False, True, False], changed)
+        emit.assert_called_once_with(
+            events.PLATFORM_RESTORED, what='server list', old=4, new=5
+        )
+
+
 class TestPauses(unittest.TestCase):
     def test_whole_reads_that_fail_for_lost_history_pause(self):
         calls = []
