--- a/bluebellthread/entry/_platform_follower.py
+++ b/bluebellthread/entry/_platform_follower.py
@@ -27,22 +27,23 @@
     name : str
         Name of the resource in the log.
     step : callable
-        ``async``; takes the revision to watch from, or None to read the
-        whole resource, and returns the next revision.
+        ``async``; takes the `Position` to watch from, or None to read the
+        whole resource, and returns the next position.
     rng : random.Random
         Spreads the retries of the VMs.
-    keeps_revision : bool
-        Whether the watch goes on from the last revision after a call has
+    keeps_position : bool
+        Whether the watch goes on from the last position after a call has
         failed. Otherwise the whole resource is read again.
     """
 
-    def __init__(self, *, name, step, rng, keeps_revision=False):
+    def __init__(self, *, name, step, rng, keeps_position=False):
         self._name = name
         self._step = step
         self._rng = rng
-        self._keeps_revision = keeps_revision
+        self._keeps_position = keeps_position
         self._watch = _state.DependencyWatch(name=name)
         self._after = None
+        self._era = None
 
     async def run(self):
         """Follow the resource until cancelled."""
@@ -56,19 +57,34 @@
                 emit(
                     events.PLATFORM_HISTORY_LOST, what=self._name, error=error
                 )
+                was_whole_read = self._after is None
                 self._after = None
+                if was_whole_read:
+                    pause_s = await self._pause(pause_s)
             except changes_module.PlatformUnavailableError as error:
                 self._note_lost(error)
-                if not self._keeps_revision:
+                if not self._keeps_position:
                     self._after = None
-                await trio.sleep(pause_s * self._rng.uniform(0.7, 1.3))
-                pause_s = min(RETRY_MAX_S, pause_s * 2)
+                pause_s = await self._pause(pause_s)
+
+    async def _pause(self, pause_s):
+        """Pause before a retry; return the length of the next pause."""
+        await trio.sleep(pause_s * self._rng.uniform(0.7, 1.3))
+        return min(RETRY_MAX_S, pause_s * 2)
 
     def _note_lost(self, error):
         emit(events.PLATFORM_CALL_FAILED, what=self._name, error=error)
         if self._watch.note_lost(_clock.read_clock_ms()):
             emit(events.PLATFORM_READ_FAILED, what=self._name, error=error)
 
+    def note_era(self, era):
+        """Log a change of the platform's era; return whether it changed."""
+        old, self._era = self._era, era
+        if old is None or old == era:
+            return False
+        emit(events.PLATFORM_RESTORED, what=self._name, old=old, new=era)
+        return True
+
     def note_regained(self):
         """Log the end of an outage; return its milliseconds, or 0."""
         lost_ms = self._watch.note_regained(_clock.read_clock_ms())
