Keep a server whose entry the restored platform has lost

What callers would see: 503 and waiting requests after the platform came back from a copy, although all servers run: those that registered in the last seconds were dropped at once.

Cause: an entry that was missing after an outage of less than 2.5 s counted as gone. A restored platform lacks entries however short its outage was.

Change: after a change of the era, a missing entry is kept for 2 s from the restore, as an entry is that lapsed in a long outage.

--- a/bluebellthread/core/routing/_directory.py
+++ b/bluebellthread/core/routing/_directory.py
@@ -49,6 +49,10 @@
     has stopped. An entry that is missing just after an outage may only have
     an expired lease, so it is kept until `LAPSE_RETURN_MS` after the outage.
 
+    A platform that is restored from a copy lists entries as they were before
+    its latest changes. An entry that the copy lacks is kept like a lapsed
+    one.
+
     Examples
     --------
     >>> directory = ServerDirectory()
@@ -99,6 +103,16 @@
         if silent_ms >= LAPSE_OUTAGE_MS:
             self._returned_ms = now_ms
 
+    def note_restore(self, now_ms):
+        """Record that the platform was restored from a copy.
+
+        The complete list that is read next may be some seconds old.
+        """
+        self._returned_ms = now_ms
+        self._lapsed_deadlines_ms = dict.fromkeys(
+            self._lapsed_deadlines_ms, now_ms + LAPSE_RETURN_MS
+        )
+
     def put(self, server):
         """Add or update an entry, unless it is older than the known one."""
         self._lapsed_deadlines_ms.pop(server.name, None)
--- a/bluebellthread/entry/_platform_task.py
+++ b/bluebellthread/entry/_platform_task.py
@@ -48,7 +48,8 @@
             self._state.directory.note_outage_end(
                 self._follower.note_regained(), now_ms
             )
-            self._follower.note_era(position.era)
+            if self._follower.note_era(position.era):
+                self._state.directory.note_restore(now_ms)
             self._replace_servers(changes, now_ms)
         else:
             changes, position = await self._client.watch_servers(after)
--- a/tests/unit/test_server_directory.py
+++ b/tests/unit/test_server_directory.py
@@ -72,3 +72,40 @@
         self.directory.put(make_server('a', incarnation=6, slot_count=2))
         self.directory.put(make_server('a', incarnation=5, slot_count=1))
         self.assertEqual(2, self.directory.find('a').slot_count)
+
+
+class TestRestore(unittest.TestCase):
+    """The platform comes back from a copy that is some seconds old."""
+
+    def setUp(self):
+        self.directory = routing.ServerDirectory()
+
+    def restore(self, servers, now_ms):
+        self.directory.note_restore(now_ms)
+        self.directory.replace(servers, now_ms)
+
+    def test_entry_lost_from_the_copy_is_kept_for_a_while(self):
+        self.directory.put(make_server('a'))
+        self.restore([], 4000)
+        self.assertEqual(['a'], names(self.directory))
+        end_ms = 4000 + _directory.LAPSE_RETURN_MS
+        self.assertEqual([], self.directory.expire(end_ms - 1))
+        self.assertEqual(['a'], self.directory.expire(end_ms))
+        self.assertEqual([], names(self.directory))
+
+    def test_entry_lost_from_the_copy_is_used_when_it_comes_back_late(self):
+        server = make_server('a', incarnation=5)
+        self.directory.put(server)
+        self.restore([], 4000)
+        self.directory.expire(4000 + _directory.LAPSE_RETURN_MS)
+        self.directory.put(server)
+        self.assertEqual(['a'], names(self.directory))
+
+    def test_restore_extends_the_time_for_entries_that_lapsed(self):
+        self.directory.put(make_server('a'))
+        self.directory.note_outage_end(_directory.LAPSE_OUTAGE_MS, 4000)
+        self.directory.replace([], 4000)
+        self.restore([], 5000)
+        end_ms = 5000 + _directory.LAPSE_RETURN_MS
+        self.assertEqual([], self.directory.expire(end_ms - 1))
+        self.assertEqual(['a'], self.directory.expire(end_ms))
