Give no new work to a server that left because an old copy lists it

Cause: the copy lists such a server as ready. Only an entry that was still listed as draining, with a known incarnation, outweighed a later ready one.

Change: the directory remembers departures for 60 s. After a restore, an entry of a process that drained or left is held back, for this incarnation and older ones; a new start is used at once. After 30 s an entry that is still listed must have been renewed and is used again, unless this incarnation had drained. Servers without an incarnation are held back for the 30 s too.

--- a/bluebellthread/core/routing/_directory.py
+++ b/bluebellthread/core/routing/_directory.py
@@ -11,6 +11,16 @@
 intervals at which servers report, in the deployment where that interval is
 shortest, minus a margin."""
 
+DEPARTURE_MEMORY_MS = 60_000
+"""How long it is remembered that a server has left. The platform comes back
+from a copy that is seconds old, after having been away for a moment (platform
+documentation), so the copy contains all earlier departures."""
+
+RESTORE_HOLD_MS = 30_000
+"""How long after a restore of the platform a server that has left stays
+unused although it is listed. An entry that no process renews lapses after
+three of the intervals at which servers report, which are seconds long."""
+
 
 @attrs.frozen(kw_only=True)
 class ListedServer:
@@ -42,6 +52,14 @@
     cold_ms: int = 0
 
 
+@attrs.frozen(kw_only=True)
+class _Departure:
+    """The last entry of a server that left, and how long it is remembered."""
+
+    server: ListedServer
+    deadline_ms: int
+
+
 class ServerDirectory:
     """Track which backend servers may get requests.
 
@@ -51,7 +69,9 @@
 
     A platform that is restored from a copy lists entries as they were before
     its latest changes. An entry that the copy lacks is kept like a lapsed
-    one.
+    one. A process that was seen to drain or leave stays unused although the
+    copy lists it as ready; if it is still listed `RESTORE_HOLD_MS` later and
+    never drained, its entry was renewed and it is used again.
 
     Examples
     --------
@@ -69,6 +89,10 @@
         self._servers = {}
         self._lapsed_deadlines_ms = {}
         self._returned_ms = None
+        self._departures = {}
+        self._hold_deadline_ms = None
+        self._barred = {}
+        self._held = {}
         self._by_service = {}
         self.version = 0
 
@@ -82,9 +106,20 @@
         return self._servers.keys()
 
     @property
-    def has_missing(self):
-        """Whether any unlisted entry is still kept because of an outage."""
-        return bool(self._lapsed_deadlines_ms)
+    def has_deadlines(self):
+        """Whether `expire` or `release` has something to do later."""
+        return bool(
+            self._lapsed_deadlines_ms or self._hold_deadline_ms is not None
+        )
+
+    @property
+    def departure_count(self):
+        """Number of servers that are remembered to have left."""
+        return len(self._departures)
+
+    def is_held(self, name):
+        """Return whether a listed server is unused as it was seen to leave."""
+        return name in self._held
 
     def usable(self, service):
         """Return the servers of a service that may get new requests."""
@@ -109,18 +144,39 @@
         The complete list that is read next may be some seconds old.
         """
         self._returned_ms = now_ms
+        self._hold_deadline_ms = now_ms + RESTORE_HOLD_MS
         self._lapsed_deadlines_ms = dict.fromkeys(
             self._lapsed_deadlines_ms, now_ms + LAPSE_RETURN_MS
         )
+        for name, departure in self._departures.items():
+            if now_ms < departure.deadline_ms:
+                self._barred[name] = departure.server
+        for name, server in self._servers.items():
+            if server.is_draining:
+                self._barred[name] = server
 
     def put(self, server):
-        """Add or update an entry, unless it is older than the known one."""
-        self._lapsed_deadlines_ms.pop(server.name, None)
-        known = self._servers.get(server.name)
+        """Add or update an entry, unless it is older than the known one.
+
+        After a restore of the platform, an entry of a process that was seen
+        to drain or leave is held back.
+        """
+        name = server.name
+        barred = self._barred.get(name)
+        if barred is not None and server.incarnation <= barred.incarnation:
+            if not server.is_draining:
+                self._held[name] = server
+                return
+        else:
+            self._barred.pop(name, None)
+            self._departures.pop(name, None)
+        self._held.pop(name, None)
+        self._lapsed_deadlines_ms.pop(name, None)
+        known = self._servers.get(name)
         if known is not None and _is_older(server, known):
             return
         if known != server:
-            self._servers[server.name] = server
+            self._servers[name] = server
             self._invalidate_index()
 
     def remove(self, name, now_ms):
@@ -129,20 +185,23 @@
         Within `LAPSE_RETURN_MS` after a platform outage, keep it until that
         period ends, since only its lease may have expired.
         """
+        self._held.pop(name, None)
+        if self._hold_deadline_ms is None:
+            self._barred.pop(name, None)
         if name not in self._servers:
             return
         if self._may_have_lapsed(now_ms):
             deadline_ms = self._returned_ms + LAPSE_RETURN_MS
             self._lapsed_deadlines_ms.setdefault(name, deadline_ms)
             return
-        self._drop(name)
+        self._drop(name, now_ms)
 
     def replace(self, servers, now_ms):
         """Apply a complete list of servers; remove entries that it lacks."""
         listed = {server.name for server in servers}
         for server in servers:
             self.put(server)
-        for name in list(self._servers):
+        for name in {**self._servers, **self._held}:
             if name not in listed:
                 self.remove(name, now_ms)
 
@@ -160,20 +219,55 @@
             if now_ms >= deadline_ms
         ]
         for name in due:
-            self._drop(name)
+            self._drop(name, now_ms)
         return due
 
+    def release(self, now_ms):
+        """Use the servers that were held back after a restore until now.
+
+        Returns
+        -------
+        list of str
+            Names of these servers.
+        """
+        if self._hold_deadline_ms is None or now_ms < self._hold_deadline_ms:
+            return []
+        self._hold_deadline_ms = None
+        barred, self._barred = self._barred, {}
+        held, self._held = self._held, {}
+        released = []
+        for name, server in held.items():
+            if _has_drained(server, barred[name]):
+                self._barred[name] = barred[name]
+                self._held[name] = server
+            else:
+                self.put(server)
+                released.append(name)
+        return released
+
     def _may_have_lapsed(self, now_ms):
         returned_ms = self._returned_ms
         return (
             returned_ms is not None and now_ms < returned_ms + LAPSE_RETURN_MS
         )
 
-    def _drop(self, name):
+    def _drop(self, name, now_ms):
         self._lapsed_deadlines_ms.pop(name, None)
-        if self._servers.pop(name, None) is not None:
+        server = self._servers.pop(name, None)
+        if server is not None:
+            self._note_departure(server, now_ms)
             self._invalidate_index()
 
+    def _note_departure(self, server, now_ms):
+        self._departures = {
+            name: departure
+            for name, departure in self._departures.items()
+            if now_ms < departure.deadline_ms and name != server.name
+        }
+        self._departures[server.name] = _Departure(
+            server=server, deadline_ms=now_ms + DEPARTURE_MEMORY_MS
+        )
+
     def _invalidate_index(self):
         self._by_service = {}
         self.version += 1
@@ -190,3 +284,8 @@
     return (
         known.is_draining and not server.is_draining and known.incarnation > 0
     )
+
+
+def _has_drained(server, barred):
+    """Return whether the process of a listed server was seen to drain."""
+    return barred.is_draining and server.incarnation == barred.incarnation > 0
--- a/bluebellthread/entry/_platform_task.py
+++ b/bluebellthread/entry/_platform_task.py
@@ -11,7 +11,8 @@
 
 EXPIRE_PERIOD_S = 0.2
 """How often the server list is checked for lapsed entries that were not
-written again: a tenth of the time after which they are dropped."""
+written again, and for servers that were held back long enough: a tenth of the
+time after which lapsed entries are dropped."""
 
 
 class PlatformTask:
@@ -55,7 +56,7 @@
             changes, position = await self._client.watch_servers(after)
             for change in changes:
                 self._apply_server(change, _clock.read_clock_ms())
-        if self._state.directory.has_missing:
+        if self._state.directory.has_deadlines:
             self._lapsed.set()
         return position
 
@@ -67,6 +68,9 @@
             else:
                 self._log_server(change, 'unusable')
         self._state.directory.replace(servers, now_ms)
+        for server in servers:
+            if self._state.directory.is_held(server.name):
+                _log_held(server.name)
         self._state.has_servers = True
         emit(events.SERVER_LIST_READ, count=len(servers))
 
@@ -78,7 +82,9 @@
             self._log_server(change, 'unusable' if change.problem else 'gone')
             return
         directory.put(change.server)
-        if known is None:
+        if directory.is_held(change.name):
+            _log_held(change.name)
+        elif known is None:
             self._log_server(change, 'listed')
         elif change.server.is_draining and not known.is_draining:
             self._log_server(change, 'leaving')
@@ -95,7 +101,7 @@
         while True:
             await self._lapsed.wait()
             self._lapsed = trio.Event()
-            while self._state.directory.has_missing:
+            while self._state.directory.has_deadlines:
                 await trio.sleep(EXPIRE_PERIOD_S)
                 self._expire(_clock.read_clock_ms())
 
@@ -107,3 +113,19 @@
                 state='gone',
                 problem='its entry lapsed and was not written again',
             )
+        for name in self._state.directory.release(now_ms):
+            emit(
+                events.SERVER_CHANGED,
+                server=name,
+                state='listed',
+                problem='its entry was renewed since the restore',
+            )
+
+
+def _log_held(name):
+    emit(
+        events.SERVER_CHANGED,
+        server=name,
+        state='held back',
+        problem='it was seen to leave before the platform was restored',
+    )
--- a/tests/unit/test_platform_restore.py
+++ b/tests/unit/test_platform_restore.py
@@ -45,6 +45,32 @@
 
 
 class TestServers(unittest.TestCase):
+    def test_server_that_left_is_held_back_until_it_must_be_renewed(self):
+        async def use_again():
+            usable = []
+            async with running_region() as region:
+                region.store.put('servers/a', SERVER)
+                region.store.put('servers/b', SERVER)
+                copy = region.store.snapshot()
+                await trio.sleep(READ_S)
+                region.store.remove('servers/a')
+                await trio.sleep(READ_S)
+                usable.append(list_usable(region))
+                region.store.restore(copy)
+                await trio.sleep(READ_S)
+                usable.append(list_usable(region))
+                await trio.sleep(
+                    _directory.RESTORE_HOLD_MS / 1000 - 2 * READ_S
+                )
+                usable.append(list_usable(region))
+                await trio.sleep(2 * READ_S)
+                usable.append(list_usable(region))
+            return usable
+
+        self.assertEqual(
+            ['b', 'b', 'b', 'a b'], _shared_link.run_simulated(use_again)
+        )
+
     def test_lost_entry_is_kept_until_it_should_be_back(self):
         async def lose_entries():
             usable = []
@@ -67,3 +93,29 @@
         self.assertEqual(
             ['a b', 'b', 'a b'], _shared_link.run_simulated(lose_entries)
         )
+
+
+class TestConfiguration(unittest.TestCase):
+    def test_version_stays_until_a_newer_one_is_published(self):
+        async def publish_again():
+            versions = []
+            async with running_region() as region:
+                copy = region.store.snapshot()
+                region.store.put('op/config', sites.make_configuration(2))
+                await trio.sleep(READ_S)
+                for version in (None, 2, 3):
+                    if version is None:
+                        region.store.restore(copy)
+                    else:
+                        region.store.put(
+                            'op/config', sites.make_configuration(version)
+                        )
+                    await trio.sleep(READ_S)
+                    versions.append(
+                        {vm.state.table.version for vm in region.vms}
+                    )
+            return versions
+
+        self.assertEqual(
+            [{2}, {2}, {3}], _shared_link.run_simulated(publish_again)
+        )
