Document how a store that comes back from a copy is served

Also a test that a VM that has applied an old version while its peers were silent gets the newer one from them.

--- a/tests/unit/test_revisions.py
+++ b/tests/unit/test_revisions.py
@@ -186,6 +186,20 @@
         found = [item.revision for item in network.applied['a1']]
         self.assertEqual([4], found)
 
+    def test_a_vm_that_applied_an_old_copy_gets_the_newer_revision(self):
+        network = self.make_settled(4)
+        network.start('a1')
+        network.in_flight.clear()
+        network.publish('a1', make_value(2))
+        network.now_ms += core.RevisionOptions().start_timeout_ms
+        network.feed('a1', core.Tick())
+        network.in_flight.clear()
+        self.assertEqual({2, 4}, network.revisions())
+        network.settle(duration_ms=6000)
+        found = [item.revision for item in network.applied['a1']]
+        self.assertEqual([2, 4], found)
+        self.assertEqual({4}, network.revisions())
+
     def test_a_restarted_vm_without_peers_applies_the_platforms_revision(self):
         network = Network({'a': ('a1',)})
         network.publish('a1', make_value(2))
