--- a/bluebellthread/core/_revision_events.py
+++ b/bluebellthread/core/_revision_events.py
@@ -59,10 +59,21 @@
 
 @attrs.frozen(kw_only=True)
 class PeerAnswered:
-    """Event: a VM has answered the message of an `AskPeer`."""
+    """Event: a VM has answered the message of an `AskPeer`.
+
+    Parameters
+    ----------
+    vm : str
+        The VM.
+    message : object
+        Its answer.
+    request : object
+        The message that it answers; None if that is not known.
+    """
 
     vm: str
     message: object
+    request: object = None
 
 
 @attrs.frozen(kw_only=True)
--- a/bluebellthread/core/_revision_options.py
+++ b/bluebellthread/core/_revision_options.py
@@ -27,15 +27,13 @@
         Whether a starting VM waits for its peers, and whether it ignores an
         older revision from the platform. Tests turn each off to show the
         failure that it prevents.
-    lone_watch_delay_ms : int
-        How long a VM that has just started and knows no other VM of its data
-        centre waits for one before it watches the platform: many VMs that
-        start together would otherwise all read the whole revision.
+    view_settle_ms : int
+        How long the VMs that a VM without a revision knows in its data centre
+        must stay the same before it watches the platform: many VMs that start
+        together would otherwise all read the whole revision.
     platform_silence_ms : int
         Time without news that any VM reads the platform, after which others
         than the chosen watchers watch it too; 0 if they never do.
-    substitution_ms : int
-        How long such a substitute then watches the platform.
     leaves_out_older_builds : bool
         Whether a VM asks each new VM of its data centre once and leaves those
         out of all choices whose build rejects the messages about revisions.
@@ -52,9 +50,8 @@
     remote_interval_ms: int = 1000
     fetch_timeout_ms: int = 2000
     start_timeout_ms: int = 1000
-    lone_watch_delay_ms: int = 0
+    view_settle_ms: int = 0
     platform_silence_ms: int = 0
-    substitution_ms: int = 30000
     leaves_out_older_builds: bool = False
     waits_for_peers_at_start: bool = True
     ignores_older_revisions: bool = True
--- a/bluebellthread/core/_revisions.py
+++ b/bluebellthread/core/_revisions.py
@@ -19,9 +19,14 @@
 from bluebellthread.core import _revision_topology
 from bluebellthread.core import _scheduler_events
 from bluebellthread.core import _sections
+from bluebellthread.core import _watch_duty
 
 NO_REVISION_KEY = (0, 0)
 INVALID_KEYS_MAX = 16
+SECTIONS_MAX = 16
+"""Maximum number of sections in one request: some 60 KB of a configuration, or
+256 routes, so that an answer arrives in time over a slow link and what has
+arrived is kept when the next one is lost."""
 PROBES_MAX = 16
 """Maximum number of VMs asked together whether their build knows the messages
 about revisions: half of the calls that a VM keeps in flight."""
@@ -34,11 +39,14 @@
     sections: dict
 
 
-@attrs.frozen(kw_only=True)
+@attrs.define(kw_only=True)
 class _Fetch:
+    """A revision that is being fetched, and the sections asked for last."""
+
     vm: str
     manifest: _sections.Manifest
     deadline_ms: int
+    requested: tuple[int, ...] = ()
 
 
 class Revisions:
@@ -78,6 +86,7 @@
         self._current = None
         self._invalid = {}
         self._fetch = None
+        self._received = {}
         self._names = [vm]
         self._view = None
         self._builds = _revision_builds.PeerBuilds()
@@ -90,11 +99,12 @@
         self._deferred_publication = None
         self._started = not self._options.waits_for_peers_at_start
         self._awaited_at_start = None
-        self._platform_heard_ms = None
-        self._peer_heard_ms = None
-        self._lone_watch_ms = None
-        self._first_view_ms = None
-        self._substitution_deadline_ms = None
+        self._duty = _watch_duty.WatchDuty(
+            vm=vm,
+            data_centre=data_centre,
+            options=self._options,
+            rng=self._rng,
+        )
         self.watching = False
         self.invalid_revision = 0
         self.stale_revision = 0
@@ -136,10 +146,7 @@
         """Update to a new membership view and return resulting commands."""
         had_peers = len(self._names) > 1
         self._view = view
-        self._choose_names()
-        if self._lone_watch_ms is None:
-            self._lone_watch_ms = now_ms + self._options.lone_watch_delay_ms
-            self._first_view_ms = now_ms
+        self._choose_names(now_ms)
         commands = self._update_watching(now_ms)
         asked = ()
         if len(self._names) > 1 and not had_peers:
@@ -148,7 +155,7 @@
             commands.extend(self.make_manifest_request(name) for name in asked)
         return commands + self._ask_unknown_builds(asked)
 
-    def _choose_names(self):
+    def _choose_names(self, now_ms):
         """Choose the VMs that take part, by the view and the peers' builds."""
         members = self._builds.leave_out_older(self._view.members)
         view = attrs.evolve(self._view, members=members)
@@ -157,6 +164,7 @@
         # without peers.
         names = {member.name for member in local_members} | {self._vm}
         self._names = sorted(names)
+        self._duty.set_names(self._names, now_ms)
         self._remote_watchers = self._choose_remote_watchers(view)
 
     def _ask_unknown_builds(self, asked=()):
@@ -193,62 +201,18 @@
             return []
         if not self._builds.note_answer(member, event.message):
             return []
-        self._choose_names()
+        self._choose_names(now_ms)
         return self._update_watching(now_ms)
 
     def _update_watching(self, now_ms):
-        watching = self._should_watch(now_ms)
+        watching = self._duty.is_due(
+            now_ms, has_revision=self._current is not None
+        )
         if watching == self.watching:
             return []
         self.watching = watching
         return [events.WatchPlatform(active=watching)]
 
-    def _should_watch(self, now_ms):
-        if not self._options.limits_watchers:
-            return True
-        if self._names == [self._vm] and now_ms < self._lone_watch_ms:
-            return False
-        return self._is_among_watchers() or self._is_substitute(now_ms)
-
-    def _is_among_watchers(self, count=_revision_topology.WATCHERS):
-        return self._vm in _revision_topology.choose_watchers(
-            self._data_centre, self._names, count
-        )
-
-    def _is_substitute(self, now_ms):
-        """Return whether this VM stands in for the chosen watchers.
-
-        The longer nobody reads the platform, the more VMs try it, up to a
-        limit. A VM whose requests no peer answers always does.
-        """
-        silence_ms = self._options.platform_silence_ms
-        if not silence_ms:
-            return False
-        unanswered_ms = self._measure_silence_ms(self._peer_heard_ms, now_ms)
-        if unanswered_ms >= silence_ms or self._is_next_in_rank(now_ms):
-            self._substitution_deadline_ms = (
-                now_ms + self._options.substitution_ms
-            )
-        deadline_ms = self._substitution_deadline_ms
-        return deadline_ms is not None and now_ms < deadline_ms
-
-    def _is_next_in_rank(self, now_ms):
-        silences = (
-            self._measure_silence_ms(self._platform_heard_ms, now_ms)
-            // self._options.platform_silence_ms
-        )
-        if silences < 1:
-            return False
-        count = min(
-            _revision_topology.WATCHERS * (1 + silences),
-            _revision_topology.SUBSTITUTES_MAX,
-        )
-        return self._is_among_watchers(count)
-
-    def _measure_silence_ms(self, heard_ms, now_ms):
-        """Return the time since ``heard_ms``, or since the first view."""
-        return now_ms - (self._first_view_ms if heard_ms is None else heard_ms)
-
     def _choose_remote_watchers(self, view):
         remote_names = {}
         for member in view.members:
@@ -269,12 +233,13 @@
         return self._current.key if self._current else NO_REVISION_KEY
 
     def _on_platform_answered(self, event, now_ms):
-        self._platform_heard_ms = now_ms
+        self._duty.note_platform_answer(now_ms)
         return []
 
     def _on_tick(self, event, now_ms):
         commands = []
-        if self._lone_watch_ms is not None:
+        self._duty.note_tick(now_ms)
+        if self._view is not None:
             commands.extend(self._update_watching(now_ms))
         if self._fetch and self._fetch.deadline_ms <= now_ms:
             self._fetch = None
@@ -433,14 +398,11 @@
         parts = ()
         if (revision, digest) > (message.revision, message.digest):
             parts = self._current.manifest.parts
-        platform_age_ms = -1
-        if self._platform_heard_ms is not None:
-            platform_age_ms = max(0, now_ms - self._platform_heard_ms)
         return messages.ManifestAnswer(
             revision=revision,
             digest=digest,
             parts=parts,
-            platform_age_ms=platform_age_ms,
+            platform_age_ms=self._duty.measure_platform_age_ms(now_ms),
         )
 
     def _answer_sections(self, message):
@@ -454,13 +416,13 @@
         if isinstance(event.message, messages.ManifestAnswer):
             return commands + self._on_manifest(event, now_ms)
         if isinstance(event.message, messages.SectionsAnswer):
-            return commands + self._on_sections(event)
+            return commands + self._on_sections(event, now_ms)
         # For example, a refusal by a VM whose queue is full.
         return commands + self._on_peer_failed(event, now_ms)
 
     def _on_manifest(self, event, now_ms):
         answer = event.message
-        self._note_platform_age(answer, now_ms)
+        self._duty.note_peer_answer(answer.platform_age_ms, now_ms)
         key = (answer.revision, answer.digest)
         if not answer.parts or key <= self._key() or key in self._invalid:
             return []
@@ -479,21 +441,25 @@
             manifest=manifest,
             deadline_ms=now_ms + self._options.fetch_timeout_ms,
         )
-        missing = self._list_missing(manifest)
+        # What arrived for another revision is of use for this one too.
+        needed = set(manifest.section_digests())
+        self._received = {
+            digest: section
+            for digest, section in self._received.items()
+            if digest in needed
+        }
+        return commands + self._continue_fetch(now_ms)
+
+    def _continue_fetch(self, now_ms):
+        """Return the request for the next missing sections, or apply."""
+        fetch = self._fetch
+        missing = self._list_missing(fetch.manifest)
         if not missing:
-            return commands + self._finish_fetch({})
-        request = messages.SectionsRequest(digests=missing)
-        return commands + [events.AskPeer(vm=event.vm, message=request)]
-
-    def _note_platform_age(self, answer, now_ms):
-        self._peer_heard_ms = now_ms
-        if answer.platform_age_ms < 0:
-            return
-        heard_ms = now_ms - answer.platform_age_ms
-        if self._platform_heard_ms is None or (
-            heard_ms > self._platform_heard_ms
-        ):
-            self._platform_heard_ms = heard_ms
+            return self._finish_fetch()
+        fetch.requested = missing[:SECTIONS_MAX]
+        fetch.deadline_ms = now_ms + self._options.fetch_timeout_ms
+        request = messages.SectionsRequest(digests=fetch.requested)
+        return [events.AskPeer(vm=fetch.vm, message=request)]
 
     def _is_fetching(self, key, now_ms):
         fetch = self._fetch
@@ -504,20 +470,40 @@
     def _list_missing(self, manifest):
         present = self._current.sections if self._current else {}
         digests = manifest.section_digests()
-        return tuple(d for d in digests if d not in present)
+        return tuple(
+            d for d in digests if d not in present and d not in self._received
+        )
 
-    def _on_sections(self, event):
-        if self._fetch is None or self._fetch.vm != event.vm:
+    def _on_sections(self, event, now_ms):
+        fetch = self._fetch
+        if fetch is None:
             return []
+        is_awaited = event.vm == fetch.vm and (
+            event.request is None or event.request.digests == fetch.requested
+        )
         try:
             received = _sections.unpack_sections(event.message.payload)
         except _sections.SectionError:
+            if is_awaited:
+                self._fetch = None
+            return []
+        missing = self._list_missing(fetch.manifest)
+        useful = {d: received[d] for d in missing if d in received}
+        self._received.update(useful)
+        if len(useful) == len(missing):
+            return self._finish_fetch()
+        if not is_awaited:
+            return []
+        if not useful:
+            # The VM has since applied a newer revision and dropped these
+            # sections. The next exchange starts a new fetch.
             self._fetch = None
             return []
-        return self._finish_fetch(received)
+        return self._continue_fetch(now_ms)
 
-    def _finish_fetch(self, received):
+    def _finish_fetch(self):
         fetch, self._fetch = self._fetch, None
+        received, self._received = self._received, {}
         known = {
             **(self._current.sections if self._current else {}),
             **received,
@@ -527,9 +513,8 @@
             value = _sections.join_value(fetch.manifest, known)
             configuration = self._build_configuration(value)
         except _sections.SectionError:
-            # The VM that sent the manifest has since applied a newer
-            # revision and dropped these sections. The next exchange starts
-            # a new fetch.
+            # The manifest does not fit its sections. The next exchange
+            # starts a new fetch.
             return []
         except _problems.ConfigurationError as error:
             return self._note_invalid(key, error.problems)
@@ -552,7 +537,12 @@
 
     def _on_peer_failed(self, event, now_ms):
         self._note_start_answer(event.vm)
-        if self._fetch is not None and self._fetch.vm == event.vm:
+        if (
+            self._fetch is not None
+            and self._fetch.vm == event.vm
+            and isinstance(event.message, messages.SectionsRequest)
+            and event.message.digests == self._fetch.requested
+        ):
             self._fetch = None
         if not isinstance(event.message, messages.RevisionAnnounced):
             return []
--- a/bluebellthread/daemon/_revision_exchange.py
+++ b/bluebellthread/daemon/_revision_exchange.py
@@ -153,7 +153,9 @@
             member = self._fleet.view.find(vm)
             if member is not None:
                 answer = await send(member, message)
-                event = core.PeerAnswered(vm=vm, message=answer)
+                event = core.PeerAnswered(
+                    vm=vm, message=answer, request=message
+                )
         except _peers.PeerUnreachableError:
             # The link has logged the error.
             pass
--- a/bluebellthread/entry/_configuration_task.py
+++ b/bluebellthread/entry/_configuration_task.py
@@ -20,8 +20,8 @@
 TICK_INTERVAL_S = 0.1
 
 EXCHANGE_INTERVAL_MS = 1000
-"""A lost announcement is made good by the next exchange of digests, well
-within the time in which a version must be in force."""
+"""Mean time between two exchanges of digests, each with another partner. They
+make good a lost announcement."""
 
 FIRST_EXCHANGE_INTERVAL_MS = 200
 """Until a VM has a version it can serve nobody, so it asks more often."""
@@ -35,13 +35,13 @@
 VMs of the largest region start together, this takes 0.4 s of the link to the
 platform's region (44 VMs, 30 Mbit/s)."""
 
-LONE_WATCH_DELAY_MS = 1000
-"""How long a VM that starts waits to hear of another one in its data centre:
-some ticks of the membership."""
+VIEW_SETTLE_MS = 500
+"""How long the view of a VM that starts must stay the same before it watches
+the platform: longer than a round of pings to the seeds."""
 
-PLATFORM_SILENCE_MS = 10000
+PLATFORM_SILENCE_MS = 8000
 """Time without news of the platform after which other VMs than the chosen
-ones watch it. The news is as old as a watch, 5.5 s, and two or three exchanges
+ones watch it. The news is as old as a watch, 3.5 s, and two or three exchanges
 when it has reached every VM."""
 
 
@@ -109,7 +109,7 @@
             )
             return
         if change is not None:
-            await self._publish(change)
+            await self._publish([change])
 
     def _build(self, value):
         """Build the table of a value that another VM has sent.
@@ -169,25 +169,31 @@
         self._follower.note_era(position.era)
         self._follower.note_regained()
         await self._exchange.inbox.send(core.PlatformAnswered())
+        await self._publish(changes)
+        # In a series of versions each answer of a watch carries every one of
+        # them whole, a read only the newest.
+        return position if len(changes) <= 1 else None
+
+    async def _publish(self, changes):
+        """Pass on the newest usable one of some changes."""
+        usable = None
         for change in changes:
-            await self._publish(change)
-        return position
-
-    async def _publish(self, change):
-        _log_transfer(change, _clock.read_clock_ms())
-        if change.problem:
+            _log_transfer(change, _clock.read_clock_ms())
+            if not change.problem:
+                usable = change
+                continue
             emit(
                 events.CONFIGURATION_UNUSABLE,
                 revision=change.revision,
                 version=self._state.table.version,
                 error=change.problem,
             )
-            return
-        await self._exchange.inbox.send(
-            core.RevisionPublished(
-                value=change.value, configuration=change.table
+        if usable is not None:
+            await self._exchange.inbox.send(
+                core.RevisionPublished(
+                    value=usable.value, configuration=usable.table
+                )
             )
-        )
 
 
 def _has_peers(settings):
@@ -200,7 +206,7 @@
         exchange_interval_ms=EXCHANGE_INTERVAL_MS,
         first_exchange_interval_ms=FIRST_EXCHANGE_INTERVAL_MS,
         start_timeout_ms=START_TIMEOUT_MS,
-        lone_watch_delay_ms=LONE_WATCH_DELAY_MS if has_peers else 0,
+        view_settle_ms=VIEW_SETTLE_MS if has_peers else 0,
         waits_for_peers_at_start=has_peers,
         platform_silence_ms=PLATFORM_SILENCE_MS,
         leaves_out_older_builds=True,
--- a/bluebellthread/platform/_store_client.py
+++ b/bluebellthread/platform/_store_client.py
@@ -28,6 +28,10 @@
 """How long a watch waits for a change. If its answer is lost, a watch stays
 silent, and only its timeout reveals the loss."""
 
+TABLE_WATCH_MS = 2000
+"""The same for the configuration. Only a few VMs watch it, and each answer
+tells the others that it is being watched."""
+
 WATCH_MARGIN_S = 1.5
 """Time allowed for the answer to begin after the wait of a watch, as for a
 read."""
@@ -139,7 +143,7 @@
         """
         transfer = Transfer.start()
         events, position = await self._watch(
-            _decoding.CONFIGURATION_KEY, after, transfer
+            _decoding.CONFIGURATION_KEY, after, transfer, TABLE_WATCH_MS
         )
         changes = [
             _to_table_change(event, transfer)
@@ -201,11 +205,11 @@
         )
         return [_to_server_change(event) for event in events], position
 
-    async def _watch(self, prefix, after, transfer):
+    async def _watch(self, prefix, after, transfer, wait_ms=WATCH_MS):
         answer = await self._get(
             '/-/kv-watch',
-            {'prefix': prefix, 'after': after.revision, 'waitMs': WATCH_MS},
-            WATCH_MS / 1000 + WATCH_MARGIN_S,
+            {'prefix': prefix, 'after': after.revision, 'waitMs': wait_ms},
+            wait_ms / 1000 + WATCH_MARGIN_S,
             transfer,
         )
         _check_era(answer, after)
--- a/tests/unit/test_configuration_over_links.py
+++ b/tests/unit/test_configuration_over_links.py
@@ -63,6 +63,37 @@
     return behind
 
 
+class TestStorm(unittest.TestCase):
+    # Guards against watches whose answers carry each of several large
+    # versions whole, so that they fall behind further with each answer.
+    def test_last_of_many_large_versions_is_in_force_in_time(self):
+        behind = _shared_link.run_simulated(publish_storm)
+        self.assertEqual([], behind)
+
+
+async def publish_storm():
+    """Return the VMs that the last of eight versions reaches too late."""
+    region = _shared_link.Region(
+        vm_counts=VM_COUNTS, region_mbps=REGION_MBPS, vm_mbps=VM_MBPS
+    )
+    region.store.put('op/config', make_configuration(1, route_count=10))
+    async with trio.open_nursery() as nursery:
+        region.start(nursery)
+        await trio.sleep(START_S)
+        for version in range(2, 10):
+            await trio.sleep(0.5)
+            region.store.put(
+                'op/config',
+                make_configuration(
+                    version, route_count=1610, timeout_ms=9000 - version
+                ),
+            )
+        await trio.sleep(CONFIGURATION_MS / 1000)
+        behind = region.list_behind(9)
+        nursery.cancel_scope.cancel()
+    return behind
+
+
 class TestSlowLink(unittest.TestCase):
     # Guards against a read whose timeout ends each try before the value can
     # have arrived.
--- a/tests/unit/test_revisions.py
+++ b/tests/unit/test_revisions.py
@@ -318,20 +318,20 @@
         self.assertEqual(1, len({vm.digest for vm in network.vms.values()}))
 
 
-class TestSubstituteWatchers(unittest.TestCase):
-    """VMs that watch the platform in place of the chosen watchers."""
+class TestWatchDuty(unittest.TestCase):
+    """Which VMs watch the platform, beside and in place of the chosen ones."""
 
     OPTIONS = core.RevisionOptions(
-        lone_watch_delay_ms=1000,
-        platform_silence_ms=10_000,
-        substitution_ms=30_000,
+        view_settle_ms=500, platform_silence_ms=10_000
     )
+    START_MS = 1_000
 
     def make_vms(self, count):
         names = [f'a{number}' for number in range(count)]
         vms = {name: self.make_vm(name) for name in names}
         for vm in vms.values():
             vm.change_view(make_view(names), 0)
+        self.run_until(vms, self.START_MS, platform_age_ms=0)
         return vms
 
     def make_vm(self, name):
@@ -349,32 +349,48 @@
         )
         vm.handle(core.PeerAnswered(vm='a0', message=answer), now_ms)
 
-    def count_watching(self, vms, now_ms):
-        for vm in vms.values():
-            vm.handle(core.Tick(), now_ms)
+    def run_until(self, vms, end_ms, *, platform_age_ms=-1, first_ms=0):
+        """Let ticks and peers' answers arrive; count the VMs that watch."""
+        for now_ms in range(first_ms, end_ms + 1, 500):
+            for vm in vms.values():
+                if platform_age_ms is not None:
+                    self.answer(vm, now_ms, platform_age_ms=platform_age_ms)
+                vm.handle(core.Tick(), now_ms)
         return sum(vm.watching for vm in vms.values())
 
+    def find_not_watching(self, vms):
+        return next(vm for vm in vms.values() if not vm.watching)
+
     def test_more_vms_watch_the_longer_nobody_reads_the_platform(self):
         vms = self.make_vms(20)
         counts = []
-        for now_ms in (0, 9_000, 10_000, 20_000, 90_000):
-            for vm in vms.values():
-                self.answer(vm, now_ms, platform_age_ms=-1)
-            counts.append(self.count_watching(vms, now_ms))
-        self.assertEqual([2, 2, 4, 6, 6], counts)
-
-    def test_substitutes_stop_after_a_while_once_the_platform_is_read(self):
+        first_ms = self.START_MS
+        for end_ms in (10_000, 11_000, 21_000, 90_000):
+            counts.append(self.run_until(vms, end_ms, first_ms=first_ms))
+            first_ms = end_ms
+        self.assertEqual([2, 4, 6, 6], counts)
+
+    # Guards against times in which nobody reads: reads of substitutes used
+    # to count as news, and ended the watch of all substitutes.
+    def test_substitutes_watch_until_a_chosen_watcher_reads_again(self):
         vms = self.make_vms(20)
-        for vm in vms.values():
-            self.answer(vm, 10_000, platform_age_ms=-1)
-        self.assertEqual(4, self.count_watching(vms, 10_000))
-        for now_ms, expected in ((39_000, 4), (41_000, 2)):
-            for vm in vms.values():
-                self.answer(vm, now_ms, platform_age_ms=4_000)
-            self.assertEqual(expected, self.count_watching(vms, now_ms))
+        self.run_until(vms, 31_000, first_ms=self.START_MS)
+        chosen = core.choose_watchers('a', sorted(vms))
+        for now_ms in range(31_000, 120_000, 1_000):
+            for name, vm in vms.items():
+                if vm.watching and name not in chosen:
+                    vm.handle(core.PlatformAnswered(), now_ms)
+            watching = self.run_until(vms, now_ms, first_ms=now_ms)
+            self.assertEqual(6, watching, now_ms)
+        watching = self.run_until(
+            vms, 121_000, platform_age_ms=2_000, first_ms=120_000
+        )
+        self.assertEqual(2, watching)
 
     def test_news_of_the_platform_is_passed_on_with_its_age(self):
-        reader, other = self.make_vms(2).values()
+        names = core.choose_watchers('a', [f'a{n}' for n in range(20)])
+        vms = self.make_vms(20)
+        reader, other = (vms[name] for name in names)
         reader.handle(core.PlatformAnswered(), 5_000)
         request = core.ManifestRequest(vm='a1', revision=0, digest=0)
         asked = core.PeerAsked(token='a1', message=request)
@@ -384,35 +400,101 @@
         answer = other.handle(asked, 9_000)[0].message
         self.assertEqual(4_000, answer.platform_age_ms)
 
-    def test_vm_whose_requests_no_peer_answers_watches(self):
+    def test_vm_watches_for_as_long_as_no_peer_answers(self):
         vms = self.make_vms(20)
-        name = next(name for name, vm in vms.items() if not vm.watching)
+        vm = self.find_not_watching(vms)
         rejected = core.Rejected(kind='unexpected-message', remedy='')
         event = core.PeerAnswered(vm='a0', message=rejected)
-        vms[name].handle(event, 9_000)
-        vms[name].handle(core.Tick(), 10_000)
-        self.assertTrue(vms[name].watching)
+        alone = {'a': vm}
+        for now_ms in range(self.START_MS, 100_000, 500):
+            vm.handle(event, now_ms)
+            self.run_until(
+                alone, now_ms, platform_age_ms=None, first_ms=now_ms
+            )
+            if vm.watching:
+                vm.handle(core.PlatformAnswered(), now_ms)
+            if now_ms >= 17_000:
+                self.assertTrue(vm.watching, now_ms)
+        self.run_until(alone, 101_000, platform_age_ms=0, first_ms=100_000)
+        self.assertFalse(vm.watching)
 
-    def test_vm_that_no_peer_answers_watches_while_none_does(self):
+    # Guards against whole reads by all VMs that wake up together.
+    def test_silence_counts_from_the_end_of_a_pause(self):
         vms = self.make_vms(20)
-        name = next(name for name, vm in vms.items() if not vm.watching)
-        vm = vms[name]
-        for now_ms in range(10_000, 100_000, 1_000):
-            vm.handle(core.Tick(), now_ms)
-            self.assertTrue(vm.watching)
-            vm.handle(core.PlatformAnswered(), now_ms)
-        for now_ms, expected in ((100_000, True), (131_000, False)):
-            self.answer(vm, now_ms, platform_age_ms=4_000)
-            vm.handle(core.Tick(), now_ms)
-            self.assertEqual(expected, vm.watching)
+        self.run_until(vms, 5_000, platform_age_ms=0, first_ms=self.START_MS)
+        watching = self.run_until(
+            vms, 40_000, platform_age_ms=None, first_ms=40_000
+        )
+        self.assertEqual(2, watching)
 
-    def test_vm_that_starts_waits_for_others_before_it_watches(self):
+    def test_vm_that_starts_watches_once_its_view_has_settled(self):
         vm = self.make_vm('a0')
-        vm.change_view(make_view(['a0']), 0)
-        vm.handle(core.Tick(), 900)
-        self.assertFalse(vm.watching)
-        vm.handle(core.Tick(), 1_000)
-        self.assertTrue(vm.watching)
+        watching = []
+        for now_ms in range(0, 1_500, 100):
+            if now_ms <= 600:
+                names = [f'a{number}' for number in range(now_ms // 300 + 1)]
+                vm.change_view(make_view(names), now_ms)
+            vm.handle(core.Tick(), now_ms)
+            watching.append(vm.watching)
+        chosen = core.choose_watchers('a', ['a0', 'a1', 'a2'])
+        self.assertEqual([False] * 11, watching[:11])
+        self.assertEqual(['a0' in chosen] * 4, watching[11:])
+
+
+class TestFetch(unittest.TestCase):
+    """Sections that are on their way while a newer revision is announced."""
+
+    def make_network(self):
+        network = Network({'a': ('a1', 'a2')})
+        network.settle(duration_ms=1500)
+        network.publish('a2', make_value(4))
+        network.settle(duration_ms=3000)
+        return network
+
+    def deliver_until(self, network, message_class):
+        """Deliver messages until one of a class is next; return it."""
+        while not isinstance(network.in_flight[0][2][1], message_class):
+            network.deliver()
+        return network.in_flight[0][2][1]
+
+    def test_sections_of_an_overtaken_revision_are_kept(self):
+        network = self.make_network()
+        network.publish('a2', make_value(5, models=200))
+        self.deliver_until(network, core.SectionsRequest)
+        network.deliver()
+        delayed = network.in_flight.pop()
+        network.publish('a2', make_value(6, models=200, pace_ms=50))
+        self.deliver_until(network, core.SectionsRequest)
+        network.in_flight.insert(0, delayed)
+        network.deliver()
+        while network.in_flight:
+            network.deliver()
+        self.assertEqual({6}, network.revisions())
+
+    def test_large_revision_is_fetched_in_batches_that_are_kept(self):
+        network = self.make_network()
+        network.publish('a2', make_value(5, models=2000))
+        first = self.deliver_until(network, core.SectionsRequest)
+        network.deliver()
+        self.deliver_until(network, core.SectionsAnswer)
+        network.deliver()
+        second = self.deliver_until(network, core.SectionsRequest)
+        self.assertFalse(set(first.digests) & set(second.digests))
+        # The second batch is lost; a later exchange goes on from there.
+        to, _, (sender, message) = network.in_flight.pop(0)
+        network.feed(sender, core.PeerFailed(vm=to, message=message))
+        asked = set()
+        while network.revisions() != {5}:
+            network.now_ms += 100
+            for name in network.names:
+                network.feed(name, core.Tick())
+            while network.in_flight:
+                message = network.in_flight[0][2][1]
+                if isinstance(message, core.SectionsRequest):
+                    asked.update(message.digests)
+                network.deliver()
+        self.assertEqual(set(), set(second.digests) - asked)
+        self.assertEqual(set(), set(first.digests) & asked)
 
 
 class TestOlderBuilds(unittest.TestCase):
