Watch the server list on after a failed call of the store

Change: a follower goes on from its last position after a failed call. What happened meanwhile comes as changes; only a lost history or a restored store leads to a whole read. That the store was away for long is noted at its first answer, whichever it is.

--- a/bluebellthread/entry/_configuration_task.py
+++ b/bluebellthread/entry/_configuration_task.py
@@ -76,7 +76,6 @@
             name='configuration',
             step=self._update,
             rng=random.Random(state.settings.vm),
-            keeps_position=True,
         )
         self._nursery = None
         self._watch_scope = None
--- a/bluebellthread/entry/_platform_follower.py
+++ b/bluebellthread/entry/_platform_follower.py
@@ -22,6 +22,9 @@
 class PlatformFollower:
     """Reads one resource of the platform, then watches it.
 
+    After a failed call the watch goes on from the last position, so that the
+    whole resource is not read again by all VMs after an outage.
+
     Parameters
     ----------
     name : str
@@ -31,16 +34,12 @@
         whole resource, and returns the next position.
     rng : random.Random
         Spreads the retries of the VMs.
-    keeps_position : bool
-        Whether the watch goes on from the last position after a call has
-        failed. Otherwise the whole resource is read again.
     """
 
-    def __init__(self, *, name, step, rng, keeps_position=False):
+    def __init__(self, *, name, step, rng):
         self._name = name
         self._step = step
         self._rng = rng
-        self._keeps_position = keeps_position
         self._watch = _state.DependencyWatch(name=name)
         self._after = None
         self._era = None
@@ -63,8 +62,6 @@
                     pause_s = await self._pause(pause_s)
             except changes_module.PlatformUnavailableError as error:
                 self._note_lost(error)
-                if not self._keeps_position:
-                    self._after = None
                 pause_s = await self._pause(pause_s)
 
     async def _pause(self, pause_s):
--- a/bluebellthread/entry/_platform_task.py
+++ b/bluebellthread/entry/_platform_task.py
@@ -45,21 +45,27 @@
     async def _update_servers(self, after):
         if after is None:
             changes, position = await self._client.read_servers()
-            now_ms = _clock.read_clock_ms()
-            self._state.directory.note_outage_end(
-                self._follower.note_regained(), now_ms
-            )
+            now_ms = self._note_answer()
             if self._follower.note_era(position.era):
                 self._state.directory.note_restore(now_ms)
             self._replace_servers(changes, now_ms)
         else:
             changes, position = await self._client.watch_servers(after)
+            now_ms = self._note_answer()
             for change in changes:
-                self._apply_server(change, _clock.read_clock_ms())
+                self._apply_server(change, now_ms)
         if self._state.directory.has_deadlines:
             self._lapsed.set()
         return position
 
+    def _note_answer(self):
+        """Note an answer of the platform; return the time in milliseconds."""
+        now_ms = _clock.read_clock_ms()
+        self._state.directory.note_outage_end(
+            self._follower.note_regained(), now_ms
+        )
+        return now_ms
+
     def _replace_servers(self, changes, now_ms):
         servers = []
         for change in changes:
--- a/tests/integration/test_entry_platform.py
+++ b/tests/integration/test_entry_platform.py
@@ -90,6 +90,25 @@
             await sites.wait_until(lambda: directory.find('s3') is not None)
             self.assertIsNotNone(directory.find('s2'))
 
+    # Guards against links filled by all VMs that read the whole list again
+    # after each failed call.
+    @run
+    async def test_server_list_is_watched_on_after_failed_calls(self):
+        async with sites.running_site() as entry_site:
+            store = entry_site.store
+            reads = sum('/-/kv-range' in call for call in store.calls)
+            store.refuse_status = 503
+            # Ends the watch that waits; those after it are refused.
+            entry_site.list_server('s1', 'plain')
+            seen = len(store.calls)
+            await sites.wait_until(lambda: len(store.calls) > seen + 3)
+            store.remove('servers/s1')
+            store.refuse_status = 0
+            directory = entry_site.entry.state.directory
+            await sites.wait_until(lambda: directory.find('s1') is None)
+            reads_after = sum('/-/kv-range' in call for call in store.calls)
+            self.assertEqual(reads, reads_after)
+
     @run
     async def test_requests_are_served_while_the_platform_fails(self):
         async with sites.running_site() as entry_site:
--- a/tests/unit/_shared_link.py
+++ b/tests/unit/_shared_link.py
@@ -98,7 +98,8 @@
 class _Backend(httpcore.AsyncNetworkBackend):
     """Connects to a stand-in store over links, without sockets."""
 
-    def __init__(self, *, store, links, nursery):
+    def __init__(self, *, vm, store, links, nursery):
+        self._vm = vm
         self._store = store
         self._links = links
         self._nursery = nursery
@@ -108,11 +109,17 @@
         client, server = trio.testing.memory_stream_pair()
         self._nursery.start_soon(
             _connection.serve_connection,
-            self._store.handle,
+            self._handle,
             _PacedStream(server, self._links),
         )
         return _ClientStream(client)
 
+    async def _handle(self, request):
+        if self._vm.is_refused:
+            await request.answer(503)
+            return
+        await self._store.handle(request)
+
     async def sleep(self, seconds):
         await trio.sleep(seconds)
 
@@ -123,6 +130,8 @@
 
     Parameters
     ----------
+    is_refused : bool
+        Whether the store turns it away.
     is_deaf : bool
         Whether it rejects and sends no messages about versions, as a VM of a
         build without them does.
@@ -132,6 +141,7 @@
     state: _state.EntryState
     link: Link
     mailboxes: _mailboxes.Mailboxes = attrs.field(factory=_mailboxes.Mailboxes)
+    is_refused: bool = False
     is_deaf: bool = False
 
 
@@ -223,6 +233,7 @@
         by_name = {vm.name: vm for vm in self.vms}
         for vm in self.vms:
             backend = _Backend(
+                vm=vm,
                 store=self.store,
                 links=(self.region_link, vm.link),
                 nursery=nursery,
--- a/tests/unit/test_configuration_over_links.py
+++ b/tests/unit/test_configuration_over_links.py
@@ -5,6 +5,7 @@
 import trio
 
 from bluebellthread import core
+from bluebellthread.platform import _store_client
 from tests.integration import _entry_site as sites
 from tests.unit import _shared_link
 
@@ -143,6 +144,68 @@
     return version
 
 
+class TestWatchers(unittest.TestCase):
+    OUTER_BOUND_MS = 8000
+    """Additional time while the store turns some VMs away."""
+
+    WATCHERS_PER_DATA_CENTRE = 2
+
+    def make_region(self):
+        region = _shared_link.Region(
+            vm_counts=VM_COUNTS, region_mbps=REGION_MBPS, vm_mbps=VM_MBPS
+        )
+        region.store.put('op/config', make_configuration(1, route_count=10))
+        return region
+
+    def test_versions_arrive_while_the_store_refuses_all_chosen_watchers(self):
+        region = self.make_region()
+        for data_centre in VM_COUNTS:
+            names = [
+                vm.name
+                for vm in region.vms
+                if vm.state.settings.data_centre == data_centre
+            ]
+            chosen = core.choose_watchers(data_centre, names)
+            for vm in region.vms:
+                vm.is_refused = vm.is_refused or vm.name in chosen
+        behind = _shared_link.run_simulated(
+            functools.partial(self.publish_once, region)
+        )
+        self.assertEqual([], behind)
+
+    async def publish_once(self, region):
+        async with trio.open_nursery() as nursery:
+            region.start(nursery)
+            await trio.sleep(START_S)
+            region.store.put(
+                'op/config', make_configuration(2, route_count=1610)
+            )
+            await trio.sleep((CONFIGURATION_MS + self.OUTER_BOUND_MS) / 1000)
+            behind = region.list_behind(2)
+            nursery.cancel_scope.cancel()
+        return behind
+
+    def test_others_do_not_watch_while_the_chosen_watchers_read(self):
+        region = self.make_region()
+        duration_s = 60
+        watch_s = _store_client.TABLE_WATCH_MS / 1000
+        calls = _shared_link.run_simulated(
+            functools.partial(self.count_watches, region, duration_s)
+        )
+        watchers = self.WATCHERS_PER_DATA_CENTRE * len(VM_COUNTS)
+        self.assertLessEqual(calls, watchers * duration_s / watch_s)
+
+    async def count_watches(self, region, duration_s):
+        async with trio.open_nursery() as nursery:
+            region.start(nursery)
+            await trio.sleep(duration_s)
+            nursery.cancel_scope.cancel()
+        return sum(
+            call.startswith('/-/kv-watch?prefix=op')
+            for call in region.store.calls
+        )
+
+
 class TestStart(unittest.TestCase):
     """All VMs of a region start at the same time and don't know each other."""
 
