Hold no server back whose entry was only unusable before a restore

What callers would see: after a restore, up to 30 s without a server that runs, if another writer had made its entry unreadable in the minute before.

Cause: each entry that was dropped counted as a departure, also one that had become unusable.

Change: only removed and lapsed entries are remembered as departures.

Measured: test_server_whose_entry_was_unusable_gets_requests (503 before) and test_unusable_entry_is_no_departure (needs the new argument) fail before and pass now.

--- a/bluebellthread/core/routing/_directory.py
+++ b/bluebellthread/core/routing/_directory.py
@@ -179,22 +179,28 @@
             self._servers[name] = server
             self._invalidate_index()
 
-    def remove(self, name, now_ms):
+    def remove(self, name, now_ms, *, has_left=True):
         """Remove an entry.
 
+        ``has_left`` is false if the entry only became unusable, which does
+        not tell that the server has left.
+
         Within `LAPSE_RETURN_MS` after a platform outage, keep it until that
         period ends, since only its lease may have expired.
         """
         self._held.pop(name, None)
         if self._hold_deadline_ms is None:
             self._barred.pop(name, None)
-        if name not in self._servers:
+        server = self._servers.get(name)
+        if server is None:
             return
         if self._may_have_lapsed(now_ms):
             deadline_ms = self._returned_ms + LAPSE_RETURN_MS
             self._lapsed_deadlines_ms.setdefault(name, deadline_ms)
             return
-        self._drop(name, now_ms)
+        self._drop(name)
+        if has_left:
+            self._note_departure(server, now_ms)
 
     def replace(self, servers, now_ms):
         """Apply a complete list of servers; remove entries that it lacks."""
@@ -219,7 +225,8 @@
             if now_ms >= deadline_ms
         ]
         for name in due:
-            self._drop(name, now_ms)
+            self._note_departure(self._servers[name], now_ms)
+            self._drop(name)
         return due
 
     def release(self, now_ms):
@@ -251,11 +258,9 @@
             returned_ms is not None and now_ms < returned_ms + LAPSE_RETURN_MS
         )
 
-    def _drop(self, name, now_ms):
+    def _drop(self, name):
         self._lapsed_deadlines_ms.pop(name, None)
-        server = self._servers.pop(name, None)
-        if server is not None:
-            self._note_departure(server, now_ms)
+        if self._servers.pop(name, None) is not None:
             self._invalidate_index()
 
     def _note_departure(self, server, now_ms):
--- a/bluebellthread/entry/_platform_task.py
+++ b/bluebellthread/entry/_platform_task.py
@@ -66,6 +66,9 @@
             if change.server is not None:
                 servers.append(change.server)
             else:
+                self._state.directory.remove(
+                    change.name, now_ms, has_left=False
+                )
                 self._log_server(change, 'unusable')
         self._state.directory.replace(servers, now_ms)
         for server in servers:
@@ -78,7 +81,7 @@
         directory = self._state.directory
         known = directory.find(change.name)
         if change.server is None:
-            directory.remove(change.name, now_ms)
+            directory.remove(change.name, now_ms, has_left=not change.problem)
             self._log_server(change, 'unusable' if change.problem else 'gone')
             return
         directory.put(change.server)
--- a/tests/integration/test_entry_restore.py
+++ b/tests/integration/test_entry_restore.py
@@ -111,6 +111,25 @@
             await self.restore(entry_site, copy)
             self.assertEqual({'s2'}, await self.call_all(entry_site))
 
+    @run
+    async def test_server_whose_entry_was_unusable_gets_requests(self):
+        async with sites.running_site() as entry_site:
+            directory = entry_site.entry.state.directory
+            copy = entry_site.store.snapshot()
+            entry_site.store.put('servers/s1', b'no JSON')
+            await sites.wait_until(lambda: directory.find('s1') is None)
+            # The whole list is read with the unusable entry, too.
+            calls = entry_site.store.calls
+            calls.clear()
+            entry_site.store.put('other', {})
+            entry_site.store.compact()
+            await sites.wait_until(
+                lambda: any('/-/kv-range' in call for call in calls)
+            )
+            await self.restore(entry_site, copy)
+            await self.drain(entry_site, 's2')
+            self.assertEqual({'s1'}, await self.call_all(entry_site))
+
     @run
     async def test_new_start_of_a_server_that_left_gets_requests(self):
         async with sites.running_site() as entry_site:
--- a/tests/unit/test_server_directory.py
+++ b/tests/unit/test_server_directory.py
@@ -134,6 +134,14 @@
         end_ms = 20000 + self.HOLD_MS
         self.assertEqual(['a'], self.directory.release(end_ms))
 
+    def test_unusable_entry_is_no_departure(self):
+        server = make_server('a', incarnation=5)
+        self.directory.put(server)
+        self.directory.remove('a', 1000, has_left=False)
+        self.assertEqual([], names(self.directory))
+        self.restore([server], 4000)
+        self.assertEqual(['a'], names(self.directory))
+
     def test_server_that_drained_and_left_is_never_used_again(self):
         server = make_server('a', incarnation=5)
         self.directory.put(attrs.evolve(server, is_draining=True))
