Probe idle connections between VMs for silence

What callers would see: a new version of the configuration later than need be, on the VMs behind a link that has gone silent without a reset. An idle link was found dead only 3 s after the first byte sent on it, and the announcements sent until then vanished.

Cause: both ends of a connection between VMs had TCP_USER_TIMEOUT, which counts from sent bytes only, and no keep-alive, which callers, backend servers and the store have.

Change: the options move from entry/_sockets.py to daemon/_socket_options.py and serve both.

Measured: TestSilentPeer.test_both_ends_of_a_connection_notice_silence, which reads the options of both sockets, fails before (SO_KEEPALIVE 0) and passes now. Not measured: the time until a silent link is found; nothing here drops packets.

--- a/bluebellthread/daemon/_peers.py
+++ b/bluebellthread/daemon/_peers.py
@@ -12,14 +12,13 @@
 from bluebellthread import core
 from bluebellthread.daemon import _clock
 from bluebellthread.daemon import _mailboxes
+from bluebellthread.daemon import _socket_options
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
 from bluebellthread import wire
 
 MAX_SEND_QUEUE_LENGTH = 4096
 CONNECT_TIMEOUT_S = 1.0
-UNACKNOWLEDGED_TIMEOUT_MS = 3000
-"""How long sent bytes may stay unacknowledged by the peer's kernel."""
 
 
 class PeerUnreachableError(core.BluebellthreadError):
@@ -87,7 +86,7 @@
         )
 
     async def _serve_connection(self, stream):
-        _limit_unacknowledged_time(stream)
+        _socket_options.set_silence_timeouts(stream.socket)
         send, receive = trio.open_memory_channel(MAX_SEND_QUEUE_LENGTH)
         try:
             async with trio.open_nursery() as nursery:
@@ -289,7 +288,7 @@
         except (OSError, trio.TooSlowError) as error:
             self._close(f'connecting failed: {error or "timeout"}')
             return
-        _limit_unacknowledged_time(stream)
+        _socket_options.set_silence_timeouts(stream.socket)
         self.opened.set()
         try:
             async with trio.open_nursery() as nursery:
@@ -357,14 +356,3 @@
 
 def _ignore_answer(message):
     """Discard the answer to a message sent without waiting for one."""
-
-
-def _limit_unacknowledged_time(stream):
-    # Without this limit, a connection interrupted for minutes could wait as
-    # long again before the kernel's next retransmission. A paused process is
-    # not detected by this limit, because its kernel still acknowledges.
-    stream.setsockopt(
-        trio.socket.IPPROTO_TCP,
-        trio.socket.TCP_USER_TIMEOUT,
-        UNACKNOWLEDGED_TIMEOUT_MS,
-    )
--- a/bluebellthread/entry/__init__.py
+++ b/bluebellthread/entry/__init__.py
@@ -1,5 +1,6 @@
 """Routes callers' requests to backend servers by the published routes."""
 
+from bluebellthread.daemon._socket_options import keep_alive_options
 from bluebellthread.entry._dialect import ControlCall
 from bluebellthread.entry._dialect import Dialect
 from bluebellthread.entry._platform_changes import HistoryLostError
@@ -12,7 +13,6 @@
 from bluebellthread.entry._platform_changes import Transfer
 from bluebellthread.entry._service import EntryService
 from bluebellthread.entry._settings import EntrySettings
-from bluebellthread.entry._sockets import keep_alive_options
 
 __all__ = [
     'ControlCall',
--- a/bluebellthread/entry/_service.py
+++ b/bluebellthread/entry/_service.py
@@ -15,6 +15,7 @@
 from bluebellthread.daemon import _membership_task
 from bluebellthread.daemon import _pause_guard
 from bluebellthread.daemon import _peers
+from bluebellthread.daemon import _socket_options
 from bluebellthread.entry import _budgets
 from bluebellthread.entry import _caller_connection
 from bluebellthread.entry import _configuration_task
@@ -27,7 +28,6 @@
 from bluebellthread.entry import _role_task
 from bluebellthread.entry import _server_calls
 from bluebellthread.entry import _server_connection
-from bluebellthread.entry import _sockets
 from bluebellthread.entry import _state
 from bluebellthread.entry import _stats
 from bluebellthread.entry import _stream_context
@@ -277,7 +277,7 @@
         )
 
     async def _serve_caller(self, stream):
-        _sockets.set_silence_timeouts(stream.socket)
+        _socket_options.set_silence_timeouts(stream.socket)
         self._control.open_count += 1
         try:
             await _caller_connection.CallerConnection(
