Refuse values of the store that would end the process

What callers would see: all VMs that read or are sent such a value end, start anew, read it again and end again.

Cause: decode_value and decode_table accepted what fails later. A number that is not finite (NaN, 1e999) can't be encoded for the other VMs; a version above 2**63-1 and a top-level name that is no valid Unicode don't fit the wire; int() of an infinite number, deep nesting, a port like a superscript two or of 5000 digits raised errors that nobody expects; numbers like 10**400, names that are no text and negative times failed where they were used. A key that is no valid Unicode ended the read of the next page, deep nesting the read of any answer.

Change: all of these are an EntryError, so that the version in force stays and the problem is logged, or the server is not listed. Versions go up to 2**63-1, other integers to 2**53-1; times, sizes and counts are not negative, while weights and priorities may be; values nest 32 levels at most; routes and services are lists. What other VMs send passes the same checks, and a section that nests too deep is a SectionError.

--- a/bluebellthread/core/_sections.py
+++ b/bluebellthread/core/_sections.py
@@ -213,5 +213,5 @@
         raise SectionError(f'section {digest:x} is missing')
     try:
         return json.loads(sections[digest])
-    except ValueError as error:
+    except (RecursionError, ValueError) as error:
         raise SectionError(f'section {digest:x} is not valid JSON') from error
--- a/bluebellthread/platform/_decoding.py
+++ b/bluebellthread/platform/_decoding.py
@@ -7,6 +7,8 @@
 import base64
 import binascii
 import json
+import math
+import re
 
 from bluebellthread import core
 from bluebellthread.core import routing
@@ -33,6 +35,27 @@
 
 STAGES = ('prefill', 'decode')
 
+NUMBER_MAX = 2**53 - 1
+"""Largest integer that every reader of JSON takes exactly (RFC 8259). A few
+times as much still fits the 64-bit fields of messages between VMs."""
+
+VERSION_MAX = 2**63 - 1
+"""Largest version that the 64-bit fields of messages between VMs hold."""
+
+PORT_MAX = 2**16 - 1
+"""Largest TCP port."""
+
+DEPTH_MAX = 32
+"""Deepest nesting of a value; the platform's documents nest five deep. It is
+far from the depth at which the JSON library fails."""
+
+PORT_PATTERN = re.compile('[0-9]{1,5}')
+"""As many digits as `PORT_MAX` has."""
+
+HOST_PATTERN = re.compile(r'[0-9A-Za-z._:%\[\]-]+')
+"""Characters of host names and IP addresses; with others, looking up an
+address fails in other ways than by an `OSError`."""
+
 
 class EntryError(core.BluebellthreadError):
     """An entry of the platform's store is invalid."""
@@ -44,11 +67,22 @@
     Raises
     ------
     EntryError
-        If the value is not the base64 text of a JSON object.
+        If the value is not the base64 text of a JSON object, or has numbers
+        that are not finite.
     """
     try:
-        fields = json.loads(base64.b64decode(item['value'], validate=True))
-    except (KeyError, TypeError, ValueError, binascii.Error) as error:
+        fields = json.loads(
+            base64.b64decode(item['value'], validate=True),
+            parse_constant=_refuse_constant,
+            parse_float=_parse_finite,
+        )
+    except (
+        KeyError,
+        RecursionError,
+        TypeError,
+        ValueError,
+        binascii.Error,
+    ) as error:
         raise EntryError(
             f'cannot decode the value as base64 and JSON: {error!r}'
         ) from error
@@ -66,11 +100,12 @@
         If a field is missing or invalid.
     """
     name = key.removeprefix(SERVERS_PREFIX)
+    _check_text(name)
     state = _require_text(fields, 'state')
     if state not in STATES:
         raise EntryError(f'unknown server state {state!r}')
     host, _, port = _require_text(fields, 'address').rpartition(':')
-    if not host or not port.isdigit():
+    if not HOST_PATTERN.fullmatch(host) or not _is_port(port):
         raise EntryError('the address does not have the form HOST:PORT')
     stage = fields.get('stage', '')
     if stage and stage not in STAGES:
@@ -96,16 +131,30 @@
     Raises
     ------
     EntryError
-        If a field is missing or invalid.
+        If a field is missing or invalid, or if the other VMs could not be
+        sent the configuration.
     """
+    _check_content(fields)
     try:
         return routing.RoutingTable(
-            version=int(fields[VERSION_FIELD]),
-            routes=[_decode_route(item) for item in fields['routes']],
-            services=[_decode_service(item) for item in fields['services']],
+            version=_check_number(
+                VERSION_FIELD, int(fields[VERSION_FIELD]), VERSION_MAX
+            ),
+            routes=[
+                _decode_route(item) for item in _list_of(fields, 'routes')
+            ],
+            services=[
+                _decode_service(item) for item in _list_of(fields, 'services')
+            ],
             limits=_decode_limits(fields.get('limits') or {}),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (
+        ArithmeticError,
+        AttributeError,
+        KeyError,
+        TypeError,
+        ValueError,
+    ) as error:
         raise EntryError(
             f'missing or invalid field in the configuration: {error!r}'
         ) from error
@@ -146,24 +195,27 @@
     if split:
         shares = tuple(
             routing.ServiceShare(
-                service=item['service'], weight=int(item['weight'])
+                service=_text_of(item, 'service'),
+                weight=_check_signed_number('weight', int(item['weight'])),
             )
             for item in split
         )
     else:
-        shares = (routing.ServiceShare(service=fields['service']),)
+        shares = (routing.ServiceShare(service=_text_of(fields, 'service')),)
     return routing.Route(
         name=str(fields.get('name', '')),
-        host=fields['host'].lower(),
-        prefix=fields['prefix'],
+        host=_text_of(fields, 'host').lower(),
+        prefix=_text_of(fields, 'prefix'),
         kind=KINDS[fields['kind']],
         shares=shares,
-        timeout_ms=int(fields.get('timeoutMs') or 0),
-        target_ms=int(fields.get('targetLatencyMs') or 0),
-        run_max=int(fields.get('maxAttempts') or 1),
-        priority=int(fields.get('priority') or 0),
+        timeout_ms=_read_number(fields, 'timeoutMs'),
+        target_ms=_read_number(fields, 'targetLatencyMs'),
+        run_max=_read_number(fields, 'maxAttempts', 1),
+        priority=_check_signed_number(
+            'priority', int(fields.get('priority') or 0)
+        ),
         is_resumable=bool(fields.get('resumable')),
-        gap_target_ms=int(fields.get('gapAimMs') or 0),
+        gap_target_ms=_read_number(fields, 'gapAimMs'),
         patience_ms=_find_patience_ms(fields),
     )
 
@@ -174,55 +226,147 @@
         return 0
     return max(
         PATIENCE_MIN_MS,
-        PATIENCE_TARGETS * int(fields.get('targetLatencyMs') or 0),
-        PATIENCE_GAPS * int(fields.get('gapAimMs') or 0),
+        PATIENCE_TARGETS * _read_number(fields, 'targetLatencyMs'),
+        PATIENCE_GAPS * _read_number(fields, 'gapAimMs'),
     )
 
 
 def _decode_service(fields):
     engine = fields.get('engine')
+    check_path = '/'
+    if fields.get('healthPath'):
+        check_path = _text_of(fields, 'healthPath')
     return routing.ServiceTraits(
-        name=fields['name'],
-        check_path=fields.get('healthPath') or '/',
-        connection_max=int(fields.get('maxConnections') or 0),
+        name=_text_of(fields, 'name'),
+        check_path=check_path,
+        connection_max=_read_number(fields, 'maxConnections'),
         engine=_decode_engine(engine) if engine else None,
     )
 
 
 def _decode_engine(fields):
+    # kvHoldS is the time in seconds that a prefill server keeps the KV cache
+    # of a prompt.
+    hold_ms = int(float(fields.get('kvHoldS') or 0) * 1000)
     return routing.EngineTraits(
-        slot_count=int(fields['slots']),
-        memory_tokens=int(fields['kvTokens']),
-        # kvHoldS is the time in seconds that a prefill server keeps the KV
-        # cache of a prompt.
-        kv_cache_hold_ms=int(float(fields.get('kvHoldS') or 0) * 1000),
+        slot_count=_check_number('slots', int(fields['slots'])),
+        memory_tokens=_check_number('kvTokens', int(fields['kvTokens'])),
+        kv_cache_hold_ms=_check_number('kvHoldS', hold_ms),
     )
 
 
 def _decode_limits(fields):
     defaults = routing.CallerLimits()
     return routing.CallerLimits(
-        header_max_bytes=int(
-            fields.get('maxHeaderBytes') or defaults.header_max_bytes
+        header_max_bytes=_read_number(
+            fields, 'maxHeaderBytes', defaults.header_max_bytes
         ),
-        body_max_bytes=int(
-            fields.get('maxBodyBytes') or defaults.body_max_bytes
+        body_max_bytes=_read_number(
+            fields, 'maxBodyBytes', defaults.body_max_bytes
         ),
-        header_timeout_ms=int(
-            fields.get('headerTimeoutMs') or defaults.header_timeout_ms
+        header_timeout_ms=_read_number(
+            fields, 'headerTimeoutMs', defaults.header_timeout_ms
         ),
-        idle_timeout_ms=int(
-            fields.get('idleTimeoutMs') or defaults.idle_timeout_ms
+        idle_timeout_ms=_read_number(
+            fields, 'idleTimeoutMs', defaults.idle_timeout_ms
         ),
     )
 
 
+def _refuse_constant(text):
+    raise ValueError(f'{text} is not a JSON number')
+
+
+def _parse_finite(text):
+    number = float(text)
+    if not math.isfinite(number):
+        raise ValueError('a number is too large')
+    return number
+
+
+def _check_content(fields):
+    """Check that a decoded value can be encoded again, at any depth."""
+    level = [fields]
+    depth = 0
+    while level:
+        depth += 1
+        if depth > DEPTH_MAX:
+            raise EntryError(f'the value nests deeper than {DEPTH_MAX} levels')
+        below = []
+        for container in level:
+            items = container
+            if isinstance(container, dict):
+                _check_keys(container)
+                items = container.values()
+            for item in items:
+                if isinstance(item, str):
+                    if not item.isascii():
+                        _check_text(item)
+                elif isinstance(item, (dict, list)):
+                    below.append(item)
+                elif isinstance(item, float) and not math.isfinite(item):
+                    raise EntryError('a number is not finite')
+        level = below
+
+
+def _check_keys(fields):
+    for key in fields:
+        if not isinstance(key, str):
+            raise EntryError(f'a key is not a string but {key!r}')
+        if not key.isascii():
+            _check_text(key)
+
+
+def _check_text(text):
+    if not text.isascii():
+        try:
+            text.encode()
+        except UnicodeEncodeError as error:
+            raise EntryError(
+                f'a text is not valid Unicode: {error}'
+            ) from error
+
+
+def _list_of(fields, name):
+    items = fields[name]
+    if not isinstance(items, list):
+        raise EntryError(f'field {name!r} is not a list')
+    return items
+
+
+def _text_of(fields, name):
+    value = fields[name]
+    if not isinstance(value, str):
+        raise EntryError(f'field {name!r} is not a string')
+    return value
+
+
+def _read_number(fields, name, default=0):
+    return _check_number(name, int(fields.get(name) or default))
+
+
+def _check_number(name, number, largest=NUMBER_MAX):
+    if not 0 <= number <= largest:
+        raise EntryError(f'field {name!r} is not between 0 and {largest}')
+    return number
+
+
+def _check_signed_number(name, number):
+    _check_number(name, abs(number))
+    return number
+
+
+def _is_port(text):
+    return bool(PORT_PATTERN.fullmatch(text)) and int(text) <= PORT_MAX
+
+
 def _require_text(fields, name):
     value = fields.get(name)
     if not isinstance(value, str) or not value:
         raise EntryError(
             f'field {name!r} is missing or not a non-empty string'
         )
+    _check_text(value)
     return value
 
 
@@ -230,4 +374,4 @@
     value = fields.get(name, default)
     if isinstance(value, bool) or not isinstance(value, int) or value < 0:
         raise EntryError(f'field {name!r} is not a non-negative integer')
-    return value
+    return _check_number(name, value)
--- a/bluebellthread/platform/_store_client.py
+++ b/bluebellthread/platform/_store_client.py
@@ -221,7 +221,9 @@
         absent_is_none=False,
         size_max_bytes=None,
     ):
-        url = f'{self._origin}{path}?{urllib.parse.urlencode(query)}'
+        # A key of the store may hold what is no valid Unicode.
+        text = urllib.parse.urlencode(query, errors='surrogatepass')
+        url = f'{self._origin}{path}?{text}'
         content = bytearray()
         try:
             with trio.fail_after(timeout_s) as scope:
@@ -251,7 +253,7 @@
             raise PlatformUnavailableError(f'status {response.status}')
         try:
             fields = json.loads(content)
-        except ValueError as error:
+        except (RecursionError, ValueError) as error:
             raise PlatformUnavailableError(
                 f'the body is not valid JSON: {error}'
             ) from error
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -4,10 +4,15 @@
 import tempfile
 import unittest
 
+from bluebellthread import core
+from bluebellthread.core import _sections
 from bluebellthread.core import routing
+from bluebellthread.entry import TableError
 from bluebellthread import platform
 from bluebellthread.platform import _decoding
 from bluebellthread.platform import _settings
+from bluebellthread.platform import _store_client
+from bluebellthread import wire
 
 SERVER = {
     'service': 's',
@@ -108,16 +113,35 @@
             {'zone': ''},
             {'stage': 'both'},
             {'born': 1.5},
+            {'born': 10**30},
+            {'slots': 10**30},
+            {'address': '10.0.0.1:65536'},
+            {'address': '10.0.0.1:\N{SUPERSCRIPT TWO}'},
+            {'address': '10.0.0.1:' + 5000 * '1'},
+            {'address': 'a\0b:80'},
+            {'address': 'b\xe4r:80'},
+            {'service': '\ud800'},
         ):
-            with self.subTest(change=change):
+            with self.subTest(change=str(change)[:80]):
                 with self.assertRaises(_decoding.EntryError):
                     _decoding.decode_server(
                         'servers/i-1', {**SERVER, **change}
                     )
 
     def test_values_that_are_not_json_objects_are_rejected(self):
-        for value in ('', '%%%', _encode(b'[1]'), _encode(b'\xff'), None):
-            with self.subTest(value=value):
+        for value in (
+            '',
+            '%%%',
+            _encode(b'[1]'),
+            _encode(b'\xff'),
+            None,
+            _encode(b'{"a": NaN}'),
+            _encode(b'{"a": [-Infinity]}'),
+            _encode(b'{"a": {"b": 1e999}}'),
+            _encode(b'{"a": ' + 5000 * b'1' + b'}'),
+            _encode(b'{"a": ' + nest(100_000) + b'}'),
+        ):
+            with self.subTest(value=str(value)[:40]):
                 with self.assertRaises(_decoding.EntryError):
                     _decoding.decode_value({'value': value})
 
@@ -159,11 +183,113 @@
             {'routes': 'none'},
             {'routes': [{**ROUTE, 'kind': 'maybe'}]},
             {'services': [{}]},
+            {'version': -1},
+            {'version': 2**63},
+            {'version': float('inf')},
+            {'routes': {}},
+            {'routes': ['r']},
+            {'routes': [None]},
+            {'routes': [{**ROUTE, 'host': 7}]},
+            {'routes': [{**ROUTE, 'prefix': 7}]},
+            {'routes': [{**ROUTE, 'service': ['s']}]},
+            {'routes': [{**ROUTE, 'timeoutMs': 10**30}]},
+            {'routes': [{**ROUTE, 'timeoutMs': -1}]},
+            {'routes': [{**ROUTE, 'priority': -(10**30)}]},
+            {'routes': [{**ROUTE, 'name': '\ud800'}]},
+            {'services': [{'name': 7}]},
+            {'services': [{'name': 's', 'healthPath': 7}]},
+            {'services': [{'name': 's', 'engine': {'slots': 10**30}}]},
+            {'services': [make_engine_service(kvHoldS='1e999')]},
+            {'services': [make_engine_service(kvHoldS=10**400)]},
+            {'services': [make_engine_service(kvTokens=10**30)]},
+            {'limits': {'maxBodyBytes': float('inf')}},
+            {'limits': {'idleTimeoutMs': 10**400}},
+            {'limits': {'headerTimeoutMs': -1}},
+            {'note': float('nan')},
+            {'note': [{'a': float('-inf')}]},
+            {'note': json.loads(nest(40))},
+            {'note': '\ud800'},
+            {'\ud800': 1},
         ):
-            with self.subTest(change=change):
+            with self.subTest(change=str(change)[:80]):
                 with self.assertRaises(_decoding.EntryError):
                     _decoding.decode_table({**CONFIGURATION, **change})
 
+    def test_largest_version_can_be_sent_to_other_vms(self):
+        fields = {**CONFIGURATION, 'version': 2**63 - 1}
+        table = _decoding.decode_table(fields)
+        value = _decoding.make_value(fields, table.version)
+        manifest, _ = core.split_value(value)
+        envelope = wire.Envelope(
+            message=core.ManifestAnswer(
+                revision=manifest.revision,
+                digest=manifest.digest(),
+                parts=manifest.parts,
+            ),
+            sender='front-1',
+            sender_incarnation=1,
+        )
+        self.assertEqual(
+            envelope, wire.decode(wire.encode(envelope, now_ms=0), now_ms=0)
+        )
+
+    # Guards against bytes in the store that end the process, at the latest
+    # when the configuration is encoded for the other VMs.
+    def test_accepted_values_can_be_split_and_refused_ones_have_a_problem(
+        self,
+    ):
+        text = json.dumps(CONFIGURATION)[:-1]
+        for note, is_valid in (
+            (b'1', True),
+            (b'1e308', True),
+            (nest(20), True),
+            (b'NaN', False),
+            (b'1e999', False),
+            (nest(100), False),
+            (nest(100_000), False),
+            (b'"\\ud800"', False),
+            (5000 * b'1', False),
+        ):
+            with self.subTest(note=note[:10], length=len(note)):
+                raw = text.encode() + b', "note": ' + note + b'}'
+                change = _store_client._to_table_change(
+                    {'key': 'op/config', 'value': _encode(raw)}, None
+                )
+                self.assertEqual(is_valid, not change.problem)
+                if is_valid:
+                    core.split_value(change.value)
+
+
+class TestPeerValue(unittest.TestCase):
+    """A value that another VM has sent, which may be of another build."""
+
+    def test_nested_section_is_a_section_error(self):
+        section = nest(100_000)
+        manifest = core.Manifest(
+            revision=2,
+            parts=(core.ManifestPart(key='a', is_list=True, digests=(5,)),),
+        )
+        with self.assertRaises(_sections.SectionError):
+            core.join_value(manifest, {5: section})
+
+    def test_values_that_cannot_be_used_are_table_errors(self):
+        client = _store_client.StoreClient(host='store', port=1)
+        value = _decoding.make_value(CONFIGURATION, 7)
+        self.assertEqual(7, client.build_table(value).version)
+        for change in (
+            {'revision': 2**63},
+            {'note': float('nan')},
+            {'limits': {'maxBodyBytes': float('inf')}},
+            {'note': json.loads(nest(900))},
+            {'routes': [[]]},
+            {'limits': 7},
+            # The wire passes a text on as bytes if it is not valid UTF-8.
+            {b'\xff': 1},
+        ):
+            with self.subTest(change=str(change)[:40]):
+                with self.assertRaises(TableError):
+                    client.build_table({**value, **change})
+
 
 class TestSettings(unittest.TestCase):
     def test_settings_fields_are_decoded(self):
@@ -186,6 +312,17 @@
             platform.load_settings('/nonexistent/local.json')
 
 
+def nest(depth):
+    """Return JSON of lists inside each other."""
+    return depth * b'[' + depth * b']'
+
+
+def make_engine_service(**change):
+    """Return a service of the configuration with a changed engine."""
+    service = CONFIGURATION['services'][0]
+    return {**service, 'engine': {**service['engine'], **change}}
+
+
 def _encode(raw):
     return base64.b64encode(raw).decode()
 
--- a/tests/unit/test_store_client.py
+++ b/tests/unit/test_store_client.py
@@ -137,3 +137,33 @@
             store.refuse_status = 503
             with self.assertRaises(PlatformUnavailableError):
                 await client.watch_servers(position)
+
+
+class NestedAnswers(site.Store):
+    """Store whose answers nest too deep for the JSON library."""
+
+    async def handle(self, request):
+        await request.answer(200, 100_000 * b'[' + 100_000 * b']')
+
+
+class TestUnreadableAnswers(unittest.TestCase):
+    @run
+    async def test_nested_answer_is_no_usable_answer(self):
+        async with connected_store(make_store=NestedAnswers) as (_, client):
+            with self.assertRaises(PlatformUnavailableError):
+                await client.read_servers()
+
+    # Guards against a key that ends the process as it is sent back to the
+    # store to ask for the next page.
+    @run
+    async def test_key_that_is_no_unicode_does_not_hide_other_servers(self):
+        async with connected_store(page_size=1) as (store, client):
+            for name in ('a', '\ud800', '\uffff'):
+                store.put(f'servers/{name}', SERVER)
+            changes, _ = await client.read_servers()
+            problems = {
+                change.name: bool(change.problem) for change in changes
+            }
+            self.assertEqual(
+                {'a': False, '\ud800': True, '\uffff': False}, problems
+            )
