Draw the soak's callers' choices apart from its faults

Seen: seed 1 did not give the same faults when only the requests differed. Cause: callers and faults drew from one random source, so the speed of the answers decided the next fault. Change: each caller has a source of its own.

--- a/tests/soak/_callers.py
+++ b/tests/soak/_callers.py
@@ -1,5 +1,7 @@
 """Callers of a soak test, which record every answer."""
 
+import random
+
 import attrs
 import trio
 
@@ -49,8 +51,9 @@
 class Callers:
     """Sends requests of all kinds until stopped and records the answers."""
 
-    def __init__(self, site):
+    def __init__(self, site, seed):
         self.site = site
+        self._seed = seed
         self.records = []
         self.versions = {}
         self.version_errors = []
@@ -58,7 +61,7 @@
 
     async def run_caller(self, number):
         """Send one request after another, mostly on the same connection."""
-        rng = self.site.rng
+        rng = random.Random(f'{self._seed} caller {number}')
         caller = None
         count = 0
         while not self.is_stopped:
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -38,7 +38,7 @@
     with tempfile.TemporaryDirectory() as temporary:
         rng = random.Random(seed)
         site = _site.SoakSite(rng=rng, folder=folder or temporary)
-        callers = _callers.Callers(site)
+        callers = _callers.Callers(site, seed)
         async with trio.open_nursery() as nursery:
             await site.start(nursery)
             await _wait_ready(site)
