Record disturbances in the soak as spans of time

A VM had only the time of its last disturbance, so a check could not ask whether a request in the past was disturbed, or by what. Kills and pauses, stops, faults of the store and of backend servers' links are now kept as spans. A SIGHUP no longer excuses a VM from serving the newest configuration: the users' rules don't list it among what takes a machine out of touch.

--- a/tests/soak/_callers.py
+++ b/tests/soak/_callers.py
@@ -170,13 +170,12 @@
         sent_s : float
             When the VM was asked.
         """
-        quiet_since_s = max(vm.disturbed_s, self.site.store_disturbed_s)
         published_s = self.site.version_published_s[version]
-        if self.site.store.refuse_status:
-            return False
+        quiet_s = sent_s - QUIET_S
         return (
             sent_s - published_s > CONFIG_BOUND_S
-            and sent_s - quiet_since_s > QUIET_S
+            and vm.was_in_touch(quiet_s, sent_s)
+            and not self.site.store_faults.touches(quiet_s, sent_s)
         )
 
 
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -26,10 +26,11 @@
     await trio.sleep(site.rng.uniform(min_s, max_s))
 
 
-async def _apply_rule(site, proxy, **rule):
+async def _apply_rule(site, proxy, spans, **rule):
     proxy.set_rules({'*': _proxy.Rule(**rule)})
     try:
-        await _sleep_random(site)
+        with spans.span():
+            await _sleep_random(site)
     finally:
         proxy.set_rules({})
 
@@ -55,30 +56,24 @@
 @faults.register('vm-pause')
 async def pause_vm(site):
     """Pause the process of a VM for a while."""
-    vm = _choose_vm(site)
-    vm.signal(signal.SIGSTOP)
-    try:
+    with _choose_vm(site).paused():
         await _sleep_random(site)
-    finally:
-        vm.signal(signal.SIGCONT)
 
 
 @faults.register('store-cut')
 async def cut_store(site):
     """Reset a VM's connections to the store and refuse new ones."""
     vm = _choose_vm(site)
-    vm.disturbed_s = trio.current_time()
-    await _apply_rule(site, vm.store_proxy, cut=True)
-    vm.disturbed_s = trio.current_time()
+    await _apply_rule(site, vm.store_proxy, vm.store_faults, cut=True)
 
 
 @faults.register('store-silent')
 async def stall_store_answers(site):
     """Hold back the store's answers to one VM."""
     vm = _choose_vm(site)
-    vm.disturbed_s = trio.current_time()
-    await _apply_rule(site, vm.store_proxy, stall_answers=True)
-    vm.disturbed_s = trio.current_time()
+    await _apply_rule(
+        site, vm.store_proxy, vm.store_faults, stall_answers=True
+    )
 
 
 @faults.register('store-busy')
@@ -87,42 +82,46 @@
     site.store.refuse_status = site.rng.choice((503, 429))
     site.store.compact()
     try:
-        await _sleep_random(site)
+        with site.store_faults.span():
+            await _sleep_random(site)
     finally:
         site.store.refuse_status = 0
-        site.store_disturbed_s = trio.current_time()
 
 
 @faults.register('store-compact')
 async def compact_store(site):
     """Make the store compact its history, so that watches must restart."""
-    site.store_disturbed_s = trio.current_time()
+    site.store_faults.note()
     site.store.compact()
 
 
 @faults.register('server-reset')
 async def reset_server(site):
     """Reset a backend server's connections and refuse new ones for a while."""
-    await _apply_rule(site, _choose_backend(site).proxy, cut=True)
+    backend = _choose_backend(site)
+    await _apply_rule(site, backend.proxy, backend.faults, cut=True)
 
 
 @faults.register('server-silent')
 async def stall_server_answers(site):
     """Hold back a backend server's answers for a while."""
-    await _apply_rule(site, _choose_backend(site).proxy, stall_answers=True)
+    backend = _choose_backend(site)
+    await _apply_rule(site, backend.proxy, backend.faults, stall_answers=True)
 
 
 @faults.register('server-deaf')
 async def stall_server(site):
     """Hold back all data to and from a backend server for a while."""
-    await _apply_rule(site, _choose_backend(site).proxy, stall=True)
+    backend = _choose_backend(site)
+    await _apply_rule(site, backend.proxy, backend.faults, stall=True)
 
 
 @faults.register('server-late')
 async def delay_server(site):
     """Delay all data to and from a backend server for a while."""
-    proxy = _choose_backend(site).proxy
-    await _apply_rule(site, proxy, delay_ms=site.rng.randint(20, 300))
+    backend = _choose_backend(site)
+    delay_ms = site.rng.randint(20, 300)
+    await _apply_rule(site, backend.proxy, backend.faults, delay_ms=delay_ms)
 
 
 @faults.register('server-replace')
--- a/tests/soak/_site.py
+++ b/tests/soak/_site.py
@@ -1,5 +1,6 @@
 """The entry processes and stand-ins of one soak test."""
 
+import contextlib
 import json
 import os
 import pathlib
@@ -12,6 +13,7 @@
 
 from standin import _proxy
 from standin import site
+from tests.soak import _spans
 
 HOST = 'calls.example'
 DATA_CENTRES = ('cluj-a', 'brasov-b')
@@ -48,6 +50,15 @@
         Addresses of the VMs that this VM contacts first.
     ports : dict
         Ports that the VM listens on, by purpose.
+
+    Attributes
+    ----------
+    failures : Spans
+        When its process was killed or paused.
+    stops : Spans
+        When it was sent SIGTERM, and when its process did not run.
+    store_faults : Spans
+        When its link to the store was disturbed.
     """
 
     def __init__(self, *, index, folder, store_port, seeds, ports):
@@ -59,7 +70,9 @@
         )
         self.process = None
         self.exits = []
-        self.disturbed_s = trio.current_time()
+        self.failures = _spans.Spans()
+        self.stops = _spans.Spans()
+        self.store_faults = _spans.Spans()
         self.expected_exit = False
         self._path = pathlib.Path(folder) / f'{self.name}.json'
         self._log_path = pathlib.Path(folder) / f'{self.name}.log'
@@ -99,14 +112,16 @@
                 self.process = await trio.lowlevel.open_process(
                     command, stdout=log, stderr=log, env=dict(os.environ)
                 )
+            self.stops.note()
             try:
                 code = await self.process.wait()
             finally:
                 self._kill()
-            self.disturbed_s = trio.current_time()
-            if not self.expected_exit:
-                self.exits.append((self.name, code, self._read_last_line()))
-            await trio.sleep(RESTART_S)
+            with self.stops.span():
+                if not self.expected_exit:
+                    last_line = self._read_last_line()
+                    self.exits.append((self.name, code, last_line))
+                await trio.sleep(RESTART_S)
 
     def _read_last_line(self):
         """Return the last line of the log, which often says why it ended."""
@@ -116,11 +131,31 @@
     def signal(self, number):
         """Send a signal to the process if it is running."""
         if self.process is not None and self.process.returncode is None:
-            self.disturbed_s = trio.current_time()
+            if number == signal.SIGTERM:
+                self.stops.note()
+            elif number != signal.SIGHUP:
+                self.failures.note()
             if number in (signal.SIGTERM, signal.SIGKILL):
                 self.expected_exit = True
             self.process.send_signal(number)
 
+    @contextlib.contextmanager
+    def paused(self):
+        """Pause the process during the ``with`` body."""
+        self.signal(signal.SIGSTOP)
+        try:
+            with self.failures.span():
+                yield
+        finally:
+            self.signal(signal.SIGCONT)
+
+    def was_in_touch(self, begin_s, end_s):
+        """Return whether nothing disturbed it, the store apart."""
+        return not any(
+            spans.touches(begin_s, end_s)
+            for spans in (self.failures, self.stops, self.store_faults)
+        )
+
     def _kill(self):
         if self.process.returncode is None:
             self.process.send_signal(signal.SIGCONT)
@@ -141,12 +176,15 @@
         Proxy through which VMs reach it.
     drained_s : float or None
         Time at which draining began; None while it takes requests.
+    faults : Spans
+        When its link to the VMs was disturbed.
     """
 
     server: site.PlainServer
     service: str
     proxy: _proxy.Proxy
     drained_s: float | None = None
+    faults: _spans.Spans = attrs.field(factory=_spans.Spans)
 
     def entry(self, **changes):
         """Return its entry in the store, with the address of the proxy."""
@@ -162,7 +200,7 @@
     Parameters
     ----------
     rng : Random
-        Source of all random choices.
+        Source of all random choices of the faults.
     folder : str
         Folder for logs and settings.
     vm_count : int
@@ -176,7 +214,7 @@
         self.vms = []
         self.version = 0
         self.version_published_s = {}
-        self.store_disturbed_s = 0.0
+        self.store_faults = _spans.Spans()
         self.nursery = None
         self._folder = folder
         self._vm_count = vm_count
