Inject signals, restarts and changes in series in the soak

Asked for by the users: faults came singly, so no signal met a process that was reloading, stopping or restarting, unless by chance. Six series are registered like the other faults: a stop amid two reloads and again later, a rolling stop of all VMs with changes between, a kill and a pause during a stop, changes during a restart, and one VM cut from the store, paused, reloaded, stopped and killed at once. The log names the faults that each one overlaps.

--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -6,6 +6,7 @@
 
 from bluebellthread.core import _registry
 from standin import _proxy
+from tests.soak import _site
 
 faults = _registry.Registry('fault')
 """Async functions that take a `SoakSite` and undo their fault at the end."""
@@ -35,6 +36,17 @@
         proxy.set_rules({})
 
 
+async def _signal_later(site, vm, number, max_s):
+    await trio.sleep(site.rng.uniform(0.0, max_s))
+    vm.signal(number)
+
+
+async def _publish_some(site, min_count, max_count, max_gap_s):
+    for _ in range(site.rng.randint(min_count, max_count)):
+        site.publish()
+        await trio.sleep(site.rng.uniform(0.0, max_gap_s))
+
+
 @faults.register('vm-kill')
 async def kill_vm(site):
     """Kill the process of a VM; it is then restarted."""
@@ -140,9 +152,7 @@
 @faults.register('config-change')
 async def change_configuration(site):
     """Publish one to five configuration versions in quick succession."""
-    for _ in range(site.rng.randint(1, 5)):
-        site.publish()
-        await trio.sleep(site.rng.uniform(0.0, 0.2))
+    await _publish_some(site, 1, 5, 0.2)
 
 
 @faults.register('config-unreadable')
@@ -151,3 +161,71 @@
     site.store.put('op/config', b'{"version":')
     await _sleep_random(site, 0.1, 0.5)
     site.publish()
+
+
+@faults.register('series-reload-stop')
+async def stop_vm_at_reload(site):
+    """Reload a VM twice in 50 ms, stop it meanwhile and again later."""
+    vm = _choose_vm(site)
+    vm.signal(signal.SIGHUP)
+    await _signal_later(site, vm, signal.SIGHUP, 0.05)
+    await _signal_later(site, vm, signal.SIGTERM, 0.02)
+    await _signal_later(site, vm, signal.SIGTERM, _site.STOP_GRACE_S)
+
+
+@faults.register('series-rolling-stop')
+async def stop_all_vms(site):
+    """Stop all VMs in turn and change the configuration in between.
+
+    All are stopped within 12 s, so that the soak stays short. VMs that are
+    stopped faster than they restart are all away for a while.
+    """
+    pause_s = site.rng.uniform(0.0, 12.0) / len(site.vms)
+    for vm in site.rng.sample(site.vms, len(site.vms)):
+        vm.signal(signal.SIGTERM)
+        await _publish_some(site, 0, 2, 0.05)
+        await trio.sleep(site.rng.uniform(0.0, pause_s))
+
+
+@faults.register('series-stop-kill')
+async def kill_stopping_vm(site):
+    """Kill a VM during its stop."""
+    vm = _choose_vm(site)
+    vm.signal(signal.SIGTERM)
+    await _signal_later(site, vm, signal.SIGKILL, _site.STOP_GRACE_S)
+
+
+@faults.register('series-stop-pause')
+async def pause_stopping_vm(site):
+    """Pause a VM during its stop."""
+    vm = _choose_vm(site)
+    vm.signal(signal.SIGTERM)
+    await trio.sleep(site.rng.uniform(0.0, 5.0))
+    with vm.paused():
+        await _sleep_random(site)
+
+
+@faults.register('series-restart-changes')
+async def change_configuration_at_restart(site):
+    """Change the configuration several times while a VM restarts."""
+    vm = _choose_vm(site)
+    vm.signal(site.rng.choice((signal.SIGTERM, signal.SIGKILL)))
+    await trio.sleep(site.rng.choice((0.0, 2.0)))
+    await _publish_some(site, 4, 10, 0.6)
+
+
+@faults.register('series-all-at-once')
+async def disturb_vm_by_all(site):
+    """Cut a VM's store, pause, reload, stop and kill it at random times."""
+    vm = _choose_vm(site)
+
+    async def pause():
+        await trio.sleep(site.rng.uniform(0.0, 2.0))
+        with vm.paused():
+            await _sleep_random(site)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(pause)
+        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGKILL):
+            nursery.start_soon(_signal_later, site, vm, number, 4.0)
+        await _apply_rule(site, vm.store_proxy, vm.store_faults, cut=True)
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -59,12 +59,21 @@
 
 async def _inject(site, length_s, log):
     """Inject faults that may overlap; return when all have ended."""
-    end_s = trio.current_time() + length_s
+    begin_s = trio.current_time()
+    running = []
+
+    async def run_fault(name):
+        overlapping = ', '.join(running)
+        running.append(name)
+        elapsed_s = trio.current_time() - begin_s
+        log(f'{elapsed_s:6.2f} s  {name}, during: {overlapping or "none"}')
+        await _faults.faults.get(name)(site)
+        running.remove(name)
+
     async with trio.open_nursery() as nursery:
-        while trio.current_time() < end_s:
+        while trio.current_time() < begin_s + length_s:
             name = site.rng.choice(_faults.faults.names())
-            log(f'{trio.current_time() - end_s + length_s:6.2f} s  {name}')
-            nursery.start_soon(_faults.faults.get(name), site)
+            nursery.start_soon(run_fault, name)
             await trio.sleep(site.rng.uniform(0.05, 1.5))
 
 
