Check each version when due, in data centres of several VMs, in the soak

Seen: three VMs in two data centres, so every VM read the configuration from the store and none got it from others; and a version was only checked if no newer one was published within 2.5 s, which series of changes prevent. A version's route stays in the 19 versions after it, and each VM is asked for the newest version that is due. A version that a malformed one replaced before it was due is due with the next one. Errors name the age and the time.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -10,6 +10,9 @@
 
 from tests.soak import _run
 
+VMS_MAX = 250
+"""Each VM has a loopback address of its own in the soak's network of 254."""
+
 
 def main(arguments=None):
     """Run soak tests one after another; return 1 if a check failed."""
@@ -24,6 +27,13 @@
         '--count', type=int, default=1, help='number of random seeds'
     )
     parser.add_argument('--length-s', type=float, default=20.0)
+    parser.add_argument(
+        '--vms',
+        type=int,
+        choices=range(2, VMS_MAX + 1),
+        metavar='N',
+        help=f'entry processes, 2 to {VMS_MAX} (default: 3 to 6 by the seed)',
+    )
     parser.add_argument('--logs', help='folder for logs and settings')
     options = parser.parse_args(arguments)
     seeds = options.seed or [
@@ -36,7 +46,11 @@
             folder = pathlib.Path(options.logs) / str(seed)
             folder.mkdir(parents=True, exist_ok=True)
         soak = functools.partial(
-            _run.run_soak, seed, length_s=options.length_s, folder=folder
+            _run.run_soak,
+            seed,
+            length_s=options.length_s,
+            vm_count=options.vms,
+            folder=folder,
         )
         broken = trio.run(soak)
         for line in broken:
--- a/tests/soak/_callers.py
+++ b/tests/soak/_callers.py
@@ -7,6 +7,7 @@
 
 from standin.site import _backend
 from tests.integration import _entry_site
+from tests.soak import _site
 
 DEADLINE_MS = 4000
 IDLE_MAX_S = 4.0
@@ -16,6 +17,10 @@
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 IDLE_SHARE = 0.03
+PROBE_PAUSE_S = 0.03
+"""Pause between two probes of a VM for each VM of the site, so that the load
+of all probes does not depend on their number."""
+
 KINDS = ('read', 'order', 'ask', 'once')
 
 
@@ -65,7 +70,7 @@
         self._seed = seed
         self.records = []
         self.versions = {}
-        self.version_errors = []
+        self.version_errors = {}
         self.is_stopped = False
 
     async def run_caller(self, number):
@@ -133,22 +138,21 @@
         caller.vm = vm.name
         return caller
 
-    async def probe_versions(self):
-        """Check repeatedly which configuration version each VM serves.
+    async def probe_versions(self, vm):
+        """Check repeatedly which configuration version a VM serves.
 
         Each version has a route of its own, which answers 404 if the version
         is not in force.
         """
         while not self.is_stopped:
-            for vm in self.site.vms:
-                await self._probe(vm)
-            await trio.sleep(0.1)
+            await self._probe(vm)
+            await trio.sleep(PROBE_PAUSE_S * len(self.site.vms))
 
     async def _probe(self, vm):
         pid = vm.process.pid if vm.process is not None else 0
         known = self.versions.get((vm.name, pid), 0)
         sent_s = trio.current_time()
-        newest = self.site.version
+        newest = self._choose_version(known, sent_s)
         try:
             with trio.fail_after(2):
                 caller = await self._connect(vm)
@@ -160,23 +164,37 @@
             return
         except AttributeError:
             return
-        if self.site.version != newest:
+        if self.site.version - newest >= _site.KEPT_VERSIONS:
             # A newer version is published and removes the route of this one.
             return
         if answer.status == 200:
             self.versions[vm.name, pid] = max(known, newest)
         elif answer.status == 404 and newest <= known:
-            self.version_errors.append((vm.name, newest, known))
+            self._note_error(vm, newest, sent_s, f'after {known} was served')
         elif answer.status == 404 and self._is_overdue(vm, newest, sent_s):
-            self.version_errors.append(
-                (vm.name, newest, 'unknown, version overdue')
-            )
+            self._note_error(vm, newest, sent_s, 'overdue')
+
+    def _note_error(self, vm, version, sent_s, problem):
+        age_s = sent_s - self.site.version_published_s[version]
+        elapsed_s = sent_s - self.site.begun_s
+        self.version_errors.setdefault((vm.name, version), []).append(
+            f'{problem}, {age_s:.2f} s old at {elapsed_s:.2f} s'
+        )
+
+    def _choose_version(self, known, now_s):
+        """Return the newest version that is due, or the newest if known."""
+        due = [
+            version
+            for version, time_s in self.site.version_published_s.items()
+            if now_s - time_s > _site.CONFIG_BOUND_S
+        ]
+        return due[-1] if due and due[-1] > known else self.site.version
 
     def _is_overdue(self, vm, version, sent_s):
         """Return whether a version must have been in force at ``sent_s``.
 
-        It need not be in force while the store refuses calls or within
-        `QUIET_S` of a fault.
+        It need not be in force while the store refuses calls or has a
+        malformed one, or within `QUIET_S` of a fault.
 
         Parameters
         ----------
@@ -188,23 +206,15 @@
             When the VM was asked.
         """
         published_s = self.site.version_published_s[version]
-        quiet_s = sent_s - QUIET_S
+        quiet_s = sent_s - _site.QUIET_S
         return (
-            sent_s - published_s > CONFIG_BOUND_S
+            sent_s - published_s > _site.CONFIG_BOUND_S
+            and self.site.unreadable_s is None
             and vm.was_in_touch(quiet_s, sent_s)
             and not self.site.store_faults.touches(quiet_s, sent_s)
         )
 
 
-CONFIG_BOUND_S = 2.5
-QUIET_S = 4.0
-"""Time limits for a new configuration version, from the platform's pages.
-
-The version must be in force within ``CONFIG_BOUND_S`` at each VM that has had
-no fault for ``QUIET_S``.
-"""
-
-
 def expected_stream():
     """Return the bytes of a complete answer of an engine."""
     return b''.join(_backend.make_event(n) for n in range(1, 13))
--- a/tests/soak/_checks.py
+++ b/tests/soak/_checks.py
@@ -41,8 +41,9 @@
             for name, code, last_line in vm.exits
         ]
     broken += [
-        f'version {version} is missing at {vm}, last served: {known}'
-        for vm, version, known in callers.version_errors
+        f'version {version} is missing at {vm}, {len(problems)} probes: '
+        f'{problems[0]}; {problems[-1]}'
+        for (vm, version), problems in callers.version_errors.items()
     ]
     broken += check_lost(site, callers)
     broken += check_recovery(callers, quiet_since_s)
@@ -63,13 +64,14 @@
         if record.whole or _is_excused(record, passed_on[record.request_id]):
             continue
         vm = vms[record.vm]
-        since_s = record.begun_s - _callers.QUIET_S
+        since_s = record.begun_s - _site.QUIET_S
         has_store_fault = vm.store_faults.touches(
             since_s, record.ended_s
         ) or site.store_faults.touches(since_s, record.ended_s)
         line = (
-            f'{record.kind} {record.request_id} at {record.vm} was passed on '
-            f'but not answered, status {record.status}, after '
+            f'{record.kind} {record.request_id} at {record.vm}, sent at '
+            f'{record.begun_s - site.begun_s:.2f} s, was passed on but not '
+            f'answered, status {record.status}, after '
             f'{record.ended_s - record.begun_s:.2f} s, '
             f'{"kept" if record.is_kept else "new"} connection'
         )
@@ -93,7 +95,7 @@
 
     A request that reached its time limit is excused too.
     """
-    since_s = record.begun_s - _callers.QUIET_S
+    since_s = record.begun_s - _site.QUIET_S
     return (
         not backends
         or record.ended_s - record.begun_s >= _callers.DEADLINE_MS / 1000
@@ -125,7 +127,7 @@
         ):
             return True
     return any(
-        record.begun_s <= time_s + _callers.CONFIG_BOUND_S
+        record.begun_s <= time_s + _site.CONFIG_BOUND_S
         and record.ended_s >= time_s
         for time_s in vm.reload_times_s
     )
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -1,5 +1,6 @@
 """Runs one soak test: overlapping faults, a quiet period, then checks."""
 
+import datetime
 import random
 import tempfile
 
@@ -10,7 +11,7 @@
 from tests.soak import _faults
 from tests.soak import _site
 
-CALLER_COUNT = 12
+CALLERS_MIN = 12
 RECOVERY_S = 14.0
 """Seconds between the last fault and the requests that must be served.
 
@@ -21,7 +22,7 @@
 QUIET_S = 4.0
 
 
-async def run_soak(seed, *, length_s, log=print, folder=None):
+async def run_soak(seed, *, length_s, vm_count=None, log=print, folder=None):
     """Run one soak test and return one line for each broken guarantee.
 
     Parameters
@@ -30,6 +31,8 @@
         Seed of the faults and the requests.
     length_s : float
         Time over which faults are injected.
+    vm_count : int or None
+        Number of entry processes; a few by the seed by default.
     log : callable
         Function that is called with each line of progress.
     folder : str or None
@@ -37,14 +40,17 @@
     """
     with tempfile.TemporaryDirectory() as temporary:
         rng = random.Random(seed)
-        site = _site.SoakSite(rng=rng, folder=folder or temporary)
+        site = _site.SoakSite(
+            rng=rng, folder=folder or temporary, vm_count=vm_count
+        )
         callers = _callers.Callers(site, seed)
         async with trio.open_nursery() as nursery:
             await site.start(nursery)
             await _wait_ready(site)
-            for number in range(CALLER_COUNT):
+            for number in range(max(CALLERS_MIN, len(site.vms))):
                 nursery.start_soon(callers.run_caller, number)
-            nursery.start_soon(callers.probe_versions)
+            for vm in site.vms:
+                nursery.start_soon(callers.probe_versions, vm)
             await _inject(site, length_s, log)
             await trio.sleep(RECOVERY_S)
             quiet_since_s = trio.current_time()
@@ -52,6 +58,7 @@
             callers.is_stopped = True
             await _wait_ended(callers)
             broken = _checks.check(site, callers, quiet_since_s)
+            log(f'seed {seed}: {site.describe()}')
             log(summarize(seed, callers, broken))
             nursery.cancel_scope.cancel()
     return broken
@@ -59,19 +66,20 @@
 
 async def _inject(site, length_s, log):
     """Inject faults that may overlap; return when all have ended."""
-    begin_s = trio.current_time()
+    site.begun_s = trio.current_time()
+    log(f'faults from {datetime.datetime.now(datetime.UTC):%H:%M:%S.%f} on')
     running = []
 
     async def run_fault(name):
         overlapping = ', '.join(running)
         running.append(name)
-        elapsed_s = trio.current_time() - begin_s
+        elapsed_s = trio.current_time() - site.begun_s
         log(f'{elapsed_s:6.2f} s  {name}, during: {overlapping or "none"}')
         await _faults.faults.get(name)(site)
         running.remove(name)
 
     async with trio.open_nursery() as nursery:
-        while trio.current_time() < begin_s + length_s:
+        while trio.current_time() < site.begun_s + length_s:
             name = site.rng.choice(_faults.faults.names())
             nursery.start_soon(run_fault, name)
             await trio.sleep(site.rng.uniform(0.05, 1.5))
--- a/tests/soak/_site.py
+++ b/tests/soak/_site.py
@@ -27,6 +27,17 @@
     'budgetSlack': 56,
 }
 RESTART_S = 0.2
+CONFIG_BOUND_S = 2.5
+QUIET_S = 4.0
+"""Time limits for a new configuration version, from the platform's pages.
+
+The version must be in force within ``CONFIG_BOUND_S`` at each VM that has had
+no fault for ``QUIET_S``.
+"""
+
+KEPT_VERSIONS = 20
+"""Versions whose routes a configuration has, so that each can be asked for
+when it is due: more than are published within ``CONFIG_BOUND_S``."""
 
 
 def find_free_port(host):
@@ -51,6 +62,8 @@
         Addresses of the VMs that this VM contacts first.
     ports : dict
         Ports that the VM listens on, by purpose.
+    zone : str
+        Name of its data centre.
 
     Attributes
     ----------
@@ -64,8 +77,9 @@
         When its link to the store was disturbed.
     """
 
-    def __init__(self, *, index, folder, store_port, seeds, ports):
+    def __init__(self, *, index, folder, store_port, seeds, ports, zone):
         self.name = f'vm{index}'
+        self.zone = zone
         self.host = host_of(index)
         self.ports = ports
         self.store_proxy = _proxy.Proxy(
@@ -82,16 +96,14 @@
         self._path = pathlib.Path(folder) / f'{self.name}.json'
         self._log_path = pathlib.Path(folder) / f'{self.name}.log'
         self._seeds = seeds
-        self._index = index
 
     def write_settings(self):
         """Write this VM's settings file in the platform's format."""
-        zone = DATA_CENTRES[self._index % len(DATA_CENTRES)]
         store = f'127.0.0.1:{self.store_proxy.settings.port}'
         fields = {
             'nodeName': self.name,
             'ip': self.host,
-            'zone': zone,
+            'zone': self.zone,
             'region': 'north',
             'zones': dict.fromkeys(DATA_CENTRES, 'north'),
             'listen': {
@@ -211,21 +223,33 @@
         Source of all random choices of the faults.
     folder : str
         Folder for logs and settings.
-    vm_count : int
-        Number of entry processes.
+    vm_count : int or None
+        Number of entry processes; None for 3 to 6 by `rng`.
+
+    Attributes
+    ----------
+    begun_s : float
+        When the faults began.
+    extra_route_count : int
+        Routes of the configuration beside those that are used.
+    unreadable_s : float or None
+        Since when the configuration in the store is malformed.
     """
 
-    def __init__(self, *, rng, folder, vm_count=3):
+    def __init__(self, *, rng, folder, vm_count=None):
         self.rng = rng
         self.store = site.Store()
         self.backends = {}
         self.vms = []
         self.version = 0
         self.version_published_s = {}
+        self.begun_s = 0.0
+        self.extra_route_count = 0
+        self.unreadable_s = None
         self.store_faults = _spans.Spans()
         self.nursery = None
         self._folder = folder
-        self._vm_count = vm_count
+        self._vm_count = vm_count or rng.randint(3, 6)
         self._numbers = iter(range(1, 1000))
 
     async def start(self, nursery):
@@ -241,6 +265,9 @@
                 await self.add_backend(service, kind)
         self.publish()
         hosts = [host_of(index) for index in range(self._vm_count)]
+        # Two VMs of a data centre read the configuration from the store, so
+        # the first one mostly has others too.
+        second_count = self.rng.randint(1, self._vm_count // 2)
         ports = {
             name: find_free_port(hosts[0])
             for name in ('front', 'ready', 'peer')
@@ -252,6 +279,7 @@
                 store_port=self.store.port,
                 seeds=hosts,
                 ports=ports,
+                zone=DATA_CENTRES[index < second_count],
             )
             await vm.store_proxy.start(nursery)
             vm.write_settings()
@@ -278,16 +306,31 @@
         return backend
 
     def publish(self):
-        """Publish the next configuration version, which has its own route."""
+        """Publish the next configuration version, which has its own route.
+
+        It also has the routes of the versions before it. A version that was
+        not due when a malformed one replaced it is due with this one.
+        """
         self.version += 1
-        self.version_published_s[self.version] = trio.current_time()
+        now_s = trio.current_time()
+        self.version_published_s[self.version] = now_s
+        if self.unreadable_s is not None:
+            for version, time_s in self.version_published_s.items():
+                if time_s > self.unreadable_s - CONFIG_BOUND_S:
+                    self.version_published_s[version] = now_s
+            self.unreadable_s = None
+        first_version = max(1, self.version - KEPT_VERSIONS + 1)
         routes = [
             _route('/read/', 'safe', 'plain'),
             _route('/order/', 'unsafe', 'plain', maxAttempts=1),
             _route('/ask/', 'stream', 'model'),
             _route('/once/', 'stream', 'model', resumable=False),
-            _route(f'/version-{self.version}/', 'safe', 'plain'),
         ]
+        prefixes = [
+            *(f'version-{n}' for n in range(first_version, self.version + 1)),
+            *(f'extra-{n}' for n in range(self.extra_route_count)),
+        ]
+        routes += [_route(f'/{name}/', 'safe', 'plain') for name in prefixes]
         services = [
             {'name': 'plain', 'maxConnections': 99},
             {
@@ -303,6 +346,11 @@
         }
         self.store.put('op/config', fields)
 
+    def describe(self):
+        """Return the number of VMs by data centre and of versions."""
+        counts = collections.Counter(vm.zone for vm in self.vms)
+        return f'VMs {dict(counts)}, {self.version} versions'
+
     def list_passed_on(self):
         """Return the backend servers that each request id has reached."""
         reached = collections.defaultdict(list)
