Inject large configurations and cuts of both readers in the soak

Asked for by the users: an incident had 1,600 routes and answers of 375 KB. A fault publishes 300 to 1,600 routes beside the others, quick small changes, then few routes. Another cuts the store from two VMs of a data centre, mostly the two that read it, for up to 8 s, and changes the configuration meanwhile.

--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -1,10 +1,12 @@
 """Registry of the faults that are injected from outside the processes."""
 
+import functools
 import signal
 
 import trio
 
 from bluebellthread.core import _registry
+from bluebellthread.core import _revision_topology
 from standin import _proxy
 from tests.soak import _site
 
@@ -27,11 +29,11 @@
     await trio.sleep(site.rng.uniform(min_s, max_s))
 
 
-async def _apply_rule(site, proxy, spans, **rule):
+async def _apply_rule(site, proxy, spans, max_s=2.5, **rule):
     proxy.set_rules({'*': _proxy.Rule(**rule)})
     try:
         with spans.span():
-            await _sleep_random(site)
+            await _sleep_random(site, max_s=max_s)
     finally:
         proxy.set_rules({})
 
@@ -79,6 +81,33 @@
     await _apply_rule(site, vm.store_proxy, vm.store_faults, cut=True)
 
 
+@faults.register('store-cut-two')
+async def cut_store_from_two(site):
+    """Cut the store from two VMs of a data centre; change the configuration.
+
+    Mostly they are the two that read it, which the others depend on. The cuts
+    last long enough for versions to be due.
+    """
+    zone = _choose_vm(site).zone
+    vms = {vm.name: vm for vm in site.vms if vm.zone == zone}
+    names = _revision_topology.choose_watchers(zone, sorted(vms))
+    if site.rng.random() < 0.3:
+        names = site.rng.sample(sorted(vms), len(names))
+    async with trio.open_nursery() as nursery:
+        for vm in map(vms.get, names):
+            nursery.start_soon(
+                functools.partial(
+                    _apply_rule,
+                    site,
+                    vm.store_proxy,
+                    vm.store_faults,
+                    max_s=8.0,
+                    cut=True,
+                )
+            )
+        await _publish_some(site, 1, 4, 2.0)
+
+
 @faults.register('store-silent')
 async def stall_store_answers(site):
     """Hold back the store's answers to one VM."""
@@ -155,10 +184,24 @@
     await _publish_some(site, 1, 5, 0.2)
 
 
+@faults.register('config-large')
+async def publish_large(site):
+    """Publish hundreds of routes, some small changes, then few routes.
+
+    An incident had 1,600 routes; answers of the store had 375 KB.
+    """
+    site.extra_route_count = site.rng.randint(300, 1600)
+    await _publish_some(site, 3, 10, 0.3)
+    await _sleep_random(site, 0.0, 4.0)
+    site.extra_route_count = 0
+    site.publish()
+
+
 @faults.register('config-unreadable')
 async def publish_malformed(site):
     """Publish a malformed configuration, then a valid one."""
     site.store.put('op/config', b'{"version":')
+    site.unreadable_s = trio.current_time()
     await _sleep_random(site, 0.1, 0.5)
     site.publish()
 
