--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -10,6 +10,9 @@
 
 from tests.soak import _run
 
+VMS_MAX = 250
+"""Each VM has a loopback address of its own in the soak's network of 254."""
+
 
 def main(arguments=None):
     """Run soak tests one after another; return 1 if a check failed."""
@@ -25,7 +28,11 @@
     )
     parser.add_argument('--length-s', type=float, default=20.0)
     parser.add_argument(
-        '--vms', type=int, default=3, help='number of entry processes'
+        '--vms',
+        type=int,
+        choices=range(2, VMS_MAX + 1),
+        metavar='N',
+        help=f'entry processes, 2 to {VMS_MAX} (default: 3 to 6 by the seed)',
     )
     parser.add_argument('--logs', help='folder for logs and settings')
     options = parser.parse_args(arguments)
@@ -42,8 +49,8 @@
             _run.run_soak,
             seed,
             length_s=options.length_s,
-            folder=folder,
             vm_count=options.vms,
+            folder=folder,
         )
         broken = trio.run(soak)
         for line in broken:
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -1,11 +1,14 @@
 """Registry of the faults that are injected from outside the processes."""
 
+import functools
 import signal
 
 import trio
 
 from bluebellthread.core import _registry
+from bluebellthread.core import _revision_topology
 from standin import _proxy
+from tests.soak import _site
 
 faults = _registry.Registry('fault')
 """Async functions that take a `SoakSite` and undo their fault at the end."""
@@ -26,14 +29,26 @@
     await trio.sleep(site.rng.uniform(min_s, max_s))
 
 
-async def _apply_rule(site, proxy, **rule):
+async def _apply_rule(site, proxy, spans, max_s=2.5, **rule):
     proxy.set_rules({'*': _proxy.Rule(**rule)})
     try:
-        await _sleep_random(site)
+        with spans.span():
+            await _sleep_random(site, max_s=max_s)
     finally:
         proxy.set_rules({})
 
 
+async def _signal_later(site, vm, number, max_s):
+    await trio.sleep(site.rng.uniform(0.0, max_s))
+    vm.signal(number)
+
+
+async def _publish_some(site, min_count, max_count, max_gap_s):
+    for _ in range(site.rng.randint(min_count, max_count)):
+        site.publish()
+        await trio.sleep(site.rng.uniform(0.0, max_gap_s))
+
+
 @faults.register('vm-kill')
 async def kill_vm(site):
     """Kill the process of a VM; it is then restarted."""
@@ -55,30 +70,51 @@
 @faults.register('vm-pause')
 async def pause_vm(site):
     """Pause the process of a VM for a while."""
-    vm = _choose_vm(site)
-    vm.signal(signal.SIGSTOP)
-    try:
+    with _choose_vm(site).paused():
         await _sleep_random(site)
-    finally:
-        vm.signal(signal.SIGCONT)
 
 
 @faults.register('store-cut')
 async def cut_store(site):
     """Reset a VM's connections to the store and refuse new ones."""
     vm = _choose_vm(site)
-    vm.disturbed_s = trio.current_time()
-    await _apply_rule(site, vm.store_proxy, cut=True)
-    vm.disturbed_s = trio.current_time()
+    await _apply_rule(site, vm.store_proxy, vm.store_faults, cut=True)
+
+
+@faults.register('store-cut-two')
+async def cut_store_from_two(site):
+    """Cut the store from two VMs of a data centre; change the configuration.
+
+    Mostly they are the two that read it, which the others depend on. The cuts
+    last long enough for versions to be due.
+    """
+    zone = _choose_vm(site).zone
+    vms = {vm.name: vm for vm in site.vms if vm.zone == zone}
+    names = _revision_topology.choose_watchers(zone, sorted(vms))
+    if site.rng.random() < 0.3:
+        names = site.rng.sample(sorted(vms), len(names))
+    async with trio.open_nursery() as nursery:
+        for vm in map(vms.get, names):
+            nursery.start_soon(
+                functools.partial(
+                    _apply_rule,
+                    site,
+                    vm.store_proxy,
+                    vm.store_faults,
+                    max_s=8.0,
+                    cut=True,
+                )
+            )
+        await _publish_some(site, 1, 4, 2.0)
 
 
 @faults.register('store-silent')
 async def stall_store_answers(site):
     """Hold back the store's answers to one VM."""
     vm = _choose_vm(site)
-    vm.disturbed_s = trio.current_time()
-    await _apply_rule(site, vm.store_proxy, stall_answers=True)
-    vm.disturbed_s = trio.current_time()
+    await _apply_rule(
+        site, vm.store_proxy, vm.store_faults, stall_answers=True
+    )
 
 
 @faults.register('store-busy')
@@ -87,42 +123,46 @@
     site.store.refuse_status = site.rng.choice((503, 429))
     site.store.compact()
     try:
-        await _sleep_random(site)
+        with site.store_faults.span():
+            await _sleep_random(site)
     finally:
         site.store.refuse_status = 0
-        site.store_disturbed_s = trio.current_time()
 
 
 @faults.register('store-compact')
 async def compact_store(site):
     """Make the store compact its history, so that watches must restart."""
-    site.store_disturbed_s = trio.current_time()
+    site.store_faults.note()
     site.store.compact()
 
 
 @faults.register('server-reset')
 async def reset_server(site):
     """Reset a backend server's connections and refuse new ones for a while."""
-    await _apply_rule(site, _choose_backend(site).proxy, cut=True)
+    backend = _choose_backend(site)
+    await _apply_rule(site, backend.proxy, backend.faults, cut=True)
 
 
 @faults.register('server-silent')
 async def stall_server_answers(site):
     """Hold back a backend server's answers for a while."""
-    await _apply_rule(site, _choose_backend(site).proxy, stall_answers=True)
+    backend = _choose_backend(site)
+    await _apply_rule(site, backend.proxy, backend.faults, stall_answers=True)
 
 
 @faults.register('server-deaf')
 async def stall_server(site):
     """Hold back all data to and from a backend server for a while."""
-    await _apply_rule(site, _choose_backend(site).proxy, stall=True)
+    backend = _choose_backend(site)
+    await _apply_rule(site, backend.proxy, backend.faults, stall=True)
 
 
 @faults.register('server-late')
 async def delay_server(site):
     """Delay all data to and from a backend server for a while."""
-    proxy = _choose_backend(site).proxy
-    await _apply_rule(site, proxy, delay_ms=site.rng.randint(20, 300))
+    backend = _choose_backend(site)
+    delay_ms = site.rng.randint(20, 300)
+    await _apply_rule(site, backend.proxy, backend.faults, delay_ms=delay_ms)
 
 
 @faults.register('server-replace')
@@ -141,14 +181,94 @@
 @faults.register('config-change')
 async def change_configuration(site):
     """Publish one to five configuration versions in quick succession."""
-    for _ in range(site.rng.randint(1, 5)):
-        site.publish()
-        await trio.sleep(site.rng.uniform(0.0, 0.2))
+    await _publish_some(site, 1, 5, 0.2)
+
+
+@faults.register('config-large')
+async def publish_large(site):
+    """Publish hundreds of routes, some small changes, then few routes.
+
+    An incident had 1,600 routes; answers of the store had 375 KB.
+    """
+    site.extra_route_count = site.rng.randint(300, 1600)
+    await _publish_some(site, 3, 10, 0.3)
+    await _sleep_random(site, 0.0, 4.0)
+    site.extra_route_count = 0
+    site.publish()
 
 
 @faults.register('config-unreadable')
 async def publish_malformed(site):
     """Publish a malformed configuration, then a valid one."""
     site.store.put('op/config', b'{"version":')
+    site.unreadable_s = trio.current_time()
     await _sleep_random(site, 0.1, 0.5)
     site.publish()
+
+
+@faults.register('series-reload-stop')
+async def stop_vm_at_reload(site):
+    """Reload a VM twice in 50 ms, stop it meanwhile and again later."""
+    vm = _choose_vm(site)
+    vm.signal(signal.SIGHUP)
+    await _signal_later(site, vm, signal.SIGHUP, 0.05)
+    await _signal_later(site, vm, signal.SIGTERM, 0.02)
+    await _signal_later(site, vm, signal.SIGTERM, _site.STOP_GRACE_S)
+
+
+@faults.register('series-rolling-stop')
+async def stop_all_vms(site):
+    """Stop all VMs in turn and change the configuration in between.
+
+    All are stopped within 12 s, so that the soak stays short. VMs that are
+    stopped faster than they restart are all away for a while.
+    """
+    pause_s = site.rng.uniform(0.0, 12.0) / len(site.vms)
+    for vm in site.rng.sample(site.vms, len(site.vms)):
+        vm.signal(signal.SIGTERM)
+        await _publish_some(site, 0, 2, 0.05)
+        await trio.sleep(site.rng.uniform(0.0, pause_s))
+
+
+@faults.register('series-stop-kill')
+async def kill_stopping_vm(site):
+    """Kill a VM during its stop."""
+    vm = _choose_vm(site)
+    vm.signal(signal.SIGTERM)
+    await _signal_later(site, vm, signal.SIGKILL, _site.STOP_GRACE_S)
+
+
+@faults.register('series-stop-pause')
+async def pause_stopping_vm(site):
+    """Pause a VM during its stop."""
+    vm = _choose_vm(site)
+    vm.signal(signal.SIGTERM)
+    await trio.sleep(site.rng.uniform(0.0, 5.0))
+    with vm.paused():
+        await _sleep_random(site)
+
+
+@faults.register('series-restart-changes')
+async def change_configuration_at_restart(site):
+    """Change the configuration several times while a VM restarts."""
+    vm = _choose_vm(site)
+    vm.signal(site.rng.choice((signal.SIGTERM, signal.SIGKILL)))
+    await trio.sleep(site.rng.choice((0.0, 2.0)))
+    await _publish_some(site, 4, 10, 0.6)
+
+
+@faults.register('series-all-at-once')
+async def disturb_vm_by_all(site):
+    """Cut a VM's store, pause, reload, stop and kill it at random times."""
+    vm = _choose_vm(site)
+
+    async def pause():
+        await trio.sleep(site.rng.uniform(0.0, 2.0))
+        with vm.paused():
+            await _sleep_random(site)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(pause)
+        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGKILL):
+            nursery.start_soon(_signal_later, site, vm, number, 4.0)
+        await _apply_rule(site, vm.store_proxy, vm.store_faults, cut=True)
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -1,5 +1,6 @@
 """Runs one soak test: overlapping faults, a quiet period, then checks."""
 
+import datetime
 import random
 import tempfile
 
@@ -10,7 +11,7 @@
 from tests.soak import _faults
 from tests.soak import _site
 
-CALLER_COUNT = 12
+CALLERS_MIN = 12
 RECOVERY_S = 14.0
 """Seconds between the last fault and the requests that must be served.
 
@@ -21,7 +22,7 @@
 QUIET_S = 4.0
 
 
-async def run_soak(seed, *, length_s, log=print, folder=None, vm_count=3):
+async def run_soak(seed, *, length_s, vm_count=None, log=print, folder=None):
     """Run one soak test and return one line for each broken guarantee.
 
     Parameters
@@ -30,6 +31,8 @@
         Seed of the faults and the requests.
     length_s : float
         Time over which faults are injected.
+    vm_count : int or None
+        Number of entry processes; a few by the seed by default.
     log : callable
         Function that is called with each line of progress.
     folder : str or None
@@ -42,13 +45,14 @@
         site = _site.SoakSite(
             rng=rng, folder=folder or temporary, vm_count=vm_count
         )
-        callers = _callers.Callers(site)
+        callers = _callers.Callers(site, seed)
         async with trio.open_nursery() as nursery:
             await site.start(nursery)
             await _wait_ready(site)
-            for number in range(CALLER_COUNT):
+            for number in range(max(CALLERS_MIN, len(site.vms))):
                 nursery.start_soon(callers.run_caller, number)
-            nursery.start_soon(callers.probe_versions)
+            for vm in site.vms:
+                nursery.start_soon(callers.probe_versions, vm)
             await _inject(site, length_s, log)
             await trio.sleep(RECOVERY_S)
             quiet_since_s = trio.current_time()
@@ -56,6 +60,7 @@
             callers.is_stopped = True
             await _wait_ended(callers)
             broken = _checks.check(site, callers, quiet_since_s)
+            log(f'seed {seed}: {site.describe()}')
             log(summarize(seed, callers, broken))
             nursery.cancel_scope.cancel()
     return broken
@@ -63,12 +68,22 @@
 
 async def _inject(site, length_s, log):
     """Inject faults that may overlap; return when all have ended."""
-    end_s = trio.current_time() + length_s
+    site.begun_s = trio.current_time()
+    log(f'faults from {datetime.datetime.now(datetime.UTC):%H:%M:%S.%f} on')
+    running = []
+
+    async def run_fault(name):
+        overlapping = ', '.join(running)
+        running.append(name)
+        elapsed_s = trio.current_time() - site.begun_s
+        log(f'{elapsed_s:6.2f} s  {name}, during: {overlapping or "none"}')
+        await _faults.faults.get(name)(site)
+        running.remove(name)
+
     async with trio.open_nursery() as nursery:
-        while trio.current_time() < end_s:
+        while trio.current_time() < site.begun_s + length_s:
             name = site.rng.choice(_faults.faults.names())
-            log(f'{trio.current_time() - end_s + length_s:6.2f} s  {name}')
-            nursery.start_soon(_faults.faults.get(name), site)
+            nursery.start_soon(run_fault, name)
             await trio.sleep(site.rng.uniform(0.05, 1.5))
 
 
--- a/tests/soak/_site.py
+++ b/tests/soak/_site.py
@@ -1,5 +1,7 @@
 """The entry processes and stand-ins of one soak test."""
 
+import collections
+import contextlib
 import json
 import os
 import pathlib
@@ -13,6 +15,7 @@
 from standin import _proxy
 from standin import site
 from tests import _checkouts
+from tests.soak import _spans
 
 HOST = 'calls.example'
 DATA_CENTRES = ('cluj-a', 'brasov-b')
@@ -25,6 +28,17 @@
     'budgetSlack': 56,
 }
 RESTART_S = 0.2
+CONFIG_BOUND_S = 2.5
+QUIET_S = 4.0
+"""Time limits for a new configuration version, from the platform's pages.
+
+The version must be in force within ``CONFIG_BOUND_S`` at each VM that has had
+no fault for ``QUIET_S``.
+"""
+
+KEPT_VERSIONS = 20
+"""Versions whose routes a configuration has, so that each can be asked for
+when it is due: more than are published within ``CONFIG_BOUND_S``."""
 
 
 def find_free_port(host):
@@ -49,32 +63,49 @@
         Addresses of the VMs that this VM contacts first.
     ports : dict
         Ports that the VM listens on, by purpose.
+    zone : str
+        Name of its data centre.
+
+    Attributes
+    ----------
+    failures : Spans
+        When its process was killed or paused.
+    stops : Spans
+        When it was sent SIGTERM, and when its process did not run.
+    term_times_s, reload_times_s : list of float
+        When it was sent SIGTERM and SIGHUP.
+    store_faults : Spans
+        When its link to the store was disturbed.
     """
 
-    def __init__(self, *, index, folder, store_port, seeds, ports):
+    def __init__(self, *, index, folder, store_port, seeds, ports, zone):
         self.name = f'vm{index}'
+        self.zone = zone
         self.host = host_of(index)
+        self._index = index
         self.ports = ports
         self.store_proxy = _proxy.Proxy(
             _proxy.ProxySettings(name=self.name, target_port=store_port)
         )
         self.process = None
         self.exits = []
-        self.disturbed_s = trio.current_time()
+        self.failures = _spans.Spans()
+        self.stops = _spans.Spans()
+        self.term_times_s = []
+        self.reload_times_s = []
+        self.store_faults = _spans.Spans()
         self.expected_exit = False
         self._path = pathlib.Path(folder).resolve() / f'{self.name}.json'
         self._log_path = pathlib.Path(folder) / f'{self.name}.log'
         self._seeds = seeds
-        self._index = index
 
     def write_settings(self):
         """Write this VM's settings file in the platform's format."""
-        zone = DATA_CENTRES[self._index % len(DATA_CENTRES)]
         store = f'127.0.0.1:{self.store_proxy.settings.port}'
         fields = {
             'nodeName': self.name,
             'ip': self.host,
-            'zone': zone,
+            'zone': self.zone,
             'region': 'north',
             'zones': dict.fromkeys(DATA_CENTRES, 'north'),
             'listen': {
@@ -94,9 +125,8 @@
         """Run the process and restart it whenever it ends, until cancelled."""
         command = [sys.executable, '-m', 'bluebellthread.run_entry']
         command += ['--settings', str(self._path), '--metrics-port', '0']
-        # Every other VM of each data centre.
-        number = sum(divmod(self._index, len(DATA_CENTRES)))
-        checkout = _checkouts.choose_checkout(number)
+        # Every other VM of each data centre: their numbers are consecutive.
+        checkout = _checkouts.choose_checkout(self._index)
         environment = _checkouts.make_environment(checkout)
         while True:
             self.expected_exit = False
@@ -108,14 +138,16 @@
                     env=environment,
                     cwd=checkout,
                 )
+            self.stops.note()
             try:
                 code = await self.process.wait()
             finally:
                 self._kill()
-            self.disturbed_s = trio.current_time()
-            if not self.expected_exit:
-                self.exits.append((self.name, code, self._read_last_line()))
-            await trio.sleep(RESTART_S)
+            with self.stops.span():
+                if not self.expected_exit:
+                    last_line = self._read_last_line()
+                    self.exits.append((self.name, code, last_line))
+                await trio.sleep(RESTART_S)
 
     def _read_last_line(self):
         """Return the last line of the log, which often says why it ended."""
@@ -125,11 +157,34 @@
     def signal(self, number):
         """Send a signal to the process if it is running."""
         if self.process is not None and self.process.returncode is None:
-            self.disturbed_s = trio.current_time()
+            if number == signal.SIGTERM:
+                self.stops.note()
+                self.term_times_s.append(trio.current_time())
+            elif number == signal.SIGHUP:
+                self.reload_times_s.append(trio.current_time())
+            else:
+                self.failures.note()
             if number in (signal.SIGTERM, signal.SIGKILL):
                 self.expected_exit = True
             self.process.send_signal(number)
 
+    @contextlib.contextmanager
+    def paused(self):
+        """Pause the process during the ``with`` body."""
+        self.signal(signal.SIGSTOP)
+        try:
+            with self.failures.span():
+                yield
+        finally:
+            self.signal(signal.SIGCONT)
+
+    def was_in_touch(self, begin_s, end_s):
+        """Return whether nothing disturbed it, the store apart."""
+        return not any(
+            spans.touches(begin_s, end_s)
+            for spans in (self.failures, self.stops, self.store_faults)
+        )
+
     def _kill(self):
         if self.process.returncode is None:
             self.process.send_signal(signal.SIGCONT)
@@ -150,12 +205,15 @@
         Proxy through which VMs reach it.
     drained_s : float or None
         Time at which draining began; None while it takes requests.
+    faults : Spans
+        When its link to the VMs was disturbed.
     """
 
     server: site.PlainServer
     service: str
     proxy: _proxy.Proxy
     drained_s: float | None = None
+    faults: _spans.Spans = attrs.field(factory=_spans.Spans)
 
     def entry(self, **changes):
         """Return its entry in the store, with the address of the proxy."""
@@ -171,24 +229,36 @@
     Parameters
     ----------
     rng : Random
-        Source of all random choices.
+        Source of all random choices of the faults.
     folder : str
         Folder for logs and settings.
-    vm_count : int
-        Number of entry processes.
+    vm_count : int or None
+        Number of entry processes; None for 3 to 6 by `rng`.
+
+    Attributes
+    ----------
+    begun_s : float
+        When the faults began.
+    extra_route_count : int
+        Routes of the configuration beside those that are used.
+    unreadable_s : float or None
+        Since when the configuration in the store is malformed.
     """
 
-    def __init__(self, *, rng, folder, vm_count=3):
+    def __init__(self, *, rng, folder, vm_count=None):
         self.rng = rng
         self.store = site.Store()
         self.backends = {}
         self.vms = []
         self.version = 0
         self.version_published_s = {}
-        self.store_disturbed_s = 0.0
+        self.begun_s = 0.0
+        self.extra_route_count = 0
+        self.unreadable_s = None
+        self.store_faults = _spans.Spans()
         self.nursery = None
         self._folder = folder
-        self._vm_count = vm_count
+        self._vm_count = vm_count or rng.randint(3, 6)
         self._numbers = iter(range(1, 1000))
 
     async def start(self, nursery):
@@ -204,6 +274,9 @@
                 await self.add_backend(service, kind)
         self.publish()
         hosts = [host_of(index) for index in range(self._vm_count)]
+        # Two VMs of a data centre read the configuration from the store, so
+        # the first one mostly has others too.
+        second_count = self.rng.randint(1, self._vm_count // 2)
         ports = {
             name: find_free_port(hosts[0])
             for name in ('front', 'ready', 'peer')
@@ -215,6 +288,7 @@
                 store_port=self.store.port,
                 seeds=hosts,
                 ports=ports,
+                zone=DATA_CENTRES[index < second_count],
             )
             await vm.store_proxy.start(nursery)
             vm.write_settings()
@@ -226,9 +300,10 @@
         name = f'{kind}-{next(self._numbers)}'
         if kind == 'plain':
             server = site.PlainServer(name=name)
+            server.run_pause_s = self.rng.choice((0.0, 0.05, 0.4))
         else:
             server = site.Engine(name=name, stage=kind, event_count=12)
-            server.event_pause_s = 0.02
+            server.event_pause_s = self.rng.choice((0.02, 0.02, 0.2))
         await server.start(self.nursery)
         proxy = _proxy.Proxy(
             _proxy.ProxySettings(name=name, target_port=server.port)
@@ -240,16 +315,31 @@
         return backend
 
     def publish(self):
-        """Publish the next configuration version, which has its own route."""
+        """Publish the next configuration version, which has its own route.
+
+        It also has the routes of the versions before it. A version that was
+        not due when a malformed one replaced it is due with this one.
+        """
         self.version += 1
-        self.version_published_s[self.version] = trio.current_time()
+        now_s = trio.current_time()
+        self.version_published_s[self.version] = now_s
+        if self.unreadable_s is not None:
+            for version, time_s in self.version_published_s.items():
+                if time_s > self.unreadable_s - CONFIG_BOUND_S:
+                    self.version_published_s[version] = now_s
+            self.unreadable_s = None
+        first_version = max(1, self.version - KEPT_VERSIONS + 1)
         routes = [
             _route('/read/', 'safe', 'plain'),
             _route('/order/', 'unsafe', 'plain', maxAttempts=1),
             _route('/ask/', 'stream', 'model'),
             _route('/once/', 'stream', 'model', resumable=False),
-            _route(f'/version-{self.version}/', 'safe', 'plain'),
         ]
+        prefixes = [
+            *(f'version-{n}' for n in range(first_version, self.version + 1)),
+            *(f'extra-{n}' for n in range(self.extra_route_count)),
+        ]
+        routes += [_route(f'/{name}/', 'safe', 'plain') for name in prefixes]
         services = [
             {'name': 'plain', 'maxConnections': 99},
             {
@@ -265,6 +355,20 @@
         }
         self.store.put('op/config', fields)
 
+    def describe(self):
+        """Return the number of VMs by data centre and of versions."""
+        counts = collections.Counter(vm.zone for vm in self.vms)
+        return f'VMs {dict(counts)}, {self.version} versions'
+
+    def list_passed_on(self):
+        """Return the backend servers that each request id has reached."""
+        reached = collections.defaultdict(list)
+        for backend in self.backends.values():
+            for request in backend.server.arrivals:
+                request_id = request.headers.get('x-request-attempt-id', '')
+                reached[request_id].append(backend)
+        return reached
+
     def count_runs(self):
         """Return how often each request id has run on any backend server."""
         counts = {}
