Limit the pauses of a platform client's read, not its whole length

What callers would see: VMs of bluebellthreadd that never get a large configuration or list of VMs. 1 MiB needs 4.2 s on a link of 2 Mbit/s and was given 2 s, or 2 s and what was left of the wait; each try began anew and filled the link in vain.

The size of a value was checked after all of it had been read, so an answer without end filled memory until the limit of time.

Change: an answer has the wait and 2 s to begin, then 2 s for each next part, and is given up as soon as it has more than VALUE_MAX_BYTES. The body of a refusal is not read; its connection is closed. The pool takes a network backend, for tests.

--- a/bluebellthread/daemon/_platform.py
+++ b/bluebellthread/daemon/_platform.py
@@ -8,7 +8,12 @@
 from bluebellthread import core
 
 VALUE_MAX_BYTES = 1024 * 1024
+"""Largest answer that is read, so that memory stays bounded."""
+
 CALL_MARGIN_S = 2
+"""How long an answer may take to begin, after the wait of a watch, and then
+each next part of it. That is many round trips between regions. A whole answer
+may take longer: a large value needs seconds on a slow link."""
 
 
 class PlatformError(core.BluebellthreadError):
@@ -35,12 +40,16 @@
     addresses : tuple of str
         ``host:port`` of each platform endpoint. After an error the next
         endpoint is used.
+    network_backend : httpcore.AsyncNetworkBackend or None
+        Opens the connections; None for the backend of httpcore.
     """
 
-    def __init__(self, *, addresses):
+    def __init__(self, *, addresses, network_backend=None):
         self._addresses = addresses
         self._current = 0
-        self._pool = httpcore.AsyncConnectionPool(retries=0)
+        self._pool = httpcore.AsyncConnectionPool(
+            retries=0, network_backend=network_backend
+        )
 
     async def close(self):
         """Close the connections to the platform."""
@@ -75,10 +84,14 @@
     async def _get(self, path, wait_s):
         address = self._addresses[self._current % len(self._addresses)]
         try:
-            with trio.fail_after(wait_s + CALL_MARGIN_S):
-                response = await self._pool.request(
+            with trio.fail_after(wait_s + CALL_MARGIN_S) as scope:
+                async with self._pool.stream(
                     'GET', f'http://{address}{path}'
-                )
+                ) as response:
+                    if response.status not in (200, 304):
+                        self._current += 1
+                        raise PlatformError(f'status {response.status}')
+                    content = await _read_content(response, scope)
         except (
             httpcore.NetworkError,
             httpcore.ProtocolError,
@@ -89,14 +102,26 @@
             raise PlatformError(repr(error)) from error
         if response.status == 304:
             return None
-        if response.status != 200:
-            self._current += 1
-            raise PlatformError(f'status {response.status}')
-        if len(response.content) > VALUE_MAX_BYTES:
+        return content.decode('utf-8', errors='replace')
+
+
+async def _read_content(response, scope):
+    """Return the body of an answer; each part moves the scope's deadline.
+
+    Raises
+    ------
+    PlatformError
+        If the body is longer than `VALUE_MAX_BYTES`.
+    """
+    content = bytearray()
+    async for chunk in response.aiter_stream():
+        content += chunk
+        if len(content) > VALUE_MAX_BYTES:
             raise PlatformError(
-                f'the value of {len(response.content)} bytes is too long'
+                f'the value is too long, over {VALUE_MAX_BYTES} bytes'
             )
-        return response.content.decode('utf-8', errors='replace')
+        scope.deadline = trio.current_time() + CALL_MARGIN_S
+    return content
 
 
 def _to_member(fields):
--- a/tests/unit/_shared_link.py
+++ b/tests/unit/_shared_link.py
@@ -95,8 +95,18 @@
         del info
 
 
-class _Backend(httpcore.AsyncNetworkBackend):
-    """Connects to a stand-in store over links, without sockets."""
+class Backend(httpcore.AsyncNetworkBackend):
+    """Connects to a stand-in store over links, without sockets.
+
+    Parameters
+    ----------
+    store : object
+        Its ``async`` method ``handle`` takes a request and answers it.
+    links : tuple of Link
+        Links that the answers pass in turn.
+    nursery : trio.Nursery
+        Runs the tasks of the connections.
+    """
 
     def __init__(self, *, store, links, nursery):
         self._store = store
@@ -222,7 +232,7 @@
             self._publish_view()
         by_name = {vm.name: vm for vm in self.vms}
         for vm in self.vms:
-            backend = _Backend(
+            backend = Backend(
                 store=self.store,
                 links=(self.region_link, vm.link),
                 nursery=nursery,
