Shorten what the log quotes from an unusable entry

What operators would see: for a large value that is not UTF-8, a line of the log that ends in the middle and takes the next line with it.

Cause: the problem of an entry quotes the value, in this case all of it with four characters a byte. A line longer than the pipe's buffer (64 KiB) is written in part and not counted as dropped.

Change: the problem has 500 characters at most.

--- a/bluebellthread/platform/_decoding.py
+++ b/bluebellthread/platform/_decoding.py
@@ -56,9 +56,22 @@
 """Characters of host names and IP addresses; with others, looking up an
 address fails in other ways than by an `OSError`."""
 
+PROBLEM_MAX_CHARACTERS = 500
+"""Maximum length of a problem in the log: enough for a field's name and the
+beginning of its value."""
+
 
 class EntryError(core.BluebellthreadError):
-    """An entry of the platform's store is invalid."""
+    """An entry of the platform's store is invalid.
+
+    Parameters
+    ----------
+    problem : str
+        What is wrong; cut if long, since it may quote the entry.
+    """
+
+    def __init__(self, problem):
+        super().__init__(problem[:PROBLEM_MAX_CHARACTERS])
 
 
 def decode_value(item):
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -259,6 +259,24 @@
                 if is_valid:
                     core.split_value(change.value)
 
+    # Guards against a line of the log that is longer than what its reader
+    # takes at once, of which only the beginning would be written.
+    def test_problem_of_a_long_value_is_short(self):
+        for fields in (
+            {'value': _encode(100_000 * b'\xff')},
+            {'value': _encode(b'{"version": "' + 100_000 * b'x' + b'"}')},
+        ):
+            change = _store_client._to_table_change(fields, None)
+            self.assertTrue(change.problem)
+            self.assertLess(len(change.problem), 1000)
+        for change in (
+            {'state': 100_000 * 'x'},
+            {'stage': 100_000 * 'x'},
+        ):
+            with self.assertRaises(_decoding.EntryError) as raised:
+                _decoding.decode_server('servers/a', {**SERVER, **change})
+            self.assertLess(len(str(raised.exception)), 1000)
+
 
 class TestPeerValue(unittest.TestCase):
     """A value that another VM has sent, which may be of another build."""
