Log texts that are no valid Unicode

What operators would see: no line of the log about a server whose name in the store is no valid Unicode.

Cause: the line could not be encoded, and the logging library dropped it.

Change: such characters are written as JSON escapes, which are read as the same text.

Measured: TestBoundedSink.test_text_that_is_no_valid_unicode_is_written fails before (UnicodeEncodeError) and passes now.

--- a/bluebellthread/observe/_json_log.py
+++ b/bluebellthread/observe/_json_log.py
@@ -58,7 +58,9 @@
     def _write_line(self, fields):
         line = json.dumps(fields, default=str, ensure_ascii=False) + '\n'
         try:
-            os.write(self._descriptor, line.encode())
+            # A text from outside may be no valid Unicode; JSON reads what is
+            # written in place of it as the same text.
+            os.write(self._descriptor, line.encode(errors='backslashreplace'))
         except OSError:
             # The pipe is full or closed. Requests must not wait for the log.
             self._drop()
--- a/tests/unit/test_json_log.py
+++ b/tests/unit/test_json_log.py
@@ -39,6 +39,12 @@
         self.assertEqual(1, line['event'])
         self.assertEqual('E1 hello', line['message'])
 
+    # Guards against a line that is lost because of a name from outside.
+    def test_text_that_is_no_valid_unicode_is_written(self):
+        self.sink.write(Record('server \ud800 \xe4'))
+        (line,) = self.read_lines()
+        self.assertEqual('server \ud800 \xe4', line['message'])
+
     def test_lines_over_the_limit_are_counted_and_reported(self):
         for _ in range(_json_log.BURST_LINES + 3):
             self.sink.write(Record('x'))
