--- a/tests/unit/_shared_link.py
+++ b/tests/unit/_shared_link.py
@@ -95,11 +95,20 @@
         del info
 
 
-class _Backend(httpcore.AsyncNetworkBackend):
-    """Connects to a stand-in store over links, without sockets."""
+class Backend(httpcore.AsyncNetworkBackend):
+    """Connects to a stand-in store over links, without sockets.
 
-    def __init__(self, *, vm, store, links, nursery):
-        self._vm = vm
+    Parameters
+    ----------
+    store : object
+        Its ``async`` method ``handle`` takes a request and answers it.
+    links : tuple of Link
+        Links that the answers pass in turn.
+    nursery : trio.Nursery
+        Runs the tasks of the connections.
+    """
+
+    def __init__(self, *, store, links, nursery):
         self._store = store
         self._links = links
         self._nursery = nursery
@@ -109,17 +118,11 @@
         client, server = trio.testing.memory_stream_pair()
         self._nursery.start_soon(
             _connection.serve_connection,
-            self._handle,
+            self._store.handle,
             _PacedStream(server, self._links),
         )
         return _ClientStream(client)
 
-    async def _handle(self, request):
-        if self._vm.is_refused:
-            await request.answer(503)
-            return
-        await self._store.handle(request)
-
     async def sleep(self, seconds):
         await trio.sleep(seconds)
 
@@ -145,6 +148,20 @@
     is_deaf: bool = False
 
 
+@attrs.define
+class _StoreAccess:
+    """A store as one VM reaches it."""
+
+    vm: Vm
+    store: site.Store
+
+    async def handle(self, request):
+        if self.vm.is_refused:
+            await request.answer(503)
+            return
+        await self.store.handle(request)
+
+
 class _PeerLinks:
     """Delivers messages between the VMs of a region over their links."""
 
@@ -232,9 +249,8 @@
             self._publish_view()
         by_name = {vm.name: vm for vm in self.vms}
         for vm in self.vms:
-            backend = _Backend(
-                vm=vm,
-                store=self.store,
+            backend = Backend(
+                store=_StoreAccess(vm, self.store),
                 links=(self.region_link, vm.link),
                 nursery=nursery,
             )
