Number daemons of a fleet when their start begins

What callers saw: test_no_fault_runs_an_order_twice beside an old build ran the old build alone at first: its VMs start together, and each counted those that had started.

Change: the number that decides the checkout is given before the start.

--- a/tests/integration/_fleet.py
+++ b/tests/integration/_fleet.py
@@ -201,6 +201,7 @@
         self.daemons = {}
         self.processes = []
         self._standin_processes = {}
+        self._numbers = {}
         self._temporary = None
         self._directory = None
         self._pool = None
@@ -259,8 +260,7 @@
     async def start_daemon(self, settings):
         """Start a daemon with these settings and return its `Daemon`."""
         # A VM that starts again runs the same checkout.
-        names = list({**self.daemons, settings['vm']: None})
-        number = names.index(settings['vm'])
+        number = self._numbers.setdefault(settings['vm'], len(self._numbers))
         process = self._launch(
             'bluebellthread.daemon',
             '--settings',
