--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -12,6 +12,9 @@
 """Seeds that have failed before, each with the cause of the failure.
 
 ``'the same'`` refers to the cause of the entry above it.
+The faults of a seed change when a fault is registered, and how they
+meet depends on the machine's speed: a seed is no proof that its cause is
+gone.
 """
 
 SEED = 20260712
