Log a fetched revision whose sections don't fit its manifest

It was dropped without a line, and fetched again at each exchange. It is noted and logged as invalid now, like one that can't be used (review of the peer links).

--- a/bluebellthread/core/_revisions.py
+++ b/bluebellthread/core/_revisions.py
@@ -512,10 +512,13 @@
         try:
             value = _sections.join_value(fetch.manifest, known)
             configuration = self._build_configuration(value)
-        except _sections.SectionError:
-            # The manifest does not fit its sections. The next exchange
-            # starts a new fetch.
-            return []
+        except _sections.SectionError as error:
+            problem = _problems.Problem(
+                path='',
+                message=str(error),
+                remedy='publish the revision again under a higher number',
+            )
+            return self._note_invalid(key, (problem,))
         except _problems.ConfigurationError as error:
             return self._note_invalid(key, error.problems)
         sections = {d: known[d] for d in fetch.manifest.section_digests()}
