Shorten a refusal's back-off to what its caller can use

What callers saw: a Retry-After of up to 5.7 s with a stream's refusal, while a caller waits at most a third of the time that it has left, 4.3 s of 13 s and less of a later try: the time told was not the time kept, and callers beyond it came back at one time each, without the spread.

Change: a back-off beyond that third is drawn from the last quarter of it.

--- a/bluebellthread/entry/_refusals.py
+++ b/bluebellthread/entry/_refusals.py
@@ -7,6 +7,10 @@
 
 _rng = random.SystemRandom()
 
+BACKOFF_SHARE = 3
+"""Callers wait no longer than this part of the time that they have left before
+they ask again, whatever they are told (platform documentation)."""
+
 
 @attrs.frozen(kw_only=True)
 class RouterAnswer:
@@ -47,13 +51,28 @@
     )
 
 
-def make_not_run_refusal(kind, retry_after_ms):
-    """Make the refusal of a request that has not run."""
+def make_not_run_refusal(kind, retry_after_ms, remaining_ms):
+    """Make the refusal of a request that has not run.
+
+    Parameters
+    ----------
+    kind : str
+        Why it is refused.
+    retry_after_ms : int
+        Back-off that suits the load.
+    remaining_ms : int
+        Time that the caller has left. A longer back-off than it can use is
+        shortened, and still spread.
+    """
+    usable_ms = max(0, remaining_ms) // BACKOFF_SHARE
+    back_off_ms = _add_jitter(retry_after_ms)
+    if back_off_ms > usable_ms:
+        back_off_ms = int(usable_ms * _rng.uniform(0.75, 1))
     return RouterAnswer(
         status=503,
         kind=kind,
         remedy='ask again after the time named',
-        retry_after_ms=_add_jitter(retry_after_ms),
+        retry_after_ms=back_off_ms,
     )
 
 
--- a/bluebellthread/entry/_work.py
+++ b/bluebellthread/entry/_work.py
@@ -186,7 +186,11 @@
     async def refuse(self, kind, retry_after_ms):
         """Send a refusal: the request has not run."""
         await self._send_router_answer(
-            _refusals.make_not_run_refusal(kind, retry_after_ms)
+            _refusals.make_not_run_refusal(
+                kind,
+                retry_after_ms,
+                self.deadline_ms - _clock.read_clock_ms(),
+            )
         )
 
     async def fail(self, kind):
