Log when the soak itself was late

The stand-ins run in the soak's own process, and its log did not say whether that process was held up. Change: delays over 0.2 s of the soak's event loop are logged. They excuse nothing. The cause is not settled.

--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -20,6 +20,9 @@
 """
 
 QUIET_S = 4.0
+LATENESS_PERIOD_S = 0.2
+"""Period and limit of `_log_lateness`: under a tenth of the time in which a
+version must be in force, so that shorter delays don't make one late."""
 
 
 async def run_soak(seed, *, length_s, vm_count=None, log=print, folder=None):
@@ -51,6 +54,7 @@
                 nursery.start_soon(callers.run_caller, number)
             for vm in site.vms:
                 nursery.start_soon(callers.probe_versions, vm)
+            nursery.start_soon(_log_lateness, site, log)
             await _inject(site, length_s, log)
             await trio.sleep(RECOVERY_S)
             quiet_since_s = trio.current_time()
@@ -85,6 +89,20 @@
             await trio.sleep(site.rng.uniform(0.05, 1.5))
 
 
+async def _log_lateness(site, log):
+    """Log when the soak itself was late, which also delays the stand-ins.
+
+    It excuses nothing; it shows whether a failure came with such a delay.
+    """
+    while True:
+        due_s = trio.current_time() + LATENESS_PERIOD_S
+        await trio.sleep_until(due_s)
+        late_s = trio.current_time() - due_s
+        if late_s > LATENESS_PERIOD_S:
+            elapsed_s = trio.current_time() - site.begun_s
+            log(f'{elapsed_s:6.2f} s  the soak was {late_s:.2f} s late')
+
+
 async def _wait_ready(site):
     """Wait until each VM accepts connections and knows the others."""
     for vm in site.vms:
