Bring the soak's store back from a copy that is seconds old

The fault takes a copy, refuses calls for a moment and restores it; what was lost is written again up to 1.5 s later. Versions and servers are checked as before.

--- a/standin/site/_store.py
+++ b/standin/site/_store.py
@@ -69,6 +69,10 @@
         self._items[key] = item
         self._record_event(item)
 
+    def has(self, key):
+        """Return whether there is an item with a key."""
+        return key in self._items
+
     def remove(self, key):
         """Remove an item and record the removal in the history."""
         self.revision += 1
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -136,6 +136,26 @@
     site.store.compact()
 
 
+@faults.register('store-restore')
+async def restore_store(site):
+    """Bring the store back from a copy that is seconds old.
+
+    The operator and the backend servers then write again what it has lost.
+    """
+    copy = site.store.snapshot()
+    await _sleep_random(site, 0.5, _site.COPY_AGE_MAX_S)
+    site.store.refuse_status = 503
+    try:
+        with site.store_faults.span():
+            await _sleep_random(site, 0.1, 1.0)
+            site.store.restore(copy)
+            site.store.refuse_status = 0
+            await _sleep_random(site, 0.0, 1.5)
+            site.write_again()
+    finally:
+        site.store.refuse_status = 0
+
+
 @faults.register('server-reset')
 async def reset_server(site):
     """Reset a backend server's connections and refuse new ones for a while."""
@@ -175,7 +195,7 @@
     site.store.put(key, backend.entry(state='draining'))
     backend.drained_s = trio.current_time()
     await _sleep_random(site)
-    site.store.remove(key)
+    site.delist(backend)
 
 
 @faults.register('config-change')
--- a/tests/soak/_site.py
+++ b/tests/soak/_site.py
@@ -36,6 +36,9 @@
 no fault for ``QUIET_S``.
 """
 
+COPY_AGE_MAX_S = 5.0
+"""Greatest age of the copy that the store comes back from: "some seconds"."""
+
 KEPT_VERSIONS = 20
 """Versions whose routes a configuration has, so that each can be asked for
 when it is due: more than are published within ``CONFIG_BOUND_S``."""
@@ -205,6 +208,8 @@
         Proxy through which VMs reach it.
     drained_s : float or None
         Time at which draining began; None while it takes requests.
+    is_listed : bool
+        Whether it writes its entry in the store.
     faults : Spans
         When its link to the VMs was disturbed.
     """
@@ -213,6 +218,7 @@
     service: str
     proxy: _proxy.Proxy
     drained_s: float | None = None
+    is_listed: bool = True
     faults: _spans.Spans = attrs.field(factory=_spans.Spans)
 
     def entry(self, **changes):
@@ -255,6 +261,7 @@
         self.begun_s = 0.0
         self.extra_route_count = 0
         self.unreadable_s = None
+        self._published = None
         self.store_faults = _spans.Spans()
         self.nursery = None
         self._folder = folder
@@ -353,8 +360,34 @@
             'routes': routes,
             'services': services,
         }
+        self._published = fields
         self.store.put('op/config', fields)
 
+    def delist(self, backend):
+        """Remove the entry of a backend server that has drained."""
+        backend.is_listed = False
+        key = f'servers/{backend.server.name}'
+        if self.store.has(key):
+            self.store.remove(key)
+
+    def write_again(self):
+        """Write what a restored store may have lost.
+
+        Versions that were not due yet are due with this.
+        """
+        now_s = trio.current_time()
+        for version, time_s in self.version_published_s.items():
+            if time_s > now_s - COPY_AGE_MAX_S - CONFIG_BOUND_S:
+                self.version_published_s[version] = now_s
+        self.store.put('op/config', self._published)
+        for backend in self.backends.values():
+            if not backend.is_listed:
+                self.delist(backend)
+                continue
+            state = 'ready' if backend.drained_s is None else 'draining'
+            key = f'servers/{backend.server.name}'
+            self.store.put(key, backend.entry(state=state))
+
     def describe(self):
         """Return the number of VMs by data centre and of versions."""
         counts = collections.Counter(vm.zone for vm in self.vms)
