Move fetching and the choice of peers out of Revisions

SectionFetch tracks what is missing of a revision, RevisionPeers whom to ask; the rank of a VM among the watchers is worked out once a view, not at each tick. One difference: a request for sections that a busy VM rejects ends the fetch at once, as before the batches, and not after its timeout.

--- a/bluebellthread/core/_revisions.py
+++ b/bluebellthread/core/_revisions.py
@@ -13,23 +13,17 @@
 
 from bluebellthread.core import _configuration_messages as messages
 from bluebellthread.core import _problems
-from bluebellthread.core import _revision_builds
 from bluebellthread.core import _revision_events as events
 from bluebellthread.core import _revision_options
+from bluebellthread.core import _revision_peers
 from bluebellthread.core import _revision_topology
 from bluebellthread.core import _scheduler_events
+from bluebellthread.core import _section_fetch
 from bluebellthread.core import _sections
 from bluebellthread.core import _watch_duty
 
 NO_REVISION_KEY = (0, 0)
 INVALID_KEYS_MAX = 16
-SECTIONS_MAX = 16
-"""Maximum number of sections in one request: some 60 KB of a configuration, or
-256 routes, so that an answer arrives in time over a slow link and what has
-arrived is kept when the next one is lost."""
-PROBES_MAX = 16
-"""Maximum number of VMs asked together whether their build knows the messages
-about revisions: half of the calls that a VM keeps in flight."""
 
 
 @attrs.frozen(kw_only=True)
@@ -39,16 +33,6 @@
     sections: dict
 
 
-@attrs.define(kw_only=True)
-class _Fetch:
-    """A revision that is being fetched, and the sections asked for last."""
-
-    vm: str
-    manifest: _sections.Manifest
-    deadline_ms: int
-    requested: tuple[int, ...] = ()
-
-
 class Revisions:
     """Track one VM's configuration revision, as a pure state machine.
 
@@ -79,20 +63,19 @@
         self, *, vm, data_centre, build_configuration, rng=None, options=None
     ):
         self._vm = vm
-        self._data_centre = data_centre
         self._build_configuration = build_configuration
         self._rng = rng or random.Random(0)
         self._options = options or _revision_options.RevisionOptions()
         self._current = None
         self._invalid = {}
-        self._fetch = None
-        self._received = {}
-        self._names = [vm]
-        self._view = None
-        self._builds = _revision_builds.PeerBuilds()
-        self._remote_watchers = ()
-        self._exchanges = 0
-        self._remote_exchanges = 0
+        self._fetch = _section_fetch.SectionFetch(
+            timeout_ms=self._options.fetch_timeout_ms
+        )
+        self._peers = _revision_peers.RevisionPeers(
+            vm=vm,
+            data_centre=data_centre,
+            leaves_out_older=self._options.leaves_out_older_builds,
+        )
         self._next_exchange_ms = 0
         self._next_remote_ms = 0
         self._start_deadline_ms = None
@@ -131,7 +114,7 @@
     @property
     def partners(self):
         """Names of the VMs that this VM exchanges digests with."""
-        return _revision_topology.choose_partners(self._vm, self._names)
+        return self._peers.partners
 
     def handle(self, event, now_ms):
         """Process one event and return the resulting commands."""
@@ -144,67 +127,26 @@
 
     def change_view(self, view, now_ms):
         """Update to a new membership view and return resulting commands."""
-        had_peers = len(self._names) > 1
-        self._view = view
-        self._choose_names(now_ms)
+        had_peers = len(self._peers.names) > 1
+        self._peers.set_view(view)
         commands = self._update_watching(now_ms)
         asked = ()
-        if len(self._names) > 1 and not had_peers:
+        if len(self._peers.names) > 1 and not had_peers:
             asked = self.partners
             self._awaited_at_start = set(asked)
             commands.extend(self.make_manifest_request(name) for name in asked)
         return commands + self._ask_unknown_builds(asked)
 
-    def _choose_names(self, now_ms):
-        """Choose the VMs that take part, by the view and the peers' builds."""
-        members = self._builds.leave_out_older(self._view.members)
-        view = attrs.evolve(self._view, members=members)
-        local_members = view.in_data_centre(self._data_centre)
-        # The view may not include this VM yet, but a VM has to work even
-        # without peers.
-        names = {member.name for member in local_members} | {self._vm}
-        self._names = sorted(names)
-        self._duty.set_names(self._names, now_ms)
-        self._remote_watchers = self._choose_remote_watchers(view)
-
     def _ask_unknown_builds(self, asked=()):
-        """Return requests to VMs of the data centre that never answered.
-
-        Possible watchers come first.
-
-        Parameters
-        ----------
-        asked : sequence of str
-            VMs that have just been asked.
-        """
-        if not self._options.leaves_out_older_builds or self._view is None:
-            return []
-        members = self._view.in_data_centre(self._data_centre)
-        unknown = [
-            name
-            for name in self._builds.list_unknown(members)
-            if name != self._vm
-        ]
-        ranked = _revision_topology.choose_watchers(
-            self._data_centre, unknown, PROBES_MAX
-        )
+        """Ask VMs whose build is not known, except those asked just now."""
         return [
             self.make_manifest_request(name)
-            for name in ranked
+            for name in self._peers.list_unknown()
             if name not in asked
         ]
 
-    def _note_build(self, event, now_ms):
-        """Note whether a VM's build knows the messages about revisions."""
-        member = self._view.find(event.vm) if self._view else None
-        if member is None or not self._options.leaves_out_older_builds:
-            return []
-        if not self._builds.note_answer(member, event.message):
-            return []
-        self._choose_names(now_ms)
-        return self._update_watching(now_ms)
-
     def _update_watching(self, now_ms):
+        self._duty.set_names(self._peers.names, now_ms)
         watching = self._duty.is_due(
             now_ms, has_revision=self._current is not None
         )
@@ -213,22 +155,6 @@
         self.watching = watching
         return [events.WatchPlatform(active=watching)]
 
-    def _choose_remote_watchers(self, view):
-        remote_names = {}
-        for member in view.members:
-            if member.state in ('alive', 'suspect'):
-                remote_names.setdefault(member.data_centre, []).append(
-                    member.name
-                )
-        remote_names.pop(self._data_centre, None)
-        return tuple(
-            name
-            for data_centre in sorted(remote_names)
-            for name in _revision_topology.choose_watchers(
-                data_centre, remote_names[data_centre]
-            )
-        )
-
     def _key(self):
         return self._current.key if self._current else NO_REVISION_KEY
 
@@ -239,10 +165,9 @@
     def _on_tick(self, event, now_ms):
         commands = []
         self._duty.note_tick(now_ms)
-        if self._view is not None:
+        if self._peers.has_view:
             commands.extend(self._update_watching(now_ms))
-        if self._fetch and self._fetch.deadline_ms <= now_ms:
-            self._fetch = None
+        self._fetch.expire(now_ms)
         if not self._started and self._start_deadline_ms <= now_ms:
             commands.extend(self._end_start_wait(now_ms))
         if not self._options.exchanges_digests:
@@ -267,22 +192,12 @@
         return round(interval_ms * self._rng.uniform(0.5, 1.5))
 
     def _ask_partner(self):
-        partners = self.partners
-        if not partners:
-            return []
-        self._exchanges += 1
-        return [
-            self.make_manifest_request(
-                partners[self._exchanges % len(partners)]
-            )
-        ]
+        name = self._peers.next_partner()
+        return [self.make_manifest_request(name)] if name else []
 
     def _ask_remote_watcher(self):
-        if not self._remote_watchers:
-            return []
-        self._remote_exchanges += 1
-        index = self._remote_exchanges % len(self._remote_watchers)
-        return [self.make_manifest_request(self._remote_watchers[index])]
+        name = self._peers.next_remote_watcher()
+        return [self.make_manifest_request(name)] if name else []
 
     def make_manifest_request(self, name):
         """Return a command that requests a newer revision's manifest.
@@ -305,7 +220,7 @@
         # empty once all of them have answered or failed.
         if self._started or self._awaited_at_start is None:
             return False
-        return not self._awaited_at_start and self._fetch is None
+        return not self._awaited_at_start and self._fetch.vm is None
 
     def _end_start_wait(self, now_ms):
         self._started = True
@@ -352,17 +267,16 @@
         self._current = accepted
         if accepted.key[0] >= self.invalid_revision:
             self.invalid_revision = 0
-        if self._fetch and self._fetch.manifest.key() <= accepted.key:
-            self._fetch = None
+        self._fetch.drop_up_to(accepted.key)
         applied = events.ApplyConfiguration(
             configuration=configuration, source=source
         )
         return [applied] + self._announce(source)
 
     def _announce(self, source):
-        tree = _revision_topology.order_tree(self.revision, self._names)
+        tree = _revision_topology.order_tree(self.revision, self._peers.names)
         receivers = _revision_topology.list_children(self._vm, tree)
-        if source not in self._names and tree[0] != self._vm:
+        if source not in self._peers.names and tree[0] != self._vm:
             # The revision came from outside the data centre, so the tree's
             # root doesn't have it yet.
             receivers = receivers + [tree[0]]
@@ -389,7 +303,7 @@
                 events.AnswerPeer(token=event.token, message=answer)
             )
         key = (message.revision, message.digest)
-        if key > self._key() and not self._is_fetching(key, now_ms):
+        if key > self._key() and not self._fetch.covers(key, now_ms):
             commands.append(self.make_manifest_request(message.vm))
         return commands
 
@@ -406,19 +320,22 @@
         )
 
     def _answer_sections(self, message):
-        sections = self._current.sections if self._current else {}
+        sections = self._present_sections
         found = [sections[d] for d in message.digests if d in sections]
         return messages.SectionsAnswer(payload=_sections.pack_sections(found))
 
     def _on_peer_answered(self, event, now_ms):
         self._note_start_answer(event.vm)
-        commands = self._note_build(event, now_ms)
+        commands = []
+        if self._peers.note_answer(event.vm, event.message):
+            commands.extend(self._update_watching(now_ms))
         if isinstance(event.message, messages.ManifestAnswer):
             return commands + self._on_manifest(event, now_ms)
         if isinstance(event.message, messages.SectionsAnswer):
             return commands + self._on_sections(event, now_ms)
         # For example, a refusal by a VM whose queue is full.
-        return commands + self._on_peer_failed(event, now_ms)
+        self._fetch.note_failed(event.vm, event.request)
+        return commands
 
     def _on_manifest(self, event, now_ms):
         answer = event.message
@@ -434,83 +351,33 @@
         manifest = _sections.Manifest(
             revision=answer.revision, parts=answer.parts
         )
-        if manifest.key() != key or self._is_fetching(key, now_ms):
+        if manifest.key() != key or self._fetch.covers(key, now_ms):
             return commands
-        self._fetch = _Fetch(
-            vm=event.vm,
-            manifest=manifest,
-            deadline_ms=now_ms + self._options.fetch_timeout_ms,
-        )
-        # What arrived for another revision is of use for this one too.
-        needed = set(manifest.section_digests())
-        self._received = {
-            digest: section
-            for digest, section in self._received.items()
-            if digest in needed
-        }
+        self._fetch.start(event.vm, manifest, now_ms)
         return commands + self._continue_fetch(now_ms)
 
     def _continue_fetch(self, now_ms):
         """Return the request for the next missing sections, or apply."""
-        fetch = self._fetch
-        missing = self._list_missing(fetch.manifest)
-        if not missing:
+        request = self._fetch.request_missing(self._present_sections, now_ms)
+        if request is None:
             return self._finish_fetch()
-        fetch.requested = missing[:SECTIONS_MAX]
-        fetch.deadline_ms = now_ms + self._options.fetch_timeout_ms
-        request = messages.SectionsRequest(digests=fetch.requested)
-        return [events.AskPeer(vm=fetch.vm, message=request)]
-
-    def _is_fetching(self, key, now_ms):
-        fetch = self._fetch
-        if fetch is None or fetch.deadline_ms <= now_ms:
-            return False
-        return fetch.manifest.key() >= key
+        return [events.AskPeer(vm=self._fetch.vm, message=request)]
 
-    def _list_missing(self, manifest):
-        present = self._current.sections if self._current else {}
-        digests = manifest.section_digests()
-        return tuple(
-            d for d in digests if d not in present and d not in self._received
-        )
+    @property
+    def _present_sections(self):
+        return self._current.sections if self._current else {}
 
     def _on_sections(self, event, now_ms):
-        fetch = self._fetch
-        if fetch is None:
-            return []
-        is_awaited = event.vm == fetch.vm and (
-            event.request is None or event.request.digests == fetch.requested
+        goes_on = self._fetch.note_answer(
+            event.vm, event.message, event.request, self._present_sections
         )
-        try:
-            received = _sections.unpack_sections(event.message.payload)
-        except _sections.SectionError:
-            if is_awaited:
-                self._fetch = None
-            return []
-        missing = self._list_missing(fetch.manifest)
-        useful = {d: received[d] for d in missing if d in received}
-        self._received.update(useful)
-        if len(useful) == len(missing):
-            return self._finish_fetch()
-        if not is_awaited:
-            return []
-        if not useful:
-            # The VM has since applied a newer revision and dropped these
-            # sections. The next exchange starts a new fetch.
-            self._fetch = None
-            return []
-        return self._continue_fetch(now_ms)
+        return self._continue_fetch(now_ms) if goes_on else []
 
     def _finish_fetch(self):
-        fetch, self._fetch = self._fetch, None
-        received, self._received = self._received, {}
-        known = {
-            **(self._current.sections if self._current else {}),
-            **received,
-        }
-        key = fetch.manifest.key()
+        vm, manifest, sections = self._fetch.take(self._present_sections)
+        key = manifest.key()
         try:
-            value = _sections.join_value(fetch.manifest, known)
+            value = _sections.join_value(manifest, sections)
             configuration = self._build_configuration(value)
         except _sections.SectionError as error:
             problem = _problems.Problem(
@@ -521,11 +388,10 @@
             return self._note_invalid(key, (problem,))
         except _problems.ConfigurationError as error:
             return self._note_invalid(key, error.problems)
-        sections = {d: known[d] for d in fetch.manifest.section_digests()}
         accepted = _LocalRevision(
-            key=key, manifest=fetch.manifest, sections=sections
+            key=key, manifest=manifest, sections=sections
         )
-        return self._apply(accepted, configuration, source=fetch.vm)
+        return self._apply(accepted, configuration, source=vm)
 
     def _note_invalid(self, key, problems):
         self._invalid[key] = None
@@ -540,20 +406,14 @@
 
     def _on_peer_failed(self, event, now_ms):
         self._note_start_answer(event.vm)
-        if (
-            self._fetch is not None
-            and self._fetch.vm == event.vm
-            and isinstance(event.message, messages.SectionsRequest)
-            and event.message.digests == self._fetch.requested
-        ):
-            self._fetch = None
+        self._fetch.note_failed(event.vm, event.message)
         if not isinstance(event.message, messages.RevisionAnnounced):
             return []
         if event.message.revision != self.revision:
             return []
         # The failed VM's children in the tree would miss the announcement,
         # so this VM sends it to them.
-        tree = _revision_topology.order_tree(self.revision, self._names)
+        tree = _revision_topology.order_tree(self.revision, self._peers.names)
         return [
             self._announce_to(name)
             for name in _revision_topology.list_children(event.vm, tree)
--- a/bluebellthread/core/_watch_duty.py
+++ b/bluebellthread/core/_watch_duty.py
@@ -36,6 +36,7 @@
         self._data_centre = data_centre
         self._options = options
         self._names = []
+        self._rank = None
         self._view_wait_deadline_ms = None
         self._view_settled_ms = 0
         self._silence_start_ms = 0
@@ -53,6 +54,10 @@
             self._silence_start_ms = now_ms
         if names != self._names:
             self._names = names
+            ranked = _revision_topology.choose_watchers(
+                self._data_centre, names, len(names)
+            )
+            self._rank = ranked.index(self._vm)
             self._view_settled_ms = now_ms + self._options.view_settle_ms
 
     def note_tick(self, now_ms):
@@ -109,9 +114,7 @@
         return now_ms < min(self._view_settled_ms, self._view_wait_deadline_ms)
 
     def _is_among_watchers(self, count=_revision_topology.WATCHERS):
-        return self._vm in _revision_topology.choose_watchers(
-            self._data_centre, self._names, count
-        )
+        return self._rank is not None and self._rank < count
 
     def _is_substitute(self, now_ms):
         silence_ms = self._options.platform_silence_ms
