Say in a refusal that only the server list is missing

Change: such a refusal has the kind no-server-list.

Measured: test_refusal_names_what_is_not_known_yet fails before and passes now.

--- a/bluebellthread/entry/_gateway.py
+++ b/bluebellthread/entry/_gateway.py
@@ -40,7 +40,10 @@
         request = exchange.request
         table = self._state.table
         if not table.version or not self._state.has_servers:
-            await self._refuse(exchange, _refusals.make_unconfigured_refusal())
+            refusal = _refusals.make_unprepared_refusal(
+                has_configuration=bool(table.version)
+            )
+            await self._refuse(exchange, refusal)
             return
         route = table.find(request.host, request.path)
         if route is None:
--- a/bluebellthread/entry/_refusals.py
+++ b/bluebellthread/entry/_refusals.py
@@ -34,11 +34,17 @@
     retry_after_ms: int | None = None
 
 
-def make_unconfigured_refusal():
-    """Make the refusal to send while no configuration is known."""
+def make_unprepared_refusal(*, has_configuration):
+    """Make the refusal to send until a VM knows all that it needs.
+
+    Parameters
+    ----------
+    has_configuration : bool
+        Whether only the list of backend servers is missing.
+    """
     return RouterAnswer(
         status=503,
-        kind='no-configuration',
+        kind='no-server-list' if has_configuration else 'no-configuration',
         remedy='ask again; this VM has just started',
         retry_after_ms=_add_jitter(300),
     )
--- a/tests/integration/test_entry_plain.py
+++ b/tests/integration/test_entry_plain.py
@@ -73,6 +73,21 @@
             self.assertEqual(503, answer.status)
             self.assertIn('retry-after', answer.headers)
 
+    # Guards against a refusal that blames the configuration while only the
+    # list of servers is missing.
+    @run
+    async def test_refusal_names_what_is_not_known_yet(self):
+        async with sites.running_site() as site:
+            state = site.entry.state
+            state.has_servers = False
+            answer = await site.call('GET', '/read/x')
+            self.assertEqual(503, answer.status)
+            self.assertIn(b'no-server-list', answer.body)
+            state.table = type(state.table)()
+            answer = await site.call('GET', '/read/x')
+            self.assertEqual(503, answer.status)
+            self.assertIn(b'no-configuration', answer.body)
+
     @run
     async def test_connection_serves_many_requests(self):
         async with sites.running_site() as site:
