Run the watch of the platform in the exchange of revisions

The daemon's and the entry's configuration tasks started and cancelled their watches by the same lines. RevisionExchange does it for both now.

--- a/bluebellthread/daemon/_configuration_task.py
+++ b/bluebellthread/daemon/_configuration_task.py
@@ -70,11 +70,9 @@
         list_watch,
         options,
     ):
-        self._vm = vm
         self._fleet = fleet
         self._platform = platform
         self._listeners = listeners
-        self._list_watch = list_watch
         self._rng = random.Random()
         self._cache = configuration.ItemCache()
         self._exchange = _revision_exchange.RevisionExchange(
@@ -88,11 +86,10 @@
             options=options,
             tick_interval_s=TICK_INTERVAL_S,
             apply=self._apply,
-            set_watching=self._set_watching,
+            watch=self._watch,
+            note_watching=list_watch.switch,
         )
         self.revisions = self._exchange.revisions
-        self._nursery = None
-        self._watch_scope = None
         self._served_revision = 0
         self._invalid_text = None
 
@@ -102,9 +99,7 @@
 
     async def run(self):
         """Keep the configuration up to date until cancelled."""
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
-            await self._exchange.run()
+        await self._exchange.run()
 
     async def confirm_newest(self, revision):
         """Return whether peers confirm that a revision is the newest.
@@ -158,34 +153,19 @@
         for listener in self._listeners:
             await listener.send(changed)
 
-    def _set_watching(self, active):
-        self._list_watch.switch(active)
-        if self._watch_scope is not None:
-            self._watch_scope.cancel()
-            self._watch_scope = None
-        emit(
-            events.PLATFORM_WATCH_CHANGED,
-            vm=self._vm,
-            state='watches' if active else 'no longer watches',
-        )
-        if active:
-            self._watch_scope = trio.CancelScope()
-            self._nursery.start_soon(self._watch, self._watch_scope)
-
-    async def _watch(self, scope):
-        with scope:
-            failures = 0
-            while True:
-                try:
-                    await self._watch_session()
-                    failures = 0
-                except _platform.PlatformError as error:
-                    emit(
-                        events.PLATFORM_UNREACHABLE,
-                        error=f'reading the configuration: {error}',
-                    )
-                    failures += 1
-                    await trio.sleep(self._choose_backoff_s(failures))
+    async def _watch(self):
+        failures = 0
+        while True:
+            try:
+                await self._watch_session()
+                failures = 0
+            except _platform.PlatformError as error:
+                emit(
+                    events.PLATFORM_UNREACHABLE,
+                    error=f'reading the configuration: {error}',
+                )
+                failures += 1
+                await trio.sleep(self._choose_backoff_s(failures))
 
     def _choose_backoff_s(self, failures):
         longest_s = min(BACKOFF_MAX_S, BACKOFF_FIRST_S * 2**failures)
--- a/bluebellthread/daemon/_revision_exchange.py
+++ b/bluebellthread/daemon/_revision_exchange.py
@@ -44,8 +44,10 @@
     apply : callable
         ``async``; takes an `ApplyConfiguration` and brings its configuration
         into force.
-    set_watching : callable
-        Starts or stops the watch of the platform; takes a bool.
+    watch : callable
+        ``async``; watches the platform until cancelled.
+    note_watching : callable
+        Takes a bool; called when the watch starts or stops.
     """
 
     def __init__(
@@ -59,13 +61,17 @@
         options,
         tick_interval_s,
         apply,
-        set_watching,
+        watch,
+        note_watching=None,
     ):
+        self._vm = vm
         self._fleet = fleet
         self._links = links
         self._tick_interval_s = tick_interval_s
         self._apply = apply
-        self._set_watching = set_watching
+        self._watch = watch
+        self._note_watching = note_watching
+        self._watch_scope = None
         self.revisions = core.Revisions(
             vm=vm,
             data_centre=data_centre,
@@ -132,6 +138,25 @@
             else:
                 _report(command)
 
+    def _set_watching(self, active):
+        if self._note_watching is not None:
+            self._note_watching(active)
+        if self._watch_scope is not None:
+            self._watch_scope.cancel()
+            self._watch_scope = None
+        emit(
+            events.PLATFORM_WATCH_CHANGED,
+            vm=self._vm,
+            state='watches' if active else 'no longer watches',
+        )
+        if active:
+            self._watch_scope = trio.CancelScope()
+            self._nursery.start_soon(self._run_watch, self._watch_scope)
+
+    async def _run_watch(self, scope):
+        with scope:
+            await self._watch()
+
     def _start_sending(self, send, command):
         if self._in_flight_count >= IN_FLIGHT_MAX:
             # Unresponsive peers hold all slots. The message is dropped; a
--- a/bluebellthread/entry/_configuration_task.py
+++ b/bluebellthread/entry/_configuration_task.py
@@ -61,6 +61,11 @@
     def __init__(self, *, client, state, links):
         self._client = client
         self._state = state
+        self._follower = _platform_follower.PlatformFollower(
+            name='configuration',
+            step=self._update,
+            rng=random.Random(state.settings.vm),
+        )
         self._exchange = _revision_exchange.RevisionExchange(
             vm=state.settings.vm,
             data_centre=state.settings.data_centre,
@@ -70,15 +75,8 @@
             options=_make_options(state.settings),
             tick_interval_s=TICK_INTERVAL_S,
             apply=self._apply,
-            set_watching=self._set_watching,
-        )
-        self._follower = _platform_follower.PlatformFollower(
-            name='configuration',
-            step=self._update,
-            rng=random.Random(state.settings.vm),
+            watch=self._follower.run,
         )
-        self._nursery = None
-        self._watch_scope = None
 
     def register(self, mailboxes):
         """Have the peers' messages about versions delivered to this task."""
@@ -87,7 +85,6 @@
     async def run(self):
         """Keep the configuration up to date until cancelled."""
         async with trio.open_nursery() as nursery:
-            self._nursery = nursery
             if _has_peers(self._state.settings):
                 nursery.start_soon(self._read_at_start)
             await self._exchange.run()
@@ -142,23 +139,6 @@
             routes=len(table.routes),
         )
 
-    def _set_watching(self, active):
-        if self._watch_scope is not None:
-            self._watch_scope.cancel()
-            self._watch_scope = None
-        emit(
-            events.PLATFORM_WATCH_CHANGED,
-            vm=self._state.settings.vm,
-            state='watches' if active else 'no longer watches',
-        )
-        if active:
-            self._watch_scope = trio.CancelScope()
-            self._nursery.start_soon(self._watch, self._watch_scope)
-
-    async def _watch(self, scope):
-        with scope:
-            await self._follower.run()
-
     async def _update(self, after):
         if after is None:
             change, position = await self._client.read_table()
