--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -59,6 +59,11 @@
 from bluebellthread.core._exceptions import Resolver
 from bluebellthread.core._fair_queue import FairQueue
 from bluebellthread.core._first_come_queue import FirstComeQueue
+from bluebellthread.core._framing import find_framing
+from bluebellthread.core._framing import FRAMED_BY_CHUNKS
+from bluebellthread.core._framing import FRAMED_BY_CONNECTION
+from bluebellthread.core._framing import FRAMED_BY_LENGTH
+from bluebellthread.core._framing import FRAMED_WITHOUT_BODY
 from bluebellthread.core._limits import BoundedQueue
 from bluebellthread.core._limits import CallerLimits
 from bluebellthread.core._limits import ConnectionLimits
@@ -253,6 +258,10 @@
     'EarlyRefusalQueue',
     'EmitPiece',
     'EngineOrder',
+    'FRAMED_BY_CHUNKS',
+    'FRAMED_BY_CONNECTION',
+    'FRAMED_BY_LENGTH',
+    'FRAMED_WITHOUT_BODY',
     'FairQueue',
     'FewestRunning',
     'FinishAnswer',
@@ -300,6 +309,7 @@
     'PermitRequest',
     'PermitsRegistered',
     'PieceArrived',
+    'PlatformAnswered',
     'PlatformListed',
     'PoolKey',
     'PoolSummary',
@@ -307,10 +317,10 @@
     'PrefillEnded',
     'PrefixIndex',
     'Problem',
-    'PlatformAnswered',
     'PublishedInvalid',
     'QueueOptions',
     'QueueRefusal',
+    'REVISION_KEY',
     'ROLE_DECODE',
     'ROLE_PREFILL',
     'ROLE_SERVICE',
@@ -323,7 +333,6 @@
     'RegionSpill',
     'RegistrationWanted',
     'Registry',
-    'REVISION_KEY',
     'Rejected',
     'ReportConflict',
     'ReportInvalid',
@@ -407,6 +416,7 @@
     'digest_call',
     'estimate_tokens',
     'explain',
+    'find_framing',
     'join_value',
     'limit_forwarded_outcome',
     'list_targets',
--- a/bluebellthread/entry/_server_connection.py
+++ b/bluebellthread/entry/_server_connection.py
@@ -11,6 +11,7 @@
 import h11
 import trio
 
+from bluebellthread import core
 from bluebellthread.daemon import _clock
 from bluebellthread.entry import _concurrency
 from bluebellthread.entry import _http_messages
@@ -184,6 +185,9 @@
     ----------
     sent : bool
         Whether any byte of the request may have reached the server.
+    framing : str
+        What marks the end of the answer's body, by `core.find_framing`; empty
+        before the head was read.
     """
 
     def __init__(
@@ -199,6 +203,7 @@
         self._sent_whole = False
         self._closed = False
         self.sent = False
+        self.framing = ''
 
     async def open(self, method, target, headers, body):
         """Send a request and return the head of its answer.
@@ -237,6 +242,9 @@
             head = await self._read_head()
             echoed = head.header(self._request_id_header)
             if not echoed or echoed == self._request_id:
+                self.framing = core.find_framing(
+                    head.status, head.headers, method=self._request.method
+                )
                 return head
             await self._skip_stale_answer()
 
--- a/bluebellthread/entry/_stream_path.py
+++ b/bluebellthread/entry/_stream_path.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from bluebellthread import core
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
 from bluebellthread.entry import _event_splitter
@@ -358,11 +359,26 @@
                     await self._pass_on_piece(whole_events, splitter)
         except (_server_connection.AnswerBrokenError, trio.TooSlowError) as e:
             self._raise_run_failed(placement, e)
+        self._log_unmarked_end(placement, call, splitter)
         if splitter.rest:
             await exchange.send(splitter.rest)
         await exchange.finish()
         work.outcome = 'answered'
 
+    def _log_unmarked_end(self, placement, call, splitter):
+        """Log an end that doesn't show whether the stream is complete."""
+        framing = call.exchange.framing
+        if framing != core.FRAMED_BY_CONNECTION and not splitter.rest:
+            return
+        emit(
+            events.STREAM_END_UNMARKED,
+            request_id=self._work.request_id,
+            server=placement.decode_server,
+            framing=framing,
+            rest_bytes=len(splitter.rest),
+            last_event=self._resume_after,
+        )
+
     async def _read_piece(self, call):
         """Return the next bytes of an answer, or None at its end.
 
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -273,6 +273,12 @@
     'request {request_id}: the stream from {server} broke off after event '
     '{last_event}: {reason}',
 )
+STREAM_END_UNMARKED = Event(
+    7042,
+    'INFO',
+    'request {request_id}: the stream from {server}, framed by {framing}, '
+    'ended {rest_bytes} bytes after event {last_event}',
+)
 STREAM_RETRIED = Event(
     7036,
     'INFO',
--- a/tests/unit/test_stream_pieces.py
+++ b/tests/unit/test_stream_pieces.py
@@ -13,6 +13,8 @@
 class _Server:
     """A server's answer whose events are sent by the test."""
 
+    framing = 'chunks'
+
     def __init__(self):
         self.send, self._receive = trio.open_memory_channel(10)
 
