--- a/standin/site/__init__.py
+++ b/standin/site/__init__.py
@@ -6,7 +6,8 @@
 
 from standin.site._backend import Engine
 from standin.site._backend import PlainServer
+from standin.site._connection import Ending
 from standin.site._connection import SiteRequest
 from standin.site._store import Store
 
-__all__ = ['Engine', 'PlainServer', 'SiteRequest', 'Store']
+__all__ = ['Ending', 'Engine', 'PlainServer', 'SiteRequest', 'Store']
--- a/standin/site/_backend.py
+++ b/standin/site/_backend.py
@@ -25,6 +25,13 @@
         Calls that the server has run, in order.
     run_pause_s : float
         Pause before each answer, in seconds.
+    body : bytes or None
+        Body of each answer; None for one that tells the server and the call.
+    content_type : str
+        Content type of each answer; empty for none.
+    endings : list of Ending
+        How the answers to the next runs end, in turn; the answers after
+        these are complete and have a length.
     """
 
     name: str
@@ -34,6 +41,9 @@
     runs: list = attrs.field(factory=list)
     arrivals: list = attrs.field(factory=list)
     run_pause_s: float = 0.0
+    body: bytes | None = None
+    content_type: str = ''
+    endings: list = attrs.field(factory=list)
 
     async def start(self, nursery):
         """Start to serve in a nursery, on a free port."""
@@ -67,8 +77,14 @@
         """Record a call and answer it."""
         self.runs.append(request)
         await trio.sleep(self.run_pause_s)
-        body = b'from ' + self.name.encode() + b': ' + request.body
-        await request.answer(200, body, self.answer_headers(request))
+        body = self.body
+        if body is None:
+            body = b'from ' + self.name.encode() + b': ' + request.body
+        headers = self.answer_headers(request)
+        if self.content_type:
+            headers.append(('content-type', self.content_type))
+        ending = self.endings.pop(0) if self.endings else None
+        await request.answer(200, body, headers, ending=ending)
 
     def answer_headers(self, request):
         """Return the headers that every answer to a call carries."""
@@ -89,6 +105,14 @@
         ``'prefill'`` or ``'decode'``.
     event_count : int
         Number of events in an answer.
+    framing : str
+        How the end of a stream is marked, a key of `FRAMING_LINES`.
+    stream_cuts : list of (int, int) or None
+        For each run in turn, the number of an event and how many of its bytes
+        are sent before the stream ends and is framed as whole; None for a
+        stream that is whole.
+    prefill_endings : list of Ending
+        How the answers to the next prefills end, in turn.
     break_after : list of int
         For each run in turn, the number of the event after which its stream
         breaks.
@@ -102,6 +126,9 @@
 
     stage: str = 'decode'
     event_count: int = 4
+    framing: str = 'chunks'
+    stream_cuts: list = attrs.field(factory=list)
+    prefill_endings: list = attrs.field(factory=list)
     break_after: list = attrs.field(factory=list)
     last_event_gate: object = None
     rejects_kv_source: bool = False
@@ -145,29 +172,40 @@
             200,
             json.dumps(body).encode(),
             [(ATTEMPT, request.headers.get(ATTEMPT, ''))],
+            ending=self.prefill_endings.pop(0)
+            if self.prefill_endings
+            else None,
         )
 
     async def _stream(self, request):
         first_number = int(request.headers.get('last-event-id') or 0) + 1
         break_number = self.break_after.pop(0) if self.break_after else None
-        await request.begin_chunks(
+        numbers = range(first_number, self.event_count + 1)
+        cut = self.stream_cuts.pop(0) if self.stream_cuts else None
+        await request.begin(
             200,
             [
                 *self.answer_headers(request),
                 ('content-type', 'text/event-stream'),
             ],
+            ending=_connection.Ending(framing=self.framing),
+            length=len(make_events(numbers, cut)),
         )
-        for number in range(first_number, self.event_count + 1):
+        if cut is not None:
+            await request.send_piece(make_events(numbers, cut))
+            await request.end()
+            return
+        for number in numbers:
             if break_number is not None and number > break_number:
                 # The stream breaks in the middle of an event.
-                await request.send_chunk(f'id: {number}\nda'.encode())
+                await request.send_piece(f'id: {number}\nda'.encode())
                 await request.reset()
                 return
             if self.last_event_gate is not None and number == self.event_count:
                 await self.last_event_gate.wait()
-            await request.send_chunk(make_event(number))
+            await request.send_piece(make_event(number))
             await trio.sleep(self.event_pause_s)
-        await request.send_chunk(b'')
+        await request.end()
 
 
 def make_event(number):
@@ -175,6 +213,22 @@
     return f'id: {number}\ndata: piece {number}\n\n'.encode()
 
 
+def make_events(numbers, cut=None):
+    """Return the bytes of several events.
+
+    Parameters
+    ----------
+    cut : (int, int) or None
+        Number of the event within which the bytes end, and how many of its
+        bytes there are; None for whole events.
+    """
+    if cut is None:
+        return b''.join(map(make_event, numbers))
+    cut_number, cut_bytes = cut
+    whole = [number for number in numbers if number < cut_number]
+    return make_events(whole) + make_event(cut_number)[:cut_bytes]
+
+
 async def never_answer(request):
     """Leave a call without an answer until it is cancelled."""
     del request
--- a/standin/site/_connection.py
+++ b/standin/site/_connection.py
@@ -3,11 +3,41 @@
 import functools
 from urllib import parse
 
+import attrs
 import h11
 import trio
 
 RECEIVE_BYTES = 65536
 
+FRAMING_LINES = {
+    'chunks': 'transfer-encoding: chunked',
+    'length': 'content-length: {length}',
+    'connection': '',
+}
+"""Ways to mark the end of a body, each with the header line that tells it."""
+
+
+@attrs.frozen(kw_only=True)
+class Ending:
+    """How the end of an answer's body is marked, and where the body ends.
+
+    Parameters
+    ----------
+    framing : str
+        A key of `FRAMING_LINES`. With ``'connection'`` the connection is
+        closed, not reset, where the body ends.
+    cut_bytes : int or None
+        Number of bytes after which the body ends, and is framed as whole;
+        None if it ends as it should.
+    """
+
+    framing: str = 'length'
+    cut_bytes: int | None = None
+
+    def cut(self, body):
+        """Return the part of a body that is sent."""
+        return body if self.cut_bytes is None else body[: self.cut_bytes]
+
 
 class SiteRequest:
     """A call with its whole body, and the stream for the answer."""
@@ -23,16 +53,50 @@
         self.body = body
         self.stream = stream
         self.keeps_connection = True
+        self._framing = 'length'
+
+    async def answer(self, status, body=b'', headers=(), *, ending=None):
+        """Send an answer; complete and with its length by default."""
+        if ending is None:
+            await self.stream.send_all(make_answer(status, body, headers))
+            return
+        body = ending.cut(body)
+        await self.begin(status, headers, ending=ending, length=len(body))
+        await self.send_piece(body)
+        await self.end()
+
+    async def begin(self, status, headers=(), *, ending, length=0):
+        """Send status and headers of an answer that is sent in pieces.
+
+        Parameters
+        ----------
+        length : int
+            Length of the body in bytes, for the framing ``'length'``.
+        """
+        self._framing = ending.framing
+        line = FRAMING_LINES[ending.framing].format(length=length)
+        lines = [f'HTTP/1.1 {status} X', *([line] if line else [])]
+        lines += [f'{name}: {value}' for name, value in headers]
+        await self.stream.send_all(_join(lines))
+
+    async def send_piece(self, data):
+        """Send a part of the body, which is not empty if it is chunked."""
+        if self._framing == 'chunks':
+            await self.send_chunk(data)
+        else:
+            await self.stream.send_all(data)
 
-    async def answer(self, status, body=b'', headers=()):
-        """Send a complete answer with a content length."""
-        await self.stream.send_all(make_answer(status, body, headers))
+    async def end(self):
+        """End the body as its framing marks it."""
+        if self._framing == 'chunks':
+            await self.send_chunk(b'')
+        elif self._framing == 'connection':
+            self.keeps_connection = False
+            await self.stream.send_eof()
 
     async def begin_chunks(self, status, headers=()):
         """Send status and headers of an answer in chunked encoding."""
-        lines = [f'HTTP/1.1 {status} X', 'transfer-encoding: chunked']
-        lines += [f'{name}: {value}' for name, value in headers]
-        await self.stream.send_all(_join(lines))
+        await self.begin(status, headers, ending=Ending(framing='chunks'))
 
     async def send_chunk(self, data):
         """Send one chunk; an empty one ends the answer."""
--- a/standin/site/_store.py
+++ b/standin/site/_store.py
@@ -33,11 +33,14 @@
         If above 0, the status that every call is answered with.
     page_size : int
         Largest number of items in a page of a range.
+    endings : list of Ending
+        How the answers to the next calls that are not refused end, in turn.
     """
 
     era: object = 1
     refuse_status: int = 0
     page_size: int = 500
+    endings: list = attrs.field(factory=list)
     revision: int = 1
     port: int = 0
     calls: list = attrs.field(factory=list)
@@ -181,7 +184,8 @@
     async def _answer(self, request, fields):
         fields['storeRevision'] = self.revision
         body = json.dumps(fields).encode()
-        await request.answer(200, body, self._make_headers())
+        ending = self.endings.pop(0) if self.endings else None
+        await request.answer(200, body, self._make_headers(), ending=ending)
 
     async def _refuse(self, request, status):
         await request.answer(status, headers=self._make_headers())
