Take a stream that ends inside an event as broken off

Cause: the answer had neither a length nor chunks; the kernel of a server that dies closes its connection without a reset, which the entry took for the end of the answer. An engine that ended its chunks or its length within an event had the same effect. Change: a stream is complete only after a whole event, however it is framed, and one framed by its connection has at least one. Else it is broken off: it goes on at another engine if the route allows, and its rest is not sent. Lines of events may end with CR or CRLF, which the check must not take for an event without end. A success that is no event stream is passed on once it is whole.

--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -53,6 +53,7 @@
 from bluebellthread.core._errors import BluebellthreadError
 from bluebellthread.core._errors import DuplicateNameError
 from bluebellthread.core._errors import UnknownNameError
+from bluebellthread.core._event_splitter import EventSplitter
 from bluebellthread.core._exceptions import Decision
 from bluebellthread.core._exceptions import explain
 from bluebellthread.core._exceptions import resolve
@@ -258,6 +259,7 @@
     'EarlyRefusalQueue',
     'EmitPiece',
     'EngineOrder',
+    'EventSplitter',
     'FRAMED_BY_CHUNKS',
     'FRAMED_BY_CONNECTION',
     'FRAMED_BY_LENGTH',
--- a/bluebellthread/entry/_event_splitter.py
+++ b/bluebellthread/core/_event_splitter.py
@@ -1,6 +1,15 @@
 """Splits the bytes of a server-sent event stream into whole events."""
 
-EVENT_END = b'\n\n'
+import re
+
+EVENT_END = re.compile(rb'(?:\r\n|\n|\r(?!\n)){2}')
+"""The end of an event's last line and the empty line after it. Lines may end
+with CR, LF or both (WHATWG HTML, 9.2.5)."""
+
+EVENT_END_BYTES = 4
+"""Longest text that `EVENT_END` matches."""
+
+LINE_ENDS = b'\r\n'
 ID_FIELD = b'id:'
 
 
@@ -14,39 +23,50 @@
     ----------
     last_id : str
         Id of the last whole event that had one; empty at first.
+    has_events : bool
+        Whether there was a whole event.
 
     Examples
     --------
     >>> splitter = EventSplitter()
     >>> splitter.push(b'id: 1\ndata: a\n\nid: 2')
     b'id: 1\ndata: a\n\n'
-    >>> splitter.last_id, splitter.rest
-    ('1', b'id: 2')
+    >>> splitter.last_id, splitter.rest, splitter.is_inside_event
+    ('1', b'id: 2', True)
     """
 
     def __init__(self):
         self._buffer = bytearray()
+        self._searched_bytes = 0
         self.last_id = ''
+        self.has_events = False
 
     @property
     def rest(self):
         """The buffered bytes after the last whole event."""
         return bytes(self._buffer)
 
+    @property
+    def is_inside_event(self):
+        """Whether an event has begun and is not complete."""
+        return bool(self._buffer.strip(LINE_ENDS))
+
     def push(self, data):
         """Add bytes and return the events that are complete by now."""
         self._buffer += data
-        end = self._buffer.rfind(EVENT_END)
-        if end < 0:
-            return b''
-        end += len(EVENT_END)
+        end = 0
+        for match in EVENT_END.finditer(self._buffer, self._searched_bytes):
+            end = match.end()
         events = bytes(self._buffer[:end])
         del self._buffer[:end]
-        self._note_last_id(events)
+        self._searched_bytes = max(0, len(self._buffer) - EVENT_END_BYTES)
+        if events.strip(LINE_ENDS):
+            self.has_events = True
+            self._note_last_id(events)
         return events
 
     def _note_last_id(self, events):
-        for line in reversed(events.split(b'\n')):
+        for line in reversed(events.splitlines()):
             if line.startswith(ID_FIELD):
                 self.last_id = line[len(ID_FIELD) :].strip().decode('latin-1')
                 return
--- a/bluebellthread/entry/_stream_path.py
+++ b/bluebellthread/entry/_stream_path.py
@@ -7,7 +7,6 @@
 from bluebellthread import core
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
-from bluebellthread.entry import _event_splitter
 from bluebellthread.entry import _http_messages
 from bluebellthread.entry import _placement_client
 from bluebellthread.entry import _prefill_runner
@@ -28,6 +27,9 @@
 """Prompt and output tokens assumed for requests that do not state them: those
 of a long request of the users."""
 
+EVENT_STREAM_TYPES = ('text/event-stream', '')
+"""Content types of streams; an answer may have none."""
+
 
 class StreamPath:
     """Serves the routes of kind `KIND_STREAM`.
@@ -310,7 +312,27 @@
         if not 200 <= call.head.status < 300:
             await self._pass_on_error_answer(placement, call)
             return
-        await self._pass_on_events(placement, call)
+        if _is_event_stream(call.head):
+            await self._pass_on_events(placement, call)
+        else:
+            await self._pass_on_document(placement, call)
+
+    async def _pass_on_document(self, placement, call):
+        """Pass on a success that is no event stream once it is complete."""
+        try:
+            body = await call.exchange.read_all()
+        except _server_connection.AnswerBrokenError as error:
+            self._raise_run_failed(placement, error)
+        if self._work.exchange.is_started:
+            self._raise_run_failed(
+                placement,
+                _server_connection.AnswerBrokenError(
+                    'the stream can only be resumed by events'
+                ),
+            )
+        await self._work.pass_on(
+            _http_messages.Answer(head=call.head, body=body)
+        )
 
     def _raise_run_failed(self, placement, error):
         """Log and raise the failure of a run that `note_run` has counted."""
@@ -344,7 +366,7 @@
     async def _pass_on_events(self, placement, call):
         work = self._work
         exchange = work.exchange
-        splitter = _event_splitter.EventSplitter()
+        splitter = core.EventSplitter()
         if not exchange.is_started:
             await exchange.start(
                 call.head.status, work.answer_headers(call.head)
@@ -359,25 +381,37 @@
                     await self._pass_on_piece(whole_events, splitter)
         except (_server_connection.AnswerBrokenError, trio.TooSlowError) as e:
             self._raise_run_failed(placement, e)
-        self._log_unmarked_end(placement, call, splitter)
+        self._check_end(placement, call, splitter)
         if splitter.rest:
             await exchange.send(splitter.rest)
         await exchange.finish()
         work.outcome = 'answered'
 
-    def _log_unmarked_end(self, placement, call, splitter):
-        """Log an end that doesn't show whether the stream is complete."""
+    def _check_end(self, placement, call, splitter):
+        """Raise if the end of an answer's body isn't the end of its stream.
+
+        A body that is framed by its connection also ends if its server dies.
+        """
         framing = call.exchange.framing
-        if framing != core.FRAMED_BY_CONNECTION and not splitter.rest:
-            return
-        emit(
-            events.STREAM_END_UNMARKED,
-            request_id=self._work.request_id,
-            server=placement.decode_server,
-            framing=framing,
-            rest_bytes=len(splitter.rest),
-            last_event=self._resume_after,
-        )
+        by_connection = framing == core.FRAMED_BY_CONNECTION
+        if by_connection or splitter.rest:
+            emit(
+                events.STREAM_END_UNMARKED,
+                request_id=self._work.request_id,
+                server=placement.decode_server,
+                framing=framing,
+                rest_bytes=len(splitter.rest),
+                last_event=self._resume_after,
+            )
+        problem = ''
+        if splitter.is_inside_event:
+            problem = 'the stream ended inside an event'
+        elif by_connection and not splitter.has_events:
+            problem = 'the connection ended before the first event'
+        if problem:
+            self._raise_run_failed(
+                placement, _server_connection.AnswerBrokenError(problem)
+            )
 
     async def _read_piece(self, call):
         """Return the next bytes of an answer, or None at its end.
@@ -446,3 +480,8 @@
         if server is None:
             raise _stream_context.StreamBrokenError(name, 0)
         return server
+
+
+def _is_event_stream(head):
+    content_type = head.header(b'content-type').partition(';')[0]
+    return content_type.strip().lower() in EVENT_STREAM_TYPES
--- a/tests/integration/test_entry_cut_answers.py
+++ b/tests/integration/test_entry_cut_answers.py
@@ -61,20 +61,15 @@
         async with running_engines('p1', 'd1', 'd2') as site:
             engines = [site.servers[name] for name in ('d1', 'd2')]
             for framing, cut in list_cuts():
+                # Only the first run at either engine is cut off.
+                cuts = [cut]
                 for engine in engines:
                     engine.framing = framing
                     engine.runs.clear()
-                    engine.stream_cuts = [cut]
-                async with await site.connect() as caller:
-                    await caller.send(
-                        'POST', '/ask/x', request_id=f'{framing}-{cut}'
-                    )
-                    await sites.wait_until(
-                        lambda: any(engine.runs for engine in engines)
-                    )
-                    for engine in engines:
-                        engine.stream_cuts.clear()
-                    answer = await caller.read_answer()
+                    engine.stream_cuts = cuts
+                answer = await site.call(
+                    'POST', '/ask/x', request_id=f'{framing}-{cut}'
+                )
                 seen = (framing, cut, answer)
                 self.assertTrue(answer.whole, seen)
                 self.assertEqual(ALL_EVENTS, answer.body, seen)
@@ -93,6 +88,23 @@
                     self.assertTrue(answer.whole)
                     self.assertEqual(ALL_EVENTS, answer.body)
 
+    @run
+    async def test_document_on_a_stream_route_is_passed_on_when_whole(self):
+        async def answer_document(request):
+            await request.answer(
+                200,
+                JSON_BODY,
+                [
+                    *site.servers['d1'].answer_headers(request),
+                    ('content-type', 'application/json'),
+                ],
+            )
+
+        async with running_engines('p1', 'd1') as site:
+            site.servers['d1'].script.append(answer_document)
+            answer = await site.call('POST', '/once/x')
+            self.assertEqual((200, JSON_BODY), (answer.status, answer.body))
+
     # Guards against an answer that has no length for an HTTP/1.0 caller and
     # looks complete if it is broken off by closing the connection.
     @run
@@ -113,18 +125,13 @@
 
 class TestPlainAnswers(unittest.TestCase):
     async def call_with_cut_answer(self, site, path):
+        # Only the first answer of either server is cut off.
+        endings = [CUT_BODY]
         for server in site.servers.values():
             server.body = JSON_BODY
             server.content_type = 'application/json'
-            server.endings = [CUT_BODY]
-        async with await site.connect() as caller:
-            await caller.send('POST', path)
-            await sites.wait_until(
-                lambda: any(s.runs for s in site.servers.values())
-            )
-            for server in site.servers.values():
-                server.endings.clear()
-            return await caller.read_answer()
+            server.endings = endings
+        return await site.call('POST', path)
 
     # Guards against a cut-off document that is passed on with a length.
     @run
