Take a JSON answer that does not parse as cut off

What callers saw: an answer of a plain service that has neither a length nor chunks and whose server dies got a length and looked complete; no idempotent call was sent to another server. Shown with stand-ins only; the users' record has no such case. Cause: the same as for streams: the end of the connection was taken for the end of the answer. Change: core.AnswerBody collects a body with a limit and, where only the end of the connection marks its end, checks it by its content type (a registry: JSON, event streams). The entry reads all bodies of servers through it.

--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -11,6 +11,11 @@
 from bluebellthread.core._acceptance import Invalid
 from bluebellthread.core._acceptance import Stale
 from bluebellthread.core._answer import AnswerMachine
+from bluebellthread.core._answer_body import AnswerBody
+from bluebellthread.core._answer_body import AnswerBodyError
+from bluebellthread.core._answer_body import AnswerCutOffError
+from bluebellthread.core._answer_body import AnswerTooLongError
+from bluebellthread.core._answer_body import content_checks
 from bluebellthread.core._answer_commands import AskPermit
 from bluebellthread.core._answer_commands import CountRetry
 from bluebellthread.core._answer_commands import CountWastedPrefill
@@ -224,11 +229,15 @@
     'Accepted',
     'AnswerArrived',
     'AnswerAsked',
+    'AnswerBody',
+    'AnswerBodyError',
+    'AnswerCutOffError',
     'AnswerLost',
     'AnswerMachine',
     'AnswerOptions',
     'AnswerPeer',
     'AnswerPiece',
+    'AnswerTooLongError',
     'ApplyConfiguration',
     'AskPeer',
     'AskPermit',
@@ -411,6 +420,7 @@
     'check_configuration',
     'choose_owner',
     'choose_watchers',
+    'content_checks',
     'cost_bytes',
     'count_pieces',
     'decide_acceptance',
--- a/bluebellthread/entry/_server_connection.py
+++ b/bluebellthread/entry/_server_connection.py
@@ -204,6 +204,7 @@
         self._closed = False
         self.sent = False
         self.framing = ''
+        self._content_type = ''
 
     async def open(self, method, target, headers, body):
         """Send a request and return the head of its answer.
@@ -245,6 +246,7 @@
                 self.framing = core.find_framing(
                     head.status, head.headers, method=self._request.method
                 )
+                self._content_type = head.header(b'content-type')
                 return head
             await self._skip_stale_answer()
 
@@ -311,18 +313,22 @@
         Raises
         ------
         AnswerBrokenError
-            If the connection fails, or the body exceeds `ANSWER_MAX_BYTES`.
+            If the connection fails, or the body is cut off or exceeds
+            `ANSWER_MAX_BYTES`.
         """
-        body = bytearray()
-        while True:
-            piece = await self.read()
-            if piece is None:
-                return bytes(body)
-            body += piece
-            if len(body) > ANSWER_MAX_BYTES:
-                raise AnswerBrokenError(
-                    f'the answer is longer than {ANSWER_MAX_BYTES} bytes'
-                )
+        body = core.AnswerBody(
+            framing=self.framing,
+            content_type=self._content_type,
+            size_max_bytes=ANSWER_MAX_BYTES,
+        )
+        try:
+            while True:
+                piece = await self.read()
+                if piece is None:
+                    return body.finish()
+                body.add(piece)
+        except core.AnswerBodyError as error:
+            raise AnswerBrokenError(str(error)) from error
 
     async def _next_event(self):
         while True:
--- /dev/null
+++ b/tests/unit/test_answer_body.py
@@ -0,0 +1,76 @@
+import json
+import unittest
+
+from bluebellthread import core
+
+DOCUMENT = json.dumps({'text': 'a "wig"', 'count': [1, {'b': None}]}).encode()
+EVENTS = b'id: 1\ndata: a\n\nid: 2\ndata: b\n\n'
+
+
+def read_body(content, content_type, framing=core.FRAMED_BY_CONNECTION):
+    body = core.AnswerBody(
+        framing=framing, content_type=content_type, size_max_bytes=1000
+    )
+    body.add(content)
+    return body.finish()
+
+
+class TestAnswerBody(unittest.TestCase):
+    def test_whole_content_is_returned(self):
+        for content, content_type in (
+            (DOCUMENT, 'application/json'),
+            (DOCUMENT, 'Application/Problem+JSON; charset=utf-8'),
+            (EVENTS, 'text/event-stream'),
+            (b'any text', 'text/plain'),
+            (b'', ''),
+        ):
+            self.assertEqual(content, read_body(content, content_type))
+
+    def test_each_cut_of_a_document_is_noticed(self):
+        for count in range(len(DOCUMENT)):
+            for content_type in ('application/json', 'a/b+json'):
+                with self.assertRaises(core.AnswerCutOffError):
+                    read_body(DOCUMENT[:count], content_type)
+
+    def test_cuts_inside_an_event_are_noticed(self):
+        event_bytes = len(EVENTS) // 2
+        for count in range(event_bytes):
+            with self.assertRaises(core.AnswerCutOffError):
+                read_body(EVENTS[:count], 'text/event-stream')
+
+    def test_content_with_a_marked_end_is_not_judged(self):
+        for framing in (
+            core.FRAMED_BY_CHUNKS,
+            core.FRAMED_BY_LENGTH,
+            core.FRAMED_WITHOUT_BODY,
+        ):
+            self.assertEqual(
+                b'{', read_body(b'{', 'application/json', framing)
+            )
+
+    def test_too_long_body_is_not_kept(self):
+        body = core.AnswerBody(
+            framing=core.FRAMED_BY_CHUNKS, content_type='', size_max_bytes=4
+        )
+        body.add(b'1234')
+        with self.assertRaises(core.AnswerTooLongError):
+            body.add(b'5')
+        self.assertEqual(4, body.size_bytes)
+
+
+class TestFraming(unittest.TestCase):
+    def test_framing_is_found_in_the_head(self):
+        length = (b'content-length', b'3')
+        chunks = (b'Transfer-Encoding', b'chunked')
+        for expected, status, headers, method in (
+            (core.FRAMED_BY_LENGTH, 200, [length], b'GET'),
+            (core.FRAMED_BY_CHUNKS, 200, [chunks], b'GET'),
+            (core.FRAMED_BY_CONNECTION, 200, [], b'POST'),
+            (core.FRAMED_BY_CONNECTION, 500, [], b'GET'),
+            (core.FRAMED_WITHOUT_BODY, 200, [], b'HEAD'),
+            (core.FRAMED_WITHOUT_BODY, 204, [], b'GET'),
+            (core.FRAMED_WITHOUT_BODY, 304, [length], b'GET'),
+        ):
+            self.assertEqual(
+                expected, core.find_framing(status, headers, method=method)
+            )
