Reset the connection if a stream without chunks is broken off

What callers saw: a caller of HTTP/1.0 gets a stream whose end is the end of the connection, so a stream that was broken off looked complete to it. Shown with stand-ins; the users' callers speak HTTP/1.1. Cause: a broken stream is ended by closing the connection, which only a chunked answer shows to be early. Change: until the last byte of such an answer has been sent, the socket resets the connection on close, which holds for a process that dies as well. A whole stream still ends without a reset (new test).

--- a/bluebellthread/entry/_caller_connection.py
+++ b/bluebellthread/entry/_caller_connection.py
@@ -8,6 +8,8 @@
 
 import functools
 import http
+import socket
+import struct
 
 import h11
 import trio
@@ -29,6 +31,9 @@
 """How long the connection is read after its write side was shut down, so
 that the caller receives the last answer: a few round trips of any caller."""
 
+CHUNKS_HTTP_VERSION = b'1.1'
+"""First version of HTTP whose answers may come in chunks."""
+
 REMEDIES = {
     400: 'send one well-formed HTTP/1.1 request',
     408: 'send the request faster',
@@ -301,6 +306,10 @@
     async def start(self, status, headers):
         """Send the head of a streamed answer."""
         chunked = [*headers, (b'transfer-encoding', b'chunked')]
+        if self._conn.their_http_version < CHUNKS_HTTP_VERSION:
+            # Only the end of the connection will mark the end of the answer,
+            # so any other end, that of this process too, must be a reset.
+            self._reset_on_close(True)
         await self._stream.send_all(self._begin(status, chunked))
 
     async def send(self, data):
@@ -310,6 +319,8 @@
     async def finish(self):
         """Send the last chunk, which marks a streamed answer as complete."""
         await self._stream.send_all(self._conn.send(h11.EndOfMessage()))
+        if self._conn.their_http_version < CHUNKS_HTTP_VERSION:
+            self._reset_on_close(False)
 
     async def abort(self):
         """Close the connection without the last chunk of the answer.
@@ -318,6 +329,11 @@
         """
         await trio.aclose_forcefully(self._stream)
 
+    def _reset_on_close(self, resets):
+        self._stream.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', resets, 0)
+        )
+
     def _begin(self, status, headers):
         self.status = status
         if self.closes_after:
--- a/tests/integration/test_entry_cut_answers.py
+++ b/tests/integration/test_entry_cut_answers.py
@@ -21,6 +21,12 @@
 
 CUT_BODY = standins.Ending(framing='connection', cut_bytes=20)
 JSON_BODY = json.dumps({'filed': [1, 2, 3], 'remark': 'two wigs'}).encode()
+CALL_WITHOUT_CHUNKS = (
+    b'POST /once/x HTTP/1.0\r\n'
+    b'Host: ' + sites.HOST.encode() + b'\r\n'
+    b'X-Request-Attempt-Id: id-1\r\n'
+    b'Content-Length: 0\r\n\r\n'
+)
 
 
 def running_engines(*engines):
@@ -112,16 +118,21 @@
         async with running_engines('p1', 'd1') as site:
             site.servers['d1'].break_after = [2]
             async with await site.connect() as caller:
-                await caller.stream.send_all(
-                    b'POST /once/x HTTP/1.0\r\n'
-                    b'Host: ' + sites.HOST.encode() + b'\r\n'
-                    b'X-Request-Attempt-Id: id-1\r\n'
-                    b'Content-Length: 0\r\n\r\n'
-                )
+                await caller.stream.send_all(CALL_WITHOUT_CHUNKS)
                 with self.assertRaises(trio.BrokenResourceError):
                     while await caller.stream.receive_some(65536):
                         pass
 
+    @run
+    async def test_whole_stream_for_a_caller_without_chunks_is_not_reset(self):
+        async with running_engines('p1', 'd1') as site:
+            async with await site.connect() as caller:
+                await caller.stream.send_all(CALL_WITHOUT_CHUNKS)
+                received = b''
+                while data := await caller.stream.receive_some(65536):
+                    received += data
+                self.assertTrue(received.endswith(b'\r\n\r\n' + ALL_EVENTS))
+
 
 class TestPlainAnswers(unittest.TestCase):
     async def call_with_cut_answer(self, site, path):
