Take cut-off answers at the daemon as lost

What callers saw: of an at-most-once call whose server died within a JSON answer without length or chunks, the ticket recorded the broken piece as the outcome; an idempotent call returned it with a length; a prefill whose answer was cut off counted as refused, which says that nothing ran. Cause: the end of the connection was taken for the end of the answer; a prefill's answer that is not JSON was reported with the kind of a refusal. Change: both calls read the body through core.AnswerBody. A cut-off answer of an at-most-once call leaves its outcome unknown, so the check path decides; an idempotent call fails with run unknown. An answer that is not JSON is 'unreadable'. The answer of an idempotent call is now limited to 16 MiB.

--- a/bluebellthread/core/_answer_body.py
+++ b/bluebellthread/core/_answer_body.py
@@ -81,6 +81,31 @@
         self._size_max_bytes = size_max_bytes
         self._content = bytearray()
 
+    @classmethod
+    def of_answer(cls, status, headers, *, method, size_max_bytes):
+        """Return the empty body of an answer whose head has been read.
+
+        Parameters
+        ----------
+        status : int
+            Status of the answer.
+        headers : iterable of (bytes, bytes)
+            Headers of the answer.
+        method : bytes
+            Method of the request.
+        size_max_bytes : int
+            Size of the longest body that is taken.
+        """
+        content_type = b''
+        for name, value in headers:
+            if name.lower() == b'content-type':
+                content_type = value
+        return cls(
+            framing=_framing.find_framing(status, headers, method=method),
+            content_type=content_type.decode('latin-1'),
+            size_max_bytes=size_max_bytes,
+        )
+
     @property
     def size_bytes(self):
         """Number of bytes added so far."""
--- a/bluebellthread/core/_answer_events.py
+++ b/bluebellthread/core/_answer_events.py
@@ -53,10 +53,11 @@
     ----------
     kind : str
         ``'refused'`` if the server ran nothing, ``'kv-evicted'`` if the KV
-        cache was evicted before its transfer, ``'unreachable'``,
-        ``'broken-stream'``, ``'cancelled'`` if the server was told to
-        cancel the request by its id, or ``'permit-lost'`` if the call was
-        not started because the permit predates a pause of this VM.
+        cache was evicted before its transfer, ``'unreadable'`` if its answer
+        can't be read, ``'unreachable'``, ``'broken-stream'``,
+        ``'cancelled'`` if the server was told to cancel the request by its
+        id, or ``'permit-lost'`` if the call was not started because the
+        permit predates a pause of this VM.
     """
 
     run: int
--- a/bluebellthread/daemon/_one_shot.py
+++ b/bluebellthread/daemon/_one_shot.py
@@ -174,6 +174,7 @@
         except DeadlinePassedError:
             return _describe_failure(stream, 'expired')
         except (
+            core.AnswerCutOffError,
             httpcore.NetworkError,
             httpcore.ProtocolError,
             httpcore.TimeoutException,
@@ -224,13 +225,20 @@
         origin=request.url.origin, stream=stream
     )
     response = await connection.handle_async_request(request)
-    body = bytearray()
+    body = core.AnswerBody.of_answer(
+        response.status,
+        response.headers,
+        method=request.method,
+        size_max_bytes=ANSWER_MAX_BYTES,
+    )
+    content = b''
     whole = True
-    async for chunk in response.aiter_stream():
-        body += chunk
-        if len(body) > ANSWER_MAX_BYTES:
-            whole = False
-            break
+    try:
+        async for chunk in response.aiter_stream():
+            body.add(chunk)
+        content = body.finish()
+    except core.AnswerTooLongError:
+        whole = False
     headers = tuple(
         (name.decode('latin-1').lower(), value.decode('latin-1'))
         for name, value in response.headers
@@ -238,7 +246,7 @@
     answer = core.ServerAnswer(
         status=response.status,
         headers=headers if whole else (),
-        body=bytes(body) if whole else b'',
+        body=content,
     )
     return Answered(answer=answer, whole=whole, late_ms=stream.late_ms)
 
--- a/bluebellthread/daemon/_service_path.py
+++ b/bluebellthread/daemon/_service_path.py
@@ -8,6 +8,8 @@
 PREFIX = '/services/'
 RETRY_AFTER_MS = 1000
 CONNECTIONS_MAX = 200
+ANSWER_MAX_BYTES = 16 * 1024 * 1024
+"""Longest answer that is buffered, as in the entry."""
 
 
 class ServicePath:
@@ -88,13 +90,23 @@
         ]
         headers.append((b'x-request-id', exchange.request_id.encode()))
         try:
-            response = await self._pool.request(
+            async with self._pool.stream(
                 request.method,
                 f'http://{server.host}:{server.port}{target}',
                 headers=headers,
                 content=request.body or None,
-            )
+            ) as response:
+                body = core.AnswerBody.of_answer(
+                    response.status,
+                    response.headers,
+                    method=request.method.encode(),
+                    size_max_bytes=ANSWER_MAX_BYTES,
+                )
+                async for chunk in response.aiter_stream():
+                    body.add(chunk)
+                content = body.finish()
         except (
+            core.AnswerBodyError,
             httpcore.NetworkError,
             httpcore.ProtocolError,
             httpcore.TimeoutException,
@@ -118,7 +130,7 @@
                 if key not in _http.UNFORWARDED_HEADERS
                 and key != 'x-request-id'
             ],
-            response.content,
+            content,
         )
 
 
--- a/bluebellthread/engines/_completions.py
+++ b/bluebellthread/engines/_completions.py
@@ -148,7 +148,7 @@
         return json.loads(content)
     except ValueError as error:
         raise _registry.EngineError(
-            kind='refused',
+            kind='unreadable',
             server=server.name,
             detail=f'the answer is not JSON: {error}',
         ) from error
