Add failing tests of bytes that come without end

Stand-ins now send endless head lines, header lines, interim answers, bodies of each framing and events.

--- a/standin/site/_store.py
+++ b/standin/site/_store.py
@@ -33,6 +33,9 @@
         If above 0, the status that every call is answered with.
     page_size : int
         Largest number of items in a page of a range.
+    script : list of callable
+        ``async`` functions that take a `SiteRequest`. Each call removes the
+        first one, which answers the call instead of the store.
     endings : list of Ending
         How the answers to the next calls that are not refused end, in turn.
     """
@@ -40,6 +43,7 @@
     era: object = 1
     refuse_status: int = 0
     page_size: int = 500
+    script: list = attrs.field(factory=list)
     endings: list = attrs.field(factory=list)
     revision: int = 1
     port: int = 0
@@ -124,7 +128,9 @@
 
     async def handle(self, request):
         self.calls.append(request.target)
-        if self.refuse_status:
+        if self.script:
+            await self.script.pop(0)(request)
+        elif self.refuse_status:
             await self._refuse(request, self.refuse_status)
         elif request.path == '/-/kv-key':
             await self._answer_key(request)
--- /dev/null
+++ b/tests/integration/test_entry_endless_bytes.py
@@ -0,0 +1,223 @@
+"""Servers that send bytes without end, in a head or in a body."""
+
+import contextlib
+import functools
+import pathlib
+import resource
+import unittest
+
+import trio
+
+from standin import site as standins
+from standin.site import _backend
+from tests.integration import _entry_site as sites
+from tests.integration.test_entry_plain import run
+
+MEMORY_MAX_BYTES = 60 * 1024 * 1024
+"""Growth of the process that the test allows: the memory of a VM less that of
+an idle entry process (the users' smallest VMs have 150 MB). The stand-ins
+run in the same process."""
+
+SAMPLE_PERIOD_S = 0.02
+CALL_COUNT = 12
+FRAMINGS = ('connection', 'chunks', 'length')
+BODY_PIECE = 64000 * b' '
+ALL_EVENTS = _backend.make_events(range(1, 5))
+HEADS = {
+    'endless head line': b'HTTP/1.1 200 OK\r\nx-long: ',
+    'endless header lines': b'HTTP/1.1 200 OK\r\n',
+    'no head': b'',
+    'interim answers': b'',
+}
+PIECES = {
+    'endless head line': 8000 * b'x',
+    'endless header lines': 200 * b'x-more: 1\r\n',
+    'no head': 4000 * b'x\n',
+    'interim answers': 100 * b'HTTP/1.1 100 Continue\r\n\r\n',
+}
+
+
+def read_memory_bytes():
+    """Return the resident memory of this process."""
+    pages = int(pathlib.Path('/proc/self/statm').read_text().split()[1])
+    return pages * resource.getpagesize()
+
+
+@contextlib.asynccontextmanager
+async def bounded_memory(test):
+    """Check that the memory of this process stays bounded meanwhile."""
+    samples = [read_memory_bytes()]
+
+    async def sample():
+        while True:
+            await trio.sleep(SAMPLE_PERIOD_S)
+            samples.append(read_memory_bytes())
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(sample)
+        yield
+        nursery.cancel_scope.cancel()
+    test.assertLess(max(samples) - samples[0], MEMORY_MAX_BYTES)
+
+
+async def send_without_end(head, piece, request):
+    """Send a head, then pieces until the caller closes the connection."""
+    request.keeps_connection = False
+    await request.stream.send_all(head)
+    while True:
+        await request.stream.send_all(piece)
+
+
+def endless_head(kind):
+    return functools.partial(send_without_end, HEADS[kind], PIECES[kind])
+
+
+def running_engines():
+    return sites.running_site(plain=(), engines=('p1', 'd1'))
+
+
+def endless_body(server, framing):
+    """Return a script that answers with a head and a body without end."""
+
+    async def send(request):
+        server.runs.append(request)
+        request.keeps_connection = False
+        await request.begin(
+            200,
+            server.answer_headers(request),
+            ending=standins.Ending(framing=framing),
+            length=10**12,
+        )
+        while True:
+            await request.send_piece(BODY_PIECE)
+
+    return send
+
+
+def endless_store_body(framing):
+    """Return a script of the store that answers with an endless body."""
+
+    async def send(request):
+        request.keeps_connection = False
+        await request.begin(
+            200,
+            [('Store-Era', 1)],
+            ending=standins.Ending(framing=framing),
+        )
+        while True:
+            await request.send_piece(BODY_PIECE)
+
+    return send
+
+
+class TestPlainServers(unittest.TestCase):
+    async def call_many(self, site, method, path):
+        """Make calls at the same time; return their statuses."""
+        statuses = []
+
+        async def call(number):
+            answer = await site.call(
+                method, path, request_id=f'i{number}', deadline_ms=8000
+            )
+            statuses.append(answer.status)
+
+        async with trio.open_nursery() as nursery:
+            for number in range(CALL_COUNT):
+                nursery.start_soon(call, number)
+        return statuses
+
+    # Guards against a process that keeps what a server sends without end.
+    @run
+    async def test_idempotent_calls_are_answered_by_another_server(self):
+        async with sites.running_site(plain=('s1', 's2')) as site:
+            faulty = site.servers['s1']
+            scripts = [endless_head(kind) for kind in HEADS]
+            scripts += [endless_body(faulty, kind) for kind in FRAMINGS]
+            async with bounded_memory(self):
+                for script in scripts:
+                    faulty.script = CALL_COUNT * [script]
+                    statuses = await self.call_many(site, 'GET', '/read/x')
+                    self.assertEqual(CALL_COUNT * [200], statuses)
+
+    @run
+    async def test_many_endless_bodies_share_a_bounded_memory(self):
+        async with sites.running_site(plain=('s1',)) as site:
+            server = site.servers['s1']
+            async with bounded_memory(self):
+                for framing in FRAMINGS:
+                    server.script = CALL_COUNT * [
+                        endless_body(server, framing)
+                    ]
+                    statuses = await self.call_many(site, 'POST', '/order/x')
+                    self.assertEqual(CALL_COUNT * [502], statuses)
+                    # Calls of other callers are not harmed.
+                    answer = await site.call('POST', '/order/x')
+                    self.assertEqual(200, answer.status)
+
+    @run
+    async def test_at_most_once_call_ends_without_a_refusal(self):
+        async with sites.running_site(plain=('s1',)) as site:
+            server = site.servers['s1']
+            for kind in HEADS:
+                server.script = [endless_head(kind)]
+                answer = await site.call(
+                    'POST', '/order/x', request_id=kind, deadline_ms=1000
+                )
+                self.assertIn(answer.status, (502, 504), kind)
+
+
+class TestEngines(unittest.TestCase):
+    @run
+    async def test_stream_ends_at_an_endless_event_and_others_go_on(self):
+        async with running_engines() as site:
+            engine = site.servers['d1']
+            async with bounded_memory(self):
+                for framing in FRAMINGS:
+                    engine.script = [endless_body(engine, framing)]
+                    answer = await site.call(
+                        'POST', '/once/x', request_id=framing
+                    )
+                    self.assertFalse(answer.whole)
+                    self.assertEqual(b'', answer.body)
+                    answer = await site.call(
+                        'POST', '/once/x', request_id=f'{framing}-2'
+                    )
+                    self.assertEqual(ALL_EVENTS, answer.body)
+
+    @run
+    async def test_prefill_without_end_is_left(self):
+        async with running_engines() as site:
+            prefill = site.servers['p1']
+            async with bounded_memory(self):
+                for script in (
+                    endless_head('interim answers'),
+                    endless_body(prefill, 'connection'),
+                ):
+                    prefill.script = [script]
+                    answer = await site.call(
+                        'POST', '/ask/x', request_id=str(script)
+                    )
+                    self.assertEqual(ALL_EVENTS, answer.body)
+
+
+class TestStore(unittest.TestCase):
+    # Guards against a watch that reads an endless answer and never returns
+    # to the store.
+    @run
+    async def test_list_of_servers_is_read_after_endless_answers(self):
+        async with sites.running_site(plain=('s1',)) as site:
+            async with bounded_memory(self):
+                site.store.script = [
+                    endless_head('endless header lines'),
+                    endless_head('interim answers'),
+                    endless_store_body('chunks'),
+                    endless_store_body('connection'),
+                ]
+                site.list_server('s1', 'plain', slots=7)
+                directory = site.entry.state.directory
+                await sites.wait_until(
+                    lambda: (
+                        directory.find('s1').slot_count == 7
+                        and not site.store.script
+                    )
+                )
--- a/tests/unit/test_cut_off_bodies.py
+++ b/tests/unit/test_cut_off_bodies.py
@@ -25,18 +25,24 @@
 
 
 def run_with_server(ending, function):
-    """Serve one document that ends in a way; return a function's result.
-
-    The function is ``async`` and takes the `core.BackendServer`.
-    """
+    """Serve a document that ends in a way; return a function's result."""
 
     async def answer(request):
         await request.answer(200, DOCUMENT, JSON_HEADERS, ending=ending)
 
+    return run_with_handler(answer, function)
+
+
+def run_with_handler(handler, function):
+    """Serve calls with a handler; return a function's result.
+
+    The function is ``async`` and takes the `core.BackendServer`.
+    """
+
     async def main():
         with trio.fail_after(TEST_TIMEOUT_S):
             async with trio.open_nursery() as nursery:
-                port = await _connection.serve(nursery, answer)
+                port = await _connection.serve(nursery, handler)
                 result = await function(
                     core.BackendServer(
                         name='s1',
