Limit what a server that never ends its answer can take

What callers saw: nothing yet; the users' pages say that bytes that are no answer may come without end. With stand-ins, twelve endless bodies took 272 MB (a VM has 150 to 300 MB), an event without end was kept until its request's deadline, answers of the store and of the daemon's engines were read for ever. Cause: bodies were limited one by one or not at all, and an event in progress, interim answers and skipped answers had no limit.

--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -39,6 +39,7 @@
 from bluebellthread.core._assembler import AnswerPiece
 from bluebellthread.core._assembler import Assembler
 from bluebellthread.core._assembler import TooManyHeldPiecesError
+from bluebellthread.core._body_budget import BodyBudget
 from bluebellthread.core._configuration import Configuration
 from bluebellthread.core._configuration import Model
 from bluebellthread.core._configuration import Region
@@ -58,7 +59,9 @@
 from bluebellthread.core._errors import BluebellthreadError
 from bluebellthread.core._errors import DuplicateNameError
 from bluebellthread.core._errors import UnknownNameError
+from bluebellthread.core._event_splitter import EVENT_MAX_BYTES
 from bluebellthread.core._event_splitter import EventSplitter
+from bluebellthread.core._event_splitter import EventTooLongError
 from bluebellthread.core._exceptions import Decision
 from bluebellthread.core._exceptions import explain
 from bluebellthread.core._exceptions import resolve
@@ -246,6 +249,7 @@
     'BackendServer',
     'BestFit',
     'BluebellthreadError',
+    'BodyBudget',
     'BoundedLoadPrefix',
     'BoundedQueue',
     'CHARACTERS_PER_TOKEN',
@@ -265,10 +269,12 @@
     'DecodeCandidate',
     'Done',
     'DuplicateNameError',
+    'EVENT_MAX_BYTES',
     'EarlyRefusalQueue',
     'EmitPiece',
     'EngineOrder',
     'EventSplitter',
+    'EventTooLongError',
     'FRAMED_BY_CHUNKS',
     'FRAMED_BY_CONNECTION',
     'FRAMED_BY_LENGTH',
--- a/bluebellthread/core/_answer_body.py
+++ b/bluebellthread/core/_answer_body.py
@@ -62,6 +62,9 @@
         Value of the ``Content-Type`` header; may be empty.
     size_max_bytes : int
         Size of the longest body that is taken.
+    budget : BodyBudget or None
+        Memory that is shared with other bodies until `close`; None for no
+        such limit.
 
     Examples
     --------
@@ -75,7 +78,8 @@
     b'{"a": 1}'
     """
 
-    def __init__(self, *, framing, content_type, size_max_bytes):
+    def __init__(self, *, framing, content_type, size_max_bytes, budget=None):
+        self._budget = budget
         self._framing = framing
         self._content_type = content_type.partition(';')[0].strip().lower()
         self._size_max_bytes = size_max_bytes
@@ -117,12 +121,25 @@
         Raises
         ------
         AnswerTooLongError
-            If the body is too long with them.
+            If the body is too long with them, or the shared memory does not
+            suffice for it.
         """
-        if len(self._content) + len(data) > self._size_max_bytes:
+        held_bytes = len(self._content)
+        size_bytes = held_bytes + len(data)
+        if size_bytes > self._size_max_bytes:
             raise AnswerTooLongError(self._size_max_bytes)
+        if self._budget is not None and not self._budget.reserve(
+            size_bytes, held_bytes
+        ):
+            raise AnswerTooLongError(held_bytes)
         self._content += data
 
+    def close(self):
+        """Drop the content and release the shared memory."""
+        held_bytes, self._content = len(self._content), bytearray()
+        if self._budget is not None:
+            self._budget.release(held_bytes)
+
     def finish(self):
         """Return the whole body at its end.
 
--- a/bluebellthread/core/_event_splitter.py
+++ b/bluebellthread/core/_event_splitter.py
@@ -2,6 +2,8 @@
 
 import re
 
+from bluebellthread.core import _errors
+
 EVENT_END = re.compile(rb'(?:\r\n|\n|\r(?!\n)){2}')
 """The end of an event's last line and the empty line after it. Lines may end
 with CR, LF or both (WHATWG HTML, 9.2.5)."""
@@ -9,10 +11,29 @@
 EVENT_END_BYTES = 4
 """Longest text that `EVENT_END` matches."""
 
+EVENT_MAX_BYTES = 256 * 1024
+"""Longest event that is buffered. An event with several tokens and their
+probabilities has some KB."""
+
 LINE_ENDS = b'\r\n'
 ID_FIELD = b'id:'
 
 
+class EventTooLongError(_errors.BluebellthreadError):
+    """An event is longer than `EVENT_MAX_BYTES`.
+
+    Examples
+    --------
+    >>> str(EventTooLongError())
+    'an event of the stream is longer than 262144 bytes'
+    """
+
+    def __init__(self):
+        super().__init__(
+            f'an event of the stream is longer than {EVENT_MAX_BYTES} bytes'
+        )
+
+
 class EventSplitter:
     r"""Buffers the bytes of an event until the event is complete.
 
@@ -54,15 +75,30 @@
     def push(self, data):
         """Add bytes and return the events that are complete by now."""
         self._buffer += data
+        events = self._take_whole_events()
+        if events.strip(LINE_ENDS):
+            self.has_events = True
+            self._note_last_id(events)
+        return events
+
+    def check_size(self):
+        """Raise if the incomplete event is too long.
+
+        Raises
+        ------
+        EventTooLongError
+            If it is longer than `EVENT_MAX_BYTES`.
+        """
+        if len(self._buffer) > EVENT_MAX_BYTES:
+            raise EventTooLongError
+
+    def _take_whole_events(self):
         end = 0
         for match in EVENT_END.finditer(self._buffer, self._searched_bytes):
             end = match.end()
         events = bytes(self._buffer[:end])
         del self._buffer[:end]
         self._searched_bytes = max(0, len(self._buffer) - EVENT_END_BYTES)
-        if events.strip(LINE_ENDS):
-            self.has_events = True
-            self._note_last_id(events)
         return events
 
     def _note_last_id(self, events):
--- a/bluebellthread/engines/_completions.py
+++ b/bluebellthread/engines/_completions.py
@@ -10,6 +10,9 @@
 from bluebellthread import core
 from bluebellthread.engines import _registry
 
+ANSWER_MAX_BYTES = 1024 * 1024
+"""Longest answer that is no stream; a load report has some KB."""
+
 _JSON_HEADER = (b'content-type', b'application/json')
 
 
@@ -77,12 +80,11 @@
                 content=json.dumps(body).encode(),
             ) as response:
                 if response.status != 200:
-                    raise _make_refusal_error(
-                        server, response, await response.aread()
-                    )
+                    content = await _read_body(response)
+                    raise _make_refusal_error(server, response, content)
                 async for item in _read_pieces(server, response):
                     yield item
-        except _TRANSPORT_ERRORS as error:
+        except (core.AnswerBodyError, *_TRANSPORT_ERRORS) as error:
             raise _registry.EngineError(
                 kind='broken-stream', server=server.name, detail=repr(error)
             ) from error
@@ -110,19 +112,24 @@
         method = 'GET' if body is None else 'POST'
         content = None if body is None else json.dumps(body).encode()
         try:
-            response = await self._pool.request(
+            async with self._pool.stream(
                 method,
                 _url(server, path),
                 headers=[*headers, _JSON_HEADER],
                 content=content,
-            )
+            ) as response:
+                answer = await _read_body(response)
+        except core.AnswerBodyError as error:
+            raise _registry.EngineError(
+                kind='unreadable', server=server.name, detail=str(error)
+            ) from error
         except _TRANSPORT_ERRORS as error:
             raise _registry.EngineError(
                 kind='unreachable', server=server.name, detail=repr(error)
             ) from error
         if response.status != 200:
-            raise _make_refusal_error(server, response, response.content)
-        return _decode_json(server, response.content)
+            raise _make_refusal_error(server, response, answer)
+        return _decode_json(server, answer)
 
 
 _TRANSPORT_ERRORS = (
@@ -177,6 +184,18 @@
     return transfer
 
 
+async def _read_body(response):
+    body = core.AnswerBody.of_answer(
+        response.status,
+        response.headers,
+        method=b'POST',
+        size_max_bytes=ANSWER_MAX_BYTES,
+    )
+    async for chunk in response.aiter_stream():
+        body.add(chunk)
+    return body.finish()
+
+
 async def _read_pieces(server, response):
     buffer = b''
     async for chunk in response.aiter_stream():
@@ -192,6 +211,12 @@
                 ) from error
             if item is not None:
                 yield item
+        if len(buffer) > core.EVENT_MAX_BYTES:
+            raise _registry.EngineError(
+                kind='broken-stream',
+                server=server.name,
+                detail=f'an event is longer than {core.EVENT_MAX_BYTES} bytes',
+            )
 
 
 def _parse_event(server, event):
--- a/bluebellthread/entry/_server_connection.py
+++ b/bluebellthread/entry/_server_connection.py
@@ -33,6 +33,18 @@
 ANSWER_MAX_BYTES = 16 * 1024 * 1024
 """Longest answer that is buffered: four times the longest request."""
 
+ANSWERS_MAX_BYTES = 16 * 1024 * 1024
+"""Most memory that all long answers take together while they are read: a tenth
+of the memory of the users' smallest VMs."""
+
+INTERIM_ANSWERS_MAX = 16
+"""Most interim (1xx) answers that may precede an answer; a server has few
+kinds of them to send."""
+
+STALE_ANSWERS_MAX = 16
+"""Most late answers to earlier requests that are skipped on a connection,
+which served one request at a time."""
+
 
 class ServerUnreachableError(Exception):
     """Raised when no connection can be opened; nothing was sent."""
@@ -84,11 +96,14 @@
     ----------
     opened_count : int
         Attempts to open a connection since the start.
+    body_budget : BodyBudget
+        Memory that the answers on all connections share.
     """
 
     def __init__(self):
         self._idle = collections.defaultdict(list)
         self.opened_count = 0
+        self.body_budget = core.BodyBudget(ANSWERS_MAX_BYTES)
 
     async def acquire(self, address, *, idle_max_ms, connect_timeout_s):
         """Return an idle or a new connection to a backend server.
@@ -239,7 +254,7 @@
         self._sent_whole = True
 
     async def _read_matching_head(self):
-        while True:
+        for _ in range(STALE_ANSWERS_MAX):
             head = await self._read_head()
             echoed = head.header(self._request_id_header)
             if not echoed or echoed == self._request_id:
@@ -249,9 +264,12 @@
                 self._content_type = head.header(b'content-type')
                 return head
             await self._skip_stale_answer()
+        raise AnswerBrokenError(
+            f'{STALE_ANSWERS_MAX} answers to other requests came first'
+        )
 
     async def _read_head(self):
-        while True:
+        for _ in range(INTERIM_ANSWERS_MAX):
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
                 continue
@@ -266,11 +284,20 @@
             raise AnswerBrokenError(
                 'the server closed the connection before it answered'
             )
+        raise AnswerBrokenError(
+            f'{INTERIM_ANSWERS_MAX} interim answers came before the answer'
+        )
 
     async def _skip_stale_answer(self):
         """Skip a late answer to an earlier request on this connection."""
-        while await self.read() is not None:
-            pass
+        skipped_bytes = 0
+        while (piece := await self.read()) is not None:
+            skipped_bytes += len(piece)
+            if skipped_bytes > ANSWER_MAX_BYTES:
+                raise AnswerBrokenError(
+                    'an answer to another request is longer than '
+                    f'{ANSWER_MAX_BYTES} bytes'
+                )
         trailing, _ = self._conn.trailing_data
         self._ended = False
         self._conn = h11.Connection(h11.CLIENT)
@@ -320,6 +347,7 @@
             framing=self.framing,
             content_type=self._content_type,
             size_max_bytes=ANSWER_MAX_BYTES,
+            budget=self._connections.body_budget,
         )
         try:
             while True:
@@ -329,6 +357,8 @@
                 body.add(piece)
         except core.AnswerBodyError as error:
             raise AnswerBrokenError(str(error)) from error
+        finally:
+            body.close()
 
     async def _next_event(self):
         while True:
--- a/bluebellthread/entry/_stream_path.py
+++ b/bluebellthread/entry/_stream_path.py
@@ -379,8 +379,13 @@
                 whole_events = splitter.push(data)
                 if whole_events:
                     await self._pass_on_piece(whole_events, splitter)
-        except (_server_connection.AnswerBrokenError, trio.TooSlowError) as e:
-            self._raise_run_failed(placement, e)
+                splitter.check_size()
+        except (
+            core.EventTooLongError,
+            _server_connection.AnswerBrokenError,
+            trio.TooSlowError,
+        ) as error:
+            self._raise_run_failed(placement, error)
         self._check_end(placement, call, splitter)
         if splitter.rest:
             await exchange.send(splitter.rest)
--- a/bluebellthread/platform/_store_client.py
+++ b/bluebellthread/platform/_store_client.py
@@ -7,6 +7,7 @@
 import httpcore
 import trio
 
+from bluebellthread import core
 from bluebellthread.entry import HistoryLostError
 from bluebellthread.entry import keep_alive_options
 from bluebellthread.entry import PlatformUnavailableError
@@ -40,6 +41,13 @@
 """Maximum number of connections to the store: for two watches, two reads, and
 as many calls again that are being cancelled."""
 
+ANSWER_TIMEOUT_S = 30.0
+"""Longest time for a whole answer after its wait. The largest value takes some
+seconds on the users' slowest links."""
+
+ANSWER_MAX_BYTES = 16 * 1024 * 1024
+"""Longest answer that is read: ten of the store's largest values."""
+
 HISTORY_LOST_STATUS = 410
 NOT_FOUND_STATUS = 404
 
@@ -228,16 +236,26 @@
         # A key of the store may hold what is no valid Unicode.
         text = urllib.parse.urlencode(query, errors='surrogatepass')
         url = f'{self._origin}{path}?{text}'
-        content = bytearray()
+        end_s = trio.current_time() + timeout_s + ANSWER_TIMEOUT_S
         try:
             with trio.fail_after(timeout_s) as scope:
                 async with self._pool.stream('GET', url) as response:
                     _check_size(response.headers, size_max_bytes)
+                    body = core.AnswerBody.of_answer(
+                        response.status,
+                        response.headers,
+                        method=b'GET',
+                        size_max_bytes=ANSWER_MAX_BYTES,
+                    )
                     async for chunk in response.aiter_stream():
-                        content += chunk
+                        body.add(chunk)
                         transfer.note_received(len(chunk))
-                        scope.deadline = trio.current_time() + READ_TIMEOUT_S
+                        scope.deadline = min(
+                            end_s, trio.current_time() + READ_TIMEOUT_S
+                        )
+                    content = body.finish()
         except (
+            core.AnswerBodyError,
             httpcore.NetworkError,
             httpcore.ProtocolError,
             httpcore.TimeoutException,
