Read the version of a server's software and log it

E7032 now tells both versions of a placement, the attempt that the caller resumes and the event to go on after. An entry of the store without a version names no server to use, like one without another field: the users' pages say so, and nothing could be told of its streams. Two test fixtures had left the field out. No choice depends on the version yet.

--- a/bluebellthread/core/routing/_directory.py
+++ b/bluebellthread/core/routing/_directory.py
@@ -38,6 +38,9 @@
         Whether the server drains before its shutdown.
     cold_ms : int
         Milliseconds for which the process, just started, will still be slow.
+    software_version : str
+        Version of the server's software; empty if the platform tells none.
+        Versions have no order.
     """
 
     name: str
@@ -50,6 +53,7 @@
     role: str = ''
     is_draining: bool = False
     cold_ms: int = 0
+    software_version: str = ''
 
 
 @attrs.frozen(kw_only=True)
--- a/bluebellthread/entry/_dialect.py
+++ b/bluebellthread/entry/_dialect.py
@@ -42,6 +42,9 @@
         Present if a server states that it did not run the request.
     resume_after : bytes
         Id of the last event received of a stream that is resumed.
+    resumed_attempt : bytes
+        Id of the caller's attempt that brought the first event of a stream
+        that is resumed.
     token_counts : bytes
         Prompt tokens, and the most output tokens, of a request.
     stage : bytes
@@ -78,6 +81,7 @@
     load: bytes
     not_run: bytes
     resume_after: bytes
+    resumed_attempt: bytes
     token_counts: bytes
     stage: bytes
     stage_prefill: bytes
--- a/bluebellthread/entry/_stream_path.py
+++ b/bluebellthread/entry/_stream_path.py
@@ -157,9 +157,18 @@
             output_tokens=output_tokens,
             caller_age_ms=self._caller_age_ms,
             waited_ms=placement.waited_ms,
+            prefill_version=self._find_version(placement.prefill_server),
+            decode_version=self._find_version(placement.decode_server),
+            resumes=work.request.header(self._dialect.resumed_attempt),
+            resume_after=self._resume_after
+            or work.request.header(self._dialect.resume_after),
         )
         return placement
 
+    def _find_version(self, name):
+        server = self._state.directory.find(name)
+        return server.software_version if server is not None else ''
+
     def _log_refusal(self, error):
         emit(
             events.PLACEMENT_REFUSED,
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -252,7 +252,8 @@
     'request {request_id} with {prompt_tokens} prompt and {output_tokens} '
     'output tokens was granted a placement by {owner} on {prefill_server} '
     'and {decode_server} after {waited_ms} ms, {caller_age_ms} ms after the '
-    'first attempt of its caller',
+    'first attempt of its caller; versions {prefill_version} and '
+    '{decode_version}, resumes {resumes} after event {resume_after}',
 )
 ATTEMPT_FAILED = Event(
     7033,
--- a/bluebellthread/platform/_decoding.py
+++ b/bluebellthread/platform/_decoding.py
@@ -135,6 +135,9 @@
         role=stage,
         is_draining=STATES[state],
         cold_ms=_read_count(fields, 'coldLeftMs', 0),
+        # The version of the server's software; the configuration and the
+        # answer of a prefill have other things under this name.
+        software_version=_require_text(fields, VERSION_FIELD),
     )
 
 
--- a/bluebellthread/platform/_dialect.py
+++ b/bluebellthread/platform/_dialect.py
@@ -106,6 +106,7 @@
         load=b'x-instance-load',
         not_run=b'x-not-executed',
         resume_after=b'last-event-id',
+        resumed_attempt=b'resumes',
         token_counts=b'x-token-count',
         stage=b'x-serving-stage',
         stage_prefill=b'prefill',
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -96,6 +96,7 @@
                 incarnation=1700000000000,
                 slot_count=48,
                 role='decode',
+                software_version='v1',
             ),
             server,
         )
@@ -113,6 +114,9 @@
             {'zone': ''},
             {'stage': 'both'},
             {'born': 1.5},
+            {'version': 7},
+            {'version': ''},
+            {'version': None},
             {'born': 10**30},
             {'slots': 10**30},
             {'address': '10.0.0.1:65536'},
--- a/tests/unit/test_platform_restore.py
+++ b/tests/unit/test_platform_restore.py
@@ -13,6 +13,7 @@
     'service': 'plain',
     'address': '10.0.0.1:80',
     'zone': 'cluj-a',
+    'version': 'v1',
     'state': 'ready',
     'born': 1700000000000,
 }
--- a/tests/unit/test_store_client.py
+++ b/tests/unit/test_store_client.py
@@ -30,6 +30,7 @@
     'service': 's',
     'address': '10.0.0.1:80',
     'zone': 'cluj-a',
+    'version': 'v1',
     'state': 'ready',
 }
 
