--- a/standin/site/_backend.py
+++ b/standin/site/_backend.py
@@ -29,6 +29,8 @@
         Body of each answer; None for one that tells the server and the call.
     content_type : str
         Content type of each answer; empty for none.
+    software_version : str
+        Version in the server's entry in the store.
     endings : list of Ending
         How the answers to the next runs end, in turn; the answers after
         these are complete and have a length.
@@ -41,6 +43,7 @@
     runs: list = attrs.field(factory=list)
     arrivals: list = attrs.field(factory=list)
     run_pause_s: float = 0.0
+    software_version: str = 'v1'
     body: bytes | None = None
     content_type: str = ''
     endings: list = attrs.field(factory=list)
@@ -55,7 +58,7 @@
             'service': service,
             'address': f'127.0.0.1:{self.port}',
             'zone': 'cluj-a',
-            'version': 'v1',
+            'version': self.software_version,
             'slots': self.slots,
             'state': 'ready',
             'coldLeftMs': 0,
--- /dev/null
+++ b/tests/integration/test_entry_versions.py
@@ -0,0 +1,210 @@
+"""Engines of several software versions in one service.
+
+What two versions write doesn't fit together, and engines don't check it.
+"""
+
+import unittest
+
+import trio
+
+from standin.site import _backend
+from tests.integration import _entry_fleet as fleets
+from tests.integration import _entry_site as sites
+from tests.integration.test_entry_plain import run
+
+ALL_EVENTS = _backend.make_events(range(1, 5))
+FIRST_EVENTS = _backend.make_events((1, 2))
+ENGINES = ('p1', 'p2', 'd1', 'd2', 'd3', 'd4')
+VERSIONS = {'p2': 'v2', 'd3': 'v2', 'd4': 'v2'}
+ZONES = {'p2': 'brasov-b', 'd3': 'brasov-b', 'd4': 'brasov-b'}
+"""A VM prefers engines of its data centre, so VMs begin streams at different
+versions."""
+
+REQUEST_COUNT = 6
+
+
+def runs_of(fleet, *request_ids):
+    """Return the engines that ran requests, by the events' order."""
+    return [
+        engine
+        for request_id in request_ids
+        for engine in fleet.servers.values()
+        for request in engine.runs
+        if request.headers['x-request-attempt-id'] == request_id
+    ]
+
+
+def versions_of(engines):
+    return {engine.software_version for engine in engines}
+
+
+async def begin_stream(fleet, vm, request_id):
+    """Begin a stream and leave it after two events; return its engine."""
+    gate = trio.Event()
+    for engine in fleet.servers.values():
+        engine.event_count = 3
+        engine.last_event_gate = gate
+    async with await fleet.connect(vm) as caller:
+        await caller.send('POST', '/ask/x', request_id=request_id)
+        status, _ = await caller.read_head()
+        received = b''
+        while status == 200 and received != FIRST_EVENTS:
+            received += await caller.read_chunk()
+    for engine in fleet.servers.values():
+        engine.event_count = 4
+        engine.last_event_gate = None
+    (engine,) = runs_of(fleet, request_id)
+    return engine
+
+
+async def resume(fleet, vm, request_id, first_id):
+    """Take a stream up again after its second event; return the answer."""
+    async with await fleet.connect(vm) as caller:
+        return await caller.call(
+            'POST',
+            '/ask/x',
+            request_id=request_id,
+            headers=['Last-Event-Id: 2', f'Resumes: {first_id}'],
+        )
+
+
+class TestOneAnswer(unittest.TestCase):
+    # Guards against a stream that goes on at an engine of another version.
+    @run
+    async def test_broken_stream_goes_on_at_its_version(self):
+        async with fleets.running_fleet(
+            vms=1, engines=ENGINES, versions=VERSIONS
+        ) as fleet:
+            for number in range(REQUEST_COUNT):
+                breaks = [2]
+                for engine in fleet.servers.values():
+                    engine.break_after = breaks
+                async with await fleet.connect(1) as caller:
+                    answer = await caller.call(
+                        'POST', '/ask/x', request_id=f'i{number}'
+                    )
+                self.assertTrue(answer.whole)
+                self.assertEqual(ALL_EVENTS, answer.body)
+                runs = runs_of(fleet, f'i{number}')
+                self.assertEqual(2, len(runs))
+                self.assertEqual(1, len(versions_of(runs)))
+
+    @run
+    async def test_stream_whose_version_has_no_engine_left_is_broken_off(self):
+        async with fleets.running_fleet(
+            vms=1, engines=('p1', 'd1', 'd3'), versions=VERSIONS
+        ) as fleet:
+            for number in range(REQUEST_COUNT):
+                breaks = [2]
+                for engine in fleet.servers.values():
+                    engine.break_after = breaks
+                async with await fleet.connect(1) as caller:
+                    answer = await caller.call(
+                        'POST', '/ask/x', request_id=f'i{number}'
+                    )
+                runs = runs_of(fleet, f'i{number}')
+                self.assertEqual(1, len(versions_of(runs)))
+                # The engine that failed may run the stream again.
+                self.assertIn(answer.body, (FIRST_EVENTS, ALL_EVENTS))
+                self.assertEqual(answer.body == ALL_EVENTS, answer.whole)
+
+    @run
+    async def test_kv_cache_stays_within_a_version(self):
+        async with fleets.running_fleet(
+            vms=1,
+            engines=ENGINES,
+            versions=VERSIONS,
+            # The nearest prefill server is of another version.
+            zones={'p1': 'brasov-b', 'd3': 'brasov-b', 'd4': 'brasov-b'},
+        ) as fleet:
+            ports = {
+                str(engine.port): engine.software_version
+                for engine in fleet.servers.values()
+            }
+            for number in range(REQUEST_COUNT):
+                async with await fleet.connect(1) as caller:
+                    answer = await caller.call(
+                        'POST', '/ask/x', request_id=f'i{number}'
+                    )
+                self.assertEqual(ALL_EVENTS, answer.body)
+            for engine in fleet.servers.values():
+                for request in engine.runs:
+                    source = request.headers.get('x-kv-source')
+                    if source is None:
+                        continue
+                    port = source.partition('/')[0].rpartition(':')[2]
+                    self.assertEqual(engine.software_version, ports[port])
+
+
+class TestTriesOfACaller(unittest.TestCase):
+    # Guards against a next try that goes on at another version.
+    @run
+    async def test_next_try_at_any_vm_goes_on_at_the_version_that_began(self):
+        async with fleets.running_fleet(
+            engines=ENGINES, versions=VERSIONS, zones=ZONES
+        ) as fleet:
+            for number in range(REQUEST_COUNT):
+                first_id, next_id = f'first-{number}', f'next-{number}'
+                vm = 1 + number % 3
+                began = await begin_stream(fleet, vm, first_id)
+                answer = await resume(
+                    fleet, 1 + (number + 1) % 3, next_id, first_id
+                )
+                self.assertEqual(200, answer.status)
+                self.assertEqual(
+                    FIRST_EVENTS + answer.body, ALL_EVENTS, answer
+                )
+                runs = runs_of(fleet, next_id)
+                self.assertEqual({began.software_version}, versions_of(runs))
+
+    @run
+    async def test_next_try_goes_on_after_its_vm_was_killed(self):
+        async with fleets.running_fleet(
+            vms=4, engines=ENGINES, versions=VERSIONS, zones=ZONES
+        ) as fleet:
+            for number in range(3):
+                first_id, next_id = f'first-{number}', f'next-{number}'
+                began = await begin_stream(fleet, number + 1, first_id)
+                fleet.kill_vm(number + 1)
+                answer = await resume(fleet, 4, next_id, first_id)
+                self.assertEqual(200, answer.status)
+                runs = runs_of(fleet, next_id)
+                self.assertEqual({began.software_version}, versions_of(runs))
+                await fleet.start_vm(number + 1)
+                await fleet.wait_ready()
+
+    @run
+    async def test_stream_of_unknown_version_is_refused(self):
+        async with fleets.running_fleet(
+            engines=ENGINES, versions=VERSIONS, is_first_start=True
+        ) as fleet:
+            answer = await resume(fleet, 1, 'next', 'never-seen')
+            self.assertEqual(503, answer.status)
+            self.assertIn('retry-after', answer.headers)
+            self.assertEqual([], runs_of(fleet, 'next'))
+
+    @run
+    async def test_stream_of_a_version_that_has_gone_is_refused(self):
+        async with fleets.running_fleet(
+            engines=('p1', 'p2', 'd1', 'd3'), versions=VERSIONS
+        ) as fleet:
+            began = await begin_stream(fleet, 1, 'first')
+            fleet.store.remove(f'servers/{began.name}')
+            await sites.wait_until(
+                lambda: all(
+                    vm.entry.state.directory.find(began.name) is None
+                    for vm in fleet.vms.values()
+                )
+            )
+            answer = await resume(fleet, 2, 'next', 'first')
+            self.assertEqual(503, answer.status)
+            self.assertEqual([], runs_of(fleet, 'next'))
+
+    @run
+    async def test_stream_goes_on_if_there_was_one_version_only(self):
+        async with fleets.running_fleet(
+            engines=('p1', 'd1', 'd2'), is_first_start=True
+        ) as fleet:
+            answer = await resume(fleet, 1, 'next', 'never-seen')
+            self.assertEqual(200, answer.status)
+            self.assertEqual(FIRST_EVENTS + answer.body, ALL_EVENTS)
