Let a broken stream go on at its own version only

Cause: the entry did not read an engine's version; any decode server could go on, and any prefill server could be paired with it. Change: the VM notes the version of the engine whose first event it passes on and asks the owner for that version. Owners pair engines within a version and refuse at once if none is left. A request that waits for a version doesn't hold up the others. Tries of callers are not covered yet.

--- a/bluebellthread/core/routing/_allocator.py
+++ b/bluebellthread/core/routing/_allocator.py
@@ -230,9 +230,12 @@
         answers = self._collect_refusals(now_ms)
         for waiting in self._in_order(now_ms):
             grant = self._grant(waiting.request, now_ms)
-            if grant is None:
+            if grant is not None:
+                answers.append(grant)
+            elif not waiting.request.software_version:
+                # Requests that must have one version only wait for its
+                # engines; the engines of the others stay in use meanwhile.
                 break
-            answers.append(grant)
         return answers
 
     def _in_order(self, now_ms):
@@ -303,6 +306,9 @@
             return 'too-late'
         if not self._pool.by_role['decode']:
             return 'no-server'
+        version = request.software_version
+        if version and version not in self._pool.decode_versions:
+            return 'no-version'
         if (
             request.prompt_tokens + request.output_tokens
             > self._pool.largest_tokens
--- a/bluebellthread/core/routing/_engine_account.py
+++ b/bluebellthread/core/routing/_engine_account.py
@@ -24,6 +24,9 @@
         Requests that the engine runs concurrently.
     memory_tokens : int
         Capacity of the KV cache in tokens.
+    software_version : str
+        Version of the engine's software. What two versions write, streams and
+        KV caches, doesn't fit together.
     """
 
     name: str
@@ -33,6 +36,7 @@
     region: str
     slot_count: int
     memory_tokens: int
+    software_version: str = ''
 
 
 @attrs.define(kw_only=True)
--- a/bluebellthread/core/routing/_engine_pool.py
+++ b/bluebellthread/core/routing/_engine_pool.py
@@ -1,5 +1,6 @@
 """The engines of one service and the placements in use on them."""
 
+import collections
 import math
 
 from bluebellthread.core.routing import _engine_account
@@ -31,6 +32,8 @@
         Accounts of the listed engines, by role.
     largest_tokens : int
         Largest KV cache capacity of a decode server, in tokens.
+    decode_versions : collections.Counter
+        Number of decode servers of each software version.
     """
 
     def __init__(self, *, fits, prefill_depth):
@@ -42,6 +45,7 @@
         self._next_expire_ms = math.inf
         self.by_role = {'prefill': [], 'decode': []}
         self.largest_tokens = 0
+        self.decode_versions = collections.Counter()
 
     def __len__(self):
         return len(self._placements)
@@ -82,6 +86,9 @@
             ]
             for role in self.by_role
         }
+        self.decode_versions = collections.Counter(
+            item.server.software_version for item in self.by_role['decode']
+        )
         self.largest_tokens = max(
             (item.server.memory_tokens for item in self.by_role['decode']),
             default=0,
@@ -121,7 +128,34 @@
             also runs the prefill. None instead of a pair if the request has
             to wait.
         """
-        prefills = self._usable('prefill', request, now_ms)
+        versions = self.decode_versions
+        if request.software_version:
+            versions = (request.software_version,)
+        pairs = [
+            pair
+            for version in versions
+            if (
+                pair := self._choose_pair_of(
+                    version, request, now_ms, is_urgent
+                )
+            )
+        ]
+        return min(
+            pairs,
+            key=lambda pair: (
+                any(_is_doubtful(item, request, now_ms) for item in pair),
+                _rate_decode(pair[1], request, now_ms),
+            ),
+            default=None,
+        )
+
+    def _choose_pair_of(self, version, request, now_ms, is_urgent):
+        """Return a pair of engines of one version as `choose_pair` does.
+
+        Both are of the same version, since one can't use the KV cache that
+        another version has written.
+        """
+        prefills = self._usable('prefill', version, request, now_ms)
         free = [
             item
             for item in prefills
@@ -129,9 +163,9 @@
         ]
         if not free:
             return self._choose_local_prefill(
-                request, now_ms, prefills, is_urgent
+                version, request, now_ms, prefills, is_urgent
             )
-        decode = self._choose_decode(request, now_ms)
+        decode = self._choose_decode(version, request, now_ms)
         if decode is None:
             return None
         prefill = min(
@@ -144,12 +178,15 @@
         )
         return prefill, decode
 
-    def _choose_local_prefill(self, request, now_ms, prefills, is_urgent):
+    def _choose_local_prefill(
+        self, version, request, now_ms, prefills, is_urgent
+    ):
         """Return (None, decode server) to run the prefill there, or None."""
         if not prefills:
-            decode = self._choose_decode(request, now_ms)
+            decode = self._choose_decode(version, request, now_ms)
         elif is_urgent:
             decode = self._choose_decode(
+                version,
                 request,
                 now_ms,
                 lambda item: (
@@ -161,21 +198,18 @@
             return None
         return None if decode is None else (None, decode)
 
-    def _choose_decode(self, request, now_ms, is_eligible=lambda item: True):
+    def _choose_decode(
+        self, version, request, now_ms, is_eligible=lambda item: True
+    ):
         fitting = [
             item
-            for item in self._usable('decode', request, now_ms)
+            for item in self._usable('decode', version, request, now_ms)
             if is_eligible(item) and self._has_capacity(item, request, now_ms)
         ]
-        if not fitting:
-            return None
         return min(
             fitting,
-            key=lambda item: (
-                item.load(now_ms)
-                + 0.1 * (item.server.data_centre != request.data_centre),
-                item.server.name,
-            ),
+            key=lambda item: _rate_decode(item, request, now_ms),
+            default=None,
         )
 
     def _has_capacity(self, account, request, now_ms):
@@ -188,13 +222,17 @@
         account.rejected_request = request
         return False
 
-    def _usable(self, role, request, now_ms):
-        """Return the engines of a role that a request may use.
+    def _usable(self, role, version, request, now_ms):
+        """Return the engines of a role and version that a request may use.
 
         Engines that are backing off or have failed the request are included
-        only if no other engine is left.
+        only if no other engine of the version is left.
         """
-        accounts = self.by_role[role]
+        accounts = [
+            item
+            for item in self.by_role[role]
+            if item.server.software_version == version
+        ]
         available = [
             item for item in accounts if not item.is_backing_off(now_ms)
         ]
@@ -258,6 +296,20 @@
     )
 
 
+def _is_doubtful(account, request, now_ms):
+    """Return whether an engine backs off or has failed the request."""
+    return account is not None and (
+        account.is_backing_off(now_ms)
+        or account.server.name in request.avoid_servers
+    )
+
+
+def _rate_decode(account, request, now_ms):
+    """Return the sort key of a decode server; the least is the best."""
+    is_distant = account.server.data_centre != request.data_centre
+    return (account.load(now_ms) + 0.1 * is_distant, account.server.name)
+
+
 def _transfer_cost(server, other):
     """Return the relative cost of a KV cache transfer between two servers.
 
--- a/bluebellthread/core/routing/_placement_messages.py
+++ b/bluebellthread/core/routing/_placement_messages.py
@@ -35,6 +35,9 @@
         Time at which the owner replies `PlacementPending` if undecided.
     avoid_servers : tuple of str
         Servers that failed this request; used only if no other is left.
+    software_version : str
+        Version of the engines that the stream must go on at; empty if it may
+        begin at any.
     """
 
     ask_id: str
@@ -49,6 +52,7 @@
     deadline_ms: int
     poll_deadline_ms: int
     avoid_servers: tuple[str, ...] = ()
+    software_version: str = ''
 
 
 @attrs.frozen(kw_only=True)
@@ -75,8 +79,8 @@
     Parameters
     ----------
     kind : str
-        ``'no-server'``, ``'too-late'``, ``'too-large'`` or
-        ``'overloaded'``.
+        ``'no-server'``, ``'no-version'`` if no engine of the required version
+        is left, ``'too-late'``, ``'too-large'`` or ``'overloaded'``.
     retry_after_ms : int
         Delay in milliseconds before the caller should retry.
     waiting_count, place_count : int
--- a/bluebellthread/entry/_state.py
+++ b/bluebellthread/entry/_state.py
@@ -125,6 +125,7 @@
                 region=self.settings.regions.get(server.data_centre, ''),
                 slot_count=server.slot_count,
                 memory_tokens=traits.engine.memory_tokens,
+                software_version=server.software_version,
             )
             for server in self.directory.usable(service)
             if server.role
--- a/bluebellthread/entry/_stream_path.py
+++ b/bluebellthread/entry/_stream_path.py
@@ -87,6 +87,8 @@
         )
         self._failed_servers = []
         self._resume_after = ''
+        self._begun_version = ''
+        self._running_version = ''
 
     async def run(self):
         work = self._work
@@ -142,6 +144,7 @@
             start_deadline_ms=self._compute_start_deadline_ms(),
             deadline_ms=work.deadline_ms,
             poll_deadline_ms=0,
+            software_version=self._begun_version,
         )
         placement = await self._placements.request_placement(
             placement_ask, avoid=tuple(self._failed_servers)
@@ -222,7 +225,7 @@
         )
 
     async def _connect(self, placement):
-        server = self._find_server(placement.decode_server)
+        server = self._find_decode_server(placement)
         started_ms = _clock.read_clock_ms()
         try:
             return await self._caller.connect(
@@ -275,7 +278,7 @@
     async def _open_answer(self, placement, prompt, exchange=None):
         """Send the request to the decode server; return the open call."""
         work = self._work
-        server = self._find_server(placement.decode_server)
+        server = self._find_decode_server(placement)
         extra = self._resume_headers()
         if prompt is not None:
             source = self._dialect.write_cache_source(
@@ -306,6 +309,7 @@
                 server.name, 2, was_refused=error.was_refused
             ) from error
         work.note_run()
+        self._running_version = server.software_version
         return call
 
     def _note_run_failed(self, server, error, started_ms):
@@ -444,6 +448,7 @@
         if not self._resume_after:
             self._work.first_event_ms = self._work.age_ms
             self._stats.observe_first_event(self._work.first_event_ms)
+            self._begun_version = self._running_version
         self._resume_after = splitter.last_id or self._resume_after
         await self._work.exchange.send(whole_events)
 
@@ -489,6 +494,25 @@
         else:
             await work.refuse(kind, retry_after_ms)
 
+    def _find_decode_server(self, placement):
+        """Return the decode server, if the stream may go on at it.
+
+        An owner of an older build, or with an older list of servers, may
+        grant a server of another version.
+        """
+        server = self._find_server(placement.decode_server)
+        begun_version = self._begun_version
+        if begun_version and server.software_version != begun_version:
+            emit(
+                events.STREAM_VERSION_DIFFERS,
+                request_id=self._work.request_id,
+                server=server.name,
+                version=server.software_version,
+                begun_version=begun_version,
+            )
+            raise _stream_context.StreamBrokenError(server.name, 1)
+        return server
+
     def _find_server(self, name):
         server = self._state.directory.find(name)
         if server is None:
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -319,6 +319,12 @@
     'engine {server} was ordered to the role {role}: {outcome}, status '
     '{status}',
 )
+STREAM_VERSION_DIFFERS = Event(
+    7043,
+    'WARNING',
+    'request {request_id}: granted {server} of version {version}, but the '
+    'stream began at version {begun_version}',
+)
 
 
 def list_events():
--- a/bluebellthread/wire/peer.thrift
+++ b/bluebellthread/wire/peer.thrift
@@ -291,6 +291,7 @@
   10: i64 poll_deadline_ms,
   11: list<string> avoid_servers,
   12: i64 start_deadline_ms,
+  13: string software_version,
 }
 
 struct PlacementGranted {
--- a/tests/unit/test_allocator.py
+++ b/tests/unit/test_allocator.py
@@ -288,3 +288,73 @@
         self.assertFalse(self.owned.end_if_idle(True, end_ms))
         self.assertTrue(self.owned.end_if_idle(False, end_ms))
         self.assertEqual(0, self.owned.allocator.place_count)
+
+
+def make_engines(*names):
+    """Return engines whose names end with their version's digit."""
+    return tuple(
+        make.make_engine(
+            name,
+            'prefill' if name.startswith('p') else 'decode',
+            software_version=f'v{name[-1]}',
+        )
+        for name in names
+    )
+
+
+class TestVersions(unittest.TestCase):
+    def setUp(self):
+        self.allocator = routing.Allocator()
+
+    def decide(self, now_ms=0):
+        """Return the engines granted to each request, or its refusal."""
+        return {
+            answer.ask_id: answer.kind
+            if isinstance(answer, routing.PlacementRefused)
+            else (answer.prefill_server, answer.decode_server)
+            for answer in self.allocator.decide(now_ms)
+        }
+
+    def add(self, ask_id, now_ms=0, **changes):
+        request = make.make_request(ask_id, **changes)
+        self.allocator.add_request(request, now_ms)
+
+    # Guards against a stream that goes on at another version.
+    def test_stream_gets_engines_of_its_version_only(self):
+        self.allocator.set_servers(make_engines('pa1', 'da1', 'pa2', 'da2'))
+        for version in ('v2', 'v1', 'v2'):
+            self.add(version, software_version=version)
+            number = version[-1]
+            self.assertEqual(
+                {version: (f'pa{number}', f'da{number}')}, self.decide()
+            )
+            self.allocator.release(version, 0)
+
+    def test_kv_cache_is_read_by_the_version_that_wrote_it(self):
+        self.allocator.set_servers(make_engines('pa1', 'da2'))
+        self.add('a')
+        self.assertEqual({'a': ('', 'da2')}, self.decide())
+
+    def test_stream_whose_version_has_gone_is_refused_at_once(self):
+        self.allocator.set_servers(make_engines('pa1', 'da1'))
+        self.add('a', software_version='v2')
+        self.assertEqual({'a': 'no-version'}, self.decide())
+
+    def test_others_are_granted_while_a_version_is_full(self):
+        self.allocator.set_servers(make_engines('pa1', 'da1', 'pa2', 'da2'))
+        for ask_id in 'ab':
+            self.add(ask_id, software_version='v2', prompt_tokens=4000)
+            self.decide()
+        self.add('c', software_version='v2', prompt_tokens=4000)
+        self.add('d', prompt_tokens=4000, target_deadline_ms=2000)
+        self.assertEqual({'d': ('pa1', 'da1')}, self.decide())
+        self.allocator.release('a', 10)
+        self.assertEqual({'c': ('pa2', 'da2')}, self.decide(10))
+
+    def test_new_stream_avoids_an_engine_that_failed_it(self):
+        self.allocator.set_servers(make_engines('pa1', 'da1', 'pa2', 'da2'))
+        for failed in (('da1',), ('da2',), ('pa1',), ('pa2',)):
+            self.add('a', avoid_servers=failed)
+            (granted,) = self.decide().values()
+            self.assertNotIn(failed[0], granted)
+            self.allocator.release('a', 0)
