Let a stream that is taken up go on at its own version only

Cause: no VM knew at which version a stream of another VM had begun, and nobody asked. Change: the VM that passes a first event on tells the service's owner and the next two VMs; a VM that is asked to go on looks the attempt named in Resumes up there. Without a record the stream goes on only if the service has had a single version all along; else the request is refused, not run. Known records are told to VMs that become holders. VMs of older builds are probed rarely.

--- a/bluebellthread/core/routing/__init__.py
+++ b/bluebellthread/core/routing/__init__.py
@@ -29,6 +29,14 @@
 from bluebellthread.core.routing._routes import ServiceShare
 from bluebellthread.core.routing._routes import ServiceTraits
 from bluebellthread.core.routing._server_choice import ServerChoice
+from bluebellthread.core.routing._stream_origins import ORIGIN_MESSAGES
+from bluebellthread.core.routing._stream_origins import OriginAnswer
+from bluebellthread.core.routing._stream_origins import OriginAsk
+from bluebellthread.core.routing._stream_origins import OriginRecords
+from bluebellthread.core.routing._stream_origins import STREAM_LIFE_MS
+from bluebellthread.core.routing._stream_origins import StreamOrigin
+from bluebellthread.core.routing._stream_origins import StreamsBegan
+from bluebellthread.core.routing._stream_origins import VersionHistory
 from bluebellthread.core.routing._waiting_orders import waiting_orders
 
 __all__ = [
@@ -43,6 +51,10 @@
     'KIND_ONCE',
     'KIND_STREAM',
     'ListedServer',
+    'ORIGIN_MESSAGES',
+    'OriginAnswer',
+    'OriginAsk',
+    'OriginRecords',
     'OwnedAllocator',
     'PLACEMENT_MESSAGES',
     'PlacementAsk',
@@ -54,10 +66,14 @@
     'PromptRead',
     'Route',
     'RoutingTable',
+    'STREAM_LIFE_MS',
     'ServerChoice',
     'ServerDirectory',
     'ServiceShare',
     'ServiceTraits',
+    'StreamOrigin',
+    'StreamsBegan',
+    'VersionHistory',
     'WindowedRetryBudget',
     'memory_models',
     'plan_decode_switches',
--- a/bluebellthread/core/routing/_directory.py
+++ b/bluebellthread/core/routing/_directory.py
@@ -109,6 +109,15 @@
         """Names of all listed servers."""
         return self._servers.keys()
 
+    @property
+    def engine_versions(self):
+        """Service and software version of each listed engine."""
+        return {
+            (server.service, server.software_version)
+            for server in self._servers.values()
+            if server.role
+        }
+
     @property
     def has_deadlines(self):
         """Whether `expire` or `release` has something to do later."""
--- a/bluebellthread/entry/_platform_task.py
+++ b/bluebellthread/entry/_platform_task.py
@@ -48,16 +48,26 @@
             now_ms = self._note_answer()
             if self._follower.note_era(position.era):
                 self._state.directory.note_restore(now_ms)
+            self._state.versions.note_list(now_ms)
+            self._note_versions(now_ms)
             self._replace_servers(changes, now_ms)
         else:
             changes, position = await self._client.watch_servers(after)
             now_ms = self._note_answer()
+            # An engine that was listed until now has served until now.
+            self._note_versions(now_ms)
             for change in changes:
                 self._apply_server(change, now_ms)
+                self._note_versions(now_ms)
         if self._state.directory.has_deadlines:
             self._lapsed.set()
         return position
 
+    def _note_versions(self, now_ms):
+        self._state.versions.note_versions(
+            self._state.directory.engine_versions, now_ms
+        )
+
     def _note_answer(self):
         """Note an answer of the platform; return the time in milliseconds."""
         now_ms = _clock.read_clock_ms()
@@ -80,6 +90,7 @@
         for server in servers:
             if self._state.directory.is_held(server.name):
                 _log_held(server.name)
+        self._note_versions(now_ms)
         self._state.has_servers = True
         emit(events.SERVER_LIST_READ, count=len(servers))
 
--- a/bluebellthread/entry/_service.py
+++ b/bluebellthread/entry/_service.py
@@ -31,6 +31,7 @@
 from bluebellthread.entry import _state
 from bluebellthread.entry import _stats
 from bluebellthread.entry import _stream_context
+from bluebellthread.entry import _stream_origins
 from bluebellthread.entry import _stream_path
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
@@ -150,6 +151,10 @@
             state=self.state, find_owner=self._placements.find_owner
         )
         self._placement_task.register(self._mailboxes)
+        self._origins = _stream_origins.StreamOrigins(
+            state=self.state, links=self._links, client=self._platform_client
+        )
+        self._origins.register(self._mailboxes)
 
     def _make_gateway(self, dialect):
         settings = self._settings
@@ -177,6 +182,7 @@
                 state=self.state,
                 caller=caller,
                 placements=self._placements,
+                origins=self._origins,
                 budgets=budgets,
                 dialect=dialect,
                 stats=self.stats,
@@ -219,6 +225,7 @@
             for task in (
                 self._placement_task,
                 self._placements,
+                self._origins,
                 self._configuration,
                 self._platform,
                 self._roles,
--- a/bluebellthread/entry/_state.py
+++ b/bluebellthread/entry/_state.py
@@ -25,6 +25,8 @@
         The routes in force; of version 0 while no configuration is known.
     directory : ServerDirectory
         The backend servers that the platform lists.
+    versions : VersionHistory
+        Software versions that the engines of each service had.
     has_servers : bool
         Whether the list of backend servers has been read once.
     view : MembershipView
@@ -41,6 +43,9 @@
         self.settings = settings
         self.table = routing.RoutingTable()
         self.directory = routing.ServerDirectory()
+        self.versions = routing.VersionHistory(
+            is_first_start=settings.is_first_start
+        )
         self.has_servers = False
         self.view = core.MembershipView(members=(), confirmed=False)
         self.is_stopping = False
--- a/bluebellthread/entry/_stream_context.py
+++ b/bluebellthread/entry/_stream_context.py
@@ -36,6 +36,8 @@
         Makes calls to backend servers.
     placements : PlacementClient
         Requests placements from the owners of services.
+    origins : StreamOrigins
+        Tells and finds where streams began.
     budgets : RetryBudgets
         Limits the retries.
     dialect : Dialect
@@ -47,6 +49,7 @@
     state: object
     caller: object
     placements: object
+    origins: object
     budgets: object
     dialect: object
     stats: object
--- /dev/null
+++ b/bluebellthread/entry/_stream_origins.py
@@ -0,0 +1,292 @@
+"""Tells other VMs where streams began, and asks them.
+
+The VMs that hold the records of a service's streams are those that own the
+service or would own it next, so the records outlive the loss of VMs.
+"""
+
+import trio
+
+from bluebellthread.core import routing
+from bluebellthread.daemon import _clock
+from bluebellthread.daemon import _peers
+from bluebellthread.entry import _platform_changes
+from bluebellthread.observe import emit
+from bluebellthread.observe import events
+
+HOLDER_COUNT = 3
+"""VMs that hold the records of a service's streams. A record is lost only with
+all of them and the VM that passed the first event on."""
+
+OTHERS_MAX = 8
+"""Most other VMs that are asked if no holder knows a stream: views may differ
+after a cut."""
+
+ASK_TIMEOUT_MS = 300
+"""How long the answers of other VMs are waited for: several round trips
+between regions."""
+
+PROBE_PAUSE_FIRST_MS = 1000
+PROBE_PAUSE_MAX_MS = 60_000
+"""First and longest pause between probes of a VM that has never answered. One
+of an older build closes its connection at a message that it doesn't know."""
+
+LIST_TIMEOUT_S = 0.5
+"""Longest time for reading the list of servers; that takes milliseconds."""
+
+RECORDS_PER_MESSAGE = 500
+QUEUE_LENGTH = 4096
+
+
+class StreamOrigins:
+    """Keeps, tells and finds the records of where streams began.
+
+    Parameters
+    ----------
+    state : EntryState
+        Supplies the membership view and the history of versions.
+    links : PeerLinks
+        Connections to the other VMs.
+    client : object
+        The adapter's client of the platform.
+    """
+
+    def __init__(self, *, state, links, client):
+        self._state = state
+        self._links = links
+        self._client = client
+        self._records = routing.OriginRecords()
+        self._holders = {}
+        self._able = set()
+        self._probes = {}
+        self._nursery = None
+        self._inbox, self._receive = trio.open_memory_channel(QUEUE_LENGTH)
+
+    def register(self, mailboxes):
+        """Route the messages of other VMs to this task."""
+        for message_class in (routing.StreamsBegan, routing.OriginAsk):
+            mailboxes.register(message_class, self._inbox)
+
+    async def run(self):
+        """Answer other VMs and tell new holders until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            nursery.start_soon(self._tell_new_holders)
+            async for inbound in self._receive:
+                self._handle(inbound, _clock.read_clock_ms())
+
+    def _handle(self, inbound, now_ms):
+        message = inbound.message
+        if isinstance(message, routing.StreamsBegan):
+            for origin in message.origins:
+                self._records.add(origin, now_ms)
+            return
+        inbound.answer(self._answer(message, now_ms))
+
+    def _answer(self, question, now_ms):
+        origin = self._records.find(question.attempt_id, now_ms)
+        versions = self._state.versions
+        return routing.OriginAnswer(
+            origins=() if origin is None else (origin,),
+            versions=versions.find_recent(question.serves, now_ms),
+            knows_all_versions=versions.knows_all(now_ms),
+        )
+
+    # Telling
+
+    def note_began(self, attempt_id, service, software_version):
+        """Note where a stream began, and tell the holders."""
+        now_ms = _clock.read_clock_ms()
+        origin = routing.StreamOrigin(
+            attempt_id=attempt_id,
+            serves=service,
+            software_version=software_version,
+            keep_deadline_ms=now_ms + routing.STREAM_LIFE_MS,
+        )
+        self._records.add(origin, now_ms)
+        for member in self._find_holders(service):
+            self._nursery.start_soon(self._tell, member, [origin])
+
+    async def _tell(self, member, origins):
+        try:
+            with trio.fail_after(_peers.CONNECT_TIMEOUT_S):
+                if not await self._is_able(member):
+                    return
+                for first in range(0, len(origins), RECORDS_PER_MESSAGE):
+                    part = origins[first : first + RECORDS_PER_MESSAGE]
+                    await self._links.send(
+                        member, routing.StreamsBegan(origins=tuple(part))
+                    )
+        except (_peers.PeerUnreachableError, trio.TooSlowError) as error:
+            emit(
+                events.STREAM_ORIGINS_NOT_SENT,
+                count=len(origins),
+                vm=member.name,
+                error=error,
+            )
+
+    async def _tell_new_holders(self):
+        """Tell all that is known of a service to each new holder.
+
+        Even if that is nothing, it shows whether the holder's build knows
+        these messages before the first stream begins.
+        """
+        while True:
+            now_ms = _clock.read_clock_ms()
+            for traits in self._state.table.engine_services():
+                holders = self._find_holders(traits.name)
+                known = self._holders.get(traits.name, frozenset())
+                keys = frozenset(map(_key_of, holders))
+                self._holders[traits.name] = keys
+                origins = self._records.list_of(traits.name, now_ms)
+                for member in holders:
+                    if _key_of(member) not in known:
+                        self._nursery.start_soon(self._tell, member, origins)
+            await self._state.view_changed.wait()
+
+    def _find_holders(self, service):
+        holders = self._state.rank_owners(service)[:HOLDER_COUNT]
+        return [member for member in holders if not self._is_self(member)]
+
+    def _is_self(self, member):
+        return member.name == self._state.settings.vm
+
+    async def _is_able(self, member):
+        """Return whether a VM's build knows these messages.
+
+        A VM that is not known to is probed, but not again at once if it
+        doesn't answer.
+        """
+        key = _key_of(member)
+        if key in self._able:
+            return True
+        now_ms = _clock.read_clock_ms()
+        next_ms, pause_ms = self._probes.get(key, (0, PROBE_PAUSE_FIRST_MS))
+        if now_ms < next_ms:
+            return False
+        self._probes[key] = (
+            now_ms + pause_ms,
+            min(2 * pause_ms, PROBE_PAUSE_MAX_MS),
+        )
+        answer = await self._links.call(
+            member,
+            routing.OriginAsk(attempt_id='', serves=''),
+            deadline_ms=now_ms + ASK_TIMEOUT_MS,
+        )
+        if not isinstance(answer, routing.OriginAnswer):
+            return False
+        self._able.add(key)
+        del self._probes[key]
+        return True
+
+    # Finding
+
+    async def find(self, attempt_id, services):
+        """Return where a stream began, or None if nobody can tell.
+
+        Parameters
+        ----------
+        attempt_id : str
+            Id of the attempt that brought the stream's first event; empty if
+            the caller does not name it.
+        services : tuple of str
+            Services that the caller's route leads to.
+
+        Returns
+        -------
+        StreamOrigin or None
+        """
+        service = services[0]
+        question = routing.OriginAsk(attempt_id=attempt_id, serves=service)
+        answers = [self._answer(question, _clock.read_clock_ms())]
+        others = [
+            member
+            for member in self._state.rank_owners(service)
+            if not self._is_self(member)
+        ]
+        for members in (
+            (),
+            others[:HOLDER_COUNT],
+            others[HOLDER_COUNT : HOLDER_COUNT + OTHERS_MAX],
+        ):
+            answers += await self._ask(members, question)
+            for answer in answers:
+                if answer.origins:
+                    return answer.origins[0]
+        if len(services) > 1:
+            return None
+        return await self._find_sole(question, answers)
+
+    async def _ask(self, members, question):
+        """Return the answers of VMs, the last of them with a record."""
+        answers = []
+
+        async def ask(member, scope):
+            try:
+                if not await self._is_able(member):
+                    return
+                answer = await self._links.call(
+                    member,
+                    question,
+                    deadline_ms=_clock.read_clock_ms() + ASK_TIMEOUT_MS,
+                )
+            except _peers.PeerUnreachableError as error:
+                emit(
+                    events.STREAM_ORIGIN_NOT_ASKED,
+                    resumes=question.attempt_id,
+                    vm=member.name,
+                    error=error,
+                )
+                return
+            if isinstance(answer, routing.OriginAnswer):
+                answers.append(answer)
+                if answer.origins:
+                    scope.cancel()
+
+        with trio.move_on_after(ASK_TIMEOUT_MS / _clock.MS_PER_S) as scope:
+            async with trio.open_nursery() as nursery:
+                for member in members:
+                    nursery.start_soon(ask, member, scope)
+        return answers
+
+    async def _find_sole(self, question, answers):
+        """Return an origin if the service has had one version only.
+
+        What VMs know may be older than the stream, so the list of servers is
+        read once more.
+        """
+        versions = {version for item in answers for version in item.versions}
+        knows_all = any(item.knows_all_versions for item in answers)
+        if not knows_all or len(versions) != 1:
+            return None
+        try:
+            with trio.fail_after(LIST_TIMEOUT_S):
+                changes, _ = await self._client.read_servers()
+        except (
+            _platform_changes.HistoryLostError,
+            _platform_changes.PlatformUnavailableError,
+            trio.TooSlowError,
+        ) as error:
+            emit(
+                events.PLATFORM_CALL_FAILED,
+                what='server list',
+                error=error,
+            )
+            return None
+        listed_versions = {
+            change.server.software_version
+            for change in changes
+            if change.server is not None
+            and change.server.service == question.serves
+        }
+        if not listed_versions <= versions:
+            return None
+        return routing.StreamOrigin(
+            attempt_id=question.attempt_id,
+            serves=question.serves,
+            software_version=versions.pop(),
+            keep_deadline_ms=_clock.read_clock_ms() + routing.STREAM_LIFE_MS,
+        )
+
+
+def _key_of(member):
+    return (member.name, member.incarnation)
--- a/bluebellthread/entry/_stream_path.py
+++ b/bluebellthread/entry/_stream_path.py
@@ -78,6 +78,7 @@
         self._state = context.state
         self._caller = context.caller
         self._placements = context.placements
+        self._origins = context.origins
         self._budgets = context.budgets
         self._dialect = context.dialect
         self._stats = context.stats
@@ -88,9 +89,54 @@
         self._failed_servers = []
         self._resume_after = ''
         self._begun_version = ''
+        self._begun_attempt = work.request_id
         self._running_version = ''
 
     async def run(self):
+        if self._is_taken_up() and not await self._find_origin():
+            return
+        await self._run()
+
+    def _is_taken_up(self):
+        """Return whether the caller has events of the stream already."""
+        request = self._work.request
+        return bool(
+            request.header(self._dialect.resume_after)
+            or request.header(self._dialect.resumed_attempt)
+        )
+
+    async def _find_origin(self):
+        """Find where the stream began; refuse the request if nobody knows."""
+        work = self._work
+        started_ms = _clock.read_clock_ms()
+        resumes = work.request.header(self._dialect.resumed_attempt)
+        services = tuple(share.service for share in work.route.shares)
+        origin = await self._origins.find(resumes, services)
+        took_ms = _clock.read_clock_ms() - started_ms
+        if origin is None or origin.serves not in services:
+            emit(
+                events.STREAM_ORIGIN_UNKNOWN,
+                request_id=work.request_id,
+                resumes=resumes,
+                service=origin.serves if origin is not None else '',
+                took_ms=took_ms,
+            )
+            await work.refuse('unknown-origin', _work.UNSERVED_RETRY_MS)
+            return False
+        emit(
+            events.STREAM_TAKEN_UP,
+            request_id=work.request_id,
+            resumes=resumes,
+            version=origin.software_version,
+            service=origin.serves,
+            took_ms=took_ms,
+        )
+        work.service = origin.serves
+        self._begun_version = origin.software_version
+        self._begun_attempt = origin.attempt_id or work.request_id
+        return True
+
+    async def _run(self):
         work = self._work
         while True:
             try:
@@ -449,6 +495,9 @@
             self._work.first_event_ms = self._work.age_ms
             self._stats.observe_first_event(self._work.first_event_ms)
             self._begun_version = self._running_version
+            self._origins.note_began(
+                self._begun_attempt, self._work.service, self._begun_version
+            )
         self._resume_after = splitter.last_id or self._resume_after
         await self._work.exchange.send(whole_events)
 
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -325,6 +325,30 @@
     'request {request_id}: granted {server} of version {version}, but the '
     'stream began at version {begun_version}',
 )
+STREAM_TAKEN_UP = Event(
+    7044,
+    'INFO',
+    'request {request_id} goes on with the stream that attempt {resumes} '
+    'began at version {version} of service {service}, found after {took_ms} '
+    'ms',
+)
+STREAM_ORIGIN_UNKNOWN = Event(
+    7045,
+    'WARNING',
+    'request {request_id} is refused: after {took_ms} ms, no version is known '
+    'at which the stream of attempt {resumes} may go on (service {service})',
+)
+STREAM_ORIGINS_NOT_SENT = Event(
+    7046,
+    'INFO',
+    '{count} records of where streams began were not sent to VM {vm}: {error}',
+)
+STREAM_ORIGIN_NOT_ASKED = Event(
+    7047,
+    'INFO',
+    'VM {vm} was not asked where the stream of attempt {resumes} began: '
+    '{error}',
+)
 
 
 def list_events():
--- a/bluebellthread/wire/__init__.py
+++ b/bluebellthread/wire/__init__.py
@@ -52,5 +52,6 @@
     _ticket_messages.TicketRecords,
     _ticket_messages.TicketsMoved,
     *routing.PLACEMENT_MESSAGES,
+    *routing.ORIGIN_MESSAGES,
 ):
     register_message(_cls)
--- a/bluebellthread/wire/peer.thrift
+++ b/bluebellthread/wire/peer.thrift
@@ -339,3 +339,25 @@
   3: string serves,
   4: list<HeldPlacement> places,
 }
+
+struct StreamOrigin {
+  1: string attempt_id,
+  2: string serves,
+  3: string software_version,
+  4: i64 keep_deadline_ms,
+}
+
+struct StreamsBegan {
+  1: list<StreamOrigin> origins,
+}
+
+struct OriginAsk {
+  1: string attempt_id,
+  2: string serves,
+}
+
+struct OriginAnswer {
+  1: list<StreamOrigin> origins,
+  2: list<string> versions,
+  3: bool knows_all_versions,
+}
--- a/tests/integration/test_entry_versions.py
+++ b/tests/integration/test_entry_versions.py
@@ -173,6 +173,50 @@
                 await fleet.start_vm(number + 1)
                 await fleet.wait_ready()
 
+    # Guards against records that are lost although VMs go one by one.
+    @run
+    async def test_next_try_goes_on_after_all_vms_were_replaced_in_turn(self):
+        async with fleets.running_fleet(
+            engines=ENGINES, versions=VERSIONS, zones=ZONES
+        ) as fleet:
+            began = [
+                await begin_stream(fleet, number, f'first-{number}')
+                for number in (1, 2, 3)
+            ]
+            for number in (1, 2, 3):
+                fleet.kill_vm(number)
+                await fleet.start_vm(number)
+                await fleet.wait_ready()
+            for number, engine in enumerate(began, 1):
+                answer = await resume(
+                    fleet, number, f'next-{number}', f'first-{number}'
+                )
+                self.assertEqual(200, answer.status)
+                runs = runs_of(fleet, f'next-{number}')
+                self.assertEqual({engine.software_version}, versions_of(runs))
+
+    # Guards against a single version that is inferred from an old list.
+    @run
+    async def test_unknown_stream_is_refused_if_the_store_lists_another(self):
+        async with fleets.running_fleet(
+            engines=('p1', 'd1', 'd2'), is_first_start=True
+        ) as fleet:
+            for vm in fleet.vms.values():
+                vm.entry.state.directory.put = lambda server: None
+            fleet.list_engine('d2', version='v2', born=7)
+            answer = await resume(fleet, 1, 'next', 'never-seen')
+            self.assertEqual(503, answer.status)
+            self.assertEqual([], runs_of(fleet, 'next'))
+
+    @run
+    async def test_unknown_stream_is_refused_by_vms_that_have_just_started(
+        self,
+    ):
+        async with fleets.running_fleet(engines=('p1', 'd1', 'd2')) as fleet:
+            answer = await resume(fleet, 1, 'next', 'never-seen')
+            self.assertEqual(503, answer.status)
+            self.assertEqual([], runs_of(fleet, 'next'))
+
     @run
     async def test_stream_of_unknown_version_is_refused(self):
         async with fleets.running_fleet(
--- /dev/null
+++ b/tests/unit/test_stream_origins.py
@@ -0,0 +1,125 @@
+import types
+import unittest
+from unittest import mock
+
+import trio
+
+from bluebellthread.core import routing
+from bluebellthread.core.routing import _stream_origins
+from bluebellthread.daemon import _peers
+from bluebellthread.entry import _stream_origins as tasks
+
+LIFE_MS = routing.STREAM_LIFE_MS
+
+
+def make_origin(attempt_id, *, service='s', version='v1', keep_deadline_ms=9):
+    return routing.StreamOrigin(
+        attempt_id=attempt_id,
+        serves=service,
+        software_version=version,
+        keep_deadline_ms=keep_deadline_ms,
+    )
+
+
+class TestOriginRecords(unittest.TestCase):
+    def test_record_is_found_until_its_deadline(self):
+        records = routing.OriginRecords()
+        origin = make_origin('a', keep_deadline_ms=10)
+        records.add(origin, 0)
+        self.assertEqual(origin, records.find('a', 9))
+        self.assertIsNone(records.find('a', 10))
+        self.assertIsNone(records.find('b', 0))
+
+    def test_repeated_record_is_kept_longer_and_never_changes(self):
+        records = routing.OriginRecords()
+        records.add(make_origin('a', keep_deadline_ms=20), 0)
+        records.add(make_origin('a', version='v2', keep_deadline_ms=30), 0)
+        self.assertEqual('v1', records.find('a', 25).software_version)
+        records.add(make_origin('a', keep_deadline_ms=5), 0)
+        self.assertIsNotNone(records.find('a', 25))
+
+    def test_records_of_a_service_are_listed(self):
+        records = routing.OriginRecords()
+        for name, service in (('a', 's'), ('b', 't'), ('c', 's')):
+            records.add(make_origin(name, service=service), 0)
+        listed = [item.attempt_id for item in records.list_of('s', 0)]
+        self.assertEqual(['a', 'c'], listed)
+        self.assertEqual([], records.list_of('s', 9))
+
+    def test_oldest_records_give_way(self):
+        records = routing.OriginRecords()
+        with mock.patch.object(_stream_origins, 'ORIGIN_COUNT_MAX', 2):
+            for name in 'abc':
+                records.add(make_origin(name), 0)
+        self.assertEqual(2, len(records))
+        self.assertIsNone(records.find('a', 0))
+        records.add(make_origin('d', keep_deadline_ms=50), 20)
+        self.assertEqual(1, len(records))
+
+
+class TestVersionHistory(unittest.TestCase):
+    def test_process_that_has_just_started_does_not_know_all(self):
+        history = routing.VersionHistory(is_first_start=False)
+        self.assertFalse(history.knows_all(0))
+        history.note_list(0)
+        self.assertFalse(history.knows_all(LIFE_MS - 1))
+        self.assertTrue(history.knows_all(LIFE_MS))
+
+    def test_first_start_of_the_system_has_no_older_versions(self):
+        history = routing.VersionHistory(is_first_start=True)
+        self.assertFalse(history.knows_all(0))
+        history.note_list(5)
+        self.assertTrue(history.knows_all(5))
+
+    def test_changes_before_a_list_is_read_again_are_unknown(self):
+        history = routing.VersionHistory(is_first_start=True)
+        history.note_list(0)
+        history.note_list(100)
+        self.assertFalse(history.knows_all(100))
+        self.assertTrue(history.knows_all(100 + LIFE_MS))
+
+    def test_version_counts_until_no_stream_of_it_is_taken_up(self):
+        history = routing.VersionHistory(is_first_start=True)
+        history.note_versions([('s', 'v1'), ('t', 'v3')], 0)
+        history.note_versions([('s', 'v2')], 10)
+        self.assertEqual(('v1', 'v2'), history.find_recent('s', LIFE_MS))
+        self.assertEqual(('v2',), history.find_recent('s', LIFE_MS + 1))
+        self.assertEqual((), history.find_recent('u', 0))
+
+
+class _Links:
+    """Links to VMs that never answer."""
+
+    def __init__(self):
+        self.calls = []
+
+    async def call(self, member, message, *, deadline_ms):
+        del message, deadline_ms
+        self.calls.append(member.name)
+        raise _peers.PeerUnreachableError(member.name, 'closed')
+
+
+class TestOlderBuilds(unittest.TestCase):
+    # Guards against connections to older builds that are closed by each
+    # message that these do not know.
+    def test_vm_that_does_not_answer_is_not_probed_again_at_once(self):
+        member = types.SimpleNamespace(name='vm2', incarnation=1)
+        state = types.SimpleNamespace(settings=types.SimpleNamespace(vm='vm1'))
+        links = _Links()
+        origins = tasks.StreamOrigins(state=state, links=links, client=None)
+
+        async def tell(now_ms):
+            with mock.patch.object(
+                tasks._clock, 'read_clock_ms', lambda: now_ms
+            ):
+                await origins._tell(member, [make_origin('a')])
+
+        for now_ms, call_count in (
+            (0, 1),
+            (999, 1),
+            (1000, 2),
+            (2999, 2),
+            (3000, 3),
+        ):
+            trio.run(tell, now_ms)
+            self.assertEqual(call_count, len(links.calls))
--- a/tests/unit/test_stream_pieces.py
+++ b/tests/unit/test_stream_pieces.py
@@ -47,10 +47,16 @@
         del stage
 
 
+class _Origins:
+    def note_began(self, attempt_id, service, software_version):
+        del attempt_id, service, software_version
+
+
 def make_stream(caller):
     work = types.SimpleNamespace(
         exchange=caller,
         request_id='r',
+        service='m',
         age_ms=1,
         first_event_ms=None,
         outcome='',
@@ -60,6 +66,7 @@
         state=None,
         caller=None,
         placements=None,
+        origins=_Origins(),
         budgets=None,
         dialect=None,
         stats=_Stats(),
