Add a failing test of the version at which streams begin

While a roll-out goes on, a stream may begin at a version with one engine, so it can't go on if that engine fails, though another version has two with room.

--- a/tests/unit/test_allocator.py
+++ b/tests/unit/test_allocator.py
@@ -358,3 +358,29 @@
             (granted,) = self.decide().values()
             self.assertNotIn(failed[0], granted)
             self.allocator.release('a', 0)
+
+    # Guards against streams that begin where they can't go on.
+    def test_stream_begins_at_a_version_that_has_another_engine(self):
+        self.allocator.set_servers(
+            make_engines('pa1', 'da1', 'pa2', 'db2', 'dc2')
+        )
+        for ask_id in 'abc':
+            self.add(ask_id, prompt_tokens=2000)
+        granted = self.decide()
+        self.assertEqual(
+            {'db2', 'dc2'}, {item[1] for item in granted.values()}
+        )
+
+    def test_lone_engine_is_used_if_the_others_are_full(self):
+        self.allocator.set_servers(
+            make_engines('pa1', 'da1', 'pa2', 'db2', 'dc2')
+        )
+        for ask_id in 'abc':
+            self.add(ask_id, prompt_tokens=6000)
+            self.decide()
+            self.allocator.note_prefill_ended(ask_id, 0)
+        engines = {
+            self.allocator._pool.find_placement(ask_id).decode_server
+            for ask_id in 'abc'
+        }
+        self.assertEqual({'da1', 'db2', 'dc2'}, engines)
