Begin streams at a version that has another engine

What callers saw: nothing in the record; a stream that began at the only engine of a version could not go on when that engine failed, although another version had two with room. Cause: new streams went to the least loaded engine of any version. Change: among engines with room, those whose version has a second decode server come first.

--- a/bluebellthread/core/routing/_engine_pool.py
+++ b/bluebellthread/core/routing/_engine_pool.py
@@ -144,11 +144,16 @@
             pairs,
             key=lambda pair: (
                 any(_is_doubtful(item, request, now_ms) for item in pair),
+                self._is_alone(pair[1].server),
                 _rate_decode(pair[1], request, now_ms),
             ),
             default=None,
         )
 
+    def _is_alone(self, server):
+        """Return whether no other decode server has a server's version."""
+        return self.decode_versions[server.software_version] < 2
+
     def _choose_pair_of(self, version, request, now_ms, is_urgent):
         """Return a pair of engines of one version as `choose_pair` does.
 
