Let the soak cut streams off and roll out engines of new versions

New faults: an engine ends its streams within events, with each framing, and engines of a new version start while some of the others drain. Callers take broken streams up again and name the attempt that began them. New check: no stream holds events of two versions, in one answer or over a caller's tries.

--- a/standin/site/_backend.py
+++ b/standin/site/_backend.py
@@ -184,7 +184,7 @@
         first_number = int(request.headers.get('last-event-id') or 0) + 1
         break_number = self.break_after.pop(0) if self.break_after else None
         numbers = range(first_number, self.event_count + 1)
-        cut = self.stream_cuts.pop(0) if self.stream_cuts else None
+        cut = self.stream_cuts.pop(0) if self.stream_cuts and numbers else None
         await request.begin(
             200,
             [
@@ -222,12 +222,14 @@
     Parameters
     ----------
     cut : (int, int) or None
-        Number of the event within which the bytes end, and how many of its
-        bytes there are; None for whole events.
+        Number of the event within which the bytes end, or the first one if
+        that is later, and how many of its bytes there are; None for whole
+        events.
     """
     if cut is None:
         return b''.join(map(make_event, numbers))
     cut_number, cut_bytes = cut
+    cut_number = max(cut_number, numbers[0])
     whole = [number for number in numbers if number < cut_number]
     return make_events(whole) + make_event(cut_number)[:cut_bytes]
 
--- a/standin/site/_connection.py
+++ b/standin/site/_connection.py
@@ -40,7 +40,13 @@
 
 
 class SiteRequest:
-    """A call with its whole body, and the stream for the answer."""
+    """A call with its whole body, and the stream for the answer.
+
+    Attributes
+    ----------
+    received_s : float
+        When the call had been read.
+    """
 
     def __init__(self, *, head, body, stream):
         self.method = head.method.decode()
@@ -53,6 +59,7 @@
         self.body = body
         self.stream = stream
         self.keeps_connection = True
+        self.received_s = trio.current_time()
         self._framing = 'length'
 
     async def answer(self, status, body=b'', headers=(), *, ending=None):
--- a/tests/soak/_callers.py
+++ b/tests/soak/_callers.py
@@ -48,6 +48,11 @@
         Whether the answer is complete.
     server_seal : str
         Header that only a backend server sets; empty if it is missing.
+    resumes : str
+        Id of the attempt whose stream the caller takes up again; empty for
+        none.
+    events_before : int
+        Number of the events that it has received of that stream.
     """
 
     request_id: str
@@ -60,6 +65,13 @@
     whole: bool = False
     server_seal: str = ''
     ended_s: float | None = None
+    resumes: str = ''
+    events_before: int = 0
+
+    @property
+    def event_count(self):
+        """Number of the stream's events that the caller has now."""
+        return self.events_before + self.body.count(b'\n\n')
 
 
 class Callers:
@@ -82,6 +94,7 @@
         drop_share = 0.3 if number % 2 else 0.0
         rng = random.Random(f'{self._seed} caller {number}')
         caller = None
+        broken = None
         count = 0
         while not self.is_stopped:
             vm = rng.choice(self.site.vms)
@@ -96,9 +109,14 @@
                 begun_s=trio.current_time(),
                 is_kept=caller is not None,
             )
+            if broken is not None:
+                record.kind = 'ask'
+                record.resumes = broken.resumes or broken.request_id
+                record.events_before = broken.event_count
             self.records.append(record)
             caller = await self._call(caller, vm, record)
             record.ended_s = trio.current_time()
+            broken = record if _is_broken_stream(record) else None
             is_idle = not drop_share and rng.random() < IDLE_SHARE
             pause_s = rng.uniform(0.0, IDLE_MAX_S if is_idle else 0.1)
             await trio.sleep(pause_s)
@@ -115,6 +133,7 @@
                     record.request_id.encode(),
                     request_id=record.request_id,
                     deadline_ms=DEADLINE_MS,
+                    headers=_make_headers(record),
                 )
         except (OSError, trio.BrokenResourceError, trio.TooSlowError):
             return await self._close(caller)
@@ -215,6 +234,25 @@
         )
 
 
-def expected_stream():
-    """Return the bytes of a complete answer of an engine."""
-    return b''.join(_backend.make_event(n) for n in range(1, 13))
+def expected_stream(events_before=0):
+    """Return the bytes of a complete stream after some events."""
+    return _backend.make_events(range(events_before + 1, 13))
+
+
+def _is_broken_stream(record):
+    """Return whether a caller may take a stream up again after a record."""
+    return (
+        record.kind == 'ask'
+        and record.status == 200
+        and not record.whole
+        and record.event_count > 0
+    )
+
+
+def _make_headers(record):
+    if not record.resumes:
+        return ()
+    return (
+        f'Last-Event-Id: {record.events_before}',
+        f'Resumes: {record.resumes}',
+    )
--- a/tests/soak/_checks.py
+++ b/tests/soak/_checks.py
@@ -1,5 +1,7 @@
 """Checks the router's guarantees against the records of a soak test."""
 
+import collections
+
 from tests.soak import _callers
 from tests.soak import _site
 
@@ -46,6 +48,7 @@
         for (vm, version), problems in callers.version_errors.items()
     ]
     broken += check_lost(site, callers)
+    broken += check_versions(site, callers)
     broken += check_recovery(callers, quiet_since_s)
     return broken
 
@@ -167,7 +170,7 @@
     if not record.server_seal:
         return [f'{label} lacks the seal of a backend server']
     if record.kind in STREAM_KINDS:
-        expected = _callers.expected_stream()
+        expected = _callers.expected_stream(record.events_before)
         if record.whole and record.body != expected:
             return [f'{label} is complete but wrong: {record.body[-40:]!r}']
         if not expected.startswith(record.body):
@@ -178,6 +181,33 @@
     return []
 
 
+def check_versions(site, callers):
+    """Check that each stream holds events of one software version only.
+
+    That covers all attempts of a caller. The run that began a stream is the
+    last one that was not asked to go on after an event.
+    """
+    streams = collections.defaultdict(set)
+    for record in callers.records:
+        if record.kind == 'ask' and record.event_count:
+            first_id = record.resumes or record.request_id
+            streams[first_id].add(record.request_id)
+    runs = site.list_engine_runs()
+    broken = []
+    for first_id, request_ids in streams.items():
+        stream_runs = [run for name in request_ids for run in runs[name]]
+        begun = [run for run in stream_runs if not run.after_event]
+        versions = {run.version for run in stream_runs if run.after_event}
+        if begun:
+            versions.add(max(begun, key=lambda run: run.received_s).version)
+        if len(versions) > 1:
+            broken.append(
+                f'the stream of {first_id} went on at versions '
+                f'{", ".join(sorted(versions))}'
+            )
+    return broken
+
+
 def check_recovery(callers, quiet_since_s):
     """Check that enough requests are served after the last fault."""
     sent_after = [
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -185,17 +185,62 @@
     await _apply_rule(site, backend.proxy, backend.faults, delay_ms=delay_ms)
 
 
+async def _drain(site, backend):
+    """Let a backend server say that it leaves, then delist it."""
+    key = f'servers/{backend.server.name}'
+    site.store.put(key, backend.entry(state='draining'))
+    backend.drained_s = trio.current_time()
+    await _sleep_random(site)
+    site.delist(backend)
+
+
 @faults.register('server-replace')
 async def replace_server(site):
     """Replace a backend server: list a new one and drain the old one."""
     backend = _choose_backend(site)
     kind = backend.server.name.partition('-')[0]
     await site.add_backend(backend.service, kind)
-    key = f'servers/{backend.server.name}'
-    site.store.put(key, backend.entry(state='draining'))
-    backend.drained_s = trio.current_time()
-    await _sleep_random(site)
-    site.delist(backend)
+    await _drain(site, backend)
+
+
+@faults.register('engine-roll-out')
+async def roll_out_engines(site):
+    """Start engines of a new version; drain some of the others."""
+    number = int(site.software_versions[-1][1:]) + 1
+    # Engines of the version before may still be started beside the new ones.
+    site.software_versions = [site.software_versions[-1], f'v{number}']
+    older = [
+        backend
+        for backend in site.backends.values()
+        if backend.service == 'model' and backend.drained_s is None
+    ]
+    for kind in ('prefill', 'decode', 'decode', 'decode'):
+        await site.add_backend('model', kind)
+        await _sleep_random(site, 0.1, 0.5)
+    for backend in site.rng.sample(older, len(older) // 2):
+        await _drain(site, backend)
+
+
+@faults.register('streams-cut')
+async def cut_streams(site):
+    """End an engine's streams within events, as its framing allows."""
+    engines = [
+        backend
+        for backend in site.backends.values()
+        if backend.server.name.startswith('decode')
+    ]
+    backend = site.rng.choice(engines)
+    with backend.faults.span():
+        backend.server.framing = site.rng.choice(
+            ('connection', 'connection', 'chunks', 'length')
+        )
+        backend.server.stream_cuts = [
+            (site.rng.randint(1, 12), site.rng.randint(1, 18))
+            for _ in range(site.rng.randint(1, 6))
+        ]
+        await _sleep_random(site)
+        backend.server.stream_cuts = []
+        backend.server.framing = 'chunks'
 
 
 @faults.register('config-change')
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -131,6 +131,9 @@
     for record in callers.records:
         key = str(record.status) if record.whole else f'{record.status} cut'
         counts[key] = counts.get(key, 0) + 1
-    return f'seed {seed}: {len(callers.records)} requests {counts}; ' + (
-        f'{len(broken)} broken' if broken else 'all guarantees kept'
-    )
+    resumed = [record for record in callers.records if record.resumes]
+    went_on = sum(record.status == 200 for record in resumed)
+    return (
+        f'seed {seed}: {len(callers.records)} requests {counts}; '
+        f'{went_on} of {len(resumed)} streams taken up went on; '
+    ) + (f'{len(broken)} broken' if broken else 'all guarantees kept')
--- a/tests/soak/_site.py
+++ b/tests/soak/_site.py
@@ -229,6 +229,25 @@
         )
 
 
+@attrs.frozen(kw_only=True)
+class EngineRun:
+    """A run of a request at an engine.
+
+    Parameters
+    ----------
+    version : str
+        Software version of the engine.
+    received_s : float
+        When the engine had read the request.
+    after_event : bool
+        Whether the engine was asked to go on after an event.
+    """
+
+    version: str
+    received_s: float
+    after_event: bool
+
+
 class SoakSite:
     """All processes and stand-ins of one soak test.
 
@@ -247,6 +266,8 @@
         When the faults began.
     extra_route_count : int
         Routes of the configuration beside those that are used.
+    software_versions : list of str
+        Versions that new engines may have.
     unreadable_s : float or None
         Since when the configuration in the store is malformed.
     """
@@ -261,6 +282,7 @@
         self.begun_s = 0.0
         self.extra_route_count = 0
         self.unreadable_s = None
+        self.software_versions = ['v1']
         self._published = None
         self.store_faults = _spans.Spans()
         self.nursery = None
@@ -309,7 +331,12 @@
             server = site.PlainServer(name=name)
             server.run_pause_s = self.rng.choice((0.0, 0.05, 0.4))
         else:
-            server = site.Engine(name=name, stage=kind, event_count=12)
+            server = site.Engine(
+                name=name,
+                stage=kind,
+                event_count=12,
+                software_version=self.rng.choice(self.software_versions),
+            )
             server.event_pause_s = self.rng.choice((0.02, 0.02, 0.2))
         await server.start(self.nursery)
         proxy = _proxy.Proxy(
@@ -402,6 +429,21 @@
                 reached[request_id].append(backend)
         return reached
 
+    def list_engine_runs(self):
+        """Return the runs of each request id at engines."""
+        runs = collections.defaultdict(list)
+        for backend in self.backends.values():
+            for request in backend.server.runs:
+                request_id = request.headers.get('x-request-attempt-id', '')
+                runs[request_id].append(
+                    EngineRun(
+                        version=backend.server.software_version,
+                        received_s=request.received_s,
+                        after_event='last-event-id' in request.headers,
+                    )
+                )
+        return runs
+
     def count_runs(self):
         """Return how often each request id has run on any backend server."""
         counts = {}
