Move the passing on of a stream's answer to a module of its own

entry/_stream_path.py had grown to 574 lines with two jobs: attempts and placements, and the relay of events. Code moves, and attributes that both use lose their underscore; no behaviour changes. tests.unit.test_stream_pieces makes the relay in place of the whole stream; its assertions stay.

--- a/bluebellthread/entry/_stream_path.py
+++ b/bluebellthread/entry/_stream_path.py
@@ -1,35 +1,22 @@
 """Serves requests to models: requests a placement, runs prefill and decode."""
 
-import math
-
 import trio
 
-from bluebellthread import core
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
-from bluebellthread.entry import _http_messages
 from bluebellthread.entry import _placement_client
 from bluebellthread.entry import _prefill_runner
 from bluebellthread.entry import _server_calls
-from bluebellthread.entry import _server_connection
 from bluebellthread.entry import _stream_context
+from bluebellthread.entry import _stream_relay
 from bluebellthread.entry import _work
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
 
-SILENCE_MIN_S = 1.2
-SILENCE_FACTOR = 4
-"""A resumable stream is treated as lost after this many times the longest
-allowed pause between its events: callers disconnect after eight times
-that pause."""
-
 DEFAULT_TOKEN_COUNTS = (4000, 200)
 """Prompt and output tokens assumed for requests that do not state them: those
 of a long request of the users."""
 
-EVENT_STREAM_TYPES = ('text/event-stream', '')
-"""Content types of streams; an answer may have none."""
-
 
 class StreamPath:
     """Serves the routes of kind `KIND_STREAM`.
@@ -81,16 +68,12 @@
         self._origins = context.origins
         self._budgets = context.budgets
         self._dialect = context.dialect
-        self._stats = context.stats
         self._work = work
         self._prefills = _prefill_runner.PrefillRunner(
             work=work, context=context
         )
         self._failed_servers = []
-        self._resume_after = ''
-        self._begun_version = ''
-        self._begun_attempt = work.request_id
-        self._running_version = ''
+        self._relay = _stream_relay.StreamRelay(work=work, context=context)
 
     async def run(self):
         if self._is_taken_up() and not await self._find_origin():
@@ -132,8 +115,8 @@
             took_ms=took_ms,
         )
         work.service = origin.serves
-        self._begun_version = origin.software_version
-        self._begun_attempt = origin.attempt_id or work.request_id
+        self._relay.begun_version = origin.software_version
+        self._relay.begun_attempt = origin.attempt_id or work.request_id
         return True
 
     async def _run(self):
@@ -165,7 +148,7 @@
                 events.STREAM_RETRIED,
                 request_id=work.request_id,
                 failed_server=failed_server,
-                resume_after=self._resume_after,
+                resume_after=self._relay.resume_after,
                 runs=work.run_count,
             )
 
@@ -190,7 +173,7 @@
             start_deadline_ms=self._compute_start_deadline_ms(),
             deadline_ms=work.deadline_ms,
             poll_deadline_ms=0,
-            software_version=self._begun_version,
+            software_version=self._relay.begun_version,
         )
         placement = await self._placements.request_placement(
             placement_ask, avoid=tuple(self._failed_servers)
@@ -209,7 +192,7 @@
             prefill_version=self._find_version(placement.prefill_server),
             decode_version=self._find_version(placement.decode_server),
             resumes=work.request.header(self._dialect.resumed_attempt),
-            resume_after=self._resume_after
+            resume_after=self._relay.resume_after
             or work.request.header(self._dialect.resume_after),
         )
         return placement
@@ -257,7 +240,7 @@
             with trio.CancelScope(shield=True):
                 await exchange.close_unused()
         try:
-            await self._pass_on(placement, call)
+            await self._relay.pass_on(placement, call)
         finally:
             await call.close()
 
@@ -267,7 +250,7 @@
             return None
         server = self._find_server(placement.prefill_server)
         return await self._prefills.run(
-            placement, server, self._resume_headers()
+            placement, server, self._relay.resume_headers()
         )
 
     async def _connect(self, placement):
@@ -325,7 +308,7 @@
         """Send the request to the decode server; return the open call."""
         work = self._work
         server = self._find_decode_server(placement)
-        extra = self._resume_headers()
+        extra = self._relay.resume_headers()
         if prompt is not None:
             source = self._dialect.write_cache_source(
                 prompt.server.host, prompt.server.port, prompt.handle
@@ -334,7 +317,7 @@
         started_ms = _clock.read_clock_ms()
         work.note_sent(server.name)
         try:
-            with trio.fail_after(self._silence_timeout_s()):
+            with trio.fail_after(self._relay.silence_timeout_s):
                 call = await self._caller.open(
                     server,
                     work.request,
@@ -355,7 +338,7 @@
                 server.name, 2, was_refused=error.was_refused
             ) from error
         work.note_run()
-        self._running_version = server.software_version
+        self._relay.running_version = server.software_version
         return call
 
     def _note_run_failed(self, server, error, started_ms):
@@ -363,171 +346,12 @@
             server, _work.STAGE_RUN, error, started_ms=started_ms
         )
 
-    async def _pass_on(self, placement, call):
-        try:
-            self._work.check_answer(call.head)
-        except _server_calls.CallFailedError as error:
-            self._raise_run_failed(placement, error)
-        if not 200 <= call.head.status < 300:
-            await self._pass_on_error_answer(placement, call)
-            return
-        if _is_event_stream(call.head):
-            await self._pass_on_events(placement, call)
-        else:
-            await self._pass_on_document(placement, call)
-
-    async def _pass_on_document(self, placement, call):
-        """Pass on a success that is no event stream once it is complete."""
-        try:
-            body = await call.exchange.read_all()
-        except _server_connection.AnswerBrokenError as error:
-            self._raise_run_failed(placement, error)
-        if self._work.exchange.is_started:
-            self._raise_run_failed(
-                placement,
-                _server_connection.AnswerBrokenError(
-                    'the stream can only be resumed by events'
-                ),
-            )
-        await self._work.pass_on(
-            _http_messages.Answer(head=call.head, body=body)
-        )
-
-    def _raise_run_failed(self, placement, error):
-        """Log and raise the failure of a run that `note_run` has counted."""
-        emit(
-            events.STREAM_BROKEN,
-            request_id=self._work.request_id,
-            server=placement.decode_server,
-            last_event=self._resume_after,
-            reason=str(error),
-        )
-        self._stats.count_failure(_work.STAGE_RUN)
-        raise _stream_context.StreamBrokenError(
-            placement.decode_server, 2
-        ) from error
-
-    async def _pass_on_error_answer(self, placement, call):
-        """Pass on a server's error answer, unless the request is retried."""
-        error = _stream_context.StreamBrokenError(placement.decode_server, 2)
-        if self._work.exchange.is_started or (
-            self._work.route.is_retryable and self._has_runs_left()
-        ):
-            raise error
-        try:
-            body = await call.exchange.read_all()
-        except _server_connection.AnswerBrokenError:
-            raise error from None
-        await self._work.pass_on(
-            _http_messages.Answer(head=call.head, body=body)
-        )
-
-    async def _pass_on_events(self, placement, call):
-        work = self._work
-        exchange = work.exchange
-        splitter = core.EventSplitter()
-        if not exchange.is_started:
-            await exchange.start(
-                call.head.status, work.answer_headers(call.head)
-            )
-        try:
-            while True:
-                data = await self._read_piece(call)
-                if data is None:
-                    break
-                whole_events = splitter.push(data)
-                if whole_events:
-                    await self._pass_on_piece(whole_events, splitter)
-                splitter.check_size()
-        except (
-            core.EventTooLongError,
-            _server_connection.AnswerBrokenError,
-            trio.TooSlowError,
-        ) as error:
-            self._raise_run_failed(placement, error)
-        self._check_end(placement, call, splitter)
-        if splitter.rest:
-            await exchange.send(splitter.rest)
-        await exchange.finish()
-        work.outcome = 'answered'
-
-    def _check_end(self, placement, call, splitter):
-        """Raise if the end of an answer's body isn't the end of its stream.
-
-        A body that is framed by its connection also ends if its server dies.
-        """
-        framing = call.exchange.framing
-        by_connection = framing == core.FRAMED_BY_CONNECTION
-        if by_connection or splitter.rest:
-            emit(
-                events.STREAM_END_UNMARKED,
-                request_id=self._work.request_id,
-                server=placement.decode_server,
-                framing=framing,
-                rest_bytes=len(splitter.rest),
-                last_event=self._resume_after,
-            )
-        problem = ''
-        if splitter.is_inside_event:
-            problem = 'the stream ended inside an event'
-        elif by_connection and not splitter.has_events:
-            problem = 'the connection ended before the first event'
-        if problem:
-            self._raise_run_failed(
-                placement, _server_connection.AnswerBrokenError(problem)
-            )
-
-    async def _read_piece(self, call):
-        """Return the next bytes of an answer, or None at its end.
-
-        The timeout applies to the read only. After a pause of the process,
-        a timeout that also covered the sending would drop an event that was
-        read but not yet passed on.
-        """
-        silence_s = self._silence_timeout_s()
-        if silence_s == math.inf:
-            return await call.exchange.read()
-        with trio.fail_after(silence_s):
-            return await call.exchange.read()
-
-    async def _pass_on_piece(self, whole_events, splitter):
-        if not self._resume_after:
-            self._work.first_event_ms = self._work.age_ms
-            self._stats.observe_first_event(self._work.first_event_ms)
-            self._begun_version = self._running_version
-            self._origins.note_began(
-                self._begun_attempt, self._work.service, self._begun_version
-            )
-        self._resume_after = splitter.last_id or self._resume_after
-        await self._work.exchange.send(whole_events)
-
-    def _resume_headers(self):
-        if not self._resume_after:
-            return []
-        value = self._resume_after.encode('latin-1')
-        return [(self._dialect.resume_after, value)]
-
-    def _silence_timeout_s(self):
-        """Return how long to wait for the next bytes of a server.
-
-        Only resumable streams have a limit; the request's deadline ends
-        every other wait.
-        """
-        route = self._work.route
-        if not route.is_resumable:
-            return math.inf
-        gap_s = route.gap_target_ms / _clock.MS_PER_S
-        return max(SILENCE_MIN_S, SILENCE_FACTOR * gap_s)
-
     # Failures
 
-    def _has_runs_left(self):
-        return self._work.run_count < self._work.route.run_max
-
     def _spend_retry(self, error):
         work = self._work
         if work.may_have_run and not (
-            work.route.is_resumable and self._has_runs_left()
+            work.route.is_resumable and self._relay.has_runs_left
         ):
             return False
         return self._budgets.spend(work.service, error.retry_count)
@@ -550,7 +374,7 @@
         grant a server of another version.
         """
         server = self._find_server(placement.decode_server)
-        begun_version = self._begun_version
+        begun_version = self._relay.begun_version
         if begun_version and server.software_version != begun_version:
             emit(
                 events.STREAM_VERSION_DIFFERS,
@@ -567,8 +391,3 @@
         if server is None:
             raise _stream_context.StreamBrokenError(name, 0)
         return server
-
-
-def _is_event_stream(head):
-    content_type = head.header(b'content-type').partition(';')[0]
-    return content_type.strip().lower() in EVENT_STREAM_TYPES
--- a/tests/unit/test_stream_pieces.py
+++ b/tests/unit/test_stream_pieces.py
@@ -5,7 +5,7 @@
 import trio.testing
 
 from bluebellthread.entry import _stream_context
-from bluebellthread.entry import _stream_path
+from bluebellthread.entry import _stream_relay
 
 EVENTS = [f'id: {n}\ndata: piece {n}\n\n'.encode() for n in (1, 2, 3)]
 
@@ -71,7 +71,7 @@
         dialect=None,
         stats=_Stats(),
     )
-    return _stream_path._Stream(work=work, context=context, caller_age_ms=0)
+    return _stream_relay.StreamRelay(work=work, context=context)
 
 
 async def pass_events_on(stream, server):
@@ -129,7 +129,7 @@
 
         run(clock, scenario)
         self.assertEqual(EVENTS[0], caller.received)
-        self.assertEqual('1', streams[0]._resume_after)
+        self.assertEqual('1', streams[0].resume_after)
 
     async def expect_broken(self, stream, server):
         with self.assertRaises(_stream_context.StreamBrokenError):
