--- a/tests/unit/test_wire.py
+++ b/tests/unit/test_wire.py
@@ -2,6 +2,8 @@
 
 import hypothesis
 from hypothesis import strategies
+import trio
+import trio.testing
 
 from bluebellthread import core
 from bluebellthread import wire
@@ -43,6 +45,20 @@
         with self.assertRaisesRegex(wire.WireError, 'check that both'):
             wire.decode(b'\x80abc' * 9, now_ms=0)
 
+    # Guards against a message that is taken from a connection cut within it.
+    def test_frame_that_is_cut_off_is_no_message(self):
+        frame = wire.encode_frame(make_envelope(), now_ms=0)
+
+        async def read(data):
+            send, receive = trio.testing.memory_stream_pair()
+            await send.send_all(data)
+            await send.aclose()
+            return await wire.FrameReader(receive).read()
+
+        for count in range(len(frame)):
+            self.assertIsNone(trio.run(read, frame[:count]))
+        self.assertIsNotNone(trio.run(read, frame))
+
     @hypothesis.given(strategies.data())
     @hypothesis.settings(max_examples=300, print_blob=True)
     def test_damaged_bytes_decode_to_a_message_or_raise_wire_error(self, data):
