Add failing tests of how streams that have begun wait

A stream that goes on, within an answer or at its caller's next try, has passed its target with its first event, so it is queued with the late requests and may be refused as one too many of them, although its version alone can serve it.

--- a/tests/unit/test_allocator.py
+++ b/tests/unit/test_allocator.py
@@ -385,3 +385,38 @@
             for ask_id in 'abc'
         }
         self.assertEqual({'da1', 'db2', 'dc2'}, engines)
+
+    # Guards against streams that callers have half of and that wait behind
+    # new ones.
+    def test_stream_that_has_begun_goes_on_before_new_ones_begin(self):
+        self.allocator.set_servers(make_engines('pa1', 'da1'))
+        self.add('running', prompt_tokens=5000)
+        self.decide()
+        self.allocator.note_prefill_ended('running', 0)
+        self.add('new', 10, prompt_tokens=6000)
+        # Its target has passed with its first event.
+        self.add(
+            'begun',
+            20,
+            prompt_tokens=6000,
+            software_version='v1',
+            target_deadline_ms=0,
+        )
+        self.assertEqual({}, self.decide(20))
+        self.allocator.release('running', 30)
+        self.assertEqual(['begun'], list(self.decide(30)))
+
+    def test_streams_that_have_begun_are_not_refused_as_late(self):
+        self.allocator.set_servers(make_engines('pa1', 'da1'))
+        self.add('running', prompt_tokens=9000)
+        self.decide()
+        self.allocator.note_prefill_ended('running', 0)
+        for number in range(6):
+            self.add(
+                f'begun{number}',
+                10,
+                prompt_tokens=9000,
+                software_version='v1',
+                target_deadline_ms=0,
+            )
+        self.assertEqual({}, self.decide(10))
