Place streams that have begun before those that have not

What callers saw: nothing in the record; a broken stream waited behind new requests and counted as late, so that it could be refused with half of it read. Cause: a continuation is placed like a new request, by a target that its first event has met long ago. Change: in the order 'on-time-first', streams that have begun go first; they are not refused as one late request too many.

--- a/bluebellthread/core/routing/_allocator.py
+++ b/bluebellthread/core/routing/_allocator.py
@@ -232,9 +232,9 @@
             grant = self._grant(waiting.request, now_ms)
             if grant is not None:
                 answers.append(grant)
-            elif not waiting.request.software_version:
-                # Requests that must have one version only wait for its
-                # engines; the engines of the others stay in use meanwhile.
+            elif not waiting.request.has_begun:
+                # Streams that have begun wait for engines of their version
+                # only; those of the others stay in use meanwhile.
                 break
         return answers
 
@@ -278,7 +278,8 @@
             kind = self._find_refusal_kind(request, expected_event_ms)
             if kind:
                 kinds[ask_id] = kind
-            if expected_event_ms > request.target_deadline_ms:
+            is_late = expected_event_ms > request.target_deadline_ms
+            if is_late and not request.has_begun:
                 late.append((request.deadline_ms, ask_id))
         for ask_id in self._find_excess_late(late):
             kinds.setdefault(ask_id, 'overloaded')
--- a/bluebellthread/core/routing/_placement_messages.py
+++ b/bluebellthread/core/routing/_placement_messages.py
@@ -54,6 +54,11 @@
     avoid_servers: tuple[str, ...] = ()
     software_version: str = ''
 
+    @property
+    def has_begun(self):
+        """Whether the caller has events of the stream already."""
+        return bool(self.software_version)
+
 
 @attrs.frozen(kw_only=True)
 class PlacementGranted:
--- a/bluebellthread/core/routing/_waiting_orders.py
+++ b/bluebellthread/core/routing/_waiting_orders.py
@@ -25,8 +25,12 @@
 
     The former are sorted by target deadline, the latter by final deadline,
     so that a backlog of late requests is served whenever no request that
-    can be on time is queued.
+    can be on time is queued. Streams that have begun go before both: their
+    callers wait between two events, and what was generated is lost if they
+    leave.
     """
+    if request.has_begun:
+        return (-1, request.deadline_ms)
     if now_ms + first_event_ms <= request.target_deadline_ms:
         return (0, request.target_deadline_ms)
     return (1, request.deadline_ms)
