--- a/bluebellthread/core/_event_splitter.py
+++ b/bluebellthread/core/_event_splitter.py
@@ -16,6 +16,7 @@
 probabilities has some KB."""
 
 LINE_ENDS = b'\r\n'
+CARRIAGE_RETURN = LINE_ENDS[0]
 ID_FIELD = b'id:'
 
 
@@ -75,8 +76,11 @@
     def push(self, data):
         """Add bytes and return the events that are complete by now."""
         self._buffer += data
-        events = self._take_whole_events()
-        if events.strip(LINE_ENDS):
+        end = self._find_end()
+        events = bytes(self._buffer[:end])
+        del self._buffer[:end]
+        self._searched_bytes = max(0, len(self._buffer) - EVENT_END_BYTES)
+        if events and events.strip(LINE_ENDS):
             self.has_events = True
             self._note_last_id(events)
         return events
@@ -92,14 +96,16 @@
         if len(self._buffer) > EVENT_MAX_BYTES:
             raise EventTooLongError
 
-    def _take_whole_events(self):
+    def _find_end(self):
+        """Return the number of buffered bytes up to the last event's end."""
+        if CARRIAGE_RETURN not in self._buffer:
+            # Nearly all streams; faster than the pattern.
+            start = self._buffer.rfind(b'\n\n', self._searched_bytes)
+            return 0 if start < 0 else start + len(b'\n\n')
         end = 0
         for match in EVENT_END.finditer(self._buffer, self._searched_bytes):
             end = match.end()
-        events = bytes(self._buffer[:end])
-        del self._buffer[:end]
-        self._searched_bytes = max(0, len(self._buffer) - EVENT_END_BYTES)
-        return events
+        return end
 
     def _note_last_id(self, events):
         for line in reversed(events.splitlines()):
--- a/bluebellthread/entry/_stream_origins.py
+++ b/bluebellthread/entry/_stream_origins.py
@@ -147,6 +147,7 @@
         """
         while True:
             now_ms = _clock.read_clock_ms()
+            self._forget_ended_processes()
             for traits in self._state.table.engine_services():
                 holders = self._find_holders(traits.name)
                 known = self._holders.get(traits.name, frozenset())
@@ -162,6 +163,12 @@
             with trio.move_on_after(HOLDER_CHECK_PERIOD_S):
                 await self._state.view_changed.wait()
 
+    def _forget_ended_processes(self):
+        live = {_key_of(member) for member in self._state.view.members}
+        self._able &= live
+        for key in self._probes.keys() - live:
+            del self._probes[key]
+
     def _find_holders(self, service):
         holders = self._state.rank_owners(service)[:HOLDER_COUNT]
         return [member for member in holders if not self._is_self(member)]
