Look engines up by role and version once for each list

Each choice of engines filtered the list of the role by version again, for each version and role. The lists are made when the servers change. No behaviour changes; tests.unit.test_allocator and test_replay_loads pass.

--- a/bluebellthread/core/routing/_engine_pool.py
+++ b/bluebellthread/core/routing/_engine_pool.py
@@ -41,6 +41,7 @@
         self._prefill_depth = prefill_depth
         self._servers = ()
         self._accounts = {}
+        self._by_version = collections.defaultdict(list)
         self._placements = {}
         self._next_expire_ms = math.inf
         self.by_role = {'prefill': [], 'decode': []}
@@ -86,6 +87,11 @@
             ]
             for role in self.by_role
         }
+        self._by_version = collections.defaultdict(list)
+        for account in accounts.values():
+            server = account.server
+            key = (server.role, server.software_version)
+            self._by_version[key].append(account)
         self.decode_versions = collections.Counter(
             item.server.software_version for item in self.by_role['decode']
         )
@@ -233,11 +239,7 @@
         Engines that are backing off or have failed the request are included
         only if no other engine of the version is left.
         """
-        accounts = [
-            item
-            for item in self.by_role[role]
-            if item.server.software_version == version
-        ]
+        accounts = self._by_version.get((role, version), [])
         available = [
             item for item in accounts if not item.is_backing_off(now_ms)
         ]
