Ask a VM where a stream began while its first answer is awaited

What callers saw: nothing seen; by reading, a VM that had just been probed counted as one of an older build until it answered, so a stream that was taken up in that round trip was refused, and a probe that was cancelled cost a second. Cause: the pause between probes began with the call. Change: the pause begins only once a VM has not answered, and the question itself serves as the probe. Result: a new test, which could not be written against the method that it replaces; tests.unit.test_stream_origins and test_entry_versions pass.

--- a/bluebellthread/entry/_stream_origins.py
+++ b/bluebellthread/entry/_stream_origins.py
@@ -40,6 +40,9 @@
 RECORDS_PER_MESSAGE = 500
 QUEUE_LENGTH = 4096
 
+_PROBE = routing.OriginAsk(attempt_id='', serves='')
+_NEVER_PROBED = (0, PROBE_PAUSE_FIRST_MS)
+
 
 class StreamOrigins:
     """Keeps, tells and finds the records of where streams began.
@@ -120,9 +123,9 @@
         was_able = _key_of(member) in self._able
         try:
             with trio.fail_after(_peers.CONNECT_TIMEOUT_S):
-                if not await self._is_able(member):
-                    return
                 if not was_able:
+                    if await self._call(member, _PROBE) is None:
+                        return
                     origins = self._records.list_of(
                         service, _clock.read_clock_ms()
                     )
@@ -176,33 +179,43 @@
     def _is_self(self, member):
         return member.name == self._state.settings.vm
 
-    async def _is_able(self, member):
-        """Return whether a VM's build knows these messages.
+    async def _call(self, member, question):
+        """Return a VM's `OriginAnswer`, or None if its build has none.
+
+        A VM that has never answered is not called again at once.
 
-        A VM that is not known to is probed, but not again at once if it
-        doesn't answer.
+        Raises
+        ------
+        PeerUnreachableError
+            If there is no answer in time.
         """
         key = _key_of(member)
-        if key in self._able:
-            return True
         now_ms = _clock.read_clock_ms()
-        next_ms, pause_ms = self._probes.get(key, (0, PROBE_PAUSE_FIRST_MS))
+        next_ms, _ = self._probes.get(key, _NEVER_PROBED)
         if now_ms < next_ms:
-            return False
+            return None
+        try:
+            answer = await self._links.call(
+                member, question, deadline_ms=now_ms + ASK_TIMEOUT_MS
+            )
+        except _peers.PeerUnreachableError:
+            self._note_no_answer(key)
+            raise
+        if not isinstance(answer, routing.OriginAnswer):
+            self._note_no_answer(key)
+            return None
+        self._able.add(key)
+        self._probes.pop(key, None)
+        return answer
+
+    def _note_no_answer(self, key):
+        if key in self._able:
+            return
+        _, pause_ms = self._probes.get(key, _NEVER_PROBED)
         self._probes[key] = (
-            now_ms + pause_ms,
+            _clock.read_clock_ms() + pause_ms,
             min(2 * pause_ms, PROBE_PAUSE_MAX_MS),
         )
-        answer = await self._links.call(
-            member,
-            routing.OriginAsk(attempt_id='', serves=''),
-            deadline_ms=now_ms + ASK_TIMEOUT_MS,
-        )
-        if not isinstance(answer, routing.OriginAnswer):
-            return False
-        self._able.add(key)
-        del self._probes[key]
-        return True
 
     # Finding
 
@@ -248,13 +261,7 @@
 
         async def ask(member, scope):
             try:
-                if not await self._is_able(member):
-                    return
-                answer = await self._links.call(
-                    member,
-                    question,
-                    deadline_ms=_clock.read_clock_ms() + ASK_TIMEOUT_MS,
-                )
+                answer = await self._call(member, question)
             except _peers.PeerUnreachableError as error:
                 emit(
                     events.STREAM_ORIGIN_NOT_ASKED,
@@ -263,7 +270,7 @@
                     error=error,
                 )
                 return
-            if isinstance(answer, routing.OriginAnswer):
+            if answer is not None:
                 answers.append(answer)
                 if answer.origins:
                     scope.cancel()
--- a/tests/unit/test_stream_origins.py
+++ b/tests/unit/test_stream_origins.py
@@ -3,6 +3,7 @@
 from unittest import mock
 
 import trio
+import trio.testing
 
 from bluebellthread.core import routing
 from bluebellthread.core.routing import _stream_origins
@@ -123,3 +124,43 @@
         ):
             trio.run(tell, now_ms)
             self.assertEqual(call_count, len(links.calls))
+
+
+class _SlowLinks:
+    """Links to a VM that answers each call once it may."""
+
+    def __init__(self, answer):
+        self.may_answer = trio.Event()
+        self._answer = answer
+
+    async def call(self, member, message, *, deadline_ms):
+        del member, message, deadline_ms
+        await self.may_answer.wait()
+        return self._answer
+
+
+class TestFirstCalls(unittest.TestCase):
+    # Guards against a question that is not asked as another is on its way.
+    def test_vm_is_asked_while_its_first_answer_is_awaited(self):
+        answer = routing.OriginAnswer(
+            origins=(), versions=(), knows_all_versions=False
+        )
+        member = types.SimpleNamespace(name='vm2', incarnation=1)
+        question = routing.OriginAsk(attempt_id='a', serves='s')
+        answers = []
+
+        async def main():
+            links = _SlowLinks(answer)
+            origins = tasks.StreamOrigins(state=None, links=links, client=None)
+
+            async def ask():
+                answers.append(await origins._call(member, question))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask)
+                nursery.start_soon(ask)
+                await trio.testing.wait_all_tasks_blocked()
+                links.may_answer.set()
+
+        trio.run(main)
+        self.assertEqual([answer, answer], answers)
