Add a failing test of changes that are too long for an answer

Since answers of the store are limited, a watch whose changes exceed the limit is repeated from the same position until the store has dropped them.

--- a/bluebellthread/entry/_stream_origins.py
+++ b/bluebellthread/entry/_stream_origins.py
@@ -242,21 +242,17 @@
             for member in self._state.rank_owners(service)
             if not self._is_self(member)
         ]
-        for members in (
-            (),
-            others[:HOLDER_COUNT],
-            others[HOLDER_COUNT : HOLDER_COUNT + OTHERS_MAX],
-        ):
-            answers += await self._ask(members, question)
-            for answer in answers:
-                if answer.origins:
-                    return answer.origins[0]
-        if len(services) > 1:
-            return None
+        last = HOLDER_COUNT + OTHERS_MAX
+        for members in (others[:HOLDER_COUNT], others[HOLDER_COUNT:last]):
+            if _find_record(answers) is None:
+                answers += await self._ask(members, question)
+        origin = _find_record(answers)
+        if origin is not None or len(services) > 1:
+            return origin
         return await self._find_sole(question, answers)
 
     async def _ask(self, members, question):
-        """Return the answers of VMs, the last of them with a record."""
+        """Return the answers of VMs, until one has a record."""
         answers = []
 
         async def ask(member, scope):
@@ -321,5 +317,13 @@
         )
 
 
+def _find_record(answers):
+    """Return the first record in answers, or None."""
+    for answer in answers:
+        if answer.origins:
+            return answer.origins[0]
+    return None
+
+
 def _key_of(member):
     return (member.name, member.incarnation)
--- a/tests/integration/test_entry_versions.py
+++ b/tests/integration/test_entry_versions.py
@@ -38,6 +38,15 @@
     return {engine.software_version for engine in engines}
 
 
+async def call_with_a_break(fleet, request_id):
+    """Make a call whose first run breaks after two events."""
+    breaks = [2]
+    for engine in fleet.servers.values():
+        engine.break_after = breaks
+    async with await fleet.connect(1) as caller:
+        return await caller.call('POST', '/ask/x', request_id=request_id)
+
+
 async def begin_stream(fleet, vm, request_id):
     """Begin a stream and leave it after two events; return its engine."""
     gate = trio.Event()
@@ -87,13 +96,7 @@
             vms=1, engines=ENGINES, versions=VERSIONS
         ) as fleet:
             for number in range(REQUEST_COUNT):
-                breaks = [2]
-                for engine in fleet.servers.values():
-                    engine.break_after = breaks
-                async with await fleet.connect(1) as caller:
-                    answer = await caller.call(
-                        'POST', '/ask/x', request_id=f'i{number}'
-                    )
+                answer = await call_with_a_break(fleet, f'i{number}')
                 self.assertTrue(answer.whole)
                 self.assertEqual(ALL_EVENTS, answer.body)
                 runs = runs_of(fleet, f'i{number}')
@@ -106,13 +109,7 @@
             vms=1, engines=('p1', 'd1', 'd3'), versions=VERSIONS
         ) as fleet:
             for number in range(REQUEST_COUNT):
-                breaks = [2]
-                for engine in fleet.servers.values():
-                    engine.break_after = breaks
-                async with await fleet.connect(1) as caller:
-                    answer = await caller.call(
-                        'POST', '/ask/x', request_id=f'i{number}'
-                    )
+                answer = await call_with_a_break(fleet, f'i{number}')
                 runs = runs_of(fleet, f'i{number}')
                 self.assertEqual(1, len(versions_of(runs)))
                 # The engine that failed may run the stream again.
--- a/tests/unit/test_store_client.py
+++ b/tests/unit/test_store_client.py
@@ -1,6 +1,8 @@
 import contextlib
 import unittest
+from unittest import mock
 
+import attrs
 import trio
 
 from bluebellthread.entry import HistoryLostError
@@ -168,3 +170,19 @@
             self.assertEqual(
                 {'a': False, '\ud800': True, '\uffff': False}, problems
             )
+
+
+class TestLongAnswers(unittest.TestCase):
+    # Guards against a watch that never gets beyond changes that are too long.
+    @run
+    async def test_changes_that_are_too_long_lead_to_a_whole_read(self):
+        async with connected_store() as (store, client):
+            for _ in range(4):
+                store.put('servers/i-1', SERVER)
+            _, position = await client.read_servers()
+            first = attrs.evolve(position, revision=1)
+            with mock.patch.object(_store_client, 'ANSWER_MAX_BYTES', 600):
+                with self.assertRaises(HistoryLostError):
+                    await client.watch_servers(first)
+                changes, _ = await client.read_servers()
+            self.assertEqual(1, len(changes))
