Read all again if the changes since a position are too long

What callers saw: nothing; a limit of this landing would have left a VM without news of servers or configurations for up to the store's history. Cause: an answer of a watch that is too long was repeated from its position. Change: it counts as lost history, so the whole state is read; a read that is too long stays a failed call.

--- a/bluebellthread/platform/_store_client.py
+++ b/bluebellthread/platform/_store_client.py
@@ -121,7 +121,7 @@
             If the answer is larger than ``size_max_bytes``.
         """
         transfer = Transfer.start()
-        answer = await self._get(
+        answer = await self._read(
             '/-/kv-key',
             {'key': _decoding.CONFIGURATION_KEY},
             READ_TIMEOUT_S,
@@ -181,7 +181,7 @@
             query = {'prefix': _decoding.SERVERS_PREFIX}
             if after:
                 query['after'] = after
-            answer = await self._get(
+            answer = await self._read(
                 '/-/kv-range', query, READ_TIMEOUT_S, Transfer.start()
             )
             if first is None:
@@ -214,15 +214,31 @@
         return [_to_server_change(event) for event in events], position
 
     async def _watch(self, prefix, after, transfer, wait_ms=WATCH_MS):
-        answer = await self._get(
-            '/-/kv-watch',
-            {'prefix': prefix, 'after': after.revision, 'waitMs': wait_ms},
-            wait_ms / 1000 + WATCH_MARGIN_S,
-            transfer,
-        )
+        query = {
+            'prefix': prefix,
+            'after': after.revision,
+            'waitMs': wait_ms,
+        }
+        try:
+            answer = await self._get(
+                '/-/kv-watch',
+                query,
+                wait_ms / 1000 + WATCH_MARGIN_S,
+                transfer,
+            )
+        except core.AnswerTooLongError as error:
+            # Another watch from this position would be as long.
+            raise HistoryLostError(str(error)) from error
         _check_era(answer, after)
         return _list_of(answer.fields, 'events'), _position_of(answer)
 
+    async def _read(self, *arguments, **options):
+        """Return the answer to a read, which must not be too long."""
+        try:
+            return await self._get(*arguments, **options)
+        except core.AnswerTooLongError as error:
+            raise PlatformUnavailableError(str(error)) from error
+
     async def _get(
         self,
         path,
@@ -255,7 +271,7 @@
                         )
                     content = body.finish()
         except (
-            core.AnswerBodyError,
+            core.AnswerCutOffError,
             httpcore.NetworkError,
             httpcore.ProtocolError,
             httpcore.TimeoutException,
