Add a failing test of a broken stream without ids

Found by reading the change: on a resumable route, a stream whose events have no ids begins again at another engine after events were passed on, so its caller gets them twice.

--- a/tests/integration/test_entry_cut_answers.py
+++ b/tests/integration/test_entry_cut_answers.py
@@ -94,6 +94,31 @@
                     self.assertTrue(answer.whole)
                     self.assertEqual(ALL_EVENTS, answer.body)
 
+    # Guards against events that a caller gets twice, as nothing names the
+    # last one that it has.
+    @run
+    async def test_broken_stream_without_ids_does_not_begin_again(self):
+        nameless_events = b'data: a\n\ndata: b\n\n'
+
+        def break_after_events(engine):
+            async def answer(request):
+                engine.runs.append(request)
+                headers = engine.answer_headers(request)
+                await request.begin_chunks(200, headers)
+                await request.send_chunk(nameless_events)
+                await request.reset()
+
+            return answer
+
+        async with running_engines('p1', 'd1', 'd2') as site:
+            engines = [site.servers[name] for name in ('d1', 'd2')]
+            for engine in engines:
+                engine.script.append(break_after_events(engine))
+            answer = await site.call('POST', '/ask/x')
+            self.assertFalse(answer.whole)
+            self.assertEqual(nameless_events, answer.body)
+            self.assertEqual(1, sum(len(engine.runs) for engine in engines))
+
     @run
     async def test_document_on_a_stream_route_is_passed_on_when_whole(self):
         async def answer_document(request):
