Do not begin a stream again after events without ids

What callers saw: with stand-ins, events twice in one answer. Cause: an empty id of the last event was taken for no event at all. Change: the relay notes whether it has passed events on; if the last one has no id, no other run can follow.

--- a/bluebellthread/entry/_stream_path.py
+++ b/bluebellthread/entry/_stream_path.py
@@ -351,7 +351,9 @@
     def _spend_retry(self, error):
         work = self._work
         if work.may_have_run and not (
-            work.route.is_resumable and self._relay.has_runs_left
+            work.route.is_resumable
+            and self._relay.has_runs_left
+            and self._relay.may_go_on
         ):
             return False
         return self._budgets.spend(work.service, error.retry_count)
--- a/bluebellthread/entry/_stream_relay.py
+++ b/bluebellthread/entry/_stream_relay.py
@@ -36,6 +36,8 @@
 
     Attributes
     ----------
+    has_events : bool
+        Whether an event was passed on.
     resume_after : str
         Id of the last event that was passed on; empty before the first.
     running_version : str
@@ -52,6 +54,7 @@
         self._origins = context.origins
         self._dialect = context.dialect
         self._stats = context.stats
+        self.has_events = False
         self.resume_after = ''
         self.running_version = ''
         self.begun_version = ''
@@ -192,7 +195,8 @@
             return await call.exchange.read()
 
     async def _pass_on_piece(self, whole_events, splitter):
-        if not self.resume_after:
+        if not self.has_events:
+            self.has_events = True
             self._work.first_event_ms = self._work.age_ms
             self._stats.observe_first_event(self._work.first_event_ms)
             self.begun_version = self.running_version
@@ -222,6 +226,11 @@
         gap_s = route.gap_target_ms / _clock.MS_PER_S
         return max(SILENCE_MIN_S, SILENCE_FACTOR * gap_s)
 
+    @property
+    def may_go_on(self):
+        """Whether another run can follow what was passed on."""
+        return bool(self.resume_after) or not self.has_events
+
     @property
     def has_runs_left(self):
         """Whether another server may run the request."""
