--- a/bluebellthread/core/_answer_body.py
+++ b/bluebellthread/core/_answer_body.py
@@ -39,7 +39,7 @@
 
 
 class AnswerTooLongError(AnswerBodyError):
-    """A body is longer than its reader takes.
+    """A body is longer than its reader takes, or has memory for.
 
     Examples
     --------
--- a/tests/integration/_entry_fleet.py
+++ b/tests/integration/_entry_fleet.py
@@ -85,14 +85,6 @@
             await trio.open_tcp_stream(vm.host, vm.entry.ports['caller_port'])
         )
 
-    def find_run(self, request_id):
-        """Return the engine that ran a request last, or None."""
-        for engine in self.servers.values():
-            for run in engine.runs:
-                if run.headers['x-request-attempt-id'] == request_id:
-                    return engine
-        return None
-
 
 @attrs.frozen
 class _Vm:
