--- a/standin/site/__init__.py
+++ b/standin/site/__init__.py
@@ -9,5 +9,13 @@
 from standin.site._connection import Ending
 from standin.site._connection import SiteRequest
 from standin.site._store import Store
+from standin.site._store import StoreDoor
 
-__all__ = ['Ending', 'Engine', 'PlainServer', 'SiteRequest', 'Store']
+__all__ = [
+    'Ending',
+    'Engine',
+    'PlainServer',
+    'SiteRequest',
+    'Store',
+    'StoreDoor',
+]
--- a/standin/site/_store.py
+++ b/standin/site/_store.py
@@ -6,8 +6,12 @@
 import attrs
 import trio
 
+from bluebellthread.core import _registry
 from standin.site import _connection
 
+refusals = _registry.Registry('refusal')
+"""Async functions that take a `SiteRequest` and turn it away."""
+
 
 @attrs.frozen(kw_only=True)
 class StoreCopy:
@@ -198,3 +202,69 @@
 
     def _make_headers(self):
         return () if self.era is None else [('Store-Era', self.era)]
+
+
+@attrs.define(kw_only=True)
+class StoreDoor:
+    """Way to a store that can turn its callers away while others are served.
+
+    Parameters
+    ----------
+    store : Store
+        The store behind the door.
+    refusal : str
+        How calls are turned away, a key of `refusals`; empty if they are
+        not.
+    """
+
+    store: Store
+    refusal: str = ''
+    port: int = 0
+    _scopes: set = attrs.field(factory=set)
+
+    async def start(self, nursery):
+        """Start to serve in a nursery, on a free port."""
+        self.port = await _connection.serve(nursery, self._handle)
+
+    def turn_away(self, refusal):
+        """Turn away all calls, those that wait for a change too."""
+        self.refusal = refusal
+        for scope in self._scopes:
+            scope.cancel()
+
+    def open(self):
+        """Let calls through again."""
+        self.refusal = ''
+
+    async def _handle(self, request):
+        if not self.refusal:
+            with trio.CancelScope() as scope:
+                self._scopes.add(scope)
+                try:
+                    await self.store.handle(request)
+                finally:
+                    self._scopes.discard(scope)
+            if not scope.cancelled_caught:
+                return
+        await refusals.get(self.refusal)(request)
+
+
+@refusals.register('503')
+async def _refuse_as_unavailable(request):
+    await request.answer(503)
+
+
+@refusals.register('429')
+async def _refuse_as_busy(request):
+    await request.answer(429)
+
+
+@refusals.register('reset')
+async def _reset(request):
+    await request.reset()
+
+
+@refusals.register('silence')
+async def _stay_silent(request):
+    del request
+    await trio.sleep_forever()
--- a/tests/integration/_entry_fleet.py
+++ b/tests/integration/_entry_fleet.py
@@ -23,10 +23,15 @@
     nursery: trio.Nursery
     peer_port: int
     vms: dict = attrs.field(factory=dict)
+    doors: dict = attrs.field(factory=dict)
 
     async def start_vm(self, number, **settings):
         """Start the entry process of a VM; it may have run before."""
         host = f'127.0.0.{number}'
+        door = self.doors.get(number)
+        if door is None:
+            door = self.doors[number] = site.StoreDoor(store=self.store)
+            await door.start(self.nursery)
         entry = EntryService(
             settings=sites.make_settings(
                 self.store,
@@ -39,7 +44,7 @@
             ),
             dialect=platform.make_dialect(),
             platform_client=platform.StoreClient(
-                host='127.0.0.1', port=self.store.port
+                host='127.0.0.1', port=door.port
             ),
         )
         scope = trio.CancelScope()
@@ -54,9 +59,19 @@
         """End the process of a VM without a planned stop."""
         self.vms.pop(number).scope.cancel()
 
+    async def add_engine(self, name):
+        """Start a decode engine and write its entry to the store."""
+        engine = self.servers[name] = site.Engine(name=name, stage='decode')
+        await engine.start(self.nursery)
+        self.list_engine(name)
+
     def list_engine(self, name, **changes):
         """Write an engine's entry to the platform's store."""
-        entry = self.servers[name].entry('model', **changes)
+        self.list_server(name, 'model', **changes)
+
+    def list_server(self, name, service, **changes):
+        """Write a server's entry to the platform's store."""
+        entry = self.servers[name].entry(service, **changes)
         self.store.put(f'servers/{name}', entry)
 
     async def wait_ready(self, names=None):
@@ -95,7 +110,7 @@
 
 @contextlib.asynccontextmanager
 async def running_fleet(
-    *, vms=3, engines=(), versions=None, zones=None, **settings
+    *, vms=3, engines=(), plain=(), versions=None, zones=None, **settings
 ):
     """Run entry processes with stand-in engines; yield the `Fleet`.
 
@@ -106,6 +121,8 @@
     engines : tuple of str
         Names of the engines; those that begin with p run prefills, the
         others decode.
+    plain : tuple of str
+        Names of the servers of the plain service.
     versions : dict of str to str or None
         Software version of each engine that is not of ``'v1'``.
     zones : dict of str to str or None
@@ -122,6 +139,7 @@
         )
         for name in engines
     }
+    servers |= {name: site.PlainServer(name=name) for name in plain}
     with trio.fail_after(sites.TEST_TIMEOUT_S):
         async with trio.open_nursery() as nursery:
             await store.start(nursery)
@@ -132,6 +150,8 @@
             for name in engines:
                 zone = (zones or {}).get(name, 'cluj-a')
                 fleet.list_engine(name, zone=zone)
+            for name in plain:
+                fleet.list_server(name, 'plain')
             for number in range(1, vms + 1):
                 await fleet.start_vm(number, **settings)
             await fleet.wait_ready()
