Let what a VM knows of a server go before an owner's grant

What callers saw: nothing yet; their streams were sent to engines up to 8.3 s after these had said that they leave, and would have been cut with them.

Cause: the owner of a service placed requests by its own list of servers, and a VM sent each request where it was placed, without a look at its own list. An owner that the platform turns away keeps its old list, so all VMs used leaving engines through it, those that knew better too. An owner that started while it was turned away refused every stream.

Change: a VM disputes a grant that its own list contradicts, before anything is sent, tells the owner, and passes it over the second time, or if it refuses for want of engines. Role orders look at the same list.

--- a/bluebellthread/core/routing/__init__.py
+++ b/bluebellthread/core/routing/__init__.py
@@ -3,10 +3,19 @@
 from bluebellthread.core.routing._allocator import Allocator
 from bluebellthread.core.routing._allocator import AllocatorOptions
 from bluebellthread.core.routing._caller_age import CallerAges
+from bluebellthread.core.routing._departures import Departure
+from bluebellthread.core.routing._departures import ListPosition
 from bluebellthread.core.routing._directory import ListedServer
 from bluebellthread.core.routing._directory import ServerDirectory
 from bluebellthread.core.routing._engine_account import EngineServer
+from bluebellthread.core.routing._grant_review import Dispute
+from bluebellthread.core.routing._grant_review import find_dispute
+from bluebellthread.core.routing._grant_review import GrantReview
 from bluebellthread.core.routing._memory_models import memory_models
+from bluebellthread.core.routing._news import choose_partners
+from bluebellthread.core.routing._news import News
+from bluebellthread.core.routing._news import NEWS_MESSAGES
+from bluebellthread.core.routing._news import NewsNoted
 from bluebellthread.core.routing._ownership_epoch import OwnedAllocator
 from bluebellthread.core.routing._placement_messages import HeldPlacement
 from bluebellthread.core.routing._placement_messages import PLACEMENT_MESSAGES
@@ -44,13 +53,20 @@
     'AllocatorOptions',
     'CallerAges',
     'CallerLimits',
+    'Departure',
+    'Dispute',
     'EngineServer',
+    'GrantReview',
     'EngineTraits',
     'HeldPlacement',
     'KIND_IDEMPOTENT',
     'KIND_ONCE',
     'KIND_STREAM',
+    'ListPosition',
     'ListedServer',
+    'NEWS_MESSAGES',
+    'News',
+    'NewsNoted',
     'ORIGIN_MESSAGES',
     'OriginAnswer',
     'OriginAsk',
@@ -75,6 +91,8 @@
     'StreamsBegan',
     'VersionHistory',
     'WindowedRetryBudget',
+    'choose_partners',
+    'find_dispute',
     'memory_models',
     'plan_decode_switches',
     'waiting_orders',
--- a/bluebellthread/core/routing/_directory.py
+++ b/bluebellthread/core/routing/_directory.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from bluebellthread.core.routing import _departures
+
 LAPSE_RETURN_MS = 2000
 """Entries whose lease expired during an outage of the platform are listed
 again within this time (platform documentation)."""
@@ -61,6 +63,7 @@
     """The last entry of a server that left, and how long it is remembered."""
 
     server: ListedServer
+    position: _departures.ListPosition
     deadline_ms: int
 
 
@@ -77,6 +80,9 @@
     copy lists it as ready; if it is still listed `RESTORE_HOLD_MS` later and
     never drained, its entry was renewed and it is used again.
 
+    A departure that another VM tells holds until the platform tells this VM
+    something later of the server.
+
     Examples
     --------
     >>> directory = ServerDirectory()
@@ -97,6 +103,10 @@
         self._hold_deadline_ms = None
         self._barred = {}
         self._held = {}
+        self._positions = {}
+        self._position = _departures.ListPosition()
+        self._heard = _departures.HeardDepartures()
+        self._news = {}
         self._by_service = {}
         self.version = 0
 
@@ -141,11 +151,84 @@
             known = tuple(
                 server
                 for server in self._servers.values()
-                if server.service == service and not server.is_draining
+                if server.service == service
+                and not server.is_draining
+                and self._find_heard(server) is None
             )
             self._by_service[service] = known
         return known
 
+    # Departures
+
+    def hear_departure(self, departure, now_ms):
+        """Note a departure that another VM told; return whether it is news."""
+        self._heard.expire(now_ms, self._servers)
+        known = self.find_departure(departure.name, now_ms)
+        if known is not None and known.incarnation >= departure.incarnation:
+            return False
+        server = self._servers.get(departure.name)
+        if server is not None and not self._is_later(departure, server):
+            return False
+        if not self._heard.add(departure):
+            return False
+        self._news[departure.name] = None
+        self._invalidate_index()
+        return True
+
+    def find_departure(self, name, now_ms):
+        """Return the `Departure` of a server, or None if it may be used."""
+        server = self._servers.get(name)
+        if server is not None:
+            if server.is_draining:
+                return _make_departure(server, self._positions[name], now_ms)
+            return self._find_heard(server)
+        departure = self._departures.get(name)
+        if departure is not None and now_ms < departure.deadline_ms:
+            return attrs.evolve(
+                _make_departure(departure.server, departure.position, now_ms),
+                keep_deadline_ms=departure.deadline_ms,
+            )
+        heard = self._heard.find(name)
+        if heard is not None and now_ms < heard.keep_deadline_ms:
+            return heard
+        return None
+
+    def list_departures(self, now_ms):
+        """Return all departures that this VM knows of."""
+        names = {departure.name for departure in self._heard.list_all()}
+        names.update(self._departures, self._servers)
+        return self._find_departures(names, now_ms)
+
+    def take_news(self, now_ms):
+        """Return the departures that are new since the last call."""
+        names, self._news = self._news, {}
+        return self._find_departures(names, now_ms)
+
+    def note_position(self, position):
+        """Record up to where the platform's history has been read."""
+        self._position = position
+
+    def _find_departures(self, names, now_ms):
+        found = (self.find_departure(name, now_ms) for name in names)
+        return [departure for departure in found if departure is not None]
+
+    def _find_heard(self, server):
+        """Return the departure that others told of a listed server."""
+        heard = self._heard.find(server.name)
+        if heard is not None and self._is_later(heard, server):
+            return heard
+        return None
+
+    def _is_later(self, departure, server):
+        return _departures.has_left(
+            departure,
+            server,
+            self._positions[server.name],
+            is_restored=self._hold_deadline_ms is not None,
+        )
+
+    # Changes
+
     def note_outage_end(self, silent_ms, now_ms):
         """Record the end of a platform outage that lasted ``silent_ms``."""
         if silent_ms >= LAPSE_OUTAGE_MS:
@@ -168,11 +251,17 @@
             if server.is_draining:
                 self._barred[name] = server
 
-    def put(self, server):
+    def put(self, server, *, position=None):
         """Add or update an entry, unless it is older than the known one.
 
         After a restore of the platform, an entry of a process that was seen
         to drain or leave is held back.
+
+        Parameters
+        ----------
+        position : ListPosition or None
+            Where in the platform's history the entry is listed; None if that
+            is unknown.
         """
         name = server.name
         barred = self._barred.get(name)
@@ -188,15 +277,22 @@
         known = self._servers.get(name)
         if known is not None and _is_older(server, known):
             return
-        if known != server:
+        self._positions[name] = position or self._position
+        was_heard = self._heard.find(name) is not None
+        if server.is_draining and (
+            known is None or _is_ready_before(known, server)
+        ):
+            self._news[name] = None
+        if known != server or was_heard:
             self._servers[name] = server
             self._invalidate_index()
 
-    def remove(self, name, now_ms, *, has_left=True):
+    def remove(self, name, now_ms, *, has_left=True, position=None):
         """Remove an entry.
 
         ``has_left`` is false if the entry only became unusable, which does
-        not tell that the server has left.
+        not tell that the server has left. ``position`` is where in the
+        platform's history the entry is missing; None if that is unknown.
 
         Within `LAPSE_RETURN_MS` after a platform outage, keep it until that
         period ends, since only its lease may have expired.
@@ -213,16 +309,16 @@
             return
         self._drop(name)
         if has_left:
-            self._note_departure(server, now_ms)
+            self._note_departure(server, now_ms, position or self._position)
 
-    def replace(self, servers, now_ms):
+    def replace(self, servers, now_ms, *, position=None):
         """Apply a complete list of servers; remove entries that it lacks."""
         listed = {server.name for server in servers}
         for server in servers:
-            self.put(server)
+            self.put(server, position=position)
         for name in {**self._servers, **self._held}:
             if name not in listed:
-                self.remove(name, now_ms)
+                self.remove(name, now_ms, position=position)
 
     def expire(self, now_ms):
         """Remove the entries that were kept after an outage until now.
@@ -238,7 +334,7 @@
             if now_ms >= deadline_ms
         ]
         for name in due:
-            self._note_departure(self._servers[name], now_ms)
+            self._note_departure(self._servers[name], now_ms, self._position)
             self._drop(name)
         return due
 
@@ -263,6 +359,7 @@
             else:
                 self.put(server)
                 released.append(name)
+        self._invalidate_index()
         return released
 
     def _may_have_lapsed(self, now_ms):
@@ -273,18 +370,22 @@
 
     def _drop(self, name):
         self._lapsed_deadlines_ms.pop(name, None)
+        self._positions.pop(name, None)
         if self._servers.pop(name, None) is not None:
             self._invalidate_index()
 
-    def _note_departure(self, server, now_ms):
+    def _note_departure(self, server, now_ms, position):
         self._departures = {
             name: departure
             for name, departure in self._departures.items()
             if now_ms < departure.deadline_ms and name != server.name
         }
         self._departures[server.name] = _Departure(
-            server=server, deadline_ms=now_ms + DEPARTURE_MEMORY_MS
+            server=server,
+            position=position,
+            deadline_ms=now_ms + DEPARTURE_MEMORY_MS,
         )
+        self._news[server.name] = None
 
     def _invalidate_index(self):
         self._by_service = {}
@@ -304,6 +405,22 @@
     )
 
 
+def _is_ready_before(known, server):
+    """Return whether an entry is the first that lists a process to drain."""
+    return not known.is_draining or known.incarnation != server.incarnation
+
+
+def _make_departure(server, position, now_ms):
+    return _departures.Departure(
+        name=server.name,
+        incarnation=server.incarnation,
+        has_drained=server.is_draining,
+        era=position.era,
+        revision=position.revision,
+        keep_deadline_ms=now_ms + DEPARTURE_MEMORY_MS,
+    )
+
+
 def _has_drained(server, barred):
     """Return whether the process of a listed server was seen to drain."""
     return barred.is_draining and server.incarnation == barred.incarnation > 0
--- a/bluebellthread/core/routing/_placement_messages.py
+++ b/bluebellthread/core/routing/_placement_messages.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from bluebellthread.core.routing import _departures
+
 
 @attrs.frozen(kw_only=True)
 class PlacementAsk:
@@ -38,6 +40,8 @@
     software_version : str
         Version of the engines that the stream must go on at; empty if it may
         begin at any.
+    departures : tuple of Departure
+        Servers that the owner granted before although they have left.
     """
 
     ask_id: str
@@ -53,6 +57,7 @@
     poll_deadline_ms: int
     avoid_servers: tuple[str, ...] = ()
     software_version: str = ''
+    departures: tuple[_departures.Departure, ...] = ()
 
     @property
     def has_begun(self):
--- a/bluebellthread/entry/_placement_client.py
+++ b/bluebellthread/entry/_placement_client.py
@@ -121,14 +121,16 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             nursery.start_soon(self._register_with_new_owners)
-            async for service, message in self._queued_notices:
-                await self._send_notice(service, message)
+            async for service, message, asked in self._queued_notices:
+                await self._send_notice(service, message, asked)
 
     def start_soon(self, function, *arguments):
         """Start a task that may outlive the request that started it."""
         self._nursery.start_soon(function, *arguments)
 
-    async def request_placement(self, request, *, avoid=()):
+    async def request_placement(
+        self, request, *, avoid=(), departures=(), passed_over=frozenset()
+    ):
         """Return a `Placement`, polling the owner until it grants or refuses.
 
         Parameters
@@ -137,6 +139,11 @@
             With an empty id; the id and the poll deadline are set here.
         avoid : tuple of str
             Servers that have failed the request.
+        departures : tuple of Departure
+            Servers that owners granted to the request although they have
+            left.
+        passed_over : collection of str
+            Owners that the request does not ask.
 
         Raises
         ------
@@ -147,12 +154,17 @@
             request,
             ask_id=self._make_id(),
             avoid_servers=tuple(avoid),
+            departures=tuple(departures),
         )
         requested_ms = _clock.read_clock_ms()
         answered = False
+        asked = ''
         try:
             while True:
-                answer, owner = await self._poll_owner(placement_ask)
+                answer, owner = await self._poll_owner(
+                    placement_ask, passed_over
+                )
+                asked = owner or asked
                 if isinstance(answer, routing.PlacementGranted):
                     answered = True
                     return self._accept_grant(
@@ -164,7 +176,7 @@
         finally:
             if not answered:
                 self._queue_ended_notice(
-                    placement_ask.ask_id, placement_ask.serves
+                    placement_ask.ask_id, placement_ask.serves, asked
                 )
 
     def note_prefill_ended(self, placement):
@@ -175,21 +187,26 @@
             routing.PromptRead(
                 ask_id=placement.ask_id, serves=placement.service
             ),
+            placement.owner,
         )
 
     def release(self, placement, *, failed_server=''):
         """Release a placement and notify its owner, unless done already."""
         if self._held.pop(placement.ask_id, None) is not None:
             self._queue_ended_notice(
-                placement.ask_id, placement.service, failed_server
+                placement.ask_id,
+                placement.service,
+                placement.owner,
+                failed_server,
             )
 
-    def _queue_ended_notice(self, ask_id, service, failed_server=''):
+    def _queue_ended_notice(self, ask_id, service, asked, failed_server=''):
         self._queue_notice(
             service,
             routing.PlacementEnded(
                 ask_id=ask_id, serves=service, failed_server=failed_server
             ),
+            asked,
         )
 
     def _accept_grant(self, placement_ask, answer, owner, requested_ms):
@@ -213,28 +230,31 @@
 
     # Owners
 
-    def find_owner(self, service):
+    def find_owner(self, service, passed_over=frozenset()):
         """Return the VM that owns a service, or None if none is known.
 
-        Owners that recently did not answer are skipped; if all are, this VM
-        is the owner.
+        Owners that recently did not answer, or that are passed over, are
+        skipped; if all are, this VM is the owner.
         """
         now_ms = _clock.read_clock_ms()
         for member in self._state.rank_owners(service):
+            if member.name in passed_over:
+                continue
             if self._suspected_until_ms.get(member.name, 0) <= now_ms:
                 return member
         return self._state.find_vm(self._state.settings.vm)
 
-    async def _poll_owner(self, placement_ask):
+    async def _poll_owner(self, placement_ask, passed_over):
         """Send one poll to the owner; return its answer and its name.
 
         The answer is None if there is no owner or it can't be reached.
         """
-        owner = self.find_owner(placement_ask.serves)
+        owner = self.find_owner(placement_ask.serves, passed_over)
         if owner is None:
             await trio.sleep(NO_OWNER_PAUSE_S)
             return None, ''
-        self._register_with(placement_ask.serves, owner)
+        if not passed_over:
+            self._register_with(placement_ask.serves, owner)
         now_ms = _clock.read_clock_ms()
         placement_ask = attrs.evolve(
             placement_ask, poll_deadline_ms=now_ms + POLL_TIMEOUT_MS
@@ -308,20 +328,30 @@
         )
         self._queue_notice(service, held)
 
-    def _queue_notice(self, service, message):
+    def _queue_notice(self, service, message, asked=''):
+        """Queue a message to a service's owner, and to the VM that was asked.
+
+        That may be another one if the owner was passed over.
+        """
         try:
-            self._notices.send_nowait((service, message))
+            self._notices.send_nowait((service, message, asked))
         except trio.WouldBlock:
             # Without the notice, the owner frees the reservation only at the
             # placement's deadline.
             emit(events.PLACEMENT_NOTICE_DROPPED, service=service)
 
-    async def _send_notice(self, service, message):
+    async def _send_notice(self, service, message, asked):
         owner = self.find_owner(service)
-        if owner is None:
-            return
-        try:
-            with trio.fail_after(_peers.CONNECT_TIMEOUT_S):
-                await self._links.send(owner, message)
-        except (_peers.PeerUnreachableError, trio.TooSlowError) as error:
-            self._suspect(owner, service, error)
+        receivers = [] if owner is None else [owner]
+        if asked and (owner is None or owner.name != asked):
+            receivers += [
+                member
+                for member in self._state.rank_owners(service)
+                if member.name == asked
+            ]
+        for receiver in receivers:
+            try:
+                with trio.fail_after(_peers.CONNECT_TIMEOUT_S):
+                    await self._links.send(receiver, message)
+            except (_peers.PeerUnreachableError, trio.TooSlowError) as error:
+                self._suspect(receiver, service, error)
--- a/bluebellthread/entry/_placement_task.py
+++ b/bluebellthread/entry/_placement_task.py
@@ -34,12 +34,15 @@
         Supplies the membership view and the engines.
     find_owner : callable
         Takes a service; returns its owner by this VM's membership view.
+    hear_departures : callable
+        Takes the departures of servers that a VM tells, and its name.
     options : AllocatorOptions or None
         Options of each allocator; None for the defaults.
     """
 
-    def __init__(self, *, state, find_owner, options=None):
+    def __init__(self, *, state, find_owner, hear_departures, options=None):
         self._state = state
+        self._hear_departures = hear_departures
         self._find_owner = find_owner
         self._options = options
         self._owned = {}
@@ -126,11 +129,14 @@
             owned.register_held(message, now_ms)
         if owned.is_active:
             self._activated.set()
+            owned.allocator.set_servers(self._state.engines_of(message.serves))
         self._decide(owned, now_ms)
 
     def _handle_ask(self, owned, inbound, now_ms):
         placement_ask = inbound.message
         owned.note_request(now_ms)
+        if placement_ask.departures:
+            self._hear_departures(placement_ask.departures, placement_ask.vm)
         owned.allocator.set_servers(
             self._state.engines_of(placement_ask.serves)
         )
--- a/bluebellthread/entry/_platform_changes.py
+++ b/bluebellthread/entry/_platform_changes.py
@@ -87,11 +87,14 @@
         None if the entry was removed or is invalid.
     problem : str
         Why the entry is invalid; empty if it is valid or was removed.
+    revision : int
+        The platform's revision of the change; 0 if unknown.
     """
 
     name: str
     server: object = None
     problem: str = ''
+    revision: int = 0
 
 
 @attrs.define(kw_only=True)
--- a/bluebellthread/entry/_platform_task.py
+++ b/bluebellthread/entry/_platform_task.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
 from bluebellthread.entry import _platform_follower
 from bluebellthread.observe import emit
@@ -24,11 +25,14 @@
         The adapter's client of the platform.
     state : EntryState
         Receives the list.
+    tell : callable
+        Takes the departures of servers that other VMs are told of.
     """
 
-    def __init__(self, *, client, state):
+    def __init__(self, *, client, state, tell):
         self._client = client
         self._state = state
+        self._tell = tell
         self._follower = _platform_follower.PlatformFollower(
             name='server list',
             step=self._update_servers,
@@ -50,15 +54,17 @@
                 self._state.directory.note_restore(now_ms)
             self._state.versions.note_list(now_ms)
             self._note_versions(now_ms)
-            self._replace_servers(changes, now_ms)
+            self._replace_servers(changes, _to_list_position(position), now_ms)
         else:
             changes, position = await self._client.watch_servers(after)
             now_ms = self._note_answer()
             # An engine that was listed until now has served until now.
             self._note_versions(now_ms)
             for change in changes:
-                self._apply_server(change, now_ms)
+                self._apply_server(change, position.era, now_ms)
                 self._note_versions(now_ms)
+        self._state.directory.note_position(_to_list_position(position))
+        self._tell_departures(now_ms)
         if self._state.directory.has_deadlines:
             self._lapsed.set()
         return position
@@ -76,7 +82,12 @@
         )
         return now_ms
 
-    def _replace_servers(self, changes, now_ms):
+    def _tell_departures(self, now_ms):
+        departures = self._state.directory.take_news(now_ms)
+        if departures:
+            self._tell(departures)
+
+    def _replace_servers(self, changes, position, now_ms):
         servers = []
         for change in changes:
             if change.server is not None:
@@ -86,7 +97,7 @@
                     change.name, now_ms, has_left=False
                 )
                 self._log_server(change, 'unusable')
-        self._state.directory.replace(servers, now_ms)
+        self._state.directory.replace(servers, now_ms, position=position)
         for server in servers:
             if self._state.directory.is_held(server.name):
                 _log_held(server.name)
@@ -94,14 +105,20 @@
         self._state.has_servers = True
         emit(events.SERVER_LIST_READ, count=len(servers))
 
-    def _apply_server(self, change, now_ms):
+    def _apply_server(self, change, era, now_ms):
         directory = self._state.directory
         known = directory.find(change.name)
+        position = routing.ListPosition(era=era, revision=change.revision)
         if change.server is None:
-            directory.remove(change.name, now_ms, has_left=not change.problem)
+            directory.remove(
+                change.name,
+                now_ms,
+                has_left=not change.problem,
+                position=position,
+            )
             self._log_server(change, 'unusable' if change.problem else 'gone')
             return
-        directory.put(change.server)
+        directory.put(change.server, position=position)
         if directory.is_held(change.name):
             _log_held(change.name)
         elif known is None:
@@ -140,6 +157,11 @@
                 state='listed',
                 problem='its entry was renewed since the restore',
             )
+        self._tell_departures(now_ms)
+
+
+def _to_list_position(position):
+    return routing.ListPosition(era=position.era, revision=position.revision)
 
 
 def _log_held(name):
--- a/bluebellthread/entry/_role_task.py
+++ b/bluebellthread/entry/_role_task.py
@@ -8,6 +8,7 @@
 import trio
 
 from bluebellthread.core import routing
+from bluebellthread.daemon import _clock
 from bluebellthread.entry import _server_calls
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
@@ -105,8 +106,10 @@
         An order without an answer is not retried: the engine may have
         accepted it.
         """
-        server = self._state.directory.find(name)
-        if server is None:
+        directory = self._state.directory
+        server = directory.find(name)
+        left = directory.find_departure(name, _clock.read_clock_ms())
+        if server is None or left is not None:
             return
         order = self._dialect.make_role_order(
             DECODE, holder=self._state.settings.vm
--- a/bluebellthread/entry/_service.py
+++ b/bluebellthread/entry/_service.py
@@ -21,6 +21,7 @@
 from bluebellthread.entry import _configuration_task
 from bluebellthread.entry import _connection_control
 from bluebellthread.entry import _gateway
+from bluebellthread.entry import _news_task
 from bluebellthread.entry import _placement_client
 from bluebellthread.entry import _placement_task
 from bluebellthread.entry import _plain_path
@@ -116,12 +117,17 @@
             mailboxes=self._mailboxes,
             traffic=traffic,
         )
-        self._links = _peers.PeerLinks(
-            vm=settings.vm,
-            incarnation=self._incarnation,
-            host=settings.host,
-            mailboxes=self._mailboxes,
-            traffic=traffic,
+        # A VM of an older build closes a connection on which it gets a
+        # message that it doesn't know, so news has connections of its own.
+        self._links, self._news_links = (
+            _peers.PeerLinks(
+                vm=settings.vm,
+                incarnation=self._incarnation,
+                host=settings.host,
+                mailboxes=self._mailboxes,
+                traffic=traffic,
+            )
+            for _ in range(2)
         )
         options = MEMBERSHIP_OPTIONS
         self._scheduler_views, self._unused = trio.open_memory_channel(0)
@@ -141,14 +147,22 @@
             client=self._platform_client, state=self.state, links=self._links
         )
         self._configuration.register(self._mailboxes)
+        self._news = _news_task.NewsTask(
+            state=self.state, links=self._news_links
+        )
+        self._news.register(self._mailboxes)
         self._platform = _platform_task.PlatformTask(
-            client=self._platform_client, state=self.state
+            client=self._platform_client,
+            state=self.state,
+            tell=self._news.tell_departures,
         )
         self._placements = _placement_client.PlacementClient(
             state=self.state, links=self._links, incarnation=self._incarnation
         )
         self._placement_task = _placement_task.PlacementTask(
-            state=self.state, find_owner=self._placements.find_owner
+            state=self.state,
+            find_owner=self._placements.find_owner,
+            hear_departures=self._news.hear_departures,
         )
         self._placement_task.register(self._mailboxes)
         self._origins = _stream_origins.StreamOrigins(
@@ -220,12 +234,14 @@
         settings = self._settings
         async with trio.open_nursery() as nursery:
             await nursery.start(self._links.run)
+            await nursery.start(self._news_links.run)
             await self._listen(nursery)
             await self._join(nursery)
             for task in (
                 self._placement_task,
                 self._placements,
                 self._origins,
+                self._news,
                 self._configuration,
                 self._platform,
                 self._roles,
--- a/bluebellthread/entry/_stream_context.py
+++ b/bluebellthread/entry/_stream_context.py
@@ -24,6 +24,25 @@
         super().__init__(server)
 
 
+class GrantDisputedError(Exception):
+    """Raised when a granted server can't be used by what this VM knows.
+
+    Nothing was sent to that server.
+
+    Parameters
+    ----------
+    dispute : Dispute
+        Why the server can't be used.
+    retry_count : int
+        Number of retries that another attempt takes from the retry budget.
+    """
+
+    def __init__(self, dispute, retry_count):
+        self.dispute = dispute
+        self.retry_count = retry_count
+        super().__init__(f'{dispute.server} is {dispute.kind}')
+
+
 @attrs.frozen(kw_only=True)
 class StreamContext:
     """Holds the objects that all streams of a process use.
--- a/bluebellthread/entry/_stream_path.py
+++ b/bluebellthread/entry/_stream_path.py
@@ -73,6 +73,7 @@
             work=work, context=context
         )
         self._failed_servers = []
+        self._review = routing.GrantReview(context.state.settings.vm)
         self._relay = _stream_relay.StreamRelay(work=work, context=context)
 
     async def run(self):
@@ -126,6 +127,8 @@
                 placement = await self._request_placement()
             except _placement_client.PlacementRefusedError as error:
                 self._log_refusal(error)
+                if self._may_ask_others(error):
+                    continue
                 refusal = error.refusal
                 await self._end_failed(refusal.kind, refusal.retry_after_ms)
                 return
@@ -133,6 +136,13 @@
             try:
                 await self._attempt(placement)
                 return
+            except _stream_context.GrantDisputedError as error:
+                if not self._may_ask_again(placement, error):
+                    await self._end_failed('no-server')
+                    return
+                if error.dispute.departure is None:
+                    self._failed_servers.append(error.dispute.server)
+                continue
             except _stream_context.StreamBrokenError as error:
                 failed_server = error.server
                 if not self._spend_retry(error):
@@ -176,7 +186,10 @@
             software_version=self._relay.begun_version,
         )
         placement = await self._placements.request_placement(
-            placement_ask, avoid=tuple(self._failed_servers)
+            placement_ask,
+            avoid=tuple(self._failed_servers),
+            departures=self._review.departures,
+            passed_over=frozenset(self._review.passed_over),
         )
         work.waited_ms += placement.waited_ms
         emit(
@@ -214,6 +227,43 @@
             retry_after_ms=error.refusal.retry_after_ms,
         )
 
+    # Owners that know less than this VM
+
+    def _may_ask_again(self, placement, error):
+        """Return whether to ask again after a grant that can't be used."""
+        dispute = error.dispute
+        emit(
+            events.GRANT_DISPUTED,
+            request_id=self._work.request_id,
+            owner=placement.owner,
+            server=dispute.server,
+            kind=dispute.kind,
+        )
+        return self._review.may_ask_again(placement.owner, dispute) and (
+            not error.retry_count
+            or self._budgets.spend(self._work.service, error.retry_count)
+        )
+
+    def _may_ask_others(self, error):
+        """Return whether to ask another owner after a refusal."""
+        work = self._work
+        kind = error.refusal.kind
+        if not self._review.may_ask_others(
+            error.owner,
+            kind,
+            self._state.engines_of(work.service),
+            self._relay.begun_version,
+        ):
+            return False
+        emit(
+            events.OWNER_PASSED_OVER,
+            request_id=work.request_id,
+            owner=error.owner,
+            kind=kind,
+            service=work.service,
+        )
+        return True
+
     def _compute_start_deadline_ms(self):
         """Return when the caller disconnects if it has received no event."""
         work = self._work
@@ -248,7 +298,7 @@
         """Run the prefill; return None if the decode server runs it."""
         if not placement.prefill_server:
             return None
-        server = self._find_server(placement.prefill_server)
+        server = self._find_server(placement.prefill_server, 'prefill')
         return await self._prefills.run(
             placement, server, self._relay.resume_headers()
         )
@@ -307,7 +357,9 @@
     async def _open_answer(self, placement, prompt, exchange=None):
         """Send the request to the decode server; return the open call."""
         work = self._work
-        server = self._find_decode_server(placement)
+        server = self._find_decode_server(
+            placement, prefill_count=int(prompt is not None)
+        )
         extra = self._relay.resume_headers()
         if prompt is not None:
             source = self._dialect.write_cache_source(
@@ -369,13 +421,16 @@
         else:
             await work.refuse(kind, retry_after_ms)
 
-    def _find_decode_server(self, placement):
+    def _find_decode_server(self, placement, *, prefill_count=0):
         """Return the decode server, if the stream may go on at it.
 
         An owner of an older build, or with an older list of servers, may
-        grant a server of another version.
+        grant a server of another version. ``prefill_count`` prefills have to
+        be repeated if the server can't be used.
         """
-        server = self._find_server(placement.decode_server)
+        server = self._find_server(
+            placement.decode_server, 'decode', prefill_count
+        )
         begun_version = self._relay.begun_version
         if begun_version and server.software_version != begun_version:
             emit(
@@ -388,8 +443,12 @@
             raise _stream_context.StreamBrokenError(server.name, 1)
         return server
 
-    def _find_server(self, name):
-        server = self._state.directory.find(name)
-        if server is None:
-            raise _stream_context.StreamBrokenError(name, 0)
-        return server
+    def _find_server(self, name, role, prefill_count=0):
+        """Return a server that was granted, if this VM knows it as usable."""
+        directory = self._state.directory
+        dispute = routing.find_dispute(
+            directory, name, role, _clock.read_clock_ms()
+        )
+        if dispute is not None:
+            raise _stream_context.GrantDisputedError(dispute, prefill_count)
+        return directory.find(name)
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -350,6 +350,29 @@
     '{error}',
 )
 
+SERVER_HEARD_LEAVING = Event(
+    7048,
+    'INFO',
+    'backend server {server} of incarnation {incarnation} has left by the '
+    'word of VM {vm}: said so itself: {has_drained}, revision {revision} of '
+    'era {era}',
+)
+NEWS_NOT_SENT = Event(
+    7049, 'INFO', '{count} items of news were not sent to VM {vm}: {error}'
+)
+GRANT_DISPUTED = Event(
+    7050,
+    'WARNING',
+    'request {request_id}: owner {owner} granted {server}, which is {kind} '
+    'by the list of this VM',
+)
+OWNER_PASSED_OVER = Event(
+    7051,
+    'WARNING',
+    'request {request_id}: owner {owner} refused with {kind}, but this VM '
+    'knows engines of service {service}; the next owner is asked',
+)
+
 
 def list_events():
     """Return all events of the catalogue, sorted by number."""
--- a/bluebellthread/platform/_store_client.py
+++ b/bluebellthread/platform/_store_client.py
@@ -369,12 +369,17 @@
 def _to_server_change(item):
     key = item['key']
     name = key.removeprefix(_decoding.SERVERS_PREFIX)
+    revision = item.get('revision')
+    if not isinstance(revision, int):
+        revision = 0
     if item.get('removed'):
-        return ServerChange(name=name)
+        return ServerChange(name=name, revision=revision)
     try:
         fields = _decoding.decode_value(item)
         return ServerChange(
-            name=name, server=_decoding.decode_server(key, fields)
+            name=name,
+            server=_decoding.decode_server(key, fields),
+            revision=revision,
         )
     except _decoding.EntryError as error:
-        return ServerChange(name=name, problem=str(error))
+        return ServerChange(name=name, problem=str(error), revision=revision)
--- a/bluebellthread/wire/__init__.py
+++ b/bluebellthread/wire/__init__.py
@@ -53,5 +53,6 @@
     _ticket_messages.TicketsMoved,
     *routing.PLACEMENT_MESSAGES,
     *routing.ORIGIN_MESSAGES,
+    *routing.NEWS_MESSAGES,
 ):
     register_message(_cls)
--- a/bluebellthread/wire/peer.thrift
+++ b/bluebellthread/wire/peer.thrift
@@ -278,6 +278,22 @@
   6: i64 keep_deadline_ms,
 }
 
+struct Departure {
+  1: string name,
+  2: i64 incarnation,
+  3: bool has_drained,
+  4: i64 era,
+  5: i64 revision,
+  6: i64 keep_deadline_ms,
+}
+
+struct News {
+  1: list<Departure> departures,
+}
+
+struct NewsNoted {
+}
+
 struct PlacementAsk {
   1: string ask_id,
   2: string vm,
@@ -292,6 +308,7 @@
   11: list<string> avoid_servers,
   12: i64 start_deadline_ms,
   13: string software_version,
+  14: list<Departure> departures,
 }
 
 struct PlacementGranted {
