--- a/standin/site/_backend.py
+++ b/standin/site/_backend.py
@@ -1,5 +1,6 @@
 """Stand-ins for plain servers and model engines of the users' platform."""
 
+import functools
 import itertools
 import json
 
@@ -125,6 +126,16 @@
         Whether calls that name the source of a KV cache are refused.
     event_pause_s : float
         Pause after each event, in seconds.
+    deadly_parts : set of str
+        Parts of prompts that end the process when it begins an answer.
+    restart_s : float
+        Pause before the process starts again, in seconds.
+    incarnation : int
+        Number of the process; rises at each start.
+    on_start : callable or None
+        Called after each start but the first.
+    crash_count : int
+        How often the process has ended.
     """
 
     stage: str = 'decode'
@@ -136,11 +147,46 @@
     last_event_gate: object = None
     rejects_kv_source: bool = False
     event_pause_s: float = 0.0
+    deadly_parts: set = attrs.field(factory=set)
+    restart_s: float = 0.3
+    incarnation: int = 1
+    on_start: object = None
+    crash_count: int = 0
+    _process: object = None
     freed: list = attrs.field(factory=list)
     orders: list = attrs.field(factory=list)
     prefills: list = attrs.field(factory=list)
     _numbers: object = attrs.field(factory=lambda: itertools.count(1))
 
+    async def start(self, nursery):
+        """Start to serve in a nursery, on a free port."""
+        await nursery.start(self._run_processes)
+
+    async def _run_processes(self, *, task_status):
+        while True:
+            listeners = await trio.open_tcp_listeners(
+                self.port, host='127.0.0.1'
+            )
+            if not self.port:
+                self.port = listeners[0].socket.getsockname()[1]
+                task_status.started()
+            elif self.on_start is not None:
+                self.on_start()
+            with trio.CancelScope() as self._process:
+                await trio.serve_listeners(
+                    functools.partial(
+                        _connection.serve_connection, self._handle
+                    ),
+                    listeners,
+                )
+            await trio.sleep(self.restart_s)
+            self.incarnation += 1
+
+    def crash(self):
+        """End the process with all its connections; it starts again."""
+        self.crash_count += 1
+        self._process.cancel()
+
     def entry(self, service, **changes):
         """Return the engine's entry in the store; `changes` replace fields."""
         fields = super().entry(service, **changes)
@@ -180,9 +226,26 @@
             else None,
         )
 
+    async def _end_in_first_event(self, request, number):
+        await request.begin(
+            200,
+            [
+                *self.answer_headers(request),
+                ('content-type', 'text/event-stream'),
+            ],
+            ending=_connection.Ending(framing=self.framing),
+            length=1000,
+        )
+        await request.send_piece(make_event(number)[:5])
+        self.crash()
+        await trio.sleep_forever()
+
     async def _stream(self, request):
         first_number = int(request.headers.get('last-event-id') or 0) + 1
         break_number = self.break_after.pop(0) if self.break_after else None
+        if self.deadly_parts & set(parts_of(request)):
+            await self._end_in_first_event(request, first_number)
+            return
         numbers = range(first_number, self.event_count + 1)
         cut = self.stream_cuts.pop(0) if self.stream_cuts and numbers else None
         await request.begin(
@@ -211,6 +274,12 @@
         await request.end()
 
 
+def parts_of(request):
+    """Return the ids of the parts of a call's prompt."""
+    text = request.headers.get('x-prompt-prefix', '')
+    return [item.partition(':')[0] for item in text.split(',') if item]
+
+
 def make_event(number):
     """Return the bytes of the event with this number."""
     return f'id: {number}\ndata: piece {number}\n\n'.encode()
--- a/tests/integration/_entry_fleet.py
+++ b/tests/integration/_entry_fleet.py
@@ -1,6 +1,7 @@
 """Several entry processes in one event loop, each on its own loopback host."""
 
 import contextlib
+import functools
 import socket
 
 import attrs
@@ -65,6 +66,27 @@
         await engine.start(self.nursery)
         self.list_engine(name)
 
+    async def list_processes(self):
+        """List each engine with its process's start, again at each start."""
+        engines = [
+            server
+            for server in self.servers.values()
+            if isinstance(server, site.Engine)
+        ]
+        for engine in engines:
+            engine.on_start = functools.partial(self._list_process, engine)
+            engine.on_start()
+        await sites.wait_until(
+            lambda: all(
+                vm.entry.state.directory.find(engine.name).incarnation
+                for vm in self.vms.values()
+                for engine in engines
+            )
+        )
+
+    def _list_process(self, engine):
+        self.list_engine(engine.name, born=engine.incarnation)
+
     def list_engine(self, name, **changes):
         """Write an engine's entry to the platform's store."""
         self.list_server(name, 'model', **changes)
