Have the soak play servers that leave while VMs are turned away

The fault cuts the store from all VMs but one or two while a server leaves; the check is that no request reaches a server later than drainMs after it said so, at VMs that ran all the while.

--- a/tests/soak/_checks.py
+++ b/tests/soak/_checks.py
@@ -49,6 +49,7 @@
     ]
     broken += check_lost(site, callers)
     broken += check_versions(site, callers)
+    broken += check_leaving(site, callers)
     broken += check_recovery(callers, quiet_since_s)
     return broken
 
@@ -208,6 +209,54 @@
     return broken
 
 
+def check_leaving(site, callers):
+    """Check that no request reaches a server that has left for a while.
+
+    This holds for each VM that ran all the while, though the store turned it
+    away, as long as the store served another such VM.
+    """
+    records = {record.request_id: record for record in callers.records}
+    vms = {vm.name: vm for vm in site.vms}
+    broken = []
+    for backend in site.backends.values():
+        if backend.drained_s is None:
+            continue
+        due_s = backend.drained_s + _site.DRAIN_BOUND_S
+        for request in backend.server.arrivals:
+            record = records.get(
+                request.headers.get('x-request-attempt-id', '')
+            )
+            if record is None or request.received_s <= due_s:
+                continue
+            span_s = (
+                backend.drained_s - _site.QUIET_S,
+                request.received_s,
+            )
+            if _could_hear(site, vms[record.vm], span_s):
+                broken.append(
+                    f'{record.kind} {record.request_id} at {record.vm} '
+                    f'reached {backend.server.name} '
+                    f'{request.received_s - backend.drained_s:.2f} s after '
+                    'it had said that it leaves'
+                )
+    return broken
+
+
+def _could_hear(site, vm, span_s):
+    """Return whether a VM must have heard of what happened in a span."""
+    if site.store_faults.touches(*span_s) or _was_away(vm, span_s):
+        return False
+    return any(
+        not other.store_faults.touches(*span_s)
+        and not _was_away(other, span_s)
+        for other in site.vms
+    )
+
+
+def _was_away(vm, span_s):
+    return vm.failures.touches(*span_s) or vm.stops.touches(*span_s)
+
+
 def check_recovery(callers, quiet_since_s):
     """Check that enough requests are served after the last fault."""
     sent_after = [
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -194,6 +194,31 @@
     site.delist(backend)
 
 
+@faults.register('store-cut-leaving')
+async def drain_unheard(site):
+    """Cut the store from all VMs but one or two while servers leave."""
+    vms = site.rng.sample(site.vms, len(site.vms))
+    cut = vms[site.rng.randint(1, 2) :]
+    rule = site.rng.choice(({'cut': True}, {'stall_answers': True}))
+    async with trio.open_nursery() as nursery:
+        for vm in cut:
+            nursery.start_soon(
+                functools.partial(
+                    _apply_rule,
+                    site,
+                    vm.store_proxy,
+                    vm.store_faults,
+                    max_s=8.0,
+                    **rule,
+                )
+            )
+        await _sleep_random(site, 0.1, 1.0)
+        backend = _choose_backend(site)
+        kind = backend.server.name.partition('-')[0]
+        await site.add_backend(backend.service, kind)
+        await _drain(site, backend)
+
+
 @faults.register('server-replace')
 async def replace_server(site):
     """Replace a backend server: list a new one and drain the old one."""
--- a/tests/soak/_site.py
+++ b/tests/soak/_site.py
@@ -36,6 +36,10 @@
 no fault for ``QUIET_S``.
 """
 
+DRAIN_BOUND_S = 2.5
+"""Time after which no request may reach a server that says that it leaves,
+from the platform's pages."""
+
 COPY_AGE_MAX_S = 5.0
 """Greatest age of the copy that the store comes back from: "some seconds"."""
 
