Shut out prompts that end engines, by the part to blame

Cause: one part of a prompt ended each engine that began an answer on it. Nothing in the entry read the parts, so each VM sent each such request on, and a broken stream went on at the next engine and ended that, too.

Change: VMs find out which engines end, by a connection that is refused just after one broke, and tell each other with which requests, and what has been answered whole. A part is shut out by each on the same evidence: four ends, two attempts, no whole answer, half of the ends, half of the requests at most. A request goes to two engines that end at most, and to no second one if two have ended with one of its parts. Operators see and lift it: bluebellthread parts.

--- a/bluebellthread/cli/__main__.py
+++ b/bluebellthread/cli/__main__.py
@@ -8,6 +8,7 @@
 from bluebellthread.cli import _config_check  # noqa: F401
 from bluebellthread.cli import _config_diff  # noqa: F401
 from bluebellthread.cli import _config_explain  # noqa: F401
+from bluebellthread.cli import _parts  # noqa: F401
 from bluebellthread.cli import _registry
 from bluebellthread.cli import _request  # noqa: F401
 from bluebellthread.cli import _status  # noqa: F401
@@ -17,7 +18,8 @@
 from bluebellthread import core
 
 GROUP_HELP = {
-    'config': 'Work on configuration files, without a connection to VMs.'
+    'config': 'Work on configuration files, without a connection to VMs.',
+    'parts': 'See and lift which prompts are refused, as they end engines.',
 }
 EXIT_HELP = (
     'exit codes: 0 success; 1 invalid file or failed check; 2 wrong '
--- a/bluebellthread/core/routing/__init__.py
+++ b/bluebellthread/core/routing/__init__.py
@@ -3,6 +3,18 @@
 from bluebellthread.core.routing._allocator import Allocator
 from bluebellthread.core.routing._allocator import AllocatorOptions
 from bluebellthread.core.routing._caller_age import CallerAges
+from bluebellthread.core.routing._crash_evidence import CrashEvidence
+from bluebellthread.core.routing._crash_evidence import EVIDENCE_MS
+from bluebellthread.core.routing._crash_evidence import SETTLE_MS
+from bluebellthread.core.routing._crash_evidence import SHUT_OUT_MS
+from bluebellthread.core.routing._crash_messages import CRASH_MESSAGES
+from bluebellthread.core.routing._crash_messages import EndedRun
+from bluebellthread.core.routing._crash_messages import EngineEnded
+from bluebellthread.core.routing._crash_messages import PartSurvived
+from bluebellthread.core.routing._crash_messages import ShutOut
+from bluebellthread.core.routing._crash_messages import ShutOutLift
+from bluebellthread.core.routing._crash_messages import ShutOutsAnswer
+from bluebellthread.core.routing._crash_messages import ShutOutsAsk
 from bluebellthread.core.routing._departures import Departure
 from bluebellthread.core.routing._departures import ListPosition
 from bluebellthread.core.routing._directory import ListedServer
@@ -53,8 +65,13 @@
     'AllocatorOptions',
     'CallerAges',
     'CallerLimits',
+    'CRASH_MESSAGES',
+    'CrashEvidence',
     'Departure',
     'Dispute',
+    'EVIDENCE_MS',
+    'EndedRun',
+    'EngineEnded',
     'EngineServer',
     'GrantReview',
     'EngineTraits',
@@ -73,6 +90,7 @@
     'OriginRecords',
     'OwnedAllocator',
     'PLACEMENT_MESSAGES',
+    'PartSurvived',
     'PlacementAsk',
     'PlacementEnded',
     'PlacementGranted',
@@ -82,11 +100,17 @@
     'PromptRead',
     'Route',
     'RoutingTable',
+    'SETTLE_MS',
+    'SHUT_OUT_MS',
     'STREAM_LIFE_MS',
     'ServerChoice',
     'ServerDirectory',
     'ServiceShare',
     'ServiceTraits',
+    'ShutOut',
+    'ShutOutLift',
+    'ShutOutsAnswer',
+    'ShutOutsAsk',
     'StreamOrigin',
     'StreamsBegan',
     'VersionHistory',
--- a/bluebellthread/core/routing/_news.py
+++ b/bluebellthread/core/routing/_news.py
@@ -3,6 +3,7 @@
 import attrs
 
 from bluebellthread.core import _ownership
+from bluebellthread.core.routing import _crash_messages
 from bluebellthread.core.routing import _departures
 
 SUCCESSOR_COUNT = 2
@@ -19,6 +20,9 @@
     """Tell a VM what it may not know; the answer is `NewsNoted`."""
 
     departures: tuple[_departures.Departure, ...] = ()
+    ends: tuple[_crash_messages.EngineEnded, ...] = ()
+    survivals: tuple[_crash_messages.PartSurvived, ...] = ()
+    shut_outs: tuple[_crash_messages.ShutOut, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
--- a/bluebellthread/entry/_dialect.py
+++ b/bluebellthread/entry/_dialect.py
@@ -47,6 +47,8 @@
         that is resumed.
     token_counts : bytes
         Prompt tokens, and the most output tokens, of a request.
+    prompt_parts : bytes
+        Parts of a request's prompt, which requests may share.
     stage : bytes
         The stage that an engine runs: prefill or decode.
     stage_prefill : bytes
@@ -61,6 +63,9 @@
     read_token_counts : callable
         Takes the text of `token_counts`; returns prompt tokens and the most
         output tokens, or None.
+    read_prompt_parts : callable
+        Takes the text of `prompt_parts`; returns a tuple of their ids, of
+        bounded number and length.
     read_handle : callable
         Takes the body of a prefill's answer; returns the handle of the
         prompt's KV cache, or None.
@@ -83,12 +88,14 @@
     resume_after: bytes
     resumed_attempt: bytes
     token_counts: bytes
+    prompt_parts: bytes
     stage: bytes
     stage_prefill: bytes
     cache_source: bytes
     router_only: frozenset
     read_load: object
     read_token_counts: object
+    read_prompt_parts: object
     read_handle: object
     write_cache_source: object
     make_cache_release: object
--- a/bluebellthread/entry/_news_task.py
+++ b/bluebellthread/entry/_news_task.py
@@ -35,7 +35,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class _Topic:
+class Topic:
     """One kind of news.
 
     Parameters
@@ -74,7 +74,7 @@
 
 
 class NewsTask:
-    """Tells and learns which servers have left.
+    """Tells and learns news, among it which servers have left.
 
     Parameters
     ----------
@@ -93,7 +93,7 @@
         self._topics = {
             topic.field: topic
             for topic in (
-                _Topic(
+                Topic(
                     field='departures',
                     key_of=lambda departure: departure.name,
                     list_known=state.directory.list_departures,
@@ -102,6 +102,10 @@
             )
         }
 
+    def add_topic(self, topic):
+        """Tell and learn one more kind of news; before `run` only."""
+        self._topics[topic.field] = topic
+
     def register(self, mailboxes):
         """Route the news of other VMs to this task."""
         mailboxes.register(routing.News, self._inbox)
@@ -152,7 +156,11 @@
 
     def tell_departures(self, departures):
         """Tell the partners which servers have left."""
-        self._tell(self._topics['departures'], departures)
+        self.tell('departures', departures)
+
+    def tell(self, field, items):
+        """Tell the partners items of one kind of news."""
+        self._tell(self._topics[field], items)
 
     def _tell(self, topic, items, *, besides=''):
         for partner in self._partners.values():
--- a/bluebellthread/entry/_prefill_runner.py
+++ b/bluebellthread/entry/_prefill_runner.py
@@ -54,6 +54,7 @@
         self._placements = context.placements
         self._dialect = context.dialect
         self._stats = context.stats
+        self._watch = context.engine_watch
 
     async def run(self, placement, server, headers):
         """Run the prefill at a server; return the `PrefilledPrompt`.
@@ -72,6 +73,14 @@
         StreamBrokenError
             If the prefill fails or takes longer than `PREFILL_TIMEOUT_S`.
         """
+        work = self._work
+        with self._watch.track(
+            server, work.request_id, work.prompt_parts
+        ) as run:
+            handle = await self._run(placement, server, headers, run)
+        return PrefilledPrompt(server=server, handle=handle)
+
+    async def _run(self, placement, server, headers, run):
         started_ms = _clock.read_clock_ms()
         try:
             with trio.fail_after(PREFILL_TIMEOUT_S):
@@ -83,13 +92,16 @@
             self._note_prefill_failed(server, error, started_ms)
             raise _stream_context.StreamBrokenError(server.name, 1) from error
         except _server_calls.CallFailedError as error:
+            run.is_cut = error.may_have_run
             self._note_prefill_failed(server, error, started_ms)
-            raise _stream_context.StreamBrokenError(server.name, 1) from error
+            raise _stream_context.StreamBrokenError(
+                server.name, 1, is_cut=run.is_cut
+            ) from error
         finally:
             self._placements.note_prefill_ended(placement)
         self._work.prefill_ms = _clock.read_clock_ms() - started_ms
         self._stats.observe_prefill(self._work.prefill_ms)
-        return PrefilledPrompt(server=server, handle=handle)
+        return handle
 
     def _note_prefill_failed(self, server, error, started_ms):
         self._work.note_failed(
@@ -109,7 +121,7 @@
             body = await call.exchange.read_all()
         except _server_connection.AnswerBrokenError as error:
             raise _server_calls.CallFailedError(
-                str(error), may_have_run=False
+                str(error), may_have_run=True
             ) from error
         finally:
             await call.close()
--- a/bluebellthread/entry/_refusals.py
+++ b/bluebellthread/entry/_refusals.py
@@ -82,6 +82,20 @@
     )
 
 
+def make_prompt_refusal(remaining_ms):
+    """Make the refusal of a request whose prompt ends engines.
+
+    It has not run. The time named is when the shut-out ends, since no earlier
+    attempt can be served.
+    """
+    return RouterAnswer(
+        status=503,
+        kind='ends-engines',
+        remedy='part of this prompt has ended engines; ask without it',
+        retry_after_ms=max(0, remaining_ms),
+    )
+
+
 def make_may_have_run_failure(kind):
     """Make the answer to a failed request that may have run."""
     return RouterAnswer(
--- a/bluebellthread/entry/_service.py
+++ b/bluebellthread/entry/_service.py
@@ -20,6 +20,7 @@
 from bluebellthread.entry import _caller_connection
 from bluebellthread.entry import _configuration_task
 from bluebellthread.entry import _connection_control
+from bluebellthread.entry import _engine_watch
 from bluebellthread.entry import _gateway
 from bluebellthread.entry import _news_task
 from bluebellthread.entry import _placement_client
@@ -29,6 +30,7 @@
 from bluebellthread.entry import _role_task
 from bluebellthread.entry import _server_calls
 from bluebellthread.entry import _server_connection
+from bluebellthread.entry import _shut_outs
 from bluebellthread.entry import _state
 from bluebellthread.entry import _stats
 from bluebellthread.entry import _stream_context
@@ -89,6 +91,8 @@
         The ports that the process listens on, by their names in the settings.
     stats : EntryStats
         Metrics of the process.
+    shut_outs : ShutOuts
+        Prompts whose requests are refused, as they end engines.
     """
 
     def __init__(self, *, settings, dialect, platform_client):
@@ -151,6 +155,11 @@
             state=self.state, links=self._news_links
         )
         self._news.register(self._mailboxes)
+        self.shut_outs = _shut_outs.ShutOuts(state=self.state, news=self._news)
+        self.shut_outs.register(self._mailboxes)
+        self._engine_watch = _engine_watch.EngineWatch(
+            state=self.state, report=self._note_engine_end
+        )
         self._platform = _platform_task.PlatformTask(
             client=self._platform_client,
             state=self.state,
@@ -170,6 +179,10 @@
         )
         self._origins.register(self._mailboxes)
 
+    def _note_engine_end(self, report):
+        self.stats.count_engine_end()
+        self.shut_outs.note_end(report)
+
     def _make_gateway(self, dialect):
         settings = self._settings
         budgets = _budgets.RetryBudgets(self.state)
@@ -198,6 +211,8 @@
                 placements=self._placements,
                 origins=self._origins,
                 budgets=budgets,
+                shut_outs=self.shut_outs,
+                engine_watch=self._engine_watch,
                 dialect=dialect,
                 stats=self.stats,
             )
@@ -242,6 +257,8 @@
                 self._placements,
                 self._origins,
                 self._news,
+                self.shut_outs,
+                self._engine_watch,
                 self._configuration,
                 self._platform,
                 self._roles,
@@ -341,6 +358,7 @@
         stats.set_gauge('log_lines_dropped', read_dropped_count())
         stats.set_gauge('placements_waiting', sum(item[0] for item in counts))
         stats.set_gauge('placements_held', sum(item[1] for item in counts))
+        stats.set_gauge('shut_outs', len(self.shut_outs.list_all()))
 
     async def _prune(self):
         while True:
--- a/bluebellthread/entry/_stats.py
+++ b/bluebellthread/entry/_stats.py
@@ -45,6 +45,9 @@
         self._failures = self._counter(
             'failed_calls', 'Calls to servers that failed', ('stage',)
         )
+        self._engine_ends = self._counter(
+            'engine_ends', 'Engines that ended under requests'
+        )
         self._latency = self._histogram(
             'request_seconds', 'From first byte to end', ('kind',)
         )
@@ -64,10 +67,11 @@
                 ('log_lines_dropped', 'Log lines over the limit'),
                 ('placements_waiting', 'Requests that wait for engines here'),
                 ('placements_held', 'Places at engines given here'),
+                ('shut_outs', 'Prompts refused as they end engines'),
             )
         }
 
-    def _counter(self, name, text, labels):
+    def _counter(self, name, text, labels=()):
         return prometheus_client.Counter(
             f'{PREFIX}_{name}', text, labels, registry=self._registry
         )
@@ -90,6 +94,10 @@
         """Count a failed call to a server for one stage of the work."""
         self._failures.labels(stage=stage).inc()
 
+    def count_engine_end(self):
+        """Count an engine that ended under requests of this VM."""
+        self._engine_ends.inc()
+
     def observe_first_event(self, took_ms):
         """Record the time from a request's first byte to its first event."""
         self._first_event.observe(took_ms / _clock.MS_PER_S)
--- a/bluebellthread/entry/_stream_context.py
+++ b/bluebellthread/entry/_stream_context.py
@@ -15,12 +15,17 @@
         one for each call that it repeats.
     was_refused : bool
         Whether the decode server stated that it did not run the request.
+    is_cut : bool
+        Whether the connection broke while the server may have been at work.
     """
 
-    def __init__(self, server, retry_count, *, was_refused=False):
+    def __init__(
+        self, server, retry_count, *, was_refused=False, is_cut=False
+    ):
         self.server = server
         self.retry_count = retry_count
         self.was_refused = was_refused
+        self.is_cut = is_cut
         super().__init__(server)
 
 
@@ -43,6 +48,10 @@
         super().__init__(f'{dispute.server} is {dispute.kind}')
 
 
+class PromptShutOutError(Exception):
+    """Raised when the parts of a request's prompt are shut out meanwhile."""
+
+
 @attrs.frozen(kw_only=True)
 class StreamContext:
     """Holds the objects that all streams of a process use.
@@ -59,6 +68,10 @@
         Tells and finds where streams began.
     budgets : RetryBudgets
         Limits the retries.
+    shut_outs : ShutOuts
+        Knows which prompts end engines.
+    engine_watch : EngineWatch
+        Finds out which engines end.
     dialect : Dialect
         Headers and control calls of the backend servers.
     stats : EntryStats
@@ -70,5 +83,7 @@
     placements: object
     origins: object
     budgets: object
+    shut_outs: object
+    engine_watch: object
     dialect: object
     stats: object
--- a/bluebellthread/entry/_stream_path.py
+++ b/bluebellthread/entry/_stream_path.py
@@ -18,6 +18,14 @@
 of a long request of the users."""
 
 
+ENGINE_ENDS_MAX = 2
+"""Engines that may end under one request before it is given up."""
+
+CHECK_TIMEOUT_S = 0.2
+"""How long a broken stream waits to learn whether its engine has ended: some
+round trips between regions, within the pause that callers allow."""
+
+
 class StreamPath:
     """Serves the routes of kind `KIND_STREAM`.
 
@@ -67,6 +75,9 @@
         self._placements = context.placements
         self._origins = context.origins
         self._budgets = context.budgets
+        self._shut_outs = context.shut_outs
+        self._watch = context.engine_watch
+        self._cut_runs = []
         self._dialect = context.dialect
         self._work = work
         self._prefills = _prefill_runner.PrefillRunner(
@@ -77,6 +88,11 @@
         self._relay = _stream_relay.StreamRelay(work=work, context=context)
 
     async def run(self):
+        work = self._work
+        self._shut_outs.note_request(work.service, work.prompt_parts)
+        if self._find_shut_out() is not None:
+            await self._end_shut_out()
+            return
         if self._is_taken_up() and not await self._find_origin():
             return
         await self._run()
@@ -124,7 +140,10 @@
         work = self._work
         while True:
             try:
-                placement = await self._request_placement()
+                placement = await self._wait_for_placement()
+            except _stream_context.PromptShutOutError:
+                await self._end_shut_out()
+                return
             except _placement_client.PlacementRefusedError as error:
                 self._log_refusal(error)
                 if self._may_ask_others(error):
@@ -136,6 +155,9 @@
             try:
                 await self._attempt(placement)
                 return
+            except _stream_context.PromptShutOutError:
+                await self._end_shut_out()
+                return
             except _stream_context.GrantDisputedError as error:
                 if not self._may_ask_again(placement, error):
                     await self._end_failed('no-server')
@@ -145,7 +167,9 @@
                 continue
             except _stream_context.StreamBrokenError as error:
                 failed_server = error.server
-                if not self._spend_retry(error):
+                if await self._has_ended_engines() or not self._spend_retry(
+                    error
+                ):
                     await self._end_failed()
                     return
             finally:
@@ -162,6 +186,50 @@
                 runs=work.run_count,
             )
 
+    # Prompts that end engines
+
+    def _find_shut_out(self):
+        work = self._work
+        return self._shut_outs.find(work.service, work.prompt_parts)
+
+    def _check_prompt(self):
+        if self._find_shut_out() is not None:
+            raise _stream_context.PromptShutOutError
+
+    async def _end_shut_out(self):
+        """End a request whose prompt ends engines; refuse if it hasn't run."""
+        work = self._work
+        shut_out = self._find_shut_out()
+        if work.exchange.is_started or work.may_have_run or not shut_out:
+            await self._end_failed()
+        else:
+            await work.refuse_prompt(shut_out)
+
+    async def _wait_for_placement(self):
+        """Return a placement, or raise once the prompt is shut out."""
+        self._check_prompt()
+        work = self._work
+        with self._shut_outs.waiting(work.service, work.prompt_parts):
+            return await self._request_placement()
+        raise _stream_context.PromptShutOutError
+
+    async def _has_ended_engines(self):
+        """Return whether the request itself may be what ends engines."""
+        if not self._cut_runs:
+            return False
+        work = self._work
+        with trio.move_on_after(CHECK_TIMEOUT_S):
+            ended = [
+                await self._watch.wait_checked(run) for run in self._cut_runs
+            ]
+            return sum(ended) >= ENGINE_ENDS_MAX or (
+                ended[-1]
+                and self._shut_outs.is_suspicious(
+                    work.service, work.prompt_parts
+                )
+            )
+        return False
+
     async def _request_placement(self):
         work = self._work
         counts = self._dialect.read_token_counts(
@@ -283,21 +351,47 @@
         exchange = await self._connect(placement)
         try:
             prompt = await self._run_prefill(placement)
-            call = await self._open_answer_with_fallback(
-                placement, prompt, exchange
-            )
+            await self._decode(placement, prompt, exchange)
         finally:
             with trio.CancelScope(shield=True):
                 await exchange.close_unused()
-        try:
-            await self._relay.pass_on(placement, call)
-        finally:
-            await call.close()
+
+    async def _decode(self, placement, prompt, exchange):
+        """Have the decode server answer, and pass its answer on."""
+        work = self._work
+        server = self._find_decode_server(
+            placement, prefill_count=int(prompt is not None)
+        )
+        with self._watch.track(
+            server, work.request_id, work.prompt_parts
+        ) as run:
+            try:
+                call = await self._open_answer_with_fallback(
+                    placement, prompt, exchange
+                )
+                try:
+                    await self._relay.pass_on(placement, call)
+                finally:
+                    await call.close()
+            except _stream_context.StreamBrokenError as error:
+                run.is_cut = error.is_cut
+                if run.is_cut:
+                    self._cut_runs.append(run)
+                raise
+            # An answer that ends with its connection may have been cut off
+            # between two events by the end of its engine.
+            run.is_cut = self._relay.ended_unmarked
+            run.has_survived = not run.is_cut
+        if run.has_survived and self._relay.has_events:
+            self._shut_outs.note_survived(
+                work.service, work.prompt_parts, server.software_version
+            )
 
     async def _run_prefill(self, placement):
         """Run the prefill; return None if the decode server runs it."""
         if not placement.prefill_server:
             return None
+        self._check_prompt()
         server = self._find_server(placement.prefill_server, 'prefill')
         return await self._prefills.run(
             placement, server, self._relay.resume_headers()
@@ -356,6 +450,7 @@
 
     async def _open_answer(self, placement, prompt, exchange=None):
         """Send the request to the decode server; return the open call."""
+        self._check_prompt()
         work = self._work
         server = self._find_decode_server(
             placement, prefill_count=int(prompt is not None)
@@ -387,7 +482,10 @@
         except _server_calls.CallFailedError as error:
             self._note_run_failed(server.name, error, started_ms)
             raise _stream_context.StreamBrokenError(
-                server.name, 2, was_refused=error.was_refused
+                server.name,
+                2,
+                was_refused=error.was_refused,
+                is_cut=error.may_have_run,
             ) from error
         work.note_run()
         self._relay.running_version = server.software_version
--- a/bluebellthread/entry/_stream_relay.py
+++ b/bluebellthread/entry/_stream_relay.py
@@ -47,6 +47,9 @@
         begin at any.
     begun_attempt : str
         Id of the caller's attempt that brings, or brought, the first event.
+    ended_unmarked : bool
+        Whether the answer that was passed on ended with its connection, so
+        that its server may have ended then.
     """
 
     def __init__(self, *, work, context):
@@ -59,6 +62,7 @@
         self.running_version = ''
         self.begun_version = ''
         self.begun_attempt = work.request_id
+        self.ended_unmarked = False
 
     async def pass_on(self, placement, call):
         """Pass on the answer of an open call.
@@ -108,7 +112,7 @@
         )
         self._stats.count_failure(_work.STAGE_RUN)
         raise _stream_context.StreamBrokenError(
-            placement.decode_server, 2
+            placement.decode_server, 2, is_cut=True
         ) from error
 
     async def _pass_on_error_answer(self, placement, call):
@@ -162,6 +166,7 @@
         """
         framing = call.exchange.framing
         by_connection = framing == core.FRAMED_BY_CONNECTION
+        self.ended_unmarked = by_connection
         if by_connection or splitter.rest:
             emit(
                 events.STREAM_END_UNMARKED,
--- a/bluebellthread/entry/_work.py
+++ b/bluebellthread/entry/_work.py
@@ -57,6 +57,8 @@
         How long the caller waits by its own header; None without the header.
     deadline_ms : int
         When the request must have been answered, on the boot-time clock.
+    prompt_parts : tuple of str
+        Ids of the parts of the request's prompt.
     """
 
     def __init__(
@@ -67,6 +69,9 @@
         self.route = route
         self.service = service
         self.request_id = self.request.header(dialect.request_id)
+        self.prompt_parts = dialect.read_prompt_parts(
+            self.request.header(dialect.prompt_parts)
+        )
         self.run_count = 0
         self.may_have_run = False
         self.outcome = ''
@@ -193,6 +198,20 @@
             )
         )
 
+    async def refuse_prompt(self, shut_out):
+        """Send a refusal of a request whose prompt ends engines."""
+        emit(
+            events.PROMPT_REFUSED,
+            request_id=self.request_id,
+            service=self.service,
+            parts=','.join(shut_out.parts),
+        )
+        await self._send_router_answer(
+            _refusals.make_prompt_refusal(
+                shut_out.keep_deadline_ms - _clock.read_clock_ms()
+            )
+        )
+
     async def fail(self, kind):
         """Send a failure: the request may have run."""
         await self._send_router_answer(
--- a/bluebellthread/platform/_dialect.py
+++ b/bluebellthread/platform/_dialect.py
@@ -21,6 +21,11 @@
     )
 )
 
+PARTS_MAX = 32
+PART_MAX_CHARACTERS = 64
+"""Most parts of a prompt that are looked at, and their longest ids. Callers
+choose both, and VMs remember parts."""
+
 FENCING_TOKEN = 1
 """Fencing token of every role order: one process on one VM sends all role
 orders, at the first start of the system only."""
@@ -54,6 +59,29 @@
     return _read_numbers(text, 2)
 
 
+def read_prompt_parts(text):
+    """Return the ids of the parts of a prompt, without malformed ones.
+
+    Examples
+    --------
+    >>> read_prompt_parts('5c1e07a2:800,91bd3f06:410')
+    ('5c1e07a2', '91bd3f06')
+    >>> read_prompt_parts('no id,:7,f0:x')
+    ()
+    """
+    parts = []
+    for item in text.split(',')[:PARTS_MAX]:
+        part, _, count = item.strip().partition(':')
+        if (
+            0 < len(part) <= PART_MAX_CHARACTERS
+            and part.isascii()
+            and part.isalnum()
+            and count.isdigit()
+        ):
+            parts.append(part)
+    return tuple(parts)
+
+
 def _read_numbers(text, count):
     parts = text.split(',')
     if len(parts) != count:
@@ -108,12 +136,14 @@
         resume_after=b'last-event-id',
         resumed_attempt=b'resumes',
         token_counts=b'x-token-count',
+        prompt_parts=b'x-prompt-prefix',
         stage=b'x-serving-stage',
         stage_prefill=b'prefill',
         cache_source=b'x-kv-source',
         router_only=ROUTER_ONLY,
         read_load=read_load,
         read_token_counts=read_token_counts,
+        read_prompt_parts=read_prompt_parts,
         read_handle=read_handle,
         write_cache_source=write_cache_source,
         make_cache_release=make_cache_release,
--- a/bluebellthread/wire/__init__.py
+++ b/bluebellthread/wire/__init__.py
@@ -53,6 +53,7 @@
     _ticket_messages.TicketsMoved,
     *routing.PLACEMENT_MESSAGES,
     *routing.ORIGIN_MESSAGES,
+    *routing.CRASH_MESSAGES,
     *routing.NEWS_MESSAGES,
 ):
     register_message(_cls)
--- a/bluebellthread/wire/peer.thrift
+++ b/bluebellthread/wire/peer.thrift
@@ -287,8 +287,59 @@
   6: i64 keep_deadline_ms,
 }
 
+struct EndedRun {
+  1: string attempt_id,
+  2: list<string> parts,
+  3: i64 age_ms,
+}
+
+struct EngineEnded {
+  1: string vm,
+  2: i64 number,
+  3: string server,
+  4: i64 incarnation,
+  5: string serves,
+  6: string software_version,
+  7: list<EndedRun> runs,
+  8: i64 keep_deadline_ms,
+}
+
+struct PartSurvived {
+  1: string serves,
+  2: string part,
+  3: string software_version,
+  4: i64 keep_deadline_ms,
+}
+
+struct ShutOut {
+  1: string serves,
+  2: list<string> parts,
+  3: list<string> software_versions,
+  4: list<string> engines,
+  5: i32 attempt_count,
+  6: i32 number,
+  7: bool is_lifted,
+  8: i64 keep_deadline_ms,
+}
+
+struct ShutOutsAsk {
+}
+
+struct ShutOutLift {
+  1: string serves,
+  2: list<string> parts,
+}
+
+struct ShutOutsAnswer {
+  1: list<ShutOut> shut_outs,
+  2: list<ShutOut> lifted,
+}
+
 struct News {
   1: list<Departure> departures,
+  2: list<EngineEnded> ends,
+  3: list<PartSurvived> survivals,
+  4: list<ShutOut> shut_outs,
 }
 
 struct NewsNoted {
--- a/standin/site/_backend.py
+++ b/standin/site/_backend.py
@@ -179,13 +179,15 @@
                     ),
                     listeners,
                 )
+            self._process = None
             await trio.sleep(self.restart_s)
             self.incarnation += 1
 
     def crash(self):
         """End the process with all its connections; it starts again."""
-        self.crash_count += 1
-        self._process.cancel()
+        if self._process is not None:
+            self.crash_count += 1
+            self._process.cancel()
 
     def entry(self, service, **changes):
         """Return the engine's entry in the store; `changes` replace fields."""
--- a/tests/integration/test_entry_crashing_prompts.py
+++ b/tests/integration/test_entry_crashing_prompts.py
@@ -1,6 +1,7 @@
 """Prompts that end the engines that begin an answer on them."""
 
 import itertools
+import sys
 import unittest
 
 import trio
@@ -9,6 +10,7 @@
 from standin.site import _backend
 from tests.integration import _entry_fleet as fleets
 from tests.integration import _entry_site as sites
+from tests.integration import _fleet
 from tests.integration.test_entry_plain import run
 
 ALL_EVENTS = _backend.make_events(range(1, 5))
@@ -64,6 +66,7 @@
         lambda: all(
             vm.entry.state.directory.find(engine.name).incarnation
             == engine.incarnation
+            == engine.crash_count + 1
             for vm in fleet.vms.values()
             for engine in engines_of(fleet)
         )
@@ -74,6 +77,8 @@
     """Send requests in turn to all VMs until one is refused at once."""
     for engine in engines_of(fleet):
         engine.deadly_parts = {BAD}
+    # Somebody is served, so not all prompts end engines.
+    await ask(fleet, 1, FIRST)
     for number in range(ATTEMPTS_MAX):
         vm = 1 + number % len(fleet.vms)
         if sound:
@@ -205,6 +210,55 @@
             self.assertEqual(0, count_arrivals(fleet, request_id))
 
 
+class TestOperators(unittest.TestCase):
+    @run
+    async def test_operator_sees_and_lifts_it_at_one_vm_for_all(self):
+        async with fleets.running_fleet(engines=ENGINES) as fleet:
+            await fleet.list_processes()
+            await crash_until_refused(fleet, FIRST, BAD)
+            vm = fleet.vms[2]
+            address = f'{vm.host}:{fleet.peer_port}'
+            await sites.wait_until(vm.entry.shut_outs.list_all)
+            listed = await self.run_tool('list', '--vm', address)
+            self.assertIn(f'model  {BAD}', listed.stdout.decode())
+            self.assertIn('attempts ended', listed.stdout.decode())
+            unknown = await self.run_tool(
+                'lift', 'model', 'none', '--vm', address
+            )
+            self.assertEqual(5, unknown.returncode)
+            await wait_all_run(fleet)
+            for engine in engines_of(fleet):
+                engine.deadly_parts = set()
+            lifted = await self.run_tool('lift', 'model', BAD, '--vm', address)
+            self.assertEqual(0, lifted.returncode, lifted.stderr)
+            await sites.wait_until(
+                lambda: (
+                    not any(
+                        other.entry.shut_outs.list_all()
+                        for other in fleet.vms.values()
+                    )
+                )
+            )
+            for number in fleet.vms:
+                _, answer = await ask(fleet, number, FIRST, BAD)
+                self.assertEqual(ALL_EVENTS, answer.body)
+
+    async def run_tool(self, *arguments):
+        return await trio.run_process(
+            [
+                sys.executable,
+                '-m',
+                'bluebellthread.cli',
+                'parts',
+                *arguments,
+            ],
+            cwd=_fleet.ROOT,
+            capture_stdout=True,
+            capture_stderr=True,
+            check=False,
+        )
+
+
 class TestOtherCrashes(unittest.TestCase):
     async def check_nobody_is_shut_out(self, fleet):
         for vm in fleet.vms.values():
