Have the soak play prompts that end engines

Requests with a part that ends engines come at all VMs; the engine's port is closed until it starts again. Checked: no more than three such requests reach engines once the VMs had contactMs after the fifth end, and no sound request is refused for its prompt. Sound prompts share the first part.

--- a/standin/_proxy.py
+++ b/standin/_proxy.py
@@ -82,6 +82,7 @@
         self._counts = collections.Counter()
         self._udp = None
         self._nursery = None
+        self._listening = None
 
     async def start(self, nursery):
         """Start to forward; return a list with name, host and ports."""
@@ -95,9 +96,7 @@
             self._udp = trio.socket.socket(type=trio.socket.SOCK_DGRAM)
             await self._udp.bind((settings.host, settings.port))
             nursery.start_soon(self._relay_datagrams)
-        nursery.start_soon(
-            trio.serve_listeners, self._relay_connection, listeners
-        )
+        nursery.start_soon(self._serve, listeners)
         app = _http.App()
         app.add('POST', '/rules', self._set_rules)
         app.add('GET', '/counts', self._get_counts)
@@ -114,6 +113,21 @@
             }
         ]
 
+    async def _serve(self, listeners):
+        with trio.CancelScope() as self._listening:
+            await trio.serve_listeners(self._relay_connection, listeners)
+
+    def close(self):
+        """Close the port and all connections, as if the target had ended."""
+        self._listening.cancel()
+
+    async def reopen(self):
+        """Listen again at the port that `close` has closed."""
+        listeners = await trio.open_tcp_listeners(
+            self.settings.port, host=self.settings.host
+        )
+        self._nursery.start_soon(self._serve, listeners)
+
     def rule_of(self, source):
         """Return the rule of a source IP or of ``'*'``, or an empty rule."""
         return self._rules.get(source) or self._rules.get('*') or Rule()
--- a/standin/site/__init__.py
+++ b/standin/site/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from standin.site._backend import Engine
+from standin.site._backend import parts_of
 from standin.site._backend import PlainServer
 from standin.site._connection import Ending
 from standin.site._connection import SiteRequest
@@ -18,4 +19,5 @@
     'SiteRequest',
     'Store',
     'StoreDoor',
+    'parts_of',
 ]
--- a/standin/site/_backend.py
+++ b/standin/site/_backend.py
@@ -132,10 +132,12 @@
         Pause before the process starts again, in seconds.
     incarnation : int
         Number of the process; rises at each start.
-    on_start : callable or None
-        Called after each start but the first.
+    on_start, on_crash : callable or None
+        Called after each start but the first, and when the process ends.
     crash_count : int
         How often the process has ended.
+    ended_by : list of SiteRequest
+        The calls whose prompts ended the process, in turn.
     """
 
     stage: str = 'decode'
@@ -151,7 +153,9 @@
     restart_s: float = 0.3
     incarnation: int = 1
     on_start: object = None
+    on_crash: object = None
     crash_count: int = 0
+    ended_by: list = attrs.field(factory=list)
     _process: object = None
     freed: list = attrs.field(factory=list)
     orders: list = attrs.field(factory=list)
@@ -188,6 +192,8 @@
         if self._process is not None:
             self.crash_count += 1
             self._process.cancel()
+            if self.on_crash is not None:
+                self.on_crash()
 
     def entry(self, service, **changes):
         """Return the engine's entry in the store; `changes` replace fields."""
@@ -239,6 +245,7 @@
             length=1000,
         )
         await request.send_piece(make_event(number)[:5])
+        self.ended_by.append(request)
         self.crash()
         await trio.sleep_forever()
 
--- a/tests/soak/_callers.py
+++ b/tests/soak/_callers.py
@@ -24,6 +24,10 @@
 KINDS = ('read', 'order', 'ask', 'once')
 
 
+SOUND_PARTS = ('f1', '0e')
+"""First parts of all prompts."""
+
+
 @attrs.define
 class CallRecord:
     """A request and its answer as its caller saw them.
@@ -157,6 +161,29 @@
         caller.vm = vm.name
         return caller
 
+    async def send_deadly(self, vm, part, request_id):
+        """Send a request with a part that ends engines to a VM."""
+        self.site.deadly_vms[request_id] = vm
+        parts = f'{SOUND_PARTS[0]}:100,{part}:100,{request_id}:100'
+        try:
+            with trio.fail_after(DEADLINE_MS / 1000):
+                async with await self._connect(vm) as caller:
+                    await caller.call(
+                        'POST',
+                        '/ask/x',
+                        request_id=request_id,
+                        deadline_ms=DEADLINE_MS,
+                        headers=[f'X-Prompt-Prefix: {parts}'],
+                    )
+        except (
+            AttributeError,
+            OSError,
+            trio.BrokenResourceError,
+            trio.TooSlowError,
+        ):
+            # The VM or the engine has ended, as other callers see too.
+            return
+
     async def probe_versions(self, vm):
         """Check repeatedly which configuration version a VM serves.
 
@@ -250,9 +277,13 @@
 
 
 def _make_headers(record):
-    if not record.resumes:
-        return ()
-    return (
-        f'Last-Event-Id: {record.events_before}',
-        f'Resumes: {record.resumes}',
-    )
+    # Sound prompts share their first parts with the ones that end engines.
+    parts = ','.join(f'{part}:100' for part in SOUND_PARTS)
+    own = record.request_id.replace('-', '0')
+    headers = [f'X-Prompt-Prefix: {parts},{own}:100']
+    if record.resumes:
+        headers += [
+            f'Last-Event-Id: {record.events_before}',
+            f'Resumes: {record.resumes}',
+        ]
+    return headers
--- a/tests/soak/_checks.py
+++ b/tests/soak/_checks.py
@@ -2,6 +2,7 @@
 
 import collections
 
+from standin import site as site_standins
 from tests.soak import _callers
 from tests.soak import _site
 
@@ -14,6 +15,12 @@
 """
 
 
+DEADLY_ENDS = 5
+DEADLY_MAX = 3
+"""The users' rule BUDGET: "more than three requests with a part that crashes
+workers reach workers, sent by machines in touch later than contactMs after the
+fifth crash"."""
+
 LOST_MAX = 3
 """The users' rule LOST: a machine in touch passes a request from a kept
 connection on to a sound server and closes that connection without an answer,
@@ -50,6 +57,7 @@
     broken += check_lost(site, callers)
     broken += check_versions(site, callers)
     broken += check_leaving(site, callers)
+    broken += check_deadly_prompts(site, callers)
     broken += check_recovery(callers, quiet_since_s)
     return broken
 
@@ -242,6 +250,52 @@
     return broken
 
 
+def check_deadly_prompts(site, callers):
+    """Check that prompts that end engines are shut out, and no others.
+
+    After the time in which VMs are in touch again from the fifth end on, no
+    more than `DEADLY_MAX` requests may still be sent to engines.
+    """
+    broken = [
+        f'{record.kind} {record.request_id} at {record.vm} is refused, as '
+        'if its prompt ended engines'
+        for record in callers.records
+        if record.status == 503 and b'ends-engines' in record.body
+    ]
+    engines = [item.server for item in site.backends.values()]
+    for part in site.deadly_parts:
+        ends_s = sorted(
+            request.received_s
+            for engine in engines
+            for request in getattr(engine, 'ended_by', ())
+            if _has_part(request, part)
+        )
+        if len(ends_s) < DEADLY_ENDS:
+            continue
+        fifth_s = ends_s[DEADLY_ENDS - 1]
+        late = {
+            request.headers['x-request-attempt-id']
+            for engine in engines
+            for request in engine.arrivals
+            if _has_part(request, part)
+            and request.received_s > fifth_s + _site.QUIET_S
+            and not _was_away(
+                site.deadly_vms[request.headers['x-request-attempt-id']],
+                (fifth_s, request.received_s),
+            )
+        }
+        if len(late) > DEADLY_MAX:
+            broken.append(
+                f'{len(late)} requests with part {part} were sent to engines '
+                f'after it had ended {DEADLY_ENDS}, {len(ends_s)} in all'
+            )
+    return broken
+
+
+def _has_part(request, part):
+    return part in site_standins.parts_of(request)
+
+
 def _could_hear(site, vm, span_s):
     """Return whether a VM must have heard of what happened in a span."""
     if site.store_faults.touches(*span_s) or _was_away(vm, span_s):
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -268,6 +268,25 @@
         backend.server.framing = 'chunks'
 
 
+@faults.register('deadly-prompts')
+async def send_deadly_prompts(site):
+    """Send requests with one part that ends the engines, at all VMs."""
+    part = f'bad{site.rng.randrange(10**6)}'
+    site.deadly_parts.add(part)
+    end_s = trio.current_time() + site.rng.uniform(4.0, 9.0)
+    number = 0
+    async with trio.open_nursery() as nursery:
+        while trio.current_time() < end_s:
+            number += 1
+            nursery.start_soon(
+                site.callers.send_deadly,
+                _choose_vm(site),
+                part,
+                f'{part}x{number}',
+            )
+            await trio.sleep(site.rng.uniform(0.05, 0.6))
+
+
 @faults.register('config-change')
 async def change_configuration(site):
     """Publish one to five configuration versions in quick succession."""
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -48,7 +48,7 @@
         site = _site.SoakSite(
             rng=rng, folder=folder or temporary, vm_count=vm_count
         )
-        callers = _callers.Callers(site, seed)
+        callers = site.callers = _callers.Callers(site, seed)
         async with trio.open_nursery() as nursery:
             await site.start(nursery)
             await _wait_ready(site)
--- a/tests/soak/_site.py
+++ b/tests/soak/_site.py
@@ -2,6 +2,7 @@
 
 import collections
 import contextlib
+import functools
 import json
 import os
 import pathlib
@@ -229,7 +230,10 @@
         """Return its entry in the store, with the address of the proxy."""
         port = self.proxy.settings.port
         return self.server.entry(
-            self.service, address=f'127.0.0.1:{port}', **changes
+            self.service,
+            address=f'127.0.0.1:{port}',
+            born=getattr(self.server, 'incarnation', 1),
+            **changes,
         )
 
 
@@ -272,6 +276,12 @@
         Routes of the configuration beside those that are used.
     software_versions : list of str
         Versions that new engines may have.
+    callers : Callers or None
+        The callers, once they exist.
+    deadly_parts : set of str
+        Parts of prompts that end engines.
+    deadly_vms : dict of str to Vm
+        The VM that each request with such a part was sent to, by its id.
     unreadable_s : float or None
         Since when the configuration in the store is malformed.
     """
@@ -285,6 +295,9 @@
         self.version_published_s = {}
         self.begun_s = 0.0
         self.extra_route_count = 0
+        self.callers = None
+        self.deadly_parts = set()
+        self.deadly_vms = {}
         self.unreadable_s = None
         self.software_versions = ['v1']
         self._published = None
@@ -349,9 +362,28 @@
         await proxy.start(self.nursery)
         backend = Backend(server, service, proxy)
         self.backends[name] = backend
+        if kind != 'plain':
+            server.deadly_parts = self.deadly_parts
+            server.on_crash = functools.partial(self._note_crash, backend)
+            server.on_start = functools.partial(self._note_start, backend)
         self.store.put(f'servers/{name}', backend.entry())
         return backend
 
+    def _note_crash(self, backend):
+        backend.faults.note()
+        backend.proxy.close()
+
+    def _note_start(self, backend):
+        self.nursery.start_soon(self._reopen, backend)
+
+    async def _reopen(self, backend):
+        await backend.proxy.reopen()
+        backend.faults.note()
+        if backend.is_listed:
+            state = 'ready' if backend.drained_s is None else 'draining'
+            key = f'servers/{backend.server.name}'
+            self.store.put(key, backend.entry(state=state))
+
     def publish(self):
         """Publish the next configuration version, which has its own route.
 
