Ask an owner again that knows servers which this VM does not list yet

Two servers that started together could have cost a request its owner: each was disputed as not listed, and the second dispute passed the owner over for one that first has to learn the placements in use, up to 0.6 s.

--- a/bluebellthread/core/routing/_grant_review.py
+++ b/bluebellthread/core/routing/_grant_review.py
@@ -4,11 +4,14 @@
 it, for example because the platform turns it away.
 """
 
+import collections
+
 import attrs
 
-DISPUTES_PER_OWNER = 2
-"""Grants of one owner that a request disputes before it asks the next owner.
-The first dispute tells the owner what it did not know."""
+DISPUTES_MAX = {'left': 2, 'other-role': 2, 'not-listed': 8}
+"""Grants of one owner that a request disputes, by kind, before it asks the
+next owner. The first dispute tells the owner which server has left. Servers
+that this VM does not list yet may be many; each is avoided once disputed."""
 
 LACKS_SERVERS = ('no-server', 'no-version')
 """Kinds of refusals of an owner that knows no suitable engine."""
@@ -73,7 +76,7 @@
     def __init__(self, vm):
         self._vm = vm
         self._departures = {}
-        self._counts = {}
+        self._counts = collections.Counter()
         self.passed_over = set()
 
     @property
@@ -85,10 +88,11 @@
         """Note a dispute of an owner's grant; return whether to ask again."""
         if dispute.departure is not None:
             self._departures[dispute.server] = dispute.departure
-        count = self._counts[owner] = self._counts.get(owner, 0) + 1
-        if count >= DISPUTES_PER_OWNER:
-            self.passed_over.add(owner)
-        return owner != self._vm or count < DISPUTES_PER_OWNER
+        self._counts[owner, dispute.kind] += 1
+        if self._counts[owner, dispute.kind] < DISPUTES_MAX[dispute.kind]:
+            return True
+        self.passed_over.add(owner)
+        return owner != self._vm
 
     def may_ask_others(self, owner, kind, engines, software_version):
         """Return whether another owner is to be asked after a refusal.
--- a/tests/unit/test_departures.py
+++ b/tests/unit/test_departures.py
@@ -174,6 +174,14 @@
         self.assertTrue(self.review.may_ask_again('owner', dispute))
         self.assertEqual({'owner'}, self.review.passed_over)
 
+    def test_owner_that_knows_new_servers_is_asked_again(self):
+        asked = [
+            self.review.may_ask_again('owner', self.find(f'new{number}'))
+            for number in range(5)
+        ]
+        self.assertEqual([True] * 5, asked)
+        self.assertEqual(set(), self.review.passed_over)
+
     def test_disputes_end_at_this_vm(self):
         dispute = self.find('left')
         answers = [self.review.may_ask_again('me', dispute) for _ in range(2)]
