Bound the evidence about engines by the parts that it holds

Reports of ends were bounded by number only. With the most parts that a caller can send, one has 131 KB, so the reports that are kept could have taken 268 MB, and a message to a new partner would have been longer than a frame. Reports are now bounded by their parts too, messages by their size, and fewer requests are kept for the share of a part.

--- a/bluebellthread/core/routing/_crash_evidence.py
+++ b/bluebellthread/core/routing/_crash_evidence.py
@@ -34,7 +34,7 @@
 REQUEST_COUNT_MIN = 20
 """Fewest requests from which that share is computed."""
 
-REQUESTS_KEPT = 1000
+REQUESTS_KEPT = 200
 """Latest requests of each service from which that share is computed."""
 
 SETTLE_MS = 300
@@ -61,7 +61,8 @@
 ACQUITTED_MAX = 16_384
 SHUT_OUTS_MAX = 512
 RUNS_PER_REPORT_MAX = 64
-"""Bounds of what is remembered, a few MB in all, whatever callers send. The
+REPORTED_PARTS_MAX = 65_536
+"""Bounds of what is remembered, some MB in all, whatever callers send. The
 oldest is forgotten first."""
 
 
@@ -121,6 +122,7 @@
 
     def __init__(self):
         self._reports = collections.OrderedDict()
+        self._reported_part_count = 0
         self._questioned = collections.Counter()
         self._survived_ms = collections.OrderedDict()
         self._acquitted_deadlines_ms = collections.OrderedDict()
@@ -188,13 +190,18 @@
                 report, runs=report.runs[:RUNS_PER_REPORT_MAX]
             )
         self._reports[key] = report
+        self._reported_part_count += _count_parts(report)
         self._questioned.update(_list_questioned(report))
-        while len(self._reports) > REPORTS_MAX:
+        while (
+            len(self._reports) > REPORTS_MAX
+            or self._reported_part_count > REPORTED_PARTS_MAX
+        ):
             self._forget(next(iter(self._reports)))
         return True
 
     def _forget(self, key):
         report = self._reports.pop(key)
+        self._reported_part_count -= _count_parts(report)
         for part in _list_questioned(report):
             self._questioned[part] -= 1
             if not self._questioned[part]:
@@ -537,5 +544,9 @@
     return {(report.serves, part) for run in report.runs for part in run.parts}
 
 
+def _count_parts(report):
+    return sum(len(run.parts) for run in report.runs)
+
+
 def _order_of(shut_out):
     return (shut_out.number, shut_out.is_lifted)
--- a/bluebellthread/entry/_news_task.py
+++ b/bluebellthread/entry/_news_task.py
@@ -16,7 +16,13 @@
 from bluebellthread.observe import events
 
 QUEUE_LENGTH = 1024
-ITEMS_PER_MESSAGE = 500
+MESSAGE_BYTES = 256 * 1024
+"""Size at which a message is full, a fraction of the longest frame. One item
+may take as much again."""
+
+ITEM_BYTES = 150
+"""Approximate size of an item that has no lists."""
+
 GATHER_S = 0.02
 """Pause before a message, so that news of one moment is sent together."""
 
@@ -50,12 +56,15 @@
     learn : callable
         Takes an item, the VM that told it and the time; returns whether the
         item is new.
+    size_of : callable
+        Takes an item; returns its approximate size in bytes.
     """
 
     field: str
     key_of: object
     list_known: object
     learn: object
+    size_of: object = lambda item: ITEM_BYTES
 
 
 @attrs.define(eq=False)
@@ -201,8 +210,7 @@
             while True:
                 await partner.changed.wait()
                 await trio.sleep(GATHER_S)
-                sent = dict(list(partner.pending.items())[:ITEMS_PER_MESSAGE])
-                if await self._send(partner, sent):
+                if await self._send(partner, self._choose_items(partner)):
                     pause_s = PAUSE_FIRST_S
                     continue
                 await trio.sleep(pause_s)
@@ -213,6 +221,17 @@
                 )
                 pause_s = min(pause_max_s, 2 * pause_s)
 
+    def _choose_items(self, partner):
+        """Return the oldest pending items that fit into one message."""
+        chosen = {}
+        size_bytes = 0
+        for (field, key), item in partner.pending.items():
+            chosen[field, key] = item
+            size_bytes += self._topics[field].size_of(item)
+            if size_bytes >= MESSAGE_BYTES:
+                break
+        return chosen
+
     async def _send(self, partner, sent):
         """Send items to a partner; return whether it has noted them."""
         message = routing.News(
--- a/bluebellthread/entry/_shut_outs.py
+++ b/bluebellthread/entry/_shut_outs.py
@@ -50,6 +50,7 @@
                 key_of=lambda end: (end.vm, end.server, end.number),
                 list_known=evidence.list_ends,
                 learn=self._learn_end,
+                size_of=_find_size,
             ),
             _news_task.Topic(
                 field='survivals',
@@ -233,3 +234,15 @@
             await trio.sleep(EXPIRE_PERIOD_S)
             self._evidence.expire(_clock.read_clock_ms())
             self._evidence.keep_services(self._state.table.services)
+
+
+def _find_size(end):
+    """Return the approximate size of an `EngineEnded` in bytes."""
+    return _news_task.ITEM_BYTES + sum(
+        _RUN_BYTES + sum(_PART_BYTES + len(part) for part in run.parts)
+        for run in end.runs
+    )
+
+
+_RUN_BYTES = 60
+_PART_BYTES = 4
--- a/tests/unit/test_crash_evidence.py
+++ b/tests/unit/test_crash_evidence.py
@@ -217,6 +217,9 @@
         limits = _crash_evidence
         self.assertLessEqual(len(evidence._survived_ms), limits.SURVIVED_MAX)
         self.assertLessEqual(len(evidence._reports), limits.REPORTS_MAX)
+        self.assertLessEqual(
+            evidence._reported_part_count, limits.REPORTED_PARTS_MAX
+        )
         for report in evidence.list_ends(self.now_ms):
             self.assertLessEqual(len(report.runs), limits.RUNS_PER_REPORT_MAX)
         self.assertLessEqual(
