Count engines that end at once as one when a prompt is blamed

What callers could have seen: a kill of several engines just after all VMs had started, before any request with a popular part was answered, could have shut that part out for an hour.

Ends within 200 ms of each other now count once.

--- a/bluebellthread/core/routing/_crash_evidence.py
+++ b/bluebellthread/core/routing/_crash_evidence.py
@@ -13,7 +13,11 @@
 from bluebellthread.core.routing import _crash_messages as messages
 
 CRASHES_MIN = 4
-"""Engines that must have ended before a part is blamed."""
+"""Ends of engines, apart from each other, before a part is blamed."""
+
+COMMON_CAUSE_MS = 200
+"""Engines that end so close to each other count as one: what ends several at
+once, such as a kill of the whole service, is mostly no prompt."""
 
 SUSPICIOUS_CRASHES = 2
 """Engines that have ended with a part present before a request with it is not
@@ -340,11 +344,11 @@
         return suspects
 
     def _suffices(self, service, part, suspect, crashes):
-        if len(suspect.crashes) < CRASHES_MIN:
+        times_ms = [crash.ended_ms for crash in suspect.crashes]
+        if _count_apart(times_ms) < CRASHES_MIN:
             return False
         if len(suspect.attempts) < ATTEMPTS_MIN:
             return False
-        times_ms = [crash.ended_ms for crash in suspect.crashes]
         answered_ms = self._answered_ms.get(service)
         if answered_ms is None or answered_ms <= min(times_ms) - SURVIVAL_MS:
             # The service answers nobody, with or without the part.
@@ -540,6 +544,23 @@
     return report.incarnation > 0 or ended_ms - crash.ended_ms < MERGE_MS
 
 
+def _count_apart(times_ms):
+    """Return the number of times, with close ones counted once.
+
+    Examples
+    --------
+    >>> _count_apart([0, 100, 300, 1000])
+    3
+    """
+    count = 0
+    first_ms = None
+    for time_ms in sorted(times_ms):
+        if first_ms is None or time_ms - first_ms >= COMMON_CAUSE_MS:
+            first_ms = time_ms
+            count += 1
+    return count
+
+
 def _list_questioned(report):
     return {(report.serves, part) for run in report.runs for part in run.parts}
 
--- a/tests/unit/test_crash_evidence.py
+++ b/tests/unit/test_crash_evidence.py
@@ -146,6 +146,15 @@
             self.judge()
         self.assertEqual([], self.evidence.list_shut_outs(self.now_ms))
 
+    # Guards against a kill of the service just after all VMs have started.
+    def test_engines_that_end_at_once_blame_nobody(self):
+        self.survive('x')
+        for number in range(9):
+            self.end(make_run(f'a{number}', 'f', f'o{number}'))
+            self.now_ms -= 999
+        self.now_ms += 5000
+        self.assertEqual([], self.judge())
+
     def test_part_of_most_requests_is_not_blamed(self):
         for number in range(40):
             self.evidence.note_request('s', ('f', f'o{number}'))
