Free a prompt's KV cache if its decode server can't be used any more

A decode server that leaves, or a prompt that is shut out, while the prompt is read left the KV cache to its timeout: the check before the engine is tracked did not free it. An engine is checked by the same connect as calls to it, so that a VM without descriptors logs E7057 and goes on. Found by reading.

--- a/bluebellthread/entry/_engine_watch.py
+++ b/bluebellthread/entry/_engine_watch.py
@@ -12,6 +12,7 @@
 
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
+from bluebellthread.entry import _sockets
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
 
@@ -164,14 +165,12 @@
 
 async def _refuses_connections(server):
     """Return whether nothing listens at a server's address."""
-    with trio.socket.socket() as sock:
+    try:
         with trio.move_on_after(CONNECT_TIMEOUT_S):
-            try:
-                await sock.connect((server.host, server.port))
-            except ConnectionRefusedError:
-                return True
-            except OSError as error:
-                emit(
-                    events.ENGINE_NOT_CHECKED, server=server.name, error=error
-                )
+            stream = await _sockets.connect(server.host, server.port)
+            await trio.aclose_forcefully(stream)
+    except ConnectionRefusedError:
+        return True
+    except OSError as error:
+        emit(events.ENGINE_NOT_CHECKED, server=server.name, error=error)
     return False
--- a/bluebellthread/entry/_stream_path.py
+++ b/bluebellthread/entry/_stream_path.py
@@ -359,9 +359,17 @@
     async def _decode(self, placement, prompt, exchange):
         """Have the decode server answer, and pass its answer on."""
         work = self._work
-        server = self._find_decode_server(
-            placement, prefill_count=int(prompt is not None)
-        )
+        try:
+            server = self._find_decode_server(
+                placement, prefill_count=int(prompt is not None)
+            )
+        except (
+            _stream_context.GrantDisputedError,
+            _stream_context.StreamBrokenError,
+        ):
+            if prompt is not None:
+                self._prefills.release_cache(prompt)
+            raise
         with self._watch.track(
             server, work.request_id, work.prompt_parts
         ) as run:
