Leave departures that were heard out of the platform's news

A departure that another VM told was noted as news of the platform, and that note then discarded with any other. Nothing was lost, as both steps run without a pause between them; the code said otherwise.

--- a/bluebellthread/core/routing/_directory.py
+++ b/bluebellthread/core/routing/_directory.py
@@ -171,7 +171,6 @@
             return False
         if not self._heard.add(departure):
             return False
-        self._news[departure.name] = None
         self._invalidate_index()
         return True
 
@@ -200,7 +199,7 @@
         return self._find_departures(names, now_ms)
 
     def take_news(self, now_ms):
-        """Return the departures that are new since the last call."""
+        """Return the departures that the platform told since the last call."""
         names, self._news = self._news, {}
         return self._find_departures(names, now_ms)
 
--- a/bluebellthread/entry/_news_task.py
+++ b/bluebellthread/entry/_news_task.py
@@ -146,10 +146,8 @@
         self._learn(topic, departures, vm, _clock.read_clock_ms())
 
     def _learn_departure(self, departure, vm, now_ms):
-        directory = self._state.directory
-        if not directory.hear_departure(departure, now_ms):
+        if not self._state.directory.hear_departure(departure, now_ms):
             return False
-        directory.take_news(now_ms)
         emit(
             events.SERVER_HEARD_LEAVING,
             server=departure.name,
