--- a/tests/integration/test_entry_leaving.py
+++ b/tests/integration/test_entry_leaving.py
@@ -128,6 +128,29 @@
             self.assertEqual(1, len(first.runs))
             self.assertEqual(1, len(fleet.servers['d2'].runs))
 
+    # Guards against a KV cache that nobody frees.
+    @run
+    async def test_prompt_is_freed_if_its_decode_server_leaves_meanwhile(self):
+        async with fleets.running_fleet(
+            vms=1, engines=('p1', 'd1', 'd2')
+        ) as fleet:
+            prefill = fleet.servers['p1']
+            read = trio.Event()
+
+            async def read_slowly(request):
+                read.set()
+                await drain(fleet, ('d1',), (1,))
+                await prefill.run(request)
+
+            # The next request is granted the engine that is less busy, the
+            # first by name.
+            prefill.script = [read_slowly]
+            answer = await ask(fleet, 1, 'i1')
+            self.assertTrue(read.is_set())
+            self.assertEqual(ALL_EVENTS, answer.body)
+            self.assertEqual([], fleet.servers['d1'].runs)
+            await sites.wait_until(lambda: prefill.freed)
+
     # Guards against an owner that knows no engines and refuses everything.
     @run
     async def test_owner_without_a_list_of_servers_refuses_nobody(self):
