Blame several parts that end engines at the same time

Ends due to other parts that may be blamed no longer count against a part. The new test fails on the commit before.

--- a/bluebellthread/core/routing/_crash_evidence.py
+++ b/bluebellthread/core/routing/_crash_evidence.py
@@ -28,8 +28,9 @@
 on at engine after engine, may have met others that do it."""
 
 CRASH_SHARE_MIN = 0.5
-"""Least share of the engines that ended in a time which must be due to a part.
-If more end without it, they end for another reason."""
+"""Least share of the engines that ended in a time which must be due to a part,
+apart from those due to other such parts. If more end without it, they end for
+another reason."""
 
 REQUEST_SHARE_MAX = 0.5
 """Largest share of a service's requests that may have a part which is blamed.
@@ -291,10 +292,21 @@
     def _judge_service(self, service, now_ms):
         crashes = self._list_unexplained(service, now_ms - SETTLE_MS)
         suspects = self._find_suspects(service, crashes)
+        candidates = {
+            part: suspect
+            for part, suspect in suspects.items()
+            if self._may_be_blamed(service, part, suspect)
+        }
+        # Several parts may end engines at the same time.
+        others_ms = [
+            crash.ended_ms
+            for crash in crashes
+            if not any(crash in item.crashes for item in candidates.values())
+        ]
         blamed = [
             (suspect.rank_key, part)
-            for part, suspect in suspects.items()
-            if self._suffices(service, part, suspect, crashes)
+            for part, suspect in candidates.items()
+            if _causes_most(suspect, others_ms)
         ]
         if not blamed:
             return None
@@ -343,7 +355,7 @@
                         suspect.crashes.append(crash)
         return suspects
 
-    def _suffices(self, service, part, suspect, crashes):
+    def _may_be_blamed(self, service, part, suspect):
         times_ms = [crash.ended_ms for crash in suspect.crashes]
         if _count_apart(times_ms) < CRASHES_MIN:
             return False
@@ -353,12 +365,6 @@
         if answered_ms is None or answered_ms <= min(times_ms) - SURVIVAL_MS:
             # The service answers nobody, with or without the part.
             return False
-        in_span = sum(
-            min(times_ms) <= crash.ended_ms <= max(times_ms)
-            for crash in crashes
-        )
-        if len(suspect.crashes) < CRASH_SHARE_MIN * in_span:
-            return False
         recent = self._requests.get(service)
         return recent is None or recent.find_share(part) <= REQUEST_SHARE_MAX
 
@@ -544,6 +550,21 @@
     return report.incarnation > 0 or ended_ms - crash.ended_ms < MERGE_MS
 
 
+def _causes_most(suspect, others_ms):
+    """Return whether enough of the ends in a suspect's time are due to it.
+
+    Parameters
+    ----------
+    others_ms : list of int
+        Times of the ends at which no part was present that may be blamed.
+    """
+    times_ms = [crash.ended_ms for crash in suspect.crashes]
+    other_count = sum(
+        min(times_ms) <= other_ms <= max(times_ms) for other_ms in others_ms
+    )
+    return len(times_ms) >= CRASH_SHARE_MIN * (len(times_ms) + other_count)
+
+
 def _count_apart(times_ms):
     """Return the number of times, with close ones counted once.
 
--- a/tests/unit/test_crash_evidence.py
+++ b/tests/unit/test_crash_evidence.py
@@ -101,6 +101,17 @@
             self.end(make_run(f'a-{vm}', 'bad', vm), vm=vm, server='d1')
         self.assertEqual([], self.judge())
 
+    def test_several_parts_at_once_are_all_blamed(self):
+        self.survive('first')
+        for number in range(16):
+            self.end(
+                make_run(
+                    f'a{number}', 'first', f'bad{number % 4}', f'o{number}'
+                )
+            )
+        blamed = self.judge()
+        self.assertCountEqual([(f'bad{n}',) for n in range(4)], blamed)
+
     def test_attempts_of_one_request_alone_are_not_enough(self):
         for _ in range(5):
             self.end(make_run('a', 'bad', 'own'))
