--- a/bluebellthread/core/routing/_crash_evidence.py
+++ b/bluebellthread/core/routing/_crash_evidence.py
@@ -117,11 +117,11 @@
     ...     report = messages.EngineEnded(vm='vm1', number=number,
     ...         server=f'd{number}', incarnation=1, serves='s',
     ...         software_version='v1', runs=(run,),
-    ...         keep_deadline_ms=EVIDENCE_MS)
+    ...         keep_deadline_ms=1000 * number + EVIDENCE_MS)
     ...     _ = evidence.add_end(report, 0)
     >>> evidence.note_survived('s', ('sound',), 'v1', 0)[0].part
     'sound'
-    >>> [item.parts for item in evidence.judge(SETTLE_MS)]
+    >>> [item.parts for item in evidence.judge(3000 + SETTLE_MS)]
     [('bad',)]
     """
 
--- a/tests/unit/test_stream_pieces.py
+++ b/tests/unit/test_stream_pieces.py
@@ -68,6 +68,8 @@
         placements=None,
         origins=_Origins(),
         budgets=None,
+        shut_outs=None,
+        engine_watch=None,
         dialect=None,
         stats=_Stats(),
     )
