Use one position in the platform's history, and one way to cut stores

Callers see no difference. The directory of servers had a position of its own beside the one that watches go on from, with a function between the two; there is one class now. The soak's fault of leaving servers had copied the cuts of another and the replacement of a server, and its check what a VM's record tells; they call these.

--- a/bluebellthread/core/routing/__init__.py
+++ b/bluebellthread/core/routing/__init__.py
@@ -16,11 +16,10 @@
 from bluebellthread.core.routing._crash_messages import ShutOutsAnswer
 from bluebellthread.core.routing._crash_messages import ShutOutsAsk
 from bluebellthread.core.routing._departures import Departure
-from bluebellthread.core.routing._departures import ListPosition
+from bluebellthread.core.routing._departures import Position
 from bluebellthread.core.routing._directory import ListedServer
 from bluebellthread.core.routing._directory import ServerDirectory
 from bluebellthread.core.routing._engine_account import EngineServer
-from bluebellthread.core.routing._grant_review import Dispute
 from bluebellthread.core.routing._grant_review import find_dispute
 from bluebellthread.core.routing._grant_review import GrantReview
 from bluebellthread.core.routing._memory_models import memory_models
@@ -68,7 +67,6 @@
     'CRASH_MESSAGES',
     'CrashEvidence',
     'Departure',
-    'Dispute',
     'EVIDENCE_MS',
     'EndedRun',
     'EngineEnded',
@@ -79,7 +77,6 @@
     'KIND_IDEMPOTENT',
     'KIND_ONCE',
     'KIND_STREAM',
-    'ListPosition',
     'ListedServer',
     'NEWS_MESSAGES',
     'News',
@@ -97,6 +94,7 @@
     'PlacementPending',
     'PlacementRefused',
     'PlacementsHeld',
+    'Position',
     'PromptRead',
     'Route',
     'RoutingTable',
--- a/bluebellthread/core/routing/_departures.py
+++ b/bluebellthread/core/routing/_departures.py
@@ -8,13 +8,14 @@
 
 
 @attrs.frozen(kw_only=True, order=True)
-class ListPosition:
-    """Position in the platform's history of the list of servers.
+class Position:
+    """Position in the platform's history of changes.
 
     Parameters
     ----------
     era : int
-        Rises each time the platform is restored from a copy.
+        Rises each time the platform is restored from a copy, after which it
+        gives revisions out again; 0 if the platform doesn't tell it.
     revision : int
         Number of a change, within the era; 0 if unknown.
     """
@@ -50,8 +51,8 @@
 
     @property
     def position(self):
-        """The `ListPosition` at which the server left."""
-        return ListPosition(era=self.era, revision=self.revision)
+        """The `Position` at which the server left."""
+        return Position(era=self.era, revision=self.revision)
 
 
 class HeardDepartures:
@@ -116,7 +117,7 @@
         What another VM told.
     server : ListedServer
         The entry that this VM has from the platform.
-    position : ListPosition
+    position : Position
         Position at which the platform listed that entry.
     is_restored : bool
         Whether the platform was restored a moment ago, so that its entries
--- a/bluebellthread/core/routing/_directory.py
+++ b/bluebellthread/core/routing/_directory.py
@@ -63,7 +63,7 @@
     """The last entry of a server that left, and how long it is remembered."""
 
     server: ListedServer
-    position: _departures.ListPosition
+    position: _departures.Position
     deadline_ms: int
 
 
@@ -104,7 +104,7 @@
         self._barred = {}
         self._held = {}
         self._positions = {}
-        self._position = _departures.ListPosition()
+        self._position = _departures.Position()
         self._heard = _departures.HeardDepartures()
         self._news = {}
         self._by_service = {}
@@ -258,7 +258,7 @@
 
         Parameters
         ----------
-        position : ListPosition or None
+        position : Position or None
             Where in the platform's history the entry is listed; None if that
             is unknown.
         """
--- a/bluebellthread/entry/_platform_changes.py
+++ b/bluebellthread/entry/_platform_changes.py
@@ -58,23 +58,6 @@
     """Raised when a configuration value is invalid."""
 
 
-@attrs.frozen(kw_only=True)
-class Position:
-    """Position in the platform's history of changes, from which to watch.
-
-    Parameters
-    ----------
-    era : int
-        Rises each time the platform is restored from a copy, after which it
-        gives revisions out again; 0 if the platform doesn't tell it.
-    revision : int
-        Number of the last change that has been read, within the era.
-    """
-
-    era: int
-    revision: int
-
-
 @attrs.frozen(kw_only=True)
 class ServerChange:
     """A change of one entry in the list of backend servers.
--- a/bluebellthread/entry/_platform_task.py
+++ b/bluebellthread/entry/_platform_task.py
@@ -54,7 +54,7 @@
                 self._state.directory.note_restore(now_ms)
             self._state.versions.note_list(now_ms)
             self._note_versions(now_ms)
-            self._replace_servers(changes, _to_list_position(position), now_ms)
+            self._replace_servers(changes, position, now_ms)
         else:
             changes, position = await self._client.watch_servers(after)
             now_ms = self._note_answer()
@@ -63,7 +63,7 @@
             for change in changes:
                 self._apply_server(change, position.era, now_ms)
                 self._note_versions(now_ms)
-        self._state.directory.note_position(_to_list_position(position))
+        self._state.directory.note_position(position)
         self._tell_departures(now_ms)
         if self._state.directory.has_deadlines:
             self._lapsed.set()
@@ -108,7 +108,7 @@
     def _apply_server(self, change, era, now_ms):
         directory = self._state.directory
         known = directory.find(change.name)
-        position = routing.ListPosition(era=era, revision=change.revision)
+        position = routing.Position(era=era, revision=change.revision)
         if change.server is None:
             directory.remove(
                 change.name,
@@ -160,10 +160,6 @@
         self._tell_departures(now_ms)
 
 
-def _to_list_position(position):
-    return routing.ListPosition(era=position.era, revision=position.revision)
-
-
 def _log_held(name):
     emit(
         events.SERVER_CHANGED,
--- a/tests/soak/_checks.py
+++ b/tests/soak/_checks.py
@@ -279,10 +279,9 @@
             for request in engine.arrivals
             if _has_part(request, part)
             and request.received_s > fifth_s + _site.QUIET_S
-            and not _was_away(
-                site.deadly_vms[request.headers['x-request-attempt-id']],
-                (fifth_s, request.received_s),
-            )
+            and not site.deadly_vms[
+                request.headers['x-request-attempt-id']
+            ].was_away(fifth_s, request.received_s)
         }
         if len(late) > DEADLY_MAX:
             broken.append(
@@ -298,17 +297,9 @@
 
 def _could_hear(site, vm, span_s):
     """Return whether a VM must have heard of what happened in a span."""
-    if site.store_faults.touches(*span_s) or _was_away(vm, span_s):
+    if site.store_faults.touches(*span_s) or vm.was_away(*span_s):
         return False
-    return any(
-        not other.store_faults.touches(*span_s)
-        and not _was_away(other, span_s)
-        for other in site.vms
-    )
-
-
-def _was_away(vm, span_s):
-    return vm.failures.touches(*span_s) or vm.stops.touches(*span_s)
+    return any(other.was_in_touch(*span_s) for other in site.vms)
 
 
 def check_recovery(callers, quiet_since_s):
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -38,6 +38,20 @@
         proxy.set_rules({})
 
 
+def _disturb_stores(nursery, site, vms, **rule):
+    """Disturb the links of VMs to the store for up to 8 s each."""
+    for vm in vms:
+        disturb = functools.partial(
+            _apply_rule,
+            site,
+            vm.store_proxy,
+            vm.store_faults,
+            max_s=8.0,
+            **rule,
+        )
+        nursery.start_soon(disturb)
+
+
 async def _signal_later(site, vm, number, max_s):
     await trio.sleep(site.rng.uniform(0.0, max_s))
     vm.signal(number)
@@ -94,17 +108,7 @@
     if site.rng.random() < 0.3:
         names = site.rng.sample(sorted(vms), len(names))
     async with trio.open_nursery() as nursery:
-        for vm in map(vms.get, names):
-            nursery.start_soon(
-                functools.partial(
-                    _apply_rule,
-                    site,
-                    vm.store_proxy,
-                    vm.store_faults,
-                    max_s=8.0,
-                    cut=True,
-                )
-            )
+        _disturb_stores(nursery, site, map(vms.get, names), cut=True)
         await _publish_some(site, 1, 4, 2.0)
 
 
@@ -201,22 +205,9 @@
     cut = vms[site.rng.randint(1, 2) :]
     rule = site.rng.choice(({'cut': True}, {'stall_answers': True}))
     async with trio.open_nursery() as nursery:
-        for vm in cut:
-            nursery.start_soon(
-                functools.partial(
-                    _apply_rule,
-                    site,
-                    vm.store_proxy,
-                    vm.store_faults,
-                    max_s=8.0,
-                    **rule,
-                )
-            )
+        _disturb_stores(nursery, site, cut, **rule)
         await _sleep_random(site, 0.1, 1.0)
-        backend = _choose_backend(site)
-        kind = backend.server.name.partition('-')[0]
-        await site.add_backend(backend.service, kind)
-        await _drain(site, backend)
+        await replace_server(site)
 
 
 @faults.register('server-replace')
--- a/tests/soak/_site.py
+++ b/tests/soak/_site.py
@@ -188,9 +188,14 @@
 
     def was_in_touch(self, begin_s, end_s):
         """Return whether nothing disturbed it, the store apart."""
-        return not any(
-            spans.touches(begin_s, end_s)
-            for spans in (self.failures, self.stops, self.store_faults)
+        return not self.was_away(
+            begin_s, end_s
+        ) and not self.store_faults.touches(begin_s, end_s)
+
+    def was_away(self, begin_s, end_s):
+        """Return whether its process was stopped, killed or paused."""
+        return self.failures.touches(begin_s, end_s) or self.stops.touches(
+            begin_s, end_s
         )
 
     def _kill(self):
--- a/tests/unit/test_departures.py
+++ b/tests/unit/test_departures.py
@@ -13,7 +13,7 @@
 
 
 def at(revision, era=1):
-    return routing.ListPosition(era=era, revision=revision)
+    return routing.Position(era=era, revision=revision)
 
 
 def make_departure(name='a', *, revision=50, era=1, **changes):
