Look at each shut-out once a request, and drop what only a test called

Callers and operators see no difference. A request looked up the shut-outs in force and then computed for each, once more, which of its parts are suspected; one pass does both. ShutOuts.shut_out was called by one test only, which now tells a VM as another VM would; the branch of the command line for it goes too. The soak lists a server again in one place.

--- a/bluebellthread/cli/_parts.py
+++ b/bluebellthread/cli/_parts.py
@@ -68,12 +68,10 @@
     's  f0  refused since 60 s: 3 attempts ended e1 (v1)'
     """
     since_s = (now_ms - item.keep_deadline_ms + routing.SHUT_OUT_MS) // 1000
-    line = f'{item.serves}  {",".join(item.parts)}  refused since {since_s} s'
-    if not item.engines:
-        return f'{line}: by an operator'
     return (
-        f'{line}: {item.attempt_count} attempts ended '
-        f'{",".join(item.engines)} ({",".join(item.software_versions)})'
+        f'{item.serves}  {",".join(item.parts)}  refused since {since_s} s: '
+        f'{item.attempt_count} attempts ended {",".join(item.engines)} '
+        f'({",".join(item.software_versions)})'
     )
 
 
--- a/bluebellthread/core/routing/_crash_evidence.py
+++ b/bluebellthread/core/routing/_crash_evidence.py
@@ -478,9 +478,7 @@
         return [
             item
             for item in self._shut_outs.values()
-            if not item.is_lifted
-            and item.keep_deadline_ms > now_ms
-            and self._find_suspected(item)
+            if self._find_suspected(item, now_ms)
         ]
 
     def list_all_shut_outs(self, now_ms):
@@ -493,16 +491,18 @@
 
     def find_shut_out(self, service, parts, now_ms):
         """Return the shut-out that a request's parts meet, or None."""
-        if not self._shut_outs:
-            return None
         known = set(parts)
-        for item in self.list_shut_outs(now_ms):
-            if item.serves == service and self._find_suspected(item) <= known:
-                return item
+        for item in self._shut_outs.values():
+            if item.serves == service:
+                suspected = self._find_suspected(item, now_ms)
+                if suspected and suspected <= known:
+                    return item
         return None
 
-    def _find_suspected(self, shut_out):
-        """Return the parts of a shut-out that have not survived since."""
+    def _find_suspected(self, shut_out, now_ms):
+        """Return the parts of a shut-out in force that did not survive."""
+        if shut_out.is_lifted or shut_out.keep_deadline_ms <= now_ms:
+            return frozenset()
         decided_ms = shut_out.keep_deadline_ms - SHUT_OUT_MS
         return {
             part
--- a/bluebellthread/entry/_shut_outs.py
+++ b/bluebellthread/entry/_shut_outs.py
@@ -23,6 +23,9 @@
 same parts has arrived."""
 
 QUEUE_LENGTH = 64
+RUN_BYTES = 60
+PART_BYTES = 4
+"""Approximate size of a run in a report, and of a part without its id."""
 
 
 class ShutOuts:
@@ -96,7 +99,7 @@
         survivals = self._evidence.note_survived(
             service, parts, software_version, now_ms
         )
-        self._tell_survivals(survivals, self._state.settings.vm)
+        self._tell_survivals(survivals)
 
     def note_end(self, report):
         """Note that an engine ended, as this VM has found out."""
@@ -129,17 +132,6 @@
         """Return the shut-outs in force, as a tuple."""
         return tuple(self._evidence.list_shut_outs(_clock.read_clock_ms()))
 
-    def shut_out(self, service, parts):
-        """Shut out requests that have all of some parts, at every VM."""
-        now_ms = _clock.read_clock_ms()
-        item = routing.ShutOut(
-            serves=service,
-            parts=tuple(sorted(parts)),
-            keep_deadline_ms=now_ms + routing.SHUT_OUT_MS,
-        )
-        if self._learn_shut_out(item, self._state.settings.vm, now_ms):
-            self._news.tell('shut_outs', [item])
-
     def lift(self, service, parts):
         """Lift the shut-outs that name one of the parts; return them."""
         vm, now_ms = self._state.settings.vm, _clock.read_clock_ms()
@@ -165,15 +157,14 @@
         if not self._evidence.add_end(report, now_ms):
             return False
         survivals = self._evidence.find_survivals(report, now_ms)
-        self._tell_survivals(survivals, self._state.settings.vm)
+        self._tell_survivals(survivals)
         self._changed.set()
         return True
 
-    def _tell_survivals(self, survivals, vm):
-        if survivals:
-            self._news.tell('survivals', survivals)
-            for survival in survivals:
-                self._log_survival(survival, vm)
+    def _tell_survivals(self, survivals):
+        self._news.tell('survivals', survivals)
+        for survival in survivals:
+            self._log_survival(survival, self._state.settings.vm)
 
     def _learn_survival(self, survival, vm, now_ms):
         if not self._evidence.add_survival(survival, now_ms):
@@ -223,11 +214,10 @@
             self._changed = trio.Event()
             await trio.sleep(JUDGE_DELAY_S)
             found = self._evidence.judge(_clock.read_clock_ms())
-            if found:
-                for item in found:
-                    self._log_shut_out(item, self._state.settings.vm)
-                self._news.tell('shut_outs', found)
-                self._refuse_waiting()
+            for item in found:
+                self._log_shut_out(item, self._state.settings.vm)
+            self._news.tell('shut_outs', found)
+            self._refuse_waiting()
 
     async def _expire(self):
         while True:
@@ -239,10 +229,6 @@
 def _find_size(end):
     """Return the approximate size of an `EngineEnded` in bytes."""
     return _news_task.ITEM_BYTES + sum(
-        _RUN_BYTES + sum(_PART_BYTES + len(part) for part in run.parts)
+        RUN_BYTES + sum(PART_BYTES + len(part) for part in run.parts)
         for run in end.runs
     )
-
-
-_RUN_BYTES = 60
-_PART_BYTES = 4
--- a/tests/integration/test_entry_crashing_prompts.py
+++ b/tests/integration/test_entry_crashing_prompts.py
@@ -6,6 +6,9 @@
 
 import trio
 
+from bluebellthread.cli import _vm_calls
+from bluebellthread.core import routing
+from bluebellthread.daemon import _clock
 from standin import site
 from standin.site import _backend
 from tests.integration import _entry_fleet as fleets
@@ -40,6 +43,17 @@
     return request_id, answer
 
 
+async def tell_shut_out(fleet, vm, service, parts):
+    """Tell a VM, as another VM would, that parts are shut out."""
+    item = routing.ShutOut(
+        serves=service,
+        parts=parts,
+        keep_deadline_ms=_clock.read_clock_ms() + routing.SHUT_OUT_MS,
+    )
+    news = routing.News(shut_outs=(item,))
+    await _vm_calls.call(fleet.vms[vm].host, fleet.peer_port, news)
+
+
 def engines_of(fleet):
     return [
         server
@@ -202,7 +216,7 @@
                             for vm in fleet.vms.values()
                         )
                     )
-                    fleet.vms[1].entry.shut_outs.shut_out('model', (BAD,))
+                    await tell_shut_out(fleet, 1, 'model', (BAD,))
                 engine.last_event_gate.set()
             request_id, answer = answers[0]
             self.assertEqual(503, answer.status)
--- a/tests/soak/_site.py
+++ b/tests/soak/_site.py
@@ -385,9 +385,7 @@
         await backend.proxy.reopen()
         backend.faults.note()
         if backend.is_listed:
-            state = 'ready' if backend.drained_s is None else 'draining'
-            key = f'servers/{backend.server.name}'
-            self.store.put(key, backend.entry(state=state))
+            self._list_again(backend)
 
     def publish(self):
         """Publish the next configuration version, which has its own route.
@@ -449,12 +447,15 @@
                 self.version_published_s[version] = now_s
         self.store.put('op/config', self._published)
         for backend in self.backends.values():
-            if not backend.is_listed:
+            if backend.is_listed:
+                self._list_again(backend)
+            else:
                 self.delist(backend)
-                continue
-            state = 'ready' if backend.drained_s is None else 'draining'
-            key = f'servers/{backend.server.name}'
-            self.store.put(key, backend.entry(state=state))
+
+    def _list_again(self, backend):
+        state = 'ready' if backend.drained_s is None else 'draining'
+        key = f'servers/{backend.server.name}'
+        self.store.put(key, backend.entry(state=state))
 
     def describe(self):
         """Return the number of VMs by data centre and of versions."""
