Make calls again that the platform may have lost, once it is back

Callers' requests reached a server that had left: a watch of the server list that was sent into the platform's silence was waited for until its timeout, 5.5 s, although another call or the peers had shown that the platform was back.

Cause: each call judged the platform by itself. Now one view of the platform for each VM (core.PlatformHealth) takes in all its calls, the age of the platform's last answer that peers tell, and the outages that they tell. When it ends, all calls that were sent before are made again within 0.4 s, a pause before a retry ends, and other VMs are told as news, each outage once. While the platform is in doubt, watches wait for 0.2 s only.

--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -127,6 +127,8 @@
 from bluebellthread.core._ownership import rank_by_rendezvous
 from bluebellthread.core._permit_messages import PermitAbandoned
 from bluebellthread.core._permit_messages import RegistrationWanted
+from bluebellthread.core._platform_health import Outage
+from bluebellthread.core._platform_health import PlatformHealth
 from bluebellthread.core._policies import decode_policies
 from bluebellthread.core._policies import DecodeCandidate
 from bluebellthread.core._policies import prefill_policies
@@ -311,6 +313,7 @@
     'OrderOptions',
     'OrderPlanner',
     'OrdersConfigured',
+    'Outage',
     'OutcomeUnknown',
     'PauseNoticed',
     'PeerAnswered',
@@ -327,6 +330,7 @@
     'PermitsRegistered',
     'PieceArrived',
     'PlatformAnswered',
+    'PlatformHealth',
     'PlatformListed',
     'PoolKey',
     'PoolSummary',
--- a/bluebellthread/core/routing/_news.py
+++ b/bluebellthread/core/routing/_news.py
@@ -3,6 +3,7 @@
 import attrs
 
 from bluebellthread.core import _ownership
+from bluebellthread.core import _platform_health
 from bluebellthread.core.routing import _crash_messages
 from bluebellthread.core.routing import _departures
 from bluebellthread.core.routing import _limit_messages
@@ -25,6 +26,7 @@
     survivals: tuple[_crash_messages.PartSurvived, ...] = ()
     shut_outs: tuple[_crash_messages.ShutOut, ...] = ()
     limits: tuple[_limit_messages.ServerLimit, ...] = ()
+    outages: tuple[_platform_health.Outage, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -32,7 +34,12 @@
     """Answer that news has arrived."""
 
 
-NEWS_MESSAGES = (_departures.Departure, News, NewsNoted)
+NEWS_MESSAGES = (
+    _departures.Departure,
+    _platform_health.Outage,
+    News,
+    NewsNoted,
+)
 """All message classes of this module, for the wire codec."""
 
 
--- a/bluebellthread/daemon/_revision_exchange.py
+++ b/bluebellthread/daemon/_revision_exchange.py
@@ -48,6 +48,8 @@
         ``async``; watches the platform until cancelled.
     note_watching : callable
         Takes a bool; called when the watch starts or stops.
+    note_answer : callable
+        Takes each `ManifestAnswer` of a peer.
     """
 
     def __init__(
@@ -63,6 +65,7 @@
         apply,
         watch,
         note_watching=None,
+        note_answer=None,
     ):
         self._vm = vm
         self._fleet = fleet
@@ -71,6 +74,7 @@
         self._apply = apply
         self._watch = watch
         self._note_watching = note_watching
+        self._note_answer = note_answer
         self._watch_scope = None
         self.revisions = core.Revisions(
             vm=vm,
@@ -181,6 +185,10 @@
                 event = core.PeerAnswered(
                     vm=vm, message=answer, request=message
                 )
+                if self._note_answer is not None and isinstance(
+                    answer, core.ManifestAnswer
+                ):
+                    self._note_answer(answer)
         except _peers.PeerUnreachableError:
             # The link has logged the error.
             pass
--- a/bluebellthread/entry/_configuration_task.py
+++ b/bluebellthread/entry/_configuration_task.py
@@ -52,18 +52,22 @@
     ----------
     client : object
         The adapter's client of the platform.
+    calls : PlatformCalls
+        Makes the calls to it.
     state : EntryState
         Supplies the membership view and receives the configuration.
     links : PeerLinks
         Connections to the other VMs.
     """
 
-    def __init__(self, *, client, state, links):
+    def __init__(self, *, client, calls, state, links):
         self._client = client
+        self._calls = calls
         self._state = state
         self._follower = _platform_follower.PlatformFollower(
             name='configuration',
             step=self._update,
+            calls=calls,
             rng=random.Random(state.settings.vm),
         )
         self._exchange = _revision_exchange.RevisionExchange(
@@ -76,6 +80,7 @@
             tick_interval_s=TICK_INTERVAL_S,
             apply=self._apply,
             watch=self._follower.run,
+            note_answer=self._note_peer_answer,
         )
 
     def register(self, mailboxes):
@@ -89,11 +94,15 @@
                 nursery.start_soon(self._read_at_start)
             await self._exchange.run()
 
+    def _note_peer_answer(self, answer):
+        if answer.platform_age_ms >= 0:
+            self._calls.note_heard(answer.platform_age_ms)
+
     async def _read_at_start(self):
         """Read a small configuration at once, so that this VM can serve."""
         try:
-            change, _ = await self._client.read_table(
-                size_max_bytes=START_READ_MAX_BYTES
+            change, _ = await self._calls.call(
+                self._client.read_table, size_max_bytes=START_READ_MAX_BYTES
             )
         except (
             changes_module.HistoryLostError,
@@ -141,10 +150,14 @@
 
     async def _update(self, after):
         if after is None:
-            change, position = await self._client.read_table()
+            change, position = await self._calls.call(self._client.read_table)
             changes = [change] if change is not None else []
         else:
-            changes, position = await self._client.watch_table(after)
+            changes, position = await self._calls.call(
+                self._client.watch_table,
+                after,
+                is_probe=self._calls.health.is_in_doubt,
+            )
         self._follower.note_era(position.era)
         self._follower.note_regained()
         await self._exchange.inbox.send(core.PlatformAnswered())
--- a/bluebellthread/entry/_platform_changes.py
+++ b/bluebellthread/entry/_platform_changes.py
@@ -9,13 +9,21 @@
 class PlatformUnavailableError(core.BluebellthreadError):
     """Raised when the platform gives no usable answer.
 
+    Parameters
+    ----------
+    reason : str
+        What went wrong, for the log.
+    is_silent : bool
+        Whether there was no answer at all until the call was given up.
+
     Examples
     --------
     >>> str(PlatformUnavailableError('status 503'))
     'no usable answer from the platform (status 503); the call is retried'
     """
 
-    def __init__(self, reason):
+    def __init__(self, reason, *, is_silent=False):
+        self.is_silent = is_silent
         super().__init__(
             f'no usable answer from the platform ({reason}); '
             'the call is retried'
--- a/bluebellthread/entry/_platform_follower.py
+++ b/bluebellthread/entry/_platform_follower.py
@@ -32,13 +32,16 @@
     step : callable
         ``async``; takes the `Position` to watch from, or None to read the
         whole resource, and returns the next position.
+    calls : PlatformCalls
+        Tells when the platform is back.
     rng : random.Random
         Spreads the retries of the VMs.
     """
 
-    def __init__(self, *, name, step, rng):
+    def __init__(self, *, name, step, calls, rng):
         self._name = name
         self._step = step
+        self._calls = calls
         self._rng = rng
         self._watch = _state.DependencyWatch(name=name)
         self._after = None
@@ -66,7 +69,7 @@
 
     async def _pause(self, pause_s):
         """Pause before a retry; return the length of the next pause."""
-        await trio.sleep(pause_s * self._rng.uniform(0.7, 1.3))
+        await self._calls.pause(pause_s * self._rng.uniform(0.7, 1.3))
         return min(RETRY_MAX_S, pause_s * 2)
 
     def _note_lost(self, error):
--- a/bluebellthread/entry/_platform_task.py
+++ b/bluebellthread/entry/_platform_task.py
@@ -23,19 +23,23 @@
     ----------
     client : object
         The adapter's client of the platform.
+    calls : PlatformCalls
+        Makes the calls to it.
     state : EntryState
         Receives the list.
     tell : callable
         Takes the departures of servers that other VMs are told of.
     """
 
-    def __init__(self, *, client, state, tell):
+    def __init__(self, *, client, calls, state, tell):
         self._client = client
+        self._calls = calls
         self._state = state
         self._tell = tell
         self._follower = _platform_follower.PlatformFollower(
             name='server list',
             step=self._update_servers,
+            calls=calls,
             rng=random.Random(state.settings.vm),
         )
         self._lapsed = trio.Event()
@@ -48,7 +52,9 @@
 
     async def _update_servers(self, after):
         if after is None:
-            changes, position = await self._client.read_servers()
+            changes, position = await self._calls.call(
+                self._client.read_servers
+            )
             now_ms = self._note_answer()
             if self._follower.note_era(position.era):
                 self._state.directory.note_restore(now_ms)
@@ -56,7 +62,11 @@
             self._note_versions(now_ms)
             self._replace_servers(changes, position, now_ms)
         else:
-            changes, position = await self._client.watch_servers(after)
+            changes, position = await self._calls.call(
+                self._client.watch_servers,
+                after,
+                is_probe=self._calls.health.is_in_doubt,
+            )
             now_ms = self._note_answer()
             # An engine that was listed until now has served until now.
             self._note_versions(now_ms)
@@ -77,9 +87,9 @@
     def _note_answer(self):
         """Note an answer of the platform; return the time in milliseconds."""
         now_ms = _clock.read_clock_ms()
-        self._state.directory.note_outage_end(
-            self._follower.note_regained(), now_ms
-        )
+        if self._follower.note_regained():
+            outage = self._calls.health.outage
+            self._state.directory.note_outage_end(outage.length_ms, now_ms)
         return now_ms
 
     def _tell_departures(self, now_ms):
--- a/bluebellthread/entry/_service.py
+++ b/bluebellthread/entry/_service.py
@@ -25,6 +25,7 @@
 from bluebellthread.entry import _placement_client
 from bluebellthread.entry import _placement_task
 from bluebellthread.entry import _plain_path
+from bluebellthread.entry import _platform_calls
 from bluebellthread.entry import _platform_task
 from bluebellthread.entry import _role_task
 from bluebellthread.entry import _server_calls
@@ -152,14 +153,22 @@
         )
 
     def _make_tasks(self, dialect):
-        self._configuration = _configuration_task.ConfigurationTask(
-            client=self._platform_client, state=self.state, links=self._links
-        )
-        self._configuration.register(self._mailboxes)
         self._news = _news_task.NewsTask(
             state=self.state, links=self._news_links
         )
         self._news.register(self._mailboxes)
+        calls = _platform_calls.PlatformCalls(
+            vm=self.state.settings.vm,
+            news=self._news,
+            rng=random.Random(self._incarnation),
+        )
+        self._configuration = _configuration_task.ConfigurationTask(
+            client=self._platform_client,
+            calls=calls,
+            state=self.state,
+            links=self._links,
+        )
+        self._configuration.register(self._mailboxes)
         self.shut_outs = _shut_outs.ShutOuts(state=self.state, news=self._news)
         self.shut_outs.register(self._mailboxes)
         self._tokens = _token_task.TokenTask(
@@ -179,6 +188,7 @@
         )
         self._platform = _platform_task.PlatformTask(
             client=self._platform_client,
+            calls=calls,
             state=self.state,
             tell=self._news.tell_departures,
         )
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -438,6 +438,12 @@
     'VM {owner}, which grants the tokens of {account}, is not reached: '
     '{error}; this VM uses its share',
 )
+PLATFORM_BACK = Event(
+    7063,
+    'INFO',
+    'the platform answers again by the word of {source}, after {away_ms} ms '
+    'at the most; {count} calls that may be lost are made again',
+)
 
 
 def list_events():
--- a/bluebellthread/platform/_store_client.py
+++ b/bluebellthread/platform/_store_client.py
@@ -33,6 +33,9 @@
 """The same for the configuration. Only a few VMs watch it, and each answer
 tells the others that it is being watched."""
 
+PROBE_WATCH_MS = 200
+"""The same while the store is in doubt, when a call is likely to be lost."""
+
 WATCH_MARGIN_S = 1.5
 """Time allowed for the answer to begin after the wait of a watch, as for a
 read."""
@@ -136,9 +139,14 @@
             _position_of(answer),
         )
 
-    async def watch_table(self, after):
+    async def watch_table(self, after, *, is_probe=False):
         """Return the configuration's changes since a position.
 
+        Parameters
+        ----------
+        is_probe : bool
+            Whether to wait for a moment only, as the platform may be away.
+
         Returns
         -------
         (list of TableChange, Position)
@@ -151,7 +159,10 @@
         """
         transfer = Transfer.start()
         events, position = await self._watch(
-            _decoding.CONFIGURATION_KEY, after, transfer, TABLE_WATCH_MS
+            _decoding.CONFIGURATION_KEY,
+            after,
+            transfer,
+            PROBE_WATCH_MS if is_probe else TABLE_WATCH_MS,
         )
         changes = [
             _to_table_change(event, transfer)
@@ -195,9 +206,14 @@
                 return changes, first
             after = items[-1]['key']
 
-    async def watch_servers(self, after):
+    async def watch_servers(self, after, *, is_probe=False):
         """Return the changes of servers since a position.
 
+        Parameters
+        ----------
+        is_probe : bool
+            As in `watch_table`.
+
         Returns
         -------
         (list of ServerChange, Position)
@@ -209,11 +225,14 @@
             If the store lacks these changes, or was restored from a copy.
         """
         events, position = await self._watch(
-            _decoding.SERVERS_PREFIX, after, Transfer.start()
+            _decoding.SERVERS_PREFIX,
+            after,
+            Transfer.start(),
+            PROBE_WATCH_MS if is_probe else WATCH_MS,
         )
         return [_to_server_change(event) for event in events], position
 
-    async def _watch(self, prefix, after, transfer, wait_ms=WATCH_MS):
+    async def _watch(self, prefix, after, transfer, wait_ms):
         query = {
             'prefix': prefix,
             'after': after.revision,
@@ -279,7 +298,9 @@
         ) as error:
             raise PlatformUnavailableError(
                 f'{error!r} {transfer.measure_ms()} ms after the call, '
-                f'{transfer.size_bytes} bytes received'
+                f'{transfer.size_bytes} bytes received',
+                is_silent=isinstance(error, trio.TooSlowError)
+                and not transfer.size_bytes,
             ) from error
         transfer.note_end()
         if response.status == HISTORY_LOST_STATUS:
--- a/bluebellthread/wire/_codec.py
+++ b/bluebellthread/wire/_codec.py
@@ -1,6 +1,7 @@
 """Conversion between attrs messages and thrift bytes.
 
-Deadlines are sent as remaining milliseconds, since each VM has its own clock.
+Deadlines and other times of a VM's clock are sent as milliseconds from now on,
+since each VM has its own clock.
 """
 
 import functools
@@ -16,7 +17,7 @@
 from bluebellthread.core import _errors
 
 IDL_PATH = pathlib.Path(__file__).with_name('peer.thrift')
-DEADLINE_SUFFIX = '_deadline_ms'
+TIME_SUFFIXES = ('_deadline_ms', '_clock_ms')
 
 _idl = thriftpy2.load(str(IDL_PATH), module_name='bluebellthread_peer_thrift')
 _write_factory = protocol.TBinaryProtocolFactory()
@@ -164,7 +165,7 @@
 
 def _make_field_converter(field):
     name = field.name
-    if name.endswith(DEADLINE_SUFFIX) or name == 'deadline_ms':
+    if name.endswith(TIME_SUFFIXES) or name == 'deadline_ms':
         return _FieldConverter(
             name=name,
             pack=lambda value, now_ms: value - now_ms,
--- a/bluebellthread/wire/peer.thrift
+++ b/bluebellthread/wire/peer.thrift
@@ -373,12 +373,20 @@
   2: i64 wait_ms,
 }
 
+struct Outage {
+  1: i64 start_clock_ms,
+  2: i64 end_clock_ms,
+  3: string vm,
+  4: i64 number,
+}
+
 struct News {
   1: list<Departure> departures,
   2: list<EngineEnded> ends,
   3: list<PartSurvived> survivals,
   4: list<ShutOut> shut_outs,
   5: list<ServerLimit> limits,
+  6: list<Outage> outages,
 }
 
 struct NewsNoted {
--- a/tests/unit/_shared_link.py
+++ b/tests/unit/_shared_link.py
@@ -1,5 +1,6 @@
 """VMs of one region that read a store over one link, in simulated time."""
 
+import random
 import unittest.mock
 
 import attrs
@@ -11,6 +12,8 @@
 from bluebellthread.daemon import _mailboxes
 from bluebellthread.daemon import _peers
 from bluebellthread.entry import _configuration_task
+from bluebellthread.entry import _news_task
+from bluebellthread.entry import _platform_calls
 from bluebellthread.entry import _platform_task
 from bluebellthread.entry import _state
 from bluebellthread.entry import EntrySettings
@@ -257,13 +260,22 @@
             client = platform.StoreClient(
                 host='store', port=1, network_backend=backend
             )
+            calls = _platform_calls.PlatformCalls(
+                vm=vm.state.settings.vm,
+                news=_news_task.NewsTask(state=vm.state, links=None),
+                rng=random.Random(1),
+            )
             configuration = _configuration_task.ConfigurationTask(
                 client=client,
+                calls=calls,
                 state=vm.state,
                 links=_PeerLinks(vm, by_name),
             )
             servers = _platform_task.PlatformTask(
-                client=client, state=vm.state, tell=lambda departures: None
+                client=client,
+                calls=calls,
+                state=vm.state,
+                tell=lambda departures: None,
             )
             if not vm.is_deaf:
                 configuration.register(vm.mailboxes)
--- a/tests/unit/test_news_task.py
+++ b/tests/unit/test_news_task.py
@@ -10,6 +10,7 @@
 from bluebellthread.core import routing
 from bluebellthread.daemon import _peers
 from bluebellthread.entry import _news_task
+from bluebellthread.entry import _platform_calls
 from bluebellthread.entry import _server_limits
 from bluebellthread.entry import _shut_outs
 from bluebellthread import wire
@@ -69,7 +70,7 @@
     deadlines_ms = {
         field.name: getattr(item, field.name) + delay_ms
         for field in attrs.fields(type(item))
-        if field.name.endswith('_deadline_ms')
+        if field.name.endswith(('_deadline_ms', '_clock_ms'))
     }
     return attrs.evolve(item, **deadlines_ms)
 
@@ -109,6 +110,9 @@
         keep_deadline_ms=10**12,
     ),
     'limits': make_limit(keep_deadline_ms=10**12),
+    'outages': core.Outage(
+        start_clock_ms=1, end_clock_ms=2, vm='vm3', number=2
+    ),
 }
 
 
@@ -125,6 +129,7 @@
         _server_limits.ServerLimits(
             state=state, news=news, tokens=None, stats=None, limit_header=b''
         )
+        _platform_calls.PlatformCalls(vm='vm1', news=news, rng=None)
         return news._topics
 
     def test_news_of_each_kind_is_passed_on_once(self):
