Count the return of lapsed entries from the platform's own return

Callers' requests reached a server up to 2.9 s after its entry was removed, since VMs that read the removal late kept it for 2 s as if its lease had expired while the platform was away.

Cause: the 2 s in which such entries come back were counted from the VM's own first read after the outage. They are now counted from the platform's return, as any call or any other VM saw it, and the length of the outage from the last answer to anybody. A removal that is read later than that is final at once.

61 tests of the directory, departures and platform pass, two of them new.

--- a/bluebellthread/core/routing/_directory.py
+++ b/bluebellthread/core/routing/_directory.py
@@ -73,6 +73,8 @@
     A removal during normal operation of the platform means that the server
     has stopped. An entry that is missing just after an outage may only have
     an expired lease, so it is kept until `LAPSE_RETURN_MS` after the outage.
+    That is counted from the platform's return, not from this VM's first read
+    after it, which may be late.
 
     A platform that is restored from a copy lists entries as they were before
     its latest changes. An entry that the copy lacks is kept like a lapsed
@@ -98,7 +100,8 @@
     def __init__(self):
         self._servers = {}
         self._lapsed_deadlines_ms = {}
-        self._returned_ms = None
+        self._outage_end_ms = None
+        self._restored_ms = None
         self._departures = {}
         self._hold_deadline_ms = None
         self._barred = {}
@@ -228,17 +231,17 @@
 
     # Changes
 
-    def note_outage_end(self, silent_ms, now_ms):
-        """Record the end of a platform outage that lasted ``silent_ms``."""
-        if silent_ms >= LAPSE_OUTAGE_MS:
-            self._returned_ms = now_ms
+    def note_outage(self, outage):
+        """Record the last `Outage` of the platform; it may be corrected."""
+        if outage.length_ms >= LAPSE_OUTAGE_MS:
+            self._outage_end_ms = outage.end_clock_ms
 
     def note_restore(self, now_ms):
         """Record that the platform was restored from a copy.
 
         The complete list that is read next may be some seconds old.
         """
-        self._returned_ms = now_ms
+        self._restored_ms = now_ms
         self._hold_deadline_ms = now_ms + RESTORE_HOLD_MS
         self._lapsed_deadlines_ms = dict.fromkeys(
             self._lapsed_deadlines_ms, now_ms + LAPSE_RETURN_MS
@@ -303,7 +306,7 @@
         if server is None:
             return
         if self._may_have_lapsed(now_ms):
-            deadline_ms = self._returned_ms + LAPSE_RETURN_MS
+            deadline_ms = self._find_returned_ms() + LAPSE_RETURN_MS
             self._lapsed_deadlines_ms.setdefault(name, deadline_ms)
             return
         self._drop(name)
@@ -362,11 +365,19 @@
         return released
 
     def _may_have_lapsed(self, now_ms):
-        returned_ms = self._returned_ms
+        returned_ms = self._find_returned_ms()
         return (
             returned_ms is not None and now_ms < returned_ms + LAPSE_RETURN_MS
         )
 
+    def _find_returned_ms(self):
+        """Return when the platform came back last; None if never."""
+        times_ms = (self._outage_end_ms, self._restored_ms)
+        return max(
+            (time_ms for time_ms in times_ms if time_ms is not None),
+            default=None,
+        )
+
     def _drop(self, name):
         self._lapsed_deadlines_ms.pop(name, None)
         self._positions.pop(name, None)
--- a/bluebellthread/entry/_platform_task.py
+++ b/bluebellthread/entry/_platform_task.py
@@ -87,9 +87,10 @@
     def _note_answer(self):
         """Note an answer of the platform; return the time in milliseconds."""
         now_ms = _clock.read_clock_ms()
-        if self._follower.note_regained():
-            outage = self._calls.health.outage
-            self._state.directory.note_outage_end(outage.length_ms, now_ms)
+        self._follower.note_regained()
+        outage = self._calls.health.outage
+        if outage is not None:
+            self._state.directory.note_outage(outage)
         return now_ms
 
     def _tell_departures(self, now_ms):
--- a/tests/unit/test_departures.py
+++ b/tests/unit/test_departures.py
@@ -3,6 +3,7 @@
 
 import attrs
 
+from bluebellthread import core
 from bluebellthread.core import routing
 from bluebellthread.core.routing import _departures
 from bluebellthread.core.routing import _directory
@@ -30,6 +31,10 @@
     )
 
 
+def make_outage(length_ms, end_ms):
+    return core.Outage(start_clock_ms=end_ms - length_ms, end_clock_ms=end_ms)
+
+
 class TestHeardDepartures(unittest.TestCase):
     def setUp(self):
         self.directory = routing.ServerDirectory()
@@ -105,7 +110,9 @@
 
     def test_lapsed_entry_is_not_told_before_it_counts_as_gone(self):
         self.directory.put(make_server('a'), position=at(10))
-        self.directory.note_outage_end(_directory.LAPSE_OUTAGE_MS, 1000)
+        self.directory.note_outage(
+            make_outage(_directory.LAPSE_OUTAGE_MS, 1000)
+        )
         self.directory.remove('a', 1000, position=at(20))
         self.assertEqual([], self.directory.take_news(1000))
         self.directory.expire(1000 + _directory.LAPSE_RETURN_MS)
--- a/tests/unit/test_server_directory.py
+++ b/tests/unit/test_server_directory.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from bluebellthread import core
 from bluebellthread.core import routing
 from bluebellthread.core.routing import _directory
 
@@ -21,6 +22,10 @@
     return [server.name for server in directory.usable('s')]
 
 
+def make_outage(length_ms, end_ms):
+    return core.Outage(start_clock_ms=end_ms - length_ms, end_clock_ms=end_ms)
+
+
 class TestDirectory(unittest.TestCase):
     def setUp(self):
         self.directory = routing.ServerDirectory()
@@ -37,7 +42,9 @@
 
     def test_entry_missing_after_an_outage_is_kept_for_a_while(self):
         self.directory.put(make_server('a'))
-        self.directory.note_outage_end(_directory.LAPSE_OUTAGE_MS, 10000)
+        self.directory.note_outage(
+            make_outage(_directory.LAPSE_OUTAGE_MS, 10000)
+        )
         self.directory.replace([], 10000)
         self.assertEqual(['a'], names(self.directory))
         end_ms = 10000 + _directory.LAPSE_RETURN_MS
@@ -47,15 +54,43 @@
 
     def test_entry_listed_again_after_an_outage_is_kept(self):
         self.directory.put(make_server('a'))
-        self.directory.note_outage_end(_directory.LAPSE_OUTAGE_MS, 10000)
+        self.directory.note_outage(
+            make_outage(_directory.LAPSE_OUTAGE_MS, 10000)
+        )
         self.directory.remove('a', 10100)
         self.directory.put(make_server('a'))
         self.assertEqual([], self.directory.expire(99999))
         self.assertEqual(['a'], names(self.directory))
 
+    # Guards against a departure that is taken for a lapse because this VM
+    # reads the list long after the platform's return.
+    def test_removal_read_late_after_an_outage_is_final(self):
+        self.directory.put(make_server('a'))
+        self.directory.note_outage(
+            make_outage(_directory.LAPSE_OUTAGE_MS, 10000)
+        )
+        self.directory.remove('a', 10000 + _directory.LAPSE_RETURN_MS)
+        self.assertEqual([], names(self.directory))
+
+    def test_entry_is_kept_from_the_return_that_others_saw_on(self):
+        self.directory.put(make_server('a'))
+        self.directory.note_outage(
+            make_outage(_directory.LAPSE_OUTAGE_MS + 900, 10900)
+        )
+        self.directory.note_outage(
+            make_outage(_directory.LAPSE_OUTAGE_MS, 10000)
+        )
+        self.directory.remove('a', 11000)
+        self.assertEqual(
+            ['a'],
+            self.directory.expire(10000 + _directory.LAPSE_RETURN_MS),
+        )
+
     def test_removal_after_a_short_outage_is_final(self):
         self.directory.put(make_server('a'))
-        self.directory.note_outage_end(_directory.LAPSE_OUTAGE_MS - 1, 10000)
+        self.directory.note_outage(
+            make_outage(_directory.LAPSE_OUTAGE_MS - 1, 10000)
+        )
         self.directory.remove('a', 10000)
         self.assertEqual([], names(self.directory))
 
@@ -229,7 +264,9 @@
 
     def test_restore_extends_the_time_for_entries_that_lapsed(self):
         self.directory.put(make_server('a'))
-        self.directory.note_outage_end(_directory.LAPSE_OUTAGE_MS, 4000)
+        self.directory.note_outage(
+            make_outage(_directory.LAPSE_OUTAGE_MS, 4000)
+        )
         self.directory.replace([], 4000)
         self.restore([], 5000)
         end_ms = 5000 + _directory.LAPSE_RETURN_MS
