Show that a server's own word that it leaves is not read

Callers' requests go on reaching a server that says in each answer that it leaves, for as long as the platform turns the VMs away. The word of another server at the address is ignored already. The stand-in servers learn the header.

--- a/standin/site/_backend.py
+++ b/standin/site/_backend.py
@@ -12,6 +12,7 @@
 ATTEMPT = 'x-request-attempt-id'
 SEAL = 'x-server-seal'
 LIMIT = 'server-limit'
+LEAVING = 'server-leaving'
 
 
 @attrs.define(kw_only=True)
@@ -39,6 +40,8 @@
     limit : str
         Requests a second that each answer names as the most that the server
         takes from all VMs together; empty if it is not in need.
+    is_leaving : bool
+        Whether each answer says that the server leaves.
     deadly_calls : set of (str, bytes)
         Targets and bodies of calls that end the process when it begins to run
         them.
@@ -66,6 +69,7 @@
     content_type: str = ''
     endings: list = attrs.field(factory=list)
     limit: str = ''
+    is_leaving: bool = False
     deadly_calls: set = attrs.field(factory=set)
     restart_s: float = 0.3
     incarnation: int = 1
@@ -135,13 +139,18 @@
     async def _handle(self, request):
         self.arrivals.append(request)
         if request.headers.get('x-expect-instance') != self.name:
-            await request.answer(421, headers=[('x-not-executed', '1')])
+            await self.refuse(request, 421)
             return
         if self.script:
             await self.script.pop(0)(request)
             return
         await self.run(request)
 
+    async def refuse(self, request, status=503):
+        """Refuse a call, which has not run."""
+        headers = [('x-not-executed', '1'), *self.leaving_headers()]
+        await request.answer(status, headers=headers)
+
     async def run(self, request):
         """Record a call and answer it."""
         self.runs.append(request)
@@ -164,8 +173,13 @@
             (SEAL, f'seal-of-{self.name}'),
             ('x-instance-load', f'1,0,{self.slots}'),
             *self.limit_headers(),
+            *self.leaving_headers(),
         ]
 
+    def leaving_headers(self):
+        """Return the header that says that the server leaves, if it does."""
+        return [(LEAVING, '1')] if self.is_leaving else []
+
     def limit_headers(self):
         """Return the header that names the server's limit, if it has one."""
         return [(LIMIT, self.limit)] if self.limit else []
@@ -252,23 +266,23 @@
         """Handle a call: free a handle, apply an order, prefill or stream."""
         if request.method == 'DELETE':
             self.freed.append(request.path.rpartition('/')[2])
-            await request.answer(200)
+            await request.answer(200, headers=self.leaving_headers())
         elif request.path == '/-/order':
             order = json.loads(request.body)
             self.orders.append(order)
             self.stage = order['stage']
-            await request.answer(202)
+            await request.answer(202, headers=self.leaving_headers())
         elif request.headers.get('x-serving-stage') == 'prefill':
             await self._prefill(request)
         elif self.rejects_kv_source and 'x-kv-source' in request.headers:
-            await request.answer(503, headers=[('x-not-executed', '1')])
+            await self.refuse(request)
         else:
             self.runs.append(request)
             await self._stream(request)
 
     async def _prefill(self, request):
         if self.stage != 'prefill':
-            await request.answer(421, headers=[('x-not-executed', '1')])
+            await self.refuse(request, 421)
             return
         self.prefills.append(request)
         handle = f'{self.name}-{next(self._numbers)}'
@@ -279,6 +293,7 @@
             [
                 (ATTEMPT, request.headers.get(ATTEMPT, '')),
                 *self.limit_headers(),
+                *self.leaving_headers(),
             ],
             ending=self.prefill_endings.pop(0)
             if self.prefill_endings
