Take a server's own word that it leaves

Callers' requests went on reaching a server that said in each answer that it leaves, while the platform turned the VMs away.

Cause: only the platform's list told who leaves. The header is now read from every answer of a server: heads of streams, prefills, refusals, and the router's own calls, but not from one of another server at its address. The server's process counts as drained from then on, and other VMs are told as of any departure; a new process of it is used.

--- a/bluebellthread/core/routing/_directory.py
+++ b/bluebellthread/core/routing/_directory.py
@@ -177,6 +177,27 @@
         self._invalidate_index()
         return True
 
+    def note_leaving(self, server, now_ms):
+        """Note that a server has said in an answer that it leaves.
+
+        Parameters
+        ----------
+        server : ListedServer
+            The entry by which it was called.
+
+        Returns
+        -------
+        Departure or None
+            What other VMs have to know; None if it is not news.
+        """
+        position = self._positions.get(server.name, self._position)
+        departure = _make_departure(
+            attrs.evolve(server, is_draining=True),
+            max(position, self._position),
+            now_ms,
+        )
+        return departure if self.hear_departure(departure, now_ms) else None
+
     def find_departure(self, name, now_ms):
         """Return the `Departure` of a server, or None if it may be used."""
         server = self._servers.get(name)
--- a/bluebellthread/entry/_dialect.py
+++ b/bluebellthread/entry/_dialect.py
@@ -40,6 +40,8 @@
         A server's load, sent with its answers.
     limit : bytes
         Requests a second that a server in need takes from all VMs together.
+    leaving : bytes
+        Whether a server states that it leaves.
     not_run : bytes
         Present if a server states that it did not run the request.
     resume_after : bytes
@@ -62,6 +64,8 @@
         Where a decode server fetches the KV cache of a prompt from.
     router_only : frozenset of bytes
         Headers that are never passed on from callers.
+    read_leaving : callable
+        Takes the text of `leaving`; returns whether the server leaves.
     read_load : callable
         Takes the text of `load`; returns the counts of running and waiting
         requests and of slots, or None.
@@ -90,6 +94,7 @@
     expected_server: bytes
     load: bytes
     limit: bytes
+    leaving: bytes
     not_run: bytes
     resume_after: bytes
     resumed_attempt: bytes
@@ -100,6 +105,7 @@
     stage_prefill: bytes
     cache_source: bytes
     router_only: frozenset
+    read_leaving: object
     read_load: object
     read_token_counts: object
     read_prompt_parts: object
--- a/bluebellthread/entry/_server_calls.py
+++ b/bluebellthread/entry/_server_calls.py
@@ -108,12 +108,15 @@
         Header names of the platform.
     limits : ServerLimits
         Admits requests to servers that name limits.
+    note_leaving : callable
+        Takes a server that says that it leaves.
     """
 
-    def __init__(self, *, connections, dialect, limits):
+    def __init__(self, *, connections, dialect, limits, note_leaving):
         self._connections = connections
         self._dialect = dialect
         self._limits = limits
+        self._note_leaving = note_leaving
 
     async def admit(self, server):
         """Return the `Admission` of one request to a server.
@@ -188,7 +191,7 @@
                 self._make_headers(server, request, deadline_ms, extra),
                 request.body,
             )
-            self._observe_limit(server, head, sent_ms)
+            self._observe(server, head, sent_ms)
             call = OpenCall(head=head, exchange=exchange)
             await self._check_refusal(call)
         except _server_connection.AnswerBrokenError as error:
@@ -232,6 +235,8 @@
                 head = await exchange.open(
                     call.method, call.target, headers, call.body
                 )
+                if head.status != WRONG_SERVER_STATUS:
+                    self._observe_leaving(server, head)
                 await exchange.read_all()
                 return head.status
         except (
@@ -276,11 +281,18 @@
             headers.append((b'content-length', length))
         return headers
 
-    def _observe_limit(self, server, head, sent_ms):
-        if head.status != WRONG_SERVER_STATUS:
-            self._limits.observe(
-                server, head, sent_ms, is_refusal=self._is_refusal(head)
-            )
+    def _observe(self, server, head, sent_ms):
+        """Note what an answer says of its server, and of no other one."""
+        if head.status == WRONG_SERVER_STATUS:
+            return
+        self._limits.observe(
+            server, head, sent_ms, is_refusal=self._is_refusal(head)
+        )
+        self._observe_leaving(server, head)
+
+    def _observe_leaving(self, server, head):
+        if self._dialect.read_leaving(head.header(self._dialect.leaving)):
+            self._note_leaving(server)
 
     def _is_refusal(self, head):
         return bool(head.header(self._dialect.not_run))
--- a/bluebellthread/entry/_service.py
+++ b/bluebellthread/entry/_service.py
@@ -211,6 +211,14 @@
         self.stats.count_engine_end()
         self.shut_outs.note_end(report)
 
+    def _note_leaving(self, server):
+        departure = self.state.directory.note_leaving(
+            server, _clock.read_clock_ms()
+        )
+        if departure is not None:
+            emit(events.SERVER_SAID_LEAVING, server=server.name)
+            self._news.tell_departures([departure])
+
     def _make_gateway(self, dialect):
         settings = self._settings
         budgets = _budgets.RetryBudgets(self.state)
@@ -218,6 +226,7 @@
             connections=self._connections,
             dialect=dialect,
             limits=self.server_limits,
+            note_leaving=self._note_leaving,
         )
         self._roles = _role_task.RoleTask(
             state=self.state, caller=caller, dialect=dialect
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -444,6 +444,11 @@
     'the platform answers again by the word of {source}, after {away_ms} ms '
     'at the most; {count} calls that may be lost are made again',
 )
+SERVER_SAID_LEAVING = Event(
+    7064,
+    'INFO',
+    'backend server {server} says in its answers that it leaves',
+)
 
 
 def list_events():
--- a/bluebellthread/platform/_dialect.py
+++ b/bluebellthread/platform/_dialect.py
@@ -36,6 +36,17 @@
 orders, at the first start of the system only."""
 
 
+def read_leaving(text):
+    """Return whether a server says that it leaves.
+
+    Examples
+    --------
+    >>> read_leaving('1'), read_leaving('')
+    (True, False)
+    """
+    return text.strip() == '1'
+
+
 def read_load(text):
     """Parse a load report into running and waiting requests and slots.
 
@@ -138,6 +149,7 @@
         expected_server=b'x-expect-instance',
         load=b'x-instance-load',
         limit=b'server-limit',
+        leaving=b'server-leaving',
         not_run=b'x-not-executed',
         resume_after=b'last-event-id',
         resumed_attempt=b'resumes',
@@ -148,6 +160,7 @@
         stage_prefill=b'prefill',
         cache_source=b'x-kv-source',
         router_only=ROUTER_ONLY,
+        read_leaving=read_leaving,
         read_load=read_load,
         read_token_counts=read_token_counts,
         read_prompt_parts=read_prompt_parts,
--- a/tests/integration/test_entry_server_limits.py
+++ b/tests/integration/test_entry_server_limits.py
@@ -342,6 +342,7 @@
                 connections=_server_connection.ServerConnections(),
                 dialect=platform.make_dialect(),
                 limits=site.entry.server_limits,
+                note_leaving=lambda server: None,
             )
             arrived_count = len(site.servers['s1'].arrivals)
             with self.assertRaises(_server_calls.ServerLimitedError):
