Show that servers get requests within the time of their Retry-After

Servers that refuse with 503 and name 600 s get the next request at once if all of them do so; callers are refused only after the servers have been asked again. The stand-in servers learn the header.

--- a/standin/site/_backend.py
+++ b/standin/site/_backend.py
@@ -40,6 +40,8 @@
     limit : str
         Requests a second that each answer names as the most that the server
         takes from all VMs together; empty if it is not in need.
+    retry_after : str
+        With this header each call is refused; empty if calls are taken.
     is_leaving : bool
         Whether each answer says that the server leaves.
     deadly_calls : set of (str, bytes)
@@ -69,6 +71,7 @@
     content_type: str = ''
     endings: list = attrs.field(factory=list)
     limit: str = ''
+    retry_after: str = ''
     is_leaving: bool = False
     deadly_calls: set = attrs.field(factory=set)
     restart_s: float = 0.3
@@ -141,6 +144,9 @@
         if request.headers.get('x-expect-instance') != self.name:
             await self.refuse(request, 421)
             return
+        if self.retry_after:
+            await self.refuse(request)
+            return
         if self.script:
             await self.script.pop(0)(request)
             return
@@ -149,6 +155,8 @@
     async def refuse(self, request, status=503):
         """Refuse a call, which has not run."""
         headers = [('x-not-executed', '1'), *self.leaving_headers()]
+        if self.retry_after:
+            headers.append(('retry-after', self.retry_after))
         await request.answer(status, headers=headers)
 
     async def run(self, request):
