Spare a server for the time that it names when it refuses

Servers that refused a request with 503 and Retry-After got requests from the same VM within that time, once the back-off of a failure was over, or at once where all servers did so; callers waited for refusals that were known.

Cause: the header was not read. The time is now kept by VM and process of the server, for plain and at-most-once calls, prefills and streams: such a server is not chosen, the owner is asked to avoid it, a grant of it is not used, and if no other is left the caller is refused at once with the shortest time left.

--- a/bluebellthread/core/routing/__init__.py
+++ b/bluebellthread/core/routing/__init__.py
@@ -62,6 +62,7 @@
 from bluebellthread.core.routing._server_limits import effective_rate_per_s
 from bluebellthread.core.routing._server_limits import LIMIT_KEEP_MS
 from bluebellthread.core.routing._server_limits import ServerLimits
+from bluebellthread.core.routing._server_pauses import ServerPauses
 from bluebellthread.core.routing._stream_origins import ORIGIN_MESSAGES
 from bluebellthread.core.routing._stream_origins import OriginAnswer
 from bluebellthread.core.routing._stream_origins import OriginAsk
@@ -129,6 +130,7 @@
     'ServerDirectory',
     'ServerLimit',
     'ServerLimits',
+    'ServerPauses',
     'ServiceShare',
     'ServiceTraits',
     'ShutOut',
--- a/bluebellthread/entry/_dialect.py
+++ b/bluebellthread/entry/_dialect.py
@@ -40,6 +40,8 @@
         A server's load, sent with its answers.
     limit : bytes
         Requests a second that a server in need takes from all VMs together.
+    retry_after : bytes
+        Seconds in which a server that refuses wants no request of this VM.
     leaving : bytes
         Whether a server states that it leaves.
     not_run : bytes
@@ -94,6 +96,7 @@
     expected_server: bytes
     load: bytes
     limit: bytes
+    retry_after: bytes
     leaving: bytes
     not_run: bytes
     resume_after: bytes
--- a/bluebellthread/entry/_server_calls.py
+++ b/bluebellthread/entry/_server_calls.py
@@ -72,7 +72,7 @@
         self.server = server
         self.retry_after_ms = retry_after_ms
         super().__init__(
-            'the server takes no further request by the limit that it names',
+            'the server takes no further request now, by its own word',
             may_have_run=False,
         )
 
@@ -128,6 +128,26 @@
         """
         return await self._limits.admit(server)
 
+    def check_pause(self, server):
+        """Raise if a server wants no request for some time.
+
+        Raises
+        ------
+        ServerLimitedError
+            If it has said so when it refused one.
+        """
+        self._limits.check_pause(server)
+
+    def find_pauses_ms(self, servers):
+        """Return how long servers want no request, by name, if they do."""
+        pauses_ms = {
+            server.name: self._limits.find_pause_ms(server)
+            for server in servers
+        }
+        return {
+            name: wait_ms for name, wait_ms in pauses_ms.items() if wait_ms
+        }
+
     async def connect(self, server, request, *, is_retryable):
         """Return an exchange with a server over an open connection.
 
--- a/bluebellthread/entry/_server_limits.py
+++ b/bluebellthread/entry/_server_limits.py
@@ -21,6 +21,7 @@
 TEXT_MAX = 100
 """Most characters of a malformed limit that are logged."""
 
+UNAVAILABLE_STATUS = 503
 QUEUE_LENGTH = 64
 LIMIT_PATTERN = re.compile(r'\d{1,15}(\.\d{0,15})?|\.\d{1,15}', re.ASCII)
 
@@ -60,15 +61,22 @@
         Counts the requests that are turned away.
     limit_header : bytes
         Header with which servers name their limits.
+    pause_header : bytes
+        Header with which a server that refuses names the seconds in which it
+        wants no request of this VM.
     """
 
-    def __init__(self, *, state, news, tokens, stats, limit_header):
+    def __init__(
+        self, *, state, news, tokens, stats, limit_header, pause_header
+    ):
         self._state = state
         self._news = news
         self._tokens = tokens
         self._stats = stats
         self._limit_header = limit_header
+        self._pause_header = pause_header
         self._limits = routing.ServerLimits()
+        self._pauses = routing.ServerPauses()
         self._usages = {}
         self._unreadable = {}
         self._inbox, self._receive = trio.open_memory_channel(QUEUE_LENGTH)
@@ -96,6 +104,7 @@
         while True:
             await trio.sleep(EXPIRE_PERIOD_S)
             now_ms = _clock.read_clock_ms()
+            self._pauses.expire(now_ms)
             self._limits.expire(now_ms, self._state.directory.names)
             known = {word.server for word in self._limits.list_words(now_ms)}
             for server in self._usages.keys() - known:
@@ -140,6 +149,8 @@
             Whether the server did not run the request. A full server may
             refuse before it knows more, so that such an answer ends no limit.
         """
+        if head.status == UNAVAILABLE_STATUS:
+            self._observe_pause(server, head)
         texts = [
             value.decode('latin-1')
             for name, value in head.headers
@@ -167,6 +178,17 @@
             self._log(news, self._state.settings.vm)
             self._news.tell('limits', [news])
 
+    def _observe_pause(self, server, head):
+        pause_s = read_limit(head.header(self._pause_header))
+        if pause_s:
+            pause_ms = math.ceil(pause_s * _clock.MS_PER_S)
+            emit(events.SERVER_PAUSED, server=server.name, pause_ms=pause_ms)
+            self._pauses.note(
+                server.name,
+                server.incarnation,
+                _clock.read_clock_ms() + pause_ms,
+            )
+
     def _log_unreadable(self, server, text):
         if self._unreadable.get(server.name) != text:
             self._unreadable[server.name] = text
@@ -208,10 +230,32 @@
 
     def find_wait_ms(self, server):
         """Return how long a server takes no request of this VM, 0 if none."""
+        pause_ms = self.find_pause_ms(server)
         usage = self._usages.get(server.name)
         if usage is None or self._find(server) is None:
-            return 0
-        return max(0, usage.closed_until_ms - _clock.read_clock_ms())
+            return pause_ms
+        return max(pause_ms, usage.closed_until_ms - _clock.read_clock_ms())
+
+    def find_pause_ms(self, server):
+        """Return how long a server wants no request, by its own refusal."""
+        return self._pauses.find_wait_ms(
+            server.name, server.incarnation, _clock.read_clock_ms()
+        )
+
+    def check_pause(self, server):
+        """Raise if a server wants no request of this VM for some time.
+
+        Raises
+        ------
+        ServerLimitedError
+            If it has said so when it refused one.
+        """
+        pause_ms = self.find_pause_ms(server)
+        if pause_ms:
+            self.note_turned_away(server)
+            raise _server_calls.ServerLimitedError(
+                server.name, retry_after_ms=pause_ms
+            )
 
     async def admit(self, server):
         """Return the `Admission` of one request to a server.
@@ -221,6 +265,7 @@
         ServerLimitedError
             If the server takes no further request now.
         """
+        self.check_pause(server)
         limit = self._find(server)
         if limit is None:
             return Admission(
--- a/bluebellthread/entry/_service.py
+++ b/bluebellthread/entry/_service.py
@@ -181,6 +181,7 @@
             tokens=self._tokens,
             stats=self.stats,
             limit_header=dialect.limit,
+            pause_header=dialect.retry_after,
         )
         self.server_limits.register(self._mailboxes)
         self._server_watch = _server_watch.ServerWatch(
--- a/bluebellthread/entry/_stream_path.py
+++ b/bluebellthread/entry/_stream_path.py
@@ -147,6 +147,9 @@
             except _stream_context.PromptShutOutError:
                 await self._end_shut_out()
                 return
+            except _server_calls.ServerLimitedError as error:
+                await self._end_failed('server-limit', error.retry_after_ms)
+                return
             except _placement_client.PlacementRefusedError as error:
                 self._log_refusal(error)
                 if self._may_ask_others(error):
@@ -249,7 +252,7 @@
         )
         placement = await self._placements.request_placement(
             placement_ask,
-            avoid=tuple(self._failed_servers),
+            avoid=(*self._failed_servers, *self._find_paused()),
             departures=self._review.departures,
             passed_over=frozenset(self._review.passed_over),
         )
@@ -272,6 +275,30 @@
         )
         return placement
 
+    def _find_paused(self):
+        """Return the engines that want no request for some time.
+
+        Raises
+        ------
+        ServerLimitedError
+            If no decode server is left.
+        """
+        begun_version = self._relay.begun_version
+        engines = self._state.directory.usable(self._work.service)
+        pauses_ms = self._caller.find_pauses_ms(engines)
+        open_count = sum(
+            server.role == 'decode'
+            and server.name not in pauses_ms
+            and begun_version in ('', server.software_version)
+            for server in engines
+        )
+        if pauses_ms and not open_count:
+            name = min(pauses_ms, key=pauses_ms.get)
+            raise _server_calls.ServerLimitedError(
+                name, retry_after_ms=pauses_ms[name]
+            )
+        return tuple(pauses_ms)
+
     def _find_version(self, name):
         server = self._state.directory.find(name)
         return server.software_version if server is not None else ''
@@ -377,12 +404,13 @@
         ):
             if not name:
                 continue
+            server = self._find_server(name, role)
+            self._caller.check_pause(server)
             if name in placement.token_servers:
                 admissions[name] = _server_limits.Admission(
                     deadline_ms=placement.token_deadline_ms
                 )
                 continue
-            server = self._find_server(name, role)
             admissions[name] = await self._caller.admit(server)
         return admissions
 
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -449,6 +449,12 @@
     'INFO',
     'backend server {server} says in its answers that it leaves',
 )
+SERVER_PAUSED = Event(
+    7065,
+    'INFO',
+    'backend server {server} has refused a request and wants none of this VM '
+    'for {pause_ms} ms',
+)
 
 
 def list_events():
--- a/bluebellthread/platform/_dialect.py
+++ b/bluebellthread/platform/_dialect.py
@@ -149,6 +149,7 @@
         expected_server=b'x-expect-instance',
         load=b'x-instance-load',
         limit=b'server-limit',
+        retry_after=b'retry-after',
         leaving=b'server-leaving',
         not_run=b'x-not-executed',
         resume_after=b'last-event-id',
--- a/tests/unit/test_news_task.py
+++ b/tests/unit/test_news_task.py
@@ -127,7 +127,12 @@
         news = _news_task.NewsTask(state=state, links=None)
         _shut_outs.ShutOuts(state=state, news=news)
         _server_limits.ServerLimits(
-            state=state, news=news, tokens=None, stats=None, limit_header=b''
+            state=state,
+            news=news,
+            tokens=None,
+            stats=None,
+            limit_header=b'',
+            pause_header=b'',
         )
         _platform_calls.PlatformCalls(vm='vm1', news=news, rng=None)
         return news._topics
