Show that versions are late while all chosen watchers are refused

VMs that the platform serves all the while answer 404 for routes of a version that only the chosen watchers read, while the platform refuses these: other VMs begin to watch after 8 s without news. The test, in simulated time, fails: none of 44 VMs has the version 2.5 s after it is published.

--- a/tests/unit/test_configuration_over_links.py
+++ b/tests/unit/test_configuration_over_links.py
@@ -11,6 +11,8 @@
 
 CONFIGURATION_MS = 4000
 """Time within which a published version must be in force on every VM."""
+SMALL_CONFIGURATION_MS = 2500
+"""The same for a small version, in the users' deployments."""
 REGION_MBPS = 30
 VM_MBPS = 5
 VM_COUNTS = {'bucuresti-a': 17, 'ploiesti-b': 13, 'pitesti-c': 14}
@@ -157,8 +159,32 @@
         region.store.put('op/config', make_configuration(1, route_count=10))
         return region
 
-    def test_versions_arrive_while_the_store_refuses_all_chosen_watchers(self):
+    # Guards against a 404 at VMs that the store serves all the while.
+    def test_versions_are_in_time_while_the_store_refuses_all_chosen(self):
         region = self.make_region()
+        behind = _shared_link.run_simulated(
+            functools.partial(self.publish_as_watchers_are_refused, region)
+        )
+        self.assertEqual([], behind)
+
+    async def publish_as_watchers_are_refused(self, region):
+        """Return the VMs that a small version reaches too late."""
+        async with trio.open_nursery() as nursery:
+            region.start(nursery)
+            await trio.sleep(START_S)
+            self.refuse_chosen(region)
+            # Watches that are open already would still be answered.
+            await trio.sleep(_store_client.TABLE_WATCH_MS / 1000 + 0.5)
+            region.store.put(
+                'op/config', make_configuration(2, route_count=11)
+            )
+            await trio.sleep(SMALL_CONFIGURATION_MS / 1000)
+            behind = region.list_behind(2)
+            nursery.cancel_scope.cancel()
+        return behind
+
+    def refuse_chosen(self, region):
+        """Have the store refuse the chosen watchers of all data centres."""
         for data_centre in VM_COUNTS:
             names = [
                 vm.name
@@ -168,6 +194,10 @@
             chosen = core.choose_watchers(data_centre, names)
             for vm in region.vms:
                 vm.is_refused = vm.is_refused or vm.name in chosen
+
+    def test_versions_arrive_while_the_store_refuses_all_chosen_watchers(self):
+        region = self.make_region()
+        self.refuse_chosen(region)
         behind = _shared_link.run_simulated(
             functools.partial(self.publish_once, region)
         )
