Have watchers that the platform refuses ask others to watch

Cause: a watcher that knew that it gets no answer told nobody. It now asks the VM two ranks behind it, at once and each second, with the request for a manifest that VMs send anyway; that one watches for 2.5 s after each request and asks the next if it is refused too, up to six VMs a data centre as before. Older builds ignore the new field.

--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -151,6 +151,7 @@
 from bluebellthread.core._revision_events import PeerAsked
 from bluebellthread.core._revision_events import PeerFailed
 from bluebellthread.core._revision_events import PlatformAnswered
+from bluebellthread.core._revision_events import PlatformFailed
 from bluebellthread.core._revision_events import PublishedInvalid
 from bluebellthread.core._revision_events import ReportConflict
 from bluebellthread.core._revision_events import ReportInvalid
@@ -330,6 +331,7 @@
     'PermitsRegistered',
     'PieceArrived',
     'PlatformAnswered',
+    'PlatformFailed',
     'PlatformHealth',
     'PlatformListed',
     'PoolKey',
--- a/bluebellthread/core/_configuration_messages.py
+++ b/bluebellthread/core/_configuration_messages.py
@@ -35,11 +35,15 @@
     revision, digest : int
         Number and digest of the revision that the sender has in force; 0
         if it has none.
+    asks_to_watch : bool
+        Whether the receiver has to watch the platform, since the sender should
+        but gets no answer.
     """
 
     vm: str
     revision: int
     digest: int
+    asks_to_watch: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/bluebellthread/core/_revision_events.py
+++ b/bluebellthread/core/_revision_events.py
@@ -43,6 +43,11 @@
     """Event: the platform has answered this VM, with or without a change."""
 
 
+@attrs.frozen
+class PlatformFailed:
+    """Event: the platform gave this VM no usable answer."""
+
+
 @attrs.frozen(kw_only=True)
 class PeerAsked:
     """Event: another VM has sent a message.
--- a/bluebellthread/core/_revisions.py
+++ b/bluebellthread/core/_revisions.py
@@ -95,6 +95,7 @@
             _scheduler_events.Tick: self._on_tick,
             events.RevisionPublished: self._on_published,
             events.PlatformAnswered: self._on_platform_answered,
+            events.PlatformFailed: self._on_platform_failed,
             events.PublishedInvalid: self._on_published_invalid,
             events.PeerAsked: self._on_peer_asked,
             events.PeerAnswered: self._on_peer_answered,
@@ -162,6 +163,17 @@
         self._duty.note_platform_answer(now_ms)
         return []
 
+    def _on_platform_failed(self, event, now_ms):
+        self._duty.note_platform_failed()
+        return self._hand_over_watch(now_ms)
+
+    def _hand_over_watch(self, now_ms):
+        """Ask another VM to watch if this one does and gets no answer."""
+        name = self._duty.take_handover(now_ms) if self.watching else None
+        if name is None:
+            return []
+        return [self.make_manifest_request(name, asks_to_watch=True)]
+
     def _on_tick(self, event, now_ms):
         commands = []
         self._duty.note_tick(now_ms)
@@ -181,6 +193,7 @@
             self._next_exchange_ms = now_ms + self._add_jitter(interval_ms)
             commands.extend(self._ask_partner())
             commands.extend(self._ask_unknown_builds())
+        commands.extend(self._hand_over_watch(now_ms))
         if self.watching and self._next_remote_ms <= now_ms:
             self._next_remote_ms = now_ms + self._add_jitter(
                 self._options.remote_interval_ms
@@ -199,19 +212,24 @@
         name = self._peers.next_remote_watcher()
         return [self.make_manifest_request(name)] if name else []
 
-    def make_manifest_request(self, name):
+    def make_manifest_request(self, name, *, asks_to_watch=False):
         """Return a command that requests a newer revision's manifest.
 
         Parameters
         ----------
         name : str
             The VM to ask.
+        asks_to_watch : bool
+            Whether it has to watch the platform.
         """
         revision, digest = self._key()
         return events.AskPeer(
             vm=name,
             message=messages.ManifestRequest(
-                vm=self._vm, revision=revision, digest=digest
+                vm=self._vm,
+                revision=revision,
+                digest=digest,
+                asks_to_watch=asks_to_watch,
             ),
         )
 
@@ -298,6 +316,9 @@
             return [events.AnswerPeer(token=event.token, message=answer)]
         commands = []
         if isinstance(message, messages.ManifestRequest):
+            if message.asks_to_watch and message.vm in self._peers.names:
+                self._duty.note_asked_to_watch(now_ms)
+                commands.extend(self._update_watching(now_ms))
             answer = self._answer_manifest(message, now_ms)
             commands.append(
                 events.AnswerPeer(token=event.token, message=answer)
--- a/bluebellthread/core/_watch_duty.py
+++ b/bluebellthread/core/_watch_duty.py
@@ -9,6 +9,12 @@
 """Longest time that a VM that has just started waits for its view to settle:
 three rounds of pings to the seeds."""
 
+HANDOVER_PERIOD_MS = 1000
+"""How often a VM that should watch but gets no answer asks a substitute."""
+
+HANDOVER_MS = 2500
+"""How long a substitute watches after it was asked: two lost messages."""
+
 UNANSWERED_SPREAD = 1.5
 """Upper end of the factor by which VMs that no peer answers wait longer, so
 that they do not all begin at once if the links are at fault."""
@@ -17,9 +23,10 @@
 class WatchDuty:
     """Tracks what tells one VM whether it has to watch the platform.
 
-    The chosen watchers of its data centre do. The longer there is no news
-    that chosen watchers read the platform, the more other VMs do, up to a
-    limit. A VM whose requests no peer answers always does.
+    The chosen watchers of its data centre do. One that gets no answer asks
+    the VM that is two ranks behind it to watch as well. The longer there is
+    no news that chosen watchers read the platform, the more other VMs do, up
+    to a limit. A VM whose requests no peer answers always does.
 
     Parameters
     ----------
@@ -36,6 +43,7 @@
         self._data_centre = data_centre
         self._options = options
         self._names = []
+        self._ranked = []
         self._rank = None
         self._view_wait_deadline_ms = None
         self._view_settled_ms = 0
@@ -43,6 +51,9 @@
         self._platform_heard_ms = None
         self._peer_heard_ms = 0
         self._last_tick_ms = None
+        self._is_failing = False
+        self._next_handover_ms = 0
+        self._asked_deadline_ms = 0
         self._unanswered_ms = options.platform_silence_ms
         if self._unanswered_ms:
             self._unanswered_ms *= rng.uniform(1, UNANSWERED_SPREAD)
@@ -54,7 +65,7 @@
             self._silence_start_ms = now_ms
         if names != self._names:
             self._names = names
-            ranked = _revision_topology.choose_watchers(
+            self._ranked = ranked = _revision_topology.choose_watchers(
                 self._data_centre, names, len(names)
             )
             self._rank = ranked.index(self._vm)
@@ -72,9 +83,27 @@
         This is news only from a chosen watcher. A substitute's reads would
         otherwise end the watch of all substitutes.
         """
+        self._is_failing = False
         if self._is_among_watchers():
             self._platform_heard_ms = now_ms
 
+    def note_platform_failed(self):
+        """Note that the platform gave this VM no usable answer."""
+        self._is_failing = True
+
+    def note_asked_to_watch(self, now_ms):
+        """Note that a VM that gets no answer asks this one to watch."""
+        self._asked_deadline_ms = now_ms + HANDOVER_MS
+
+    def take_handover(self, now_ms):
+        """Return the VM to ask to watch now, or None."""
+        if not self._is_failing or now_ms < self._next_handover_ms:
+            return None
+        self._next_handover_ms = now_ms + HANDOVER_PERIOD_MS
+        substitutes = self._ranked[: _revision_topology.SUBSTITUTES_MAX]
+        next_rank = self._rank + _revision_topology.WATCHERS
+        return substitutes[next_rank] if next_rank < len(substitutes) else None
+
     def note_peer_answer(self, platform_age_ms, now_ms):
         """Note a peer's answer, and its news of the platform if it has any."""
         self._peer_heard_ms = now_ms
@@ -106,7 +135,11 @@
             return True
         if not has_revision and self._is_view_settling(now_ms):
             return False
-        return self._is_among_watchers() or self._is_substitute(now_ms)
+        return (
+            self._is_among_watchers()
+            or now_ms < self._asked_deadline_ms
+            or self._is_substitute(now_ms)
+        )
 
     def _is_view_settling(self, now_ms):
         # VMs that start together would otherwise each be among the watchers
--- a/bluebellthread/daemon/_revision_exchange.py
+++ b/bluebellthread/daemon/_revision_exchange.py
@@ -202,6 +202,7 @@
     core.Tick,
     core.RevisionPublished,
     core.PlatformAnswered,
+    core.PlatformFailed,
     core.PublishedInvalid,
     core.PeerAnswered,
     core.PeerFailed,
--- a/bluebellthread/entry/_configuration_task.py
+++ b/bluebellthread/entry/_configuration_task.py
@@ -149,6 +149,13 @@
         )
 
     async def _update(self, after):
+        try:
+            return await self._read_changes(after)
+        except changes_module.PlatformUnavailableError:
+            await self._exchange.inbox.send(core.PlatformFailed())
+            raise
+
+    async def _read_changes(self, after):
         if after is None:
             change, position = await self._calls.call(self._client.read_table)
             changes = [change] if change is not None else []
--- a/bluebellthread/wire/peer.thrift
+++ b/bluebellthread/wire/peer.thrift
@@ -179,6 +179,7 @@
   1: string vm,
   2: i64 revision,
   3: i64 digest,
+  4: bool asks_to_watch,
 }
 
 struct ManifestAnswer {
