Show that a VM without a path to the servers serves nobody

Callers of a VM that can reach no server are refused or wait until they give up, though other VMs have paths. Paths are cut by VM where connections are opened.

--- a/tests/integration/_entry_fleet.py
+++ b/tests/integration/_entry_fleet.py
@@ -11,6 +11,7 @@
 from bluebellthread import platform
 from standin import site
 from tests.integration import _entry_site as sites
+from tests.integration import _server_cuts
 
 DATA_CENTRES = ('cluj-a', 'brasov-b', 'bucuresti-a')
 
@@ -49,7 +50,9 @@
             ),
         )
         scope = trio.CancelScope()
+        token = _server_cuts.current_vm.set(number)
         await self.nursery.start(self._run, entry, scope)
+        _server_cuts.current_vm.reset(token)
         self.vms[number] = _Vm(host, entry, scope)
 
     async def _run(self, entry, scope, *, task_status):
