Serve over other VMs while no path leads to the servers

Each VM served over its own paths only, and judged each server by itself.

If none is reached, the service counts as lost there: requests of all kinds, and the rest of streams under way, are handed on whole to another VM, at its own port, with their age and the version of the configuration. That VM serves them as of then, by its own budget, tokens and placements; it never hands them on again, refuses what it can't serve before anything has run, and takes 256 at a time. A request is offered to three VMs and then refused at once. Engines that a cut VM can't reach are not blamed, at the owner or as servers that ended.

--- a/bluebellthread/core/_model.py
+++ b/bluebellthread/core/_model.py
@@ -135,6 +135,8 @@
         TCP and UDP port for other VMs.
     caller_port : int
         HTTP port for callers.
+    relay_port : int
+        HTTP port for requests that other VMs hand on; 0 if there is none.
     state : str
         ``'alive'``, ``'suspect'``, ``'leaving'`` or ``'dead'``.
 
@@ -153,6 +155,7 @@
     caller_port: int
     incarnation: int = 0
     state: str = 'alive'
+    relay_port: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/bluebellthread/core/routing/__init__.py
+++ b/bluebellthread/core/routing/__init__.py
@@ -23,6 +23,7 @@
 from bluebellthread.core.routing._engine_account import EngineServer
 from bluebellthread.core.routing._grant_review import find_dispute
 from bluebellthread.core.routing._grant_review import GrantReview
+from bluebellthread.core.routing._helper_choice import HelperChoice
 from bluebellthread.core.routing._limit_messages import LIMIT_MESSAGES
 from bluebellthread.core.routing._limit_messages import LimitInForce
 from bluebellthread.core.routing._limit_messages import LimitsAnswer
@@ -62,6 +63,7 @@
 from bluebellthread.core.routing._server_limits import effective_rate_per_s
 from bluebellthread.core.routing._server_limits import LIMIT_KEEP_MS
 from bluebellthread.core.routing._server_limits import ServerLimits
+from bluebellthread.core.routing._server_paths import ServerPaths
 from bluebellthread.core.routing._server_pauses import ServerPauses
 from bluebellthread.core.routing._stream_origins import ORIGIN_MESSAGES
 from bluebellthread.core.routing._stream_origins import OriginAnswer
@@ -92,6 +94,7 @@
     'GrantReview',
     'EngineTraits',
     'HeldPlacement',
+    'HelperChoice',
     'KIND_IDEMPOTENT',
     'KIND_ONCE',
     'KIND_STREAM',
@@ -130,6 +133,7 @@
     'ServerDirectory',
     'ServerLimit',
     'ServerLimits',
+    'ServerPaths',
     'ServerPauses',
     'ServiceShare',
     'ServiceTraits',
--- /dev/null
+++ b/bluebellthread/core/routing/_helper_choice.py
@@ -0,0 +1,107 @@
+"""Choice of the VM that serves a request for one without a path."""
+
+import collections
+
+import attrs
+
+REFUSED_MS = 500
+"""How long a VM that has not taken a request for a service is passed over."""
+
+UNREACHED_MS = 1000
+"""The same for a VM that was not reached. By then the membership mostly
+knows whether it has ended."""
+
+DISTANCES = ('data_centre', 'region', 'remote')
+
+
+@attrs.frozen
+class _Key:
+    vm: str
+    service: str
+
+
+class HelperChoice:
+    """Choose VMs that serve for this one, the nearest and least busy first.
+
+    Parameters
+    ----------
+    vm, data_centre, region : str
+        Name and location of this VM.
+    rng : random.Random
+        Breaks ties, so that VMs in need don't all ask the same one.
+    """
+
+    def __init__(self, *, vm, data_centre, region, rng):
+        self._vm = vm
+        self._data_centre = data_centre
+        self._region = region
+        self._rng = rng
+        self._passed_over = {}
+        self._in_flight = collections.Counter()
+
+    def choose(self, members, service, now_ms, *, avoid=()):
+        """Return a VM to ask next, or None.
+
+        Parameters
+        ----------
+        members : iterable of Member
+            VMs that are alive.
+        avoid : collection of str
+            VMs that the request was sent to.
+        """
+        candidates = [
+            member
+            for member in members
+            if member.name != self._vm
+            and member.relay_port
+            and member.name not in avoid
+            and self._is_open(member.name, service, now_ms)
+        ]
+        return min(
+            candidates,
+            key=lambda member: (
+                self._measure_distance(member),
+                self._in_flight[member.name],
+                self._rng.random(),
+            ),
+            default=None,
+        )
+
+    def _is_open(self, vm, service, now_ms):
+        return all(
+            self._passed_over.get(_Key(vm, name), 0) <= now_ms
+            for name in (service, '')
+        )
+
+    def _measure_distance(self, member):
+        if member.data_centre == self._data_centre:
+            return DISTANCES.index('data_centre')
+        if member.region == self._region:
+            return DISTANCES.index('region')
+        return DISTANCES.index('remote')
+
+    def begin(self, vm):
+        """Count one more request of this VM at another."""
+        self._in_flight[vm] += 1
+
+    def end(self, vm):
+        """Count one request less."""
+        self._in_flight[vm] -= 1
+        if not self._in_flight[vm]:
+            del self._in_flight[vm]
+
+    def note_refused(self, vm, service, now_ms):
+        """Note that a VM has not taken a request for a service."""
+        self._pass_over(_Key(vm, service), now_ms + REFUSED_MS, now_ms)
+
+    def note_unreached(self, vm, now_ms):
+        """Note that a VM was not reached."""
+        self._pass_over(_Key(vm, ''), now_ms + UNREACHED_MS, now_ms)
+
+    def _pass_over(self, key, deadline_ms, now_ms):
+        self._passed_over = {
+            known: until_ms
+            for known, until_ms in self._passed_over.items()
+            if until_ms > now_ms
+        }
+        self._passed_over[key] = deadline_ms
--- a/bluebellthread/core/routing/_retry_budget.py
+++ b/bluebellthread/core/routing/_retry_budget.py
@@ -41,6 +41,11 @@
         """Count a request of a caller, which raises the budget."""
         self._requests_ms.append(now_ms)
 
+    def forget_request(self):
+        """Take back the latest request that was counted."""
+        if self._requests_ms:
+            self._requests_ms.pop()
+
     def spend(self, *, now_ms, vm_count, count=1):
         """Spend ``count`` retries if allowed; return whether they were."""
         horizon_ms = now_ms - self._window_ms
--- a/bluebellthread/entry/_budgets.py
+++ b/bluebellthread/entry/_budgets.py
@@ -26,6 +26,10 @@
         """Count a caller's request, which raises its service's budget."""
         self._budget_of(service).note_request(_clock.read_clock_ms())
 
+    def forget_request(self, service):
+        """Take back the latest request: another VM counts it."""
+        self._budget_of(service).forget_request()
+
     def spend(self, service, count=1):
         """Return whether ``count`` retries are allowed; if so, count them."""
         return self._budget_of(service).spend(
--- a/bluebellthread/entry/_gateway.py
+++ b/bluebellthread/entry/_gateway.py
@@ -5,12 +5,18 @@
 import trio
 
 from bluebellthread.core import routing
+from bluebellthread.entry import _http_messages
 from bluebellthread.entry import _refusals
 from bluebellthread.entry import _work
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
 
 
+TAKEN_MAX = 256
+"""Requests of other VMs that a VM serves at a time: with 16 KB each they take
+a small part of its memory, and its own callers keep most of its time."""
+
+
 class EntryGateway:
     """Serves callers' requests by the routes in force.
 
@@ -29,6 +35,7 @@
     """
 
     def __init__(self, *, state, paths, budgets, dialect, stats):
+        self._taken_count = 0
         self._state = state
         self._paths = paths
         self._budgets = budgets
@@ -53,7 +60,37 @@
             return
         await self._serve_route(exchange, route, table)
 
-    async def _serve_route(self, exchange, route, table):
+    async def serve_handed_on(self, exchange):
+        """Answer a request that another VM has handed on, or refuse it."""
+        exchange.request, version = _http_messages.take_from_hop(
+            exchange.request
+        )
+        request, table = exchange.request, self._state.table
+        route = table.find(request.host, request.path)
+        reason = ''
+        if table.version < max(1, version) or not self._state.has_servers:
+            reason = 'older-configuration'
+        elif self._taken_count >= TAKEN_MAX:
+            reason = 'busy'
+        if reason:
+            header = (_http_messages.NOT_TAKEN_HEADER, reason.encode())
+            await exchange.respond(503, [header], b'')
+            return
+        if route is None:
+            await self._refuse(
+                exchange, _refusals.make_unknown_route_refusal()
+            )
+            return
+        self._stats.count_taken()
+        self._taken_count += 1
+        try:
+            await self._serve_route(exchange, route, table, is_handed_on=True)
+        finally:
+            self._taken_count -= 1
+
+    async def _serve_route(
+        self, exchange, route, table, *, is_handed_on=False
+    ):
         request_id = exchange.request.header(self._dialect.request_id)
         work = _work.Work(
             exchange=exchange,
@@ -62,6 +99,7 @@
             table_version=table.version,
             dialect=self._dialect,
             stats=self._stats,
+            is_handed_on=is_handed_on,
         )
         self._budgets.note_request(work.service)
         try:
--- /dev/null
+++ b/bluebellthread/entry/_hand_on.py
@@ -0,0 +1,264 @@
+"""Hands requests on to VMs that have paths to the backend servers.
+
+The other VM serves a request as if the caller had sent it there, at the time
+at which it came here, and never hands it on again.
+"""
+
+import contextlib
+
+import attrs
+
+from bluebellthread.core import routing
+from bluebellthread.daemon import _clock
+from bluebellthread.entry import _http_messages
+from bluebellthread.entry import _server_calls
+from bluebellthread.entry import _server_connection
+from bluebellthread.entry import _state
+from bluebellthread.entry import _work
+from bluebellthread.observe import emit
+from bluebellthread.observe import events
+
+CONNECT_TIMEOUT_S = 0.5
+"""A dozen round trips between regions."""
+
+HELPERS_MAX = 3
+"""VMs that a request is offered to before it is refused."""
+
+
+class NotTakenError(Exception):
+    """Raised when no VM takes a request; nothing has run there."""
+
+
+@attrs.frozen
+class HandedOn:
+    """A request at another VM.
+
+    Parameters
+    ----------
+    vm : str
+        Name of the VM.
+    call : OpenCall
+        The call to it, whose answer's head has been read.
+    """
+
+    vm: str
+    call: _server_calls.OpenCall
+
+    @property
+    def decode_server(self):
+        """What stands for the server in the log."""
+        return _name_of(self.vm)
+
+    async def read_answer(self):
+        """Return the whole `Answer`.
+
+        Raises
+        ------
+        CallFailedError
+            If it breaks off.
+        """
+        try:
+            body = await self.call.exchange.read_all()
+        except _server_connection.AnswerBrokenError as error:
+            raise _server_calls.CallFailedError(
+                str(error), may_have_run=True
+            ) from error
+        return _http_messages.Answer(head=self.call.head, body=body)
+
+    @property
+    def software_version(self):
+        """Software version of the server that answers."""
+        return self.call.head.header(_http_messages.SOFTWARE_HEADER)
+
+
+class HandOn:
+    """Hands requests of this VM on to others.
+
+    Parameters
+    ----------
+    state : EntryState
+        Supplies the membership view.
+    budgets : RetryBudgets
+        Does not count requests that another VM counts.
+    dialect : Dialect
+        Header names of the platform.
+    stats : EntryStats
+        Counts the requests.
+    rng : random.Random
+        Spreads the requests over the VMs.
+    """
+
+    def __init__(self, *, state, budgets, dialect, stats, rng):
+        self._state = state
+        self._budgets = budgets
+        self._dialect = dialect
+        self._stats = stats
+        self._connections = _server_connection.ServerConnections()
+        settings = state.settings
+        self._choice = routing.HelperChoice(
+            vm=settings.vm,
+            data_centre=settings.data_centre,
+            region=settings.region,
+            rng=rng,
+        )
+
+    async def prune(self):
+        """Close the connections that have been idle for too long."""
+        await self._connections.prune()
+
+    async def close(self):
+        """Close every idle connection."""
+        await self._connections.close()
+
+    @contextlib.asynccontextmanager
+    async def opened(self, work, *, extra=(), resume_after=''):
+        """Hand a request on; yield it as `HandedOn`.
+
+        Parameters
+        ----------
+        work : Work
+            The request.
+        extra : iterable of (bytes, bytes)
+            Further headers; they replace the caller's of the same name.
+        resume_after : str
+            Id of the last event that the caller has, for the log.
+
+        Raises
+        ------
+        NotTakenError
+            If no VM takes it.
+        CallFailedError
+            If a VM that may have taken it does not answer.
+        """
+        tried = set()
+        while len(tried) < HELPERS_MAX:
+            member = self._choice.choose(
+                self._list_alive(),
+                work.service,
+                _clock.read_clock_ms(),
+                avoid=tried,
+            )
+            if member is None:
+                break
+            tried.add(member.name)
+            emit(
+                events.REQUEST_HANDED_ON,
+                request_id=work.request_id,
+                service=work.service,
+                vm=member.name,
+                age_ms=work.age_ms,
+                resume_after=resume_after,
+            )
+            self._choice.begin(member.name)
+            try:
+                call = await self._open(member, work, extra)
+                if call is None:
+                    continue
+                try:
+                    yield HandedOn(member.name, call)
+                finally:
+                    await call.close()
+                return
+            finally:
+                self._choice.end(member.name)
+        raise NotTakenError
+
+    def _list_alive(self):
+        return [
+            member
+            for member in self._state.view.members
+            if member.state in _state.OWNER_STATES
+        ]
+
+    async def _open(self, member, work, extra):
+        """Return the open call to a VM, or None if it does not take it."""
+        started_ms = _clock.read_clock_ms()
+        try:
+            connection = await self._connections.acquire(
+                (member.host, member.relay_port),
+                idle_max_ms=_server_calls.IDLE_RETRYABLE_MS
+                if work.route.is_retryable
+                else _server_calls.IDLE_ONCE_MS,
+                connect_timeout_s=CONNECT_TIMEOUT_S,
+            )
+        except _server_connection.ServerUnreachableError as error:
+            self._choice.note_unreached(member.name, _clock.read_clock_ms())
+            self._log_not_taken(work, member, error)
+            return None
+        exchange = _server_connection.ServerExchange(
+            connections=self._connections,
+            connection=connection,
+            request_id=work.request_id,
+            request_id_header=self._dialect.request_id,
+        )
+        work.note_sent(_name_of(member.name))
+        request = work.request
+        try:
+            head = await exchange.open(
+                request.method,
+                request.target,
+                self._make_headers(work, extra),
+                request.body,
+            )
+            reason = head.header(_http_messages.NOT_TAKEN_HEADER)
+            if reason:
+                await exchange.read_all()
+        except _server_connection.AnswerBrokenError as error:
+            await _server_calls.close(exchange)
+            failure = _server_calls.CallFailedError(
+                str(error), may_have_run=exchange.sent, is_cut=True
+            )
+            work.note_failed(
+                _name_of(member.name),
+                _work.STAGE_RUN,
+                failure,
+                started_ms=started_ms,
+            )
+            raise failure from error
+        except BaseException:
+            await _server_calls.close(exchange)
+            raise
+        if reason:
+            await _server_calls.close(exchange)
+            work.note_not_taken()
+            self._choice.note_refused(
+                member.name, work.service, _clock.read_clock_ms()
+            )
+            self._log_not_taken(work, member, reason)
+            return None
+        self._stats.count_handed_on()
+        if not work.is_counted_elsewhere:
+            work.is_counted_elsewhere = True
+            self._budgets.forget_request(work.service)
+        return _server_calls.OpenCall(head=head, exchange=exchange)
+
+    def _log_not_taken(self, work, member, reason):
+        emit(
+            events.REQUEST_NOT_TAKEN,
+            request_id=work.request_id,
+            vm=member.name,
+            reason=reason,
+        )
+
+    def _make_headers(self, work, extra):
+        request = work.request
+        replaced = {name for name, _ in extra} | _http_messages.HOP_HEADERS
+        headers = _http_messages.keep_end_to_end(
+            request.headers, drop=replaced
+        )
+        headers.extend(extra)
+        headers.append((_http_messages.AGE_HEADER, str(work.age_ms).encode()))
+        headers.append(
+            (_http_messages.VERSION_HEADER, str(work.table_version).encode())
+        )
+        if (
+            request.body
+            or request.method not in _server_calls.BODYLESS_METHODS
+        ):
+            length = str(len(request.body)).encode()
+            headers.append((b'content-length', length))
+        return headers
+
+
+def _name_of(vm):
+    return f'VM {vm}'
--- a/bluebellthread/entry/_http_messages.py
+++ b/bluebellthread/entry/_http_messages.py
@@ -22,6 +22,23 @@
 TOKEN_SEPARATOR = b','
 
 
+AGE_HEADER = b'bluebellthread-age-ms'
+"""Age of a request that is handed on, in milliseconds."""
+
+VERSION_HEADER = b'bluebellthread-config-version'
+"""Version of the configuration by which it is routed."""
+
+NOT_TAKEN_HEADER = b'bluebellthread-not-taken'
+"""Why a VM does not take a request, in its answer; nothing has run then."""
+
+SOFTWARE_HEADER = b'bluebellthread-software-version'
+"""Software version of the server that answers."""
+
+HOP_HEADERS = frozenset(
+    (AGE_HEADER, VERSION_HEADER, NOT_TAKEN_HEADER, SOFTWARE_HEADER)
+)
+
+
 @attrs.frozen(kw_only=True)
 class Request:
     """A caller's request with its whole body.
@@ -125,3 +142,38 @@
         and name not in drop
         and name not in named
     ]
+
+
+def take_from_hop(request):
+    """Return a request as its caller sent it, and its hop's configuration.
+
+    Parameters
+    ----------
+    request : Request
+        A request that another VM has handed on.
+
+    Returns
+    -------
+    (Request, int)
+        The request, received when the other VM received it, and the version
+        of the configuration by which that VM routes.
+    """
+    age_ms = _read_number(request.header(AGE_HEADER))
+    version = _read_number(request.header(VERSION_HEADER))
+    headers = tuple(
+        (name, value)
+        for name, value in request.headers
+        if name not in HOP_HEADERS
+    )
+    return (
+        attrs.evolve(
+            request,
+            headers=headers,
+            received_ms=request.received_ms - age_ms,
+        ),
+        version,
+    )
+
+
+def _read_number(text):
+    return int(text) if text.isdigit() else 0
--- a/bluebellthread/entry/_plain_path.py
+++ b/bluebellthread/entry/_plain_path.py
@@ -9,6 +9,7 @@
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
 from bluebellthread.entry import _cut_runs
+from bluebellthread.entry import _hand_on
 from bluebellthread.entry import _http_messages
 from bluebellthread.entry import _server_calls
 from bluebellthread.entry import _server_connection
@@ -85,6 +86,10 @@
         Knows which requests end servers.
     server_watch : ServerWatch
         Finds out which servers end.
+    paths : PathWatch
+        Knows which services this VM can't reach.
+    hand_on : HandOn
+        Hands requests on to VMs that can.
     dialect : Dialect
         Header names of the platform.
     """
@@ -99,6 +104,8 @@
         limits,
         shut_outs,
         server_watch,
+        paths,
+        hand_on,
         dialect,
     ):
         self._state = state
@@ -108,6 +115,8 @@
         self._limits = limits
         self._shut_outs = shut_outs
         self._watch = server_watch
+        self._paths = paths
+        self._hand_on = hand_on
         self._dialect = dialect
         self._seen_version = None
 
@@ -132,6 +141,10 @@
             if shut_out is not None:
                 await self._end_shut_out(work, shut_out)
                 return
+            if self._paths.is_lost(work.service):
+                if await self._end_over_other_vm(work):
+                    return
+                continue
             server = self._choose(progress)
             if server is None:
                 await self._end_without_server(progress)
@@ -143,6 +156,8 @@
                 continue
             progress.tried.append(server.name)
             result = await self._attempt(progress, server, admission)
+            if await self._is_path_lost(server, result):
+                continue
             if await self._end_with(progress, result):
                 return
 
@@ -176,6 +191,47 @@
             return True
         return False
 
+    async def _is_path_lost(self, server, result):
+        """Return whether a server was not reached, nor any other one."""
+        return (
+            isinstance(result, _server_calls.CallFailedError)
+            and result.is_unreached
+            and await self._paths.is_confirmed_lost(server)
+        )
+
+    async def _end_over_other_vm(self, work):
+        """Have another VM answer the request, or return False to try again."""
+        if work.is_handed_on:
+            if work.may_have_run:
+                await work.fail('answer-lost')
+            else:
+                await work.refuse_hand_on('no-path')
+            return True
+        try:
+            with trio.fail_after(self._hop_timeout_s(work)):
+                async with self._hand_on.opened(work) as handed_on:
+                    answer = await handed_on.read_answer()
+        except _hand_on.NotTakenError:
+            if work.may_have_run:
+                await work.fail('answer-lost')
+            else:
+                await work.refuse('no-path', UNAVAILABLE_RETRY_MS)
+            return True
+        except (_server_calls.CallFailedError, trio.TooSlowError):
+            work.note_run()
+            is_idempotent = work.route.kind == routing.KIND_IDEMPOTENT
+            if is_idempotent and self._spend_retry(work):
+                return False
+            await work.fail('answer-lost')
+            return True
+        work.note_run()
+        await work.pass_on(answer, outcome='handed-on')
+        return True
+
+    def _hop_timeout_s(self, work):
+        """Return how long to wait for another VM, which may try twice."""
+        return 2 * self._answer_timeout_s(work)
+
     async def _end_shut_out(self, work, shut_out):
         if work.may_have_run:
             await work.fail('answer-lost')
--- a/bluebellthread/entry/_prefill_runner.py
+++ b/bluebellthread/entry/_prefill_runner.py
@@ -97,7 +97,10 @@
             run.is_cut = error.may_have_run
             self._note_prefill_failed(server, error, started_ms)
             raise _stream_context.StreamBrokenError(
-                server.name, 1, is_cut=run.is_cut
+                server.name,
+                1,
+                is_cut=run.is_cut,
+                is_unreached=error.is_unreached,
             ) from error
         finally:
             self._placements.note_prefill_ended(placement)
--- a/bluebellthread/entry/_server_calls.py
+++ b/bluebellthread/entry/_server_calls.py
@@ -43,15 +43,24 @@
         Whether the server stated that it did not run the request.
     is_cut : bool
         Whether the connection broke while the server may have been at work.
+    is_unreached : bool
+        Whether no connection to the server could be opened.
     """
 
     def __init__(
-        self, reason, *, may_have_run, was_refused=False, is_cut=False
+        self,
+        reason,
+        *,
+        may_have_run,
+        was_refused=False,
+        is_cut=False,
+        is_unreached=False,
     ):
         self.reason = reason
         self.may_have_run = may_have_run
         self.was_refused = was_refused
         self.is_cut = is_cut
+        self.is_unreached = is_unreached
         super().__init__(reason)
 
 
@@ -108,14 +117,17 @@
         Header names of the platform.
     limits : ServerLimits
         Admits requests to servers that name limits.
+    paths : PathWatch
+        Learns which servers are reached.
     note_leaving : callable
         Takes a server that says that it leaves.
     """
 
-    def __init__(self, *, connections, dialect, limits, note_leaving):
+    def __init__(self, *, connections, dialect, limits, paths, note_leaving):
         self._connections = connections
         self._dialect = dialect
         self._limits = limits
+        self._paths = paths
         self._note_leaving = note_leaving
 
     async def admit(self, server):
@@ -205,22 +217,23 @@
                 # The process or the connection stood still meanwhile.
                 await self.admit(server)
             sent_ms = _clock.read_clock_ms()
-            head = await exchange.open(
-                request.method,
-                request.target,
-                self._make_headers(server, request, deadline_ms, extra),
-                request.body,
-            )
+            with self._paths.waiting(server):
+                head = await exchange.open(
+                    request.method,
+                    request.target,
+                    self._make_headers(server, request, deadline_ms, extra),
+                    request.body,
+                )
             self._observe(server, head, sent_ms)
             call = OpenCall(head=head, exchange=exchange)
             await self._check_refusal(call)
         except _server_connection.AnswerBrokenError as error:
-            await _close(exchange)
+            await close(exchange)
             raise CallFailedError(
                 str(error), may_have_run=exchange.sent, is_cut=exchange.sent
             ) from error
         except BaseException:
-            await _close(exchange)
+            await close(exchange)
             raise
         return call
 
@@ -265,7 +278,7 @@
         ) as error:
             raise CallFailedError(str(error), may_have_run=True) from error
         finally:
-            await _close(exchange)
+            await close(exchange)
 
     async def _connect(self, server, request_id, is_retryable):
         try:
@@ -277,7 +290,12 @@
                 connect_timeout_s=CONNECT_TIMEOUT_S,
             )
         except _server_connection.ServerUnreachableError as error:
-            raise CallFailedError(str(error), may_have_run=False) from error
+            self._paths.note_failed(server)
+            raise CallFailedError(
+                str(error), may_have_run=False, is_unreached=True
+            ) from error
+        if connection.is_new:
+            self._paths.note_connected(server)
         return _server_connection.ServerExchange(
             connections=self._connections,
             connection=connection,
@@ -330,6 +348,7 @@
         )
 
 
-async def _close(exchange):
+async def close(exchange):
+    """Return the connection of an exchange to the pool, or close it."""
     with trio.CancelScope(shield=True):
         await exchange.close()
--- a/bluebellthread/entry/_server_connection.py
+++ b/bluebellthread/entry/_server_connection.py
@@ -75,11 +75,17 @@
         The open connection.
     address : (str, int)
         Host and port of the server.
+
+    Attributes
+    ----------
+    is_new : bool
+        Whether it has not been in the pool yet.
     """
 
     def __init__(self, *, stream, address):
         self.stream = stream
         self.address = address
+        self.is_new = True
         self.idle_deadline_ms = 0
 
     async def close(self):
@@ -133,9 +139,16 @@
             ):
                 return connection
             await connection.close()
-        return await self._open(address, connect_timeout_s)
+        return await self.open(address, connect_timeout_s)
 
-    async def _open(self, address, connect_timeout_s):
+    async def open(self, address, connect_timeout_s):
+        """Return a new connection to a backend server.
+
+        Raises
+        ------
+        ServerUnreachableError
+            If no connection can be opened in time.
+        """
         self.opened_count += 1
         try:
             with trio.fail_after(connect_timeout_s):
@@ -156,6 +169,7 @@
         if idle_ms <= 0 or len(idle) >= IDLE_CONNECTIONS_MAX:
             await connection.close()
             return
+        connection.is_new = False
         connection.idle_deadline_ms = now_ms + idle_ms
         idle.append((connection, now_ms))
 
--- a/bluebellthread/entry/_server_watch.py
+++ b/bluebellthread/entry/_server_watch.py
@@ -63,12 +63,15 @@
     ----------
     state : EntryState
         Supplies the list of servers.
+    paths : PathWatch
+        Tells whether other servers are reached.
     report : callable
         Takes the `EngineEnded` of each server that ended.
     """
 
-    def __init__(self, *, state, report):
+    def __init__(self, *, state, paths, report):
         self._state = state
+        self._paths = paths
         self._report = report
         self._nursery = None
         self._running = {}
@@ -118,7 +121,10 @@
         directory = self._state.directory
         is_leaving = directory.find_departure(server.name, ended_ms)
         if is_leaving is None:
-            check.has_ended = await _refuses_connections(server)
+            # A VM whose own paths are cut is refused by every server.
+            check.has_ended = await _refuses_connections(
+                server
+            ) and await self._paths.reaches_others(server)
         check.done.set()
         if check.has_ended:
             self._report_end(server, check, ended_ms)
--- a/bluebellthread/entry/_service.py
+++ b/bluebellthread/entry/_service.py
@@ -21,7 +21,9 @@
 from bluebellthread.entry import _configuration_task
 from bluebellthread.entry import _connection_control
 from bluebellthread.entry import _gateway
+from bluebellthread.entry import _hand_on
 from bluebellthread.entry import _news_task
+from bluebellthread.entry import _path_watch
 from bluebellthread.entry import _placement_client
 from bluebellthread.entry import _placement_task
 from bluebellthread.entry import _plain_path
@@ -184,8 +186,15 @@
             pause_header=dialect.retry_after,
         )
         self.server_limits.register(self._mailboxes)
+        self._paths = _path_watch.PathWatch(
+            state=self.state,
+            connections=self._connections,
+            rng=random.Random(self._incarnation),
+        )
         self._server_watch = _server_watch.ServerWatch(
-            state=self.state, report=self._note_server_end
+            state=self.state,
+            paths=self._paths,
+            report=self._note_server_end,
         )
         self._platform = _platform_task.PlatformTask(
             client=self._platform_client,
@@ -227,11 +236,19 @@
             connections=self._connections,
             dialect=dialect,
             limits=self.server_limits,
+            paths=self._paths,
             note_leaving=self._note_leaving,
         )
         self._roles = _role_task.RoleTask(
             state=self.state, caller=caller, dialect=dialect
         )
+        self._hand_on = _hand_on.HandOn(
+            state=self.state,
+            budgets=budgets,
+            dialect=dialect,
+            stats=self.stats,
+            rng=random.Random(self._incarnation),
+        )
         plain = _plain_path.PlainPath(
             state=self.state,
             caller=caller,
@@ -245,6 +262,8 @@
             limits=self.server_limits,
             shut_outs=self.shut_outs,
             server_watch=self._server_watch,
+            paths=self._paths,
+            hand_on=self._hand_on,
             dialect=dialect,
         )
         stream = _stream_path.StreamPath(
@@ -256,6 +275,8 @@
                 budgets=budgets,
                 shut_outs=self.shut_outs,
                 server_watch=self._server_watch,
+                paths=self._paths,
+                hand_on=self._hand_on,
                 dialect=dialect,
                 stats=self.stats,
             )
@@ -304,6 +325,7 @@
                 self.shut_outs,
                 self._tokens,
                 self.server_limits,
+                self._paths,
                 self._server_watch,
                 self._configuration,
                 self._platform,
@@ -331,6 +353,7 @@
         self.ports['peer_port'] = _port_of(listeners)
         for name, handler in (
             ('caller_port', self._serve_caller),
+            ('relay_port', self._serve_vm),
             ('ready_port', self._serve_monitoring),
             ('metrics_port', self._serve_monitoring),
         ):
@@ -355,6 +378,7 @@
             host=settings.host,
             peer_port=self.ports['peer_port'],
             caller_port=self.ports['caller_port'],
+            relay_port=self.ports['relay_port'],
             incarnation=self._incarnation,
         )
         address = (settings.host, self.ports['peer_port'])
@@ -363,12 +387,19 @@
         )
 
     async def _serve_caller(self, stream):
+        await self._serve_connection(stream, self._gateway.serve)
+
+    async def _serve_vm(self, stream):
+        """Serve the requests that another VM hands on."""
+        await self._serve_connection(stream, self._gateway.serve_handed_on)
+
+    async def _serve_connection(self, stream, handler):
         _socket_options.set_silence_timeouts(stream.socket)
         self._control.open_count += 1
         try:
             await _caller_connection.CallerConnection(
                 stream=stream,
-                handler=self._gateway.serve,
+                handler=handler,
                 control=self._control,
             ).run()
         except Exception as error:
@@ -405,12 +436,14 @@
         stats.set_gauge('placements_waiting', sum(item[0] for item in counts))
         stats.set_gauge('placements_held', sum(item[1] for item in counts))
         stats.set_gauge('shut_outs', len(self.shut_outs.list_all()))
+        stats.set_gauge('lost_services', len(self._paths.lost_services))
         stats.set_gauge('limited_servers', len(self.server_limits.list_all()))
 
     async def _prune(self):
         while True:
             await trio.sleep(PRUNE_PERIOD_S)
             await self._connections.prune()
+            await self._hand_on.prune()
 
     async def _drain(self):
         """Finish the requests in flight within the grace period."""
@@ -438,6 +471,7 @@
     async def _close(self):
         with trio.CancelScope(shield=True):
             await self._connections.close()
+            await self._hand_on.close()
             await self._platform_client.close()
 
 
--- a/bluebellthread/entry/_settings.py
+++ b/bluebellthread/entry/_settings.py
@@ -18,6 +18,8 @@
     caller_port, ready_port, peer_port, metrics_port : int
         The ports for callers, for the load balancer's readiness probes, for
         other VMs and for metrics.
+    relay_port : int
+        The port for requests that other VMs hand on.
     seed_hosts : tuple of str
         IP addresses of some VMs; they may no longer exist.
     is_first_start : bool
@@ -49,3 +51,4 @@
     repeat_ratio: float
     repeat_window_ms: int
     repeat_slack: float
+    relay_port: int = 0
--- a/bluebellthread/entry/_stats.py
+++ b/bluebellthread/entry/_stats.py
@@ -51,6 +51,12 @@
         self._turned_away = self._counter(
             'turned_away', 'Requests kept from servers that name limits'
         )
+        self._handed_on = self._counter(
+            'handed_on', 'Requests that other VMs took from this one'
+        )
+        self._taken = self._counter(
+            'taken', 'Requests taken from VMs without a path to servers'
+        )
         self._latency = self._histogram(
             'request_seconds', 'From first byte to end', ('kind',)
         )
@@ -71,6 +77,7 @@
                 ('placements_waiting', 'Requests that wait for engines here'),
                 ('placements_held', 'Places at engines given here'),
                 ('shut_outs', 'Requests refused as they end servers'),
+                ('lost_services', 'Services of which no server is reached'),
                 ('limited_servers', 'Servers that name limits'),
             )
         }
@@ -106,6 +113,14 @@
         """Count a request that a server's limit kept from the server."""
         self._turned_away.inc()
 
+    def count_handed_on(self):
+        """Count a request that another VM has taken."""
+        self._handed_on.inc()
+
+    def count_taken(self):
+        """Count a request that was taken from another VM."""
+        self._taken.inc()
+
     def observe_first_event(self, took_ms):
         """Record the time from a request's first byte to its first event."""
         self._first_event.observe(took_ms / _clock.MS_PER_S)
--- a/bluebellthread/entry/_stream_context.py
+++ b/bluebellthread/entry/_stream_context.py
@@ -17,15 +17,24 @@
         Whether the decode server stated that it did not run the request.
     is_cut : bool
         Whether the connection broke while the server may have been at work.
+    is_unreached : bool
+        Whether no connection to the server could be opened.
     """
 
     def __init__(
-        self, server, retry_count, *, was_refused=False, is_cut=False
+        self,
+        server,
+        retry_count,
+        *,
+        was_refused=False,
+        is_cut=False,
+        is_unreached=False,
     ):
         self.server = server
         self.retry_count = retry_count
         self.was_refused = was_refused
         self.is_cut = is_cut
+        self.is_unreached = is_unreached
         super().__init__(server)
 
 
@@ -72,6 +81,10 @@
         Knows which requests and prompts end engines.
     server_watch : ServerWatch
         Finds out which engines end.
+    paths : PathWatch
+        Knows which services this VM can't reach.
+    hand_on : HandOn
+        Hands requests on to VMs that can.
     dialect : Dialect
         Headers and control calls of the backend servers.
     stats : EntryStats
@@ -85,5 +98,7 @@
     budgets: object
     shut_outs: object
     server_watch: object
+    paths: object
+    hand_on: object
     dialect: object
     stats: object
--- a/bluebellthread/entry/_stream_path.py
+++ b/bluebellthread/entry/_stream_path.py
@@ -5,6 +5,7 @@
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
 from bluebellthread.entry import _cut_runs
+from bluebellthread.entry import _hand_on
 from bluebellthread.entry import _placement_client
 from bluebellthread.entry import _prefill_runner
 from bluebellthread.entry import _server_calls
@@ -75,6 +76,8 @@
         self._budgets = context.budgets
         self._shut_outs = context.shut_outs
         self._watch = context.server_watch
+        self._paths = context.paths
+        self._hand_on = context.hand_on
         self._cut_runs = _cut_runs.CutRuns(
             work=work,
             server_watch=context.server_watch,
@@ -96,7 +99,11 @@
         if self._find_shut_out() is not None:
             await self._end_shut_out()
             return
-        if self._is_taken_up() and not await self._find_origin():
+        if (
+            self._is_taken_up()
+            and not self._paths.is_lost(work.service)
+            and not await self._find_origin()
+        ):
             return
         await self._run()
 
@@ -142,6 +149,10 @@
     async def _run(self):
         work = self._work
         while True:
+            if self._paths.is_lost(work.service):
+                if await self._end_over_other_vm():
+                    return
+                continue
             try:
                 placement = await self._wait_for_placement()
             except _stream_context.PromptShutOutError:
@@ -180,7 +191,10 @@
                 continue
             except _stream_context.StreamBrokenError as error:
                 failed_server = error.server
-                if (
+                if await self._is_path_lost(error):
+                    # The server is not to blame.
+                    failed_server = ''
+                elif (
                     await self._cut_runs.may_have_ended_servers()
                     or not self._spend_retry(error)
                 ):
@@ -200,6 +214,74 @@
                 runs=work.run_count,
             )
 
+    # VMs without a path
+
+    async def _is_path_lost(self, error):
+        """Return whether a server was not reached, nor any other one."""
+        if not error.is_unreached:
+            return False
+        server = self._state.directory.find(error.server)
+        return server is not None and await self._paths.is_confirmed_lost(
+            server
+        )
+
+    async def _end_over_other_vm(self):
+        """Have another VM go on with the request; return whether it ended."""
+        work = self._work
+        if work.is_handed_on:
+            if work.exchange.is_started or work.may_have_run:
+                await self._end_failed()
+            else:
+                await work.refuse_hand_on('no-path')
+            return True
+        try:
+            async with self._hand_on.opened(
+                work,
+                extra=self._make_hop_headers(),
+                resume_after=self._relay.resume_after,
+            ) as handed_on:
+                work.note_run()
+                await self._pass_on_from(handed_on)
+                return True
+        except _hand_on.NotTakenError:
+            await self._end_failed('no-path')
+            return True
+        except _server_calls.CallFailedError as error:
+            if error.may_have_run and not self._spend_retry(
+                _stream_context.StreamBrokenError('', 2)
+            ):
+                await self._end_failed()
+                return True
+        except _stream_context.StreamBrokenError as error:
+            if not self._spend_retry(error):
+                await self._end_failed()
+                return True
+        return False
+
+    async def _pass_on_from(self, handed_on):
+        """Pass on what another VM answers."""
+        work = self._work
+        status = handed_on.call.head.status
+        if 200 <= status < 300:
+            self._relay.running_version = handed_on.software_version
+            await self._relay.pass_on(handed_on, handed_on.call)
+            return
+        answer = await handed_on.read_answer()
+        if work.exchange.is_started:
+            await work.exchange.abort()
+        else:
+            await work.pass_on(answer, outcome='handed-on')
+
+    def _make_hop_headers(self):
+        """Return what tells another VM where the stream goes on."""
+        headers = self._relay.resume_headers()
+        if not headers:
+            return []
+        dialect = self._dialect
+        began = self._work.request.header(dialect.resumed_attempt)
+        began = began or self._relay.begun_attempt
+        return [*headers, (dialect.resumed_attempt, began.encode('latin-1'))]
+
     # Prompts that end engines
 
     def _find_shut_out(self):
@@ -252,7 +334,7 @@
         )
         placement = await self._placements.request_placement(
             placement_ask,
-            avoid=(*self._failed_servers, *self._find_paused()),
+            avoid=self._list_avoided(),
             departures=self._review.departures,
             passed_over=frozenset(self._review.passed_over),
         )
@@ -275,6 +357,15 @@
         )
         return placement
 
+    def _list_avoided(self):
+        """Return the engines that the owner is asked to avoid."""
+        engines = self._state.directory.usable(self._work.service)
+        return (
+            *self._failed_servers,
+            *self._find_paused(),
+            *self._paths.list_unreached(engines),
+        )
+
     def _find_paused(self):
         """Return the engines that want no request for some time.
 
@@ -475,7 +566,9 @@
             )
         except _server_calls.CallFailedError as error:
             self._note_run_failed(server.name, error, started_ms)
-            raise _stream_context.StreamBrokenError(server.name, 0) from error
+            raise _stream_context.StreamBrokenError(
+                server.name, 0, is_unreached=error.is_unreached
+            ) from error
 
     async def _open_answer_with_fallback(
         self, placement, prompt, exchange, admission
--- a/bluebellthread/entry/_stream_relay.py
+++ b/bluebellthread/entry/_stream_relay.py
@@ -6,6 +6,7 @@
 
 from bluebellthread import core
 from bluebellthread.daemon import _clock
+from bluebellthread.entry import _hand_on
 from bluebellthread.entry import _http_messages
 from bluebellthread.entry import _server_calls
 from bluebellthread.entry import _server_connection
@@ -136,11 +137,11 @@
         splitter = core.EventSplitter()
         if not exchange.is_started:
             await exchange.start(
-                call.head.status, work.answer_headers(call.head)
+                call.head.status, self._make_answer_headers(call.head)
             )
         try:
             while True:
-                data = await self._read_piece(call)
+                data = await self._read_piece(placement, call)
                 if data is None:
                     break
                 whole_events = splitter.push(data)
@@ -159,6 +160,13 @@
         await exchange.finish()
         work.outcome = 'answered'
 
+    def _make_answer_headers(self, head):
+        headers = self._work.answer_headers(head)
+        if self._work.is_handed_on:
+            version = self.running_version.encode('latin-1', 'replace')
+            headers.append((_http_messages.SOFTWARE_HEADER, version))
+        return headers
+
     def _check_end(self, placement, call, splitter):
         """Raise if the end of an answer's body isn't the end of its stream.
 
@@ -186,7 +194,7 @@
                 placement, _server_connection.AnswerBrokenError(problem)
             )
 
-    async def _read_piece(self, call):
+    async def _read_piece(self, placement, call):
         """Return the next bytes of an answer, or None at its end.
 
         The timeout applies to the read only. After a pause of the process,
@@ -194,6 +202,9 @@
         read but not yet passed on.
         """
         silence_s = self.silence_timeout_s
+        if isinstance(placement, _hand_on.HandedOn):
+            # The other VM goes on at another engine after such a silence.
+            silence_s *= 2
         if silence_s == math.inf:
             return await call.exchange.read()
         with trio.fail_after(silence_s):
--- a/bluebellthread/entry/_work.py
+++ b/bluebellthread/entry/_work.py
@@ -39,9 +39,15 @@
         Header names of the platform.
     stats : EntryStats
         Counts the outcome of the request.
+    is_handed_on : bool
+        Whether another VM has handed the request on to this one.
 
     Attributes
     ----------
+    table_version : int
+        As the parameter.
+    is_counted_elsewhere : bool
+        Whether another VM counts the request for its retry budget.
     run_count : int
         Servers that may have run the request.
     may_have_run : bool
@@ -64,7 +70,15 @@
     """
 
     def __init__(
-        self, *, exchange, route, service, table_version, dialect, stats
+        self,
+        *,
+        exchange,
+        route,
+        service,
+        table_version,
+        dialect,
+        stats,
+        is_handed_on=False,
     ):
         self.exchange = exchange
         self.request = exchange.request
@@ -85,7 +99,9 @@
         self.first_event_ms = None
         self._servers = []
         self._in_flight = False
-        self._table_version = table_version
+        self.table_version = table_version
+        self.is_handed_on = is_handed_on
+        self.is_counted_elsewhere = False
         self._dialect = dialect
         self._stats = stats
         self.patience_ms = self._read_patience_ms()
@@ -137,6 +153,10 @@
         self.run_count += 1
         self.may_have_run = True
 
+    def note_not_taken(self):
+        """Note that the VM that it was sent to has not taken the request."""
+        self._in_flight = False
+
     def note_failed(self, server, stage, error, *, started_ms):
         """Note that a server gave no answer that can be passed on.
 
@@ -198,11 +218,13 @@
 
     def answer_headers(self, head):
         """Return the headers of a server's answer that the caller gets."""
-        return _http_messages.keep_end_to_end(head.headers)
+        return _http_messages.keep_end_to_end(
+            head.headers, drop=_http_messages.HOP_HEADERS
+        )
 
-    async def pass_on(self, answer):
-        """Send a server's whole answer to the caller."""
-        self.outcome = 'answered'
+    async def pass_on(self, answer, *, outcome='answered'):
+        """Send a whole answer of a server, or of another VM, to the caller."""
+        self.outcome = outcome
         await self.exchange.respond(
             answer.head.status, self.answer_headers(answer.head), answer.body
         )
@@ -217,6 +239,12 @@
             )
         )
 
+    async def refuse_hand_on(self, reason):
+        """Tell the VM that has handed the request on that it is not taken."""
+        self.outcome = 'not-taken'
+        header = (_http_messages.NOT_TAKEN_HEADER, reason.encode())
+        await self.exchange.respond(503, [header], b'')
+
     async def refuse_shut_out(self, shut_out):
         """Send a refusal of a request that ends servers."""
         emit(
@@ -261,7 +289,7 @@
             events.REQUEST_ENDED,
             request_id=self.request_id,
             route=self.route.name,
-            version=self._table_version,
+            version=self.table_version,
             service=self.service,
             servers=','.join(self._servers),
             runs=self.run_count,
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -455,6 +455,33 @@
     'backend server {server} has refused a request and wants none of this VM '
     'for {pause_ms} ms',
 )
+SERVER_PATH_LOST = Event(
+    7066,
+    'WARNING',
+    'this VM reaches no server of service {service}; other VMs serve for it',
+)
+SERVER_PATH_BACK = Event(
+    7067,
+    'INFO',
+    'this VM reaches server {server} of service {service} again, after '
+    '{lost_ms} ms',
+)
+REQUEST_HANDED_ON = Event(
+    7068,
+    'INFO',
+    'request {request_id} of service {service} is handed on to VM {vm} after '
+    '{age_ms} ms, after event {resume_after}',
+)
+REQUEST_NOT_TAKEN = Event(
+    7069,
+    'INFO',
+    'request {request_id} was not taken by VM {vm}: {reason}',
+)
+HANDED_ON_BROKEN = Event(
+    7070,
+    'WARNING',
+    'request {request_id} broke off at VM {vm}: {reason}',
+)
 
 
 def list_events():
--- a/bluebellthread/platform/_settings.py
+++ b/bluebellthread/platform/_settings.py
@@ -72,6 +72,7 @@
         caller_port=split_address(listen['front'])[1],
         ready_port=split_address(listen['ready'])[1],
         peer_port=int(fields['internalPorts'][0]),
+        relay_port=int(fields['internalPorts'][0]) + 1,
         metrics_port=METRICS_PORT,
         # Seed addresses have the port of another role; peers use
         # peer_port, which is the same on all VMs.
--- a/bluebellthread/wire/peer.thrift
+++ b/bluebellthread/wire/peer.thrift
@@ -18,6 +18,7 @@
   6: i32 caller_port,
   7: i64 incarnation,
   8: string state,
+  9: i32 relay_port,
 }
 
 struct Permit {
--- a/tests/integration/test_entry_server_cuts.py
+++ b/tests/integration/test_entry_server_cuts.py
@@ -52,9 +52,9 @@
                     arrived[request_id] += 1
         self.assertEqual({1}, set(arrived.values()))
 
-    async def check_cut(self, vms, way, path, **options):
+    async def check_cut(self, cut_vms, way, path, **options):
         async with running_fleet(**options) as (fleet, cuts):
-            cuts.cut_off(vms, way)
+            cuts.cut_off(cut_vms, way)
             await self.check_served(fleet, fleet.vms, path)
 
     @run
--- a/tests/integration/test_entry_server_limits.py
+++ b/tests/integration/test_entry_server_limits.py
@@ -342,6 +342,7 @@
                 connections=_server_connection.ServerConnections(),
                 dialect=platform.make_dialect(),
                 limits=site.entry.server_limits,
+                paths=site.entry._paths,
                 note_leaving=lambda server: None,
             )
             arrived_count = len(site.servers['s1'].arrivals)
