Show a stream joined from two versions after VMs were killed

A caller takes a stream up again that v2 began and gets the rest from v1 with 200. All VMs that knew v2 were killed, its engines have gone, and the only VM that was not killed, which the platform had turned away meanwhile, says that it has seen all versions of the last 30 s.

--- a/tests/integration/_entry_fleet.py
+++ b/tests/integration/_entry_fleet.py
@@ -63,9 +63,11 @@
         """End the process of a VM without a planned stop."""
         self.vms.pop(number).scope.cancel()
 
-    async def add_engine(self, name):
+    async def add_engine(self, name, **fields):
         """Start a decode engine and write its entry to the store."""
-        engine = self.servers[name] = site.Engine(name=name, stage='decode')
+        engine = self.servers[name] = site.Engine(
+            name=name, stage='decode', **fields
+        )
         await engine.start(self.nursery)
         self.list_engine(name)
 
--- a/tests/integration/test_entry_versions.py
+++ b/tests/integration/test_entry_versions.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from bluebellthread.core import routing
 from standin.site import _backend
 from tests.integration import _entry_fleet as fleets
 from tests.integration import _entry_site as sites
@@ -220,6 +221,48 @@
             self.assertEqual(503, answer.status)
             self.assertEqual([], runs_of(fleet, 'next'))
 
+    # Guards against a stream that is joined from two versions, as the only
+    # VM that was not killed has not seen the one that began it.
+    @run
+    async def test_unknown_stream_is_refused_if_the_survivor_had_no_list(self):
+        async with fleets.running_fleet(
+            engines=('p1', 'd1'), is_first_start=True
+        ) as fleet:
+            fleet.doors[1].turn_away('503')
+            await fleet.add_engine('d2', software_version='v2')
+            await sites.wait_until(
+                lambda: all(
+                    fleet.vms[number].entry.state.directory.find('d2')
+                    for number in (2, 3)
+                )
+            )
+            fleet.list_engine('d1', state='draining')
+            await sites.wait_until(
+                lambda: (
+                    not any(
+                        server.name == 'd1'
+                        for number in (2, 3)
+                        for server in fleet.vms[
+                            number
+                        ].entry.state.directory.usable('model')
+                    )
+                )
+            )
+            began = await begin_stream(fleet, 2, 'first')
+            self.assertEqual('v2', began.software_version)
+            for number in (2, 3):
+                fleet.kill_vm(number)
+            # The new version is taken back, and its engine has gone.
+            fleet.store.remove('servers/d2')
+            await fleet.add_engine('d3')
+            # In a larger fleet the survivor holds no record of the stream.
+            fleet.vms[1].entry._origins._records = routing.OriginRecords()
+            await fleet.start_vm(2, is_first_start=False)
+            await sites.wait_until(lambda: fleet.vms[2].entry.state.is_ready)
+            answer = await resume(fleet, 2, 'next', 'first')
+            self.assertEqual([], runs_of(fleet, 'next'))
+            self.assertEqual(503, answer.status)
+
     @run
     async def test_unknown_stream_is_refused_by_vms_that_have_just_started(
         self,
