Take a VM for knowing all versions only while the platform tells it changes

A stream was joined from two versions: begun at v2, gone on at v1, answered 200.

Cause: a stream whose record is lost goes on if some VM has known the list of servers for 30 s and has seen one version only. A VM that the platform turns away counted as such, though it misses versions that come and go meanwhile. It now counts only while the platform's last answer is no failure and at most 6 s old: a watch without changes, its timeout and the pause before it.

The new test failed before and passes; 23 tests of versions and origins pass.

--- a/bluebellthread/core/routing/_stream_origins.py
+++ b/bluebellthread/core/routing/_stream_origins.py
@@ -12,6 +12,10 @@
 """Longest time after its first event in which a stream is taken up again: as
 long as callers commonly wait."""
 
+LIST_AGE_MAX_MS = 6000
+"""Age of the platform's last answer up to which a VM takes its list for
+complete: a watch without changes, its timeout and the pause before it."""
+
 ORIGIN_COUNT_MAX = 65_536
 """Most records that one VM keeps, some 15 MB: twice what a VM holds at the
 target, with 280 streams a second for the service that it owns."""
@@ -75,7 +79,8 @@
         Versions that the VM has seen of the service's engines in the last
         `STREAM_LIFE_MS`.
     knows_all_versions : bool
-        Whether the VM has known the list of servers for so long.
+        Whether the VM has known the list of servers for so long, and still
+        does.
     """
 
     origins: tuple[StreamOrigin, ...]
@@ -156,6 +161,7 @@
     --------
     >>> history = VersionHistory(is_first_start=True)
     >>> history.note_list(0)
+    >>> history.note_answered(0)
     >>> history.note_versions([('s', 'v1')], 0)
     >>> history.knows_all(5), history.find_recent('s', 5)
     (True, ('v1',))
@@ -167,6 +173,7 @@
     def __init__(self, *, is_first_start):
         self._is_first_start = is_first_start
         self._known_since_ms = None
+        self._answered_ms = None
         self._seen_ms = {}
 
     def note_list(self, now_ms):
@@ -176,6 +183,14 @@
         if is_first and self._is_first_start:
             self._known_since_ms = now_ms - STREAM_LIFE_MS
 
+    def note_answered(self, now_ms):
+        """Note that the platform has told all changes up to now."""
+        self._answered_ms = now_ms
+
+    def note_failed(self):
+        """Note that the platform tells no changes for now."""
+        self._answered_ms = None
+
     def note_versions(self, versions, now_ms):
         """Note the versions that are listed.
 
@@ -188,9 +203,15 @@
             self._seen_ms.setdefault(service, {})[version] = now_ms
 
     def knows_all(self, now_ms):
-        """Return whether all versions of `STREAM_LIFE_MS` were seen."""
+        """Return whether all versions of `STREAM_LIFE_MS` were seen.
+
+        A VM that the platform turns away may miss some, even if it hears from
+        others which servers leave.
+        """
         return (
             self._known_since_ms is not None
+            and self._answered_ms is not None
+            and now_ms <= self._answered_ms + LIST_AGE_MAX_MS
             and self._known_since_ms <= now_ms - STREAM_LIFE_MS
         )
 
--- a/bluebellthread/entry/_platform_task.py
+++ b/bluebellthread/entry/_platform_task.py
@@ -6,6 +6,7 @@
 
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
+from bluebellthread.entry import _platform_changes
 from bluebellthread.entry import _platform_follower
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
@@ -51,6 +52,13 @@
             nursery.start_soon(self._expire_lapsed)
 
     async def _update_servers(self, after):
+        try:
+            return await self._read_changes(after)
+        except _platform_changes.PlatformUnavailableError:
+            self._state.versions.note_failed()
+            raise
+
+    async def _read_changes(self, after):
         if after is None:
             changes, position = await self._calls.call(
                 self._client.read_servers
@@ -87,6 +95,7 @@
     def _note_answer(self):
         """Note an answer of the platform; return the time in milliseconds."""
         now_ms = _clock.read_clock_ms()
+        self._state.versions.note_answered(now_ms)
         self._follower.note_regained()
         outage = self._calls.health.outage
         if outage is not None:
--- a/tests/unit/test_stream_origins.py
+++ b/tests/unit/test_stream_origins.py
@@ -63,6 +63,7 @@
         history = routing.VersionHistory(is_first_start=False)
         self.assertFalse(history.knows_all(0))
         history.note_list(0)
+        history.note_answered(LIFE_MS)
         self.assertFalse(history.knows_all(LIFE_MS - 1))
         self.assertTrue(history.knows_all(LIFE_MS))
 
@@ -70,15 +71,30 @@
         history = routing.VersionHistory(is_first_start=True)
         self.assertFalse(history.knows_all(0))
         history.note_list(5)
+        history.note_answered(5)
         self.assertTrue(history.knows_all(5))
 
     def test_changes_before_a_list_is_read_again_are_unknown(self):
         history = routing.VersionHistory(is_first_start=True)
         history.note_list(0)
         history.note_list(100)
+        history.note_answered(100 + LIFE_MS)
         self.assertFalse(history.knows_all(100))
         self.assertTrue(history.knows_all(100 + LIFE_MS))
 
+    def test_vm_that_the_platform_turns_away_does_not_know_all(self):
+        history = routing.VersionHistory(is_first_start=True)
+        history.note_list(0)
+        history.note_answered(0)
+        self.assertTrue(history.knows_all(_stream_origins.LIST_AGE_MAX_MS))
+        self.assertFalse(
+            history.knows_all(_stream_origins.LIST_AGE_MAX_MS + 1)
+        )
+        history.note_failed()
+        self.assertFalse(history.knows_all(1))
+        history.note_answered(2)
+        self.assertTrue(history.knows_all(3))
+
     def test_version_counts_until_no_stream_of_it_is_taken_up(self):
         history = routing.VersionHistory(is_first_start=True)
         history.note_versions([('s', 'v1'), ('t', 'v3')], 0)
