Let servers of the soak say that they leave, and name pauses

In the soak, servers say in each answer that they leave from the moment on at which the store has it, and one may refuse all requests for a while and name 0.8 to 4 s with Retry-After. A check counts by the users' rule BUDGET: no more than two requests of a VM within that time, half a second after the first.

--- a/tests/soak/_checks.py
+++ b/tests/soak/_checks.py
@@ -67,6 +67,7 @@
     broken += check_versions(site, callers)
     broken += check_leaving(site, callers)
     broken += check_limits(site, callers)
+    broken += check_pauses(site, callers)
     broken += check_deadly_prompts(site, callers)
     broken += check_news(site)
     broken += check_recovery(callers, quiet_since_s)
@@ -315,6 +316,51 @@
     return broken
 
 
+PAUSE_SLACK_S = 0.5
+PAUSE_MAX = 2
+"""The users' rule BUDGET: more than two requests reach a worker from a machine
+between half a second after it has answered that machine 503 with
+``Retry-After`` and the end of that time."""
+
+
+def check_pauses(site, callers):
+    """Check that VMs spare servers that have named a time for the next try.
+
+    The VM that a request was sent to is the one that sends it on.
+    """
+    broken = []
+    records = {record.request_id: record for record in callers.records}
+    vms = {vm.name: vm for vm in site.vms}
+    for backend in site.backends.values():
+        for span in backend.pauses:
+            times_s = collections.defaultdict(list)
+            for request in backend.server.arrivals:
+                record = records.get(
+                    request.headers.get('x-request-attempt-id', '')
+                )
+                if (
+                    record is not None
+                    and span.begun_s <= request.received_s <= span.ended_s
+                ):
+                    times_s[record.vm].append(request.received_s)
+            for vm, arrivals_s in times_s.items():
+                late = [
+                    time_s
+                    for time_s in arrivals_s
+                    if arrivals_s[0] + PAUSE_SLACK_S
+                    < time_s
+                    < arrivals_s[0] + span.pause_s
+                ]
+                end_s = arrivals_s[0] + span.pause_s
+                is_excused = vms[vm].was_away(arrivals_s[0], end_s)
+                if len(late) > PAUSE_MAX and not is_excused:
+                    broken.append(
+                        f'{backend.server.name} wanted nothing of {vm} for '
+                        f'{span.pause_s} s and got {len(late)} requests'
+                    )
+    return broken
+
+
 def _list_told_arrivals(backend, span, records, vms):
     told_s = {}
     times_s = []
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -218,6 +218,7 @@
     key = f'servers/{backend.server.name}'
     site.store.put(key, backend.entry(state='draining'))
     backend.drained_s = trio.current_time()
+    backend.server.is_leaving = True
     await _sleep_random(site)
     site.delist(backend)
 
@@ -310,6 +311,22 @@
         span.ended_s = trio.current_time()
 
 
+@faults.register('server-pause')
+async def pause_server(site):
+    """Let a server refuse all requests and name a time for the next one."""
+    backend = _choose_backend(site)
+    pause_s = site.rng.choice((0.8, 2.0, 4.0))
+    span = _site.PauseSpan(pause_s=pause_s, begun_s=trio.current_time())
+    backend.pauses.append(span)
+    backend.server.retry_after = str(pause_s)
+    try:
+        with backend.faults.span():
+            await _sleep_random(site, 1.0, 5.0)
+    finally:
+        backend.server.retry_after = ''
+        span.ended_s = trio.current_time()
+
+
 @faults.register('deadly-prompts')
 async def send_deadly_prompts(site):
     """Send requests with one part that ends the engines, at all VMs."""
--- a/tests/soak/_site.py
+++ b/tests/soak/_site.py
@@ -266,6 +266,8 @@
         When its link to the VMs was disturbed.
     limits : list of LimitSpan
         When it named limits.
+    pauses : list of PauseSpan
+        When it refused all requests and named a time for the next one.
     """
 
     server: site.PlainServer
@@ -275,6 +277,7 @@
     is_listed: bool = True
     faults: _spans.Spans = attrs.field(factory=_spans.Spans)
     limits: list = attrs.field(factory=list)
+    pauses: list = attrs.field(factory=list)
 
     def entry(self, **changes):
         """Return its entry in the store, with the address of the proxy."""
@@ -304,6 +307,23 @@
     ended_s: float = math.inf
 
 
+@attrs.define(kw_only=True)
+class PauseSpan:
+    """A time in which a server refused all requests.
+
+    Parameters
+    ----------
+    pause_s : float
+        The time in which it wanted none of a VM that it had refused.
+    begun_s, ended_s : float
+        When it began and stopped.
+    """
+
+    pause_s: float
+    begun_s: float
+    ended_s: float = math.inf
+
+
 @attrs.frozen(kw_only=True)
 class EngineRun:
     """A run of a request at an engine.
