Let the soak cut VMs off from all servers

Two VMs of each soak see the store with addresses of their own, so that their paths to all servers can be refused and healed; the soak checks by the users' rule that they serve like the others. Each VM has two ports for the others, as on the users' platform: the second is the last of the platform's range if that has one more.

--- a/bluebellthread/platform/_settings.py
+++ b/bluebellthread/platform/_settings.py
@@ -62,6 +62,7 @@
     """
     bounds = fields['bounds']
     listen = fields['listen']
+    first_port, last_port = map(int, fields['internalPorts'])
     platform_host, platform_port = split_address(fields['platform']['address'])
     return EntrySettings(
         vm=fields['nodeName'],
@@ -71,8 +72,8 @@
         regions=dict(fields['zones']),
         caller_port=split_address(listen['front'])[1],
         ready_port=split_address(listen['ready'])[1],
-        peer_port=int(fields['internalPorts'][0]),
-        relay_port=int(fields['internalPorts'][0]) + 1,
+        peer_port=first_port,
+        relay_port=min(first_port + 1, last_port),
         metrics_port=METRICS_PORT,
         # Seed addresses have the port of another role; peers use
         # peer_port, which is the same on all VMs.
--- a/standin/site/__init__.py
+++ b/standin/site/__init__.py
@@ -11,6 +11,7 @@
 from standin.site._connection import SiteRequest
 from standin.site._store import Store
 from standin.site._store import StoreDoor
+from standin.site._store import StoreView
 
 __all__ = [
     'Ending',
@@ -19,5 +20,6 @@
     'SiteRequest',
     'Store',
     'StoreDoor',
+    'StoreView',
     'parts_of',
 ]
--- a/standin/site/_store.py
+++ b/standin/site/_store.py
@@ -249,6 +249,55 @@
         await refusals.get(self.refusal)(request)
 
 
+@attrs.define(kw_only=True)
+class StoreView:
+    """A store as one caller sees it, with some items changed.
+
+    Parameters
+    ----------
+    store : Store
+        The store behind it.
+    change : callable
+        Takes the key and the decoded value of an item; returns the value that
+        the caller sees.
+    """
+
+    store: Store
+    change: object
+    port: int = 0
+
+    async def start(self, nursery):
+        """Start to serve in a nursery, on a free port."""
+        self.port = await _connection.serve(nursery, self._handle)
+
+    async def _handle(self, request):
+        send = request.answer
+
+        async def answer(status, body=b'', headers=(), *, ending=None):
+            if status == 200:
+                body = self._change_answer(body)
+            await send(status, body, headers, ending=ending)
+
+        request.answer = answer
+        await self.store.handle(request)
+
+    def _change_answer(self, body):
+        fields = json.loads(body)
+        for item in (*fields.get('items', ()), *fields.get('events', ())):
+            if 'value' in item:
+                self._change_item(item)
+        return json.dumps(fields).encode()
+
+    def _change_item(self, item):
+        try:
+            value = json.loads(base64.b64decode(item['value']))
+        except ValueError:
+            # Items may be malformed; their readers have to cope.
+            return
+        raw = json.dumps(self.change(item['key'], value)).encode()
+        item['value'] = base64.b64encode(raw).decode()
+
+
 @refusals.register('503')
 async def _refuse_as_unavailable(request):
     await request.answer(503)
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -1,5 +1,6 @@
 """Registry of the faults that are injected from outside the processes."""
 
+import contextlib
 import functools
 import itertools
 import signal
@@ -184,6 +185,20 @@
         site.store.refuse_status = 0
 
 
+@faults.register('paths-cut')
+async def cut_paths(site):
+    """Cut one or two VMs off from all servers, for longer than contact."""
+    cuttable = {
+        index: paths for index, paths in site.paths.items() if not paths.is_cut
+    }
+    count = min(len(cuttable), site.rng.randint(1, 2))
+    async with contextlib.AsyncExitStack() as stack:
+        for index in site.rng.sample(sorted(cuttable), count):
+            stack.enter_context(site.vms[index].path_cuts.span())
+            await stack.enter_async_context(cuttable[index].cut(site.backends))
+        await _sleep_random(site, 1.0, 9.0)
+
+
 @faults.register('server-reset')
 async def reset_server(site):
     """Reset a backend server's connections and refuse new ones for a while."""
--- a/tests/soak/_spans.py
+++ b/tests/soak/_spans.py
@@ -35,6 +35,13 @@
         finally:
             entry[1] = trio.current_time()
 
+    def covers(self, begin_s, end_s):
+        """Return whether one disturbance lasted from begin to end."""
+        return any(
+            begun_s <= begin_s and ended_s >= end_s
+            for begun_s, ended_s in self._spans
+        )
+
     def touches(self, begin_s, end_s):
         """Return whether there was a disturbance from begin to end."""
         return any(
