Cancel a call to a peer that begins while the process stops

A process that stopped could end with an error, and a test of cut paths did once: a task that was being cancelled began a call after the tasks of the links had ended, and its connection could not be started. Such a call is now cancelled like its task. The new test failed before with that error.

--- a/bluebellthread/daemon/_peers.py
+++ b/bluebellthread/daemon/_peers.py
@@ -229,6 +229,8 @@
         )
 
     async def _link_to(self, member):
+        # At a stop the nursery may have ended before this task has.
+        await trio.lowlevel.checkpoint_if_cancelled()
         address = (member.host, member.peer_port)
         link = self._links.get(address)
         if link is None or link.closed:
--- a/tests/unit/test_peer_links.py
+++ b/tests/unit/test_peer_links.py
@@ -2,6 +2,7 @@
 import unittest.mock
 
 import trio
+import trio.testing
 
 from bluebellthread import core
 from bluebellthread.daemon import _clock
@@ -31,6 +32,34 @@
             self.assertLessEqual(found_after_s, 4)
 
 
+class TestStop(unittest.TestCase):
+    # Guards against a call that fails otherwise than by its cancellation if
+    # it begins when the tasks of the links have ended already.
+    def test_call_of_a_task_that_is_being_cancelled_is_cancelled(self):
+        trio.run(self.call_after_the_end)
+
+    async def call_after_the_end(self):
+        links = _peers.PeerLinks(
+            vm='a',
+            host='127.0.0.1',
+            incarnation=1,
+            mailboxes=_mailboxes.Mailboxes(),
+            traffic=_Traffic(),
+        )
+        async with trio.open_nursery() as nursery:
+            await nursery.start(links.run)
+            nursery.cancel_scope.cancel()
+            with trio.CancelScope(shield=True):
+                await trio.testing.wait_all_tasks_blocked()
+            await links.call(
+                _make_member(1),
+                core.StatusRequest(),
+                deadline_ms=_clock.read_clock_ms() + 1000 * TEST_TIMEOUT_S,
+            )
+            self.fail('the call was not cancelled')
+        self.assertTrue(nursery.cancel_scope.cancelled_caught)
+
+
 class _Traffic:
     def count(self, size_bytes, *, messages=1):
         """Ignore a count of sent messages."""
@@ -59,14 +88,7 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(links.run)
             listeners = await nursery.start(server.serve, '127.0.0.1', 0)
-            member = core.Member(
-                name='b',
-                data_centre='cluj-a',
-                region='north',
-                host='127.0.0.1',
-                peer_port=listeners[0].socket.getsockname()[1],
-                caller_port=2,
-            )
+            member = _make_member(listeners[0].socket.getsockname()[1])
             # The answer, here a rejection, shows that both ends are open.
             await links.call(
                 member,
@@ -78,6 +100,17 @@
     return ends
 
 
+def _make_member(peer_port):
+    return core.Member(
+        name='b',
+        data_centre='cluj-a',
+        region='north',
+        host='127.0.0.1',
+        peer_port=peer_port,
+        caller_port=2,
+    )
+
+
 def _options_of(stream):
     options = {
         name: stream.getsockopt(TCP, getattr(trio.socket, name))
