Pass over VMs without a path for as long as cuts last

Such VMs are now passed over for 2 s and four are asked; one that is busy or has an older configuration, for 0.3 s.

--- a/bluebellthread/core/routing/_helper_choice.py
+++ b/bluebellthread/core/routing/_helper_choice.py
@@ -4,12 +4,13 @@
 
 import attrs
 
-REFUSED_MS = 500
-"""How long a VM that has not taken a request for a service is passed over."""
+LOST_MS = 2000
+"""How long a VM that has no path to a service either is passed over for it,
+and VMs of other data centres go first: mostly all VMs of a data centre lose
+their paths together."""
 
-DOUBT_MS = 2000
-"""How long VMs of other data centres go first after a VM has not taken a
-request: mostly all VMs of a data centre lose their paths together."""
+BUSY_MS = 300
+"""How long a VM that can't take more requests now is passed over."""
 
 UNREACHED_MS = 1000
 """The same for a VM that was not reached. By then the membership mostly
@@ -100,12 +101,15 @@
         if not self._in_flight[vm]:
             del self._in_flight[vm]
 
-    def note_refused(self, member, service, now_ms):
-        """Note that a VM has not taken a request for a service."""
-        self._pass_over(
-            _Key(member.name, service), now_ms + REFUSED_MS, now_ms
-        )
-        self._doubtful[member.data_centre, service] = now_ms + DOUBT_MS
+    def note_lost(self, member, service, now_ms):
+        """Note that a VM has no path to a service either."""
+        until_ms = now_ms + LOST_MS
+        self._pass_over(_Key(member.name, service), until_ms, now_ms)
+        self._doubtful[member.data_centre, service] = until_ms
+
+    def note_busy(self, member, service, now_ms):
+        """Note that a VM can't take a request for a service now."""
+        self._pass_over(_Key(member.name, service), now_ms + BUSY_MS, now_ms)
 
     def note_unreached(self, vm, now_ms):
         """Note that a VM was not reached."""
--- a/bluebellthread/entry/_hand_on.py
+++ b/bluebellthread/entry/_hand_on.py
@@ -21,7 +21,7 @@
 CONNECT_TIMEOUT_S = 0.5
 """A dozen round trips between regions."""
 
-HELPERS_MAX = 3
+HELPERS_MAX = 4
 """VMs that a request is offered to before it is refused."""
 
 
@@ -221,9 +221,12 @@
         if reason:
             await _server_calls.close(exchange)
             work.note_not_taken()
-            self._choice.note_refused(
-                member, work.service, _clock.read_clock_ms()
+            note = (
+                self._choice.note_lost
+                if reason == _http_messages.NO_PATH
+                else self._choice.note_busy
             )
+            note(member, work.service, _clock.read_clock_ms())
             self._log_not_taken(work, member, reason)
             return None
         work.note_run()
--- a/bluebellthread/entry/_http_messages.py
+++ b/bluebellthread/entry/_http_messages.py
@@ -34,6 +34,9 @@
 NOT_TAKEN_HEADER = b'bluebellthread-not-taken'
 """Why a VM does not take a request, in its answer; nothing has run then."""
 
+NO_PATH = 'no-path'
+"""Value of it if that VM reaches no server either."""
+
 SOFTWARE_HEADER = b'bluebellthread-software-version'
 """Software version of the server that answers."""
 
--- a/bluebellthread/entry/_plain_path.py
+++ b/bluebellthread/entry/_plain_path.py
@@ -205,7 +205,7 @@
             if work.may_have_run:
                 await work.fail('answer-lost')
             else:
-                await work.refuse_hand_on('no-path')
+                await work.refuse_hand_on(_http_messages.NO_PATH)
             return True
         try:
             with trio.fail_after(self._hop_timeout_s(work)):
--- a/bluebellthread/entry/_stream_path.py
+++ b/bluebellthread/entry/_stream_path.py
@@ -6,6 +6,7 @@
 from bluebellthread.daemon import _clock
 from bluebellthread.entry import _cut_runs
 from bluebellthread.entry import _hand_on
+from bluebellthread.entry import _http_messages
 from bluebellthread.entry import _placement_client
 from bluebellthread.entry import _prefill_runner
 from bluebellthread.entry import _server_calls
@@ -232,7 +233,7 @@
             if work.exchange.is_started or work.may_have_run:
                 await self._end_failed()
             else:
-                await work.refuse_hand_on('no-path')
+                await work.refuse_hand_on(_http_messages.NO_PATH)
             return True
         try:
             async with self._hand_on.opened(
--- a/tests/unit/test_helper_choice.py
+++ b/tests/unit/test_helper_choice.py
@@ -52,23 +52,29 @@
         self.choice.end('vm1')
         self.assertEqual('vm1', self.choose(members))
 
-    def test_vm_that_refused_is_passed_over_for_its_service_for_a_while(self):
+    def test_vm_without_a_path_is_passed_over_for_its_service_for_a_while(
+        self,
+    ):
         member = make_member('vm1')
-        self.choice.note_refused(member, 's', 0)
+        self.choice.note_lost(member, 's', 0)
         self.assertIsNone(self.choose([member]))
         self.assertIsNotNone(self.choice.choose([member], 'other', 0))
-        self.assertEqual(
-            'vm1', self.choose([member], _helper_choice.REFUSED_MS)
-        )
+        self.assertEqual('vm1', self.choose([member], _helper_choice.LOST_MS))
 
     # Guards against a data centre without paths whose VMs only ask others
     # of the same data centre.
-    def test_other_data_centres_go_first_after_a_refusal(self):
+    def test_other_data_centres_go_first_after_one_has_no_path(self):
         here = [make_member(f'vm{number}') for number in range(1, 9)]
         far = make_member('far', data_centre='c', region='q')
-        self.choice.note_refused(here[0], 's', 0)
+        self.choice.note_lost(here[0], 's', 0)
         self.assertEqual('far', self.choose([*here, far]))
 
+    def test_vm_that_is_busy_is_passed_over_for_a_moment(self):
+        member = make_member('vm1')
+        self.choice.note_busy(member, 's', 0)
+        self.assertIsNone(self.choose([member]))
+        self.assertEqual('vm1', self.choose([member], _helper_choice.BUSY_MS))
+
     def test_vm_that_was_not_reached_is_passed_over_for_all_services(self):
         member = make_member('vm1')
         self.choice.note_unreached('vm1', 0)
