--- a/bluebellthread/entry/_stream_path.py
+++ b/bluebellthread/entry/_stream_path.py
@@ -12,6 +12,7 @@
 from bluebellthread.entry import _server_calls
 from bluebellthread.entry import _server_limits
 from bluebellthread.entry import _stream_context
+from bluebellthread.entry import _stream_hop
 from bluebellthread.entry import _stream_relay
 from bluebellthread.entry import _work
 from bluebellthread.observe import emit
@@ -78,7 +79,6 @@
         self._shut_outs = context.shut_outs
         self._watch = context.server_watch
         self._paths = context.paths
-        self._hand_on = context.hand_on
         self._cut_runs = _cut_runs.CutRuns(
             work=work,
             server_watch=context.server_watch,
@@ -93,6 +93,9 @@
         self._limited_count = 0
         self._review = routing.GrantReview(context.state.settings.vm)
         self._relay = _stream_relay.StreamRelay(work=work, context=context)
+        self._hop = _stream_hop.StreamHop(
+            work=work, context=context, relay=self._relay
+        )
 
     async def run(self):
         work = self._work
@@ -192,7 +195,7 @@
                 continue
             except _stream_context.StreamBrokenError as error:
                 failed_server = error.server
-                if await self._is_path_lost(error):
+                if await self._hop.is_path_lost(error):
                     # The server is not to blame.
                     failed_server = ''
                 elif (
@@ -217,15 +220,6 @@
 
     # VMs without a path
 
-    async def _is_path_lost(self, error):
-        """Return whether a server was not reached, nor any other one."""
-        if not error.is_unreached:
-            return False
-        server = self._state.directory.find(error.server)
-        return server is not None and await self._paths.is_confirmed_lost(
-            server
-        )
-
     async def _end_over_other_vm(self):
         """Have another VM go on with the request; return whether it ended."""
         work = self._work
@@ -236,13 +230,8 @@
                 await work.refuse_hand_on(_http_messages.NO_PATH)
             return True
         try:
-            async with self._hand_on.opened(
-                work,
-                extra=self._make_hop_headers(),
-                resume_after=self._relay.resume_after,
-            ) as handed_on:
-                await self._pass_on_from(handed_on)
-                return True
+            await self._hop.pass_on()
+            return True
         except _hand_on.NotTakenError:
             await self._end_failed('no-path')
             return True
@@ -258,30 +247,6 @@
                 return True
         return False
 
-    async def _pass_on_from(self, handed_on):
-        """Pass on what another VM answers."""
-        work = self._work
-        status = handed_on.call.head.status
-        if 200 <= status < 300:
-            self._relay.running_version = handed_on.software_version
-            await self._relay.pass_on(handed_on, handed_on.call)
-            return
-        answer = await handed_on.read_answer()
-        if work.exchange.is_started:
-            await work.exchange.abort()
-        else:
-            await work.pass_on(answer, outcome='handed-on')
-
-    def _make_hop_headers(self):
-        """Return what tells another VM where the stream goes on."""
-        headers = self._relay.resume_headers()
-        if not headers:
-            return []
-        dialect = self._dialect
-        began = self._work.request.header(dialect.resumed_attempt)
-        began = began or self._relay.begun_attempt
-        return [*headers, (dialect.resumed_attempt, began.encode('latin-1'))]
-
     # Prompts that end engines
 
     def _find_shut_out(self):
