Let a VM without a path pass back requests that may have run elsewhere

A request that may be repeated, and that had hung before it was handed on, ended with 502 at a VM that had no path either, though another VM could have served it: that VM took what had run before for its own runs. Only runs at servers that it has called itself count for that now.

The new test failed before (the answer lacked the word that it is not taken) and passes; 22 tests of cut paths pass.

--- a/bluebellthread/entry/_plain_path.py
+++ b/bluebellthread/entry/_plain_path.py
@@ -202,7 +202,7 @@
     async def _end_over_other_vm(self, work):
         """Have another VM answer the request, or return False to try again."""
         if work.is_handed_on:
-            if work.may_have_run:
+            if work.may_have_run_here:
                 await work.fail('answer-lost')
             else:
                 await work.refuse_hand_on(_http_messages.NO_PATH)
--- a/bluebellthread/entry/_stream_path.py
+++ b/bluebellthread/entry/_stream_path.py
@@ -224,7 +224,7 @@
         """Have another VM go on with the request; return whether it ended."""
         work = self._work
         if work.is_handed_on:
-            if work.exchange.is_started or work.may_have_run:
+            if work.exchange.is_started or work.may_have_run_here:
                 await self._end_failed()
             else:
                 await work.refuse_hand_on(_http_messages.NO_PATH)
--- a/bluebellthread/entry/_work.py
+++ b/bluebellthread/entry/_work.py
@@ -96,6 +96,7 @@
         )
         self.run_count = run_count
         self.may_have_run = run_count > 0
+        self._earlier_run_count = run_count
         self.outcome = ''
         self.waited_ms = 0
         self.prefill_ms = None
@@ -143,6 +144,11 @@
         """Milliseconds since the request's first byte was read."""
         return _clock.read_clock_ms() - self.request.received_ms
 
+    @property
+    def may_have_run_here(self):
+        """Whether a server may have run it that this VM has called."""
+        return self.run_count > self._earlier_run_count
+
     # Attempts
 
     def note_sent(self, server):
--- a/tests/integration/test_entry_server_cuts.py
+++ b/tests/integration/test_entry_server_cuts.py
@@ -253,6 +253,26 @@
                 [], [name for name in call.headers if 'bluebell' in name]
             )
 
+    # Guards against a VM without a path that ends a request which may have run
+    # elsewhere, though another VM could still serve it.
+    @run
+    async def test_repeated_call_is_not_taken_by_a_vm_without_a_path(self):
+        async with running_fleet(plain=PLAIN) as (fleet, cuts):
+            cuts.cut_off((2,), 'refused')
+            vm = fleet.vms[2]
+            for path in ('/read/x', '/order/x'):
+                async with sites.Caller(
+                    await trio.open_tcp_stream(
+                        vm.host, vm.entry.ports['relay_port']
+                    )
+                ) as caller:
+                    answer = await caller.call(
+                        'POST', path, headers=('Bluebellthread-Runs: 1',)
+                    )
+                self.assertEqual(
+                    'no-path', answer.headers.get('bluebellthread-not-taken')
+                )
+
     @run
     async def test_vm_with_an_older_configuration_does_not_take_requests(
         self,
