--- a/tests/unit/test_platform_follower.py
+++ b/tests/unit/test_platform_follower.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from bluebellthread.entry import _platform_calls
 from bluebellthread.entry import _platform_follower
 from bluebellthread.entry import HistoryLostError
 from bluebellthread.observe import events
@@ -11,8 +12,11 @@
 
 
 def make_follower(step):
+    calls = _platform_calls.PlatformCalls(
+        vm='vm1', news=unittest.mock.Mock(), rng=random.Random(2)
+    )
     return _platform_follower.PlatformFollower(
-        name='server list', step=step, rng=random.Random(1)
+        name='server list', step=step, calls=calls, rng=random.Random(1)
     )
 
 
--- a/tests/unit/test_stream_pieces.py
+++ b/tests/unit/test_stream_pieces.py
@@ -70,6 +70,8 @@
         budgets=None,
         shut_outs=None,
         server_watch=None,
+        paths=None,
+        hand_on=None,
         dialect=None,
         stats=_Stats(),
     )
