--- a/standin/_proxy.py
+++ b/standin/_proxy.py
@@ -88,6 +88,7 @@
         self._udp = None
         self._nursery = None
         self._listening = None
+        self._reservation = None
         self._is_open = True
 
     async def start(self, nursery):
@@ -122,6 +123,14 @@
     async def _serve(self, listeners):
         with trio.CancelScope() as self._listening:
             await trio.serve_listeners(self._relay_connection, listeners)
+        if not self._is_open:
+            # No other process may be given the port meanwhile. Connections
+            # are refused, as nothing listens.
+            self._reservation = socket.socket()
+            self._reservation.setsockopt(
+                socket.SOL_SOCKET, socket.SO_REUSEADDR, 1
+            )
+            self._reservation.bind((self.settings.host, self.settings.port))
 
     def close(self):
         """Close the port and reset all connections.
@@ -138,6 +147,9 @@
             self.settings.port, host=self.settings.host
         )
         self._is_open = True
+        if self._reservation is not None:
+            self._reservation.close()
+            self._reservation = None
         self._nursery.start_soon(self._serve, listeners)
 
     def rule_of(self, source):
--- a/tests/integration/test_standins.py
+++ b/tests/integration/test_standins.py
@@ -1,6 +1,12 @@
+import socket
+import unittest
+
 import trio
+import trio.testing
 
 import standin
+from standin import _proxy
+from standin import site
 from tests.integration import _fleet
 
 PROMPT = 'a cracked glaze, a lost wig; ' * 100
@@ -156,6 +162,31 @@
         self.assertEqual(2, await count_config_reads(fleet))
 
 
+class TestClosedProxy(unittest.TestCase):
+    # Guards against a port that another process gets while a path is cut.
+    def test_closed_proxy_refuses_connections_and_keeps_its_port(self):
+        trio.run(self.close_and_reopen)
+
+    async def close_and_reopen(self):
+        async with trio.open_nursery() as nursery:
+            server = site.PlainServer(name='s1')
+            await server.start(nursery)
+            proxy = _proxy.Proxy(
+                _proxy.ProxySettings(name='x', target_port=server.port)
+            )
+            await proxy.start(nursery)
+            address = ('127.0.0.1', proxy.settings.port)
+            proxy.close()
+            await trio.testing.wait_all_tasks_blocked()
+            with self.assertRaises(OSError):
+                await trio.open_tcp_stream(*address)
+            with socket.socket() as other, self.assertRaises(OSError):
+                other.bind(address)
+            await proxy.reopen()
+            await trio.aclose_forcefully(await trio.open_tcp_stream(*address))
+            nursery.cancel_scope.cancel()
+
+
 class TestProxy(_fleet.FleetTestCase):
     def test_faults_affect_only_connections_of_their_source(self):
         self.run_fleet(self.check_faults)
