--- a/standin/site/_backend.py
+++ b/standin/site/_backend.py
@@ -57,6 +57,8 @@
         How often the process has ended.
     ended_by : list of SiteRequest
         The calls whose prompts ended the process, in turn.
+    silent_count : int
+        How often the process has fallen silent.
     """
 
     name: str
@@ -80,7 +82,31 @@
     on_crash: object = None
     crash_count: int = 0
     ended_by: list = attrs.field(factory=list)
+    silent_count: int = 0
     _process: object = None
+    _voice: object = None
+
+    def fall_silent(self):
+        """Handle and send nothing, with all connections open, from now on."""
+        if self._voice is None:
+            self._voice = trio.Event()
+            self.silent_count += 1
+
+    def go_on(self):
+        """End a silence; everything goes on where it was."""
+        if self._voice is not None:
+            self._voice.set()
+            self._voice = None
+
+    async def be_silent(self, duration_s):
+        """Fall silent for some time."""
+        self.fall_silent()
+        await trio.sleep(duration_s)
+        self.go_on()
+
+    async def _wait_voice(self):
+        while self._voice is not None:
+            await self._voice.wait()
 
     async def start(self, nursery):
         """Start to serve in a nursery, on a free port."""
@@ -140,6 +166,8 @@
         }
 
     async def _handle(self, request):
+        request.wait_voice = self._wait_voice
+        await self._wait_voice()
         self.arrivals.append(request)
         if request.headers.get('x-expect-instance') != self.name:
             await self.refuse(request, 421)
--- a/standin/site/_connection.py
+++ b/standin/site/_connection.py
@@ -46,6 +46,8 @@
     ----------
     received_s : float
         When the call had been read.
+    wait_voice : callable or None
+        ``async``; waited for before any bytes are sent.
     """
 
     def __init__(self, *, head, body, stream):
@@ -60,12 +62,18 @@
         self.stream = stream
         self.keeps_connection = True
         self.received_s = trio.current_time()
+        self.wait_voice = None
         self._framing = 'length'
 
+    async def _send(self, data):
+        if self.wait_voice is not None:
+            await self.wait_voice()
+        await self.stream.send_all(data)
+
     async def answer(self, status, body=b'', headers=(), *, ending=None):
         """Send an answer; complete and with its length by default."""
         if ending is None:
-            await self.stream.send_all(make_answer(status, body, headers))
+            await self._send(make_answer(status, body, headers))
             return
         body = ending.cut(body)
         await self.begin(status, headers, ending=ending, length=len(body))
@@ -84,14 +92,14 @@
         line = FRAMING_LINES[ending.framing].format(length=length)
         lines = [f'HTTP/1.1 {status} X', *([line] if line else [])]
         lines += [f'{name}: {value}' for name, value in headers]
-        await self.stream.send_all(_join(lines))
+        await self._send(_join(lines))
 
     async def send_piece(self, data):
         """Send a part of the body, which is not empty if it is chunked."""
         if self._framing == 'chunks':
             await self.send_chunk(data)
         else:
-            await self.stream.send_all(data)
+            await self._send(data)
 
     async def end(self):
         """End the body as its framing marks it."""
@@ -108,7 +116,7 @@
     async def send_chunk(self, data):
         """Send one chunk; an empty one ends the answer."""
         size = f'{len(data):x}\r\n'.encode()
-        await self.stream.send_all(size + data + b'\r\n')
+        await self._send(size + data + b'\r\n')
 
     async def reset(self):
         """Close the connection at once, even in the middle of an answer."""
