Log why no run follows, and which answers the VM itself breaks off

Callers saw streams end; the logs could not tell why. A wait that timed out logged E7035 without a reason, an answer that the VM broke off was logged as caller-gone, and nothing said why no other run followed.

--- a/bluebellthread/entry/_caller_connection.py
+++ b/bluebellthread/entry/_caller_connection.py
@@ -214,7 +214,7 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             # A reset also means that the caller has left.
             pass
-        exchange.caller_gone = True
+        exchange.caller_gone = not exchange.is_aborted
 
     # Ending
 
@@ -270,6 +270,8 @@
     caller_gone : bool
         Whether the caller has closed the connection; the exchange is then
         being cancelled.
+    is_aborted : bool
+        Whether the answer was broken off by `abort`.
     closes_after : bool
         Whether the connection is closed after this answer.
     status : int or None
@@ -279,6 +281,7 @@
     def __init__(self, *, request, conn, stream):
         self.request = request
         self.caller_gone = False
+        self.is_aborted = False
         self.closes_after = False
         self.status = None
         self._conn = conn
@@ -327,6 +330,7 @@
 
         The caller then sees that the answer is incomplete.
         """
+        self.is_aborted = True
         await trio.aclose_forcefully(self._stream)
 
     def _reset_on_close(self, resets):
--- a/bluebellthread/entry/_plain_path.py
+++ b/bluebellthread/entry/_plain_path.py
@@ -278,11 +278,16 @@
 
     def _spend_retry(self, work):
         remaining_ms = work.deadline_ms - _clock.read_clock_ms()
-        return (
-            work.run_count < work.route.run_max
-            and remaining_ms >= RETRY_TIME_MIN_MS
-            and self._budgets.spend(work.service)
-        )
+        obstacle = ''
+        if work.run_count >= work.route.run_max:
+            obstacle = _work.NO_RUNS_LEFT
+        elif remaining_ms < RETRY_TIME_MIN_MS:
+            obstacle = _work.NO_TIME
+        elif not self._budgets.spend(work.service):
+            obstacle = _work.NO_BUDGET
+        if obstacle:
+            work.log_not_retried(work.last_server, obstacle)
+        return not obstacle
 
     async def _give_up(self, work):
         if work.may_have_run:
--- a/bluebellthread/entry/_stream_path.py
+++ b/bluebellthread/entry/_stream_path.py
@@ -632,13 +632,27 @@
 
     def _spend_retry(self, error):
         work = self._work
-        if work.may_have_run and not (
-            work.route.is_resumable
-            and self._relay.has_runs_left
-            and self._relay.may_go_on
+        obstacle = self._find_retry_obstacle()
+        if not obstacle and not self._budgets.spend(
+            work.service, error.retry_count
         ):
-            return False
-        return self._budgets.spend(work.service, error.retry_count)
+            obstacle = _work.NO_BUDGET
+        if obstacle:
+            work.log_not_retried(error.server, obstacle)
+        return not obstacle
+
+    def _find_retry_obstacle(self):
+        """Return why no other run may follow, or an empty text."""
+        work = self._work
+        if not work.may_have_run:
+            return ''
+        if not work.route.is_resumable:
+            return _work.RUNS_ONCE
+        if not self._relay.has_runs_left:
+            return _work.NO_RUNS_LEFT
+        if not self._relay.may_go_on:
+            return _work.NO_EVENT_ID
+        return ''
 
     async def _end_failed(
         self, kind='servers-failed', retry_after_ms=_work.UNSERVED_RETRY_MS
--- a/bluebellthread/entry/_stream_relay.py
+++ b/bluebellthread/entry/_stream_relay.py
@@ -151,7 +151,6 @@
         except (
             core.EventTooLongError,
             _server_connection.AnswerBrokenError,
-            trio.TooSlowError,
         ) as error:
             self._raise_run_failed(placement, error)
         self._check_end(placement, call, splitter)
@@ -205,10 +204,11 @@
         if isinstance(placement, _hand_on.HandedOn):
             # The other VM goes on at another engine after such a silence.
             silence_s *= 2
-        if silence_s == math.inf:
-            return await call.exchange.read()
-        with trio.fail_after(silence_s):
+        with trio.move_on_after(silence_s):
             return await call.exchange.read()
+        raise _server_connection.AnswerBrokenError(
+            f'nothing came for {silence_s:g} s'
+        )
 
     async def _pass_on_piece(self, whole_events, splitter):
         if not self.has_events:
--- a/bluebellthread/entry/_work.py
+++ b/bluebellthread/entry/_work.py
@@ -21,6 +21,13 @@
 """Stage of a request that one call to a server runs: the answer itself, or the
 prefill before it."""
 
+RUNS_ONCE = 'it may run once only'
+NO_RUNS_LEFT = 'its route allows no more runs'
+NO_EVENT_ID = 'its events have no ids to go on after'
+NO_BUDGET = 'the retry budget is spent'
+NO_TIME = 'too little time is left'
+"""Why no run follows one that has brought no whole answer."""
+
 
 class Work:
     """Holds a caller's request, its attempts at servers and its outcome.
@@ -144,6 +151,11 @@
         """Milliseconds since the request's first byte was read."""
         return _clock.read_clock_ms() - self.request.received_ms
 
+    @property
+    def last_server(self):
+        """The server that it was sent to last; empty before that."""
+        return self._servers[-1] if self._servers else ''
+
     @property
     def may_have_run_here(self):
         """Whether a server may have run it that this VM has called."""
@@ -202,6 +214,18 @@
             remaining_ms=self.deadline_ms - now_ms,
         )
 
+    def log_not_retried(self, server, reason):
+        """Log why no run follows the one at a server."""
+        emit(
+            events.REQUEST_NOT_RETRIED,
+            request_id=self.request_id,
+            server=server,
+            reason=reason,
+            runs=self.run_count,
+            runs_max=self.route.run_max,
+            remaining_ms=self.deadline_ms - _clock.read_clock_ms(),
+        )
+
     def check_answer(self, head):
         """Raise if an answer can't be passed on, judged by its head.
 
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -349,6 +349,12 @@
     'VM {vm} was not asked where the stream of attempt {resumes} began: '
     '{error}',
 )
+REQUEST_NOT_RETRIED = Event(
+    7071,
+    'WARNING',
+    'request {request_id}: no run follows the one at {server}: {reason}; '
+    '{runs} of {runs_max} runs, {remaining_ms} ms before the deadline',
+)
 
 SERVER_HEARD_LEAVING = Event(
     7048,
