Keep a silent run until another one has something better

Callers saw streams end with 200, some events and the end of the connection, although their engine was sound and only silent for a second and a half; 502 or 503 if it was silent before the answer or during the prefill; 502 for idempotent calls.

Cause: a wait for a server was cut short after a fixed time, whether or not anything could follow. The run was dropped first, its placement released and its connection closed; the retry budget, the route's attempts, the owner and the engines were asked afterwards.

Now a run that is silent is kept while another attempt is sought beside it. Whichever has something for the caller first goes on, the other ends; once a later server has accepted the request, the earlier one is kept for 0.25 s more, so that two don't work on it for long. A request that may run once is never sent to a second server, but a second prefill may take the place of a silent one. If nothing may follow, the request waits until its deadline. core.routing.RunRace decides, without input or output; AttemptRace, which streams, idempotent calls and requests handed on use, makes the attempts. A silent server counts as failed only if it can't be connected to, which is checked when the silence is noticed.

The answer to the caller starts with the first event, so a run that brings none can be replaced, or the request be refused, with a whole answer.

E7072 to E7076 tell whom a request waited for, how long, what followed and what kept another attempt from following.

--- a/bluebellthread/core/routing/__init__.py
+++ b/bluebellthread/core/routing/__init__.py
@@ -59,6 +59,9 @@
 from bluebellthread.core.routing._routes import RoutingTable
 from bluebellthread.core.routing._routes import ServiceShare
 from bluebellthread.core.routing._routes import ServiceTraits
+from bluebellthread.core.routing._run_race import OvertakenError
+from bluebellthread.core.routing._run_race import Run
+from bluebellthread.core.routing._run_race import RunRace
 from bluebellthread.core.routing._server_choice import ServerChoice
 from bluebellthread.core.routing._server_limits import effective_rate_per_s
 from bluebellthread.core.routing._server_limits import LIMIT_KEEP_MS
@@ -112,6 +115,7 @@
     'OriginAnswer',
     'OriginAsk',
     'OriginRecords',
+    'OvertakenError',
     'OwnedAllocator',
     'OwnerShare',
     'PLACEMENT_MESSAGES',
@@ -126,6 +130,8 @@
     'PromptRead',
     'Route',
     'RoutingTable',
+    'Run',
+    'RunRace',
     'SETTLE_MS',
     'SHUT_OUT_MS',
     'STREAM_LIFE_MS',
--- a/bluebellthread/core/routing/_retry_budget.py
+++ b/bluebellthread/core/routing/_retry_budget.py
@@ -48,6 +48,13 @@
 
     def spend(self, *, now_ms, vm_count, count=1):
         """Spend ``count`` retries if allowed; return whether they were."""
+        if not self.allows(now_ms=now_ms, vm_count=vm_count, count=count):
+            return False
+        self._retries_ms.extend([now_ms] * count)
+        return True
+
+    def allows(self, *, now_ms, vm_count, count=1):
+        """Return whether ``count`` retries may be spent now."""
         horizon_ms = now_ms - self._window_ms
         for times_ms in (self._requests_ms, self._retries_ms):
             while times_ms and times_ms[0] <= horizon_ms:
@@ -55,7 +62,4 @@
         allowed = self._ratio * len(self._requests_ms) + self._slack / max(
             1, vm_count
         )
-        if len(self._retries_ms) + count > allowed:
-            return False
-        self._retries_ms.extend([now_ms] * count)
-        return True
+        return len(self._retries_ms) + count <= allowed
--- /dev/null
+++ b/bluebellthread/entry/_attempt_race.py
@@ -0,0 +1,313 @@
+"""Makes attempts at one request; a silent one may be followed by another.
+
+An attempt that waits for a silent server is kept while another one is sought.
+Whichever has something for the caller first goes on, and the other ends.
+"""
+
+import contextlib
+import math
+
+import attrs
+import trio
+
+from bluebellthread.core import routing
+from bluebellthread.daemon import _clock
+
+FOLLOW_PAUSE_S = 0.5
+"""Pause after an attempt that could not follow before the next one does: a
+retry budget or a server changes little within this time."""
+
+OVERLAP_S = 0.25
+"""How long a silent run is kept after a later one was accepted by its server:
+events of a sound server come faster. Two servers may work on one request for
+no more than 0.4 s by the users' rules."""
+
+
+@attrs.define(eq=False, kw_only=True)
+class Attempt:
+    """One attempt at a request, and the server that it waits for.
+
+    Attributes
+    ----------
+    run : routing.Run
+        The attempt as its race sees it.
+    is_follower : bool
+        Whether it was begun beside a silent one.
+    waits_for : str
+        Name of the server that it waits for; empty for none.
+    last_server : str
+        Name of the server that it has waited for last.
+    waits_since_ms : int
+        Since when.
+    is_silent : bool
+        Whether the server has been silent for longer than is usual.
+    """
+
+    race: object
+    run: routing.Run
+    is_follower: bool
+    scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    waits_for: str = ''
+    last_server: str = ''
+    waits_since_ms: int = 0
+    silence_deadline_s: float = math.inf
+    is_silent: bool = False
+
+    @property
+    def silent_ms(self):
+        """For how long the server has sent nothing."""
+        return _clock.read_clock_ms() - self.waits_since_ms
+
+    @property
+    def others(self):
+        """The attempts beside this one that have not been overtaken."""
+        return self.race.list_others(self)
+
+    @contextlib.contextmanager
+    def waiting(self, server, silence_s):
+        """Wait for something of a server in the ``with`` body.
+
+        Parameters
+        ----------
+        server : str
+            Name of the server.
+        silence_s : float
+            Time after which the server counts as silent, so that another
+            attempt may follow. The wait itself does not end.
+        """
+        self.waits_for = self.last_server = server
+        self.waits_since_ms = _clock.read_clock_ms()
+        self.silence_deadline_s = trio.current_time() + silence_s
+        self.race.note_changed()
+        try:
+            yield
+        except BaseException:
+            if self.is_silent and not self.run.is_ended:
+                self.race.note_never_heard(self)
+            raise
+        else:
+            self.race.note_heard(self)
+        finally:
+            self.waits_for = ''
+            self.silence_deadline_s = math.inf
+            self.is_silent = False
+
+    def send(self):
+        """Note that the server is about to be asked for the answer.
+
+        Attempts that have not come so far are ended.
+
+        Raises
+        ------
+        OvertakenError
+            If a server works on the answer already and none may beside it.
+        """
+        self.race.end_attempts(self.race.runs.send(self.run), self)
+
+    def note_accepted(self):
+        """Note that the server has begun to answer."""
+        self.race.end_earlier_soon(self)
+
+    def take(self):
+        """Note that something is about to be passed on to the caller.
+
+        All other attempts are ended.
+
+        Raises
+        ------
+        OvertakenError
+            If another attempt has passed something on meanwhile.
+        """
+        self.race.end_attempts(self.race.runs.take(self.run), self)
+
+
+class AttemptRace:
+    """Makes the attempts at one request.
+
+    Parameters
+    ----------
+    work : Work
+        The request.
+    silences : Silences
+        Notes the servers that are silent.
+    runs_once : bool
+        Whether one server at the most may work on the answer.
+    find_obstacle : callable
+        Takes a silent `Attempt`; returns why no other one may follow it, or
+        an empty text.
+    ends_with : callable
+        ``async``; takes the error of an attempt that failed beside another
+        one; returns whether the request ends with it.
+
+    Attributes
+    ----------
+    runs : routing.RunRace
+        Decides which attempt goes on.
+    """
+
+    def __init__(self, *, work, silences, runs_once, find_obstacle, ends_with):
+        self._work = work
+        self._silences = silences
+        self._find_obstacle = find_obstacle
+        self._ends_with = ends_with
+        self.runs = routing.RunRace(runs_once=runs_once)
+        self._attempts = {}
+        self._changed = trio.Event()
+        self._follow_after_s = -math.inf
+        self._nursery = None
+        self._error = None
+        self._is_won = False
+
+    @property
+    def attempts(self):
+        """The attempts that are being made, in the order of their begin."""
+        return tuple(self._attempts.values())
+
+    def list_others(self, attempt):
+        """Return the attempts beside one that have not been overtaken."""
+        return tuple(
+            item
+            for item in self.attempts
+            if item is not attempt and item.run in self.runs.live
+        )
+
+    async def run(self, make):
+        """Make attempts until one has answered the caller.
+
+        Parameters
+        ----------
+        make : callable
+            ``async``; makes one `Attempt` and returns once the caller has
+            its answer.
+
+        Raises
+        ------
+        Exception
+            The error of the last attempt, if none has answered.
+        """
+        self._error = None
+        self._is_won = False
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            self._start(make, is_follower=False)
+            nursery.start_soon(self._watch, make)
+        if not self._is_won:
+            raise self._error
+
+    def _start(self, make, *, is_follower):
+        attempt = Attempt(
+            race=self, run=self.runs.begin(), is_follower=is_follower
+        )
+        self._attempts[id(attempt)] = attempt
+        self._nursery.start_soon(self._make, make, attempt)
+
+    async def _make(self, make, attempt):
+        try:
+            with attempt.scope:
+                await make(attempt)
+                self._is_won = True
+                self._nursery.cancel_scope.cancel()
+        except routing.OvertakenError:
+            # The attempt that has the lead goes on.
+            pass
+        except Exception as error:
+            await self._note_failed(attempt, error)
+        finally:
+            self.runs.end(attempt.run)
+            del self._attempts[id(attempt)]
+            self._follow_after_s = trio.current_time() + FOLLOW_PAUSE_S
+            self.note_changed()
+            if not self._attempts:
+                self._nursery.cancel_scope.cancel()
+
+    async def _note_failed(self, attempt, error):
+        self._error = error
+        self.runs.end(attempt.run)
+        if self.runs.live and await self._ends_with(error):
+            self._error = error
+            self._nursery.cancel_scope.cancel()
+
+    # Silences
+
+    def note_changed(self):
+        """Note that an attempt waits for something else."""
+        self._changed.set()
+
+    def note_heard(self, attempt):
+        """Note that a server has sent what an attempt waits for."""
+        self._silences.note_heard(self._work, attempt)
+
+    def note_never_heard(self, attempt):
+        """Note that an attempt ends while its server is silent."""
+        self._silences.note_never_heard(
+            self._work, attempt, self._find_obstacle(attempt)
+        )
+
+    async def _watch(self, make):
+        """Begin an attempt whenever the only one is silent, if one may."""
+        while True:
+            await self._wait_silent()
+            for attempt in self.attempts:
+                if _is_silent(attempt):
+                    self._note_silent(attempt)
+            if self._is_follower_due():
+                self._silences.note_followed(self._work, self.attempts[0])
+                self._start(make, is_follower=True)
+            await trio.sleep(FOLLOW_PAUSE_S)
+
+    def _note_silent(self, attempt):
+        if attempt.is_silent:
+            self._silences.note_still_silent(attempt)
+            return
+        attempt.is_silent = True
+        self._silences.note_silent(
+            self._work, attempt, self._find_obstacle(attempt)
+        )
+
+    async def _wait_silent(self):
+        """Wait until some attempt is silent."""
+        while True:
+            deadline_s = min(
+                (item.silence_deadline_s for item in self.attempts),
+                default=math.inf,
+            )
+            if deadline_s == math.inf:
+                self._changed = trio.Event()
+                await self._changed.wait()
+            elif trio.current_time() < deadline_s:
+                await trio.sleep_until(deadline_s)
+            else:
+                return
+
+    def _is_follower_due(self):
+        return (
+            trio.current_time() >= self._follow_after_s
+            and self.runs.may_follow()
+            and all(map(_is_silent, self.attempts))
+            and not self._find_obstacle(self.attempts[0])
+        )
+
+    # Ends
+
+    def end_attempts(self, runs, by):
+        """End the attempts of some runs for another attempt."""
+        for attempt in self.attempts:
+            if any(attempt.run is run for run in runs):
+                self._silences.note_overtaken(self._work, attempt, by)
+                attempt.scope.cancel()
+
+    def end_earlier_soon(self, attempt):
+        """End the attempts that were sent before one, but keep them a while.
+
+        They go on if they have something for the caller before.
+        """
+        if len(self._attempts) > 1:
+            self._nursery.start_soon(self._end_earlier, attempt)
+
+    async def _end_earlier(self, attempt):
+        await trio.sleep(OVERLAP_S)
+        self.end_attempts(self.runs.end_sent_before(attempt.run), attempt)
+
+
+def _is_silent(attempt):
+    return trio.current_time() >= attempt.silence_deadline_s
--- a/bluebellthread/entry/_budgets.py
+++ b/bluebellthread/entry/_budgets.py
@@ -38,6 +38,14 @@
             count=count,
         )
 
+    def allows(self, service, count=1):
+        """Return whether ``count`` retries may be spent now."""
+        return self._budget_of(service).allows(
+            now_ms=_clock.read_clock_ms(),
+            vm_count=self._state.vm_count,
+            count=count,
+        )
+
     def _budget_of(self, service):
         budget = self._budgets.get(service)
         if budget is None:
--- a/bluebellthread/entry/_hand_on.py
+++ b/bluebellthread/entry/_hand_on.py
@@ -45,7 +45,7 @@
     call: _server_calls.OpenCall
 
     @property
-    def decode_server(self):
+    def server(self):
         """What stands for the server in the log."""
         return _name_of(self.vm)
 
@@ -111,13 +111,19 @@
         await self._connections.close()
 
     @contextlib.asynccontextmanager
-    async def opened(self, work, *, extra=(), resume_after=''):
+    async def opened(
+        self, work, *, attempt, silence_s, extra=(), resume_after=''
+    ):
         """Hand a request on; yield it as `HandedOn`.
 
         Parameters
         ----------
         work : Work
             The request.
+        attempt : Attempt
+            The attempt to hand it on.
+        silence_s : float
+            Time without an answer after which a VM counts as silent.
         extra : iterable of (bytes, bytes)
             Further headers; they replace the caller's of the same name.
         resume_after : str
@@ -129,6 +135,8 @@
             If no VM takes it.
         CallFailedError
             If a VM that may have taken it does not answer.
+        OvertakenError
+            If another attempt goes on.
         """
         tried = set()
         while len(tried) < HELPERS_MAX:
@@ -151,7 +159,9 @@
             )
             self._choice.begin(member.name)
             try:
-                call = await self._open(member, work, extra)
+                call = await self._open(
+                    member, work, attempt, silence_s, extra
+                )
                 if call is None:
                     continue
                 try:
@@ -170,7 +180,7 @@
             if member.state in _state.OWNER_STATES
         ]
 
-    async def _open(self, member, work, extra):
+    async def _open(self, member, work, attempt, silence_s, extra):
         """Return the open call to a VM, or None if it does not take it."""
         started_ms = _clock.read_clock_ms()
         try:
@@ -191,15 +201,19 @@
             request_id=work.request_id,
             request_id_header=self._dialect.request_id,
         )
-        work.note_sent(_name_of(member.name))
         request = work.request
         try:
-            head = await exchange.open(
-                request.method,
-                request.target,
-                self._make_headers(work, extra),
-                request.body,
-            )
+            attempt.send()
+            with (
+                work.sending(_name_of(member.name)),
+                attempt.waiting(_name_of(member.name), silence_s),
+            ):
+                head = await exchange.open(
+                    request.method,
+                    request.target,
+                    self._make_headers(work, extra),
+                    request.body,
+                )
             reason = head.header(_http_messages.NOT_TAKEN_HEADER)
             if reason:
                 await exchange.read_all()
@@ -255,8 +269,9 @@
         headers.append(
             (_http_messages.VERSION_HEADER, str(work.table_version).encode())
         )
+        earlier_count = work.run_count + work.in_flight_count - 1
         headers.append(
-            (_http_messages.RUNS_HEADER, str(work.run_count).encode())
+            (_http_messages.RUNS_HEADER, str(earlier_count).encode())
         )
         if (
             request.body
--- a/bluebellthread/entry/_path_watch.py
+++ b/bluebellthread/entry/_path_watch.py
@@ -66,6 +66,7 @@
         self._paths = routing.ServerPaths()
         self._checks = {}
         self._probed = set()
+        self._doubted = set()
         self._seen_version = None
         self._waiting = {}
         self._nursery = None
@@ -145,7 +146,10 @@
 
     def note_doubt(self, server):
         """Check a server that keeps a call waiting, and others if need be."""
-        if not self.is_lost(server.service):
+        if not self.is_lost(server.service) and server.name not in (
+            self._doubted
+        ):
+            self._doubted.add(server.name)
             self._nursery.start_soon(self._check_one, server)
 
     async def is_confirmed_lost(self, server):
@@ -204,8 +208,11 @@
             self._nursery.start_soon(self._probe, service)
 
     async def _check_one(self, server):
-        if not await self._reaches(server):
-            self.note_failed(server)
+        try:
+            if not await self._reaches(server):
+                self.note_failed(server)
+        finally:
+            self._doubted.discard(server.name)
 
     async def _reaches_any(self, servers):
         """Return whether one of some servers is reached, as soon as known."""
--- a/bluebellthread/entry/_plain_path.py
+++ b/bluebellthread/entry/_plain_path.py
@@ -1,5 +1,6 @@
 """Serves requests to plain services, and retries them at other servers."""
 
+import functools
 import math
 
 import attrs
@@ -8,6 +9,7 @@
 from bluebellthread import core
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
+from bluebellthread.entry import _attempt_race
 from bluebellthread.entry import _cut_runs
 from bluebellthread.entry import _hand_on
 from bluebellthread.entry import _http_messages
@@ -18,10 +20,13 @@
 from bluebellthread.observe import events
 
 SILENCE_FACTOR = 2
-"""An idempotent request is retried after this many times its target latency
-without an answer: four in five answers of a healthy server have arrived by
+"""A server counts as silent after this many times the target latency of an
+idempotent request: four in five answers of a healthy server have arrived by
 half of that time."""
 
+HOP_SILENCE_FACTOR = 2
+"""The other VM seeks another server after a silence, which takes as long."""
+
 RETRY_TIME_MIN_MS = 60
 """Least time that must be left for a retry: the time of a slow answer."""
 
@@ -33,6 +38,20 @@
 """Retry delay sent to callers if no server is known or left to try."""
 
 
+class _UnansweredError(Exception):
+    """Raised when an attempt has brought nothing to end the request with.
+
+    Parameters
+    ----------
+    result : Answer or CallFailedError or None
+        What it has brought instead; None if no server was found.
+    """
+
+    def __init__(self, result):
+        self.result = result
+        super().__init__(str(result))
+
+
 @attrs.define(kw_only=True)
 class _Progress:
     """What has been tried for one request.
@@ -67,6 +86,12 @@
         return max(1, until_ms - _clock.read_clock_ms())
 
 
+_NO_PATH = _server_calls.CallFailedError(
+    'no server of the service is reached', may_have_run=False
+)
+"""Result of an attempt whose server is not to blame."""
+
+
 class PlainPath:
     """Serves the routes of kind `KIND_IDEMPOTENT` and `KIND_ONCE`.
 
@@ -88,6 +113,8 @@
         Finds out which servers end.
     paths : PathWatch
         Knows which services this VM can't reach.
+    silences : Silences
+        Knows which servers are silent.
     hand_on : HandOn
         Hands requests on to VMs that can.
     dialect : Dialect
@@ -105,6 +132,7 @@
         shut_outs,
         server_watch,
         paths,
+        silences,
         hand_on,
         dialect,
     ):
@@ -116,6 +144,7 @@
         self._shut_outs = shut_outs
         self._watch = server_watch
         self._paths = paths
+        self._silences = silences
         self._hand_on = hand_on
         self._dialect = dialect
         self._seen_version = None
@@ -136,47 +165,111 @@
                 work=work, server_watch=self._watch, shut_outs=self._shut_outs
             ),
         )
+        race = _attempt_race.AttemptRace(
+            work=work,
+            silences=self._silences,
+            runs_once=work.route.kind != routing.KIND_IDEMPOTENT,
+            find_obstacle=functools.partial(self._find_obstacle, work),
+            ends_with=functools.partial(self._ends_with, progress),
+        )
         while True:
             shut_out = self._shut_outs.find(work.service, work.parts)
             if shut_out is not None:
                 await self._end_shut_out(work, shut_out)
                 return
-            if self._paths.is_lost(work.service):
-                if await self._end_over_other_vm(work):
+            if work.is_handed_on and self._paths.is_lost(work.service):
+                await self._end_without_path(work)
+                return
+            try:
+                await race.run(functools.partial(self._make_attempt, progress))
+                return
+            except _hand_on.NotTakenError:
+                await self._end_not_taken(work)
+                return
+            except _UnansweredError as error:
+                if await self._end_with(progress, error.result):
                     return
-                continue
-            server = self._choose(progress)
+
+    async def _make_attempt(self, progress, attempt):
+        """Make one attempt, over another VM if this one has no path.
+
+        Raises
+        ------
+        _UnansweredError
+            If it brings no answer to end the request with.
+        NotTakenError
+            If no other VM takes the request.
+        OvertakenError
+            If another attempt goes on.
+        """
+        if self._paths.is_lost(progress.work.service):
+            await self._attempt_over_other_vm(progress.work, attempt)
+            return
+        server, admission = await self._choose_admitted(progress, attempt)
+        progress.tried.append(server.name)
+        result = await self._attempt(progress, attempt, server, admission)
+        if await self._is_path_lost(server, result):
+            raise _UnansweredError(_NO_PATH)
+        if not self._is_final(progress.work, result):
+            raise _UnansweredError(result)
+        attempt.take()
+        await progress.work.pass_on(result)
+
+    async def _choose_admitted(self, progress, attempt):
+        """Return a server for an attempt, and its `Admission`."""
+        work = progress.work
+        while True:
+            server = self._choose(progress, attempt)
             if server is None:
-                await self._end_without_server(progress)
-                return
+                raise _UnansweredError(None)
             try:
                 admission = await self._caller.admit(server)
             except _server_calls.ServerLimitedError as error:
                 progress.note_closed(server.name, error.retry_after_ms)
                 continue
-            progress.tried.append(server.name)
-            result = await self._attempt(progress, server, admission)
-            if await self._is_path_lost(server, result):
-                continue
-            if await self._end_with(progress, result):
-                return
+            if attempt.is_follower and not self._budgets.spend(work.service):
+                raise _UnansweredError(None)
+            return server, admission
+
+    @staticmethod
+    def _is_final(work, result):
+        """Return whether a result is an answer that no other may replace."""
+        return isinstance(result, _http_messages.Answer) and not (
+            work.route.kind == routing.KIND_IDEMPOTENT
+            and result.head.status >= 500
+        )
+
+    async def _ends_with(self, progress, error):
+        """Note that an attempt failed beside another one.
+
+        Return whether the request itself may be what ends servers.
+        """
+        if not isinstance(error, _UnansweredError):
+            return False
+        if isinstance(error.result, _http_messages.Answer):
+            progress.failure = error.result
+        return await progress.cut_runs.may_have_ended_servers()
 
     async def _end_with(self, progress, result):
         """End the request with an attempt's result, or return False.
 
         Parameters
         ----------
-        result : Answer or CallFailedError
-            What the attempt has brought.
+        result : Answer or CallFailedError or None
+            What the attempt has brought; None if no server was found.
         """
         work = progress.work
+        if result is _NO_PATH:
+            return False
+        if result is None:
+            await self._end_without_server(progress)
+            return True
         if isinstance(result, _server_calls.ServerLimitedError):
             progress.note_closed(result.server, result.retry_after_ms)
             return False
         is_idempotent = work.route.kind == routing.KIND_IDEMPOTENT
         if isinstance(result, _http_messages.Answer):
-            is_final = not (is_idempotent and result.head.status >= 500)
-            if is_final or not self._spend_retry(work):
+            if not self._spend_retry(work):
                 await work.pass_on(result)
                 return True
             progress.failure = result
@@ -199,37 +292,37 @@
             and await self._paths.is_confirmed_lost(server)
         )
 
-    async def _end_over_other_vm(self, work):
-        """Have another VM answer the request, or return False to try again."""
-        if work.is_handed_on:
-            if work.may_have_run_here:
-                await work.fail('answer-lost')
-            else:
-                await work.refuse_hand_on(_http_messages.NO_PATH)
-            return True
+    async def _attempt_over_other_vm(self, work, attempt):
+        """Have another VM answer the request."""
+        if attempt.is_follower and not self._budgets.spend(work.service):
+            raise _UnansweredError(None)
+        silence_s = HOP_SILENCE_FACTOR * self._silence_s(work)
         try:
-            with trio.fail_after(self._hop_timeout_s(work)):
-                async with self._hand_on.opened(work) as handed_on:
+            async with self._hand_on.opened(
+                work, attempt=attempt, silence_s=silence_s
+            ) as handed_on:
+                with attempt.waiting(handed_on.server, silence_s):
                     answer = await handed_on.read_answer()
-        except _hand_on.NotTakenError:
-            if work.may_have_run:
-                await work.fail('answer-lost')
-            else:
-                await work.refuse('no-path', UNAVAILABLE_RETRY_MS)
-            return True
-        except (_server_calls.CallFailedError, trio.TooSlowError):
-            work.note_given_up()
-            is_idempotent = work.route.kind == routing.KIND_IDEMPOTENT
-            if is_idempotent and self._spend_retry(work):
-                return False
-            await work.fail('answer-lost')
-            return True
+        except _server_calls.CallFailedError as error:
+            raise _UnansweredError(error) from error
+        if attempt.others and not self._is_final(work, answer):
+            raise _UnansweredError(answer)
+        attempt.take()
         await work.pass_on(answer, outcome='handed-on')
-        return True
 
-    def _hop_timeout_s(self, work):
-        """Return how long to wait for another VM, which may try twice."""
-        return 2 * self._answer_timeout_s(work)
+    async def _end_without_path(self, work):
+        """End a request of another VM that this one can't serve either."""
+        if work.may_have_run_here:
+            await work.fail('answer-lost')
+        else:
+            await work.refuse_hand_on(_http_messages.NO_PATH)
+
+    async def _end_not_taken(self, work):
+        """End a request that no other VM takes."""
+        if work.may_have_run:
+            await work.fail('answer-lost')
+        else:
+            await work.refuse('no-path', UNAVAILABLE_RETRY_MS)
 
     async def _end_shut_out(self, work, shut_out):
         if work.may_have_run:
@@ -248,8 +341,8 @@
         else:
             await work.refuse('no-server', UNAVAILABLE_RETRY_MS)
 
-    def _choose(self, progress):
-        """Return a server for the next attempt, or None."""
+    def _choose(self, progress, attempt):
+        """Return a server for an attempt, or None."""
         work = progress.work
         directory = self._state.directory
         if self._seen_version != directory.version:
@@ -257,10 +350,18 @@
             self._choice.keep_only(directory.names)
         servers = self._list_open(progress)
         now_ms = _clock.read_clock_ms()
-        server = self._choice.choose(servers, now_ms, avoid=progress.tried)
-        if server is None and work.route.kind == routing.KIND_IDEMPOTENT:
-            server = self._choice.choose(servers, now_ms)
-        return server
+        silent_servers = [other.waits_for for other in attempt.others]
+        to_avoid = [
+            (*progress.tried, *self._silences.list_silent()),
+            progress.tried,
+        ]
+        if work.route.kind == routing.KIND_IDEMPOTENT:
+            to_avoid.append(silent_servers)
+        for avoid in to_avoid:
+            server = self._choice.choose(servers, now_ms, avoid=avoid)
+            if server is not None:
+                return server
+        return None
 
     def _list_open(self, progress):
         """Return the servers whose limits leave a place, as far as known."""
@@ -276,10 +377,26 @@
                 servers.append(server)
         return servers
 
+    def _find_obstacle(self, work, attempt):
+        """Return why no attempt may follow a silent one, or an empty text."""
+        if attempt.run.is_sent and work.route.kind != routing.KIND_IDEMPOTENT:
+            return _work.RUNS_ONCE
+        if not work.has_runs_left:
+            return _work.NO_RUNS_LEFT
+        if work.deadline_ms - _clock.read_clock_ms() < RETRY_TIME_MIN_MS:
+            return _work.NO_TIME
+        if self._shut_outs.find(work.service, work.parts) is not None:
+            return _work.SHUT_OUT
+        if work.is_handed_on and self._paths.is_lost(work.service):
+            return _work.NO_PATH
+        if not self._budgets.allows(work.service):
+            return _work.NO_BUDGET
+        return ''
+
     def _spend_retry(self, work):
         remaining_ms = work.deadline_ms - _clock.read_clock_ms()
         obstacle = ''
-        if work.run_count >= work.route.run_max:
+        if not work.has_runs_left:
             obstacle = _work.NO_RUNS_LEFT
         elif remaining_ms < RETRY_TIME_MIN_MS:
             obstacle = _work.NO_TIME
@@ -295,14 +412,18 @@
         else:
             await work.refuse('servers-full', REFUSED_RETRY_MS)
 
-    async def _attempt(self, progress, server, admission):
+    async def _attempt(self, progress, attempt, server, admission):
         """Return the server's `Answer`, or a `CallFailedError`."""
         work = progress.work
         started_ms = _clock.read_clock_ms()
         self._choice.begin(server)
-        work.note_sent(server.name)
+        attempt.send()
         try:
-            answer = await self._run(progress, server, admission)
+            with (
+                work.sending(server.name),
+                attempt.waiting(server.name, self._silence_s(work)),
+            ):
+                answer = await self._run(progress, server, admission)
         except _server_calls.CallFailedError as error:
             now_ms = _clock.read_clock_ms()
             if not isinstance(error, _server_calls.ServerLimitedError):
@@ -351,38 +472,32 @@
 
     async def _call(self, work, server, admission):
         """Return the server's `Answer`, and what marks its end."""
-        with trio.move_on_after(self._answer_timeout_s(work)):
-            call = await self._caller.open(
-                server,
-                work.request,
-                deadline_ms=work.deadline_ms,
-                is_retryable=work.route.is_retryable,
-                admission=admission,
-            )
-            try:
-                body = await call.exchange.read_all()
-            except _server_connection.AnswerBrokenError as error:
-                raise _server_calls.CallFailedError(
-                    str(error), may_have_run=True, is_cut=True
-                ) from error
-            finally:
-                await call.close()
-            work.check_answer(call.head)
-            answer = _http_messages.Answer(head=call.head, body=body)
-            return answer, call.exchange.framing
-        raise _server_calls.CallFailedError(
-            'the server did not answer in time', may_have_run=True
+        call = await self._caller.open(
+            server,
+            work.request,
+            deadline_ms=work.deadline_ms,
+            is_retryable=work.route.is_retryable,
+            admission=admission,
         )
+        try:
+            body = await call.exchange.read_all()
+        except _server_connection.AnswerBrokenError as error:
+            raise _server_calls.CallFailedError(
+                str(error), may_have_run=True, is_cut=True
+            ) from error
+        finally:
+            await call.close()
+        work.check_answer(call.head)
+        answer = _http_messages.Answer(head=call.head, body=body)
+        return answer, call.exchange.framing
 
-    def _answer_timeout_s(self, work):
-        """Return how long to wait for a server's answer.
+    @staticmethod
+    def _silence_s(work):
+        """Return the time after which a server counts as silent.
 
-        Only a wait that is followed by a retry is limited here. The
-        request's deadline ends every other wait; the caller then gets the
-        answer for a timeout, not the one for a server's lost answer.
+        Nothing may follow a request that runs once, however long it takes.
         """
-        is_last = work.run_count + 1 >= work.route.run_max
-        if work.route.kind != routing.KIND_IDEMPOTENT or is_last:
+        if work.route.kind != routing.KIND_IDEMPOTENT:
             return math.inf
         silence_s = SILENCE_FACTOR * work.route.target_ms / _clock.MS_PER_S
         return silence_s or math.inf
--- a/bluebellthread/entry/_prefill_runner.py
+++ b/bluebellthread/entry/_prefill_runner.py
@@ -1,7 +1,6 @@
 """Runs the prefills of a request at prefill servers."""
 
 import attrs
-import trio
 
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
@@ -12,9 +11,9 @@
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
 
-PREFILL_TIMEOUT_S = 1.2
-"""Timeout of a prefill: several times the duration of two long prefills. A
-server that does not answer within this time is treated as lost."""
+PREFILL_SILENCE_S = 1.2
+"""Time after which a prefill server counts as silent: several times the
+duration of two long prefills."""
 
 CONTROL_TIMEOUT_S = 0.5
 """Timeout of the call that frees a KV cache. The prefill server frees the
@@ -56,11 +55,13 @@
         self._stats = context.stats
         self._watch = context.server_watch
 
-    async def run(self, placement, server, headers, admission):
+    async def run(self, attempt, placement, server, headers, admission):
         """Run the prefill at a server; return the `PrefilledPrompt`.
 
         Parameters
         ----------
+        attempt : Attempt
+            The attempt that the prefill belongs to.
         placement : Placement
             The placement; its owner is notified when the prefill ends.
         server : ListedServer
@@ -73,26 +74,20 @@
         Raises
         ------
         StreamBrokenError
-            If the prefill fails or takes longer than `PREFILL_TIMEOUT_S`.
+            If the prefill fails.
         """
         work = self._work
         with self._watch.track(server, work.request_id, work.parts) as run:
-            handle = await self._run(
-                placement, server, headers, admission, run
-            )
+            with attempt.waiting(server.name, PREFILL_SILENCE_S):
+                handle = await self._run(
+                    placement, server, headers, admission, run
+                )
         return PrefilledPrompt(server=server, handle=handle)
 
     async def _run(self, placement, server, headers, admission, run):
         started_ms = _clock.read_clock_ms()
         try:
-            with trio.fail_after(PREFILL_TIMEOUT_S):
-                handle = await self._call_prefill(server, headers, admission)
-        except trio.TooSlowError:
-            error = _server_calls.CallFailedError(
-                'the prefill did not end in time', may_have_run=False
-            )
-            self._note_prefill_failed(server, error, started_ms)
-            raise _stream_context.StreamBrokenError(server.name, 1) from error
+            handle = await self._call_prefill(server, headers, admission)
         except _server_calls.CallFailedError as error:
             run.is_cut = error.may_have_run
             self._note_prefill_failed(server, error, started_ms)
--- a/bluebellthread/entry/_service.py
+++ b/bluebellthread/entry/_service.py
@@ -35,6 +35,7 @@
 from bluebellthread.entry import _server_limits
 from bluebellthread.entry import _server_watch
 from bluebellthread.entry import _shut_outs
+from bluebellthread.entry import _silences
 from bluebellthread.entry import _state
 from bluebellthread.entry import _stats
 from bluebellthread.entry import _stream_context
@@ -191,6 +192,9 @@
             connections=self._connections,
             rng=random.Random(self._incarnation),
         )
+        self._silences = _silences.Silences(
+            state=self.state, paths=self._paths, stats=self.stats
+        )
         self._server_watch = _server_watch.ServerWatch(
             state=self.state,
             paths=self._paths,
@@ -263,6 +267,7 @@
             shut_outs=self.shut_outs,
             server_watch=self._server_watch,
             paths=self._paths,
+            silences=self._silences,
             hand_on=self._hand_on,
             dialect=dialect,
         )
@@ -276,6 +281,7 @@
                 shut_outs=self.shut_outs,
                 server_watch=self._server_watch,
                 paths=self._paths,
+                silences=self._silences,
                 hand_on=self._hand_on,
                 dialect=dialect,
                 stats=self.stats,
--- a/bluebellthread/entry/_stats.py
+++ b/bluebellthread/entry/_stats.py
@@ -48,6 +48,12 @@
         self._engine_ends = self._counter(
             'engine_ends', 'Servers that ended under requests'
         )
+        self._silences = self._counter(
+            'silences', 'Waits for servers that sent nothing for long'
+        )
+        self._followed = self._counter(
+            'followed', 'Attempts made beside one at a silent server'
+        )
         self._turned_away = self._counter(
             'turned_away', 'Requests kept from servers that name limits'
         )
@@ -109,6 +115,14 @@
         """Count an engine that ended under requests of this VM."""
         self._engine_ends.inc()
 
+    def count_silence(self):
+        """Count a server that keeps a request waiting in silence."""
+        self._silences.inc()
+
+    def count_followed(self):
+        """Count an attempt made beside one at a silent server."""
+        self._followed.inc()
+
     def count_turned_away(self):
         """Count a request that a server's limit kept from the server."""
         self._turned_away.inc()
--- a/bluebellthread/entry/_stream_context.py
+++ b/bluebellthread/entry/_stream_context.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from bluebellthread.entry import _work
+
 
 class StreamBrokenError(Exception):
     """Raised when one attempt of a stream fails.
@@ -19,6 +21,12 @@
         Whether the connection broke while the server may have been at work.
     is_unreached : bool
         Whether no connection to the server could be opened.
+
+    Attributes
+    ----------
+    is_path_lost : bool
+        Whether no other server is reached either, so that this one is not
+        to blame.
     """
 
     def __init__(
@@ -35,6 +43,7 @@
         self.was_refused = was_refused
         self.is_cut = is_cut
         self.is_unreached = is_unreached
+        self.is_path_lost = False
         super().__init__(server)
 
 
@@ -57,6 +66,25 @@
         super().__init__(f'{dispute.server} is {dispute.kind}')
 
 
+class NoPlacementError(Exception):
+    """Raised when an attempt finds no server that it may use.
+
+    Nothing of it has run.
+
+    Parameters
+    ----------
+    kind : str
+        Kind of the refusal that the caller gets if nothing else has run.
+    retry_after_ms : int
+        Milliseconds after which another try is worth while.
+    """
+
+    def __init__(self, kind, retry_after_ms=_work.UNSERVED_RETRY_MS):
+        self.kind = kind
+        self.retry_after_ms = retry_after_ms
+        super().__init__(kind)
+
+
 class PromptShutOutError(Exception):
     """Raised when the parts of a request's prompt are shut out meanwhile."""
 
@@ -83,6 +111,8 @@
         Finds out which engines end.
     paths : PathWatch
         Knows which services this VM can't reach.
+    silences : Silences
+        Knows which servers are silent.
     hand_on : HandOn
         Hands requests on to VMs that can.
     dialect : Dialect
@@ -99,6 +129,7 @@
     shut_outs: object
     server_watch: object
     paths: object
+    silences: object
     hand_on: object
     dialect: object
     stats: object
--- a/bluebellthread/entry/_stream_hop.py
+++ b/bluebellthread/entry/_stream_hop.py
@@ -1,5 +1,13 @@
 """Has another VM go on with a request to a model."""
 
+from bluebellthread.entry import _hand_on
+from bluebellthread.entry import _server_calls
+from bluebellthread.entry import _stream_context
+from bluebellthread.entry import _stream_relay
+
+SILENCE_FACTOR = 2
+"""The other VM seeks another engine after a silence, which takes as long."""
+
 
 class StreamHop:
     """Hands one request on, at its begin or after an event.
@@ -37,36 +45,59 @@
             server
         )
 
-    async def pass_on(self):
+    async def pass_on(self, attempt):
         """Hand the request on, and pass on what the other VM answers.
 
+        Parameters
+        ----------
+        attempt : Attempt
+            The attempt to have another VM go on.
+
         Raises
         ------
-        NotTakenError
+        NoPlacementError
             If no VM takes it.
-        CallFailedError
-            If a VM that may have taken it does not answer.
         StreamBrokenError
-            If its answer breaks off.
+            If a VM that may have taken it does not answer whole.
+        OvertakenError
+            If another attempt has passed something on meanwhile.
         """
-        async with self._hand_on.opened(
-            self._work,
-            extra=self._make_headers(),
-            resume_after=self._relay.resume_after,
-        ) as handed_on:
-            if 200 <= handed_on.call.head.status < 300:
-                self._relay.running_version = handed_on.software_version
-                await self._relay.pass_on(handed_on, handed_on.call)
-            else:
-                await self._pass_on_failure(handed_on)
+        try:
+            async with self._hand_on.opened(
+                self._work,
+                attempt=attempt,
+                silence_s=self._silence_s,
+                extra=self._make_headers(),
+                resume_after=self._relay.resume_after,
+            ) as handed_on:
+                await self._pass_on_answer(attempt, handed_on)
+        except _hand_on.NotTakenError as error:
+            raise _stream_context.NoPlacementError('no-path') from error
+        except _server_calls.CallFailedError as error:
+            raise _stream_context.StreamBrokenError(
+                '', 2 if error.may_have_run else 0
+            ) from error
+
+    @property
+    def _silence_s(self):
+        return SILENCE_FACTOR * self._relay.silence_s
 
-    async def _pass_on_failure(self, handed_on):
+    async def _pass_on_answer(self, attempt, handed_on):
+        if 200 <= handed_on.call.head.status < 300:
+            answer = _stream_relay.RunAnswer(
+                server=handed_on.server,
+                call=handed_on.call,
+                software_version=handed_on.software_version,
+                silence_s=self._silence_s,
+            )
+            await self._relay.pass_on(attempt, answer)
+            return
         work = self._work
+        if work.exchange.is_started or attempt.others:
+            raise _stream_context.StreamBrokenError(handed_on.server, 2)
         answer = await handed_on.read_answer()
-        if work.exchange.is_started:
-            await work.exchange.abort()
-        else:
-            await work.pass_on(answer, outcome='handed-on')
+        attempt.take()
+        await work.pass_on(answer, outcome='handed-on')
 
     def _make_headers(self):
         """Return what tells the other VM where the stream goes on."""
--- a/bluebellthread/entry/_work.py
+++ b/bluebellthread/entry/_work.py
@@ -1,5 +1,9 @@
 """Tracks one caller's request from its first byte to its answer."""
 
+import contextlib
+
+import trio
+
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
 from bluebellthread.entry import _http_messages
@@ -25,6 +29,8 @@
 NO_RUNS_LEFT = 'its route allows no more runs'
 NO_EVENT_ID = 'its events have no ids to go on after'
 NO_BUDGET = 'the retry budget is spent'
+NO_PATH = 'no server can be reached'
+SHUT_OUT = 'its prompt is shut out'
 NO_TIME = 'too little time is left'
 """Why no run follows one that has brought no whole answer."""
 
@@ -59,6 +65,8 @@
         Whether another VM counts the request for its retry budget.
     run_count : int
         Servers that may have run the request.
+    in_flight_count : int
+        Servers that it was sent to and that have not answered yet.
     may_have_run : bool
         Whether any server may have run the request.
     outcome : str
@@ -109,7 +117,7 @@
         self.prefill_ms = None
         self.first_event_ms = None
         self._servers = []
-        self._in_flight = False
+        self.in_flight_count = 0
         self.table_version = table_version
         self.is_handed_on = is_handed_on
         self.is_counted_elsewhere = False
@@ -156,6 +164,11 @@
         """The server that it was sent to last; empty before that."""
         return self._servers[-1] if self._servers else ''
 
+    @property
+    def has_runs_left(self):
+        """Whether one more server may run the request."""
+        return self.run_count + self.in_flight_count < self.route.run_max
+
     @property
     def may_have_run_here(self):
         """Whether a server may have run it that this VM has called."""
@@ -166,24 +179,40 @@
     def note_sent(self, server):
         """Note that the request is about to be sent to a server."""
         self._servers.append(server)
-        self._in_flight = True
+        self.in_flight_count += 1
+
+    @contextlib.contextmanager
+    def sending(self, server):
+        """Have a server run the request in the ``with`` body.
+
+        If the body is cancelled, the server may have run it.
+        """
+        self.note_sent(server)
+        try:
+            yield
+        except trio.Cancelled:
+            self.note_run()
+            raise
 
     def note_run(self):
         """Note that a server may have started to run the request."""
-        self._in_flight = False
+        self._note_not_in_flight()
         self.run_count += 1
         self.may_have_run = True
 
     def note_not_taken(self):
         """Note that the VM that it was sent to has not taken the request."""
-        self._in_flight = False
+        self._note_not_in_flight()
 
     def note_given_up(self):
         """Note that an answer is no longer waited for."""
-        if self._in_flight:
+        if self.in_flight_count:
             self.note_run()
 
-    def note_failed(self, server, stage, error, *, started_ms):
+    def _note_not_in_flight(self):
+        self.in_flight_count = max(0, self.in_flight_count - 1)
+
+    def note_failed(self, server, stage, error, *, started_ms, was_sent=True):
         """Note that a server gave no answer that can be passed on.
 
         Parameters
@@ -196,12 +225,15 @@
             Why the call failed.
         started_ms : int
             When the call started.
+        was_sent : bool
+            Whether `note_sent` has counted the call.
         """
         now_ms = _clock.read_clock_ms()
-        if stage == STAGE_RUN:
-            self._in_flight = False
+        if stage == STAGE_RUN and was_sent:
             if error.may_have_run:
                 self.note_run()
+            else:
+                self._note_not_in_flight()
         self._stats.count_failure(stage)
         emit(
             events.ATTEMPT_FAILED,
@@ -305,7 +337,7 @@
 
     async def answer_at_deadline(self):
         """Answer at the deadline; refuse only if no server may have run it."""
-        if self.may_have_run or self._in_flight:
+        if self.may_have_run or self.in_flight_count:
             await self._send_router_answer(_refusals.make_timeout_failure())
         else:
             await self.refuse('too-late', UNSERVED_RETRY_MS)
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -349,6 +349,36 @@
     'VM {vm} was not asked where the stream of attempt {resumes} began: '
     '{error}',
 )
+SERVER_SILENT = Event(
+    7072,
+    'INFO',
+    'request {request_id}: {server} has sent nothing for {silent_ms} ms and '
+    'is waited for; what keeps another attempt from following: {obstacle}',
+)
+SERVER_SILENCE_ENDED = Event(
+    7073,
+    'INFO',
+    'request {request_id}: {server} goes on after {silent_ms} ms',
+)
+ATTEMPT_FOLLOWED = Event(
+    7074,
+    'INFO',
+    'request {request_id}: another attempt is made beside the one at '
+    '{server}, which has been silent for {silent_ms} ms, {runs} runs so far',
+)
+ATTEMPT_OVERTAKEN = Event(
+    7075,
+    'INFO',
+    'request {request_id}: the attempt that waits for {server} since '
+    '{silent_ms} ms ends for the one at {by_server}',
+)
+SILENT_ATTEMPT_ENDED = Event(
+    7076,
+    'WARNING',
+    'request {request_id}: {server} was waited for in vain, for '
+    '{silent_ms} ms, until {remaining_ms} ms before the deadline; what kept '
+    'another attempt from following: {obstacle}',
+)
 REQUEST_NOT_RETRIED = Event(
     7071,
     'WARNING',
--- a/tests/integration/test_entry_cut_answers.py
+++ b/tests/integration/test_entry_cut_answers.py
@@ -58,9 +58,14 @@
                     'POST', '/once/x', request_id=f'{framing}-{cut}'
                 )
                 seen = (framing, cut, answer)
-                self.assertFalse(answer.whole, seen)
                 whole_events = _backend.make_events(range(1, cut[0]))
-                self.assertEqual(whole_events, answer.body, seen)
+                if whole_events:
+                    self.assertFalse(answer.whole, seen)
+                    self.assertEqual(whole_events, answer.body, seen)
+                else:
+                    self.assertEqual(502, answer.status, seen)
+                    self.assertTrue(answer.whole, seen)
+                    self.assertNotIn(b'data:', answer.body, seen)
 
     @run
     async def test_stream_that_ends_inside_an_event_is_resumed(self):
--- a/tests/integration/test_entry_silence.py
+++ b/tests/integration/test_entry_silence.py
@@ -226,3 +226,40 @@
             vm.entry.state.table.version == 2 for vm in fleet.vms.values()
         )
     )
+
+
+class TestSilentPlainServers(unittest.TestCase):
+    async def check_silence(self, method, path, **settings):
+        """Check that calls are answered though all servers fall silent."""
+        async with sites.running_site(**settings) as site:
+            route = sites.make_route(
+                '/read/', 'safe', 'plain', targetLatencyMs=250
+            )
+            order = sites.make_route('/order/', 'unsafe', 'plain')
+            configuration = sites.make_configuration(2, [route, order])
+            site.store.put('op/config', configuration)
+            await sites.wait_until(lambda: site.entry.state.table.version == 2)
+            async with trio.open_nursery() as nursery:
+                for server in site.servers.values():
+                    nursery.start_soon(server.be_silent, SILENCE_S)
+                answer = await site.call(method, path)
+            self.assertEqual(200, answer.status)
+            return sum(len(server.runs) for server in site.servers.values())
+
+    @run
+    async def test_idempotent_call_outlasts_a_silence(self):
+        await self.check_silence('GET', '/read/x')
+
+    @run
+    async def test_idempotent_call_outlasts_a_silence_without_budget(self):
+        runs = await self.check_silence('GET', '/read/x', **NO_RETRIES)
+        self.assertEqual(1, runs)
+
+    @run
+    async def test_idempotent_call_outlasts_a_silence_at_the_only_server(self):
+        runs = await self.check_silence('GET', '/read/x', plain=('s1',))
+        self.assertEqual(1, runs)
+
+    @run
+    async def test_call_that_runs_once_outlasts_a_silence(self):
+        self.assertEqual(1, await self.check_silence('POST', '/order/x'))
