Move placements and plain attempts out of their paths; pay a follower once

StreamPlacements requests placements, PlainAttempts makes the calls to plain services; the paths keep what ends a request. Nothing else of them changes.

A follower whose grant was disputed, or met a server's limit, took its retries from the budget again with the next grant, which left less for others.

--- a/bluebellthread/entry/_attempt_race.py
+++ b/bluebellthread/entry/_attempt_race.py
@@ -33,6 +33,8 @@
         The attempt as its race sees it.
     is_follower : bool
         Whether it was begun beside a silent one.
+    is_paid : bool
+        Whether what a follower repeats was taken from the retry budget.
     waits_for : str
         Name of the server that it waits for; empty for none.
     last_server : str
@@ -47,6 +49,7 @@
     run: routing.Run
     is_follower: bool
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    is_paid: bool = False
     waits_for: str = ''
     last_server: str = ''
     waits_since_ms: int = 0
--- a/bluebellthread/entry/_service.py
+++ b/bluebellthread/entry/_service.py
@@ -26,6 +26,7 @@
 from bluebellthread.entry import _path_watch
 from bluebellthread.entry import _placement_client
 from bluebellthread.entry import _placement_task
+from bluebellthread.entry import _plain_attempts
 from bluebellthread.entry import _plain_path
 from bluebellthread.entry import _platform_calls
 from bluebellthread.entry import _platform_task
@@ -253,7 +254,7 @@
             stats=self.stats,
             rng=random.Random(self._incarnation),
         )
-        plain = _plain_path.PlainPath(
+        attempts = _plain_attempts.PlainAttempts(
             state=self.state,
             caller=caller,
             choice=routing.ServerChoice(
@@ -271,6 +272,14 @@
             hand_on=self._hand_on,
             dialect=dialect,
         )
+        plain = _plain_path.PlainPath(
+            attempts=attempts,
+            budgets=budgets,
+            shut_outs=self.shut_outs,
+            server_watch=self._server_watch,
+            paths=self._paths,
+            silences=self._silences,
+        )
         stream = _stream_path.StreamPath(
             _stream_context.StreamContext(
                 state=self.state,
--- a/bluebellthread/entry/_stream_path.py
+++ b/bluebellthread/entry/_stream_path.py
@@ -166,7 +166,7 @@
                     await self._end_failed()
                     return
                 failed_server = '' if error.is_path_lost else error.server
-            self._attempts.failed_servers.append(failed_server)
+            self._attempts.note_failed(failed_server)
             emit(
                 events.STREAM_RETRIED,
                 request_id=work.request_id,
