--- a/bluebellthread/entry/_work.py
+++ b/bluebellthread/entry/_work.py
@@ -2,8 +2,6 @@
 
 import contextlib
 
-import trio
-
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
 from bluebellthread.entry import _http_messages
@@ -190,7 +188,11 @@
         self.note_sent(server)
         try:
             yield
-        except trio.Cancelled:
+        except Exception:
+            # A failure of the call; `note_failed` tells whether it has run.
+            raise
+        except BaseException:
+            # A nursery in the body may have wrapped the cancellation.
             self.note_run()
             raise
 
