--- a/bluebellthread/entry/_hand_on.py
+++ b/bluebellthread/entry/_hand_on.py
@@ -112,7 +112,14 @@
 
     @contextlib.asynccontextmanager
     async def opened(
-        self, work, *, attempt, silence_s, extra=(), resume_after=''
+        self,
+        work,
+        *,
+        attempt,
+        silence_s,
+        repeat_count=1,
+        extra=(),
+        resume_after='',
     ):
         """Hand a request on; yield it as `HandedOn`.
 
@@ -124,6 +131,9 @@
             The attempt to hand it on.
         silence_s : float
             Time without an answer after which a VM counts as silent.
+        repeat_count : int
+            Retries that an attempt beside another one takes from the retry
+            budget, once there is a VM to send the request to.
         extra : iterable of (bytes, bytes)
             Further headers; they replace the caller's of the same name.
         resume_after : str
@@ -132,14 +142,20 @@
         Raises
         ------
         NotTakenError
-            If no VM takes it.
+            If no VM takes it, or the retry budget is spent.
         CallFailedError
             If a VM that may have taken it does not answer.
         OvertakenError
             If another attempt goes on.
         """
-        tried = set()
-        while len(tried) < HELPERS_MAX:
+        busy = {other.last_server for other in attempt.others}
+        tried = {
+            member.name
+            for member in self._list_alive()
+            if _name_of(member.name) in busy
+        }
+        tried_max = HELPERS_MAX + len(tried)
+        while len(tried) < tried_max:
             member = self._choice.choose(
                 self._list_alive(),
                 work.service,
@@ -160,7 +176,7 @@
             self._choice.begin(member.name)
             try:
                 call = await self._open(
-                    member, work, attempt, silence_s, extra
+                    member, work, attempt, silence_s, repeat_count, extra
                 )
                 if call is None:
                     continue
@@ -180,7 +196,9 @@
             if member.state in _state.OWNER_STATES
         ]
 
-    async def _open(self, member, work, attempt, silence_s, extra):
+    async def _open(
+        self, member, work, attempt, silence_s, repeat_count, extra
+    ):
         """Return the open call to a VM, or None if it does not take it."""
         started_ms = _clock.read_clock_ms()
         try:
@@ -203,6 +221,7 @@
         )
         request = work.request
         try:
+            self._pay(work, attempt, repeat_count)
             attempt.send()
             with (
                 work.sending(_name_of(member.name)),
@@ -250,6 +269,20 @@
             self._budgets.forget_request(work.service)
         return _server_calls.OpenCall(head=head, exchange=exchange)
 
+    def _pay(self, work, attempt, repeat_count):
+        """Take what an attempt beside another one repeats from the budget.
+
+        Raises
+        ------
+        NotTakenError
+            If the budget is spent.
+        """
+        if not attempt.is_follower or attempt.is_paid:
+            return
+        if not self._budgets.spend(work.service, repeat_count):
+            raise NotTakenError
+        attempt.is_paid = True
+
     def _log_not_taken(self, work, member, reason):
         emit(
             events.REQUEST_NOT_TAKEN,
--- a/bluebellthread/entry/_plain_attempts.py
+++ b/bluebellthread/entry/_plain_attempts.py
@@ -186,8 +186,6 @@
 
     async def _attempt_over_other_vm(self, work, attempt):
         """Have another VM answer the request."""
-        if attempt.is_follower and not self._budgets.spend(work.service):
-            raise UnansweredError(None)
         silence_s = HOP_SILENCE_FACTOR * self._silence_s(work)
         try:
             async with self._hand_on.opened(
--- a/bluebellthread/entry/_stream_attempts.py
+++ b/bluebellthread/entry/_stream_attempts.py
@@ -132,7 +132,7 @@
         work = self._work
         if attempt.is_paid:
             return
-        if not self._budgets.spend(work.service, count_repeated_calls(work)):
+        if not self._budgets.spend(work.service, work.repeat_count):
             raise _stream_context.NoPlacementError('servers-failed')
         attempt.is_paid = True
 
@@ -381,8 +381,3 @@
         if dispute is not None:
             raise _stream_context.GrantDisputedError(dispute, prefill_count)
         return directory.find(name)
-
-
-def count_repeated_calls(work):
-    """Return how many calls an attempt beside another one repeats."""
-    return 2 if work.run_count or work.in_flight_count else 1
--- a/bluebellthread/entry/_stream_hop.py
+++ b/bluebellthread/entry/_stream_hop.py
@@ -67,6 +67,7 @@
                 self._work,
                 attempt=attempt,
                 silence_s=self._silence_s,
+                repeat_count=self._work.repeat_count,
                 extra=self._make_headers(),
                 resume_after=self._relay.resume_after,
             ) as handed_on:
--- a/bluebellthread/entry/_stream_path.py
+++ b/bluebellthread/entry/_stream_path.py
@@ -181,10 +181,6 @@
         if not self._paths.is_lost(work.service):
             await self._attempts.make(attempt)
             return
-        if attempt.is_follower and not self._budgets.spend(
-            work.service, _stream_attempts.count_repeated_calls(work)
-        ):
-            raise _stream_context.NoPlacementError('servers-failed')
         await self._hop.pass_on(attempt)
 
     async def _end_without_path(self):
@@ -235,9 +231,7 @@
             return _work.SHUT_OUT
         if work.is_handed_on and self._paths.is_lost(work.service):
             return _work.NO_PATH
-        if not self._budgets.allows(
-            work.service, _stream_attempts.count_repeated_calls(work)
-        ):
+        if not self._budgets.allows(work.service, work.repeat_count):
             return _work.NO_BUDGET
         return ''
 
--- a/bluebellthread/entry/_work.py
+++ b/bluebellthread/entry/_work.py
@@ -167,6 +167,11 @@
         """Whether one more server may run the request."""
         return self.run_count + self.in_flight_count < self.route.run_max
 
+    @property
+    def repeat_count(self):
+        """How many calls one more attempt at a stream repeats."""
+        return 2 if self.run_count or self.in_flight_count else 1
+
     @property
     def may_have_run_here(self):
         """Whether a server may have run it that this VM has called."""
--- a/tests/integration/test_entry_silence_hops.py
+++ b/tests/integration/test_entry_silence_hops.py
@@ -5,8 +5,8 @@
 import trio
 
 from tests.integration import _entry_site as sites
-from tests.integration import test_entry_server_cuts as server_cuts
 from tests.integration.test_entry_plain import run
+from tests.integration import test_entry_server_cuts as server_cuts
 
 ENGINES = ('p1', 'd1', 'd2')
 PLAIN = ('s1', 's2')
