--- a/bluebellthread/entry/_work.py
+++ b/bluebellthread/entry/_work.py
@@ -2,8 +2,6 @@
 
 import contextlib
 
-import trio
-
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
 from bluebellthread.entry import _http_messages
@@ -169,6 +167,11 @@
         """Whether one more server may run the request."""
         return self.run_count + self.in_flight_count < self.route.run_max
 
+    @property
+    def repeat_count(self):
+        """How many calls one more attempt at a stream repeats."""
+        return 2 if self.run_count or self.in_flight_count else 1
+
     @property
     def may_have_run_here(self):
         """Whether a server may have run it that this VM has called."""
@@ -190,7 +193,11 @@
         self.note_sent(server)
         try:
             yield
-        except trio.Cancelled:
+        except Exception:
+            # A failure of the call; `note_failed` tells whether it has run.
+            raise
+        except BaseException:
+            # A nursery in the body may have wrapped the cancellation.
             self.note_run()
             raise
 
