--- /dev/null
+++ b/tests/integration/test_entry_read_requests.py
@@ -0,0 +1,210 @@
+"""Requests that were read whole end in a whole answer or a refusal."""
+
+import contextlib
+import functools
+import os
+import unittest
+
+import trio
+
+from bluebellthread.core import routing
+from bluebellthread.entry import _caller_connection
+from bluebellthread.entry import _connection_control
+from tests.integration import _entry_site as sites
+from tests.integration.test_entry_plain import run
+
+GRACE_MS = 1400
+"""Grace period of short stops; requests may end until 1 s before its end."""
+
+ENGINES = ('p1', 'd1')
+
+
+class TestEndOfGracePeriod(unittest.TestCase):
+    async def check_answered(self, method, path, statuses, hold):
+        """Check the answer to a request that outlasts the grace period."""
+        async with sites.running_site(
+            engines=ENGINES, stop_grace_ms=GRACE_MS
+        ) as site:
+            hold(site.servers)
+            async with await site.connect() as caller:
+                await caller.send(method, path, b'one wig')
+                # A silent server does not tell that the request has arrived.
+                await trio.sleep(0.2)
+                site.entry.stop()
+                answer = await caller.read_answer()
+            self.assertIn(answer.status, statuses)
+            self.assertTrue(answer.whole)
+            self.assertEqual('close', answer.headers['connection'])
+            return answer
+
+    @run
+    async def test_call_that_may_have_run_is_answered(self):
+        def hold(servers):
+            servers['s1'].run_pause_s = servers['s2'].run_pause_s = 9
+
+        await self.check_answered('POST', '/order/x', (502, 504), hold)
+
+    @run
+    async def test_stream_in_its_prefill_is_refused(self):
+        def hold(servers):
+            servers['p1'].fall_silent()
+
+        answer = await self.check_answered('POST', '/once/x', (503,), hold)
+        self.assertIn('retry-after', answer.headers)
+
+    @run
+    async def test_stream_at_a_silent_decode_server_is_answered(self):
+        def hold(servers):
+            servers['d1'].fall_silent()
+
+        await self.check_answered('POST', '/once/x', (502, 504), hold)
+
+
+class TestUnusualNumbers(unittest.TestCase):
+    async def check_answered(self, *headers):
+        """Check that a request with some headers is answered."""
+        async with sites.running_site(engines=ENGINES) as site:
+            for path in (b'/read/x', b'/ask/x'):
+                lines = [
+                    b'POST %b HTTP/1.1' % path,
+                    b'Host: calls.example',
+                    b'X-Request-Attempt-Id: id-1',
+                    b'Content-Length: 0',
+                    *headers,
+                ]
+                async with await site.connect() as caller:
+                    await caller.stream.send_all(
+                        b'\r\n'.join(lines) + b'\r\n\r\n'
+                    )
+                    answer = await caller.read_answer()
+                self.assertEqual(200, answer.status)
+                self.assertTrue(answer.whole)
+
+    @run
+    async def test_deadline_in_superscript_digits(self):
+        await self.check_answered(b'X-Deadline-Ms: \xb2\xb3')
+
+    @run
+    async def test_deadline_of_thousands_of_digits(self):
+        await self.check_answered(b'X-Deadline-Ms: ' + b'9' * 5000)
+
+    @run
+    async def test_deadline_of_hundreds_of_digits(self):
+        await self.check_answered(b'X-Deadline-Ms: ' + b'9' * 400)
+
+    @run
+    async def test_token_counts_of_hundreds_of_digits(self):
+        await self.check_answered(
+            b'X-Token-Count: ' + b'9' * 400 + b',' + b'9' * 400
+        )
+
+
+@contextlib.asynccontextmanager
+async def serving(handler):
+    """Serve callers with a handler; yield a connection and its control."""
+    control = _connection_control.ConnectionControl(routing.CallerLimits)
+
+    async def serve(stream):
+        control.open_count += 1
+        await _caller_connection.CallerConnection(
+            stream=stream, handler=handler, control=control
+        ).run()
+        control.open_count -= 1
+
+    with trio.fail_after(sites.TEST_TIMEOUT_S):
+        async with trio.open_nursery() as nursery:
+            (listener,) = await nursery.start(
+                functools.partial(trio.serve_tcp, serve, 0, host='127.0.0.1')
+            )
+            stream = await trio.open_tcp_stream(*listener.socket.getsockname())
+            async with sites.Caller(stream) as caller:
+                await sites.wait_until(lambda: control.open_count)
+                yield caller, control
+            nursery.cancel_scope.cancel()
+
+
+def make_request(number):
+    return b'GET /read/%d HTTP/1.1\r\nHost: calls.example\r\n\r\n' % number
+
+
+async def echo(exchange):
+    await exchange.respond(200, [], exchange.request.target)
+
+
+class TestDeadlineBeforeFirstByte(unittest.TestCase):
+    async def check_answered_otherwise(self, answer):
+        """Check the answer after one that was cancelled before any byte."""
+
+        async def serve(exchange):
+            with trio.CancelScope() as scope:
+                scope.cancel()
+                await answer(exchange)
+            if not exchange.is_started:
+                await exchange.respond(504, [], b'late')
+
+        async with serving(serve) as (caller, _):
+            await caller.stream.send_all(make_request(1))
+            answer = await caller.read_answer()
+            self.assertEqual(504, answer.status)
+            self.assertTrue(answer.whole)
+
+    @run
+    async def test_whole_answer(self):
+        await self.check_answered_otherwise(echo)
+
+    @run
+    async def test_streamed_answer(self):
+        await self.check_answered_otherwise(
+            lambda exchange: exchange.start(200, [])
+        )
+
+
+class TestStops(unittest.TestCase):
+    @run
+    async def test_answer_after_the_begin_of_a_stop_closes(self):
+        async def stop(exchange):
+            control.is_stopping = True
+            await echo(exchange)
+
+        async with serving(stop) as (caller, control):
+            await caller.stream.send_all(make_request(1))
+            answer = await caller.read_answer()
+            self.assertEqual('close', answer.headers.get('connection'))
+
+    @run
+    async def test_requests_read_ahead_are_answered(self):
+        received = []
+
+        async def serve(exchange):
+            received.append(exchange.request.target)
+            control.is_stopping = True
+            # The caller's next requests are read meanwhile.
+            await trio.sleep(0.1)
+            await echo(exchange)
+
+        async with serving(serve) as (caller, control):
+            await caller.stream.send_all(b''.join(map(make_request, range(3))))
+            answers = [await caller.read_answer() for _ in range(3)]
+            self.assertEqual(
+                [b'/read/0', b'/read/1', b'/read/2'],
+                [answer.body for answer in answers],
+            )
+            self.assertEqual('close', answers[-1].headers['connection'])
+
+    @run
+    async def test_request_that_arrives_at_the_close_is_answered(self):
+        async with serving(echo) as (caller, control):
+            await trio.sleep(0.05)
+            # The connection is closed before the event loop sees the request.
+            os.write(caller.stream.socket.fileno(), make_request(7))
+            control.is_stopping = True
+            control.end_idle()
+            answer = await caller.read_answer()
+            self.assertEqual(b'/read/7', answer.body)
+
+    @run
+    async def test_idle_connection_is_closed(self):
+        async with serving(echo) as (caller, control):
+            await trio.sleep(0.05)
+            control.end_idle()
+            self.assertEqual(b'', await caller.stream.receive_some(1))
