Let an answer that was cancelled before its first byte be replaced

Callers saw their connection end without a byte when their deadline passed just as their answer was begun.

Cause: an answer counted as started before the first byte was tried. trio checks for a cancellation at the first send, so a deadline that had passed in the same pass of the event loop cancelled it there; the path then found the answer started, and sent no other one.

Now a pending cancellation is delivered before the answer starts. From the start to the first send there is no other point at which it can be cancelled. A caller of HTTP/1.0 has its connection reset on close only once the streamed answer has started.

--- a/bluebellthread/entry/_caller_connection.py
+++ b/bluebellthread/entry/_caller_connection.py
@@ -300,7 +300,7 @@
     async def respond(self, status, headers, body):
         """Send a complete answer with its length."""
         sized = [*headers, (b'content-length', str(len(body)).encode())]
-        data = self._begin(status, sized)
+        data = await self._begin(status, sized)
         if body and self.request.method != b'HEAD':
             data += self._conn.send(h11.Data(data=body))
         data += self._conn.send(h11.EndOfMessage())
@@ -309,11 +309,12 @@
     async def start(self, status, headers):
         """Send the head of a streamed answer."""
         chunked = [*headers, (b'transfer-encoding', b'chunked')]
+        data = await self._begin(status, chunked)
         if self._conn.their_http_version < CHUNKS_HTTP_VERSION:
             # Only the end of the connection will mark the end of the answer,
             # so any other end, that of this process too, must be a reset.
             self._reset_on_close(True)
-        await self._stream.send_all(self._begin(status, chunked))
+        await self._stream.send_all(data)
 
     async def send(self, data):
         """Send a piece of a streamed answer."""
@@ -338,7 +339,10 @@
             socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', resets, 0)
         )
 
-    def _begin(self, status, headers):
+    async def _begin(self, status, headers):
+        # An answer that is cancelled before its first byte has not started,
+        # so that another one can be sent instead.
+        await trio.lowlevel.checkpoint_if_cancelled()
         self.status = status
         if self.closes_after:
             headers = [*headers, (b'connection', b'close')]
