Test that nothing follows an answer that its deadline cut; it fails

A caller that reads a long answer slowly gets the answer to its next request within the body of the first one, once the first one's deadline has cut that.

--- a/tests/integration/test_entry_read_requests.py
+++ b/tests/integration/test_entry_read_requests.py
@@ -159,6 +159,27 @@
         )
 
 
+class TestDeadlineWithinAnswer(unittest.TestCase):
+    @run
+    async def test_nothing_follows_an_answer_that_was_cut(self):
+        # Longer than what the connection's buffers hold.
+        body = b'x' * 16_000_000
+
+        async def serve(exchange):
+            with trio.move_on_after(0.2):
+                await exchange.respond(200, [], body)
+
+        async with serving(serve) as (caller, _):
+            await caller.stream.send_all(make_request(1) + make_request(2))
+            await trio.sleep(0.3)
+            received = b''
+            with contextlib.suppress(trio.BrokenResourceError):
+                async for data in caller.stream:
+                    received += data
+            self.assertLess(len(received), len(body))
+            self.assertEqual(1, received.count(b'HTTP/1.1'))
+
+
 class TestStops(unittest.TestCase):
     @run
     async def test_answer_after_the_begin_of_a_stop_closes(self):
