Count an answer as whole only once all of it has been sent

A caller that read a long answer slowly got other bytes where the rest of it was due: the answer to its next request on that connection.

Cause: an answer counted as whole as soon as h11 had framed it. If the deadline cut the send, the connection went on with the next request, or shut down its write side as after a whole answer.

Now the answer is whole after its last byte was sent; any other one ends the connection. The log tells such a request as broken off.

--- a/bluebellthread/entry/_caller_connection.py
+++ b/bluebellthread/entry/_caller_connection.py
@@ -276,6 +276,8 @@
         Whether the connection is closed after this answer.
     status : int or None
         The status of the answer; None until the answer has started.
+    is_complete : bool
+        Whether the whole answer has been sent.
     """
 
     def __init__(self, *, request, conn, stream):
@@ -284,6 +286,7 @@
         self.is_aborted = False
         self.closes_after = False
         self.status = None
+        self.is_complete = False
         self._conn = conn
         self._stream = stream
 
@@ -292,11 +295,6 @@
         """Whether any byte of the answer may have been sent."""
         return self.status is not None
 
-    @property
-    def is_complete(self):
-        """Whether the whole answer has been sent."""
-        return self._conn.our_state in (h11.DONE, h11.MUST_CLOSE)
-
     async def respond(self, status, headers, body):
         """Send a complete answer with its length."""
         sized = [*headers, (b'content-length', str(len(body)).encode())]
@@ -305,6 +303,7 @@
             data += self._conn.send(h11.Data(data=body))
         data += self._conn.send(h11.EndOfMessage())
         await self._stream.send_all(data)
+        self.is_complete = True
 
     async def start(self, status, headers):
         """Send the head of a streamed answer."""
@@ -323,6 +322,7 @@
     async def finish(self):
         """Send the last chunk, which marks a streamed answer as complete."""
         await self._stream.send_all(self._conn.send(h11.EndOfMessage()))
+        self.is_complete = True
         if self._conn.their_http_version < CHUNKS_HTTP_VERSION:
             self._reset_on_close(False)
 
