Say with each answer whether its connection is about to be closed

A caller whose request was under way when a stop began was not told that its connection would be closed with the answer; its next request met a closed connection.

Cause: whether to close was decided when the request had been read, up to its whole time before the answer. Now it is decided when the answer begins.

--- a/bluebellthread/entry/_caller_connection.py
+++ b/bluebellthread/entry/_caller_connection.py
@@ -109,10 +109,11 @@
             return False
         request = await self._read_request(head)
         exchange = CallerExchange(
-            request=request, conn=self._conn, stream=self._stream
+            request=request,
+            conn=self._conn,
+            stream=self._stream,
+            control=self._control,
         )
-        if self._control.is_stopping:
-            exchange.closes_after = True
         await _concurrency.run_until_either(
             functools.partial(self._watch_caller, exchange),
             functools.partial(self._handler, exchange),
@@ -272,23 +273,21 @@
         being cancelled.
     is_aborted : bool
         Whether the answer was broken off by `abort`.
-    closes_after : bool
-        Whether the connection is closed after this answer.
     status : int or None
         The status of the answer; None until the answer has started.
     is_complete : bool
         Whether the whole answer has been sent.
     """
 
-    def __init__(self, *, request, conn, stream):
+    def __init__(self, *, request, conn, stream, control):
         self.request = request
         self.caller_gone = False
         self.is_aborted = False
-        self.closes_after = False
         self.status = None
         self.is_complete = False
         self._conn = conn
         self._stream = stream
+        self._control = control
 
     @property
     def is_started(self):
@@ -344,7 +343,7 @@
         # so that another one can be sent instead.
         await trio.lowlevel.checkpoint_if_cancelled()
         self.status = status
-        if self.closes_after:
+        if self._control.is_stopping:
             headers = [*headers, (b'connection', b'close')]
         response = h11.Response(
             status_code=status, reason=_reason(status), headers=headers
