Answer requests that were read ahead before a stop closes the connection

A caller that sends requests without waiting for the answers got none to those behind the first one that was answered after a stop began, although they had been read whole.

Cause: the first answer in a stop closed the connection, whatever had been read behind it. Now an answer closes the connection only if nothing more has been read.

--- a/bluebellthread/entry/_caller_connection.py
+++ b/bluebellthread/entry/_caller_connection.py
@@ -343,7 +343,9 @@
         # so that another one can be sent instead.
         await trio.lowlevel.checkpoint_if_cancelled()
         self.status = status
-        if self._control.is_stopping:
+        # Requests that were read ahead are answered before the connection is
+        # closed.
+        if self._control.is_stopping and not self._conn.trailing_data[0]:
             headers = [*headers, (b'connection', b'close')]
         response = h11.Response(
             status_code=status, reason=_reason(status), headers=headers
