Serve a request that arrives as its idle connection is about to be closed

A caller whose request arrived in the moment in which its connection was closed, by the idle timeout or by a stop, saw a reset although the request was there to be read.

Cause: the wait for a first byte was cancelled without another look at the connection. Now one that has unread bytes is read once more.

--- a/bluebellthread/entry/_caller_connection.py
+++ b/bluebellthread/entry/_caller_connection.py
@@ -17,6 +17,7 @@
 from bluebellthread.daemon import _clock
 from bluebellthread.entry import _concurrency
 from bluebellthread.entry import _http_messages
+from bluebellthread.entry import _sockets
 
 RECEIVE_BYTES = 65536
 READ_AHEAD_BYTES = 262144
@@ -144,14 +145,20 @@
             self._first_byte_ms = _clock.read_clock_ms()
             return True
         with self._control.idle_scope():
-            data = await self._stream.receive_some(RECEIVE_BYTES)
-            if not data:
-                return False
-            self._first_byte_ms = _clock.read_clock_ms()
-            self._conn.receive_data(data)
-            return True
-        # The connection was idle for too long, or the process is stopping.
-        return False
+            return await self._receive_first_bytes()
+        # The connection was idle for too long, or the process is stopping;
+        # but a request may have arrived in the same moment.
+        if not _sockets.has_unread(self._stream):
+            return False
+        return await self._receive_first_bytes()
+
+    async def _receive_first_bytes(self):
+        data = await self._stream.receive_some(RECEIVE_BYTES)
+        if not data:
+            return False
+        self._first_byte_ms = _clock.read_clock_ms()
+        self._conn.receive_data(data)
+        return True
 
     async def _read_request(self, head):
         _check_framing(head)
