--- a/tests/integration/test_entry_read_requests.py
+++ b/tests/integration/test_entry_read_requests.py
@@ -4,6 +4,7 @@
 import functools
 import os
 import unittest
+from unittest import mock
 
 import trio
 
@@ -99,6 +100,18 @@
         )
 
 
+class TestCrashes(unittest.TestCase):
+    @run
+    async def test_crash_before_a_path_is_chosen_is_answered(self):
+        async with sites.running_site() as site:
+            with mock.patch.object(
+                routing.Route, 'choose_service', side_effect=ValueError
+            ):
+                answer = await site.call('GET', '/read/x')
+            self.assertEqual(502, answer.status)
+            self.assertTrue(answer.whole)
+
+
 @contextlib.asynccontextmanager
 async def serving(handler):
     """Serve callers with a handler; yield a connection and its control."""
