Answer requests that meet a bug before their path is chosen

Callers whose requests met a bug while their route was looked up, or their headers were read, got no answer: the connection ended without a byte.

Cause: only what serves a route was guarded against bugs. Now all that answers a request is, also one that another VM has handed on; the bug is logged and the caller gets 502.

--- a/bluebellthread/entry/_gateway.py
+++ b/bluebellthread/entry/_gateway.py
@@ -1,5 +1,6 @@
 """Finds the route of each request and serves it as the route's kind needs."""
 
+import contextlib
 import traceback
 
 import trio
@@ -47,6 +48,15 @@
 
     async def serve(self, exchange):
         """Answer the request of one `CallerExchange`."""
+        async with self._answering_crashes(exchange):
+            await self._serve(exchange)
+
+    async def serve_handed_on(self, exchange):
+        """Answer a request that another VM has handed on, or refuse it."""
+        async with self._answering_crashes(exchange):
+            await self._serve_handed_on(exchange)
+
+    async def _serve(self, exchange):
         request = exchange.request
         table = self._state.table
         if not table.version or not self._state.has_servers:
@@ -63,8 +73,7 @@
             return
         await self._serve_route(exchange, route, table)
 
-    async def serve_handed_on(self, exchange):
-        """Answer a request that another VM has handed on, or refuse it."""
+    async def _serve_handed_on(self, exchange):
         hop = _http_messages.Hop.read(exchange.request)
         request = exchange.request = hop.request
         table = self._state.table
@@ -105,26 +114,40 @@
         )
         self._budgets.note_request(work.service)
         try:
-            with self._control.request_scope():
-                await self._paths[route.kind].serve(work)
-                return
-            await self._end_at_stop(work)
+            async with self._answering_crashes(exchange, work):
+                await self._serve_work(work)
+        finally:
+            work.log_end()
+
+    async def _serve_work(self, work):
+        with self._control.request_scope():
+            await self._paths[work.route.kind].serve(work)
+            return
+        await self._end_at_stop(work)
+
+    @contextlib.asynccontextmanager
+    async def _answering_crashes(self, exchange, work=None):
+        """Answer a request that hits a bug, and log the bug.
+
+        It must not end other requests.
+        """
+        try:
+            yield
         except Exception as error:
-            # A bug hit by one request must not end the others, and must be
-            # logged.
             if _is_caller_gone(error):
                 raise
             emit(
                 events.REQUEST_CRASHED,
-                request_id=request_id,
+                request_id=exchange.request.header(self._dialect.request_id),
                 error=''.join(traceback.format_exception(error))[-2000:],
             )
             if exchange.is_started:
                 await exchange.abort()
-            else:
+            elif work is not None:
                 await work.fail('internal')
-        finally:
-            work.log_end()
+            else:
+                failure = _refusals.make_may_have_run_failure('internal')
+                await _refusals.send_router_answer(exchange, failure)
 
     @staticmethod
     async def _end_at_stop(work):
