Take a deadline that is no usable number as none

Callers whose deadline was written in superscript digits or in thousands of digits got no answer, and 502 since bugs before the choice of a path are answered.

Cause: Python calls such text digits but converts it to no number. Now only up to 15 ASCII digits are taken; else the request has the time of its route.

--- a/bluebellthread/entry/_work.py
+++ b/bluebellthread/entry/_work.py
@@ -16,6 +16,10 @@
 """Timeout of requests without a deadline on routes without a timeout: as long
 as callers commonly wait."""
 
+PATIENCE_DIGITS_MAX = 15
+"""Digits of the longest time in milliseconds that is taken for one: Python
+converts some thousands at the most, and slowly."""
+
 UNSERVED_RETRY_MS = 500
 """Retry delay sent to callers whose deadline passed before a server could run
 their request."""
@@ -141,9 +145,15 @@
         )
 
     def _read_patience_ms(self):
-        """Return how long the caller waits by its header, or None."""
+        """Return how long the caller waits by its header, or None.
+
+        None is returned also if the header has no usable number.
+        """
         text = self.request.header(self._dialect.remaining_ms)
-        return int(text) if text.isdigit() else None
+        is_number = text.isascii() and text.isdigit()
+        if not is_number or len(text) > PATIENCE_DIGITS_MAX:
+            return None
+        return int(text)
 
     def _compute_deadline_ms(self):
         bounds_ms = []
