--- a/tests/integration/test_entry_read_requests.py
+++ b/tests/integration/test_entry_read_requests.py
@@ -18,6 +18,9 @@
 """Grace period of short stops; requests may end until 1 s before its end."""
 
 ENGINES = ('p1', 'd1')
+EVENT_COUNT = 6
+EVENT_PAUSE_S = 0.1
+SILENCE_S = 1.6
 
 
 class TestEndOfGracePeriod(unittest.TestCase):
@@ -61,6 +64,64 @@
         await self.check_answered('POST', '/once/x', (502, 504), hold)
 
 
+class TestSilenceInStop(unittest.TestCase):
+    @run
+    async def test_requests_are_answered_though_servers_are_silent(self):
+        async with sites.running_site(engines=ENGINES) as site:
+            engine = site.servers['d1']
+            engine.event_count = EVENT_COUNT
+            engine.event_pause_s = EVENT_PAUSE_S
+            answers = {}
+
+            async def ask(caller, method, path):
+                answers[path] = await caller.call(
+                    method, path, b'one wig', request_id=path
+                )
+
+            async def ask_all(callers, mark):
+                async with trio.open_nursery() as nursery:
+                    for caller, (method, path) in zip(
+                        callers,
+                        (
+                            ('GET', '/read/'),
+                            ('POST', '/order/'),
+                            ('POST', '/ask/'),
+                            ('POST', '/once/'),
+                        ),
+                        strict=True,
+                    ):
+                        nursery.start_soon(ask, caller, method, path + mark)
+
+            async with contextlib.AsyncExitStack() as stack:
+
+                async def connect():
+                    return [
+                        await stack.enter_async_context(await site.connect())
+                        for _ in range(4)
+                    ]
+
+                kept, new = await connect(), await connect()
+                await ask_all(kept, 'kept')
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(ask_all, new, 'before')
+                    # Streams are under way, other requests soon are.
+                    await trio.sleep(2 * EVENT_PAUSE_S)
+                    for server in site.servers.values():
+                        nursery.start_soon(server.be_silent, SILENCE_S)
+                    nursery.start_soon(ask_all, kept, 'silent')
+                    await trio.sleep(0.1)
+                    site.entry.stop()
+                    site.entry.apply_settings(site.entry.state.settings)
+                    site.entry.stop()
+                    await trio.sleep(0.3)
+                    nursery.start_soon(ask_all, await connect(), 'stopping')
+            self.assertEqual(16, len(answers))
+            for path, answer in answers.items():
+                with self.subTest(path):
+                    self.assertEqual(200, answer.status)
+                    self.assertTrue(answer.whole)
+
+
 class TestUnusualNumbers(unittest.TestCase):
     async def check_answered(self, *headers):
         """Check that a request with some headers is answered."""
