Test that another connection's failure is no caller's leaving; it fails

If the error of a broken connection that isn't the caller's reaches the gateway, the caller is taken to have left and gets no answer, without a line in the log.

--- a/tests/integration/test_entry_read_requests.py
+++ b/tests/integration/test_entry_read_requests.py
@@ -11,6 +11,7 @@
 from bluebellthread.core import routing
 from bluebellthread.entry import _caller_connection
 from bluebellthread.entry import _connection_control
+from bluebellthread.entry import _plain_path
 from tests.integration import _entry_site as sites
 from tests.integration.test_entry_plain import run
 
@@ -172,6 +173,17 @@
             self.assertEqual(502, answer.status)
             self.assertTrue(answer.whole)
 
+    @run
+    async def test_broken_connection_of_another_is_answered(self):
+        for error in (trio.BrokenResourceError, trio.ClosedResourceError):
+            async with sites.running_site() as site:
+                with mock.patch.object(
+                    _plain_path.PlainPath, 'serve', side_effect=error
+                ):
+                    answer = await site.call('GET', '/read/x')
+                self.assertEqual(502, answer.status)
+                self.assertTrue(answer.whole)
+
 
 @contextlib.asynccontextmanager
 async def serving(handler):
