Tell the caller's closed connection from all others

A caller got no answer, and the log no line, if the error of some other broken connection reached the gateway.

Cause: any such error was taken for the caller's leaving, by its type. Now the exchange raises CallerGoneError for its own connection only; any other error is logged as a bug, and the caller gets 502. The log tells a request whose caller left while the answer was sent as caller-gone.

--- a/bluebellthread/entry/_caller_connection.py
+++ b/bluebellthread/entry/_caller_connection.py
@@ -271,6 +271,8 @@
 class CallerExchange:
     """One request of a caller and the methods that answer it.
 
+    These raise `CallerGoneError` if the connection is closed.
+
     Attributes
     ----------
     request : Request
@@ -308,7 +310,7 @@
         if body and self.request.method != b'HEAD':
             data += self._conn.send(h11.Data(data=body))
         data += self._conn.send(h11.EndOfMessage())
-        await self._stream.send_all(data)
+        await self._send(data)
         self.is_complete = True
 
     async def start(self, status, headers):
@@ -319,15 +321,15 @@
             # Only the end of the connection will mark the end of the answer,
             # so any other end, that of this process too, must be a reset.
             self._reset_on_close(True)
-        await self._stream.send_all(data)
+        await self._send(data)
 
     async def send(self, data):
         """Send a piece of a streamed answer."""
-        await self._stream.send_all(self._conn.send(h11.Data(data=data)))
+        await self._send(self._conn.send(h11.Data(data=data)))
 
     async def finish(self):
         """Send the last chunk, which marks a streamed answer as complete."""
-        await self._stream.send_all(self._conn.send(h11.EndOfMessage()))
+        await self._send(self._conn.send(h11.EndOfMessage()))
         self.is_complete = True
         if self._conn.their_http_version < CHUNKS_HTTP_VERSION:
             self._reset_on_close(False)
@@ -340,6 +342,16 @@
         self.is_aborted = True
         await trio.aclose_forcefully(self._stream)
 
+    async def _send(self, data):
+        try:
+            await self._stream.send_all(data)
+        except (
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+        ) as error:
+            self.caller_gone = not self.is_aborted
+            raise CallerGoneError from error
+
     def _reset_on_close(self, resets):
         self._stream.setsockopt(
             socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', resets, 0)
--- a/bluebellthread/entry/_gateway.py
+++ b/bluebellthread/entry/_gateway.py
@@ -3,9 +3,8 @@
 import contextlib
 import traceback
 
-import trio
-
 from bluebellthread.core import routing
+from bluebellthread.entry import _caller_connection
 from bluebellthread.entry import _http_messages
 from bluebellthread.entry import _refusals
 from bluebellthread.entry import _work
@@ -133,9 +132,9 @@
         """
         try:
             yield
+        except _caller_connection.CallerGoneError:
+            raise
         except Exception as error:
-            if _is_caller_gone(error):
-                raise
             emit(
                 events.REQUEST_CRASHED,
                 request_id=exchange.request.header(self._dialect.request_id),
@@ -181,9 +180,3 @@
         routing.KIND_ONCE: plain,
         routing.KIND_STREAM: stream,
     }
-
-
-def _is_caller_gone(error):
-    return isinstance(
-        error, (trio.BrokenResourceError, trio.ClosedResourceError)
-    )
