Test that a failed attempt does not end one that answers; it fails

A caller gets 200 and a part of the body if another attempt at its request failed shortly before: while the VM finds out whether the request ends servers, the answer of the attempt beside it is begun, and then cut. AttemptRace._note_failed asks whether other attempts are live before that wait only. The test sets the outcome of the wait.

--- a/tests/integration/test_entry_read_requests.py
+++ b/tests/integration/test_entry_read_requests.py
@@ -11,6 +11,7 @@
 from bluebellthread.core import routing
 from bluebellthread.entry import _caller_connection
 from bluebellthread.entry import _connection_control
+from bluebellthread.entry import _cut_runs
 from bluebellthread.entry import _plain_path
 from tests.integration import _entry_site as sites
 from tests.integration.test_entry_plain import run
@@ -266,6 +267,48 @@
             self.assertEqual(1, received.count(b'HTTP/1.1'))
 
 
+class TestFailureBesideAnAnswer(unittest.TestCase):
+    @run
+    async def test_failed_attempt_does_not_end_one_that_answers(self):
+        body = b'x' * 12_000_000
+        arrivals = []
+
+        async def handle(request):
+            arrivals.append(request)
+            if len(arrivals) == 1:
+                await trio.sleep(0.7)
+                await request.reset()
+                return
+            await trio.sleep(0.5)
+            (server, *_) = site.servers.values()
+            await request.answer(200, body, server.answer_headers(request))
+
+        async def may_have_ended_servers(runs):
+            await trio.sleep(0.5)
+            return True
+
+        async with sites.running_site() as site:
+            route = sites.make_route(
+                '/read/', 'safe', 'plain', targetLatencyMs=100
+            )
+            site.store.put('op/config', sites.make_configuration(2, [route]))
+            await sites.wait_until(lambda: site.entry.state.table.version == 2)
+            for server in site.servers.values():
+                server.script.extend([handle, handle])
+            with mock.patch.object(
+                _cut_runs.CutRuns,
+                'may_have_ended_servers',
+                may_have_ended_servers,
+            ):
+                async with await site.connect() as caller:
+                    await caller.send('GET', '/read/x')
+                    # The caller is slower than its connection's buffers.
+                    await trio.sleep(1.5)
+                    answer = await caller.read_answer()
+            self.assertEqual(200, answer.status)
+            self.assertTrue(answer.whole)
+
+
 class TestStops(unittest.TestCase):
     @run
     async def test_answer_after_the_begin_of_a_stop_closes(self):
