--- a/tests/integration/test_entry_read_requests.py
+++ b/tests/integration/test_entry_read_requests.py
@@ -9,10 +9,12 @@
 import trio
 
 from bluebellthread.core import routing
+from bluebellthread.daemon import _socket_options
 from bluebellthread.entry import _caller_connection
 from bluebellthread.entry import _connection_control
 from bluebellthread.entry import _cut_runs
 from bluebellthread.entry import _plain_path
+from bluebellthread.entry import _stats
 from tests.integration import _entry_site as sites
 from tests.integration.test_entry_plain import run
 
@@ -186,6 +188,47 @@
                 self.assertTrue(answer.whole)
 
 
+class TestFailingConnections(unittest.TestCase):
+    """A connection that fails in an unexpected way ends no other one."""
+
+    async def check_survived(self, site, port):
+        site.servers['s1'].run_pause_s = 0.3
+        answers = []
+
+        async def ask():
+            answers.append(await site.call('GET', '/read/x'))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await sites.wait_until(lambda: site.servers['s1'].arrivals)
+            with (
+                mock.patch.object(
+                    _socket_options,
+                    'set_silence_timeouts',
+                    side_effect=OSError,
+                ),
+                mock.patch.object(
+                    _stats.EntryStats, 'render', side_effect=ValueError
+                ),
+            ):
+                stream = await trio.open_tcp_stream('127.0.0.1', port)
+                async with sites.Caller(stream) as caller:
+                    await caller.send('GET', '/metrics')
+                    with contextlib.suppress(trio.BrokenResourceError):
+                        self.assertEqual(b'', await stream.receive_some(1))
+        self.assertEqual([200], [answer.status for answer in answers])
+
+    @run
+    async def test_caller(self):
+        async with sites.running_site(plain=('s1',)) as site:
+            await self.check_survived(site, site.entry.ports['caller_port'])
+
+    @run
+    async def test_monitoring(self):
+        async with sites.running_site(plain=('s1',)) as site:
+            await self.check_survived(site, site.entry.ports['metrics_port'])
+
+
 @contextlib.asynccontextmanager
 async def serving(handler):
     """Serve callers with a handler; yield a connection and its control."""
