--- a/bluebellthread/entry/_caller_connection.py
+++ b/bluebellthread/entry/_caller_connection.py
@@ -17,6 +17,7 @@
 from bluebellthread.daemon import _clock
 from bluebellthread.entry import _concurrency
 from bluebellthread.entry import _http_messages
+from bluebellthread.entry import _sockets
 
 RECEIVE_BYTES = 65536
 READ_AHEAD_BYTES = 262144
@@ -109,10 +110,11 @@
             return False
         request = await self._read_request(head)
         exchange = CallerExchange(
-            request=request, conn=self._conn, stream=self._stream
+            request=request,
+            conn=self._conn,
+            stream=self._stream,
+            control=self._control,
         )
-        if self._control.is_stopping:
-            exchange.closes_after = True
         await _concurrency.run_until_either(
             functools.partial(self._watch_caller, exchange),
             functools.partial(self._handler, exchange),
@@ -143,14 +145,20 @@
             self._first_byte_ms = _clock.read_clock_ms()
             return True
         with self._control.idle_scope():
-            data = await self._stream.receive_some(RECEIVE_BYTES)
-            if not data:
-                return False
-            self._first_byte_ms = _clock.read_clock_ms()
-            self._conn.receive_data(data)
-            return True
-        # The connection was idle for too long, or the process is stopping.
-        return False
+            return await self._receive_first_bytes()
+        # The connection was idle for too long, or the process is stopping;
+        # but a request may have arrived in the same moment.
+        if not _sockets.has_unread(self._stream):
+            return False
+        return await self._receive_first_bytes()
+
+    async def _receive_first_bytes(self):
+        data = await self._stream.receive_some(RECEIVE_BYTES)
+        if not data:
+            return False
+        self._first_byte_ms = _clock.read_clock_ms()
+        self._conn.receive_data(data)
+        return True
 
     async def _read_request(self, head):
         _check_framing(head)
@@ -263,6 +271,8 @@
 class CallerExchange:
     """One request of a caller and the methods that answer it.
 
+    These raise `CallerGoneError` if the connection is closed.
+
     Attributes
     ----------
     request : Request
@@ -272,56 +282,55 @@
         being cancelled.
     is_aborted : bool
         Whether the answer was broken off by `abort`.
-    closes_after : bool
-        Whether the connection is closed after this answer.
     status : int or None
         The status of the answer; None until the answer has started.
+    is_complete : bool
+        Whether the whole answer has been sent.
     """
 
-    def __init__(self, *, request, conn, stream):
+    def __init__(self, *, request, conn, stream, control):
         self.request = request
         self.caller_gone = False
         self.is_aborted = False
-        self.closes_after = False
         self.status = None
+        self.is_complete = False
         self._conn = conn
         self._stream = stream
+        self._control = control
 
     @property
     def is_started(self):
         """Whether any byte of the answer may have been sent."""
         return self.status is not None
 
-    @property
-    def is_complete(self):
-        """Whether the whole answer has been sent."""
-        return self._conn.our_state in (h11.DONE, h11.MUST_CLOSE)
-
     async def respond(self, status, headers, body):
         """Send a complete answer with its length."""
         sized = [*headers, (b'content-length', str(len(body)).encode())]
-        data = self._begin(status, sized)
+        data = await self._begin(status, sized)
         if body and self.request.method != b'HEAD':
             data += self._conn.send(h11.Data(data=body))
         data += self._conn.send(h11.EndOfMessage())
-        await self._stream.send_all(data)
+        await self._send(data)
+        self.is_complete = True
 
     async def start(self, status, headers):
         """Send the head of a streamed answer."""
         chunked = [*headers, (b'transfer-encoding', b'chunked')]
+        data = await self._begin(status, chunked)
         if self._conn.their_http_version < CHUNKS_HTTP_VERSION:
             # Only the end of the connection will mark the end of the answer,
             # so any other end, that of this process too, must be a reset.
             self._reset_on_close(True)
-        await self._stream.send_all(self._begin(status, chunked))
+        await self._send(data)
 
     async def send(self, data):
         """Send a piece of a streamed answer."""
-        await self._stream.send_all(self._conn.send(h11.Data(data=data)))
+        await self._send(self._conn.send(h11.Data(data=data)))
 
     async def finish(self):
         """Send the last chunk, which marks a streamed answer as complete."""
-        await self._stream.send_all(self._conn.send(h11.EndOfMessage()))
+        await self._send(self._conn.send(h11.EndOfMessage()))
+        self.is_complete = True
         if self._conn.their_http_version < CHUNKS_HTTP_VERSION:
             self._reset_on_close(False)
 
@@ -333,14 +342,29 @@
         self.is_aborted = True
         await trio.aclose_forcefully(self._stream)
 
+    async def _send(self, data):
+        try:
+            await self._stream.send_all(data)
+        except (
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+        ) as error:
+            self.caller_gone = not self.is_aborted
+            raise CallerGoneError from error
+
     def _reset_on_close(self, resets):
         self._stream.setsockopt(
             socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', resets, 0)
         )
 
-    def _begin(self, status, headers):
+    async def _begin(self, status, headers):
+        # An answer that is cancelled before its first byte has not started,
+        # so that another one can be sent instead.
+        await trio.lowlevel.checkpoint_if_cancelled()
         self.status = status
-        if self.closes_after:
+        # Requests that were read ahead are answered before the connection is
+        # closed.
+        if self._control.is_stopping and not self._conn.trailing_data[0]:
             headers = [*headers, (b'connection', b'close')]
         response = h11.Response(
             status_code=status, reason=_reason(status), headers=headers
--- a/bluebellthread/entry/_gateway.py
+++ b/bluebellthread/entry/_gateway.py
@@ -1,10 +1,10 @@
 """Finds the route of each request and serves it as the route's kind needs."""
 
+import contextlib
 import traceback
 
-import trio
-
 from bluebellthread.core import routing
+from bluebellthread.entry import _caller_connection
 from bluebellthread.entry import _http_messages
 from bluebellthread.entry import _refusals
 from bluebellthread.entry import _work
@@ -24,6 +24,8 @@
     ----------
     state : EntryState
         Supplies the routing table.
+    control : ConnectionControl
+        Ends requests that outlast a stop.
     paths : dict of str to object
         For each kind of route, an object with ``async`` ``serve(work)``.
     budgets : RetryBudgets
@@ -34,9 +36,10 @@
         Counts the requests and their outcomes.
     """
 
-    def __init__(self, *, state, paths, budgets, dialect, stats):
+    def __init__(self, *, state, control, paths, budgets, dialect, stats):
         self._taken_count = 0
         self._state = state
+        self._control = control
         self._paths = paths
         self._budgets = budgets
         self._dialect = dialect
@@ -44,6 +47,15 @@
 
     async def serve(self, exchange):
         """Answer the request of one `CallerExchange`."""
+        async with self._answering_crashes(exchange):
+            await self._serve(exchange)
+
+    async def serve_handed_on(self, exchange):
+        """Answer a request that another VM has handed on, or refuse it."""
+        async with self._answering_crashes(exchange):
+            await self._serve_handed_on(exchange)
+
+    async def _serve(self, exchange):
         request = exchange.request
         table = self._state.table
         if not table.version or not self._state.has_servers:
@@ -60,8 +72,7 @@
             return
         await self._serve_route(exchange, route, table)
 
-    async def serve_handed_on(self, exchange):
-        """Answer a request that another VM has handed on, or refuse it."""
+    async def _serve_handed_on(self, exchange):
         hop = _http_messages.Hop.read(exchange.request)
         request = exchange.request = hop.request
         table = self._state.table
@@ -102,23 +113,52 @@
         )
         self._budgets.note_request(work.service)
         try:
-            await self._paths[route.kind].serve(work)
+            async with self._answering_crashes(exchange, work):
+                await self._serve_work(work)
+        finally:
+            work.log_end()
+
+    async def _serve_work(self, work):
+        with self._control.request_scope():
+            await self._paths[work.route.kind].serve(work)
+            return
+        await self._end_at_stop(work)
+
+    @contextlib.asynccontextmanager
+    async def _answering_crashes(self, exchange, work=None):
+        """Answer a request that hits a bug, and log the bug.
+
+        It must not end other requests.
+        """
+        try:
+            yield
+        except _caller_connection.CallerGoneError:
+            raise
         except Exception as error:
-            # A bug hit by one request must not end the others, and must be
-            # logged.
-            if _is_caller_gone(error):
-                raise
             emit(
                 events.REQUEST_CRASHED,
-                request_id=request_id,
+                request_id=exchange.request.header(self._dialect.request_id),
                 error=''.join(traceback.format_exception(error))[-2000:],
             )
             if exchange.is_started:
                 await exchange.abort()
-            else:
+            elif work is not None:
                 await work.fail('internal')
-        finally:
-            work.log_end()
+            else:
+                failure = _refusals.make_may_have_run_failure('internal')
+                await _refusals.send_router_answer(exchange, failure)
+
+    @staticmethod
+    async def _end_at_stop(work):
+        """End a request that the process has no time left to serve."""
+        if work.exchange.is_complete:
+            return
+        if work.exchange.is_started:
+            await work.exchange.abort()
+        elif work.may_have_run or work.in_flight_count:
+            await work.fail('stopping')
+        else:
+            await work.refuse('stopping', _work.UNSERVED_RETRY_MS)
 
     async def _refuse(self, exchange, answer):
         emit(
@@ -140,9 +180,3 @@
         routing.KIND_ONCE: plain,
         routing.KIND_STREAM: stream,
     }
-
-
-def _is_caller_gone(error):
-    return isinstance(
-        error, (trio.BrokenResourceError, trio.ClosedResourceError)
-    )
--- /dev/null
+++ b/tests/integration/test_entry_read_requests.py
@@ -0,0 +1,403 @@
+"""Requests that were read whole end in a whole answer or a refusal."""
+
+import contextlib
+import functools
+import os
+import unittest
+from unittest import mock
+
+import trio
+
+from bluebellthread.core import routing
+from bluebellthread.daemon import _socket_options
+from bluebellthread.entry import _caller_connection
+from bluebellthread.entry import _connection_control
+from bluebellthread.entry import _cut_runs
+from bluebellthread.entry import _plain_path
+from bluebellthread.entry import _stats
+from tests.integration import _entry_site as sites
+from tests.integration.test_entry_plain import run
+
+GRACE_MS = 1400
+"""Grace period of short stops; requests may end until 1 s before its end."""
+
+ENGINES = ('p1', 'd1')
+EVENT_COUNT = 6
+EVENT_PAUSE_S = 0.1
+SILENCE_S = 1.6
+
+
+class TestEndOfGracePeriod(unittest.TestCase):
+    async def check_answered(self, method, path, statuses, hold):
+        """Check the answer to a request that outlasts the grace period."""
+        async with sites.running_site(
+            engines=ENGINES, stop_grace_ms=GRACE_MS
+        ) as site:
+            hold(site.servers)
+            async with await site.connect() as caller:
+                await caller.send(method, path, b'one wig')
+                # A silent server does not tell that the request has arrived.
+                await trio.sleep(0.2)
+                site.entry.stop()
+                answer = await caller.read_answer()
+            self.assertIn(answer.status, statuses)
+            self.assertTrue(answer.whole)
+            self.assertEqual('close', answer.headers['connection'])
+            return answer
+
+    @run
+    async def test_call_that_may_have_run_is_answered(self):
+        def hold(servers):
+            servers['s1'].run_pause_s = servers['s2'].run_pause_s = 9
+
+        await self.check_answered('POST', '/order/x', (502, 504), hold)
+
+    @run
+    async def test_stream_in_its_prefill_is_refused(self):
+        def hold(servers):
+            servers['p1'].fall_silent()
+
+        answer = await self.check_answered('POST', '/once/x', (503,), hold)
+        self.assertIn('retry-after', answer.headers)
+
+    @run
+    async def test_stream_at_a_silent_decode_server_is_answered(self):
+        def hold(servers):
+            servers['d1'].fall_silent()
+
+        await self.check_answered('POST', '/once/x', (502, 504), hold)
+
+
+class TestSilenceInStop(unittest.TestCase):
+    @run
+    async def test_requests_are_answered_though_servers_are_silent(self):
+        async with sites.running_site(engines=ENGINES) as site:
+            engine = site.servers['d1']
+            engine.event_count = EVENT_COUNT
+            engine.event_pause_s = EVENT_PAUSE_S
+            answers = {}
+
+            async def ask(caller, method, path):
+                answers[path] = await caller.call(
+                    method, path, b'one wig', request_id=path
+                )
+
+            async def ask_all(callers, mark):
+                async with trio.open_nursery() as nursery:
+                    for caller, (method, path) in zip(
+                        callers,
+                        (
+                            ('GET', '/read/'),
+                            ('POST', '/order/'),
+                            ('POST', '/ask/'),
+                            ('POST', '/once/'),
+                        ),
+                        strict=True,
+                    ):
+                        nursery.start_soon(ask, caller, method, path + mark)
+
+            async with contextlib.AsyncExitStack() as stack:
+
+                async def connect():
+                    return [
+                        await stack.enter_async_context(await site.connect())
+                        for _ in range(4)
+                    ]
+
+                kept, new = await connect(), await connect()
+                await ask_all(kept, 'kept')
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(ask_all, new, 'before')
+                    # Streams are under way, other requests soon are.
+                    await trio.sleep(2 * EVENT_PAUSE_S)
+                    for server in site.servers.values():
+                        nursery.start_soon(server.be_silent, SILENCE_S)
+                    nursery.start_soon(ask_all, kept, 'silent')
+                    await trio.sleep(0.1)
+                    site.entry.stop()
+                    site.entry.apply_settings(site.entry.state.settings)
+                    site.entry.stop()
+                    await trio.sleep(0.3)
+                    nursery.start_soon(ask_all, await connect(), 'stopping')
+            self.assertEqual(16, len(answers))
+            for path, answer in answers.items():
+                with self.subTest(path):
+                    self.assertEqual(200, answer.status)
+                    self.assertTrue(answer.whole)
+
+
+class TestUnusualNumbers(unittest.TestCase):
+    async def check_answered(self, *headers):
+        """Check that a request with some headers is answered."""
+        async with sites.running_site(engines=ENGINES) as site:
+            for path in (b'/read/x', b'/ask/x'):
+                lines = [
+                    b'POST %b HTTP/1.1' % path,
+                    b'Host: calls.example',
+                    b'X-Request-Attempt-Id: id-1',
+                    b'Content-Length: 0',
+                    *headers,
+                ]
+                async with await site.connect() as caller:
+                    await caller.stream.send_all(
+                        b'\r\n'.join(lines) + b'\r\n\r\n'
+                    )
+                    answer = await caller.read_answer()
+                self.assertEqual(200, answer.status)
+                self.assertTrue(answer.whole)
+
+    @run
+    async def test_deadline_in_superscript_digits(self):
+        await self.check_answered(b'X-Deadline-Ms: \xb2\xb3')
+
+    @run
+    async def test_deadline_of_thousands_of_digits(self):
+        await self.check_answered(b'X-Deadline-Ms: ' + b'9' * 5000)
+
+    @run
+    async def test_deadline_of_hundreds_of_digits(self):
+        await self.check_answered(b'X-Deadline-Ms: ' + b'9' * 400)
+
+    @run
+    async def test_token_counts_of_hundreds_of_digits(self):
+        await self.check_answered(
+            b'X-Token-Count: ' + b'9' * 400 + b',' + b'9' * 400
+        )
+
+
+class TestCrashes(unittest.TestCase):
+    @run
+    async def test_crash_before_a_path_is_chosen_is_answered(self):
+        async with sites.running_site() as site:
+            with mock.patch.object(
+                routing.Route, 'choose_service', side_effect=ValueError
+            ):
+                answer = await site.call('GET', '/read/x')
+            self.assertEqual(502, answer.status)
+            self.assertTrue(answer.whole)
+
+    @run
+    async def test_broken_connection_of_another_is_answered(self):
+        for error in (trio.BrokenResourceError, trio.ClosedResourceError):
+            async with sites.running_site() as site:
+                with mock.patch.object(
+                    _plain_path.PlainPath, 'serve', side_effect=error
+                ):
+                    answer = await site.call('GET', '/read/x')
+                self.assertEqual(502, answer.status)
+                self.assertTrue(answer.whole)
+
+
+class TestFailingConnections(unittest.TestCase):
+    """A connection that fails in an unexpected way ends no other one."""
+
+    async def check_survived(self, site, port):
+        site.servers['s1'].run_pause_s = 0.3
+        answers = []
+
+        async def ask():
+            answers.append(await site.call('GET', '/read/x'))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await sites.wait_until(lambda: site.servers['s1'].arrivals)
+            with (
+                mock.patch.object(
+                    _socket_options,
+                    'set_silence_timeouts',
+                    side_effect=OSError,
+                ),
+                mock.patch.object(
+                    _stats.EntryStats, 'render', side_effect=ValueError
+                ),
+            ):
+                stream = await trio.open_tcp_stream('127.0.0.1', port)
+                async with sites.Caller(stream) as caller:
+                    await caller.send('GET', '/metrics')
+                    with contextlib.suppress(trio.BrokenResourceError):
+                        self.assertEqual(b'', await stream.receive_some(1))
+        self.assertEqual([200], [answer.status for answer in answers])
+
+    @run
+    async def test_caller(self):
+        async with sites.running_site(plain=('s1',)) as site:
+            await self.check_survived(site, site.entry.ports['caller_port'])
+
+    @run
+    async def test_monitoring(self):
+        async with sites.running_site(plain=('s1',)) as site:
+            await self.check_survived(site, site.entry.ports['metrics_port'])
+
+
+@contextlib.asynccontextmanager
+async def serving(handler):
+    """Serve callers with a handler; yield a connection and its control."""
+    control = _connection_control.ConnectionControl(routing.CallerLimits)
+
+    async def serve(stream):
+        control.open_count += 1
+        await _caller_connection.CallerConnection(
+            stream=stream, handler=handler, control=control
+        ).run()
+        control.open_count -= 1
+
+    with trio.fail_after(sites.TEST_TIMEOUT_S):
+        async with trio.open_nursery() as nursery:
+            (listener,) = await nursery.start(
+                functools.partial(trio.serve_tcp, serve, 0, host='127.0.0.1')
+            )
+            stream = await trio.open_tcp_stream(*listener.socket.getsockname())
+            async with sites.Caller(stream) as caller:
+                await sites.wait_until(lambda: control.open_count)
+                yield caller, control
+            nursery.cancel_scope.cancel()
+
+
+def make_request(number):
+    return b'GET /read/%d HTTP/1.1\r\nHost: calls.example\r\n\r\n' % number
+
+
+async def echo(exchange):
+    await exchange.respond(200, [], exchange.request.target)
+
+
+class TestDeadlineBeforeFirstByte(unittest.TestCase):
+    async def check_answered_otherwise(self, answer):
+        """Check the answer after one that was cancelled before any byte."""
+
+        async def serve(exchange):
+            with trio.CancelScope() as scope:
+                scope.cancel()
+                await answer(exchange)
+            if not exchange.is_started:
+                await exchange.respond(504, [], b'late')
+
+        async with serving(serve) as (caller, _):
+            await caller.stream.send_all(make_request(1))
+            answer = await caller.read_answer()
+            self.assertEqual(504, answer.status)
+            self.assertTrue(answer.whole)
+
+    @run
+    async def test_whole_answer(self):
+        await self.check_answered_otherwise(echo)
+
+    @run
+    async def test_streamed_answer(self):
+        await self.check_answered_otherwise(
+            lambda exchange: exchange.start(200, [])
+        )
+
+
+class TestDeadlineWithinAnswer(unittest.TestCase):
+    @run
+    async def test_nothing_follows_an_answer_that_was_cut(self):
+        # Longer than what the connection's buffers hold.
+        body = b'x' * 16_000_000
+
+        async def serve(exchange):
+            with trio.move_on_after(0.2):
+                await exchange.respond(200, [], body)
+
+        async with serving(serve) as (caller, _):
+            await caller.stream.send_all(make_request(1) + make_request(2))
+            await trio.sleep(0.3)
+            received = b''
+            with contextlib.suppress(trio.BrokenResourceError):
+                async for data in caller.stream:
+                    received += data
+            self.assertLess(len(received), len(body))
+            self.assertEqual(1, received.count(b'HTTP/1.1'))
+
+
+class TestFailureBesideAnAnswer(unittest.TestCase):
+    @run
+    async def test_failed_attempt_does_not_end_one_that_answers(self):
+        body = b'x' * 12_000_000
+        arrivals = []
+
+        async def handle(request):
+            arrivals.append(request)
+            if len(arrivals) == 1:
+                await trio.sleep(0.7)
+                await request.reset()
+                return
+            await trio.sleep(0.5)
+            (server, *_) = site.servers.values()
+            await request.answer(200, body, server.answer_headers(request))
+
+        async def may_have_ended_servers(runs):
+            await trio.sleep(0.5)
+            return True
+
+        async with sites.running_site() as site:
+            route = sites.make_route(
+                '/read/', 'safe', 'plain', targetLatencyMs=100
+            )
+            site.store.put('op/config', sites.make_configuration(2, [route]))
+            await sites.wait_until(lambda: site.entry.state.table.version == 2)
+            for server in site.servers.values():
+                server.script.extend([handle, handle])
+            with mock.patch.object(
+                _cut_runs.CutRuns,
+                'may_have_ended_servers',
+                may_have_ended_servers,
+            ):
+                async with await site.connect() as caller:
+                    await caller.send('GET', '/read/x')
+                    # The caller is slower than its connection's buffers.
+                    await trio.sleep(1.5)
+                    answer = await caller.read_answer()
+            self.assertEqual(200, answer.status)
+            self.assertTrue(answer.whole)
+
+
+class TestStops(unittest.TestCase):
+    @run
+    async def test_answer_after_the_begin_of_a_stop_closes(self):
+        async def stop(exchange):
+            control.is_stopping = True
+            await echo(exchange)
+
+        async with serving(stop) as (caller, control):
+            await caller.stream.send_all(make_request(1))
+            answer = await caller.read_answer()
+            self.assertEqual('close', answer.headers.get('connection'))
+
+    @run
+    async def test_requests_read_ahead_are_answered(self):
+        received = []
+
+        async def serve(exchange):
+            received.append(exchange.request.target)
+            control.is_stopping = True
+            # The caller's next requests are read meanwhile.
+            await trio.sleep(0.1)
+            await echo(exchange)
+
+        async with serving(serve) as (caller, control):
+            await caller.stream.send_all(b''.join(map(make_request, range(3))))
+            answers = [await caller.read_answer() for _ in range(3)]
+            self.assertEqual(
+                [b'/read/0', b'/read/1', b'/read/2'],
+                [answer.body for answer in answers],
+            )
+            self.assertEqual('close', answers[-1].headers['connection'])
+
+    @run
+    async def test_request_that_arrives_at_the_close_is_answered(self):
+        async with serving(echo) as (caller, control):
+            await trio.sleep(0.05)
+            # The connection is closed before the event loop sees the request.
+            os.write(caller.stream.socket.fileno(), make_request(7))
+            control.is_stopping = True
+            control.end_idle()
+            answer = await caller.read_answer()
+            self.assertEqual(b'/read/7', answer.body)
+
+    @run
+    async def test_idle_connection_is_closed(self):
+        async with serving(echo) as (caller, control):
+            await trio.sleep(0.05)
+            control.end_idle()
+            self.assertEqual(b'', await caller.stream.receive_some(1))
