Let an attempt that took the lead outlast the error of another one

When an attempt failed beside another one, it was asked whether the request itself may end servers, which takes up to 0.2 s. If so, all attempts were ended, also one that had gone on with the answer meanwhile: the caller's stream broke off although its server was at work on it.

Cause: the answer to the question was used without a look at what had happened since. Now the request goes on if an attempt has passed something on meanwhile, and the error of an attempt that had been overtaken before it failed is not looked at. Two tests, which failed before, pass.

--- a/bluebellthread/entry/_attempt_race.py
+++ b/bluebellthread/entry/_attempt_race.py
@@ -118,7 +118,7 @@
         OvertakenError
             If another attempt has passed something on meanwhile.
         """
-        self.race.end_attempts(self.race.runs.take(self.run), self)
+        self.race.note_taken(self)
 
 
 class AttemptRace:
@@ -157,6 +157,7 @@
         self._nursery = None
         self._error = None
         self._is_won = False
+        self._take_count = 0
 
     @property
     def attempts(self):
@@ -221,9 +222,17 @@
                 self._nursery.cancel_scope.cancel()
 
     async def _note_failed(self, attempt, error):
+        if attempt.run.is_ended:
+            # The attempt that has the lead decides how the request ends.
+            return
         self._error = error
         self.runs.end(attempt.run)
-        if self.runs.live and await self._ends_with(error):
+        take_count = self._take_count
+        if (
+            self.runs.live
+            and await self._ends_with(error)
+            and take_count == self._take_count
+        ):
             self._error = error
             self._nursery.cancel_scope.cancel()
 
@@ -289,6 +298,11 @@
 
     # Ends
 
+    def note_taken(self, attempt):
+        """Note that an attempt passes something on; end all others."""
+        self.end_attempts(self.runs.take(attempt.run), attempt)
+        self._take_count += 1
+
     def end_attempts(self, runs, by):
         """End the attempts of some runs for another attempt."""
         for attempt in self.attempts:
--- a/tests/unit/test_attempt_race.py
+++ b/tests/unit/test_attempt_race.py
@@ -277,6 +277,28 @@
         self.assertAlmostEqual(1.1, end_s)
         self.assertEqual({'s0': 1.1, 's1': 1.1}, servers.left_s)
 
+    def test_attempt_that_took_the_lead_meanwhile_keeps_the_request(self):
+        """The check of a failed attempt takes as long as round trips do."""
+        failure = _ServerError()
+        self.ending_errors = (failure,)
+        self.ends_check_s = 0.2
+        servers, error, _ = self.race(
+            [1.2, 'piece', 0.5, 'end'], [0.1, failure]
+        )
+        self.assertIsNone(error)
+        self.assertEqual([('piece', 's0'), ('end', 's0')], servers.pieces)
+
+    def test_error_that_comes_with_the_answer_of_another_attempt(self):
+        """Trio runs tasks that are due at once in any order."""
+        for _ in range(20):
+            failure = _ServerError()
+            self.ending_errors = (failure,)
+            servers, error, _ = self.race(
+                [(1.5, failure)], [0.5, 'piece', 0.5, 'end']
+            )
+            self.assertIsNone(error)
+            self.assertEqual([('piece', 's1'), ('end', 's1')], servers.pieces)
+
     def test_silent_server_is_still_told_once_beside_its_followers(self):
         _, error, _ = self.race(
             [LONG_S, 'end'],
