Don't count an attempt at a server that it was never sent to

An attempt at an idempotent call that learned that another one had the lead just before it was sent had been counted as one more request at its server, and was never taken off the count: the server looked busier than it is to all later requests of the VM. Seen in review; the order of two lines. Now it is counted once it may be sent. The test failed before.

--- a/bluebellthread/entry/_plain_path.py
+++ b/bluebellthread/entry/_plain_path.py
@@ -416,8 +416,8 @@
         """Return the server's `Answer`, or a `CallFailedError`."""
         work = progress.work
         started_ms = _clock.read_clock_ms()
-        self._choice.begin(server)
         attempt.send()
+        self._choice.begin(server)
         try:
             with (
                 work.sending(server.name),
