Log a bug in one attempt while another one goes on

An attempt that ended with an error of the router's own, beside another one, left no trace: the other attempt went on, and its answer or error became that of the request. The gateway logs E5003 only for what reaches it.

Now AttemptRace is told with which errors attempts fail, and logs E5003 for any other one if another attempt is left. The request goes on as before.

--- a/bluebellthread/entry/_attempt_race.py
+++ b/bluebellthread/entry/_attempt_race.py
@@ -6,12 +6,15 @@
 
 import contextlib
 import math
+import traceback
 
 import attrs
 import trio
 
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
+from bluebellthread.observe import emit
+from bluebellthread.observe import events
 
 FOLLOW_PAUSE_S = 0.5
 """Pause after an attempt that could not follow before the next one does: a
@@ -138,6 +141,8 @@
     ends_with : callable
         ``async``; takes the error of an attempt that failed beside another
         one; returns whether the request ends with it.
+    failures : tuple of type
+        Errors of attempts that fail. Any other one is a bug.
 
     Attributes
     ----------
@@ -145,11 +150,21 @@
         Decides which attempt goes on.
     """
 
-    def __init__(self, *, work, silences, runs_once, find_obstacle, ends_with):
+    def __init__(
+        self,
+        *,
+        work,
+        silences,
+        runs_once,
+        find_obstacle,
+        ends_with,
+        failures,
+    ):
         self._work = work
         self._silences = silences
         self._find_obstacle = find_obstacle
         self._ends_with = ends_with
+        self._failures = failures
         self.runs = routing.RunRace(runs_once=runs_once)
         self._attempts = {}
         self._changed = trio.Event()
@@ -222,6 +237,9 @@
                 self._nursery.cancel_scope.cancel()
 
     async def _note_failed(self, attempt, error):
+        if self.list_others(attempt) and not isinstance(error, self._failures):
+            # The answer of another attempt would hide the bug.
+            self._log_bug(error)
         if attempt.run.is_ended:
             # The attempt that has the lead decides how the request ends.
             return
@@ -236,6 +254,13 @@
             self._error = error
             self._nursery.cancel_scope.cancel()
 
+    def _log_bug(self, error):
+        emit(
+            events.REQUEST_CRASHED,
+            request_id=self._work.request_id,
+            error=''.join(traceback.format_exception(error))[-2000:],
+        )
+
     # Silences
 
     def note_changed(self):
--- a/bluebellthread/entry/_plain_path.py
+++ b/bluebellthread/entry/_plain_path.py
@@ -171,6 +171,7 @@
             runs_once=work.route.kind != routing.KIND_IDEMPOTENT,
             find_obstacle=functools.partial(self._find_obstacle, work),
             ends_with=functools.partial(self._ends_with, progress),
+            failures=(_UnansweredError, _hand_on.NotTakenError),
         )
         while True:
             shut_out = self._shut_outs.find(work.service, work.parts)
--- a/bluebellthread/entry/_stream_path.py
+++ b/bluebellthread/entry/_stream_path.py
@@ -88,6 +88,11 @@
             runs_once=not work.route.is_resumable,
             find_obstacle=self._find_obstacle,
             ends_with=self._ends_with,
+            failures=(
+                _stream_context.StreamBrokenError,
+                _stream_context.NoPlacementError,
+                _stream_context.PromptShutOutError,
+            ),
         )
 
     async def run(self):
--- a/tests/unit/test_attempt_race.py
+++ b/tests/unit/test_attempt_race.py
@@ -4,6 +4,7 @@
 import math
 import types
 import unittest
+from unittest import mock
 
 import trio
 import trio.testing
@@ -118,6 +119,7 @@
                 runs_once=runs_once,
                 find_obstacle=lambda attempt: self.obstacle,
                 ends_with=ends_with,
+                failures=(_ServerError,),
             )
             start_s = trio.current_time()
             tasks_before = trio.lowlevel.current_statistics().tasks_living
@@ -387,12 +389,20 @@
         _, error, _ = self.race([0.1, ZeroDivisionError()])
         self.assertIsInstance(error, ZeroDivisionError)
 
-    def test_bug_in_one_attempt_leaves_the_other(self):
-        bug = ZeroDivisionError()
+    def test_bug_in_one_attempt_leaves_the_other_and_is_logged(self):
+        bug = ZeroDivisionError('a bug')
         for scripts in (
             ([LONG_S], [0.1, bug], [0.1, 'accept', 'end']),
             ([(1.1, bug)], [0.5, 'accept', 'end']),
         ):
-            servers, error, _ = self.race(*scripts)
+            with mock.patch.object(_attempt_race, 'emit') as emit:
+                servers, error, _ = self.race(*scripts)
             self.assertIsNone(error)
             self.assertEqual('end', servers.pieces[-1][0])
+            emit.assert_called_once()
+            self.assertIn('a bug', emit.call_args.kwargs['error'])
+
+    def test_failure_of_one_attempt_is_not_logged_as_a_bug(self):
+        with mock.patch.object(_attempt_race, 'emit') as emit:
+            self.race([1.2, 'end'], [0.1, _ServerError()])
+        emit.assert_not_called()
--- a/tests/unit/test_stream_pieces.py
+++ b/tests/unit/test_stream_pieces.py
@@ -101,6 +101,7 @@
         runs_once=False,
         find_obstacle=lambda attempt: obstacle,
         ends_with=ends_with,
+        failures=(_stream_context.StreamBrokenError,),
     )
 
 
