Leave the other runs to the VM that a request was handed on to

Cause: both VMs seek another server in a silence. The one that has handed the request on counts one run, whatever the other one makes of it.

A VM of another data centre was not known to have ended after 30 s in a fleet with one VM in each; requests there wait until their deadline.

--- a/bluebellthread/entry/_hand_on.py
+++ b/bluebellthread/entry/_hand_on.py
@@ -21,6 +21,9 @@
 CONNECT_TIMEOUT_S = 0.5
 """A dozen round trips between regions."""
 
+SERVING_STATES = ('alive', 'leaving')
+"""States of VMs that go on with the requests that they have taken."""
+
 HELPERS_MAX = 4
 """VMs that a request is offered to before it is refused."""
 
@@ -173,6 +176,22 @@
                 self._choice.end(member.name)
         raise NotTakenError
 
+    def is_served(self, server):
+        """Return whether a request is with another VM that is alive.
+
+        That VM makes as many runs as the route allows, if its servers are
+        silent.
+
+        Parameters
+        ----------
+        server : str
+            What the request waits for: a server, or what stands for the VM.
+        """
+        return any(
+            _name_of(member.name) == server and member.state in SERVING_STATES
+            for member in self._state.view.members
+        )
+
     def _list_alive(self):
         return [
             member
--- a/bluebellthread/entry/_plain_path.py
+++ b/bluebellthread/entry/_plain_path.py
@@ -382,6 +382,8 @@
         """Return why no attempt may follow a silent one, or an empty text."""
         if attempt.run.is_sent and work.route.kind != routing.KIND_IDEMPOTENT:
             return _work.RUNS_ONCE
+        if self._hand_on.is_served(attempt.waits_for):
+            return _work.AT_OTHER_VM
         if not work.has_runs_left:
             return _work.NO_RUNS_LEFT
         if work.deadline_ms - _clock.read_clock_ms() < RETRY_TIME_MIN_MS:
--- a/bluebellthread/entry/_stream_path.py
+++ b/bluebellthread/entry/_stream_path.py
@@ -64,6 +64,7 @@
         self._budgets = context.budgets
         self._shut_outs = context.shut_outs
         self._paths = context.paths
+        self._hand_on = context.hand_on
         self._dialect = context.dialect
         self._cut_runs = _cut_runs.CutRuns(
             work=work,
@@ -232,6 +233,8 @@
         work = self._work
         if attempt.run.is_sent and not work.route.is_resumable:
             return _work.RUNS_ONCE
+        if self._hand_on.is_served(attempt.waits_for):
+            return _work.AT_OTHER_VM
         if not work.has_runs_left:
             return _work.NO_RUNS_LEFT
         if not self._relay.may_go_on:
--- a/bluebellthread/entry/_work.py
+++ b/bluebellthread/entry/_work.py
@@ -32,6 +32,7 @@
 NO_PATH = 'no server can be reached'
 SHUT_OUT = 'its prompt is shut out'
 NO_TIME = 'too little time is left'
+AT_OTHER_VM = 'the VM that it was handed on to makes the other runs'
 """Why no run follows one that has brought no whole answer."""
 
 
--- a/tests/integration/_server_cuts.py
+++ b/tests/integration/_server_cuts.py
@@ -63,6 +63,17 @@
             if not keeps_open and (stream.vm, stream.name) in self.cut:
                 stream.cut(way)
 
+    def hold_back(self, vm, name):
+        """Hold back what a server sends to a VM on the open connections."""
+        for stream in self._streams:
+            if (stream.vm, stream.name) == (vm, name):
+                stream.hold_back()
+
+    def let_through(self):
+        """Let through what was held back."""
+        for stream in self._streams:
+            stream.let_through()
+
     def heal(self):
         """Let connections through again."""
         self.cut.clear()
@@ -93,6 +104,8 @@
         self.name = name
         self._silent = trio.Event()
         self._scopes = set()
+        self._voice = None
+        self._reads = set()
 
     @property
     def socket(self):
@@ -106,6 +119,17 @@
         for scope in self._scopes:
             scope.cancel()
 
+    def hold_back(self):
+        if self._voice is None:
+            self._voice = trio.Event()
+        for scope in self._reads:
+            scope.cancel()
+
+    def let_through(self):
+        if self._voice is not None:
+            self._voice.set()
+            self._voice = None
+
     async def _call(self, function, *arguments):
         if not self._silent.is_set():
             with trio.CancelScope() as scope:
@@ -123,7 +147,17 @@
         await self._call(self._stream.wait_send_all_might_not_block)
 
     async def receive_some(self, max_bytes=None):
-        return await self._call(self._stream.receive_some, max_bytes)
+        while True:
+            while self._voice is not None:
+                await self._voice.wait()
+            with trio.CancelScope() as scope:
+                self._reads.add(scope)
+                try:
+                    return await self._call(
+                        self._stream.receive_some, max_bytes
+                    )
+                finally:
+                    self._reads.discard(scope)
 
     async def send_eof(self):
         await self._call(self._stream.send_eof)
