Don't hand a request on to the VM that is silent

A stream whose VM had handed it on was followed, after a silence of the other VM, by another attempt at that same VM if it was the nearest: the number of requests there only decides between VMs that are as near. Two attempts of one request waited for one silent VM.

Now VMs that another attempt of the request waits for are left out. The test has the silent VM nearer than the other one; it failed before.

--- a/bluebellthread/entry/_hand_on.py
+++ b/bluebellthread/entry/_hand_on.py
@@ -142,9 +142,14 @@
             If another attempt goes on.
         """
         tried = set()
+        silent_vms = {other.waits_for for other in attempt.others}
         while len(tried) < HELPERS_MAX:
             member = self._choice.choose(
-                self._list_alive(),
+                [
+                    member
+                    for member in self._list_alive()
+                    if _name_of(member.name) not in silent_vms
+                ],
                 work.service,
                 _clock.read_clock_ms(),
                 avoid=tried,
--- a/tests/integration/test_entry_silence_hops.py
+++ b/tests/integration/test_entry_silence_hops.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from bluebellthread.entry import _hand_on
 from tests.integration import _entry_fleet as fleets
 from tests.integration import _entry_site as sites
 from tests.integration import _server_cuts
@@ -237,6 +238,25 @@
             print(f'{answers["i0"].longest_pause_s:.2f} s', end=' ')
             self.assertEqual(2, len(silences.runs_of(fleet, 'i0')))
 
+    @run
+    @mock.patch.object(fleets, 'DATA_CENTRES', ('brasov-b', *2 * ('cluj-a',)))
+    @mock.patch.object(_hand_on.HandOn, 'is_served', lambda *_: False)
+    async def test_stream_that_leaves_a_vm_does_not_go_back_to_it(self):
+        # The silent VM is nearer than the other one.
+        async with running_fleet(engines=silences.ENGINES) as (fleet, cuts):
+            self.set_pace(fleet)
+            cuts.cut_off((CUT_VM,), 'refused', names=silences.ENGINES)
+            answers = {}
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(
+                    self.ask, fleet, CUT_VM, '/ask/x', 'i0', answers
+                )
+                await silences.wait_events(fleet, 1)
+                self.assertEqual(2, server_cuts.find_helper(fleet))
+                cuts.hold_back(CUT_VM, 'vm2')
+            self.check_whole(answers, 1)
+            self.assertIn((CUT_VM, 'vm3'), cuts.connects)
+
 
 class TestAccounts(HopTestCase):
     @run
