--- a/bluebellthread/entry/_attempt_race.py
+++ b/bluebellthread/entry/_attempt_race.py
@@ -6,12 +6,15 @@
 
 import contextlib
 import math
+import traceback
 
 import attrs
 import trio
 
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
+from bluebellthread.observe import emit
+from bluebellthread.observe import events
 
 FOLLOW_PAUSE_S = 0.5
 """Pause after an attempt that could not follow before the next one does: a
@@ -121,7 +124,7 @@
         OvertakenError
             If another attempt has passed something on meanwhile.
         """
-        self.race.end_attempts(self.race.runs.take(self.run), self)
+        self.race.note_taken(self)
 
 
 class AttemptRace:
@@ -141,6 +144,8 @@
     ends_with : callable
         ``async``; takes the error of an attempt that failed beside another
         one; returns whether the request ends with it.
+    failures : tuple of type
+        Errors of attempts that fail. Any other one is a bug.
 
     Attributes
     ----------
@@ -148,11 +153,21 @@
         Decides which attempt goes on.
     """
 
-    def __init__(self, *, work, silences, runs_once, find_obstacle, ends_with):
+    def __init__(
+        self,
+        *,
+        work,
+        silences,
+        runs_once,
+        find_obstacle,
+        ends_with,
+        failures,
+    ):
         self._work = work
         self._silences = silences
         self._find_obstacle = find_obstacle
         self._ends_with = ends_with
+        self._failures = failures
         self.runs = routing.RunRace(runs_once=runs_once)
         self._attempts = {}
         self._changed = trio.Event()
@@ -160,6 +175,7 @@
         self._nursery = None
         self._error = None
         self._is_won = False
+        self._take_count = 0
 
     @property
     def attempts(self):
@@ -224,12 +240,30 @@
                 self._nursery.cancel_scope.cancel()
 
     async def _note_failed(self, attempt, error):
+        if self.list_others(attempt) and not isinstance(error, self._failures):
+            # The answer of another attempt would hide the bug.
+            self._log_bug(error)
+        if attempt.run.is_ended:
+            # The attempt that has the lead decides how the request ends.
+            return
         self._error = error
         self.runs.end(attempt.run)
-        if self.runs.live and await self._ends_with(error):
+        take_count = self._take_count
+        if (
+            self.runs.live
+            and await self._ends_with(error)
+            and take_count == self._take_count
+        ):
             self._error = error
             self._nursery.cancel_scope.cancel()
 
+    def _log_bug(self, error):
+        emit(
+            events.REQUEST_CRASHED,
+            request_id=self._work.request_id,
+            error=''.join(traceback.format_exception(error))[-2000:],
+        )
+
     # Silences
 
     def note_changed(self):
@@ -292,6 +326,11 @@
 
     # Ends
 
+    def note_taken(self, attempt):
+        """Note that an attempt passes something on; end all others."""
+        self.end_attempts(self.runs.take(attempt.run), attempt)
+        self._take_count += 1
+
     def end_attempts(self, runs, by):
         """End the attempts of some runs for another attempt."""
         for attempt in self.attempts:
--- a/bluebellthread/entry/_hand_on.py
+++ b/bluebellthread/entry/_hand_on.py
@@ -21,6 +21,9 @@
 CONNECT_TIMEOUT_S = 0.5
 """A dozen round trips between regions."""
 
+SERVING_STATES = ('alive', 'leaving')
+"""States of VMs that go on with the requests that they have taken."""
+
 HELPERS_MAX = 4
 """VMs that a request is offered to before it is refused."""
 
@@ -148,16 +151,15 @@
         OvertakenError
             If another attempt goes on.
         """
-        busy = {other.last_server for other in attempt.others}
-        tried = {
-            member.name
-            for member in self._list_alive()
-            if _name_of(member.name) in busy
-        }
-        tried_max = HELPERS_MAX + len(tried)
-        while len(tried) < tried_max:
+        silent_vms = {other.last_server for other in attempt.others}
+        tried = set()
+        while len(tried) < HELPERS_MAX:
             member = self._choice.choose(
-                self._list_alive(),
+                [
+                    member
+                    for member in self._list_alive()
+                    if _name_of(member.name) not in silent_vms
+                ],
                 work.service,
                 _clock.read_clock_ms(),
                 avoid=tried,
@@ -189,6 +191,22 @@
                 self._choice.end(member.name)
         raise NotTakenError
 
+    def is_served(self, server):
+        """Return whether a request is with another VM that is alive.
+
+        That VM makes as many runs as the route allows, if its servers are
+        silent.
+
+        Parameters
+        ----------
+        server : str
+            What the request waits for: a server, or what stands for the VM.
+        """
+        return any(
+            _name_of(member.name) == server and member.state in SERVING_STATES
+            for member in self._state.view.members
+        )
+
     def _list_alive(self):
         return [
             member
--- a/bluebellthread/entry/_plain_attempts.py
+++ b/bluebellthread/entry/_plain_attempts.py
@@ -240,8 +240,8 @@
         """Return the server's `Answer`, or a `CallFailedError`."""
         work = progress.work
         started_ms = _clock.read_clock_ms()
-        self._choice.begin(server)
         attempt.send()
+        self._choice.begin(server)
         try:
             with (
                 work.sending(server.name),
--- a/bluebellthread/entry/_plain_path.py
+++ b/bluebellthread/entry/_plain_path.py
@@ -42,6 +42,8 @@
         Knows which services this VM can't reach.
     silences : Silences
         Notes which servers are silent.
+    hand_on : HandOn
+        Knows which VMs serve requests that were handed on.
     """
 
     def __init__(
@@ -53,6 +55,7 @@
         server_watch,
         paths,
         silences,
+        hand_on,
     ):
         self._attempts = attempts
         self._budgets = budgets
@@ -60,6 +63,7 @@
         self._watch = server_watch
         self._paths = paths
         self._silences = silences
+        self._hand_on = hand_on
 
     async def serve(self, work):
         """Answer the request of one `Work`, at its deadline at the latest."""
@@ -83,6 +87,10 @@
             runs_once=work.route.kind != routing.KIND_IDEMPOTENT,
             find_obstacle=functools.partial(self._find_obstacle, work),
             ends_with=functools.partial(self._ends_with, progress),
+            failures=(
+                _plain_attempts.UnansweredError,
+                _hand_on.NotTakenError,
+            ),
         )
         make = functools.partial(self._attempts.make, progress)
         while True:
@@ -183,6 +191,8 @@
         """Return why no attempt may follow a silent one, or an empty text."""
         if attempt.run.is_sent and work.route.kind != routing.KIND_IDEMPOTENT:
             return _work.RUNS_ONCE
+        if self._hand_on.is_served(attempt.waits_for):
+            return _work.AT_OTHER_VM
         if not work.has_runs_left:
             return _work.NO_RUNS_LEFT
         if work.deadline_ms - _clock.read_clock_ms() < RETRY_TIME_MIN_MS:
--- a/bluebellthread/entry/_service.py
+++ b/bluebellthread/entry/_service.py
@@ -283,6 +283,7 @@
             server_watch=self._server_watch,
             paths=self._paths,
             silences=self._silences,
+            hand_on=self._hand_on,
         )
         stream = _stream_path.StreamPath(
             _stream_context.StreamContext(
--- a/bluebellthread/entry/_stream_path.py
+++ b/bluebellthread/entry/_stream_path.py
@@ -64,6 +64,7 @@
         self._budgets = context.budgets
         self._shut_outs = context.shut_outs
         self._paths = context.paths
+        self._hand_on = context.hand_on
         self._dialect = context.dialect
         self._cut_runs = _cut_runs.CutRuns(
             work=work,
@@ -88,6 +89,11 @@
             runs_once=not work.route.is_resumable,
             find_obstacle=self._find_obstacle,
             ends_with=self._ends_with,
+            failures=(
+                _stream_context.StreamBrokenError,
+                _stream_context.NoPlacementError,
+                _stream_context.PromptShutOutError,
+            ),
         )
 
     async def run(self):
@@ -223,6 +229,8 @@
         work = self._work
         if attempt.run.is_sent and not work.route.is_resumable:
             return _work.RUNS_ONCE
+        if self._hand_on.is_served(attempt.waits_for):
+            return _work.AT_OTHER_VM
         if not work.has_runs_left:
             return _work.NO_RUNS_LEFT
         if not self._relay.may_go_on:
