--- a/tests/integration/test_answers.py
+++ b/tests/integration/test_answers.py
@@ -10,6 +10,9 @@
 PROMPT = _router.PROMPT
 SLOW = {'step_ms': 15}
 
+SILENCE_S = 4.5
+"""Longer than a piece or a transfer may take before another attempt is due."""
+
 
 class TestAnswers(_fleet.FleetTestCase):
     def test_stream_is_complete_after_its_decode_engine_is_killed(self):
@@ -148,6 +151,45 @@
         self.assertTrue(stream.ended)
         await _router.wait_until_free(fleet)
 
+    def test_without_retry_a_stalled_transfer_is_waited_for(self):
+        self.run_fleet(self.check_outlasted_transfer)
+
+    async def check_outlasted_transfer(self, fleet):
+        await _router.start_router(
+            fleet, decode=SLOW, disabled_mechanisms=('answer-retry',)
+        )
+        await start_export_proxy(fleet)
+        await fleet.set_rules('x', {'*': {'stall_answers': True}})
+        before = await _router.sum_state(fleet, 'cancelled_ids')
+        async with trio.open_nursery() as nursery:
+            stream = _router.open_stream(nursery, fleet, 'vm1', PROMPT, 20)
+            await trio.sleep(SILENCE_S)
+            after = await _router.sum_state(fleet, 'cancelled_ids')
+            await fleet.set_rules('x', {})
+        self.assertEqual(before, after)
+        self.assertEqual(_router.expect(PROMPT, 20), stream.text)
+        self.assertTrue(stream.ended)
+
+    def test_without_resume_a_silent_decode_engine_is_waited_for(self):
+        self.run_fleet(self.check_outlasted_silence)
+
+    async def check_outlasted_silence(self, fleet):
+        await _router.start_router(
+            fleet,
+            names=('p1', 'd1'),
+            decode=SLOW,
+            disabled_mechanisms=('answer-resume',),
+        )
+        async with trio.open_nursery() as nursery:
+            stream = _router.open_stream(nursery, fleet, 'vm1', PROMPT, 60)
+            await stream.wait_for(5)
+            fleet.process_of('d1').pause()
+            await trio.sleep(SILENCE_S)
+            fleet.process_of('d1').resume()
+        self.assertEqual(_router.expect(PROMPT, 60), stream.text)
+        self.assertTrue(stream.ended)
+        await _router.wait_until_free(fleet, ('p1', 'd1'))
+
     def test_stream_is_complete_after_the_kv_cache_is_evicted(self):
         self.run_fleet(self.check_evicted)
 
--- a/tests/unit/test_answer.py
+++ b/tests/unit/test_answer.py
@@ -39,7 +39,7 @@
     ]
 
 
-def make_machine(*, percent=10):
+def make_machine(*, percent=10, retries=0, options=None):
     request = core.PermitRequest(
         request_id='r1',
         gateway='vm1',
@@ -54,8 +54,9 @@
     return core.AnswerMachine(
         request=request,
         prompt='a doll from 1890',
-        budget=_retry.RetryBudget(percent=percent, initial_retries=0),
+        budget=_retry.RetryBudget(percent=percent, initial_retries=retries),
         next_attempt=itertools.count(1).__next__,
+        options=options,
     )
 
 
@@ -106,6 +107,29 @@
             )
         )
 
+    def wait(self, duration_ms):
+        """Let time pass; send a tick whenever one is due."""
+        end_ms = self.now_ms + duration_ms
+        while not self.machine.ended and self.machine.next_tick_ms <= end_ms:
+            self.now_ms = max(self.now_ms, self.machine.next_tick_ms)
+            self.play(core.Tick())
+        self.now_ms = end_ms
+
+    def play_piece(self, piece):
+        self.play(
+            core.PieceArrived(
+                run=self.run,
+                offset=piece.offset,
+                text=piece.text,
+                finish_reason=piece.finish_reason,
+            )
+        )
+
+    def play_answer(self):
+        for piece in make_pieces():
+            self.play_piece(piece)
+        self.play(core.StreamEnded(run=self.run))
+
     def commands_of(self, kind):
         return [c for c in self.commands if isinstance(c, kind)]
 
@@ -237,3 +261,106 @@
         session.play(core.RunFailed(run=1, kind='unreachable'))
         [refusal] = session.commands_of(core.RefuseAnswer)
         self.assertEqual('unknown', refusal.ran)
+
+
+class TestSilentServers(unittest.TestCase):
+    """Checks that silence ends a run only if another attempt follows."""
+
+    def start(self, *, retries=0):
+        session = Session(
+            make_machine(
+                percent=0,
+                retries=retries,
+                options=core.AnswerOptions(
+                    prefill_timeout_ms=500,
+                    transfer_timeout_ms=500,
+                    piece_timeout_ms=500,
+                ),
+            )
+        )
+        session.play(core.AnswerAsked())
+        session.grant(1)
+        return session
+
+    def end_prefill(self, session):
+        session.play(
+            core.PrefillEnded(run=session.run, transfer={}, prompt_tokens=4)
+        )
+
+    def check_kept_and_answered(self, session):
+        self.assertEqual([], session.commands_of(core.RefuseAnswer))
+        self.assertEqual([], session.released_ids)
+        session.play_answer()
+        self.assertEqual(1, len(session.commands_of(core.FinishAnswer)))
+        self.assertEqual(session.granted_ids, session.released_ids)
+
+    def test_silent_prefill_is_kept_without_budget(self):
+        session = self.start()
+        session.wait(1600)
+        self.assertEqual([], session.commands_of(core.RefuseAnswer))
+        self.end_prefill(session)
+        self.check_kept_and_answered(session)
+
+    def test_silent_transfer_is_kept_without_budget(self):
+        session = self.start()
+        self.end_prefill(session)
+        session.wait(1600)
+        self.check_kept_and_answered(session)
+
+    def test_silence_before_the_first_piece_is_kept_without_budget(self):
+        session = self.start()
+        self.end_prefill(session)
+        session.play(core.ImportEnded(run=session.run))
+        session.wait(2600)
+        self.check_kept_and_answered(session)
+
+    def test_stream_outlasts_repeated_silence(self):
+        session = self.start()
+        self.end_prefill(session)
+        session.play_piece(make_pieces()[0])
+        for _ in range(10):
+            session.wait(700)
+            if session.machine.permit is None:
+                session.grant(session.requested_attempt_number)
+                self.end_prefill(session)
+        self.assertEqual([], session.commands_of(core.RefuseAnswer))
+        session.play_answer()
+        self.assertEqual(1, len(session.commands_of(core.FinishAnswer)))
+
+    def test_silent_run_is_replaced_once_the_budget_allows_it(self):
+        session = self.start(retries=1)
+        self.end_prefill(session)
+        session.wait(600)
+        self.assertEqual(session.granted_ids, session.released_ids)
+        session.wait(200)
+        self.assertEqual(2, len(session.commands_of(core.AskPermit)))
+
+    def test_silence_without_end_is_refused_at_the_deadline(self):
+        session = self.start()
+        session.wait(DEADLINE_MS - 1)
+        self.assertEqual([], session.commands_of(core.RefuseAnswer))
+        session.wait(1)
+        [refusal] = session.commands_of(core.RefuseAnswer)
+        self.assertEqual('deadline', refusal.kind)
+        self.assertEqual(session.granted_ids, session.released_ids)
+
+    def test_failure_of_a_kept_run_is_refused_without_budget(self):
+        session = self.start()
+        session.wait(1600)
+        session.play(core.RunFailed(run=session.run, kind='unreachable'))
+        [refusal] = session.commands_of(core.RefuseAnswer)
+        self.assertEqual('retries-spent', refusal.kind)
+
+    def test_refused_permit_is_asked_again_after_a_silent_run(self):
+        session = self.start(retries=1)
+        self.end_prefill(session)
+        session.wait(1000)
+        number = session.requested_attempt_number
+        session.play_event_kind('refuse', 0)
+        self.assertEqual([], session.commands_of(core.RefuseAnswer))
+        session.wait(1000)
+        self.assertLess(number, session.requested_attempt_number)
+        session.grant(session.requested_attempt_number)
+        self.end_prefill(session)
+        session.play_answer()
+        self.assertEqual(1, len(session.commands_of(core.FinishAnswer)))
--- a/tests/unit/test_one_shot.py
+++ b/tests/unit/test_one_shot.py
@@ -1,3 +1,4 @@
+import socket
 import unittest
 
 import trio
@@ -11,6 +12,17 @@
 CUT_OFF_ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhalf'
 
 
+def make_server(port):
+    return core.BackendServer(
+        name='s1',
+        host='127.0.0.1',
+        port=port,
+        data_centre='cluj-a',
+        serves='ledger',
+        role=core.ROLE_SERVICE,
+    )
+
+
 class TestSendOnce(unittest.TestCase):
     def send(self, reply, *, remaining_ms=60000, listening=True):
         """Make a call; return its result and the bytes of each connection."""
@@ -32,21 +44,13 @@
 
         listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
         port = listeners[0].socket.getsockname()[1]
-        server = core.BackendServer(
-            name='s1',
-            host='127.0.0.1',
-            port=port,
-            data_centre='cluj-a',
-            serves='ledger',
-            role=core.ROLE_SERVICE,
-        )
         if not listening:
             await listeners[0].aclose()
         async with trio.open_nursery() as nursery:
             if listening:
                 nursery.start_soon(trio.serve_listeners, serve, listeners)
             result = await _one_shot.send_once(
-                server,
+                make_server(port),
                 method='POST',
                 path='/orders',
                 headers=[],
@@ -77,3 +81,47 @@
         result, received = self.send(REDIRECT)
         self.assertEqual(302, result.answer.status)
         self.assertEqual(1, len(received))
+
+    def test_call_outlasts_a_server_that_accepts_nothing_for_a_while(self):
+        result = trio.run(self._send_to_full_backlog)
+        self.assertIsInstance(result, _one_shot.Answered)
+        self.assertEqual(302, result.answer.status)
+
+    async def _send_to_full_backlog(self):
+        listener = trio.socket.socket()
+        await listener.bind(('127.0.0.1', 0))
+        listener.listen(0)
+        address = listener.getsockname()
+        waiting = [socket.socket() for _ in range(2)]
+        for sock in waiting:
+            sock.setblocking(False)
+            sock.connect_ex(address)
+
+        async def serve():
+            # The kernel sends the next request for a connection 1 s and 3 s
+            # after the first one.
+            await trio.sleep(1.5)
+            while True:
+                sock, _ = await listener.accept()
+                nursery.start_soon(reply, trio.SocketStream(sock))
+
+        async def reply(stream):
+            if await stream.receive_some():
+                await stream.send_all(REDIRECT)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve)
+            result = await _one_shot.send_once(
+                make_server(address[1]),
+                method='POST',
+                path='/orders',
+                headers=[],
+                body=b'',
+                deadline_ms=_clock.read_clock_ms() + 30000,
+                cancel_scope=trio.CancelScope(),
+            )
+            nursery.cancel_scope.cancel()
+        for sock in waiting:
+            sock.close()
+        listener.close()
+        return result
