Keep a silent run of a daemon request if no other follows

Callers of the daemon got retries-spent although their engine was sound and only silent: 502 after 3 s of a transfer or of a wait for the first piece, and streams that broke off after the sixth pause.

Cause: when a step had lasted too long, the permit was released and the call to the server closed first; the retry budget and the count of failures were asked afterwards.

Now AnswerMachine asks them first. If no attempt may follow, the run, its permit and its place go on until something arrives, the run fails or the request's deadline is reached; every 0.5 s it is considered again, since the budget may have earned a retry. Runs that have failed are retried or refused as before, as are those of which pieces were lost.

--- a/bluebellthread/core/_answer.py
+++ b/bluebellthread/core/_answer.py
@@ -8,7 +8,8 @@
 sent. Resumes are not charged to the retry budget, because giving up would
 waste the tokens already generated. They are limited by the number of
 consecutive failures without a new piece, by the back-off and by the
-request's deadline.
+request's deadline. A run whose server is silent is kept until then if no
+other attempt may follow it.
 """
 
 import random
@@ -25,6 +26,9 @@
 from bluebellthread.core import _prefix
 from bluebellthread.core import _scheduler_events
 
+SILENCE_CHECK_MS = 500
+"""Time after which another attempt beside a silent run is considered again."""
+
 _FINAL_KINDS = ('superseded', 'deadline')
 
 
@@ -257,9 +261,20 @@
             return self._ask_permit(event, now_ms)
         if self._step == 'resuming':
             return self._start_decode(now_ms)
-        if self._step == 'decoding':
+        return self._on_silence(now_ms)
+
+    def _on_silence(self, now_ms):
+        """Replace a silent run if another attempt may follow, else keep it.
+
+        A silent server may be sound, so a run is not given up for nothing.
+        """
+        if self._may_resume_on_same_engine():
             return self._resume('stalled', now_ms)
-        return self._try_elsewhere('stalled', now_ms)
+        if not self._may_retry():
+            self._set_step(self._step, now_ms + SILENCE_CHECK_MS)
+            return []
+        self._may_have_run = True
+        return self._leave_server('stalled', now_ms)
 
     def _ask_permit(self, event, now_ms):
         self._set_step('asking', None)
@@ -305,10 +320,7 @@
 
     def _resume(self, kind, now_ms):
         """Resume an interrupted answer, on the same engine if possible."""
-        if (
-            self._step != 'decoding'
-            or not self._retries.may_resume_on_same_engine()
-        ):
+        if not self._may_resume_on_same_engine():
             return self._try_elsewhere(kind, now_ms)
         stop = actions.StopRun(run=self._run)
         self._run += 1
@@ -317,6 +329,16 @@
         self._set_step('resuming', now_ms + wait_ms)
         return [stop, actions.CountRetry(kind=kind)]
 
+    def _may_resume_on_same_engine(self):
+        return (
+            self._step == 'decoding'
+            and self._retries.may_resume_on_same_engine()
+        )
+
+    def _may_retry(self):
+        """Return whether a retry may follow; takes it from the budget."""
+        return self._retries.may_retry(output_started=self._output_started)
+
     def _repeat_prefill(self, now_ms):
         """Repeat the prefill under the same permit.
 
@@ -332,16 +354,19 @@
         return [*waste, retry, *self._start_prefill(now_ms)]
 
     def _try_elsewhere(self, kind, now_ms, *, avoid_server=True):
-        """Release the permit and request another one after a back-off."""
+        """Retry a run that has ended, or refuse the request."""
         if kind != 'refused':
             self._may_have_run = True
+        if self._may_retry():
+            return self._leave_server(kind, now_ms, avoid_server=avoid_server)
+        commands = self._release_permit(clean=False, kind=kind)
+        return commands + self._refuse('retries-spent', actions.RETRY_AFTER_MS)
+
+    def _leave_server(self, kind, now_ms, *, avoid_server=True):
+        """Release the permit and request another one after a back-off."""
         failed_server = self._current_server() if avoid_server else ''
         commands = self._release_permit(clean=False, kind=kind)
         self._assembler.drop_held()
-        if not self._retries.may_retry(output_started=self._output_started):
-            return commands + self._refuse(
-                'retries-spent', actions.RETRY_AFTER_MS
-            )
         self._retries.note_failure(failed_server)
         return commands + self._back_off(kind, now_ms)
 
