Ask again for a permit after a silent run was left

A request before its first piece was refused with 503, although its engine was sound and only silent.

Cause: after a silence the permit is released and another one asked for. If that one was refused, as when no engine takes more, the request ended, and what it had was gone.

Now such a request asks again after the back-off until its deadline, as streams that have begun do. Refusals of the deadline and of superseded requests are final as before, and so is any refusal of a first permit.

--- a/bluebellthread/core/_answer.py
+++ b/bluebellthread/core/_answer.py
@@ -90,6 +90,7 @@
         self._transfer = None
         self._transfer_tokens = 0
         self._may_have_run = False
+        self._has_left_silent = False
         self._answered = False
         self._handlers = {
             events.AnswerAsked: self._ask_permit,
@@ -156,7 +157,8 @@
         if not self._answers_pending_request(event):
             return []
         self._pending_request = None
-        if self._output_started and event.kind not in _FINAL_KINDS:
+        has_given_up_work = self._output_started or self._has_left_silent
+        if has_given_up_work and event.kind not in _FINAL_KINDS:
             return self._back_off(event.kind, now_ms)
         return self._refuse(event.kind, event.retry_after_ms)
 
@@ -274,6 +276,7 @@
             self._set_step(self._step, now_ms + SILENCE_CHECK_MS)
             return []
         self._may_have_run = True
+        self._has_left_silent = True
         return self._leave_server('stalled', now_ms)
 
     def _ask_permit(self, event, now_ms):
