Repeat the prefill after a silence without a retry from the budget

If a decode engine was silent for 1.6 s before it fetched a KV cache, callers got 502 once the retry budget was spent, though no server had failed.

Cause: a prefill server keeps a cache that nobody fetches for less than a second, and an eviction counted as a failure that needs a retry.

Now the prefill is repeated under the same permit without one if the cache was evicted 0.5 s or more after the decode server was asked to fetch it. A request repeats so twice in a row at most, as each costs a prompt read anew. An earlier eviction needs the budget as before.

--- a/bluebellthread/core/_answer.py
+++ b/bluebellthread/core/_answer.py
@@ -89,6 +89,7 @@
         self._run = 0
         self._transfer = None
         self._transfer_tokens = 0
+        self._decode_started_ms = 0
         self._may_have_run = False
         self._has_left_silent = False
         self._answered = False
@@ -305,6 +306,7 @@
     def _start_decode(self, now_ms):
         """Start decoding, or resume a request that the server still holds."""
         self._run += 1
+        self._decode_started_ms = now_ms
         if self._transfer is None:
             self._set_step('decoding', now_ms + self._options.piece_timeout_ms)
         else:
@@ -348,7 +350,8 @@
         The permit still reserves memory on the decode server.
         """
         if not self._retries.may_repeat_prefill(
-            output_started=self._output_started
+            output_started=self._output_started,
+            fetch_ms=now_ms - self._decode_started_ms,
         ):
             return self._try_elsewhere('kv-evicted', now_ms)
         self._retries.note_failure()
--- a/bluebellthread/core/_answer_retries.py
+++ b/bluebellthread/core/_answer_retries.py
@@ -8,6 +8,15 @@
 MAX_RESUMES_ON_SAME_ENGINE = 2
 """Consecutive failures after which an answer resumes on another engine."""
 
+MAX_REPEATS_AFTER_SILENCE = 2
+"""Consecutive failures after which no prefill is repeated for free."""
+
+SILENT_FETCH_MS = 500
+"""Time without a fetch after which an eviction is put down to a silence.
+
+Prefill servers keep a KV cache that nobody fetches for less than a second.
+"""
+
 CANCEL_REASON_WAIT_MS = 200
 """Extra wait for the scheduler's reason after a cancel at an engine.
 
@@ -86,12 +95,22 @@
         below_limit = self._failure_count < MAX_RESUMES_ON_SAME_ENGINE
         return below_limit and self._options.resumes
 
-    def may_repeat_prefill(self, *, output_started):
+    def may_repeat_prefill(self, *, output_started, fetch_ms):
         """Return whether to repeat the prefill under the same permit.
 
         Like `may_retry`, takes a retry from the budget unless the answer has
-        started.
+        started. If the decode server was silent for too long to fetch the
+        KV cache in time, no server has failed, and no retry is taken.
+
+        Parameters
+        ----------
+        output_started : bool
+            Whether pieces of the answer have been sent.
+        fetch_ms : int
+            Time since the decode server was asked to fetch the KV cache.
         """
+        if fetch_ms >= SILENT_FETCH_MS:
+            return self._failure_count < MAX_REPEATS_AFTER_SILENCE
         return self._failure_count == 0 and self.may_retry(
             output_started=output_started
         )
--- a/tests/unit/test_answer.py
+++ b/tests/unit/test_answer.py
@@ -379,3 +379,24 @@
         session.wait(1600)
         session.play(core.RunFailed(run=session.run, kind='kv-evicted'))
         self.assertEqual([], session.commands_of(core.RefuseAnswer))
+        self.assertEqual(2, len(session.commands_of(core.StartPrefill)))
+        self.end_prefill(session)
+        self.check_kept_and_answered(session)
+
+    def test_cache_evicted_without_a_silence_needs_the_budget(self):
+        session = self.start()
+        self.end_prefill(session)
+        session.wait(400)
+        session.play(core.RunFailed(run=session.run, kind='kv-evicted'))
+        [refusal] = session.commands_of(core.RefuseAnswer)
+        self.assertEqual('retries-spent', refusal.kind)
+
+    def test_evictions_in_every_silence_end_with_the_budget(self):
+        session = self.start()
+        for _ in range(3):
+            self.end_prefill(session)
+            session.wait(600)
+            session.play(core.RunFailed(run=session.run, kind='kv-evicted'))
+        self.assertEqual(3, len(session.commands_of(core.StartPrefill)))
+        [refusal] = session.commands_of(core.RefuseAnswer)
+        self.assertEqual('retries-spent', refusal.kind)
