Keep connecting an at-most-once call to a silent server

Callers with a ticket got not-run, unreachable, if the server accepted no connection for 2 s, as one whose backlog is full while it is silent.

Cause: the wait for a connection ended after 2 s whatever could follow, long before the ticket's deadline.

Now the connection is waited for until the deadline. After 2 s, or at once if a connection is refused, one to the next server of the service is tried beside it. The call is written to the first connection that is accepted and to no other, so it is still sent at most once. If none is accepted until the deadline, the outcome is not-run, expired, in place of unreachable. A service of one server that is dead without a reset is therefore refused at the deadline, not after 2 s.

test_call_outlasts_a_server_that_accepts_nothing_for_a_while failed and passes now; two more tests hold that only the accepting server gets bytes and that nothing is sent after the deadline. The tests of tickets with faults pass.

--- a/bluebellthread/daemon/_one_shot.py
+++ b/bluebellthread/daemon/_one_shot.py
@@ -1,9 +1,10 @@
 """An HTTP/1.1 call that is sent at most once, on its own connection.
 
-Connections are not reused, and calls are neither retried nor redirected. The
-clock is compared with the deadline immediately before each write, and the
-kernel soon drops unacknowledged bytes, so that a call starts to run no later
-than shortly after its deadline, or not at all.
+Several servers may be tried until one accepts a connection; the call is
+written to that one only. Connections are not reused, and calls are neither
+retried nor redirected. The clock is compared with the deadline immediately
+before each write, and the kernel soon drops unacknowledged bytes, so that a
+call starts to run no later than shortly after its deadline, or not at all.
 """
 
 import socket
@@ -16,8 +17,8 @@
 from bluebellthread import core
 from bluebellthread.daemon import _clock
 
-CONNECT_TIMEOUT_S = 2.0
-"""Longest wait for a connection to the backend server."""
+CONNECT_SILENCE_S = 2.0
+"""Time without a connection after which one to another server is tried."""
 
 SEND_TIMEOUT_MS = 5000
 """How long the kernel keeps bytes unacknowledged by the server's kernel.
@@ -149,14 +150,15 @@
 
 
 async def send_once(
-    server, *, method, path, headers, body, deadline_ms, cancel_scope
+    servers, *, method, path, headers, body, deadline_ms, cancel_scope
 ):
     """Make one call; return `NothingSent`, `MaybeSent` or `Answered`.
 
     Parameters
     ----------
-    server : BackendServer
-        The backend server to call.
+    servers : iterable of BackendServer
+        The backend servers that may be called. The first one is, unless it
+        accepts no connection, or not for a while, and another one does.
     method, path, headers, body : str, str, list of (str, str), bytes
         The request; the body may be empty.
     deadline_ms : int
@@ -167,8 +169,8 @@
     stream = None
     with cancel_scope:
         try:
+            server, stream = await _connect(servers, deadline_ms)
             request = _make_request(server, method, path, headers, body)
-            stream = await _connect(server, deadline_ms)
             with trio.fail_after(ANSWER_TIMEOUT_S):
                 return await _exchange(stream, request)
         except DeadlinePassedError:
@@ -193,14 +195,53 @@
     return _describe_failure(stream, 'stopping')
 
 
-async def _connect(server, deadline_ms):
-    stream = await httpcore.TrioBackend().connect_tcp(
-        server.host,
-        server.port,
-        timeout=CONNECT_TIMEOUT_S,
-        socket_options=SOCKET_OPTIONS,
-    )
-    return DeadlineStream(stream, deadline_ms)
+async def _connect(servers, deadline_ms):
+    """Return the server that accepts a connection first, and the stream.
+
+    Nothing is sent on the connections, so several may be tried at a time. A
+    server that is silent is not given up before the deadline.
+    """
+    connected = []
+    errors = []
+
+    async def connect(server, ended):
+        try:
+            stream = await httpcore.TrioBackend().connect_tcp(
+                server.host,
+                server.port,
+                timeout=_clock.read_remaining_s(deadline_ms),
+                socket_options=SOCKET_OPTIONS,
+            )
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+            errors.append(error)
+            ended.set()
+            return
+        if connected:
+            await stream.aclose()
+            return
+        connected.append((server, DeadlineStream(stream, deadline_ms)))
+        nursery.cancel_scope.cancel()
+
+    is_cancelled = True
+    try:
+        async with trio.open_nursery() as nursery:
+            for server in servers:
+                ended = trio.Event()
+                nursery.start_soon(connect, server, ended)
+                with trio.move_on_after(CONNECT_SILENCE_S):
+                    await ended.wait()
+        is_cancelled = False
+    finally:
+        if is_cancelled:
+            for _, stream in connected:
+                await stream.aclose()
+    if connected:
+        return connected[0]
+    if isinstance(errors[-1], httpcore.ConnectTimeout):
+        raise DeadlinePassedError(
+            'the deadline passed before a connection was accepted'
+        ) from errors[-1]
+    raise errors[-1]
 
 
 def _make_request(server, method, path, headers, body):
--- a/bluebellthread/daemon/_ticket_task.py
+++ b/bluebellthread/daemon/_ticket_task.py
@@ -228,12 +228,12 @@
 
     async def _send(self, command, scope):
         call = command.inbound.message
-        server = self._choose_server(call.serves)
-        if server is None:
+        servers = self._list_servers(call.serves)
+        if not servers:
             ended = _one_shot.NothingSent(kind='no-backend')
         else:
             ended = await _one_shot.send_once(
-                server,
+                servers,
                 method=call.method,
                 path=call.path,
                 headers=[*call.headers, ('x-request-id', command.ticket_id)],
@@ -245,7 +245,8 @@
         self._report_late(command.ticket_id, getattr(ended, 'late_ms', 0))
         self._handle(_to_event(command.ticket_id, ended, call))
 
-    def _choose_server(self, serves):
+    def _list_servers(self, serves):
+        """Return the servers of a service, the one whose turn it is first."""
         servers = [
             server
             for server in self._fleet.configuration.servers_of(
@@ -254,7 +255,8 @@
             if server.role == core.ROLE_SERVICE and not server.leaving
         ]
         self._call_count += 1
-        return servers[self._call_count % len(servers)] if servers else None
+        first = self._call_count % max(1, len(servers))
+        return servers[first:] + servers[:first]
 
     def _report_late(self, ticket_id, late_ms):
         if late_ms > self._keeper.options.check_margin_ms:
--- a/tests/unit/test_cut_off_bodies.py
+++ b/tests/unit/test_cut_off_bodies.py
@@ -61,7 +61,7 @@
 
 async def send_once(server):
     return await _one_shot.send_once(
-        server,
+        [server],
         method='POST',
         path='/orders',
         headers=[],
--- a/tests/unit/test_one_shot.py
+++ b/tests/unit/test_one_shot.py
@@ -1,3 +1,4 @@
+import contextlib
 import socket
 import unittest
 
@@ -50,7 +51,7 @@
             if listening:
                 nursery.start_soon(trio.serve_listeners, serve, listeners)
             result = await _one_shot.send_once(
-                make_server(port),
+                [make_server(port)],
                 method='POST',
                 path='/orders',
                 headers=[],
@@ -83,45 +84,65 @@
         self.assertEqual(1, len(received))
 
     def test_call_outlasts_a_server_that_accepts_nothing_for_a_while(self):
-        result = trio.run(self._send_to_full_backlog)
+        result, received = trio.run(self._send_to_silent, 1.5, 1)
         self.assertIsInstance(result, _one_shot.Answered)
         self.assertEqual(302, result.answer.status)
+        self.assertEqual([0], received)
 
-    async def _send_to_full_backlog(self):
-        listener = trio.socket.socket()
-        await listener.bind(('127.0.0.1', 0))
-        listener.listen(0)
-        address = listener.getsockname()
-        waiting = [socket.socket() for _ in range(2)]
-        for sock in waiting:
-            sock.setblocking(False)
-            sock.connect_ex(address)
-
-        async def serve():
-            # The kernel sends the next request for a connection 1 s and 3 s
-            # after the first one.
-            await trio.sleep(1.5)
+    def test_call_goes_to_the_server_that_accepts_a_connection(self):
+        result, received = trio.run(self._send_to_silent, 60, 2)
+        self.assertIsInstance(result, _one_shot.Answered)
+        self.assertEqual([1], received)
+
+    def test_call_to_servers_that_accept_nothing_expires(self):
+        result, received = trio.run(self._send_to_silent, 60, 1, 2500)
+        self.assertEqual(_one_shot.NothingSent(kind='expired'), result)
+        self.assertEqual([], received)
+
+    async def _send_to_silent(self, silence_s, count, remaining_ms=30000):
+        """Call the first of some servers; it accepts nothing for a while.
+
+        Returns the result and the numbers of the servers that got bytes.
+        """
+        received = []
+
+        async def serve(number, listener, silence_s):
+            await trio.sleep(silence_s)
             while True:
                 sock, _ = await listener.accept()
-                nursery.start_soon(reply, trio.SocketStream(sock))
+                nursery.start_soon(reply, number, trio.SocketStream(sock))
 
-        async def reply(stream):
+        async def reply(number, stream):
             if await stream.receive_some():
+                received.append(number)
                 await stream.send_all(REDIRECT)
 
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(serve)
-            result = await _one_shot.send_once(
-                make_server(address[1]),
-                method='POST',
-                path='/orders',
-                headers=[],
-                body=b'',
-                deadline_ms=_clock.read_clock_ms() + 30000,
-                cancel_scope=trio.CancelScope(),
-            )
-            nursery.cancel_scope.cancel()
-        for sock in waiting:
-            sock.close()
-        listener.close()
-        return result
+        with contextlib.ExitStack() as stack:
+            listeners = []
+            for _ in range(count):
+                listener = stack.enter_context(trio.socket.socket())
+                await listener.bind(('127.0.0.1', 0))
+                listener.listen(0)
+                listeners.append(listener)
+            # The kernel accepts one connection beyond the backlog. It repeats
+            # a request for a connection 1 s and 3 s after the first one.
+            for _ in range(2):
+                waiting = stack.enter_context(socket.socket())
+                waiting.setblocking(False)
+                waiting.connect_ex(listeners[0].getsockname())
+            async with trio.open_nursery() as nursery:
+                for number, listener in enumerate(listeners):
+                    nursery.start_soon(
+                        serve, number, listener, 0 if number else silence_s
+                    )
+                result = await _one_shot.send_once(
+                    [make_server(item.getsockname()[1]) for item in listeners],
+                    method='POST',
+                    path='/orders',
+                    headers=[],
+                    body=b'',
+                    deadline_ms=_clock.read_clock_ms() + remaining_ms,
+                    cancel_scope=trio.CancelScope(),
+                )
+                nursery.cancel_scope.cancel()
+        return result, received
