Let the stand-ins tell which calls a silence held, and when work ended

Callers saw nothing of this: it is for the tests. A silent server noted a call only when it went on, so a call that its VM gave up meanwhile looked as if it had reached no server. Nothing told when a run ended either.

Now PlainServer.held has the calls that were read during a silence, and SiteRequest tells when the server began to handle a call and when it ended.

--- a/standin/site/_backend.py
+++ b/standin/site/_backend.py
@@ -59,6 +59,9 @@
         The calls whose prompts ended the process, in turn.
     silent_count : int
         How often the process has fallen silent.
+    held : list of SiteRequest
+        Calls that the process read while it was silent, in order, also those
+        whose callers left before it went on.
     """
 
     name: str
@@ -83,6 +86,7 @@
     crash_count: int = 0
     ended_by: list = attrs.field(factory=list)
     silent_count: int = 0
+    held: list = attrs.field(factory=list)
     _process: object = None
     _voice: object = None
 
@@ -167,7 +171,10 @@
 
     async def _handle(self, request):
         request.wait_voice = self._wait_voice
+        if self._voice is not None:
+            self.held.append(request)
         await self._wait_voice()
+        request.begun_s = trio.current_time()
         self.arrivals.append(request)
         if request.headers.get('x-expect-instance') != self.name:
             await self.refuse(request, 421)
--- a/standin/site/_connection.py
+++ b/standin/site/_connection.py
@@ -46,6 +46,9 @@
     ----------
     received_s : float
         When the call had been read.
+    begun_s, ended_s : float or None
+        When the server began to handle it, after a silence, and when it
+        ended, also because its caller left; None before.
     wait_voice : callable or None
         ``async``; waited for before any bytes are sent.
     """
@@ -62,6 +65,8 @@
         self.stream = stream
         self.keeps_connection = True
         self.received_s = trio.current_time()
+        self.begun_s = None
+        self.ended_s = None
         self.wait_voice = None
         self._framing = 'length'
 
@@ -193,6 +198,7 @@
         except Exception as error:
             raised = error
         nursery.cancel_scope.cancel()
+    request.ended_s = trio.current_time()
     if raised is not None:
         raise raised
 
