Let sound servers of the soak fall silent for a second or two

Callers saw streams end because their server, which was sound, was silent; the soak had no such silence. What it had, server-silent, is recorded as a fault of the server and excuses requests.

servers-fall-silent lets one, several, all of a kind or all servers fall silent for 1.0 to 1.8 s and go on, one to three times, at once or in turn, at any time or late in the work on a request, beside versions, a reload or stop of a VM, or a release. Connections stay open and accepted; it is recorded as a silence, which excuses nothing. Requests that a silent server held count as passed on, so check_lost finds those that were given up.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from tests.soak import _faults
 from tests.soak import _run
 
 VMS_MAX = 250
@@ -34,6 +35,22 @@
         metavar='N',
         help=f'entry processes, 2 to {VMS_MAX} (default: 3 to 6 by the seed)',
     )
+    names = _faults.faults.names()
+    parser.add_argument(
+        '--faults',
+        nargs='+',
+        default=names,
+        choices=names,
+        metavar='NAME',
+        help='faults to choose from (default: all)',
+    )
+    parser.add_argument(
+        '--beside',
+        default='',
+        choices=names,
+        metavar='NAME',
+        help='fault that is injected over and over beside the others',
+    )
     parser.add_argument('--logs', help='folder for logs and settings')
     options = parser.parse_args(arguments)
     seeds = options.seed or [
@@ -51,6 +68,8 @@
             length_s=options.length_s,
             vm_count=options.vms,
             folder=folder,
+            fault_names=options.faults,
+            beside=options.beside,
         )
         broken = trio.run(soak)
         for line in broken:
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -220,6 +220,88 @@
     await _apply_rule(site, backend.proxy, backend.faults, stall=True)
 
 
+SPEECH_S = 0.5
+"""Shortest time between two silences of a server, in which it works on all of
+its requests: longer than any pause of the stand-ins."""
+
+WORK_WAIT_S = 1.0
+"""Longest wait for a request in the course of which servers fall silent."""
+
+
+@faults.register('servers-fall-silent')
+async def silence_servers(site):
+    """Let one, several or all servers fall silent and go on, and some change.
+
+    The servers are sound: connections stay open and accepted, and nothing is
+    lost. So this is recorded as a fault of no server.
+    """
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_change_beside, site)
+        for _ in range(site.rng.randint(1, 3)):
+            await _silence_some(site)
+            await trio.sleep(site.rng.uniform(SPEECH_S, 1.0))
+
+
+async def _silence_some(site):
+    """Let servers fall silent at once or in turn, until all have gone on."""
+    chosen = _choose_for_silence(site)
+    if site.rng.random() < 0.5:
+        await _await_late_work(site, chosen)
+    gap_s = site.rng.choice((0.0, 0.0, 0.3))
+    async with trio.open_nursery() as nursery:
+        for backend in chosen:
+            now_s = trio.current_time()
+            if not backend.silences.touches(now_s - SPEECH_S, now_s):
+                duration_s = site.rng.uniform(1.0, 1.8)
+                nursery.start_soon(backend.be_silent, duration_s)
+            await trio.sleep(gap_s)
+
+
+def _choose_for_silence(site):
+    """Choose one server, some, all of a kind or all of the site."""
+    backends = list(site.backends.values())
+    extent = site.rng.choice(('one', 'some', 'kind', 'kind', 'all'))
+    if extent == 'one':
+        return [site.rng.choice(backends)]
+    if extent == 'some':
+        count = site.rng.randint(2, len(backends) - 1)
+        return site.rng.sample(backends, count)
+    if extent == 'kind':
+        kind = site.rng.choice(('plain', 'prefill', 'decode'))
+        return [
+            backend
+            for backend in backends
+            if backend.server.name.startswith(kind)
+        ]
+    return site.rng.sample(backends, len(backends))
+
+
+async def _await_late_work(site, backends):
+    """Wait until one of some servers has done most of a request."""
+    backend = max(backends, key=lambda item: item.work_s)
+    count = len(backend.server.arrivals)
+    with trio.move_on_after(WORK_WAIT_S):
+        while len(backend.server.arrivals) == count:
+            await trio.sleep(0.01)
+    await trio.sleep(site.rng.uniform(0.5, 0.95) * backend.work_s)
+
+
+async def _change_beside(site):
+    """Change the configuration, VMs or servers, or nothing, beside a fault."""
+    change = site.rng.choice(
+        (None, 'versions', 'versions', 'reload', 'stop', 'release')
+    )
+    await trio.sleep(site.rng.uniform(0.0, 1.5))
+    if change == 'versions':
+        await _publish_some(site, 1, 6, 0.5)
+    elif change == 'reload':
+        _choose_vm(site).signal(signal.SIGHUP)
+    elif change == 'stop':
+        _choose_vm(site).signal(signal.SIGTERM)
+    elif change == 'release':
+        await replace_server(site)
+
+
 @faults.register('server-late')
 async def delay_server(site):
     """Delay all data to and from a backend server for a while."""
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -25,7 +25,16 @@
 version must be in force, so that shorter delays don't make one late."""
 
 
-async def run_soak(seed, *, length_s, vm_count=None, log=print, folder=None):
+async def run_soak(
+    seed,
+    *,
+    length_s,
+    vm_count=None,
+    log=print,
+    folder=None,
+    fault_names=(),
+    beside='',
+):
     """Run one soak test and return one line for each broken guarantee.
 
     Parameters
@@ -40,6 +49,11 @@
         Function that is called with each line of progress.
     folder : str or None
         Folder for logs and settings; a temporary one by default.
+    fault_names : sequence of str
+        Names of the faults to choose from, all by default.
+    beside : str
+        Name of a fault that is injected over and over beside the others;
+        empty for none.
     """
     with tempfile.TemporaryDirectory() as temporary:
         rng = random.Random(seed)
@@ -55,7 +69,13 @@
             for vm in site.vms:
                 nursery.start_soon(callers.probe_versions, vm)
             nursery.start_soon(_log_lateness, site, log)
-            await _inject(site, length_s, log)
+            await _inject(
+                site,
+                length_s,
+                log,
+                fault_names=fault_names or _faults.faults.names(),
+                beside=beside,
+            )
             await trio.sleep(RECOVERY_S)
             quiet_since_s = trio.current_time()
             await trio.sleep(QUIET_S)
@@ -68,7 +88,7 @@
     return broken
 
 
-async def _inject(site, length_s, log):
+async def _inject(site, length_s, log, *, fault_names, beside):
     """Inject faults that may overlap; return when all have ended."""
     site.begun_s = trio.current_time()
     log(f'faults from {datetime.datetime.now(datetime.UTC):%H:%M:%S.%f} on')
@@ -82,9 +102,15 @@
         await _faults.faults.get(name)(site)
         running.remove(name)
 
+    async def repeat(name):
+        while trio.current_time() < site.begun_s + length_s:
+            await run_fault(name)
+
     async with trio.open_nursery() as nursery:
+        if beside:
+            nursery.start_soon(repeat, beside)
         while trio.current_time() < site.begun_s + length_s:
-            name = site.rng.choice(_faults.faults.names())
+            name = site.rng.choice(fault_names)
             nursery.start_soon(run_fault, name)
             await trio.sleep(site.rng.uniform(0.05, 1.5))
 
--- a/tests/soak/_site.py
+++ b/tests/soak/_site.py
@@ -29,6 +29,7 @@
     'budgetWindowS': 10,
     'budgetSlack': 56,
 }
+NO_RETRIES = {'retryBudgetRatio': 0.0, 'budgetSlack': 0}
 RESTART_S = 0.2
 CONFIG_BOUND_S = 2.5
 QUIET_S = 4.0
@@ -38,6 +39,9 @@
 no fault for ``QUIET_S``.
 """
 
+TARGET_LATENCY_MS = 900
+"""Time within which an answer is on time, of all routes."""
+
 PATHS_VM_COUNT = 2
 """VMs that have paths of their own to the servers, which can be cut."""
 
@@ -118,6 +122,8 @@
         Addresses of the VMs that this VM contacts first.
     ports : dict
         Ports that the VM listens on, by purpose.
+    bounds : dict
+        The bounds of its settings file.
     zone : str
         Name of its data centre.
 
@@ -136,8 +142,18 @@
     """
 
     def __init__(
-        self, *, launcher, index, folder, store_port, seeds, ports, zone
+        self,
+        *,
+        launcher,
+        index,
+        folder,
+        store_port,
+        seeds,
+        ports,
+        zone,
+        bounds,
     ):
+        self.bounds = bounds
         self.name = f'vm{index}'
         self.zone = zone
         self.host = host_of(index)
@@ -177,7 +193,7 @@
             'seedNodes': [f'{host}:1' for host in self._seeds],
             'heartbeatMs': HEARTBEAT_MS,
             'limits': {'memoryMb': 150, 'fdLimit': 4100},
-            'bounds': BOUNDS,
+            'bounds': self.bounds,
             'platform': {'address': store},
         }
         self._path.write_text(json.dumps(fields), encoding='utf-8')
@@ -352,6 +368,8 @@
         Whether its process runs.
     pauses : list of PauseSpan
         When it refused all requests and named a time for the next one.
+    silences : Spans
+        When it was sound and silent. These are no faults: they excuse nothing.
     """
 
     server: site.PlainServer
@@ -363,6 +381,19 @@
     limits: list = attrs.field(factory=list)
     is_running: bool = True
     pauses: list = attrs.field(factory=list)
+    silences: _spans.Spans = attrs.field(factory=_spans.Spans)
+
+    @property
+    def work_s(self):
+        """Time that a request takes at the server, in seconds."""
+        if isinstance(self.server, site.Engine):
+            return self.server.event_count * self.server.event_pause_s
+        return self.server.run_pause_s
+
+    async def be_silent(self, duration_s):
+        """Fall silent for some time, with all connections open."""
+        with self.silences.span():
+            await self.server.be_silent(duration_s)
 
     def entry(self, **changes):
         """Return its entry in the store, with the address of the proxy."""
@@ -456,6 +487,10 @@
         Targets and bodies of calls that end servers.
     deadly_vms : dict of str to Vm
         The VM that each request that ends servers was sent to, by its id.
+    bounds : dict
+        The bounds of all settings files; half of the sites have no retries.
+    max_attempts : int
+        Servers that a request which may be repeated may be sent to.
     unreadable_s : float or None
         Since when the configuration in the store is malformed.
     """
@@ -482,6 +517,8 @@
         self._folder = folder
         self._vm_count = vm_count or rng.randint(3, 6)
         self._numbers = iter(range(1, 1000))
+        self.bounds = {**BOUNDS, **rng.choice(({}, NO_RETRIES))}
+        self.max_attempts = rng.choice((1, 2))
 
     async def start(self, nursery):
         """Start the stand-ins and the entry processes."""
@@ -518,6 +555,7 @@
                 else self.store.port,
                 seeds=hosts,
                 ports=ports,
+                bounds=self.bounds,
                 zone=DATA_CENTRES[index < second_count],
             )
             await vm.store_proxy.start(nursery)
@@ -591,9 +629,9 @@
             self.unreadable_s = None
         first_version = max(1, self.version - KEPT_VERSIONS + 1)
         routes = [
-            _route('/read/', 'safe', 'plain'),
+            _route('/read/', 'safe', 'plain', maxAttempts=self.max_attempts),
             _route('/order/', 'unsafe', 'plain', maxAttempts=1),
-            _route('/ask/', 'stream', 'model'),
+            _route('/ask/', 'stream', 'model', maxAttempts=self.max_attempts),
             _route('/once/', 'stream', 'model', resumable=False),
         ]
         prefixes = [
@@ -646,15 +684,23 @@
         self.store.put(key, backend.entry(state=state))
 
     def describe(self):
-        """Return the number of VMs by data centre and of versions."""
+        """Return the site's size, versions and bounds of retries."""
         counts = collections.Counter(vm.zone for vm in self.vms)
-        return f'VMs {dict(counts)}, {self.version} versions'
+        return (
+            f'VMs {dict(counts)}, {self.version} versions, at most '
+            f'{self.max_attempts} attempts, retry budget '
+            f'{self.bounds["retryBudgetRatio"]} and '
+            f'{self.bounds["budgetSlack"]}'
+        )
 
     def list_passed_on(self):
-        """Return the backend servers that each request id has reached."""
+        """Return the backend servers that each request id has reached.
+
+        That includes servers that were silent until its VM left them.
+        """
         reached = collections.defaultdict(list)
         for backend in self.backends.values():
-            for request in backend.server.arrivals:
+            for request in (*backend.server.held, *backend.server.arrivals):
                 request_id = request.headers.get('x-request-attempt-id', '')
                 reached[request_id].append(backend)
         return reached
@@ -702,7 +748,7 @@
         'prefix': prefix,
         'kind': kind,
         'timeoutMs': 5000,
-        'targetLatencyMs': 900,
+        'targetLatencyMs': TARGET_LATENCY_MS,
         'service': service,
         'maxAttempts': 2,
         'resumable': kind == 'stream',
--- a/tests/soak/_spans.py
+++ b/tests/soak/_spans.py
@@ -48,3 +48,28 @@
             begun_s <= end_s and ended_s >= begin_s
             for begun_s, ended_s in self._spans
         )
+
+    def clip(self, begin_s, end_s):
+        """Return the parts from begin to end, as pairs of begin and end.
+
+        Examples
+        --------
+        >>> Spans([[3.0, 5.0], [6.0, 7.0]]).clip(4.0, 6.5)
+        [(4.0, 5.0), (6.0, 6.5)]
+        """
+        return [
+            (max(begun_s, begin_s), min(ended_s, end_s))
+            for begun_s, ended_s in self._spans
+            if begun_s <= end_s and ended_s >= begin_s
+        ]
+
+    def longest_s(self, begin_s, end_s):
+        """Return the whole length of the longest one from begin to end."""
+        return max(
+            (
+                ended_s - begun_s
+                for begun_s, ended_s in self._spans
+                if begun_s <= end_s and ended_s >= begin_s
+            ),
+            default=0.0,
+        )
