Check that the silence of sound servers costs no request

Callers saw streams end early, and 502 for calls, because a sound server was silent. check_lost has that for cut connections only, around planned work or from four on.

check_silences: a request whose only trouble was a silence of up to two seconds ends in the whole answer of a server or in a refusal, before its deadline. At the deadline it may fail only if the silences, the work at its servers and the time within which an answer is on time took as long. check_attempts: requests run on no more servers than maxAttempts (BUDGET). check_work_overlaps: no two engines work on a stream for over 400 ms (TWICE).

--- a/tests/soak/_checks.py
+++ b/tests/soak/_checks.py
@@ -1,6 +1,7 @@
 """Checks the router's guarantees against the records of a soak test."""
 
 import collections
+import itertools
 import math
 
 from standin import site as site_standins
@@ -36,6 +37,18 @@
 "more than three times". Around planned work the rule has no such number.
 """
 
+SILENCE_MAX_S = 2.0
+"""Longest silence of a sound server: a second or so, up to two."""
+
+BEYOND_ATTEMPTS_MAX = 3
+"""The users' rule BUDGET: "more than three requests of clients run, in one
+client attempt, on more workers than their route's maxAttempts; workers that
+ended or were cut off meanwhile don't count"."""
+
+WORK_OVERLAP_S = 0.4
+"""The users' rule TWICE: "a request goes on at another worker while the worker
+before still works on it 400 ms later"."""
+
 
 def check(site, callers, quiet_since_s):
     """Return one line for each broken guarantee.
@@ -64,6 +77,9 @@
         for (vm, version), problems in callers.version_errors.items()
     ]
     broken += check_lost(site, callers)
+    broken += check_silences(site, callers)
+    broken += check_attempts(site, callers)
+    broken += check_work_overlaps(site, callers)
     broken += check_versions(site, callers)
     broken += check_leaving(site, callers)
     broken += check_limits(site, callers)
@@ -153,6 +169,171 @@
     )
 
 
+def check_silences(site, callers):
+    """Check that the silence of sound servers costs no request.
+
+    A request whose only trouble was such a silence must end in the whole
+    answer of a server or in a refusal, before its deadline. At the deadline
+    it may fail only if the silences and the work at its servers, and the time
+    within which an answer is on time, took as long. Others than those with an
+    answer that is cut or missing are excused by the faults of all servers
+    that they could have been sent to.
+    """
+    vms = {vm.name: vm for vm in site.vms}
+    passed_on = site.list_passed_on()
+    broken = []
+    for record in callers.records:
+        backends = passed_on[record.request_id]
+        if _is_settled(record) or not _were_only_silent(
+            site, vms[record.vm], record, backends
+        ):
+            continue
+        silent_s = _total_s(
+            part
+            for backend in backends
+            for part in backend.silences.clip(record.begun_s, record.ended_s)
+        )
+        took_s = record.ended_s - record.begun_s
+        work_s = max(backend.work_s for backend in backends)
+        due_s = silent_s + work_s + _site.TARGET_LATENCY_MS / 1000
+        deadline_s = _callers.DEADLINE_MS / 1000
+        if silent_s and (took_s < deadline_s or due_s < deadline_s):
+            names = sorted({item.server.name for item in backends})
+            broken.append(
+                f'{record.kind} {record.request_id} at {record.vm}, sent at '
+                f'{record.begun_s - site.begun_s:.2f} s, ended after '
+                f'{took_s:.2f} s, status {record.status}, '
+                f'{"whole" if record.whole else "cut"}, '
+                f'{record.event_count} events, though its servers '
+                f'({", ".join(names)}) were only silent, for {silent_s:.2f} s'
+            )
+    return broken
+
+
+def _is_settled(record):
+    """Return whether a request ended in a server's answer or a refusal."""
+    return record.whole and (
+        bool(record.server_seal) or record.status in _callers.NOT_RUN_STATUSES
+    )
+
+
+def _were_only_silent(site, vm, record, backends):
+    """Return whether nothing but silences disturbed a request in its life."""
+    since_s = record.begun_s - _site.QUIET_S
+    if (
+        not backends
+        or vm.was_away(since_s, record.ended_s)
+        or vm.path_cuts.touches(since_s, record.ended_s)
+    ):
+        return False
+    has_store_fault = vm.store_faults.touches(
+        since_s, record.ended_s
+    ) or site.store_faults.touches(since_s, record.ended_s)
+    if has_store_fault and record.kind in STREAM_KINDS:
+        return False
+    if any(
+        _was_disturbed(backend, since_s, record.ended_s)
+        for backend in backends
+    ):
+        return False
+    return not record.whole or not any(
+        _was_disturbed(backend, record.begun_s, record.ended_s)
+        for backend in site.backends.values()
+        if backend.service == backends[0].service
+    )
+
+
+def _was_disturbed(backend, begin_s, end_s):
+    """Return whether a server was more than silent for a while."""
+    return (
+        backend.faults.touches(begin_s, end_s)
+        or backend.silences.longest_s(begin_s, end_s) > SILENCE_MAX_S
+        or (backend.drained_s is not None and backend.drained_s <= end_s)
+    )
+
+
+def _total_s(parts):
+    """Return how long at least one of several spans of time lasted."""
+    total_s = 0.0
+    last_s = -math.inf
+    for begin_s, end_s in sorted(parts):
+        total_s += max(0.0, end_s - max(begin_s, last_s))
+        last_s = max(last_s, end_s)
+    return total_s
+
+
+def check_attempts(site, callers):
+    """Check that requests run on as many servers as their routes allow.
+
+    Servers with a fault meanwhile don't count. `check_request` has the
+    requests that may run once.
+    """
+    records = {record.request_id: record for record in callers.records}
+    names = collections.defaultdict(set)
+    for backend in site.backends.values():
+        for request in backend.server.runs:
+            record = records.get(
+                request.headers.get('x-request-attempt-id', '')
+            )
+            if record is not None and not backend.faults.touches(
+                record.begun_s - _site.QUIET_S, record.ended_s
+            ):
+                names[record.request_id].add(backend.server.name)
+    beyond = [
+        f'{records[request_id].kind} {request_id} ran on '
+        f'{", ".join(sorted(found))}'
+        for request_id, found in names.items()
+        if records[request_id].kind not in AT_MOST_ONCE_KINDS
+        and len(found) > site.max_attempts
+    ]
+    return beyond if len(beyond) > BEYOND_ATTEMPTS_MAX else []
+
+
+def check_work_overlaps(site, callers):
+    """Check that no two engines work on a stream for long.
+
+    This holds at VMs in touch that reach their servers, for engines without a
+    fault.
+    """
+    records = {record.request_id: record for record in callers.records}
+    vms = {vm.name: vm for vm in site.vms}
+    runs = collections.defaultdict(list)
+    for backend in site.backends.values():
+        for request in backend.server.runs:
+            request_id = request.headers.get('x-request-attempt-id', '')
+            if backend.service == 'model' and request_id in records:
+                runs[request_id].append((request.begun_s, backend, request))
+    broken = []
+    for request_id, found in runs.items():
+        found.sort(key=lambda item: item[0])
+        record = records[request_id]
+        since_s = record.begun_s - _site.QUIET_S
+        vm = vms[record.vm]
+        for (_, first, before), (_, second, after) in itertools.pairwise(
+            found
+        ):
+            end_s = min(_end_of(before), _end_of(after))
+            overlap_s = end_s - after.begun_s
+            is_excused = (
+                not vm.was_in_touch(since_s, end_s)
+                or site.store_faults.touches(since_s, end_s)
+                or vm.path_cuts.touches(since_s, end_s)
+                or first.faults.touches(since_s, end_s)
+                or second.faults.touches(since_s, end_s)
+            )
+            if overlap_s > WORK_OVERLAP_S and not is_excused:
+                broken.append(
+                    f'{record.kind} {request_id} at {record.vm} was worked '
+                    f'on at {first.server.name} for {overlap_s:.2f} s beside '
+                    f'{second.server.name}'
+                )
+    return broken
+
+
+def _end_of(request):
+    return math.inf if request.ended_s is None else request.ended_s
+
+
 def _is_around_planned_work(vm, record):
     """Return whether the rule LOST counts a request as beside planned work.
 
