Let the soak replace VMs by those of another build, one by one

'--upgrade out', 'back' or 'both' stops all VMs one after the other by SIGTERM, in an order by the seed, and starts them from the checkout of BLUEBELLTHREAD_TEST_OLD_BUILD or back from this one, beside the usual faults. '--repeat FAULT' injects a fault again and again, such as paths-cut, which has VMs hand requests on.

--- a/tests/_checkouts.py
+++ b/tests/_checkouts.py
@@ -24,12 +24,18 @@
     environment : mapping
         Environment variables.
     """
-    old_build = environment.get(OLD_BUILD_VARIABLE)
-    if not old_build:
-        return ROOT
+    old_build = find_old_build(environment)
     parity = int(environment.get(OLD_PARITY_VARIABLE, '0'))
-    if number % 2 != parity:
+    if old_build is None or number % 2 != parity:
         return ROOT
+    return old_build
+
+
+def find_old_build(environment=os.environ):
+    """Return the folder of the older checkout, or None if none is given."""
+    old_build = environment.get(OLD_BUILD_VARIABLE)
+    if not old_build:
+        return None
     # A wrong path must not give a fleet of the new build alone.
     return pathlib.Path(old_build).resolve(strict=True)
 
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -8,7 +8,9 @@
 
 import trio
 
+from tests.soak import _faults
 from tests.soak import _run
+from tests.soak import _upgrades
 
 VMS_MAX = 250
 """Each VM has a loopback address of its own in the soak's network of 254."""
@@ -35,7 +37,24 @@
         help=f'entry processes, 2 to {VMS_MAX} (default: 3 to 6 by the seed)',
     )
     parser.add_argument('--logs', help='folder for logs and settings')
+    parser.add_argument(
+        '--upgrade',
+        choices=_upgrades.UPGRADES,
+        help='replace the VMs one by one: the old build by this one, this one '
+        'by the old build, or both in turn',
+    )
+    parser.add_argument(
+        '--repeat',
+        choices=_faults.faults.names(),
+        nargs='*',
+        default=(),
+        metavar='FAULT',
+        help='faults to inject again and again beside the random ones',
+    )
     options = parser.parse_args(arguments)
+    checkouts = (
+        _upgrades.list_checkouts(options.upgrade) if options.upgrade else ()
+    )
     seeds = options.seed or [
         secrets.randbelow(10**9) for _ in range(options.count)
     ]
@@ -51,6 +70,8 @@
             length_s=options.length_s,
             vm_count=options.vms,
             folder=folder,
+            checkouts=checkouts,
+            repeated=options.repeat,
         )
         broken = trio.run(soak)
         for line in broken:
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -1,6 +1,7 @@
 """Runs one soak test: overlapping faults, a quiet period, then checks."""
 
 import datetime
+import functools
 import random
 import tempfile
 
@@ -10,6 +11,7 @@
 from tests.soak import _checks
 from tests.soak import _faults
 from tests.soak import _site
+from tests.soak import _upgrades
 
 CALLERS_MIN = 12
 RECOVERY_S = 14.0
@@ -25,7 +27,16 @@
 version must be in force, so that shorter delays don't make one late."""
 
 
-async def run_soak(seed, *, length_s, vm_count=None, log=print, folder=None):
+async def run_soak(
+    seed,
+    *,
+    length_s,
+    vm_count=None,
+    log=print,
+    folder=None,
+    checkouts=(),
+    repeated=(),
+):
     """Run one soak test and return one line for each broken guarantee.
 
     Parameters
@@ -40,11 +51,19 @@
         Function that is called with each line of progress.
     folder : str or None
         Folder for logs and settings; a temporary one by default.
+    checkouts : sequence of Path
+        Folders of the checkouts that all VMs run in turn; they are replaced
+        one by one while the faults go on, which may then take longer.
+    repeated : iterable of str
+        Faults that are injected again and again beside the random ones.
     """
     with tempfile.TemporaryDirectory() as temporary:
         rng = random.Random(seed)
         site = _site.SoakSite(
-            rng=rng, folder=folder or temporary, vm_count=vm_count
+            rng=rng,
+            folder=folder or temporary,
+            vm_count=vm_count,
+            checkout=checkouts[0] if checkouts else None,
         )
         callers = site.callers = _callers.Callers(site, seed)
         async with trio.open_nursery() as nursery:
@@ -55,7 +74,14 @@
             for vm in site.vms:
                 nursery.start_soon(callers.probe_versions, vm)
             nursery.start_soon(_log_lateness, site, log)
-            await _inject(site, length_s, log)
+            replace_all = functools.partial(
+                _upgrades.replace_all,
+                site,
+                checkouts[1:],
+                random.Random(seed),
+                log,
+            )
+            await _inject(site, length_s, log, replace_all, repeated)
             await trio.sleep(RECOVERY_S)
             quiet_since_s = trio.current_time()
             await trio.sleep(QUIET_S)
@@ -68,11 +94,28 @@
     return broken
 
 
-async def _inject(site, length_s, log):
-    """Inject faults that may overlap; return when all have ended."""
+async def _inject(site, length_s, log, replace_all, repeated):
+    """Inject faults that may overlap; return when all have ended.
+
+    They go on until all VMs are replaced.
+    """
     site.begun_s = trio.current_time()
     log(f'faults from {datetime.datetime.now(datetime.UTC):%H:%M:%S.%f} on')
     running = []
+    replaced = trio.Event()
+
+    async def replace_vms():
+        await replace_all()
+        replaced.set()
+
+    def is_over():
+        has_passed = trio.current_time() >= site.begun_s + length_s
+        return has_passed and replaced.is_set()
+
+    async def repeat_fault(name):
+        while not is_over():
+            await run_fault(name)
+            await trio.sleep(site.rng.uniform(0.05, 1.5))
 
     async def run_fault(name):
         overlapping = ', '.join(running)
@@ -83,7 +126,10 @@
         running.remove(name)
 
     async with trio.open_nursery() as nursery:
-        while trio.current_time() < site.begun_s + length_s:
+        nursery.start_soon(replace_vms)
+        for name in repeated:
+            nursery.start_soon(repeat_fault, name)
+        while not is_over():
             name = site.rng.choice(_faults.faults.names())
             nursery.start_soon(run_fault, name)
             await trio.sleep(site.rng.uniform(0.05, 1.5))
@@ -106,14 +152,7 @@
 async def wait_ready(site):
     """Wait until each VM accepts connections and knows the others."""
     for vm in site.vms:
-        while True:
-            try:
-                stream = await trio.open_tcp_stream(vm.host, vm.ports['front'])
-            except OSError:
-                await trio.sleep(0.05)
-                continue
-            await trio.aclose_forcefully(stream)
-            break
+        await vm.wait_listening()
     # A VM that listens may not know the other VMs and the servers yet.
     await trio.sleep(1.5)
 
--- a/tests/soak/_site.py
+++ b/tests/soak/_site.py
@@ -120,9 +120,13 @@
         Ports that the VM listens on, by purpose.
     zone : str
         Name of its data centre.
+    checkout : Path
+        Folder of the checkout that its next process runs.
 
     Attributes
     ----------
+    running_checkout : Path or None
+        Folder of the checkout that its last process was started from.
     failures : Spans
         When its process was killed or paused.
     stops : Spans
@@ -136,13 +140,23 @@
     """
 
     def __init__(
-        self, *, launcher, index, folder, store_port, seeds, ports, zone
+        self,
+        *,
+        launcher,
+        index,
+        folder,
+        store_port,
+        seeds,
+        ports,
+        zone,
+        checkout,
     ):
         self.name = f'vm{index}'
         self.zone = zone
         self.host = host_of(index)
+        self.checkout = checkout
+        self.running_checkout = None
         self._launcher = launcher
-        self._index = index
         self.ports = ports
         self.store_proxy = _proxy.Proxy(
             _proxy.ProxySettings(name=self.name, target_port=store_port)
@@ -186,19 +200,18 @@
         """Run the process and restart it whenever it ends, until cancelled."""
         command = [sys.executable, '-m', 'bluebellthread.run_entry']
         command += ['--settings', str(self._path), '--metrics-port', '0']
-        # Every other VM of each data centre: their numbers are consecutive.
-        checkout = _checkouts.choose_checkout(self._index)
-        environment = _checkouts.make_environment(checkout)
         while True:
             self.expected_exit = False
+            checkout = self.checkout
             with open(self._log_path, 'ab') as log:
                 self.process = await self._launcher.open_process(
                     command,
                     stdout=log,
                     stderr=log,
-                    env=environment,
+                    env=_checkouts.make_environment(checkout),
                     cwd=checkout,
                 )
+            self.running_checkout = checkout
             self.stops.note()
             try:
                 code = await self.process.wait()
@@ -210,6 +223,19 @@
                     self.exits.append((self.name, code, last_line))
                 await trio.sleep(RESTART_S)
 
+    async def wait_listening(self):
+        """Wait until the VM accepts callers' connections."""
+        while True:
+            try:
+                stream = await trio.open_tcp_stream(
+                    self.host, self.ports['front']
+                )
+            except OSError:
+                await trio.sleep(0.05)
+                continue
+            await trio.aclose_forcefully(stream)
+            return
+
     def _read_last_line(self):
         """Return the last line of the log, which often says why it ended."""
         lines = self._log_path.read_text(errors='replace').splitlines()
@@ -439,6 +465,9 @@
         Folder for logs and settings.
     vm_count : int or None
         Number of entry processes; None for 3 to 6 by `rng`.
+    checkout : Path or None
+        Folder of the checkout that all entry processes run at first; by
+        default, each runs the one that the environment names for it.
 
     Attributes
     ----------
@@ -460,7 +489,7 @@
         Since when the configuration in the store is malformed.
     """
 
-    def __init__(self, *, rng, folder, vm_count=None):
+    def __init__(self, *, rng, folder, vm_count=None, checkout=None):
         self.rng = rng
         self.store = site.Store()
         self.backends = {}
@@ -480,6 +509,7 @@
         self.store_faults = _spans.Spans()
         self.nursery = None
         self._folder = folder
+        self._checkout = checkout
         self._vm_count = vm_count or rng.randint(3, 6)
         self._numbers = iter(range(1, 1000))
 
@@ -519,6 +549,9 @@
                 seeds=hosts,
                 ports=ports,
                 zone=DATA_CENTRES[index < second_count],
+                # Every other VM of each data centre: their numbers are
+                # consecutive.
+                checkout=self._checkout or _checkouts.choose_checkout(index),
             )
             await vm.store_proxy.start(nursery)
             vm.write_settings()
@@ -646,9 +679,17 @@
         self.store.put(key, backend.entry(state=state))
 
     def describe(self):
-        """Return the number of VMs by data centre and of versions."""
+        """Return the number of VMs and of versions, and what VMs run."""
         counts = collections.Counter(vm.zone for vm in self.vms)
-        return f'VMs {dict(counts)}, {self.version} versions'
+        old = [
+            vm.name
+            for vm in self.vms
+            if vm.running_checkout != _checkouts.ROOT
+        ]
+        return (
+            f'VMs {dict(counts)}, {self.version} versions, '
+            f'VMs of the old build at the end: {", ".join(old) or "none"}'
+        )
 
     def list_passed_on(self):
         """Return the backend servers that each request id has reached."""
--- a/tests/unit/test_checkouts.py
+++ b/tests/unit/test_checkouts.py
@@ -4,6 +4,14 @@
 from tests import _checkouts
 
 
+class TestFindOldBuild(unittest.TestCase):
+    def test_old_build_is_the_folder_of_the_environment(self):
+        variable = _checkouts.OLD_BUILD_VARIABLE
+        self.assertIsNone(_checkouts.find_old_build({}))
+        found = _checkouts.find_old_build({variable: '/'})
+        self.assertEqual(pathlib.Path('/'), found)
+
+
 class TestChooseCheckout(unittest.TestCase):
     def choose(self, **values):
         environment = {
