Hand requests on after an upgrade from builds that know no relay ports

While VMs are replaced one by one, a new VM may hear of another new one from such a VM first; the VM's own word has the same counter and is ignored. The port then stayed unknown for as long as the process ran, long after the last old VM had gone, and a VM without a path to the servers did not ask that VM to serve.

A VM of unknown port is now asked last, at this VM's own relay port, which is the same on all machines of the platform. A VM of a build without one refuses the connection and is passed over for a second.

--- a/bluebellthread/core/routing/_helper_choice.py
+++ b/bluebellthread/core/routing/_helper_choice.py
@@ -32,12 +32,16 @@
     ----------
     vm, data_centre, region : str
         Name and location of this VM.
+    relay_port : int
+        This VM's port for requests that other VMs hand on, which is tried at
+        VMs whose port is unknown; 0 to ask none of them.
     rng : random.Random
         Breaks ties, so that VMs in need don't all ask the same one.
     """
 
-    def __init__(self, *, vm, data_centre, region, rng):
+    def __init__(self, *, vm, data_centre, region, relay_port=0, rng):
         self._vm = vm
+        self._relay_port = relay_port
         self._data_centre = data_centre
         self._region = region
         self._rng = rng
@@ -59,20 +63,26 @@
             member
             for member in members
             if member.name != self._vm
-            and member.relay_port
+            and (member.relay_port or self._relay_port)
             and member.name not in avoid
             and self._is_open(member.name, service, now_ms)
         ]
-        return min(
+        chosen = min(
             candidates,
             key=lambda member: (
                 self._is_doubtful(member, service, now_ms),
+                not member.relay_port,
                 self._measure_distance(member),
                 self._in_flight[member.name],
                 self._rng.random(),
             ),
             default=None,
         )
+        if chosen is None or chosen.relay_port:
+            return chosen
+        # VMs of builds without such a port leave it out of what they tell of
+        # others, and nothing corrects that as long as the process runs.
+        return attrs.evolve(chosen, relay_port=self._relay_port)
 
     def _is_open(self, vm, service, now_ms):
         return all(
--- a/bluebellthread/entry/_hand_on.py
+++ b/bluebellthread/entry/_hand_on.py
@@ -99,6 +99,7 @@
             vm=settings.vm,
             data_centre=settings.data_centre,
             region=settings.region,
+            relay_port=settings.relay_port,
             rng=rng,
         )
 
--- a/tests/unit/test_helper_choice.py
+++ b/tests/unit/test_helper_choice.py
@@ -41,9 +41,26 @@
             asked.append(name)
         self.assertEqual(['here', 'near', 'far'], asked)
 
-    def test_vm_of_an_older_build_is_not_asked(self):
+    def test_vm_without_a_port_is_not_asked(self):
         self.assertIsNone(self.choose([make_member('vm1', relay_port=0)]))
 
+    def test_vm_of_unknown_port_is_asked_last_at_the_own_port(self):
+        choice = routing.HelperChoice(
+            vm='vm0',
+            data_centre='a',
+            region='r',
+            relay_port=6,
+            rng=random.Random(1),
+        )
+        members = [
+            make_member('vm1', relay_port=0),
+            make_member('far', region='q', data_centre='c'),
+        ]
+        first = choice.choose(members, 's', 0)
+        self.assertEqual(('far', 5), (first.name, first.relay_port))
+        second = choice.choose(members, 's', 0, avoid=('far',))
+        self.assertEqual(('vm1', 6), (second.name, second.relay_port))
+
     def test_least_busy_vm_is_asked(self):
         members = [make_member('vm1'), make_member('vm2')]
         self.choice.begin('vm1')
