--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -41,7 +41,7 @@
         '--upgrade',
         choices=_upgrades.UPGRADES,
         help='replace the VMs one by one: the old build by this one, this one '
-        'by the old build, or both in turn',
+        'by the old build, or both in turn; none: all run the old build',
     )
     parser.add_argument(
         '--repeat',
--- a/tests/soak/_upgrades.py
+++ b/tests/soak/_upgrades.py
@@ -7,6 +7,7 @@
 from tests import _checkouts
 
 UPGRADES = {
+    'none': ('old',),
     'out': ('old', 'new'),
     'back': ('new', 'old'),
     'both': ('old', 'new', 'old'),
