--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -10,6 +10,7 @@
 
 from tests.soak import _faults
 from tests.soak import _run
+from tests.soak import _upgrades
 
 VMS_MAX = 250
 """Each VM has a loopback address of its own in the soak's network of 254."""
@@ -44,15 +45,25 @@
         metavar='NAME',
         help='faults to choose from (default: all)',
     )
+    parser.add_argument('--logs', help='folder for logs and settings')
+    parser.add_argument(
+        '--upgrade',
+        choices=_upgrades.UPGRADES,
+        help='replace the VMs one by one: the old build by this one, this one '
+        'by the old build, or both in turn; none: all run the old build',
+    )
     parser.add_argument(
-        '--beside',
-        default='',
+        '--repeat',
         choices=names,
-        metavar='NAME',
-        help='fault that is injected over and over beside the others',
+        nargs='*',
+        default=(),
+        metavar='FAULT',
+        help='faults to inject again and again beside the random ones',
     )
-    parser.add_argument('--logs', help='folder for logs and settings')
     options = parser.parse_args(arguments)
+    checkouts = (
+        _upgrades.list_checkouts(options.upgrade) if options.upgrade else ()
+    )
     seeds = options.seed or [
         secrets.randbelow(10**9) for _ in range(options.count)
     ]
@@ -69,7 +80,8 @@
             vm_count=options.vms,
             folder=folder,
             fault_names=options.faults,
-            beside=options.beside,
+            checkouts=checkouts,
+            repeated=options.repeat,
         )
         broken = trio.run(soak)
         for line in broken:
