Keep the process when one connection fails in an unexpected way

All callers of a VM lost their answers when one connection met an unexpected error while its socket was set up, or when monitoring did: the process ended.

Cause: only what follows on callers' and VMs' connections was guarded. Now all of it is, and so are the connections of monitoring, which also get the time limits for silent peers that the others have. E-number and log line are those of other crashes of connections.

The tests now cause one failure each.

--- a/bluebellthread/entry/_service.py
+++ b/bluebellthread/entry/_service.py
@@ -398,34 +398,38 @@
         )
 
     async def _serve_caller(self, stream):
-        await self._serve_connection(stream, self._gateway.serve)
+        await self._serve_connection(
+            stream, self._gateway.serve, self._control
+        )
 
     async def _serve_vm(self, stream):
         """Serve the requests that another VM hands on."""
-        await self._serve_connection(stream, self._gateway.serve_handed_on)
+        await self._serve_connection(
+            stream, self._gateway.serve_handed_on, self._control
+        )
+
+    async def _serve_monitoring(self, stream):
+        # A stop does not wait for connections of its own control.
+        control = _connection_control.ConnectionControl(
+            lambda: self.state.table.limits
+        )
+        await self._serve_connection(stream, self._answer_monitoring, control)
 
-    async def _serve_connection(self, stream, handler):
-        _socket_options.set_silence_timeouts(stream.socket)
-        self._control.open_count += 1
+    @staticmethod
+    async def _serve_connection(stream, handler, control):
+        control.open_count += 1
         try:
+            _socket_options.set_silence_timeouts(stream.socket)
             await _caller_connection.CallerConnection(
                 stream=stream,
                 handler=handler,
-                control=self._control,
+                control=control,
             ).run()
         except Exception as error:
             # A bug hit by one connection must not end the process.
             emit(events.CONNECTION_CRASHED, error=_format_error(error))
         finally:
-            self._control.open_count -= 1
-
-    async def _serve_monitoring(self, stream):
-        control = _connection_control.ConnectionControl(
-            lambda: self.state.table.limits
-        )
-        await _caller_connection.CallerConnection(
-            stream=stream, handler=self._answer_monitoring, control=control
-        ).run()
+            control.open_count -= 1
 
     async def _answer_monitoring(self, exchange):
         """Answer a readiness probe of the balancer, or serve the metrics."""
--- a/tests/integration/test_entry_read_requests.py
+++ b/tests/integration/test_entry_read_requests.py
@@ -191,7 +191,7 @@
 class TestFailingConnections(unittest.TestCase):
     """A connection that fails in an unexpected way ends no other one."""
 
-    async def check_survived(self, site, port):
+    async def check_survived(self, site, port, failure):
         site.servers['s1'].run_pause_s = 0.3
         answers = []
 
@@ -201,16 +201,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(ask)
             await sites.wait_until(lambda: site.servers['s1'].arrivals)
-            with (
-                mock.patch.object(
-                    _socket_options,
-                    'set_silence_timeouts',
-                    side_effect=OSError,
-                ),
-                mock.patch.object(
-                    _stats.EntryStats, 'render', side_effect=ValueError
-                ),
-            ):
+            with failure:
                 stream = await trio.open_tcp_stream('127.0.0.1', port)
                 async with sites.Caller(stream) as caller:
                     await caller.send('GET', '/metrics')
@@ -221,12 +212,26 @@
     @run
     async def test_caller(self):
         async with sites.running_site(plain=('s1',)) as site:
-            await self.check_survived(site, site.entry.ports['caller_port'])
+            await self.check_survived(
+                site,
+                site.entry.ports['caller_port'],
+                mock.patch.object(
+                    _socket_options,
+                    'set_silence_timeouts',
+                    side_effect=OSError,
+                ),
+            )
 
     @run
     async def test_monitoring(self):
         async with sites.running_site(plain=('s1',)) as site:
-            await self.check_survived(site, site.entry.ports['metrics_port'])
+            await self.check_survived(
+                site,
+                site.entry.ports['metrics_port'],
+                mock.patch.object(
+                    _stats.EntryStats, 'render', side_effect=ValueError
+                ),
+            )
 
 
 @contextlib.asynccontextmanager
