--- a/tests/unit/test_plain_pieces.py
+++ b/tests/unit/test_plain_pieces.py
@@ -4,7 +4,7 @@
 import trio
 
 from bluebellthread.core import routing
-from bluebellthread.entry import _plain_path
+from bluebellthread.entry import _plain_attempts
 
 
 class _Choice:
@@ -32,13 +32,13 @@
             'state caller budgets limits shut_outs server_watch paths '
             'silences hand_on dialect'
         )
-        path = _plain_path.PlainPath(
+        attempts = _plain_attempts.PlainAttempts(
             choice=choice, **dict.fromkeys(others.split())
         )
 
         async def scenario():
             with self.assertRaises(routing.OvertakenError):
-                await path._attempt(
+                await attempts._attempt(
                     types.SimpleNamespace(work=None),
                     types.SimpleNamespace(send=raise_overtaken),
                     types.SimpleNamespace(name='s1'),
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -24,6 +24,7 @@
         ports={},
         zone='cluj-a',
         bounds={},
+        checkout=None,
     )
 
 
