Take counts of hundreds of digits for none

One request with an X-Token-Count of 400 digits ended the entry process of the VM that owns the service: int() gave a number that no float holds, and the placement task raised OverflowError. Digits of other scripts, and thousands of digits, raised ValueError.

Cause: text of callers, servers and VMs was converted wherever str.isdigit said so. core.parse_count now reads all of them: ASCII digits, 15 at the most. Anything else is as if it were missing.

--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -53,6 +53,7 @@
 from bluebellthread.core._configuration_messages import RevisionAnnounced
 from bluebellthread.core._configuration_messages import SectionsAnswer
 from bluebellthread.core._configuration_messages import SectionsRequest
+from bluebellthread.core._counts import parse_count
 from bluebellthread.core._decode_policies import BestFit
 from bluebellthread.core._decode_policies import FewestRunning
 from bluebellthread.core._early_refusal import EarlyRefusalQueue
@@ -447,6 +448,7 @@
     'make_permit_id',
     'max_check_after_ms',
     'pack_sections',
+    'parse_count',
     'parse_issuer',
     'parse_ticket_id',
     'prefill_policies',
--- a/bluebellthread/entry/_http_messages.py
+++ b/bluebellthread/entry/_http_messages.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from bluebellthread import core
+
 CONNECTION_HEADERS = frozenset(
     (
         b'connection',
@@ -196,4 +198,4 @@
 
 
 def _read_number(text):
-    return int(text) if text.isdigit() else 0
+    return core.parse_count(text) or 0
--- a/bluebellthread/entry/_server_connection.py
+++ b/bluebellthread/entry/_server_connection.py
@@ -446,7 +446,7 @@
     """
     for part in keep_alive.split(','):
         name, _, value = part.strip().partition('=')
-        if name.lower() == 'timeout' and value.strip().isdigit():
-            timeout_ms = int(value) * _clock.MS_PER_S
-            return max(0, timeout_ms - IDLE_MARGIN_MS)
+        timeout_s = core.parse_count(value)
+        if name.lower() == 'timeout' and timeout_s is not None:
+            return max(0, timeout_s * _clock.MS_PER_S - IDLE_MARGIN_MS)
     return IDLE_DEFAULT_MS
--- a/bluebellthread/entry/_work.py
+++ b/bluebellthread/entry/_work.py
@@ -2,6 +2,7 @@
 
 import contextlib
 
+from bluebellthread import core
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
 from bluebellthread.entry import _http_messages
@@ -14,10 +15,6 @@
 """Timeout of requests without a deadline on routes without a timeout: as long
 as callers commonly wait."""
 
-PATIENCE_DIGITS_MAX = 15
-"""Digits of the longest time in milliseconds that is taken for one: Python
-converts some thousands at the most, and slowly."""
-
 UNSERVED_RETRY_MS = 500
 """Retry delay sent to callers whose deadline passed before a server could run
 their request."""
@@ -148,11 +145,9 @@
 
         None is returned also if the header has no usable number.
         """
-        text = self.request.header(self._dialect.remaining_ms)
-        is_number = text.isascii() and text.isdigit()
-        if not is_number or len(text) > PATIENCE_DIGITS_MAX:
-            return None
-        return int(text)
+        return core.parse_count(
+            self.request.header(self._dialect.remaining_ms)
+        )
 
     def _compute_deadline_ms(self):
         bounds_ms = []
--- a/bluebellthread/platform/_dialect.py
+++ b/bluebellthread/platform/_dialect.py
@@ -2,6 +2,7 @@
 
 import json
 
+from bluebellthread import core
 from bluebellthread.entry import ControlCall
 from bluebellthread.entry import Dialect
 
@@ -102,8 +103,8 @@
     parts = text.split(',')
     if len(parts) != count:
         return None
-    numbers = tuple(int(part) for part in parts if part.strip().isdigit())
-    return numbers if len(numbers) == count else None
+    numbers = tuple(map(core.parse_count, parts))
+    return None if None in numbers else numbers
 
 
 def read_handle(body):
