--- /dev/null
+++ b/tests/integration/test_entry_silence_overlap.py
@@ -0,0 +1,86 @@
+"""How long two servers are at work on one request."""
+
+import unittest
+
+import trio
+
+from tests.integration import _entry_fleet as fleets
+from tests.integration import _entry_site as sites
+from tests.integration.test_entry_plain import run
+
+OVERLAP_MAX_S = 0.4
+"""By the users' rules."""
+
+
+class _Spans:
+    """Notes when servers are at work on a call, until its connection ends."""
+
+    def __init__(self):
+        self.spans = []
+
+    async def hold(self, server, request, head_s):
+        began_s = trio.current_time()
+        server.runs.append(request)
+        try:
+            # A closed connection ends the work, as at most servers.
+            await trio.sleep(head_s)
+        finally:
+            self.spans.append((server.name, began_s, trio.current_time()))
+
+    def overlap_s(self):
+        spans = sorted(self.spans, key=lambda span: span[1])
+        return max(
+            (
+                min(end_s, other_end_s) - other_begin_s
+                for number, (_, _, end_s) in enumerate(spans)
+                for _, other_begin_s, other_end_s in spans[number + 1 :]
+            ),
+            default=0.0,
+        )
+
+
+class TestOverlap(unittest.TestCase):
+    @run
+    async def test_streams_of_engines_that_begin_late(self):
+        work = _Spans()
+        async with fleets.running_fleet(
+            vms=1, engines=('p1', 'd1', 'd2')
+        ) as fleet:
+            for name in ('d1', 'd2'):
+                engine = fleet.servers[name]
+
+                async def begin_late(request, engine=engine):
+                    await work.hold(engine, request, 3.0)
+                    await engine._stream(request)
+
+                engine.script = [begin_late]
+            async with await fleet.connect(1) as caller:
+                answer = await caller.call('POST', '/ask/x', request_id='o')
+            self.assertTrue(answer.whole)
+            await trio.sleep(0.2)
+            self.assertLess(work.overlap_s(), OVERLAP_MAX_S)
+
+    @run
+    async def test_plain_calls(self):
+        work = _Spans()
+        async with sites.running_site(plain=('s1', 's2')) as site:
+            route = sites.make_route(
+                '/read/', 'safe', 'plain', targetLatencyMs=250
+            )
+            site.store.put('op/config', sites.make_configuration(2, [route]))
+            await sites.wait_until(lambda: site.entry.state.table.version == 2)
+            for server in site.servers.values():
+
+                async def answer_late(request, server=server):
+                    await work.hold(server, request, 2.0)
+                    await server.run(request)
+
+                server.script = [answer_late]
+            answer = await site.call('GET', '/read/x')
+            self.assertEqual(200, answer.status)
+            await trio.sleep(0.2)
+            self.assertLess(work.overlap_s(), OVERLAP_MAX_S)
+
+
+if __name__ == '__main__':
+    unittest.main()
