Let no attempt follow at a decode server that is known as silent

Streams used their last attempt and retries for an engine that was silent to other requests of the VM as well, and had none left once it mattered.

The owner is asked to avoid silent engines, but grants them if no other one has a place.

--- a/bluebellthread/entry/_stream_attempts.py
+++ b/bluebellthread/entry/_stream_attempts.py
@@ -46,6 +46,7 @@
         self._shut_outs = context.shut_outs
         self._watch = context.server_watch
         self._paths = context.paths
+        self._silences = context.silences
         self._dialect = context.dialect
         self._prefills = _prefill_runner.PrefillRunner(
             work=work, context=context
@@ -124,10 +125,14 @@
             that is silent already.
         """
         silent_servers = {other.waits_for for other in attempt.others}
-        if silent_servers & {
-            placement.prefill_server,
-            placement.decode_server,
-        }:
+        if (
+            silent_servers
+            & {
+                placement.prefill_server,
+                placement.decode_server,
+            }
+            or placement.decode_server in self._silences.list_silent()
+        ):
             raise _stream_context.NoPlacementError('servers-failed')
         work = self._work
         if attempt.is_paid:
