--- a/bluebellthread/entry/_stream_attempts.py
+++ b/bluebellthread/entry/_stream_attempts.py
@@ -341,11 +341,6 @@
         work.note_run()
         return call
 
-    def _note_run_failed(self, server, error, started_ms):
-        self._work.note_failed(
-            server, _work.STAGE_RUN, error, started_ms=started_ms
-        )
-
     def _note_run_failed(self, server, error, started_ms, *, was_sent=True):
         self._work.note_failed(
             server,
--- a/bluebellthread/entry/_work.py
+++ b/bluebellthread/entry/_work.py
@@ -217,11 +217,6 @@
         """Note that the VM that it was sent to has not taken the request."""
         self._note_not_in_flight()
 
-    def note_given_up(self):
-        """Note that an answer is no longer waited for."""
-        if self.in_flight_count:
-            self.note_run()
-
     def _note_not_in_flight(self):
         self.in_flight_count = max(0, self.in_flight_count - 1)
 
