--- a/tests/unit/test_stream_followers.py
+++ b/tests/unit/test_stream_followers.py
@@ -2,7 +2,11 @@
 
 import types
 import unittest
+from unittest import mock
 
+import trio
+
+from bluebellthread.entry import _server_calls
 from bluebellthread.entry import _stream_attempts
 from bluebellthread.entry import _stream_context
 
@@ -54,7 +58,7 @@
 
 def make_placement(decode_server):
     return types.SimpleNamespace(
-        prefill_server='p1', decode_server=decode_server
+        prefill_server='p1', decode_server=decode_server, failed_prefill=''
     )
 
 
@@ -80,6 +84,23 @@
         attempts._check_follower(make_follower(), make_placement('d2'))
         self.assertEqual([2], spent)
 
+    def test_server_that_takes_no_further_request_costs_no_retry(self):
+        spent = []
+        attempts = make_attempts(silent=('d1',), spent=spent)
+
+        async def admit(placement):
+            raise _server_calls.ServerLimitedError(
+                placement.decode_server, retry_after_ms=100
+            )
+
+        attempts._placements = mock.Mock()
+        attempts._admit = admit
+        follower = make_follower()
+        follower.run = types.SimpleNamespace(is_ended=False)
+        with self.assertRaises(_server_calls.ServerLimitedError):
+            trio.run(attempts._use, follower, make_placement('d2'))
+        self.assertEqual([], spent)
+
 
 if __name__ == '__main__':
     unittest.main()
