Pay for an attempt beside a silent one once it can be sent

A follower took its retries from the budget with the grant. If the server's limit or its connection then failed, they were lost to other requests, though nothing had been sent.

They are taken after the admission and the connection, just before the first call.

--- a/bluebellthread/entry/_stream_attempts.py
+++ b/bluebellthread/entry/_stream_attempts.py
@@ -116,13 +116,12 @@
         return name if unreached else ''
 
     def _check_follower(self, attempt, placement):
-        """Take what an attempt beside another one repeats from the budget.
+        """Raise if an attempt would wait for a server that is silent already.
 
         Raises
         ------
         NoPlacementError
-            If the budget is spent, or the attempt would wait for a server
-            that is silent already.
+            If it would.
         """
         silent_servers = {other.waits_for for other in attempt.others}
         if (
@@ -134,8 +133,17 @@
             or placement.decode_server in self._silences.list_silent()
         ):
             raise _stream_context.NoPlacementError('servers-failed')
+
+    def _pay(self, attempt):
+        """Take what an attempt beside another one repeats from the budget.
+
+        Raises
+        ------
+        NoPlacementError
+            If the budget is spent.
+        """
         work = self._work
-        if attempt.is_paid:
+        if not attempt.is_follower or attempt.is_paid:
             return
         if not self._budgets.spend(work.service, work.repeat_count):
             raise _stream_context.NoPlacementError('servers-failed')
@@ -152,6 +160,7 @@
         admissions = await self._admit(placement)
         exchange = await self._connect(placement)
         try:
+            self._pay(attempt)
             prompt = await self._run_prefill(attempt, placement, admissions)
             await self._decode(
                 attempt,
--- a/tests/unit/test_stream_followers.py
+++ b/tests/unit/test_stream_followers.py
@@ -81,7 +81,15 @@
     def test_server_that_is_not_silent_is_paid_for_and_used(self):
         spent = []
         attempts = make_attempts(silent=('d1', 'p1'), spent=spent)
-        attempts._check_follower(make_follower(), make_placement('d2'))
+        follower = make_follower()
+        follower.run = types.SimpleNamespace(is_ended=False)
+        attempts._placements = mock.Mock()
+        attempts._admit = mock.AsyncMock(return_value={'d2': None})
+        attempts._connect = mock.AsyncMock(return_value=mock.AsyncMock())
+        attempts._run_prefill = mock.AsyncMock(return_value=None)
+        attempts._decode = mock.AsyncMock()
+        trio.run(attempts._use, follower, make_placement('d2'))
+        attempts._decode.assert_awaited_once()
         self.assertEqual([2], spent)
 
     def test_server_that_takes_no_further_request_costs_no_retry(self):
