--- a/tests/integration/test_entry_silence_overlap.py
+++ b/tests/integration/test_entry_silence_overlap.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from standin.site import _backend
 from tests.integration import _entry_fleet as fleets
 from tests.integration import _entry_site as sites
 from tests.integration.test_entry_plain import run
@@ -60,6 +61,45 @@
             await trio.sleep(0.2)
             self.assertLess(work.overlap_s(), OVERLAP_MAX_S)
 
+    @run
+    async def test_stream_that_goes_on_at_another_engine(self):
+        work = _Spans()
+        async with fleets.running_fleet(
+            vms=1, engines=('p1', 'd1', 'd2')
+        ) as fleet:
+
+            async def fall_silent_after_two(engine, request):
+                await request.begin_chunks(
+                    200,
+                    [
+                        *engine.answer_headers(request),
+                        ('content-type', 'text/event-stream'),
+                    ],
+                )
+                await request.send_chunk(_backend.make_events((1, 2)))
+                await work.hold(engine, request, sites.TEST_TIMEOUT_S)
+
+            async def go_on(engine, request):
+                engine.event_pause_s = 0.5
+                began_s = trio.current_time()
+                await engine.run(request)
+                work.spans.append((engine.name, began_s, trio.current_time()))
+
+            scripts = [fall_silent_after_two, go_on]
+            for name in ('d1', 'd2'):
+                engine = fleet.servers[name]
+
+                async def run_next(request, engine=engine):
+                    await scripts.pop(0)(engine, request)
+
+                engine.script = [run_next]
+            async with await fleet.connect(1) as caller:
+                answer = await caller.call('POST', '/ask/x', request_id='o')
+            self.assertTrue(answer.whole)
+            self.assertEqual(_backend.make_events(range(1, 5)), answer.body)
+            await sites.wait_until(lambda: len(work.spans) == 2)
+            self.assertLess(work.overlap_s(), OVERLAP_MAX_S)
+
     @run
     async def test_plain_calls(self):
         work = _Spans()
