Have another VM go on with requests that a VM can't or may not finish

A request that was handed on ended with the failure of the VM that took it: 404 if that VM's newer configuration has no such route, although the first VM's has it, and 502 if that VM's stop ended it, although it may be repeated.

Cause: such a VM answered as it answers its own callers. It now does not take a request whose route it doesn't know, gives back what has not run when it stops, and breaks off what may have run, so that the first VM repeats it where the route allows it.

Both new tests failed before (404 and 502) and pass now, with the 39 others of requests that are handed on.

--- a/bluebellthread/entry/_gateway.py
+++ b/bluebellthread/entry/_gateway.py
@@ -81,17 +81,14 @@
         version_min = max(1, hop.config_version)
         if table.version < version_min or not self._state.has_servers:
             reason = 'older-configuration'
+        elif route is None:
+            reason = 'unknown-route'
         elif self._taken_count >= TAKEN_MAX:
             reason = 'busy'
         if reason:
             header = (_http_messages.NOT_TAKEN_HEADER, reason.encode())
             await exchange.respond(503, [header], b'')
             return
-        if route is None:
-            await self._refuse(
-                exchange, _refusals.make_unknown_route_refusal()
-            )
-            return
         self._stats.count_taken()
         self._taken_count += 1
         try:
@@ -153,9 +150,13 @@
         """End a request that the process has no time left to serve."""
         if work.exchange.is_complete:
             return
-        if work.exchange.is_started:
+        may_have_run = work.may_have_run or work.in_flight_count
+        if work.exchange.is_started or (work.is_handed_on and may_have_run):
+            # The VM that has handed a request on may repeat it elsewhere.
             await work.exchange.abort()
-        elif work.may_have_run or work.in_flight_count:
+        elif work.is_handed_on:
+            await work.refuse_hand_on('stopping')
+        elif may_have_run:
             await work.fail('stopping')
         else:
             await work.refuse('stopping', _work.UNSERVED_RETRY_MS)
--- a/tests/integration/test_entry_server_cuts.py
+++ b/tests/integration/test_entry_server_cuts.py
@@ -285,6 +285,50 @@
             self.assertEqual(503, answer.status)
             self.assertEqual([], runs_of(fleet, 'once'))
 
+    @run
+    async def test_vm_that_knows_no_such_route_does_not_take_requests(self):
+        # Its configuration may be newer; a 404 would not be this VM's answer.
+        async with running_fleet(plain=PLAIN) as (fleet, cuts):
+            cuts.cut_off((1,), 'refused')
+            for number in (2, 3):
+                table = fleet.vms[number].entry.state.table
+                table.find = lambda host, path: None
+            answer = await ask(fleet, 1, '/order/x', 'once')
+            self.assertEqual(503, answer.status)
+            self.assertEqual([], runs_of(fleet, 'once'))
+
+    @run
+    async def test_request_goes_on_if_the_other_vm_stops_beside_a_silence(
+        self,
+    ):
+        async with running_fleet(plain=PLAIN, stop_grace_ms=2500) as (
+            fleet,
+            cuts,
+        ):
+            cuts.cut_off((1,), 'refused')
+            for server in fleet.servers.values():
+                server.fall_silent()
+            answers = []
+
+            async def call():
+                answers.append(await ask(fleet, 1, '/read/x', 'kept'))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(call)
+                await sites.wait_until(
+                    lambda: any(
+                        vm.entry._gateway._taken_count
+                        for vm in fleet.vms.values()
+                    )
+                )
+                helper = find_helper(fleet)
+                await fleet.vms[helper].entry._drain()
+                fleet.kill_vm(helper)
+                for server in fleet.servers.values():
+                    server.go_on()
+            (answer,) = answers
+            self.assertEqual(200, answer.status)
+
     @run
     async def test_healed_vm_serves_by_itself_again(self):
         async with running_fleet(plain=PLAIN) as (fleet, cuts):
