Ask for no placement beside the only engine that is not silent

Each silent stream asked its owner for a placement twice a second, also if all engines that it may use were silent: each grant reserved memory there for a moment, stood before new requests, and logged E7074; the review saw 9 grants in 7 s.

Such a stream now waits, and E7072 says that no other server is known. A stream beside the only engine made followers before and makes none now.

--- a/bluebellthread/entry/_attempt_race.py
+++ b/bluebellthread/entry/_attempt_race.py
@@ -312,8 +312,8 @@
             await trio.sleep(FOLLOW_PAUSE_S)
 
     def _note_silent(self, attempt):
+        self._silences.note_still_silent(attempt)
         if attempt.is_silent:
-            self._silences.note_still_silent(attempt)
             return
         attempt.is_silent = True
         self._silences.note_silent(
--- a/bluebellthread/entry/_stream_attempts.py
+++ b/bluebellthread/entry/_stream_attempts.py
@@ -62,6 +62,17 @@
         """Note a server that has failed the request, to avoid it."""
         self._requests.failed_servers.append(server)
 
+    def has_other_server(self):
+        """Return whether a decode server is known that is not silent."""
+        begun_version = self._relay.begun_version
+        silent_servers = self._silences.list_silent()
+        return any(
+            server.role == 'decode'
+            and server.name not in silent_servers
+            and begun_version in ('', server.software_version)
+            for server in self._state.directory.usable(self._work.service)
+        )
+
     async def make(self, attempt):
         """Have engines answer the request, and pass the answer on.
 
--- a/bluebellthread/entry/_stream_path.py
+++ b/bluebellthread/entry/_stream_path.py
@@ -238,8 +238,11 @@
             return _work.NO_EVENT_ID
         if self._find_shut_out() is not None:
             return _work.SHUT_OUT
-        if work.is_handed_on and self._paths.is_lost(work.service):
+        is_path_lost = self._paths.is_lost(work.service)
+        if work.is_handed_on and is_path_lost:
             return _work.NO_PATH
+        if not is_path_lost and not self._attempts.has_other_server():
+            return _work.NO_OTHER_SERVER
         if not self._budgets.allows(work.service, work.repeat_count):
             return _work.NO_BUDGET
         return ''
--- a/tests/integration/test_entry_silence.py
+++ b/tests/integration/test_entry_silence.py
@@ -167,6 +167,27 @@
             self.check_whole(answers)
 
 
+class TestOnlyServers(unittest.TestCase):
+    @run
+    async def test_nothing_is_asked_for_beside_the_only_engine(self):
+        # Each try would reserve memory at the engine that is silent.
+        async with sites.running_site(plain=(), engines=('p1', 'd1')) as site:
+            engine = site.servers['d1']
+            engine.event_pause_s = EVENT_PAUSE_S
+            async with trio.open_nursery() as nursery:
+
+                async def fall_silent():
+                    await sites.wait_until(lambda: engine.runs)
+                    await engine.be_silent(2 * SILENCE_S)
+
+                nursery.start_soon(fall_silent)
+                answer = await site.call('POST', '/ask/x', b'a crack')
+            self.assertTrue(answer.whole)
+            metrics = site.entry.stats.render().decode().splitlines()
+            self.assertIn('bluebellthread_silences_total 1.0', metrics)
+            self.assertIn('bluebellthread_followed_total 0.0', metrics)
+
+
 class TestSilentPrefillServers(SilenceTestCase):
     async def check_silence(self, path, **settings):
         async with running_fleet(**settings) as fleet:
