--- a/tests/unit/test_stream_pieces.py
+++ b/tests/unit/test_stream_pieces.py
@@ -200,6 +200,16 @@
         told = self.check_silence(follower_answers=False)
         self.assertIn('note_overtaken', told)
 
+    def test_silence_leaves_time_to_go_on_within_the_patience_of_callers(self):
+        # Callers leave after 2 s, or eight times the allowed pause.
+        for gap_ms in (0, 100, 300, 500, 2000):
+            stream = make_stream(_Caller())
+            stream._work.route.gap_target_ms = gap_ms
+            patience_s = max(2.0, 8 * gap_ms / 1000)
+            self.assertLess(
+                stream.silence_s + _attempt_race.FOLLOW_PAUSE_S, patience_s
+            )
+
     def test_silent_server_is_waited_for_if_nothing_may_follow(self):
         clock = trio.testing.MockClock()
         caller = _Caller()
