Keep a silent run of a daemon request until its replacement is granted

What callers saw: a server that was only silent before its first piece lost the request's running work at once, although no other attempt had a permit yet; an answer that came during that wait was thrown away.

Cause: the answer machine released the permit of the silent run before it asked for another one, and the scheduler ended the older permit of a request as soon as a newer attempt asked.

Change: the run goes on with its permit. The ask says that it replaces a silent run; the scheduler ends the older permit with the grant, and only if the same gateway process holds it. A sign of life withdraws the ask; a failed or cancelled run leaves it waiting.

--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -26,6 +26,7 @@
 from bluebellthread.core._answer_commands import StartPrefill
 from bluebellthread.core._answer_commands import StopRun
 from bluebellthread.core._answer_commands import TellScheduler
+from bluebellthread.core._answer_commands import WithdrawPermitRequest
 from bluebellthread.core._answer_events import AnswerAsked
 from bluebellthread.core._answer_events import CallerGone
 from bluebellthread.core._answer_events import ImportEnded
@@ -429,6 +430,7 @@
     'Values',
     'ViewChanged',
     'WatchPlatform',
+    'WithdrawPermitRequest',
     'backoff_ms',
     'check_configuration',
     'choose_owner',
--- a/bluebellthread/core/_answer.py
+++ b/bluebellthread/core/_answer.py
@@ -8,8 +8,9 @@
 sent. Resumes are not charged to the retry budget, because giving up would
 waste the tokens already generated. They are limited by the number of
 consecutive failures without a new piece, by the back-off and by the
-request's deadline. A run whose server is silent is kept until then if no
-other attempt may follow it.
+request's deadline. A run whose server is silent before the first piece goes
+on until another attempt has its permit, or until the deadline if none may
+follow.
 """
 
 import random
@@ -92,6 +93,7 @@
         self._decode_started_ms = 0
         self._may_have_run = False
         self._has_left_silent = False
+        self._replacement = None
         self._answered = False
         self._handlers = {
             events.AnswerAsked: self._ask_permit,
@@ -148,11 +150,13 @@
         if not self._answers_pending_request(permit):
             # The request no longer waits for this permit.
             return [actions.report_release(permit, clean=True)]
+        replaced = self._release_permit(clean=False, kind='stalled')
+        self._replacement = None
         self._pending_request = None
         self._permit = permit
         self._permit_ids.add(permit.permit_id)
         self._retries.note_permit_granted()
-        return self._start_prefill(now_ms)
+        return replaced + self._start_prefill(now_ms)
 
     def _on_refused(self, event, now_ms):
         if not self._answers_pending_request(event):
@@ -172,6 +176,8 @@
         is_current = event.permit_id == getattr(self._permit, 'permit_id', '')
         if self._answered or self.ended:
             return self._end(clean=False) if is_current else []
+        if is_current and self._is_replaced_after(event.kind):
+            return self._lose_replaced_run(event.kind, now_ms)
         if event.kind == 'superseded' and self.has_held_permit(
             event.permit_id
         ):
@@ -193,16 +199,19 @@
         if self._step != 'prefilling':
             return []
         self._may_have_run = True
+        commands = self._withdraw_replacement()
         self._transfer = event.transfer
         self._transfer_tokens = event.prompt_tokens - event.cached_tokens
-        return [self._progress('transferring')] + self._start_decode(now_ms)
+        commands.append(self._progress('transferring'))
+        return commands + self._start_decode(now_ms)
 
     def _on_import_ended(self, event, now_ms):
         if self._step != 'transferring':
             return []
+        commands = self._withdraw_replacement()
         self._transfer = None
         self._set_step('decoding', now_ms + self._options.piece_timeout_ms)
-        return [self._progress('decoding')]
+        return [*commands, self._progress('decoding')]
 
     def _on_piece(self, event, now_ms):
         commands = self._on_import_ended(event, now_ms)
@@ -219,6 +228,7 @@
             return self._resume('lost-pieces', now_ms)
         if not ready:
             return commands
+        commands += self._withdraw_replacement()
         self._retries.note_piece()
         self._set_step('decoding', now_ms + self._options.piece_timeout_ms)
         commands += [actions.EmitPiece(piece=item) for item in ready]
@@ -229,6 +239,8 @@
     def _on_stream_ended(self, event, now_ms):
         if self._step == 'closing':
             return self._end(clean=True)
+        if self._replacement is not None:
+            return self._lose_replaced_run('early-end', now_ms)
         return self._resume('early-end', now_ms)
 
     def _on_run_failed(self, event, now_ms):
@@ -236,6 +248,8 @@
             return self._end(clean=False)
         if event.kind != 'refused':
             self._may_have_run = True
+        if self._replacement is not None:
+            return self._lose_replaced_run(event.kind, now_ms)
         if self._step == 'decoding' and event.kind == 'broken-stream':
             return self._resume(event.kind, now_ms)
         if self._step == 'transferring' and event.kind == 'kv-evicted':
@@ -260,16 +274,17 @@
             return self._end(clean=False)
         if now_ms >= self._request.deadline_ms:
             return self._refuse('deadline', actions.RETRY_AFTER_MS)
-        if self._step == 'backing-off':
+        if 'backing-off' in (self._step, self._replacement):
             return self._ask_permit(event, now_ms)
         if self._step == 'resuming':
             return self._start_decode(now_ms)
         return self._on_silence(now_ms)
 
     def _on_silence(self, now_ms):
-        """Replace a silent run if another attempt may follow, else keep it.
+        """Look for a replacement of a silent run if one may follow.
 
-        A silent server may be sound, so a run is not given up for nothing.
+        A silent server may be sound, so a run is not given up for nothing:
+        before its first piece it goes on until its replacement is granted.
         """
         if self._may_resume_on_same_engine():
             return self._resume('stalled', now_ms)
@@ -278,10 +293,44 @@
             return []
         self._may_have_run = True
         self._has_left_silent = True
-        return self._leave_server('stalled', now_ms)
+        if self._output_started:
+            return self._leave_server('stalled', now_ms)
+        self._retries.note_failure(self._current_server())
+        self._replacement = 'backing-off'
+        return self._back_off('stalled', now_ms)
+
+    def _withdraw_replacement(self):
+        """Withdraw the replacement of a run that is no longer silent."""
+        is_asked = self._replacement == 'asking'
+        self._replacement = None
+        self._pending_request = None
+        return [actions.WithdrawPermitRequest()] if is_asked else []
+
+    def _is_replaced_after(self, kind):
+        """Return whether a request outlives the cancel of its silent run.
+
+        A scheduler that doesn't know `PermitRequest.replaces_silent` cancels
+        the run as superseded when its replacement is asked for. If a newer
+        request of the same id is the cause, the replacement is refused.
+        """
+        if kind == 'superseded':
+            return self._replacement == 'asking'
+        return self._replacement is not None and kind != 'deadline'
+
+    def _lose_replaced_run(self, kind, now_ms):
+        """Release a silent run that has ended before its replacement began."""
+        step, step_deadline_ms = self._replacement, self._step_deadline_ms
+        self._replacement = None
+        commands = self._release_permit(clean=False, kind=kind)
+        self._set_step(step, step_deadline_ms)
+        return commands
 
     def _ask_permit(self, event, now_ms):
-        self._set_step('asking', None)
+        if self._replacement is None:
+            self._set_step('asking', None)
+        else:
+            self._replacement = 'asking'
+            self._set_step(self._step, None)
         self._retries.note_permit_request()
         text = self._prompt_so_far()
         sent_count = self._assembler.first_gap
@@ -292,6 +341,7 @@
             output_tokens=self._request.output_tokens - sent_count,
             prefix_hashes=_prefix.hash_prefixes(text),
             avoid_servers=self._retries.avoid_servers,
+            replaces_silent=self._replacement is not None,
         )
         return [actions.AskPermit(request=self._pending_request)]
 
@@ -383,7 +433,11 @@
         """
         self._pending_request = None
         wait_ms = self._retries.choose_wait_ms(kind)
-        self._set_step('backing-off', now_ms + wait_ms)
+        if self._replacement is None:
+            self._set_step('backing-off', now_ms + wait_ms)
+        else:
+            self._replacement = 'backing-off'
+            self._set_step(self._step, now_ms + wait_ms)
         return [actions.CountRetry(kind=kind)]
 
     def _finish(self, now_ms):
@@ -408,6 +462,7 @@
 
     def _end(self, *, clean):
         commands = self._release_permit(clean=clean, kind='abandoned')
+        self._replacement = None
         self._pending_request = None
         self._set_step('ended', None)
         return commands
--- a/bluebellthread/core/_answer_commands.py
+++ b/bluebellthread/core/_answer_commands.py
@@ -19,6 +19,11 @@
     request: _messages.PermitRequest
 
 
+@attrs.frozen(kw_only=True)
+class WithdrawPermitRequest:
+    """Withdraw the pending permit request from the pool owner."""
+
+
 @attrs.frozen(kw_only=True)
 class StartPrefill:
     """Start the prefill of a prompt on the permit's prefill server."""
--- a/bluebellthread/core/_messages.py
+++ b/bluebellthread/core/_messages.py
@@ -17,7 +17,9 @@
 
     The message holds the request's metadata, never its prompt.
     ``avoid_servers`` names backend servers that failed this request; the
-    scheduler chooses them only if there is no other.
+    scheduler chooses them only if there is no other. If ``replaces_silent``
+    is true, the permit that the request holds stays in force until this one
+    is granted, since its run may still go on.
 
     Examples
     --------
@@ -42,6 +44,7 @@
     priority: int = 0
     prefix_hashes: tuple[int, ...] = ()
     avoid_servers: tuple[str, ...] = ()
+    replaces_silent: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/bluebellthread/core/_scheduler.py
+++ b/bluebellthread/core/_scheduler.py
@@ -153,6 +153,9 @@
             return [self._grant_message(entry.permit)]
         if _request_log.is_older_attempt(request, known, entry):
             return [self._refuse(request, 'superseded')]
+        if request.replaces_silent and _is_of_same_process(entry, request):
+            # The grant ends the older permit, not the request for it.
+            entry = None
         commands = self._supersede(known, entry, now_ms)
         return commands + self._enqueue(request, now_ms)
 
@@ -198,7 +201,7 @@
             )
             if request is None:
                 break
-            commands.append(self._grant(request, now_ms))
+            commands += self._grant(request, now_ms)
         return commands
 
     def _fits(self, request, now_ms):
@@ -238,8 +241,13 @@
             pieces=_placement.pieces_of(request),
             deadline_ms=request.deadline_ms,
         )
+        commands = [self._grant_message(permit)]
+        replaced = self._ledger.find_request(request)
+        if replaced is not None:
+            self._waiting.note_superseded(replaced.permit)
+            commands += self._ending.end(replaced, now_ms, '')
         self._ledger.add(permit, now_ms)
-        return self._grant_message(permit)
+        return commands
 
     def _grant_message(self, permit):
         granted = _messages.PermitGranted(
@@ -419,3 +427,10 @@
             events.CancelAtEngine(server=server, permit_id=permit_id)
             for server, permit_id in due
         ]
+
+
+def _is_of_same_process(entry, request):
+    return entry is not None and (
+        _request_log.process_of(entry.permit)
+        == _request_log.process_of(request)
+    )
--- a/bluebellthread/daemon/_answer_task.py
+++ b/bluebellthread/daemon/_answer_task.py
@@ -88,6 +88,7 @@
         self._send, self._receive = trio.open_memory_channel(float('inf'))
         self._executors = {
             core.AskPermit: self._request_permit,
+            core.WithdrawPermitRequest: self._withdraw_permit_request,
             core.StartPrefill: self._start_prefill,
             core.StartDecode: self._start_decode,
             core.StopRun: self._stop_run,
@@ -164,6 +165,9 @@
             traceparent=self._exchange.traceparent,
         )
 
+    def _withdraw_permit_request(self, command):
+        self._permit_request_scope.cancel()
+
     def _notify_scheduler(self, command):
         self._scheduler.report(command.message)
 
--- a/bluebellthread/wire/peer.thrift
+++ b/bluebellthread/wire/peer.thrift
@@ -51,6 +51,7 @@
   11: i32 priority,
   12: list<i64> prefix_hashes,
   13: list<string> avoid_servers,
+  14: bool replaces_silent,
 }
 
 struct PermitGranted {
--- a/tests/unit/test_answer.py
+++ b/tests/unit/test_answer.py
@@ -373,6 +373,65 @@
         session.play_answer()
         self.assertEqual(1, len(session.commands_of(core.FinishAnswer)))
 
+    def start_replacement(self):
+        session = self.start(retries=1)
+        self.end_prefill(session)
+        session.wait(800)
+        return session
+
+    def test_sign_of_life_withdraws_the_replacement(self):
+        session = self.start_replacement()
+        session.play(core.ImportEnded(run=session.run))
+        self.assertEqual(
+            1, len(session.commands_of(core.WithdrawPermitRequest))
+        )
+        late = session.requested_attempt_number
+        session.grant(late)
+        self.assertEqual(session.granted_ids[1:], session.released_ids)
+        session.play_answer()
+        self.assertEqual(1, len(session.commands_of(core.FinishAnswer)))
+
+    def test_failed_silent_run_leaves_its_replacement_waiting(self):
+        session = self.start_replacement()
+        session.play(core.RunFailed(run=session.run, kind='unreachable'))
+        self.assertEqual([], session.commands_of(core.RefuseAnswer))
+        self.assertEqual(session.granted_ids, session.released_ids)
+        session.grant(session.requested_attempt_number)
+        self.end_prefill(session)
+        session.play_answer()
+        self.assertEqual(1, len(session.commands_of(core.FinishAnswer)))
+
+    def test_cancel_of_the_silent_run_leaves_its_replacement_waiting(self):
+        for kind in ('superseded', 'backend-lost'):
+            with self.subTest(kind):
+                session = self.start_replacement()
+                session.play(
+                    core.PermitCancelled(
+                        permit_id=session.granted_ids[0], kind=kind
+                    )
+                )
+                self.assertEqual([], session.commands_of(core.RefuseAnswer))
+                session.grant(session.requested_attempt_number)
+                self.end_prefill(session)
+                session.play_answer()
+                self.assertEqual(
+                    1, len(session.commands_of(core.FinishAnswer))
+                )
+
+    def test_newer_request_of_the_id_ends_run_and_replacement(self):
+        session = self.start_replacement()
+        session.play(
+            core.PermitRefused(
+                request_id='r1',
+                attempt_number=session.requested_attempt_number,
+                kind='superseded',
+                retry_after_ms=0,
+            )
+        )
+        [refusal] = session.commands_of(core.RefuseAnswer)
+        self.assertEqual('superseded', refusal.kind)
+        self.assertEqual(session.granted_ids, session.released_ids)
+
     def test_cache_evicted_in_a_silence_costs_no_answer(self):
         session = self.start()
         self.end_prefill(session)
--- a/tests/unit/test_scheduler.py
+++ b/tests/unit/test_scheduler.py
@@ -38,6 +38,35 @@
         late = scheduler.handle(_pool.make_request('r1'), 3)
         self.assertEqual([('vm2', 'superseded')], _pool.find_kinds(late))
 
+    def test_silent_permit_stays_until_its_replacement_is_granted(self):
+        scheduler = _pool.start_scheduler()
+        old = grant(scheduler, 'r1', 1)
+        commands = scheduler.handle(
+            _pool.make_request(
+                'r1',
+                attempt_number=1,
+                replaces_silent=True,
+                prompt_tokens=90000,
+            ),
+            2,
+        )
+        self.assertEqual([], commands)
+        self.assertEqual([old.permit_id], list(scheduler.permits))
+        smaller = _pool.make_request(
+            'r1', attempt_number=2, replaces_silent=True
+        )
+        commands = scheduler.handle(smaller, 3)
+        [new] = _pool.find_granted(commands)
+        self.assertEqual(cancels_of(old), _pool.find_cancels(commands))
+        self.assertEqual([new.permit_id], list(scheduler.permits))
+
+    def test_silent_permit_of_another_gateway_is_superseded_at_once(self):
+        scheduler = _pool.start_scheduler()
+        old = grant(scheduler, 'r1', 1)
+        newer = _pool.make_request('r1', gateway='vm3', replaces_silent=True)
+        commands = scheduler.handle(newer, 2)
+        self.assertEqual(cancels_of(old), _pool.find_cancels(commands))
+
     def test_attempt_at_another_gateway_supersedes_the_waiting_one(self):
         scheduler = _pool.start_scheduler()
         waiting = _pool.make_request('r1', prompt_tokens=90000)
