Take a stream that brings bytes but no events for a stalled one

What callers saw: a server that stalled in the middle of an event, or sent comments only, and a byte now and then, kept its stream until the request's deadline; a stream that may be resumed never went on elsewhere.

Cause: every read of bytes ended the wait that finds out silences.

Change: the wait lasts until a whole event is there. Comments are passed on as they come once the answer has started, else with the first event, and count against the longest event that is buffered. A slow stream whose events come whole in time is left alone.

--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -64,6 +64,7 @@
 from bluebellthread.core._event_splitter import EVENT_MAX_BYTES
 from bluebellthread.core._event_splitter import EventSplitter
 from bluebellthread.core._event_splitter import EventTooLongError
+from bluebellthread.core._event_splitter import holds_event
 from bluebellthread.core._exceptions import Decision
 from bluebellthread.core._exceptions import explain
 from bluebellthread.core._exceptions import resolve
@@ -444,6 +445,7 @@
     'estimate_tokens',
     'explain',
     'find_framing',
+    'holds_event',
     'join_value',
     'limit_forwarded_outcome',
     'list_targets',
--- a/bluebellthread/core/_event_splitter.py
+++ b/bluebellthread/core/_event_splitter.py
@@ -18,6 +18,7 @@
 LINE_ENDS = b'\r\n'
 CARRIAGE_RETURN = LINE_ENDS[0]
 ID_FIELD = b'id:'
+COMMENT = b':'
 
 
 class EventTooLongError(_errors.BluebellthreadError):
@@ -85,15 +86,20 @@
             self._note_last_id(events)
         return events
 
-    def check_size(self):
+    def check_size(self, held_bytes=0):
         """Raise if the incomplete event is too long.
 
+        Parameters
+        ----------
+        held_bytes : int
+            Whole comments before it that are held back with it.
+
         Raises
         ------
         EventTooLongError
             If it is longer than `EVENT_MAX_BYTES`.
         """
-        if len(self._buffer) > EVENT_MAX_BYTES:
+        if len(self._buffer) + held_bytes > EVENT_MAX_BYTES:
             raise EventTooLongError
 
     def _find_end(self):
@@ -112,3 +118,19 @@
             if line.startswith(ID_FIELD):
                 self.last_id = line[len(ID_FIELD) :].strip().decode('latin-1')
                 return
+
+
+def holds_event(data):
+    r"""Return whether bytes of whole events hold more than comments.
+
+    Examples
+    --------
+    >>> holds_event(b': a\n\n'), holds_event(b': a\n\ndata: b\n\n')
+    (False, True)
+    """
+    if data and data[0] not in COMMENT + LINE_ENDS:
+        # Nearly all pieces; faster than a look at each line.
+        return True
+    return any(
+        line and not line.startswith(COMMENT) for line in data.splitlines()
+    )
--- a/bluebellthread/entry/_stream_relay.py
+++ b/bluebellthread/entry/_stream_relay.py
@@ -174,15 +174,12 @@
         try:
             while True:
                 with attempt.waiting(answer.server, answer.silence_s):
-                    data = await answer.call.exchange.read()
-                if data is None:
+                    whole_events = await self._read_events(answer, splitter)
+                if not whole_events:
                     break
-                whole_events = splitter.push(data)
-                if whole_events:
-                    await self._pass_on_piece(
-                        attempt, answer, whole_events, splitter
-                    )
-                splitter.check_size()
+                await self._pass_on_piece(
+                    attempt, answer, whole_events, splitter
+                )
         except (
             core.EventTooLongError,
             _server_connection.AnswerBrokenError,
@@ -196,6 +193,25 @@
         await exchange.finish()
         work.outcome = 'answered'
 
+    async def _read_events(self, answer, splitter):
+        """Return the next whole events; no bytes at the answer's end.
+
+        Bytes that complete no event, or comments only, are no sign that the
+        stream goes on: a stalled server may send them without end. Comments
+        go to a caller whose answer has started, else with the first event.
+        """
+        comments = b''
+        while (data := await answer.call.exchange.read()) is not None:
+            whole = comments + splitter.push(data)
+            splitter.check_size(held_bytes=len(comments))
+            if core.holds_event(whole):
+                return whole
+            if whole and self._work.exchange.is_started:
+                await self._work.exchange.send(whole)
+                whole = b''
+            comments = whole
+        return comments
+
     async def _start(self, answer):
         """Start the answer to the caller, unless it has been started."""
         work = self._work
