--- a/bluebellthread/core/_acceptance.py
+++ b/bluebellthread/core/_acceptance.py
@@ -7,17 +7,17 @@
 
 import attrs
 
+from bluebellthread.core import _all_policies
 from bluebellthread.core import _configuration
 from bluebellthread.core import _exceptions
 from bluebellthread.core import _model
-from bluebellthread.core import _policies
 from bluebellthread.core import _problems
 
 POLICY_REGISTRIES = {
-    'prefill_policy': _policies.prefill_policies,
-    'decode_policy': _policies.decode_policies,
-    'queue_policy': _policies.queue_policies,
-    'spill_policy': _policies.spill_policies,
+    'prefill_policy': _all_policies.prefill_policies,
+    'decode_policy': _all_policies.decode_policies,
+    'queue_policy': _all_policies.queue_policies,
+    'spill_policy': _all_policies.spill_policies,
 }
 """The registry of permitted names for each policy value."""
 
--- a/bluebellthread/core/_placement.py
+++ b/bluebellthread/core/_placement.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from bluebellthread.core import _all_policies
 from bluebellthread.core import _model
 from bluebellthread.core import _policies
 from bluebellthread.core import _prefill_policies
@@ -39,8 +40,8 @@
 
     def set_options(self, options):
         """Replace the policies and the limits on reservations."""
-        prefill = _policies.prefill_policies.get(options.prefill_policy)
-        decode = _policies.decode_policies.get(options.decode_policy)
+        prefill = _all_policies.prefill_policies.get(options.prefill_policy)
+        decode = _all_policies.decode_policies.get(options.decode_policy)
         self._options = options
         self._prefill_policy = prefill()
         self._decode_policy = decode()
--- a/bluebellthread/core/_waiting_requests.py
+++ b/bluebellthread/core/_waiting_requests.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from bluebellthread.core import _policies
+from bluebellthread.core import _all_policies
 from bluebellthread.core import _request_log
 
 
@@ -91,7 +91,9 @@
         self._log.forget_old(now_ms)
 
     def _make_queue(self):
-        queue_class = _policies.queue_policies.get(self._options.queue_policy)
+        queue_class = _all_policies.queue_policies.get(
+            self._options.queue_policy
+        )
         return queue_class(self._options.queue)
 
     def _restore(self, refusals):
--- a/bluebellthread/observe/__init__.py
+++ b/bluebellthread/observe/__init__.py
@@ -1,4 +1,10 @@
-"""Numbered log events, metrics and traces."""
+"""Numbered log events, metrics and traces.
+
+Traces are imported when they are first used: an entry process makes none, and
+its callers wait for its start.
+"""
+
+import importlib
 
 from bluebellthread.observe import _events as events
 from bluebellthread.observe._events import emit
@@ -10,14 +16,13 @@
 from bluebellthread.observe import _metrics as metrics
 from bluebellthread.observe._metrics import list_metrics
 from bluebellthread.observe._metrics import Metrics
-from bluebellthread.observe._traces import HOPS
-from bluebellthread.observe._traces import Tracer
+
+_TRACES = ('HOPS', 'Tracer')
 
 __all__ = [
+    *_TRACES,
     'Event',
-    'HOPS',
     'Metrics',
-    'Tracer',
     'emit',
     'events',
     'list_events',
@@ -27,3 +32,10 @@
     'start_json_log',
     'start_log',
 ]
+
+
+def __getattr__(name):
+    if name not in _TRACES:
+        raise AttributeError(f'module {__name__!r} has no attribute {name!r}')
+    traces = importlib.import_module(f'{__name__}._traces')
+    return getattr(traces, name)
--- a/bluebellthread/wire/__init__.py
+++ b/bluebellthread/wire/__init__.py
@@ -1,15 +1,11 @@
 """Thrift encoding and framing of the messages between VMs."""
 
-from bluebellthread.core import _configuration_messages
-from bluebellthread.core import _membership_messages
-from bluebellthread.core import _messages
-from bluebellthread.core import _permit_messages
-from bluebellthread.core import _ticket_messages
-from bluebellthread.core import routing
 from bluebellthread.wire._codec import decode
 from bluebellthread.wire._codec import encode
 from bluebellthread.wire._codec import Envelope
+from bluebellthread.wire._codec import list_messages
 from bluebellthread.wire._codec import register_message
+from bluebellthread.wire._codec import register_module
 from bluebellthread.wire._codec import WireError
 from bluebellthread.wire._framing import encode_frame
 from bluebellthread.wire._framing import FrameReader
@@ -21,41 +17,96 @@
     'decode',
     'encode',
     'encode_frame',
+    'list_messages',
     'register_message',
+    'register_module',
 ]
 
-for _cls in (
-    _messages.PermitRequest,
-    _messages.PermitGranted,
-    _messages.PermitRefused,
-    _messages.PermitProgressed,
-    _messages.PermitReleased,
-    _messages.PermitsRegistered,
-    _messages.PermitCancelled,
-    _messages.Done,
-    _messages.Rejected,
-    _messages.StatusRequest,
-    _messages.StatusAnswer,
-    _messages.RequestLookup,
-    _messages.RequestFound,
-    _configuration_messages.RevisionAnnounced,
-    _configuration_messages.ManifestRequest,
-    _configuration_messages.ManifestAnswer,
-    _configuration_messages.SectionsRequest,
-    _configuration_messages.SectionsAnswer,
-    _permit_messages.PermitAbandoned,
-    _permit_messages.RegistrationWanted,
-    *_membership_messages.MEMBERSHIP_MESSAGES,
-    _ticket_messages.TicketCall,
-    _ticket_messages.TicketLookup,
-    _ticket_messages.TicketResult,
-    _ticket_messages.TicketRecords,
-    _ticket_messages.TicketsMoved,
-    *routing.PLACEMENT_MESSAGES,
-    *routing.ORIGIN_MESSAGES,
-    *routing.CRASH_MESSAGES,
-    *routing.NEWS_MESSAGES,
-    *routing.LIMIT_MESSAGES,
-    *routing.TOKEN_MESSAGES,
-):
-    register_message(_cls)
+_NAMES_BY_MODULE = {
+    '_messages': (
+        'PermitRequest',
+        'PermitGranted',
+        'PermitRefused',
+        'PermitProgressed',
+        'PermitReleased',
+        'PermitsRegistered',
+        'PermitCancelled',
+        'Done',
+        'Rejected',
+        'StatusRequest',
+        'StatusAnswer',
+        'RequestLookup',
+        'RequestFound',
+    ),
+    '_configuration_messages': (
+        'RevisionAnnounced',
+        'ManifestRequest',
+        'ManifestAnswer',
+        'SectionsRequest',
+        'SectionsAnswer',
+    ),
+    '_permit_messages': (
+        'PermitAbandoned',
+        'RegistrationWanted',
+    ),
+    '_ticket_messages': (
+        'TicketCall',
+        'TicketLookup',
+        'TicketResult',
+        'TicketRecords',
+        'TicketsMoved',
+    ),
+    '_membership_messages': (
+        'Ping',
+        'Ack',
+        'IndirectPing',
+        'Gossip',
+        'TableDigests',
+    ),
+    'routing._placement_messages': (
+        'PlacementAsk',
+        'PlacementGranted',
+        'PlacementRefused',
+        'PlacementPending',
+        'PromptRead',
+        'PlacementEnded',
+        'HeldPlacement',
+        'PlacementsHeld',
+    ),
+    'routing._stream_origins': (
+        'StreamOrigin',
+        'StreamsBegan',
+        'OriginAsk',
+        'OriginAnswer',
+    ),
+    'routing._crash_messages': (
+        'EndedRun',
+        'EngineEnded',
+        'PartSurvived',
+        'ShutOut',
+        'ShutOutsAsk',
+        'ShutOutLift',
+        'ShutOutsAnswer',
+    ),
+    'routing._departures': ('Departure',),
+    '_platform_health': ('Outage',),
+    'routing._news': (
+        'News',
+        'NewsNoted',
+    ),
+    'routing._limit_messages': (
+        'ServerLimit',
+        'LimitsAsk',
+        'LimitInForce',
+        'LimitsAnswer',
+    ),
+    'routing._token_messages': (
+        'TokensAsk',
+        'TokensAnswer',
+    ),
+}
+"""Message classes by their module in the core. A module is imported when one
+of its messages is first sent or received."""
+
+for _module, _names in _NAMES_BY_MODULE.items():
+    register_module(f'bluebellthread.core.{_module}', _names)
--- a/bluebellthread/wire/_codec.py
+++ b/bluebellthread/wire/_codec.py
@@ -5,21 +5,21 @@
 """
 
 import functools
-import pathlib
+import importlib
 import typing
 
 import attrs
-import thriftpy2
 from thriftpy2 import protocol
 from thriftpy2.protocol import binary
 from thriftpy2 import utils
 
 from bluebellthread.core import _errors
+from bluebellthread.wire import _peer_generated
+from bluebellthread.wire import _structs
 
-IDL_PATH = pathlib.Path(__file__).with_name('peer.thrift')
 TIME_SUFFIXES = ('_deadline_ms', '_clock_ms')
 
-_idl = thriftpy2.load(str(IDL_PATH), module_name='bluebellthread_peer_thrift')
+_idl = _structs.Structs(_peer_generated.FIELDS_BY_STRUCT)
 _write_factory = protocol.TBinaryProtocolFactory()
 _read_factory = binary.TBinaryProtocolFactory()
 """Factory of the pure Python protocol, used for reading only.
@@ -29,6 +29,7 @@
 """
 
 _classes = {}
+_modules = {}
 
 
 class WireError(_errors.BluebellthreadError):
@@ -77,13 +78,40 @@
     """
     if not hasattr(_idl, cls.__name__):
         raise WireError(
-            f'no struct {cls.__name__} in {IDL_PATH.name}; add one with the '
-            'fields of the class'
+            f'no struct {cls.__name__} in {_structs.IDL_PATH.name}; add one '
+            'with the fields of the class and run '
+            '`python -m bluebellthread.wire`'
         )
     _classes[cls.__name__] = cls
     return cls
 
 
+def register_module(module, names):
+    """Register message classes of a module that is imported when needed.
+
+    Parameters
+    ----------
+    module : str
+        Full name of the module.
+    names : iterable of str
+        Names of the attrs classes in it.
+    """
+    _modules.update(dict.fromkeys(names, module))
+
+
+def list_messages():
+    """Return the registered message classes, in the order of their names."""
+    return [_find_class(name) for name in sorted({*_classes, *_modules})]
+
+
+def _find_class(name):
+    """Return the registered message class of a name, or None."""
+    if name not in _classes and name in _modules:
+        module = importlib.import_module(_modules[name])
+        register_message(getattr(module, name))
+    return _classes.get(name)
+
+
 def encode(envelope, *, now_ms):
     """Encode an envelope as bytes, without a length prefix.
 
@@ -94,7 +122,7 @@
     """
     message = envelope.message
     name = type(message).__name__
-    if name not in _classes:
+    if _find_class(name) is None:
         raise WireError(
             f'{name} is not a registered message; register its class'
         )
@@ -121,7 +149,9 @@
         envelope_struct = utils.deserialize(
             _idl.Envelope(), data, _read_factory
         )
-        cls = _classes[envelope_struct.kind]
+        cls = _find_class(envelope_struct.kind)
+        if cls is None:
+            raise KeyError(envelope_struct.kind)
         struct = getattr(_idl, envelope_struct.kind)()
         utils.deserialize(struct, envelope_struct.body, _read_factory)
         message = _from_struct(cls, struct, now_ms)
