Let requests wait for the first configuration of a VM that starts

What callers saw: a VM listens 0.3 s before it knows its configuration.

Cause: the gateway refused at once what it could not route yet, though the configuration is on its way.

Change: such a request waits for up to 0.5 s, a quarter of its caller's patience at the most, in the first 1.5 s after the start and 256 at a time; then it is refused as before. Requests of other VMs are still refused at once. core.routing.StartWait decides, without input and output.

--- a/bluebellthread/core/routing/__init__.py
+++ b/bluebellthread/core/routing/__init__.py
@@ -68,6 +68,7 @@
 from bluebellthread.core.routing._server_limits import ServerLimits
 from bluebellthread.core.routing._server_paths import ServerPaths
 from bluebellthread.core.routing._server_pauses import ServerPauses
+from bluebellthread.core.routing._start_wait import StartWait
 from bluebellthread.core.routing._stream_origins import ORIGIN_MESSAGES
 from bluebellthread.core.routing._stream_origins import OriginAnswer
 from bluebellthread.core.routing._stream_origins import OriginAsk
@@ -147,6 +148,7 @@
     'ShutOutLift',
     'ShutOutsAnswer',
     'ShutOutsAsk',
+    'StartWait',
     'StreamOrigin',
     'StreamsBegan',
     'TOKEN_MESSAGES',
--- a/bluebellthread/entry/_configuration_task.py
+++ b/bluebellthread/entry/_configuration_task.py
@@ -139,7 +139,7 @@
 
     async def _apply(self, command):
         table, previous = command.configuration, self._state.table
-        self._state.table = table
+        self._state.replace_table(table)
         emit(
             events.CONFIGURATION_IN_FORCE,
             version=table.version,
--- a/bluebellthread/entry/_gateway.py
+++ b/bluebellthread/entry/_gateway.py
@@ -3,7 +3,11 @@
 import contextlib
 import traceback
 
+import trio
+
+from bluebellthread import core
 from bluebellthread.core import routing
+from bluebellthread.daemon import _clock
 from bluebellthread.entry import _caller_connection
 from bluebellthread.entry import _http_messages
 from bluebellthread.entry import _refusals
@@ -56,9 +60,11 @@
             await self._serve_handed_on(exchange)
 
     async def _serve(self, exchange):
+        if not self._state.is_prepared:
+            await self._wait_prepared(exchange.request)
         request = exchange.request
         table = self._state.table
-        if not table.version or not self._state.has_servers:
+        if not self._state.is_prepared:
             refusal = _refusals.make_unprepared_refusal(
                 has_configuration=bool(table.version)
             )
@@ -72,6 +78,22 @@
             return
         await self._serve_route(exchange, route, table)
 
+    async def _wait_prepared(self, request):
+        """Wait for a while until this VM knows what it needs to serve."""
+        wait = self._state.start_wait
+        deadline_ms = wait.find_deadline_ms(
+            now_ms=_clock.read_clock_ms(),
+            patience_ms=core.parse_count(
+                request.header(self._dialect.remaining_ms)
+            ),
+        )
+        wait.waiting_count += 1
+        try:
+            with trio.move_on_after(_clock.read_remaining_s(deadline_ms)):
+                await self._state.prepared.wait()
+        finally:
+            wait.waiting_count -= 1
+
     async def _serve_handed_on(self, exchange):
         hop = _http_messages.Hop.read(exchange.request)
         request = exchange.request = hop.request
--- a/bluebellthread/entry/_platform_task.py
+++ b/bluebellthread/entry/_platform_task.py
@@ -122,7 +122,7 @@
             if self._state.directory.is_held(server.name):
                 _log_held(server.name)
         self._note_versions(now_ms)
-        self._state.has_servers = True
+        self._state.note_servers()
         emit(events.SERVER_LIST_READ, count=len(servers))
 
     def _apply_server(self, change, era, now_ms):
--- a/bluebellthread/entry/_state.py
+++ b/bluebellthread/entry/_state.py
@@ -38,6 +38,10 @@
         Set and replaced by a new event whenever the view is replaced.
     is_stopping : bool
         Whether a planned stop has started.
+    prepared : trio.Event
+        Set once this VM knows a configuration and the backend servers.
+    start_wait : StartWait
+        Decides how long requests wait for that.
     """
 
     def __init__(self, settings):
@@ -48,6 +52,8 @@
             is_first_start=settings.is_first_start
         )
         self.has_servers = False
+        self.prepared = trio.Event()
+        self.start_wait = routing.StartWait(_clock.read_clock_ms())
         self.view = core.MembershipView(members=(), confirmed=False)
         self.is_stopping = False
         self.holders = frozenset()
@@ -60,11 +66,26 @@
     @property
     def is_ready(self):
         """Whether the load balancer should send callers to this VM."""
-        return (
-            self.table.version > 0
-            and self.has_servers
-            and not self.is_stopping
-        )
+        return self.is_prepared and not self.is_stopping
+
+    @property
+    def is_prepared(self):
+        """Whether this VM knows a configuration and the backend servers."""
+        return self.table.version > 0 and self.has_servers
+
+    def replace_table(self, table):
+        """Bring a routing table into force."""
+        self.table = table
+        self._check_prepared()
+
+    def note_servers(self):
+        """Note that the list of backend servers has been read."""
+        self.has_servers = True
+        self._check_prepared()
+
+    def _check_prepared(self):
+        if self.is_prepared:
+            self.prepared.set()
 
     def publish_view(self, view):
         """Replace the membership view."""
