Keep a process alive when a peer message or an entry hits a bug

What operators would see: a VM's process ended, with all its streams, at one message: an unreadable frame whose sender reset the connection (getpeername of a reset socket raises), a membership update with a state that this version doesn't know, as a newer one may send, or any message or store entry that hits an error nobody foresaw.

Cause: message loops, the datagram reader, the connections of peers and the follower of the store ran unguarded in the nursery of the process.

Change: each message is handled by itself (daemon._mailboxes.handle_each): an error is logged as E2007 with its traceback, and the message is rejected. Updates with unknown states are left out. A store entry that fails is logged and read again later; what was read before stays in force.

--- a/bluebellthread/core/_member_table.py
+++ b/bluebellthread/core/_member_table.py
@@ -19,6 +19,7 @@
 """
 
 _STATE_RANK = {ALIVE: 0, SUSPECT: 1, LEAVING: 2, DEAD: 3}
+STATES = frozenset(_STATE_RANK)
 
 
 @attrs.define(kw_only=True)
--- a/bluebellthread/core/_update_disseminator.py
+++ b/bluebellthread/core/_update_disseminator.py
@@ -37,6 +37,9 @@
         """Merge the updates received from another VM into the table."""
         applied = []
         for update in updates:
+            if update.member.state not in tables.STATES:
+                # A VM of a newer version may know more states.
+                continue
             if update.member.name == self._context.me.member.name:
                 self._refute(update)
             elif self._merge(update):
--- a/bluebellthread/daemon/_mailboxes.py
+++ b/bluebellthread/daemon/_mailboxes.py
@@ -1,9 +1,15 @@
 """Delivery of peer messages to the tasks that handle them."""
 
+import traceback
+
 import attrs
 import trio
 
 from bluebellthread import core
+from bluebellthread.observe import emit
+from bluebellthread.observe import events
+
+TRACEBACK_MAX_CHARACTERS = 2000
 
 
 @attrs.frozen(eq=False)
@@ -66,3 +72,45 @@
             inbound.answer(
                 core.Rejected(kind='busy', remedy='try again later')
             )
+
+
+async def handle_each(receive, handle):
+    """Handle the messages of a channel until it is closed.
+
+    A message that hits a bug is logged and rejected; it must not end the
+    process, which serves others.
+
+    Parameters
+    ----------
+    receive : trio.MemoryReceiveChannel
+        Supplies each `InboundMessage`.
+    handle : callable
+        Takes one, and answers it.
+    """
+    async for inbound in receive:
+        try:
+            handle(inbound)
+        except Exception as error:
+            reject_crashed(inbound, error)
+
+
+def reject_crashed(inbound, error):
+    """Log a message that has hit a bug, and reject it."""
+    log_crash(inbound.message, inbound.envelope.sender, error)
+    inbound.answer(
+        core.Rejected(
+            kind='internal', remedy='look for E2007 in the log of that VM'
+        )
+    )
+
+
+def log_crash(message, peer, error):
+    """Log a message of another VM that has hit a bug."""
+    emit(
+        events.PEER_MESSAGE_CRASHED,
+        message_class=type(message).__name__,
+        peer=peer,
+        error=''.join(traceback.format_exception(error))[
+            -TRACEBACK_MAX_CHARACTERS:
+        ],
+    )
--- a/bluebellthread/daemon/_membership_task.py
+++ b/bluebellthread/daemon/_membership_task.py
@@ -6,6 +6,7 @@
 
 from bluebellthread import core
 from bluebellthread.daemon import _clock
+from bluebellthread.daemon import _mailboxes
 from bluebellthread.daemon import _scheduler_task
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
@@ -204,7 +205,14 @@
                 # which an earlier datagram was sent.
                 continue
             if isinstance(envelope.message, core.MEMBERSHIP_MESSAGES):
-                self._handle(_to_event(envelope, address))
+                self._handle_datagram(envelope, address)
+
+    def _handle_datagram(self, envelope, address):
+        try:
+            self._handle(_to_event(envelope, address))
+        except Exception as error:
+            # A bug hit by one datagram must not end the process.
+            _mailboxes.log_crash(envelope.message, envelope.sender, error)
 
 
 def _to_event(envelope, address):
--- a/bluebellthread/daemon/_model_path.py
+++ b/bluebellthread/daemon/_model_path.py
@@ -12,6 +12,7 @@
 from bluebellthread.daemon import _answer_writer
 from bluebellthread.daemon import _clock
 from bluebellthread.daemon import _completion_request
+from bluebellthread.daemon import _mailboxes
 from bluebellthread.daemon import _scheduler_link
 from bluebellthread import engines
 from bluebellthread.observe import emit
@@ -92,9 +93,11 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(self._scheduler.run)
             task_status.started()
-            async for inbound in self._receive:
-                self._forward_cancellation(inbound.message)
-                inbound.answer(core.Done())
+            await _mailboxes.handle_each(self._receive, self._handle)
+
+    def _handle(self, inbound):
+        self._forward_cancellation(inbound.message)
+        inbound.answer(core.Done())
 
     async def close(self):
         """Close the connections to engines."""
--- a/bluebellthread/daemon/_peers.py
+++ b/bluebellthread/daemon/_peers.py
@@ -98,10 +98,14 @@
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
             # The peer detects the broken connection itself.
             pass
+        except* Exception as group:
+            # A bug hit by one connection must not end the process.
+            emit(events.CONNECTION_CRASHED, error=repr(group.exceptions))
         finally:
             await trio.aclose_forcefully(stream)
 
     async def _read_requests(self, stream, send):
+        address = _socket_options.find_peer(stream.socket)
         reader = wire.FrameReader(stream)
         while True:
             try:
@@ -110,7 +114,6 @@
                     return
                 envelope = wire.decode(frame, now_ms=_clock.read_clock_ms())
             except wire.WireError as error:
-                address = stream.socket.getpeername()[0]
                 emit(events.PEER_BAD_FRAME, address=address, error=error)
                 return
             answer = functools.partial(
--- a/bluebellthread/daemon/_permit_client.py
+++ b/bluebellthread/daemon/_permit_client.py
@@ -7,6 +7,7 @@
 
 from bluebellthread import core
 from bluebellthread.daemon import _clock
+from bluebellthread.daemon import _mailboxes
 from bluebellthread.daemon import _peers
 from bluebellthread.daemon import _scheduler_task
 from bluebellthread.observe import emit
@@ -110,10 +111,11 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             nursery.start_soon(self._register_unregistered)
-            async for inbound in self._receive:
-                self._guard.check_for_pause()
-                pool = inbound.message.pool
-                inbound.answer(self._make_registration(pool))
+            await _mailboxes.handle_each(self._receive, self._handle)
+
+    def _handle(self, inbound):
+        self._guard.check_for_pause()
+        inbound.answer(self._make_registration(inbound.message.pool))
 
     async def request_permit(self, request, *, traceparent=''):
         """Request a permit; return `PermitGranted`, `PermitRefused` or None.
--- a/bluebellthread/daemon/_revision_exchange.py
+++ b/bluebellthread/daemon/_revision_exchange.py
@@ -6,6 +6,7 @@
 
 from bluebellthread import core
 from bluebellthread.daemon import _clock
+from bluebellthread.daemon import _mailboxes
 from bluebellthread.daemon import _peers
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
@@ -99,7 +100,19 @@
             self._nursery = nursery
             nursery.start_soon(self._send_ticks)
             async for event in self._receive:
-                await self._handle_event(event)
+                await self._handle_guarded(event)
+
+    async def _handle_guarded(self, event):
+        """Handle an event; a bug hit by a peer's message is only logged."""
+        try:
+            await self._handle_event(event)
+        except Exception as error:
+            if isinstance(event, _mailboxes.InboundMessage):
+                _mailboxes.reject_crashed(event, error)
+            elif isinstance(event, core.PeerAnswered):
+                _mailboxes.log_crash(event.message, event.vm, error)
+            else:
+                raise
 
     async def call(self, member, message):
         """Send a message to a VM and return the answer.
--- a/bluebellthread/daemon/_socket_options.py
+++ b/bluebellthread/daemon/_socket_options.py
@@ -47,3 +47,14 @@
         (tcp, trio.socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S),
         (tcp, trio.socket.TCP_KEEPCNT, KEEP_ALIVE_COUNT),
     )
+
+
+def find_peer(sock):
+    """Return the host that a socket is connected to, empty if it has left.
+
+    The kernel forgets the address of a connection that was reset.
+    """
+    try:
+        return sock.getpeername()[0]
+    except OSError:
+        return ''
--- a/bluebellthread/daemon/_status_task.py
+++ b/bluebellthread/daemon/_status_task.py
@@ -3,6 +3,7 @@
 import trio
 
 from bluebellthread import core
+from bluebellthread.daemon import _mailboxes
 
 QUEUE_LENGTH = 64
 
@@ -32,8 +33,10 @@
 
     async def run(self):
         """Answer messages until cancelled."""
-        async for inbound in self._receive:
-            inbound.answer(self._answer(inbound.message))
+        await _mailboxes.handle_each(
+            self._receive,
+            lambda inbound: inbound.answer(self._answer(inbound.message)),
+        )
 
     def _answer(self, message):
         if isinstance(message, core.RequestLookup):
--- a/bluebellthread/entry/_news_task.py
+++ b/bluebellthread/entry/_news_task.py
@@ -10,6 +10,7 @@
 from bluebellthread import core
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
+from bluebellthread.daemon import _mailboxes
 from bluebellthread.daemon import _peers
 from bluebellthread.entry import _state
 from bluebellthread.observe import emit
@@ -124,8 +125,10 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             nursery.start_soon(self._follow_members)
-            async for inbound in self._receive:
-                self._handle(inbound, _clock.read_clock_ms())
+            await _mailboxes.handle_each(
+                self._receive,
+                lambda inbound: self._handle(inbound, _clock.read_clock_ms()),
+            )
 
     # Learning
 
--- a/bluebellthread/entry/_placement_task.py
+++ b/bluebellthread/entry/_placement_task.py
@@ -11,6 +11,7 @@
 
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
+from bluebellthread.daemon import _mailboxes
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
 
@@ -82,8 +83,10 @@
         """Handle messages until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._tick)
-            async for inbound in self._receive:
-                self._handle(inbound, _clock.read_clock_ms())
+            await _mailboxes.handle_each(
+                self._receive,
+                lambda inbound: self._handle(inbound, _clock.read_clock_ms()),
+            )
 
     async def _tick(self):
         while True:
@@ -91,7 +94,11 @@
             self._activated = trio.Event()
             while any(owned.is_active for owned in self._owned.values()):
                 await trio.sleep(TICK_PERIOD_S)
-                self._update_all(_clock.read_clock_ms())
+                try:
+                    self._update_all(_clock.read_clock_ms())
+                except Exception as error:
+                    # A request that hits a bug must not end the process.
+                    _mailboxes.log_crash(self, self._state.settings.vm, error)
 
     def _update_all(self, now_ms):
         drops_ended = self._start_ended_check_if_due(now_ms)
--- a/bluebellthread/entry/_platform_follower.py
+++ b/bluebellthread/entry/_platform_follower.py
@@ -66,6 +66,12 @@
             except changes_module.PlatformUnavailableError as error:
                 self._note_lost(error)
                 pause_s = await self._pause(pause_s)
+            except Exception as error:
+                # An entry that hits a bug must not end the process; what was
+                # read before stays in force.
+                self._note_lost(repr(error))
+                self._after = None
+                pause_s = await self._pause(pause_s)
 
     async def _pause(self, pause_s):
         """Pause before a retry; return the length of the next pause."""
--- a/bluebellthread/entry/_server_limits.py
+++ b/bluebellthread/entry/_server_limits.py
@@ -8,6 +8,7 @@
 
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
+from bluebellthread.daemon import _mailboxes
 from bluebellthread.entry import _news_task
 from bluebellthread.entry import _server_calls
 from bluebellthread.observe import emit
@@ -97,8 +98,12 @@
         """Answer operators until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._expire)
-            async for inbound in self._receive:
-                inbound.answer(routing.LimitsAnswer(limits=self.list_all()))
+            await _mailboxes.handle_each(
+                self._receive,
+                lambda inbound: inbound.answer(
+                    routing.LimitsAnswer(limits=self.list_all())
+                ),
+            )
 
     async def _expire(self):
         while True:
--- a/bluebellthread/entry/_shut_outs.py
+++ b/bluebellthread/entry/_shut_outs.py
@@ -11,6 +11,7 @@
 
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
+from bluebellthread.daemon import _mailboxes
 from bluebellthread.entry import _news_task
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
@@ -84,8 +85,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._judge_changes)
             nursery.start_soon(self._expire)
-            async for inbound in self._receive:
-                self._handle(inbound)
+            await _mailboxes.handle_each(self._receive, self._handle)
 
     # Requests
 
--- a/bluebellthread/entry/_stream_origins.py
+++ b/bluebellthread/entry/_stream_origins.py
@@ -8,6 +8,7 @@
 
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
+from bluebellthread.daemon import _mailboxes
 from bluebellthread.daemon import _peers
 from bluebellthread.entry import _platform_changes
 from bluebellthread.observe import emit
@@ -78,8 +79,10 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             nursery.start_soon(self._tell_new_holders)
-            async for inbound in self._receive:
-                self._handle(inbound, _clock.read_clock_ms())
+            await _mailboxes.handle_each(
+                self._receive,
+                lambda inbound: self._handle(inbound, _clock.read_clock_ms()),
+            )
 
     def _handle(self, inbound, now_ms):
         message = inbound.message
--- a/bluebellthread/entry/_token_task.py
+++ b/bluebellthread/entry/_token_task.py
@@ -12,6 +12,7 @@
 
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
+from bluebellthread.daemon import _mailboxes
 from bluebellthread.daemon import _peers
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
@@ -73,8 +74,10 @@
         """Grant tokens until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._prune)
-            async for inbound in self._receive:
-                inbound.answer(self.grant(inbound.message))
+            await _mailboxes.handle_each(
+                self._receive,
+                lambda inbound: inbound.answer(self.grant(inbound.message)),
+            )
 
     # Owner
 
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -61,6 +61,11 @@
     'ERROR',
     'a datagram of {size_bytes} bytes was not sent: it exceeds the size limit',
 )
+PEER_MESSAGE_CRASHED = Event(
+    2007,
+    'ERROR',
+    'a {message_class} of VM {peer} failed with an internal error: {error}',
+)
 CONFIGURATION_ACCEPTED = Event(
     3001, 'INFO', 'configuration revision {revision} is in force'
 )
--- a/tests/unit/test_platform_follower.py
+++ b/tests/unit/test_platform_follower.py
@@ -67,3 +67,21 @@
         (_, first), (lost_s, second), (again_s, third) = times[:3]
         self.assertEqual((None, 'position', None), (first, second, third))
         self.assertEqual(lost_s, again_s)
+
+
+class TestBugs(unittest.TestCase):
+    def test_step_that_hits_a_bug_is_repeated(self):
+        calls = []
+
+        async def step(after):
+            calls.append(after)
+            if len(calls) == 2:
+                raise ValueError('an entry that nobody foresaw')
+            return len(calls)
+
+        async def follow_for_a_while():
+            with trio.move_on_after(5):
+                await make_follower(step).run()
+
+        _shared_link.run_simulated(follow_for_a_while)
+        self.assertEqual([None, 1, None, 3], calls[:4])
