Give nobody a success without an id on a connection used before

What callers would see: the answer to another request. A server that sends a second copy of an answer late, when its connection is in use again, without the request's id, had the copy passed on to the next caller.

Cause: an answer without an id was taken for the one that is waited for. Copies with an id were skipped already.

Change: on a connection that has served another request, a success without an id ends the call as broken, so it is repeated where the route allows it and otherwise ends with 502. Servers name the request in each answer.

Result: tests.integration.test_entry_plain, the case without an id of test_late_copies_of_an_earlier_answer_go_to_nobody failed before (the caller got the copy), passes now.

--- a/bluebellthread/entry/_server_connection.py
+++ b/bluebellthread/entry/_server_connection.py
@@ -271,6 +271,11 @@
         for _ in range(STALE_ANSWERS_MAX):
             head = await self._read_head()
             echoed = head.header(self._request_id_header)
+            if not echoed and self._may_be_of_another(head):
+                raise AnswerBrokenError(
+                    'the answer on a connection that was in use before names '
+                    'no request'
+                )
             if not echoed or echoed == self._request_id:
                 self.framing = core.find_framing(
                     head.status, head.headers, method=self._request.method
@@ -282,6 +287,18 @@
             f'{STALE_ANSWERS_MAX} answers to other requests came first'
         )
 
+    def _may_be_of_another(self, head):
+        """Return whether a success without an id may answer another request.
+
+        Servers name the request in each answer. On a connection that has
+        served another one, it may be a late copy of the answer to that one.
+        """
+        return (
+            bool(self._request_id)
+            and not self._connection.is_new
+            and 200 <= head.status < 300
+        )
+
     async def _read_head(self):
         for _ in range(INTERIM_ANSWERS_MAX):
             event = await self._next_event()
--- a/tests/integration/test_entry_plain.py
+++ b/tests/integration/test_entry_plain.py
@@ -190,6 +190,37 @@
             answer = await self.check_order(site, two_answers, 200)
             self.assertEqual(b'own', answer.body)
 
+    # Guards against a copy of an answer, sent late, that is taken for the
+    # answer to the next request on the connection.
+    @run
+    async def test_late_copies_of_an_earlier_answer_go_to_nobody(self):
+        copies = {
+            'with the id': [('x-request-attempt-id', 'i1')],
+            'without an id': [],
+        }
+        for name, headers in copies.items():
+            with self.subTest(name):
+                async with sites.running_site(plain=('s1',)) as site:
+                    server = site.servers['s1']
+
+                    async def send_copy_first(
+                        request, server=server, headers=headers
+                    ):
+                        copy = [('x-server-seal', 'seal-of-s1'), *headers]
+                        await request.stream.send_all(
+                            _connection.make_answer(200, b'private', copy)
+                        )
+                        await server.run(request)
+
+                    await site.call('POST', '/order/x', request_id='i1')
+                    server.script.append(send_copy_first)
+                    answer = await site.call(
+                        'POST', '/order/x', b'next', request_id='i2'
+                    )
+                    self.assertEqual(2, len(server.runs))
+                    self.assertNotIn(b'private', answer.body)
+                    self.assertIn(answer.status, (200, 502))
+
     @run
     async def test_bytes_after_an_answer_end_the_connection(self):
         async with sites.running_site(plain=('s1',)) as site:
