--- a/bluebellthread/entry/_platform_follower.py
+++ b/bluebellthread/entry/_platform_follower.py
@@ -36,11 +36,14 @@
         Tells when the platform is back.
     rng : random.Random
         Spreads the retries of the VMs.
+    batch_pause_s : float
+        Pause between an answer and the next watch.
     """
 
-    def __init__(self, *, name, step, calls, rng):
+    def __init__(self, *, name, step, calls, rng, batch_pause_s=BATCH_PAUSE_S):
         self._name = name
         self._step = step
+        self._batch_pause_s = batch_pause_s
         self._calls = calls
         self._rng = rng
         self._watch = _state.DependencyWatch(name=name)
@@ -54,7 +57,7 @@
             try:
                 self._after = await self._step(self._after)
                 pause_s = RETRY_FIRST_S
-                await trio.sleep(BATCH_PAUSE_S)
+                await trio.sleep(self._batch_pause_s)
             except changes_module.HistoryLostError as error:
                 emit(
                     events.PLATFORM_HISTORY_LOST, what=self._name, error=error
