--- a/bluebellthread/core/routing/_stream_origins.py
+++ b/bluebellthread/core/routing/_stream_origins.py
@@ -14,7 +14,7 @@
 
 LIST_AGE_MAX_MS = 6000
 """Age of the platform's last answer up to which a VM takes its list for
-complete: a watch without changes, and the pause before it."""
+complete: a watch without changes, its timeout and the pause before it."""
 
 ORIGIN_COUNT_MAX = 65_536
 """Most records that one VM keeps, some 15 MB: twice what a VM holds at the
--- a/bluebellthread/entry/_platform_follower.py
+++ b/bluebellthread/entry/_platform_follower.py
@@ -36,14 +36,11 @@
         Tells when the platform is back.
     rng : random.Random
         Spreads the retries of the VMs.
-    batch_pause_s : float
-        Pause between an answer and the next watch.
     """
 
-    def __init__(self, *, name, step, calls, rng, batch_pause_s=BATCH_PAUSE_S):
+    def __init__(self, *, name, step, calls, rng):
         self._name = name
         self._step = step
-        self._batch_pause_s = batch_pause_s
         self._calls = calls
         self._rng = rng
         self._watch = _state.DependencyWatch(name=name)
@@ -57,7 +54,7 @@
             try:
                 self._after = await self._step(self._after)
                 pause_s = RETRY_FIRST_S
-                await trio.sleep(self._batch_pause_s)
+                await trio.sleep(BATCH_PAUSE_S)
             except changes_module.HistoryLostError as error:
                 emit(
                     events.PLATFORM_HISTORY_LOST, what=self._name, error=error
--- a/bluebellthread/entry/_platform_task.py
+++ b/bluebellthread/entry/_platform_task.py
@@ -11,11 +11,6 @@
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
 
-BATCH_PAUSE_S = 1.0
-"""Pause between a change and the next watch. All VMs watch, so this is most of
-what the store is asked: two fifths of the time within which a change must be
-in force. Departures arrive sooner, as news of the VM that reads them first."""
-
 EXPIRE_PERIOD_S = 0.2
 """How often the server list is checked for lapsed entries that were not
 written again, and for servers that were held back long enough: a tenth of the
@@ -47,7 +42,6 @@
             step=self._update_servers,
             calls=calls,
             rng=random.Random(state.settings.vm),
-            batch_pause_s=BATCH_PAUSE_S,
         )
         self._lapsed = trio.Event()
 
--- a/bluebellthread/platform/_store_client.py
+++ b/bluebellthread/platform/_store_client.py
@@ -25,7 +25,7 @@
 regards as slow. A whole answer may take longer: a large configuration needs
 seconds on a slow link."""
 
-WATCH_MS = 4500
+WATCH_MS = 4000
 """How long a watch waits for a change. If its answer is lost, a watch stays
 silent, and only its timeout reveals the loss."""
 
