Take streams up again after the store has dropped its history

What callers saw: for 30 s after a compaction of the store each stream that was taken up again without the name of its first attempt was refused with unknown-origin, at every VM, though the service had one version only.

Cause: after a lost history each VM reads the whole list of servers, and what came before that list counted as unknown. All VMs do so at the same moment, so none was left that knew.

Change: a list that is read within 6 s of the platform's last answer, the age that a list may have anyway, hides only a version that comes and goes in between. A list of a restored store hides all before it, as before.

--- a/bluebellthread/core/routing/_stream_origins.py
+++ b/bluebellthread/core/routing/_stream_origins.py
@@ -174,10 +174,27 @@
         self._is_first_start = is_first_start
         self._known_since_ms = None
         self._answered_ms = None
+        self._heard_ms = None
         self._seen_ms = {}
 
-    def note_list(self, now_ms):
-        """Note that a whole list was read, what came before it is unknown."""
+    def note_list(self, now_ms, *, is_restored=False):
+        """Note that a whole list was read; to be called before its answer.
+
+        What came before it is unknown, unless the platform had answered just
+        before, as when it has dropped the changes that a watch asked for.
+
+        Parameters
+        ----------
+        is_restored : bool
+            Whether the platform was restored from a copy, which may lack
+            changes that were made before.
+        """
+        if (
+            not is_restored
+            and self._heard_ms is not None
+            and now_ms <= self._heard_ms + LIST_AGE_MAX_MS
+        ):
+            return
         is_first = self._known_since_ms is None
         self._known_since_ms = now_ms
         if is_first and self._is_first_start:
@@ -185,7 +202,7 @@
 
     def note_answered(self, now_ms):
         """Note that the platform has told all changes up to now."""
-        self._answered_ms = now_ms
+        self._answered_ms = self._heard_ms = now_ms
 
     def note_failed(self):
         """Note that the platform tells no changes for now."""
--- a/bluebellthread/entry/_platform_task.py
+++ b/bluebellthread/entry/_platform_task.py
@@ -63,10 +63,13 @@
             changes, position = await self._calls.call(
                 self._client.read_servers
             )
+            is_restored = self._follower.note_era(position.era)
+            self._state.versions.note_list(
+                _clock.read_clock_ms(), is_restored=is_restored
+            )
             now_ms = self._note_answer()
-            if self._follower.note_era(position.era):
+            if is_restored:
                 self._state.directory.note_restore(now_ms)
-            self._state.versions.note_list(now_ms)
             self._note_versions(now_ms)
             self._replace_servers(changes, position, now_ms)
         else:
--- a/tests/integration/test_entry_versions.py
+++ b/tests/integration/test_entry_versions.py
@@ -263,6 +263,28 @@
             self.assertEqual([], runs_of(fleet, 'next'))
             self.assertEqual(503, answer.status)
 
+    # Guards against refusals for half a minute after the store has dropped
+    # its history, when all VMs read the list of servers again.
+    @run
+    async def test_unknown_stream_goes_on_after_the_store_lost_its_history(
+        self,
+    ):
+        async with fleets.running_fleet(
+            engines=('p1', 'd1', 'd2'), is_first_start=True
+        ) as fleet:
+            fleet.list_engine('d1', slots=7)
+            fleet.store.compact()
+            fleet.list_engine('d2', slots=7)
+            await sites.wait_until(
+                lambda: all(
+                    vm.entry.state.directory.find(name).slot_count == 7
+                    for vm in fleet.vms.values()
+                    for name in ('d1', 'd2')
+                )
+            )
+            answer = await resume(fleet, 1, 'next', 'never-seen')
+            self.assertEqual(200, answer.status)
+
     @run
     async def test_unknown_stream_is_refused_by_vms_that_have_just_started(
         self,
--- a/tests/unit/test_stream_origins.py
+++ b/tests/unit/test_stream_origins.py
@@ -82,6 +82,36 @@
         self.assertFalse(history.knows_all(100))
         self.assertTrue(history.knows_all(100 + LIFE_MS))
 
+    # Guards against refusals of all streams that are taken up in the 30 s
+    # after the platform has dropped its history, as all VMs read then.
+    def test_list_read_again_just_after_an_answer_hides_nothing(self):
+        history = routing.VersionHistory(is_first_start=True)
+        history.note_list(0)
+        history.note_answered(0)
+        again_ms = _stream_origins.LIST_AGE_MAX_MS
+        history.note_failed()
+        history.note_list(again_ms)
+        self.assertFalse(history.knows_all(again_ms))
+        history.note_answered(again_ms)
+        self.assertTrue(history.knows_all(again_ms))
+
+    def test_list_read_again_after_a_longer_silence_hides_changes(self):
+        history = routing.VersionHistory(is_first_start=True)
+        history.note_list(0)
+        history.note_answered(0)
+        again_ms = _stream_origins.LIST_AGE_MAX_MS + 1
+        history.note_list(again_ms)
+        history.note_answered(again_ms)
+        self.assertFalse(history.knows_all(again_ms))
+
+    def test_list_of_a_restored_platform_hides_changes(self):
+        history = routing.VersionHistory(is_first_start=True)
+        history.note_list(0)
+        history.note_answered(0)
+        history.note_list(1, is_restored=True)
+        history.note_answered(1)
+        self.assertFalse(history.knows_all(1))
+
     def test_vm_that_the_platform_turns_away_does_not_know_all(self):
         history = routing.VersionHistory(is_first_start=True)
         history.note_list(0)
