Avoid an engine that is silent for several VMs, for all of them

What callers saw: when an engine went dark under load, each VM went on placing streams there until it had lost one of its own. On a fleet with many VMs these are dozens of streams that may run only once.

Cause: a VM names the engines that keep it waiting in its requests for placements, but their owner looked at that for the one request only.

An engine that two VMs name goes last for all: it is chosen only if no other has room, so that VMs that lost their own paths take no room away. core.routing.SilenceReports, beside the allocator.

--- a/bench/_replay.py
+++ b/bench/_replay.py
@@ -106,7 +106,7 @@
         type=parse_failure,
         nargs='*',
         default=[],
-        metavar='ENGINE:AT_MS:BACK_MS',
+        metavar='ENGINE:AT_MS:BACK_MS[:dark]',
     )
 
 
@@ -117,10 +117,18 @@
 
 
 def parse_failure(text):
-    """Return the `LoadFailure` for ``ENGINE:AT_MS:BACK_MS``."""
-    engine, at_ms, back_ms = text.split(':')
+    """Return the `LoadFailure` for ``ENGINE:AT_MS:BACK_MS``.
+
+    ``:dark`` after it is for an engine that falls silent.
+    """
+    engine, at_ms, back_ms, *how = text.split(':')
+    if how not in ([], ['dark']):
+        raise ValueError(f'a failure ends with :dark or nothing, not {how}')
     return _replay_load.LoadFailure(
-        engine=engine, at_ms=int(at_ms), back_ms=int(back_ms)
+        engine=engine,
+        at_ms=int(at_ms),
+        back_ms=int(back_ms),
+        is_dark=bool(how),
     )
 
 
--- a/bench/_replay_load.py
+++ b/bench/_replay_load.py
@@ -64,12 +64,14 @@
 class LoadFailure:
     """An engine's failure from ``at_ms`` to ``back_ms``.
 
-    The engine loses its requests and restarts empty.
+    The engine loses its requests and restarts empty. If it goes dark, it
+    stays listed, and only its silence tells of the failure.
     """
 
     engine: str
     at_ms: int
     back_ms: int
+    is_dark: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/bench/_replay_world.py
+++ b/bench/_replay_world.py
@@ -5,6 +5,7 @@
 request per step and preempts the newest requests when its memory runs out.
 """
 
+import collections
 import heapq
 import itertools
 
@@ -39,6 +40,15 @@
 If a refusal asks for a longer back-off, the caller waits only this long.
 """
 
+VM_COUNT = 64
+"""VMs that share the requests in turn."""
+
+SILENCE_MS = 1200
+"""Time without a byte after which a VM takes an engine for silent."""
+
+GIVE_UP_MS = 2500
+"""Time after which a caller leaves a stream that brings nothing more."""
+
 VALUE_ON_TIME = 23.0
 VALUE_LATE = 4.7
 """Value to the users of an on-time and of a late answer of mean size."""
@@ -64,6 +74,10 @@
     longest_gap_ms: float = 0.0
     outcome: str = ''
 
+    @property
+    def vm(self):
+        return f'vm{self.number % VM_COUNT}'
+
     @property
     def memory(self):
         return self.request.prompt_tokens + self.generated_tokens
@@ -98,6 +112,8 @@
         Time of each refusal, and the time since the refused attempt was sent.
     on_time_ms : list of int
         Completion times of the answers that were on time.
+    dark_grants_ms : list of int
+        Times of the grants of engines that had gone dark.
     """
 
     on_time: int = 0
@@ -111,6 +127,7 @@
     refused_ms: list = attrs.field(factory=list)
     held_ms: list = attrs.field(factory=list)
     on_time_ms: list = attrs.field(factory=list)
+    dark_grants_ms: list = attrs.field(factory=list)
 
     @property
     def refusals(self):
@@ -151,6 +168,8 @@
         self._now_ms = 0
         self._jobs = {}
         self._down = set()
+        self._dark = set()
+        self._silent_for = collections.defaultdict(set)
         self._prefill_free_ms = {}
         self._decodes = {
             item.name: _DecodeServer(engine=item)
@@ -207,7 +226,7 @@
         self._allocator.add_request(
             routing.PlacementAsk(
                 ask_id=ask_id,
-                vm='vm',
+                vm=job.vm,
                 vm_incarnation=1,
                 data_centre='a',
                 serves='m',
@@ -218,6 +237,7 @@
                 start_deadline_ms=job.sent_ms + START_TIMEOUT_MS,
                 deadline_ms=job.first_sent_ms + TIMEOUT_MS,
                 poll_deadline_ms=self._now_ms + TIMEOUT_MS,
+                avoid_servers=tuple(sorted(self._silent_for[job.vm])),
             ),
             self._now_ms,
         )
@@ -273,6 +293,8 @@
             else:
                 job.prefill_server = answer.prefill_server
                 job.decode_server = answer.decode_server
+                if job.decode_server in self._dark:
+                    self.result.dark_grants_ms.append(self._now_ms)
                 self._schedule_after(
                     VM_LATENCY_MS, self._prefill, job, answer.ask_id
                 )
@@ -340,6 +362,9 @@
             self._report_end(job, ask_id, job.decode_server)
             self._retry(job)
             return
+        if job.decode_server in self._dark:
+            self._lose_in_the_dark(job)
+            return
         job.decode_start_ms = self._now_ms
         self._decodes[job.decode_server].running.append(job)
 
@@ -436,19 +461,38 @@
     # Failures
 
     def _fail(self, failure):
-        self._down.add(failure.engine)
-        self._schedule_after(VM_LATENCY_MS, self._list_servers)
         decode = self._decodes.get(failure.engine)
-        if decode is None:
+        lost = []
+        if decode is not None:
+            lost = decode.running + [job for _, job in decode.preempted]
+            decode.running, decode.preempted = [], []
+        if failure.is_dark:
+            self._dark.add(failure.engine)
+            for job in lost:
+                self._lose_in_the_dark(job)
             return
-        lost = decode.running + [job for _, job in decode.preempted]
-        decode.running, decode.preempted = [], []
+        self._down.add(failure.engine)
+        self._schedule_after(VM_LATENCY_MS, self._list_servers)
         for job in lost:
             self._report_end(job, job.ask_id, failure.engine)
             self._retry(job)
 
+    def _lose_in_the_dark(self, job):
+        """Lose a request that may run once only; its VM notices a silence."""
+        self._schedule_after(
+            SILENCE_MS, self._silent_for[job.vm].add, job.decode_server
+        )
+        self._schedule_after(GIVE_UP_MS, self._give_up, job, job.ask_id)
+
+    def _give_up(self, job, ask_id):
+        self._report_end(job, ask_id, '')
+        self._finish(job, 'unserved')
+
     def _restore(self, failure):
         self._down.discard(failure.engine)
+        self._dark.discard(failure.engine)
+        for servers in self._silent_for.values():
+            servers.discard(failure.engine)
         self._list_servers()
 
 
--- a/bluebellthread/core/routing/_allocator.py
+++ b/bluebellthread/core/routing/_allocator.py
@@ -16,6 +16,7 @@
 from bluebellthread.core.routing import _memory_models
 from bluebellthread.core.routing import _placement_messages as messages
 from bluebellthread.core.routing import _prefill_time
+from bluebellthread.core.routing import _silence_reports
 from bluebellthread.core.routing import _waiting_orders
 
 REFUSAL_PERIOD_MS = 50
@@ -111,6 +112,7 @@
         self._waiting = {}
         self._next_refusal_ms = 0
         self._prefill_time = _prefill_time.PrefillTime()
+        self._silences = _silence_reports.SilenceReports()
 
     @property
     def waiting_count(self):
@@ -142,6 +144,7 @@
             The earlier grant if the request already has a placement, since
             the answer that carried it may have been lost.
         """
+        self._silences.note(request.vm, request.avoid_servers, now_ms)
         placement = self._pool.find_placement(request.ask_id)
         if placement is not None:
             return _grant_message(placement)
@@ -364,7 +367,7 @@
         local_prefill_ms = self._prefill_time.local_prefill_ms(
             request.prompt_tokens
         )
-        pair = self._pool.choose_pair(
+        pair = self._choose_pair(
             request,
             now_ms,
             is_urgent=self._is_urgent(request, now_ms, local_prefill_ms),
@@ -397,6 +400,24 @@
         )
         return _grant_message(placement)
 
+    def _choose_pair(self, request, now_ms, *, is_urgent):
+        """Choose engines, those that are silent only if no others have room.
+
+        Silence alone takes no room away: VMs may have lost their paths.
+        """
+        silent = self._silences.list_silent(now_ms)
+        if silent:
+            pair = self._pool.choose_pair(
+                attrs.evolve(
+                    request, avoid_servers=(*request.avoid_servers, *silent)
+                ),
+                now_ms,
+                is_urgent=is_urgent,
+            )
+            if pair is not None:
+                return pair
+        return self._pool.choose_pair(request, now_ms, is_urgent=is_urgent)
+
 
 class _NoLimits:
     """Engines that name no limits."""
--- a/tests/unit/test_replay_loads.py
+++ b/tests/unit/test_replay_loads.py
@@ -9,6 +9,7 @@
 from bench import _replay_world
 from bluebellthread.core import routing
 from bluebellthread.core.routing import _engine_pool
+from bluebellthread.core.routing import _silence_reports
 
 LOADS = pathlib.Path(__file__).parents[1] / 'loads'
 
@@ -116,6 +117,43 @@
         self.assertEqual(0, world._allocator.place_count)
 
 
+class TestDark(unittest.TestCase):
+    """Two of twenty decode servers go dark under load, 64 VMs place there."""
+
+    GATHER_MS = 300
+    """Time in which several of the VMs that notice a silence ask again."""
+
+    # Guards against VMs that each find out by a lost stream of their own.
+    def test_silence_that_few_vms_notice_is_known_for_all(self):
+        load = _replay_load.read_load(LOADS / 'dark.json')
+        dark_ms = min(failure.at_ms for failure in load.failures)
+        known_ms = dark_ms + _replay_world.SILENCE_MS + self.GATHER_MS
+        result = replay('dark')
+        self.assertGreater(len(result.dark_grants_ms), 0)
+        late = [at_ms for at_ms in result.dark_grants_ms if at_ms > known_ms]
+        self.assertEqual([], late)
+
+
+class TestSilenceReports(unittest.TestCase):
+    def setUp(self):
+        self.reports = _silence_reports.SilenceReports()
+
+    def test_one_vm_alone_is_not_believed(self):
+        for at_ms in range(0, 1000, 100):
+            self.reports.note('vm1', ('d1',), at_ms)
+        self.assertEqual((), self.reports.list_silent(1000))
+
+    def test_word_of_a_vm_ends_with_its_next_request_or_with_time(self):
+        self.reports.note('vm1', ('d1',), 0)
+        self.reports.note('vm2', ('d1',), 0)
+        self.assertEqual(('d1',), self.reports.list_silent(1))
+        self.reports.note('vm2', (), 2)
+        self.assertEqual((), self.reports.list_silent(3))
+        self.reports.note('vm2', ('d1',), 4)
+        last_ms = 4 + _silence_reports.KEEP_MS
+        self.assertEqual((), self.reports.list_silent(last_ms + 1))
+
+
 class TestLoadFiles(unittest.TestCase):
     def test_written_load_is_read_back(self):
         load = _replay_load.make_burst_load(
