Avoid a server at whose address another one answers

Cause: a 421 counted as one refusal of the server. The same request was sent to it once more, to read the prompt itself, and the next one went there again after a back-off of half a second.

A 421 is no reason to read the prompt at the same server.

--- a/bluebellthread/entry/_plain_attempts.py
+++ b/bluebellthread/entry/_plain_attempts.py
@@ -211,7 +211,7 @@
         now_ms = _clock.read_clock_ms()
         silent_servers = [other.waits_for for other in attempt.others]
         to_avoid = [
-            (*progress.tried, *self._silences.list_silent()),
+            (*progress.tried, *self._silences.list_avoided()),
             progress.tried,
         ]
         if work.route.kind == routing.KIND_IDEMPOTENT:
--- a/bluebellthread/entry/_server_calls.py
+++ b/bluebellthread/entry/_server_calls.py
@@ -40,7 +40,8 @@
     may_have_run : bool
         Whether the server may have started to run the request.
     was_refused : bool
-        Whether the server stated that it did not run the request.
+        Whether the server that was asked for stated that it did not run the
+        request.
     is_cut : bool
         Whether the connection broke while the server may have been at work.
     is_unreached : bool
@@ -121,14 +122,26 @@
         Learns which servers are reached.
     note_leaving : callable
         Takes a server that says that it leaves.
+    note_wrong_server : callable
+        Takes a server at whose address another one answers.
     """
 
-    def __init__(self, *, connections, dialect, limits, paths, note_leaving):
+    def __init__(
+        self,
+        *,
+        connections,
+        dialect,
+        limits,
+        paths,
+        note_leaving,
+        note_wrong_server,
+    ):
         self._connections = connections
         self._dialect = dialect
         self._limits = limits
         self._paths = paths
         self._note_leaving = note_leaving
+        self._note_wrong_server = note_wrong_server
 
     async def admit(self, server):
         """Return the `Admission` of one request to a server.
@@ -226,7 +239,7 @@
                 )
             self._observe(server, head, sent_ms)
             call = OpenCall(head=head, exchange=exchange)
-            await self._check_refusal(call)
+            await self._check_refusal(call, server)
         except _server_connection.AnswerBrokenError as error:
             await close(exchange)
             raise CallFailedError(
@@ -335,16 +348,19 @@
     def _is_refusal(self, head):
         return bool(head.header(self._dialect.not_run))
 
-    async def _check_refusal(self, call):
+    async def _check_refusal(self, call, server):
         """Raise if the server states that it did not run the request."""
         head = call.head
         if not self._is_refusal(head) and head.status != WRONG_SERVER_STATUS:
             return
+        is_wrong_server = head.status == WRONG_SERVER_STATUS
+        if is_wrong_server:
+            self._note_wrong_server(server)
         await call.exchange.read_all()
         raise CallFailedError(
             f'the server refused the request with status {head.status}',
             may_have_run=False,
-            was_refused=True,
+            was_refused=not is_wrong_server,
         )
 
 
--- a/bluebellthread/entry/_service.py
+++ b/bluebellthread/entry/_service.py
@@ -247,6 +247,7 @@
             limits=self.server_limits,
             paths=self._paths,
             note_leaving=self._note_leaving,
+            note_wrong_server=self._silences.note_wrong_server,
         )
         self._roles = _role_task.RoleTask(
             state=self.state, caller=caller, dialect=dialect
--- a/bluebellthread/entry/_silences.py
+++ b/bluebellthread/entry/_silences.py
@@ -1,4 +1,4 @@
-"""Notes which servers are silent, and what becomes of requests there."""
+"""Notes which servers to avoid, and what becomes of silent requests."""
 
 from bluebellthread.daemon import _clock
 from bluebellthread.observe import emit
@@ -8,11 +8,17 @@
 """How long a silent server is avoided for other requests if nothing else is
 heard of it: longer than sound servers are silent."""
 
+WRONG_SERVER_KEEP_MS = 10_000
+"""How long a server is avoided after another one answered at its address, if
+its entry does not change. The platform may be away for as long."""
+
 
 class Silences:
     """Knows the servers that keep requests of this VM waiting.
 
     A silent server has not failed; it is only avoided while there are others.
+    So is one at whose address another server answers: it has ended or changed
+    its role, and its entry is older than that.
 
     Parameters
     ----------
@@ -29,14 +35,26 @@
         self._paths = paths
         self._stats = stats
         self._keep_deadline_ms = {}
+        self._wrong = {}
 
-    def list_silent(self):
-        """Return the names of the servers that are silent now."""
+    def list_avoided(self):
+        """Return the names of the servers to avoid now, sorted."""
         now_ms = _clock.read_clock_ms()
         for name, deadline_ms in list(self._keep_deadline_ms.items()):
             if now_ms >= deadline_ms:
                 del self._keep_deadline_ms[name]
-        return tuple(self._keep_deadline_ms)
+        for name, (key, deadline_ms) in list(self._wrong.items()):
+            listed = self._state.directory.find(name)
+            if now_ms >= deadline_ms or _key_of(listed) != key:
+                del self._wrong[name]
+        return tuple(sorted({*self._keep_deadline_ms, *self._wrong}))
+
+    def note_wrong_server(self, server):
+        """Note that another server answers at the address of a listed one."""
+        self._wrong[server.name] = (
+            _key_of(server),
+            _clock.read_clock_ms() + WRONG_SERVER_KEEP_MS,
+        )
 
     def is_unreached(self, name):
         """Return whether a server could not be connected to of late."""
@@ -120,3 +138,10 @@
             obstacle=obstacle,
             remaining_ms=work.deadline_ms - _clock.read_clock_ms(),
         )
+
+
+def _key_of(server):
+    """Return what changes in a server's entry once it is right again."""
+    if server is None:
+        return None
+    return (server.incarnation, server.host, server.port, server.role)
--- a/bluebellthread/entry/_stream_attempts.py
+++ b/bluebellthread/entry/_stream_attempts.py
@@ -65,7 +65,7 @@
     def has_other_server(self):
         """Return whether a decode server is known that is not silent."""
         begun_version = self._relay.begun_version
-        silent_servers = self._silences.list_silent()
+        silent_servers = self._silences.list_avoided()
         return any(
             server.role == 'decode'
             and server.name not in silent_servers
@@ -135,7 +135,7 @@
                 placement.prefill_server,
                 placement.decode_server,
             }
-            or placement.decode_server in self._silences.list_silent()
+            or placement.decode_server in self._silences.list_avoided()
         ):
             raise _stream_context.NoPlacementError('servers-failed')
 
--- a/bluebellthread/entry/_stream_placements.py
+++ b/bluebellthread/entry/_stream_placements.py
@@ -168,7 +168,7 @@
         return (
             *self.failed_servers,
             *(other.waits_for for other in attempt.others),
-            *self._silences.list_silent(),
+            *self._silences.list_avoided(),
             *self._find_paused(),
             *self._paths.list_unreached(engines),
         )
--- a/tests/integration/test_entry_server_limits.py
+++ b/tests/integration/test_entry_server_limits.py
@@ -344,6 +344,7 @@
                 limits=site.entry.server_limits,
                 paths=site.entry._paths,
                 note_leaving=lambda server: None,
+                note_wrong_server=lambda server: None,
             )
             arrived_count = len(site.servers['s1'].arrivals)
             with self.assertRaises(_server_calls.ServerLimitedError):
--- a/tests/unit/test_stream_followers.py
+++ b/tests/unit/test_stream_followers.py
@@ -33,7 +33,7 @@
         ),
         state=types.SimpleNamespace(settings=types.SimpleNamespace(vm='v')),
         budgets=types.SimpleNamespace(spend=spend),
-        silences=types.SimpleNamespace(list_silent=lambda: silent),
+        silences=types.SimpleNamespace(list_avoided=lambda: silent),
     )
     return _stream_attempts.StreamAttempts(
         work=types.SimpleNamespace(
