--- a/tests/integration/test_entry_trickle.py
+++ b/tests/integration/test_entry_trickle.py
@@ -17,10 +17,10 @@
 COMMENT = b': still here\n\n'
 
 
-async def trickle(pieces, request):
-    """Send the first event, then the pieces in turn for as long as they last.
+async def trickle(pieces, request, *, ends=False):
+    """Send the first event, then the pieces in turn, each after a pause.
 
-    Afterwards the connection stays open, without an end of the answer.
+    Unless the answer ends then, its connection stays open, without an end.
     """
     await request.begin(
         200,
@@ -36,7 +36,10 @@
     for piece in pieces:
         await trio.sleep(TRICKLE_PERIOD_S)
         await request.send_piece(piece)
-    await trio.sleep_forever()
+    if ends:
+        await request.end()
+    else:
+        await trio.sleep_forever()
 
 
 def split_bytes(data):
@@ -92,7 +95,7 @@
             ]
             for name in ('d1', 'd2'):
                 site.servers[name].script = [
-                    functools.partial(send_slowly, pieces)
+                    functools.partial(trickle, pieces, ends=True)
                 ]
             answer = await site.call(
                 'POST', '/ask/x', request_id='i1', deadline_ms=DEADLINE_MS
@@ -113,22 +116,3 @@
                     'POST', '/once/x', request_id='i1', deadline_ms=2000
                 )
             self.assertFalse(answer.whole)
-
-
-async def send_slowly(pieces, request):
-    """Send a whole stream in pieces of events, each after a pause."""
-    await request.begin(
-        200,
-        [
-            ('x-request-attempt-id', request.headers['x-request-attempt-id']),
-            ('x-server-seal', 'seal'),
-            ('content-type', 'text/event-stream'),
-        ],
-        ending=standins.Ending(framing='chunks'),
-        length=0,
-    )
-    await request.send_piece(_backend.make_event(1))
-    for piece in pieces:
-        await trio.sleep(TRICKLE_PERIOD_S)
-        await request.send_piece(piece)
-    await request.end()
