Accept no callers in a planned stop once the balancer knows of it

What callers saw: a VM that was stopped went on accepting connections until its grace period ended, 7 s after SIGTERM, and cut off what it had accepted a moment before; streams that may run once only were lost.

Cause: the listening socket stayed open through the whole stop. Idle connections were closed after 2.6 s, but a caller that sent its request with a new connection was served.

Change: callers are accepted until the balancer has noticed (2.6 s), not after that; what was accepted goes on. Who comes later finds nobody there and goes to another VM at once. VMs still hand requests on to each other.

--- a/bluebellthread/entry/_service.py
+++ b/bluebellthread/entry/_service.py
@@ -116,6 +116,7 @@
         self.ports = {}
         self.stats = _stats.EntryStats()
         self._stop = trio.Event()
+        self._accepting = trio.CancelScope()
         self._connections = _server_connection.ServerConnections()
         self._control = _connection_control.ConnectionControl(
             lambda: self.state.table.limits
@@ -373,8 +374,10 @@
             self._peer_server.serve, settings.host, settings.peer_port
         )
         self.ports['peer_port'] = _port_of(listeners)
+        self.ports['caller_port'] = await nursery.start(
+            self._accept_callers, nursery
+        )
         for name, handler in (
-            ('caller_port', self._serve_caller),
             ('relay_port', self._serve_vm),
             ('ready_port', self._serve_monitoring),
             ('metrics_port', self._serve_monitoring),
@@ -390,6 +393,18 @@
             )
             self.ports[name] = _port_of(listeners)
 
+    async def _accept_callers(self, nursery, *, task_status):
+        """Accept callers until a stop ends that; their connections go on."""
+        settings = self._settings
+        listeners = await trio.open_tcp_listeners(
+            settings.caller_port, host=settings.host, backlog=LISTEN_BACKLOG
+        )
+        task_status.started(_port_of(listeners))
+        with self._accepting:
+            await trio.serve_listeners(
+                self._serve_caller, listeners, handler_nursery=nursery
+            )
+
     async def _join(self, nursery):
         """Join the membership, so that other VMs know this one."""
         settings = self._settings
@@ -485,6 +500,9 @@
         self._membership.leave()
         with trio.move_on_after(stop_s):
             await trio.sleep(BALANCER_LAG_S)
+            # Who comes now would be cut off at the end of the grace period,
+            # and finds another VM sooner if it is not accepted.
+            self._accepting.cancel()
             self._control.end_idle()
             await self._wait_closed()
         self._control.end_idle()
