Drop dead lists, one text of errors, one look at silences a decision

Found on a second reading of the change; behaviour stays as it is. The registration of messages by module left six tuples of message classes in core.routing without a reader: gone. Four places cut a traceback to 2,000 characters by themselves, one of them new: observe.format_error serves them all. The owner asked for the silent engines once for each waiting request, now once a decision. A refusal's status is looked at once.

--- a/bluebellthread/core/routing/__init__.py
+++ b/bluebellthread/core/routing/__init__.py
@@ -8,7 +8,6 @@
 from bluebellthread.core.routing._crash_evidence import EVIDENCE_MS
 from bluebellthread.core.routing._crash_evidence import SETTLE_MS
 from bluebellthread.core.routing._crash_evidence import SHUT_OUT_MS
-from bluebellthread.core.routing._crash_messages import CRASH_MESSAGES
 from bluebellthread.core.routing._crash_messages import EndedRun
 from bluebellthread.core.routing._crash_messages import EngineEnded
 from bluebellthread.core.routing._crash_messages import PartSurvived
@@ -24,7 +23,6 @@
 from bluebellthread.core.routing._grant_review import find_dispute
 from bluebellthread.core.routing._grant_review import GrantReview
 from bluebellthread.core.routing._helper_choice import HelperChoice
-from bluebellthread.core.routing._limit_messages import LIMIT_MESSAGES
 from bluebellthread.core.routing._limit_messages import LimitInForce
 from bluebellthread.core.routing._limit_messages import LimitsAnswer
 from bluebellthread.core.routing._limit_messages import LimitsAsk
@@ -32,13 +30,11 @@
 from bluebellthread.core.routing._memory_models import memory_models
 from bluebellthread.core.routing._news import choose_partners
 from bluebellthread.core.routing._news import News
-from bluebellthread.core.routing._news import NEWS_MESSAGES
 from bluebellthread.core.routing._news import NewsNoted
 from bluebellthread.core.routing._owner_share import LIVE_STATES
 from bluebellthread.core.routing._owner_share import OwnerShare
 from bluebellthread.core.routing._ownership_epoch import OwnedAllocator
 from bluebellthread.core.routing._placement_messages import HeldPlacement
-from bluebellthread.core.routing._placement_messages import PLACEMENT_MESSAGES
 from bluebellthread.core.routing._placement_messages import PlacementAsk
 from bluebellthread.core.routing._placement_messages import PlacementEnded
 from bluebellthread.core.routing._placement_messages import PlacementGranted
@@ -69,7 +65,6 @@
 from bluebellthread.core.routing._server_paths import ServerPaths
 from bluebellthread.core.routing._server_pauses import ServerPauses
 from bluebellthread.core.routing._start_wait import StartWait
-from bluebellthread.core.routing._stream_origins import ORIGIN_MESSAGES
 from bluebellthread.core.routing._stream_origins import OriginAnswer
 from bluebellthread.core.routing._stream_origins import OriginAsk
 from bluebellthread.core.routing._stream_origins import OriginRecords
@@ -78,7 +73,6 @@
 from bluebellthread.core.routing._stream_origins import StreamsBegan
 from bluebellthread.core.routing._stream_origins import VersionHistory
 from bluebellthread.core.routing._token_accounts import TokenAccounts
-from bluebellthread.core.routing._token_messages import TOKEN_MESSAGES
 from bluebellthread.core.routing._token_messages import TokensAnswer
 from bluebellthread.core.routing._token_messages import TokensAsk
 from bluebellthread.core.routing._waiting_orders import waiting_orders
@@ -88,7 +82,6 @@
     'AllocatorOptions',
     'CallerAges',
     'CallerLimits',
-    'CRASH_MESSAGES',
     'CrashEvidence',
     'Departure',
     'EVIDENCE_MS',
@@ -103,23 +96,19 @@
     'KIND_ONCE',
     'KIND_STREAM',
     'LIMIT_KEEP_MS',
-    'LIMIT_MESSAGES',
     'LIVE_STATES',
     'LimitInForce',
     'LimitsAnswer',
     'LimitsAsk',
     'ListedServer',
-    'NEWS_MESSAGES',
     'News',
     'NewsNoted',
-    'ORIGIN_MESSAGES',
     'OriginAnswer',
     'OriginAsk',
     'OriginRecords',
     'OvertakenError',
     'OwnedAllocator',
     'OwnerShare',
-    'PLACEMENT_MESSAGES',
     'PartSurvived',
     'PlacementAsk',
     'PlacementEnded',
@@ -151,7 +140,6 @@
     'StartWait',
     'StreamOrigin',
     'StreamsBegan',
-    'TOKEN_MESSAGES',
     'TOKEN_MS',
     'TokenAccounts',
     'TokensAnswer',
--- a/bluebellthread/core/routing/_allocator.py
+++ b/bluebellthread/core/routing/_allocator.py
@@ -241,8 +241,9 @@
         if not self._waiting:
             return []
         answers = self._collect_refusals(now_ms)
+        silent = self._silences.list_silent(now_ms)
         for waiting in self._in_order(now_ms):
-            grant = self._grant(waiting.request, now_ms)
+            grant = self._grant(waiting.request, now_ms, silent)
             if grant is not None:
                 answers.append(grant)
             elif not waiting.request.has_begun:
@@ -363,13 +364,14 @@
         slack_ms = request.target_deadline_ms - expected_event_ms
         return slack_ms <= self._options.local_prefill_slack_ms
 
-    def _grant(self, request, now_ms):
+    def _grant(self, request, now_ms, silent):
         local_prefill_ms = self._prefill_time.local_prefill_ms(
             request.prompt_tokens
         )
         pair = self._choose_pair(
             request,
             now_ms,
+            silent,
             is_urgent=self._is_urgent(request, now_ms, local_prefill_ms),
         )
         if pair is None:
@@ -400,12 +402,11 @@
         )
         return _grant_message(placement)
 
-    def _choose_pair(self, request, now_ms, *, is_urgent):
+    def _choose_pair(self, request, now_ms, silent, *, is_urgent):
         """Choose engines, those that are silent only if no others have room.
 
         Silence alone takes no room away: VMs may have lost their paths.
         """
-        silent = self._silences.list_silent(now_ms)
         if silent:
             pair = self._pool.choose_pair(
                 attrs.evolve(
--- a/bluebellthread/core/routing/_crash_messages.py
+++ b/bluebellthread/core/routing/_crash_messages.py
@@ -126,15 +126,3 @@
 
     shut_outs: tuple[ShutOut, ...]
     lifted: tuple[ShutOut, ...] = ()
-
-
-CRASH_MESSAGES = (
-    EndedRun,
-    EngineEnded,
-    PartSurvived,
-    ShutOut,
-    ShutOutsAsk,
-    ShutOutLift,
-    ShutOutsAnswer,
-)
-"""All message classes of this module, for the wire codec."""
--- a/bluebellthread/core/routing/_limit_messages.py
+++ b/bluebellthread/core/routing/_limit_messages.py
@@ -67,7 +67,3 @@
     """Answer with the limits in force."""
 
     limits: tuple[LimitInForce, ...]
-
-
-LIMIT_MESSAGES = (ServerLimit, LimitsAsk, LimitInForce, LimitsAnswer)
-"""All message classes of this module, for the wire codec."""
--- a/bluebellthread/core/routing/_news.py
+++ b/bluebellthread/core/routing/_news.py
@@ -34,15 +34,6 @@
     """Answer that news has arrived."""
 
 
-NEWS_MESSAGES = (
-    _departures.Departure,
-    _platform_health.Outage,
-    News,
-    NewsNoted,
-)
-"""All message classes of this module, for the wire codec."""
-
-
 def choose_partners(vm, names):
     """Return the VMs that a VM passes news on to.
 
--- a/bluebellthread/core/routing/_placement_messages.py
+++ b/bluebellthread/core/routing/_placement_messages.py
@@ -171,16 +171,3 @@
     vm_incarnation: int
     serves: str
     places: tuple[HeldPlacement, ...]
-
-
-PLACEMENT_MESSAGES = (
-    PlacementAsk,
-    PlacementGranted,
-    PlacementRefused,
-    PlacementPending,
-    PromptRead,
-    PlacementEnded,
-    HeldPlacement,
-    PlacementsHeld,
-)
-"""All message classes of this module, for the wire codec."""
--- a/bluebellthread/core/routing/_stream_origins.py
+++ b/bluebellthread/core/routing/_stream_origins.py
@@ -88,10 +88,6 @@
     knows_all_versions: bool
 
 
-ORIGIN_MESSAGES = (StreamOrigin, StreamsBegan, OriginAsk, OriginAnswer)
-"""All message classes of this module, for the wire codec."""
-
-
 class OriginRecords:
     """Remember where streams began for as long as they may be taken up again.
 
--- a/bluebellthread/core/routing/_token_messages.py
+++ b/bluebellthread/core/routing/_token_messages.py
@@ -48,7 +48,3 @@
 
     count: int
     wait_ms: int = 0
-
-
-TOKEN_MESSAGES = (TokensAsk, TokensAnswer)
-"""All message classes of this module, for the wire codec."""
--- a/bluebellthread/daemon/_mailboxes.py
+++ b/bluebellthread/daemon/_mailboxes.py
@@ -1,15 +1,12 @@
 """Delivery of peer messages to the tasks that handle them."""
 
-import traceback
-
 import attrs
 import trio
 
 from bluebellthread import core
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
-
-TRACEBACK_MAX_CHARACTERS = 2000
+from bluebellthread.observe import format_error
 
 
 @attrs.frozen(eq=False)
@@ -110,7 +107,5 @@
         events.PEER_MESSAGE_CRASHED,
         message_class=type(message).__name__,
         peer=peer,
-        error=''.join(traceback.format_exception(error))[
-            -TRACEBACK_MAX_CHARACTERS:
-        ],
+        error=format_error(error),
     )
--- a/bluebellthread/entry/_attempt_race.py
+++ b/bluebellthread/entry/_attempt_race.py
@@ -6,7 +6,6 @@
 
 import contextlib
 import math
-import traceback
 
 import attrs
 import trio
@@ -15,6 +14,7 @@
 from bluebellthread.daemon import _clock
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
+from bluebellthread.observe import format_error
 
 FOLLOW_PAUSE_S = 0.5
 """Pause after an attempt that could not follow before the next one does: a
@@ -280,7 +280,7 @@
         emit(
             events.REQUEST_CRASHED,
             request_id=self._work.request_id,
-            error=''.join(traceback.format_exception(error))[-2000:],
+            error=format_error(error),
         )
 
     # Silences
--- a/bluebellthread/entry/_gateway.py
+++ b/bluebellthread/entry/_gateway.py
@@ -1,7 +1,6 @@
 """Finds the route of each request and serves it as the route's kind needs."""
 
 import contextlib
-import traceback
 
 import trio
 
@@ -14,6 +13,7 @@
 from bluebellthread.entry import _work
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
+from bluebellthread.observe import format_error
 
 
 TAKEN_MAX = 256
@@ -157,7 +157,7 @@
             emit(
                 events.REQUEST_CRASHED,
                 request_id=exchange.request.header(self._dialect.request_id),
-                error=''.join(traceback.format_exception(error))[-2000:],
+                error=format_error(error),
             )
             if exchange.is_started:
                 await exchange.abort()
--- a/bluebellthread/entry/_server_calls.py
+++ b/bluebellthread/entry/_server_calls.py
@@ -351,9 +351,9 @@
     async def _check_refusal(self, call, server):
         """Raise if the server states that it did not run the request."""
         head = call.head
-        if not self._is_refusal(head) and head.status != WRONG_SERVER_STATUS:
-            return
         is_wrong_server = head.status == WRONG_SERVER_STATUS
+        if not is_wrong_server and not self._is_refusal(head):
+            return
         if is_wrong_server:
             self._note_wrong_server(server)
         await call.exchange.read_all()
--- a/bluebellthread/entry/_service.py
+++ b/bluebellthread/entry/_service.py
@@ -3,7 +3,6 @@
 import functools
 import random
 import secrets
-import traceback
 
 import attrs
 import trio
@@ -45,6 +44,7 @@
 from bluebellthread.entry import _token_task
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
+from bluebellthread.observe import format_error
 from bluebellthread.observe import read_dropped_count
 
 BALANCER_LAG_S = 2.6
@@ -73,10 +73,6 @@
 it long before the membership declares it dead."""
 
 PRUNE_PERIOD_S = 1.0
-MAX_TRACEBACK_CHARACTERS = 2000
-"""Maximum length of a traceback in a log line; longer ones lose their first
-frames."""
-
 LISTEN_BACKLOG = 512
 """Connections that may wait to be accepted: after a VM is lost, all of its
 callers may connect to another VM at once."""
@@ -453,7 +449,7 @@
             ).run()
         except Exception as error:
             # A bug hit by one connection must not end the process.
-            emit(events.CONNECTION_CRASHED, error=_format_error(error))
+            emit(events.CONNECTION_CRASHED, error=format_error(error))
         finally:
             control.open_count -= 1
 
@@ -534,12 +530,6 @@
     return listeners[0].socket.getsockname()[1]
 
 
-def _format_error(error):
-    return ''.join(traceback.format_exception(error))[
-        -MAX_TRACEBACK_CHARACTERS:
-    ]
-
-
 def _seeds_of(settings):
     return tuple(
         (host, settings.peer_port)
--- a/bluebellthread/observe/__init__.py
+++ b/bluebellthread/observe/__init__.py
@@ -16,6 +16,7 @@
 from bluebellthread.observe import _metrics as metrics
 from bluebellthread.observe._metrics import list_metrics
 from bluebellthread.observe._metrics import Metrics
+from bluebellthread.observe._tracebacks import format_error
 
 _TRACES = ('HOPS', 'Tracer')
 
@@ -25,6 +26,7 @@
     'Metrics',
     'emit',
     'events',
+    'format_error',
     'list_events',
     'list_metrics',
     'metrics',
