Log when a request was taken during a stop, and what was left then

What callers saw: requests taken late in a stop and given up. The log had the stop (E7002) and the request's end (E7039), in no relation to each other, so that a request that was read late could not be told from one that was read in time and begun late.

Change: E7077 tells of each request that is taken or ended during a stop how long after SIGTERM that was and how much time was left; one grep for the id shows both. No decision changes.

--- a/bluebellthread/entry/_connection_control.py
+++ b/bluebellthread/entry/_connection_control.py
@@ -22,6 +22,9 @@
         connection.
     open_count : int
         Connections that are open now.
+    stop_begun_ms, end_deadline_ms : int or None
+        When the process began to stop, and when the requests under way are
+        ended; None before that.
     """
 
     def __init__(self, read_limits):
@@ -32,6 +35,8 @@
         self._requests_ended = False
         self.is_stopping = False
         self.open_count = 0
+        self.stop_begun_ms = None
+        self.end_deadline_ms = None
 
     @property
     def limits(self):
--- a/bluebellthread/entry/_gateway.py
+++ b/bluebellthread/entry/_gateway.py
@@ -138,10 +138,26 @@
             work.log_end()
 
     async def _serve_work(self, work):
+        self._log_in_stop(work, 'taken')
         with self._control.request_scope():
             await self._paths[work.route.kind].serve(work)
             return
         await self._end_at_stop(work)
+        self._log_in_stop(work, 'ended')
+
+    def _log_in_stop(self, work, decision):
+        """Log what a stop means for a request, if there is one."""
+        control = self._control
+        if control.stop_begun_ms is None:
+            return
+        now_ms = _clock.read_clock_ms()
+        emit(
+            events.STOP_DECISION,
+            request_id=work.request_id,
+            decision=decision,
+            since_stop_ms=now_ms - control.stop_begun_ms,
+            left_ms=max(0, control.end_deadline_ms - now_ms),
+        )
 
     @contextlib.asynccontextmanager
     async def _answering_crashes(self, exchange, work=None):
--- a/bluebellthread/entry/_service.py
+++ b/bluebellthread/entry/_service.py
@@ -493,6 +493,9 @@
         )
         self.state.is_stopping = True
         self._control.is_stopping = True
+        now_ms = _clock.read_clock_ms()
+        self._control.stop_begun_ms = now_ms
+        self._control.end_deadline_ms = now_ms + int(stop_s * _clock.MS_PER_S)
         self._membership.leave()
         with trio.move_on_after(stop_s):
             await trio.sleep(BALANCER_LAG_S)
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -164,6 +164,12 @@
 ENTRY_STOPPED = Event(
     7003, 'INFO', 'entry {vm} stopped with {connections} connections open'
 )
+STOP_DECISION = Event(
+    7077,
+    'INFO',
+    'request {request_id}: {decision} {since_stop_ms} ms after the stop of '
+    'this VM began, {left_ms} ms before its requests end',
+)
 SETTINGS_RELOADED = Event(
     7004, 'INFO', 'settings were reloaded; changed: {changed}'
 )
