Let a VM that stops begin only what it can end, by one schedule

Cause: work was accepted by a rule of the moment (is the socket open, has the request come?) and not by what is left of the stop. Only the end of the stop asked for the time, when it was over.

Change: core.routing.StopSchedule has the deadlines of a stop from the moment of the signal, core.routing.RunTimes learns how long requests take, and entry.StopAdmission compares the two. Connections ask it while they read, the gateway once a request is whole, each attempt before servers work on it, and whatever waits is ended as soon as it is too late. What surely ends is taken; until the balancer knows of the stop also what likely ends, where a refusal would likely lead to another VM that stops. All else is refused at once, with 503 "stopping", which has not run, and Retry-After 0 if most other VMs take callers. The socket is open until the process ends. E7077 tells who decided, when, what was left and what the request may take.

--- a/bluebellthread/core/routing/__init__.py
+++ b/bluebellthread/core/routing/__init__.py
@@ -58,6 +58,7 @@
 from bluebellthread.core.routing._run_race import OvertakenError
 from bluebellthread.core.routing._run_race import Run
 from bluebellthread.core.routing._run_race import RunRace
+from bluebellthread.core.routing._run_times import RunTimes
 from bluebellthread.core.routing._server_choice import ServerChoice
 from bluebellthread.core.routing._server_limits import effective_rate_per_s
 from bluebellthread.core.routing._server_limits import LIMIT_KEEP_MS
@@ -65,6 +66,7 @@
 from bluebellthread.core.routing._server_paths import ServerPaths
 from bluebellthread.core.routing._server_pauses import ServerPauses
 from bluebellthread.core.routing._start_wait import StartWait
+from bluebellthread.core.routing._stop_schedule import StopSchedule
 from bluebellthread.core.routing._stream_origins import OriginAnswer
 from bluebellthread.core.routing._stream_origins import OriginAsk
 from bluebellthread.core.routing._stream_origins import OriginRecords
@@ -122,6 +124,7 @@
     'RoutingTable',
     'Run',
     'RunRace',
+    'RunTimes',
     'SETTLE_MS',
     'SHUT_OUT_MS',
     'STREAM_LIFE_MS',
@@ -138,6 +141,7 @@
     'ShutOutsAnswer',
     'ShutOutsAsk',
     'StartWait',
+    'StopSchedule',
     'StreamOrigin',
     'StreamsBegan',
     'TOKEN_MS',
--- /dev/null
+++ b/bluebellthread/core/routing/_stop_schedule.py
@@ -0,0 +1,113 @@
+"""Decides what a VM that is being stopped still begins.
+
+The failure this guards against: a VM accepts work as long as it listens, and
+gives it up when its grace period ends. Whatever takes or begins work asks
+here first, however the work has come.
+"""
+
+import math
+
+import attrs
+
+END_MARGIN_MS = 1000
+"""Part of the grace period that is kept for answers that say that a request is
+not done, and for closing connections, before the process is killed."""
+
+EXIT_MARGIN_MS = END_MARGIN_MS // 2
+"""Part of the grace period in which a process should have ended by itself."""
+
+BALANCER_LAG_MS = 2600
+"""How long callers still arrive after a stop begins: the load balancer probes
+once a second and stops sending callers after two failed probes. It goes on if
+too many VMs stop at a time."""
+
+
+@attrs.define
+class StopSchedule:
+    """The deadlines of a planned stop; none before it begins.
+
+    Attributes
+    ----------
+    begun_ms : int or None
+        When the stop began, on the boot-time clock.
+    leave_ms : int or None
+        Earliest time at which the process ends: by then the balancer sends
+        callers elsewhere.
+    end_deadline_ms : int or None
+        When the requests under way are ended.
+    exit_deadline_ms : int or None
+        When the process ends.
+
+    Examples
+    --------
+    >>> schedule = StopSchedule()
+    >>> need = {'need_ms': 5000, 'likely_ms': 400, 'deadline_ms': 9000}
+    >>> schedule.find_begin_deadline_ms(**need)
+    inf
+    >>> schedule.begin(1000, grace_ms=8000)
+    >>> schedule.find_begin_deadline_ms(**need)
+    3600
+    """
+
+    begun_ms: int | None = None
+    leave_ms: int | None = None
+    end_deadline_ms: int | None = None
+    exit_deadline_ms: int | None = None
+
+    @property
+    def is_begun(self):
+        """Whether the VM is being stopped."""
+        return self.begun_ms is not None
+
+    def begin(self, now_ms, *, grace_ms):
+        """Begin the stop; a second call changes nothing.
+
+        Parameters
+        ----------
+        now_ms : int
+            The time.
+        grace_ms : int
+            Time after which the process is killed.
+        """
+        if self.is_begun:
+            return
+        self.begun_ms = now_ms
+        self.leave_ms = now_ms + min(BALANCER_LAG_MS, grace_ms)
+        self.end_deadline_ms = now_ms + max(0, grace_ms - END_MARGIN_MS)
+        self.exit_deadline_ms = now_ms + max(0, grace_ms - EXIT_MARGIN_MS)
+
+    def find_begin_deadline_ms(self, *, need_ms, likely_ms, deadline_ms):
+        """Return until when a request may begin; infinite without a stop.
+
+        What surely ends in time may begin. Until the balancer knows of the
+        stop, so may what likely ends: its caller could not avoid this VM, and
+        may come to another one that stops if it is refused. A request that
+        has to be answered by the end in any case may begin at any time.
+
+        Parameters
+        ----------
+        need_ms : float
+            Longest time that it takes; infinite if unknown.
+        likely_ms : float
+            Time that it likely takes at the most; infinite if unknown.
+        deadline_ms : int
+            When it must have been answered.
+        """
+        if not self.is_begun or deadline_ms <= self.end_deadline_ms:
+            return math.inf
+        return max(
+            self.end_deadline_ms - need_ms,
+            min(self.leave_ms, self.end_deadline_ms - likely_ms),
+        )
+
+    def find_remaining_ms(self, now_ms):
+        """Return the time until requests are ended; infinite without a stop.
+
+        Parameters
+        ----------
+        now_ms : int
+            The time.
+        """
+        if not self.is_begun:
+            return math.inf
+        return max(0, self.end_deadline_ms - now_ms)
--- a/bluebellthread/entry/_attempt_race.py
+++ b/bluebellthread/entry/_attempt_race.py
@@ -12,6 +12,7 @@
 
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
+from bluebellthread.entry import _stop_admission
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
 from bluebellthread.observe import format_error
@@ -46,6 +47,8 @@
         Since when.
     is_silent : bool
         Whether the server has been silent for longer than is usual.
+    is_prefilled : bool
+        Whether a prefill server has read its prompt.
     is_accepted : bool
         Whether its server has begun to answer.
     is_bounded : bool
@@ -62,6 +65,10 @@
     waits_since_ms: int = 0
     silence_deadline_s: float = math.inf
     is_silent: bool = False
+    work_stack: contextlib.ExitStack = attrs.field(
+        factory=contextlib.ExitStack
+    )
+    is_prefilled: bool = False
     is_accepted: bool = False
     is_bounded: bool = False
 
@@ -104,6 +111,21 @@
             self.silence_deadline_s = math.inf
             self.is_silent = False
 
+    def begin(self):
+        """Note that servers are about to work for the attempt.
+
+        Raises
+        ------
+        StopTooNearError
+            If this VM is being stopped too soon for what remains to be done.
+        """
+        self.race.check_time(self)
+
+    def rest(self):
+        """Note that no server works for the attempt any more."""
+        self.is_prefilled = False
+        self.work_stack.close()
+
     def send(self, *, begins_work=True):
         """Note that the server is about to be asked for the answer.
 
@@ -119,7 +141,10 @@
         ------
         OvertakenError
             If a server works on the answer already and none may beside it.
+        StopTooNearError
+            If this VM is being stopped too soon for the answer.
         """
+        self.begin()
         self.race.end_attempts(self.race.runs.send(self.run), self)
         if begins_work:
             self.race.bound_overlap(self)
@@ -186,7 +211,7 @@
         self._may_overlap = may_overlap
         self._find_obstacle = find_obstacle
         self._ends_with = ends_with
-        self._failures = failures
+        self._failures = (*failures, _stop_admission.StopTooNearError)
         self.runs = routing.RunRace(runs_once=runs_once)
         self._attempts = {}
         self._changed = trio.Event()
@@ -241,7 +266,7 @@
 
     async def _make(self, make, attempt):
         try:
-            with attempt.scope:
+            with attempt.scope, attempt.work_stack:
                 await make(attempt)
                 self._is_won = True
                 self._nursery.cancel_scope.cancel()
@@ -283,6 +308,19 @@
             error=format_error(error),
         )
 
+    def check_time(self, attempt):
+        """Note that servers begin to work for an attempt, if there is time.
+
+        Raises
+        ------
+        StopTooNearError
+            If this VM is being stopped too soon.
+        """
+        if not self._work.may_begin(is_prefilled=attempt.is_prefilled):
+            raise _stop_admission.StopTooNearError
+        attempt.work_stack.close()
+        attempt.work_stack.enter_context(self._work.at_servers())
+
     # Silences
 
     def note_changed(self):
--- a/bluebellthread/entry/_caller_connection.py
+++ b/bluebellthread/entry/_caller_connection.py
@@ -6,18 +6,22 @@
 request.
 """
 
+import contextlib
 import functools
 import http
 import socket
 import struct
 
+import attrs
 import h11
 import trio
 
 from bluebellthread.daemon import _clock
 from bluebellthread.entry import _concurrency
 from bluebellthread.entry import _http_messages
+from bluebellthread.entry import _refusals
 from bluebellthread.entry import _sockets
+from bluebellthread.entry import _stop_admission
 
 RECEIVE_BYTES = 65536
 READ_AHEAD_BYTES = 262144
@@ -84,6 +88,7 @@
             h11.SERVER, max_incomplete_event_size=limits.header_max_bytes
         )
         self._first_byte_ms = None
+        self._request = None
 
     async def run(self):
         """Serve requests until either side ends the connection."""
@@ -100,6 +105,8 @@
             pass
         except BadRequestError as error:
             await self._refuse(error)
+        except _stop_admission.StopTooNearError:
+            await self._refuse_unread()
         finally:
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(self._stream)
@@ -132,13 +139,30 @@
         """Return the next request's head, or None if none will come."""
         if not await self._wait_first_byte():
             return None
-        deadline_s = self._control.limits.header_timeout_ms / _clock.MS_PER_S
-        with trio.move_on_after(deadline_s):
+        timeout_s = self._control.limits.header_timeout_ms / _clock.MS_PER_S
+        with self._reading(None, timeout_s):
             event = await self._next_event()
-            if isinstance(event, h11.ConnectionClosed):
-                return None
-            return event
-        raise BadRequestError(408)
+        return None if isinstance(event, h11.ConnectionClosed) else event
+
+    @contextlib.contextmanager
+    def _reading(self, request, timeout_s):
+        """Read more of a request in the ``with`` body.
+
+        Raises
+        ------
+        BadRequestError
+            If the caller takes too long.
+        StopTooNearError
+            If the process stops too soon to serve the request.
+        """
+        with self._control.reading_scope(
+            request, timeout_s=timeout_s
+        ) as scope:
+            yield
+        if scope.cancelled_caught:
+            if trio.current_time() < scope.deadline:
+                raise _stop_admission.StopTooNearError
+            raise BadRequestError(408)
 
     async def _wait_first_byte(self):
         if self._conn.trailing_data[0]:
@@ -162,27 +186,28 @@
 
     async def _read_request(self, head):
         _check_framing(head)
-        if self._conn.they_are_waiting_for_100_continue:
-            response = h11.InformationalResponse(status_code=100, headers=[])
-            await self._stream.send_all(self._conn.send(response))
-        body = await self._read_body()
-        return _http_messages.Request(
+        request = self._request = _http_messages.Request(
             method=bytes(head.method),
             target=bytes(head.target),
             headers=tuple(
                 (bytes(name), bytes(value)) for name, value in head.headers
             ),
-            body=body,
+            body=b'',
             received_ms=self._first_byte_ms,
         )
+        if self._conn.they_are_waiting_for_100_continue:
+            response = h11.InformationalResponse(status_code=100, headers=[])
+            with self._reading(request, BODY_TIMEOUT_S):
+                await self._stream.send_all(self._conn.send(response))
+        body = await self._read_body(request)
+        self._request = None
+        return attrs.evolve(request, body=body)
 
-    async def _read_body(self):
+    async def _read_body(self, request):
         body = bytearray()
         while True:
-            with trio.move_on_after(BODY_TIMEOUT_S) as scope:
+            with self._reading(request, BODY_TIMEOUT_S):
                 event = await self._next_event()
-            if scope.cancelled_caught:
-                raise BadRequestError(408)
             if isinstance(event, h11.EndOfMessage):
                 return bytes(body)
             if not isinstance(event, h11.Data):
@@ -228,14 +253,37 @@
 
     async def _refuse(self, error):
         """Answer a request that can't be served, then close."""
+        body = (REMEDIES[error.status] + '\n').encode()
+        headers = [(b'content-type', b'text/plain')]
+        await self._send_last(error.status, headers, body)
+
+    async def _refuse_unread(self):
+        """Refuse a request that is not read whole before a stop, and close.
+
+        The rest of it is read until the process ends, so that the caller
+        receives the refusal even if it only reads after it has sent all.
+        """
+        control = self._control
+        answer = control.admission.refuse_unread(self._request)
+        headers, body = _refusals.encode_router_answer(answer)
+        await self._send_last(
+            answer.status,
+            headers,
+            body,
+            linger_s=_clock.read_remaining_s(
+                control.schedule.exit_deadline_ms
+            ),
+        )
+
+    async def _send_last(self, status, headers, body, *, linger_s=LINGER_S):
+        """Send the last answer of the connection, unless one has begun."""
         if self._conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        body = (REMEDIES[error.status] + '\n').encode()
         response = h11.Response(
-            status_code=error.status,
-            reason=_reason(error.status),
+            status_code=status,
+            reason=_reason(status),
             headers=[
-                (b'content-type', b'text/plain'),
+                *headers,
                 (b'content-length', str(len(body)).encode()),
                 (b'connection', b'close'),
             ],
@@ -246,13 +294,13 @@
             data += self._conn.send(h11.EndOfMessage())
             with trio.move_on_after(LINGER_S):
                 await self._stream.send_all(data)
-            await self._linger()
+            await self._linger(linger_s)
         except (h11.LocalProtocolError, trio.BrokenResourceError):
             # The caller has left, or an answer has already started; closing
             # the connection is all that remains.
             return
 
-    async def _linger(self):
+    async def _linger(self, linger_s=LINGER_S):
         """Shut down the write side and read until the caller closes.
 
         Closing with unread bytes would reset the connection, and the caller
@@ -260,7 +308,7 @@
         """
         try:
             await self._stream.send_eof()
-            with trio.move_on_after(LINGER_S):
+            with trio.move_on_after(linger_s):
                 while await self._stream.receive_some(RECEIVE_BYTES):
                     pass
         except (trio.BrokenResourceError, trio.ClosedResourceError):
--- a/bluebellthread/entry/_connection_control.py
+++ b/bluebellthread/entry/_connection_control.py
@@ -1,11 +1,18 @@
 """Limits and shutdown state that all callers' connections share."""
 
 import contextlib
+import functools
+import math
 
 import trio
 
+from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
 
+IDLE_MIN_MS = 1000
+"""A stop closes no connection that was used more recently: its caller may be
+about to send the next request."""
+
 
 class ConnectionControl:
     """Supplies the limits in force, and ends connections at a stop.
@@ -14,68 +21,99 @@
     ----------
     read_limits : callable
         Returns the `CallerLimits` in force.
+    admission : StopAdmission or None
+        Knows what the process still begins once it is being stopped; None if
+        stops do not concern the connections.
 
     Attributes
     ----------
-    is_stopping : bool
-        Whether the process is stopping, so that each answer closes its
-        connection.
+    admission : StopAdmission or None
+        As the parameter.
+    schedule : StopSchedule
+        The deadlines of the stop.
     open_count : int
         Connections that are open now.
-    stop_begun_ms, end_deadline_ms : int or None
-        When the process began to stop, and when the requests under way are
-        ended; None before that.
     """
 
-    def __init__(self, read_limits):
+    def __init__(self, read_limits, admission=None):
         self._read_limits = read_limits
-        self._idle_scopes = set()
-        self._idle_ended = False
-        self._request_scopes = set()
-        self._requests_ended = False
-        self.is_stopping = False
+        self._ends = {}
+        self.admission = admission
+        self.schedule = (
+            routing.StopSchedule() if admission is None else admission.schedule
+        )
         self.open_count = 0
-        self.stop_begun_ms = None
-        self.end_deadline_ms = None
 
     @property
     def limits(self):
         """The `CallerLimits` in force."""
         return self._read_limits()
 
-    @contextlib.contextmanager
+    @property
+    def is_stopping(self):
+        """Whether the process is stopping, so that answers close."""
+        return self.schedule.is_begun
+
     def idle_scope(self):
-        """Cancel the ``with`` body at the idle timeout or on `end_idle`."""
-        timeout_s = self.limits.idle_timeout_ms / _clock.MS_PER_S
+        """Cancel the ``with`` body at the idle timeout or at a stop."""
+        return self.scope(
+            functools.partial(
+                self._find_idle_end_ms, _clock.read_clock_ms() + IDLE_MIN_MS
+            ),
+            timeout_s=self.limits.idle_timeout_ms / _clock.MS_PER_S,
+        )
+
+    def reading_scope(self, request=None, *, timeout_s):
+        """Cancel the ``with`` body once it is too late to begin a request.
+
+        Parameters
+        ----------
+        request : Request or None
+            The request without its body, if its head has been read.
+        timeout_s : float
+            Longest duration of the body without a stop.
+        """
+        return self.scope(
+            functools.partial(self._find_read_end_ms, request),
+            timeout_s=timeout_s,
+        )
+
+    @contextlib.contextmanager
+    def scope(self, find_end_ms, *, timeout_s=math.inf):
+        """Cancel the ``with`` body when a stop no longer allows it.
+
+        Parameters
+        ----------
+        find_end_ms : callable
+            Returns when the body ends; called only during a stop.
+        timeout_s : float
+            Longest duration of the body without a stop.
+        """
         with trio.move_on_after(timeout_s) as scope:
-            if self._idle_ended:
+            self._ends[scope] = find_end_ms
+            if self.is_stopping and find_end_ms() <= _clock.read_clock_ms():
                 scope.cancel()
-            self._idle_scopes.add(scope)
             try:
                 yield scope
             finally:
-                self._idle_scopes.discard(scope)
+                del self._ends[scope]
 
-    @contextlib.contextmanager
-    def request_scope(self):
-        """Cancel the ``with`` body on `end_requests`."""
-        with trio.CancelScope() as scope:
-            if self._requests_ended:
+    def end_due(self, now_ms):
+        """End what a stop no longer allows.
+
+        The boot-time clock decides, which goes on while the VM is suspended.
+        """
+        for scope, find_end_ms in list(self._ends.items()):
+            if find_end_ms() <= now_ms:
                 scope.cancel()
-            self._request_scopes.add(scope)
-            try:
-                yield scope
-            finally:
-                self._request_scopes.discard(scope)
-
-    def end_idle(self):
-        """Close idle connections, and others as soon as they become idle."""
-        self._idle_ended = True
-        for scope in list(self._idle_scopes):
-            scope.cancel()
-
-    def end_requests(self):
-        """End the requests under way, and others as soon as they begin."""
-        self._requests_ended = True
-        for scope in list(self._request_scopes):
-            scope.cancel()
+
+    def _find_idle_end_ms(self, idle_deadline_ms):
+        return min(
+            max(idle_deadline_ms, self.schedule.leave_ms),
+            self.schedule.exit_deadline_ms,
+        )
+
+    def _find_read_end_ms(self, request):
+        if self.admission is None:
+            return self.schedule.end_deadline_ms
+        return self.admission.find_read_deadline_ms(request)
--- a/bluebellthread/entry/_gateway.py
+++ b/bluebellthread/entry/_gateway.py
@@ -10,6 +10,7 @@
 from bluebellthread.entry import _caller_connection
 from bluebellthread.entry import _http_messages
 from bluebellthread.entry import _refusals
+from bluebellthread.entry import _stop_admission
 from bluebellthread.entry import _work
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
@@ -60,7 +61,7 @@
             await self._serve_handed_on(exchange)
 
     async def _serve(self, exchange):
-        if not self._state.is_prepared:
+        if not (self._state.is_prepared or self._state.is_stopping):
             await self._wait_prepared(exchange.request)
         request = exchange.request
         table = self._state.table
@@ -127,6 +128,7 @@
             table_version=table.version,
             dialect=self._dialect,
             stats=self._stats,
+            admission=self._control.admission,
             is_handed_on=hop is not None,
             run_count=hop.run_count if hop is not None else 0,
         )
@@ -138,26 +140,20 @@
             work.log_end()
 
     async def _serve_work(self, work):
-        self._log_in_stop(work, 'taken')
-        with self._control.request_scope():
-            await self._paths[work.route.kind].serve(work)
-            return
-        await self._end_at_stop(work)
-        self._log_in_stop(work, 'ended')
-
-    def _log_in_stop(self, work, decision):
-        """Log what a stop means for a request, if there is one."""
-        control = self._control
-        if control.stop_begun_ms is None:
+        if not work.may_begin():
+            await work.end_at_stop(_stop_admission.STAGE_ARRIVAL)
             return
-        now_ms = _clock.read_clock_ms()
-        emit(
-            events.STOP_DECISION,
-            request_id=work.request_id,
-            decision=decision,
-            since_stop_ms=now_ms - control.stop_begun_ms,
-            left_ms=max(0, control.end_deadline_ms - now_ms),
+        work.log_stop_decision(
+            _stop_admission.STAGE_ARRIVAL, _stop_admission.DECISION_TAKEN
         )
+        stage = _stop_admission.STAGE_END
+        with self._control.scope(work.find_stop_end_ms):
+            try:
+                await self._paths[work.route.kind].serve(work)
+                return
+            except _stop_admission.StopTooNearError:
+                stage = _stop_admission.STAGE_ATTEMPT
+        await work.end_at_stop(stage)
 
     @contextlib.asynccontextmanager
     async def _answering_crashes(self, exchange, work=None):
@@ -183,22 +179,6 @@
                 failure = _refusals.make_may_have_run_failure('internal')
                 await _refusals.send_router_answer(exchange, failure)
 
-    @staticmethod
-    async def _end_at_stop(work):
-        """End a request that the process has no time left to serve."""
-        if work.exchange.is_complete:
-            return
-        may_have_run = work.may_have_run or work.in_flight_count
-        if work.exchange.is_started or (work.is_handed_on and may_have_run):
-            # The VM that has handed a request on may repeat it elsewhere.
-            await work.exchange.abort()
-        elif work.is_handed_on:
-            await work.refuse_hand_on('stopping')
-        elif may_have_run:
-            await work.fail('stopping')
-        else:
-            await work.refuse('stopping', _work.UNSERVED_RETRY_MS)
-
     async def _refuse(self, exchange, answer):
         emit(
             events.REQUEST_NOT_ROUTED,
--- a/bluebellthread/entry/_plain_path.py
+++ b/bluebellthread/entry/_plain_path.py
@@ -198,6 +198,8 @@
             return _work.NO_RUNS_LEFT
         if work.deadline_ms - _clock.read_clock_ms() < RETRY_TIME_MIN_MS:
             return _work.NO_TIME
+        if not work.may_begin():
+            return _work.STOPPING
         if self._shut_outs.find(work.service, work.parts) is not None:
             return _work.SHUT_OUT
         if work.is_handed_on and self._paths.is_lost(work.service):
@@ -213,6 +215,8 @@
             obstacle = _work.NO_RUNS_LEFT
         elif remaining_ms < RETRY_TIME_MIN_MS:
             obstacle = _work.NO_TIME
+        elif not work.may_begin():
+            obstacle = _work.STOPPING
         elif not self._budgets.spend(work.service):
             obstacle = _work.NO_BUDGET
         if obstacle:
--- a/bluebellthread/entry/_refusals.py
+++ b/bluebellthread/entry/_refusals.py
@@ -117,12 +117,18 @@
 
 async def send_router_answer(exchange, answer):
     """Send the router's own answer to a caller."""
+    headers, body = encode_router_answer(answer)
+    await exchange.respond(answer.status, headers, body)
+
+
+def encode_router_answer(answer):
+    """Return the headers and the body of the router's own answer."""
     body = json.dumps({'kind': answer.kind, 'remedy': answer.remedy}).encode()
     headers = [(b'content-type', b'application/json')]
     if answer.retry_after_ms is not None:
         seconds = f'{answer.retry_after_ms / 1000:.3f}'
         headers.append((b'retry-after', seconds.encode()))
-    await exchange.respond(answer.status, headers, body)
+    return headers, body
 
 
 def _add_jitter(base_ms):
--- a/bluebellthread/entry/_service.py
+++ b/bluebellthread/entry/_service.py
@@ -38,6 +38,7 @@
 from bluebellthread.entry import _silences
 from bluebellthread.entry import _state
 from bluebellthread.entry import _stats
+from bluebellthread.entry import _stop_admission
 from bluebellthread.entry import _stream_context
 from bluebellthread.entry import _stream_origins
 from bluebellthread.entry import _stream_path
@@ -47,18 +48,6 @@
 from bluebellthread.observe import format_error
 from bluebellthread.observe import read_dropped_count
 
-BALANCER_LAG_S = 2.6
-"""How long callers still arrive after a stop begins: the load balancer probes
-once a second and stops sending callers after two failed probes."""
-
-STOP_MARGIN_S = 1.0
-"""Part of the grace period that is kept for closing connections before the
-process is killed."""
-
-STOP_ANSWER_S = STOP_MARGIN_S / 2
-"""Part of it in which callers whose requests are not done get an answer that
-says so."""
-
 MEMBERSHIP_OPTIONS = core.MembershipOptions(
     tick_period_ms=100,
     probe_period_ms=500,
@@ -112,10 +101,10 @@
         self.ports = {}
         self.stats = _stats.EntryStats()
         self._stop = trio.Event()
-        self._accepting = trio.CancelScope()
         self._connections = _server_connection.ServerConnections()
         self._control = _connection_control.ConnectionControl(
-            lambda: self.state.table.limits
+            lambda: self.state.table.limits,
+            _stop_admission.StopAdmission(state=self.state, dialect=dialect),
         )
         self._make_peers()
         self._make_tasks(dialect)
@@ -310,8 +299,14 @@
 
     def stop(self):
         """Start a planned stop: report not ready, then drain."""
+        self._begin_stop()
         self._stop.set()
 
+    def _begin_stop(self):
+        self.state.stop_schedule.begin(
+            _clock.read_clock_ms(), grace_ms=self._settings.stop_grace_ms
+        )
+
     def apply_settings(self, settings):
         """Apply reloaded settings; only new seeds affect a running process."""
         changed = [
@@ -370,10 +365,8 @@
             self._peer_server.serve, settings.host, settings.peer_port
         )
         self.ports['peer_port'] = _port_of(listeners)
-        self.ports['caller_port'] = await nursery.start(
-            self._accept_callers, nursery
-        )
         for name, handler in (
+            ('caller_port', self._serve_caller),
             ('relay_port', self._serve_vm),
             ('ready_port', self._serve_monitoring),
             ('metrics_port', self._serve_monitoring),
@@ -389,18 +382,6 @@
             )
             self.ports[name] = _port_of(listeners)
 
-    async def _accept_callers(self, nursery, *, task_status):
-        """Accept callers until a stop ends that; their connections go on."""
-        settings = self._settings
-        listeners = await trio.open_tcp_listeners(
-            settings.caller_port, host=settings.host, backlog=LISTEN_BACKLOG
-        )
-        task_status.started(_port_of(listeners))
-        with self._accepting:
-            await trio.serve_listeners(
-                self._serve_caller, listeners, handler_nursery=nursery
-            )
-
     async def _join(self, nursery):
         """Join the membership, so that other VMs know this one."""
         settings = self._settings
@@ -483,41 +464,30 @@
             await self._hand_on.prune()
 
     async def _drain(self):
-        """Finish the requests in flight within the grace period."""
-        settings = self._settings
-        stop_s = settings.stop_grace_ms / _clock.MS_PER_S - STOP_MARGIN_S
+        """Serve what ends within the grace period, refuse the rest.
+
+        Callers are accepted until the process ends: one that finds no VM
+        listening can't be told where the time is.
+        """
+        self._begin_stop()
+        vm = self._settings.vm
+        schedule = self.state.stop_schedule
         emit(
             events.ENTRY_STOPPING,
-            vm=settings.vm,
+            vm=vm,
             connections=self._control.open_count,
+            left_ms=schedule.find_remaining_ms(_clock.read_clock_ms()),
         )
-        self.state.is_stopping = True
-        self._control.is_stopping = True
-        now_ms = _clock.read_clock_ms()
-        self._control.stop_begun_ms = now_ms
-        self._control.end_deadline_ms = now_ms + int(stop_s * _clock.MS_PER_S)
         self._membership.leave()
-        with trio.move_on_after(stop_s):
-            await trio.sleep(BALANCER_LAG_S)
-            # Who comes now would be cut off at the end of the grace period,
-            # and finds another VM sooner if it is not accepted.
-            self._accepting.cancel()
-            self._control.end_idle()
-            await self._wait_closed()
-        self._control.end_idle()
-        self._control.end_requests()
-        with trio.move_on_after(STOP_ANSWER_S):
-            await self._wait_closed()
-        emit(
-            events.ENTRY_STOPPED,
-            vm=settings.vm,
-            connections=self._control.open_count,
-        )
-
-    async def _wait_closed(self):
-        """Wait until no caller is connected."""
-        while self._control.open_count:
+        while True:
+            now_ms = _clock.read_clock_ms()
+            self._control.end_due(now_ms)
+            if now_ms >= schedule.exit_deadline_ms:
+                break
+            if now_ms >= schedule.leave_ms and not self._control.open_count:
+                break
             await trio.sleep(_DRAIN_POLL_S)
+        emit(events.ENTRY_STOPPED, vm=vm, connections=self._control.open_count)
 
     async def _close(self):
         with trio.CancelScope(shield=True):
--- a/bluebellthread/entry/_state.py
+++ b/bluebellthread/entry/_state.py
@@ -36,8 +36,8 @@
         Names and incarnations of the VMs that may hold placements.
     view_changed : trio.Event
         Set and replaced by a new event whenever the view is replaced.
-    is_stopping : bool
-        Whether a planned stop has started.
+    stop_schedule : StopSchedule
+        The deadlines of a planned stop.
     prepared : trio.Event
         Set once this VM knows a configuration and the backend servers.
     start_wait : StartWait
@@ -55,7 +55,7 @@
         self.prepared = trio.Event()
         self.start_wait = routing.StartWait(_clock.read_clock_ms())
         self.view = core.MembershipView(members=(), confirmed=False)
-        self.is_stopping = False
+        self.stop_schedule = routing.StopSchedule()
         self.holders = frozenset()
         self.view_changed = trio.Event()
         self._members = {}
@@ -63,6 +63,11 @@
         self._ranked = {}
         self._owner_share = routing.OwnerShare()
 
+    @property
+    def is_stopping(self):
+        """Whether a planned stop has begun."""
+        return self.stop_schedule.is_begun
+
     @property
     def is_ready(self):
         """Whether the load balancer should send callers to this VM."""
--- a/bluebellthread/entry/_stream_attempts.py
+++ b/bluebellthread/entry/_stream_attempts.py
@@ -115,6 +115,7 @@
                 attempt.last_server
             ):
                 failed_server = attempt.last_server
+            attempt.rest()
             self._placements.release(
                 placement,
                 failed_server=failed_server or placement.failed_prefill,
@@ -165,6 +166,7 @@
         admissions = await self._admit(placement)
         exchange = await self._connect(placement)
         try:
+            attempt.begin()
             self._pay(attempt)
             prompt = await self._run_prefill(attempt, placement, admissions)
             await self._decode(
@@ -246,13 +248,15 @@
             return None
         self._check_prompt()
         server = self._find_server(placement.prefill_server, 'prefill')
-        return await self._prefills.run(
+        prompt = await self._prefills.run(
             attempt,
             placement,
             server,
             self._relay.resume_headers(),
             admissions[server.name],
         )
+        attempt.is_prefilled = True
+        return prompt
 
     async def _connect(self, placement):
         server = self._find_decode_server(placement)
@@ -287,6 +291,7 @@
         except _stream_context.StreamBrokenError as error:
             if prompt is None or not self._may_prefill_on_decode_server(error):
                 raise
+            attempt.is_prefilled = False
         finally:
             if call is None and prompt is not None:
                 self._prefills.release_cache(prompt)
@@ -309,7 +314,12 @@
         The reservation on the server is still held, so a refusal mostly means
         that the prompt's KV cache could not be fetched.
         """
-        return error.was_refused and self._budgets.spend(self._work.service, 1)
+        work = self._work
+        return (
+            error.was_refused
+            and work.may_begin()
+            and self._budgets.spend(work.service, 1)
+        )
 
     # The answer
 
--- a/bluebellthread/entry/_stream_path.py
+++ b/bluebellthread/entry/_stream_path.py
@@ -236,6 +236,8 @@
             return _work.NO_RUNS_LEFT
         if not self._relay.may_go_on:
             return _work.NO_EVENT_ID
+        if not work.may_begin():
+            return _work.STOPPING
         if self._find_shut_out() is not None:
             return _work.SHUT_OUT
         is_path_lost = self._paths.is_lost(work.service)
@@ -269,6 +271,8 @@
             return _work.NO_RUNS_LEFT
         if not self._relay.may_go_on:
             return _work.NO_EVENT_ID
+        if not work.may_begin():
+            return _work.STOPPING
         return ''
 
     async def _end_failed(
--- a/bluebellthread/entry/_work.py
+++ b/bluebellthread/entry/_work.py
@@ -2,19 +2,16 @@
 
 import contextlib
 
-from bluebellthread import core
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
 from bluebellthread.entry import _http_messages
 from bluebellthread.entry import _refusals
+from bluebellthread.entry import _request_limits
 from bluebellthread.entry import _server_calls
+from bluebellthread.entry import _stop_admission
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
 
-DEFAULT_TIMEOUT_MS = 30000
-"""Timeout of requests without a deadline on routes without a timeout: as long
-as callers commonly wait."""
-
 UNSERVED_RETRY_MS = 500
 """Retry delay sent to callers whose deadline passed before a server could run
 their request."""
@@ -32,6 +29,7 @@
 NO_OTHER_SERVER = 'no server is known that is not silent'
 SHUT_OUT = 'its prompt is shut out'
 NO_TIME = 'too little time is left'
+STOPPING = 'this VM stops too soon'
 AT_OTHER_VM = 'the VM that it was handed on to makes the other runs'
 """Why no run follows one that has brought no whole answer."""
 
@@ -53,6 +51,8 @@
         Header names of the platform.
     stats : EntryStats
         Counts the outcome of the request.
+    admission : StopAdmission
+        Knows what this VM still begins once it is being stopped.
     is_handed_on : bool
         Whether another VM has handed the request on to this one.
     run_count : int
@@ -74,6 +74,8 @@
         How the request was answered, for the log; empty before that.
     waited_ms : int
         Time spent waiting for placements.
+    begun_ms : int or None
+        When servers first began to work on it; None before that.
     prefill_ms : int or None
         How long the last successful prefill took.
     first_event_ms : int or None
@@ -96,6 +98,7 @@
         table_version,
         dialect,
         stats,
+        admission,
         is_handed_on=False,
         run_count=0,
     ):
@@ -124,8 +127,15 @@
         self.is_counted_elsewhere = False
         self._dialect = dialect
         self._stats = stats
-        self.patience_ms = self._read_patience_ms()
-        self.deadline_ms = self._compute_deadline_ms()
+        self._admission = admission
+        self._attempt_count = 0
+        self.begun_ms = None
+        self.patience_ms = _request_limits.read_patience_ms(
+            self.request, dialect
+        )
+        self.deadline_ms = _request_limits.find_deadline_ms(
+            self.request, route, dialect
+        )
 
     def _identify(self, dialect):
         request = self.request
@@ -141,24 +151,6 @@
             body=request.body,
         )
 
-    def _read_patience_ms(self):
-        """Return how long the caller waits by its header, or None.
-
-        None is returned also if the header has no usable number.
-        """
-        return core.parse_count(
-            self.request.header(self._dialect.remaining_ms)
-        )
-
-    def _compute_deadline_ms(self):
-        bounds_ms = []
-        if self.patience_ms is not None:
-            bounds_ms.append(self.patience_ms)
-        if self.route.timeout_ms:
-            bounds_ms.append(self.route.timeout_ms)
-        longest_ms = min(bounds_ms, default=DEFAULT_TIMEOUT_MS)
-        return self.request.received_ms + longest_ms
-
     @property
     def age_ms(self):
         """Milliseconds since the request's first byte was read."""
@@ -184,6 +176,90 @@
         """Whether a server may have run it that this VM has called."""
         return self.run_count > self._earlier_run_count
 
+    # A planned stop
+
+    def find_begin_deadline_ms(self, *, is_prefilled=False):
+        """Return until when servers may begin to work on the request.
+
+        Parameters
+        ----------
+        is_prefilled : bool
+            Whether a prefill server has read its prompt.
+        """
+        return self._admission.find_begin_deadline_ms(
+            self.request,
+            self.route,
+            self.service,
+            self.deadline_ms,
+            is_prefilled=is_prefilled,
+        )
+
+    def may_begin(self, *, is_prefilled=False):
+        """Return whether the request surely ends before this VM does."""
+        deadline_ms = self.find_begin_deadline_ms(is_prefilled=is_prefilled)
+        return _clock.read_clock_ms() <= deadline_ms
+
+    def find_stop_end_ms(self):
+        """Return when a stop ends the request; called only during a stop.
+
+        A request that no server works on ends as soon as none may begin,
+        unless its answer is being sent.
+        """
+        end_deadline_ms = self._admission.schedule.end_deadline_ms
+        if self._attempt_count or self.outcome:
+            return end_deadline_ms
+        return min(end_deadline_ms, self.find_begin_deadline_ms())
+
+    @contextlib.contextmanager
+    def at_servers(self):
+        """Have servers work on an attempt in the ``with`` body."""
+        if self.begun_ms is None:
+            self.begun_ms = _clock.read_clock_ms()
+        self._attempt_count += 1
+        try:
+            yield
+        finally:
+            self._attempt_count -= 1
+
+    def log_stop_decision(self, stage, decision):
+        """Log what a stop means for the request, if there is one."""
+        if not self._admission.schedule.is_begun:
+            return
+        self._admission.log_decision(
+            request_id=self.request_id,
+            stage=stage,
+            decision=decision,
+            need_ms=self._admission.find_need_ms(self),
+        )
+
+    async def end_at_stop(self, stage):
+        """End the request, as this VM has no time left to serve it.
+
+        Parameters
+        ----------
+        stage : str
+            What found that out.
+        """
+        if self.exchange.is_complete:
+            return
+        may_have_run = self.may_have_run or self.in_flight_count
+        may_have_run_here = self.may_have_run_here or self.in_flight_count
+        if self.exchange.is_started or (
+            self.is_handed_on and may_have_run_here
+        ):
+            # The VM that has handed a request on may repeat it elsewhere.
+            self.log_stop_decision(stage, _stop_admission.DECISION_CUT)
+            await self.exchange.abort()
+        elif self.is_handed_on:
+            self.log_stop_decision(stage, _stop_admission.DECISION_RETURNED)
+            await self.refuse_hand_on('stopping')
+        elif may_have_run:
+            self.log_stop_decision(stage, _stop_admission.DECISION_FAILED)
+            await self.fail('stopping')
+        else:
+            self.log_stop_decision(stage, _stop_admission.DECISION_REFUSED)
+            await self.refuse('stopping', self._admission.find_retry_ms())
+
     # Attempts
 
     def note_sent(self, server):
@@ -361,6 +437,7 @@
         outcome = self.outcome
         if not exchange.is_complete:
             outcome = 'caller-gone' if exchange.caller_gone else 'broken-off'
+        self._admission.note_ended(self)
         self._stats.count_request(
             kind=self.route.kind, outcome=outcome, took_ms=self.age_ms
         )
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -159,7 +159,10 @@
     'peers at {peer_port}',
 )
 ENTRY_STOPPING = Event(
-    7002, 'INFO', 'entry {vm} is stopping with {connections} connections open'
+    7002,
+    'INFO',
+    'entry {vm} is stopping with {connections} connections open; requests '
+    'end in {left_ms} ms',
 )
 ENTRY_STOPPED = Event(
     7003, 'INFO', 'entry {vm} stopped with {connections} connections open'
@@ -167,8 +170,9 @@
 STOP_DECISION = Event(
     7077,
     'INFO',
-    'request {request_id}: {decision} {since_stop_ms} ms after the stop of '
-    'this VM began, {left_ms} ms before its requests end',
+    'request {request_id}: {decision} ({stage}) {since_stop_ms} ms after the '
+    'stop of this VM began, {left_ms} ms before its requests end; it may '
+    'take {need_ms} ms',
 )
 SETTINGS_RELOADED = Event(
     7004, 'INFO', 'settings were reloaded; changed: {changed}'
--- a/tests/integration/test_entry_platform.py
+++ b/tests/integration/test_entry_platform.py
@@ -142,7 +142,7 @@
             self.assertEqual(
                 200, (await self.get_from(port, '/-/ready')).status
             )
-            entry_site.entry.state.is_stopping = True
+            entry_site.entry.stop()
             self.assertEqual(
                 503, (await self.get_from(port, '/-/ready')).status
             )
--- a/tests/integration/test_entry_read_requests.py
+++ b/tests/integration/test_entry_read_requests.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import functools
+import math
 import os
 import unittest
 from unittest import mock
@@ -9,6 +10,7 @@
 import trio
 
 from bluebellthread.core import routing
+from bluebellthread.daemon import _clock
 from bluebellthread.daemon import _socket_options
 from bluebellthread.entry import _caller_connection
 from bluebellthread.entry import _connection_control
@@ -361,7 +363,7 @@
     @run
     async def test_answer_after_the_begin_of_a_stop_closes(self):
         async def stop(exchange):
-            control.is_stopping = True
+            control.schedule.begin(_clock.read_clock_ms(), grace_ms=8000)
             await echo(exchange)
 
         async with serving(stop) as (caller, control):
@@ -375,7 +377,7 @@
 
         async def serve(exchange):
             received.append(exchange.request.target)
-            control.is_stopping = True
+            control.schedule.begin(_clock.read_clock_ms(), grace_ms=8000)
             # The caller's next requests are read meanwhile.
             await trio.sleep(0.1)
             await echo(exchange)
@@ -395,8 +397,8 @@
             await trio.sleep(0.05)
             # The connection is closed before the event loop sees the request.
             os.write(caller.stream.socket.fileno(), make_request(7))
-            control.is_stopping = True
-            control.end_idle()
+            control.schedule.begin(0, grace_ms=0)
+            control.end_due(math.inf)
             answer = await caller.read_answer()
             self.assertEqual(b'/read/7', answer.body)
 
@@ -404,5 +406,6 @@
     async def test_idle_connection_is_closed(self):
         async with serving(echo) as (caller, control):
             await trio.sleep(0.05)
-            control.end_idle()
+            control.schedule.begin(0, grace_ms=0)
+            control.end_due(math.inf)
             self.assertEqual(b'', await caller.stream.receive_some(1))
--- a/tests/unit/test_attempt_race.py
+++ b/tests/unit/test_attempt_race.py
@@ -1,6 +1,7 @@
 """Attempts at one request, against a clock that only the tests move."""
 
 import collections
+import contextlib
 import math
 import types
 import unittest
@@ -124,7 +125,12 @@
 
         async def scenario():
             race = _attempt_race.AttemptRace(
-                work=types.SimpleNamespace(request_id='r', run_count=1),
+                work=types.SimpleNamespace(
+                    request_id='r',
+                    run_count=1,
+                    may_begin=lambda is_prefilled: True,
+                    at_servers=contextlib.nullcontext,
+                ),
                 silences=self.silences,
                 runs_once=runs_once,
                 may_overlap=False,
--- a/tests/unit/test_stream_followers.py
+++ b/tests/unit/test_stream_followers.py
@@ -53,6 +53,8 @@
         is_follower=True,
         is_paid=False,
         others=(types.SimpleNamespace(waits_for='d1'),),
+        begin=lambda: None,
+        rest=lambda: None,
     )
 
 
--- a/tests/unit/test_stream_pieces.py
+++ b/tests/unit/test_stream_pieces.py
@@ -1,3 +1,4 @@
+import contextlib
 import types
 import unittest
 
@@ -99,7 +100,10 @@
         return False
 
     return _attempt_race.AttemptRace(
-        work=None,
+        work=types.SimpleNamespace(
+            may_begin=lambda is_prefilled: True,
+            at_servers=contextlib.nullcontext,
+        ),
         silences=silences,
         runs_once=False,
         may_overlap=False,
--- a/tests/unit/test_work_runs.py
+++ b/tests/unit/test_work_runs.py
@@ -28,6 +28,7 @@
         table_version=1,
         dialect=platform.make_dialect(),
         stats=None,
+        admission=None,
     )
 
 
