--- a/bluebellthread/entry/_gateway.py
+++ b/bluebellthread/entry/_gateway.py
@@ -146,14 +146,14 @@
         work.log_stop_decision(
             _stop_admission.STAGE_ARRIVAL, _stop_admission.DECISION_TAKEN
         )
-        stage = _stop_admission.STAGE_END
+        stage = ''
         with self._control.scope(work.find_stop_end_ms):
             try:
                 await self._paths[work.route.kind].serve(work)
                 return
             except _stop_admission.StopTooNearError:
                 stage = _stop_admission.STAGE_ATTEMPT
-        await work.end_at_stop(stage)
+        await work.end_at_stop(stage or self._control.admission.find_stage())
 
     @contextlib.asynccontextmanager
     async def _answering_crashes(self, exchange, work=None):
--- a/bluebellthread/entry/_stop_admission.py
+++ b/bluebellthread/entry/_stop_admission.py
@@ -134,6 +134,11 @@
             self.find_begin_deadline_ms(request, route, service, deadline_ms),
         )
 
+    def find_stage(self):
+        """Return what ends a request while servers or a wait keep it."""
+        is_over = not self.schedule.find_remaining_ms(_clock.read_clock_ms())
+        return STAGE_END if is_over else STAGE_WAITING
+
     def find_retry_ms(self):
         """Return after which time callers that are refused find a VM."""
         if self._find_stopping_share() <= 0.5:
