Keep the duration of a long failure while few requests are measured

What callers saw: a VM that has served few requests to a service, one of which ran into its timeout, takes a request late in a stop and cuts it.

Cause: RecentMaximum compared a failure with the bound, which is infinite until four answers have been measured, so that the failure was dropped. Four short answers after it made a bound known that the failure contradicts.

Change: every duration raises the maximum, as only answers are counted.

Evidence: the test failed before (a bound of 1220 ms after a failure of 9000 ms); tests.unit.test_run_times passes now.

--- a/bluebellthread/core/routing/_run_times.py
+++ b/bluebellthread/core/routing/_run_times.py
@@ -65,8 +65,6 @@
         self._advance(now_ms)
         if is_answered:
             self._current.count += 1
-        elif value <= self.find(now_ms=now_ms):
-            return
         self._current.largest = max(self._current.largest, value)
 
     def find(self, *, now_ms):
--- a/tests/unit/test_run_times.py
+++ b/tests/unit/test_run_times.py
@@ -52,6 +52,14 @@
         self.note(5000, 200, is_answered=False)
         self.assertGreaterEqual(self.find_need_ms(), 5200)
 
+    # Guards against bounds that forget a long request that failed while few
+    # had been measured.
+    def test_long_failure_before_the_first_answers_raises_the_bound(self):
+        self.note(9000, is_answered=False)
+        for _ in range(_run_times.COUNT_MIN):
+            self.note(10)
+        self.assertGreaterEqual(self.find_need_ms(0), 9000)
+
     def test_need_grows_with_the_tokens_and_is_unknown_without(self):
         for _ in range(_run_times.COUNT_MIN):
             self.note(100, 200, tokens=100)
