Learn from callers that leave that requests take as long, at least

What callers saw: of a service whose slow requests all end by the callers' own patience, a VM that stops takes a request late and cuts it.

Cause: StopAdmission.note_ended dropped requests whose caller had left, so that only the short ones were measured.

Change: they are noted as failures are. They may raise a bound, but make none known.

--- a/bluebellthread/entry/_stop_admission.py
+++ b/bluebellthread/entry/_stop_admission.py
@@ -167,10 +167,9 @@
         )
 
     def note_ended(self, work):
-        """Learn how long a request took, unless its caller has left."""
+        """Learn how long a request took, at least if it was not answered."""
         exchange = work.exchange
-        has_left = exchange.caller_gone and not exchange.is_complete
-        if work.begun_ms is None or has_left:
+        if work.begun_ms is None:
             return
         is_answered = exchange.is_complete and exchange.status < 500
         table = self.state.table
