Learn no durations from requests that servers reject

What callers saw: after four orders that a server rejects at once (400, 404, 409), a VM that stops takes an order late and cuts it.

Cause: each answer below 500 counted as one that shows how long a request takes.

Change: only answers below 400 do; others may raise a bound.

Evidence: the test failed before (a request might begin until 1204 ms before the end with nothing but rejections measured) and passes now.

--- a/bluebellthread/entry/_stop_admission.py
+++ b/bluebellthread/entry/_stop_admission.py
@@ -171,7 +171,7 @@
         exchange = work.exchange
         if work.begun_ms is None:
             return
-        is_answered = exchange.is_complete and exchange.status < 500
+        is_answered = exchange.is_complete and exchange.status < 400
         table = self.state.table
         if self._seen_table is not table:
             self._seen_table = table
--- a/tests/unit/test_stop_admission.py
+++ b/tests/unit/test_stop_admission.py
@@ -97,6 +97,12 @@
             self.note(6000, status=None, has_left=True)
         self.assertGreaterEqual(self.find_left_ms(), 6000)
 
+    def test_early_failures_of_servers_make_no_bound_known(self):
+        for status in (400, 404, 409, 500):
+            for _ in range(SAMPLE_COUNT):
+                self.note(2, status=status)
+        self.assertEqual(math.inf, self.find_left_ms())
+
 
 if __name__ == '__main__':
     unittest.main()
