Learn no durations of whole streams from streams that were taken up

What callers saw: a VM to which callers bring the rest of their streams, as after the loss or the stop of another one, takes whole streams late in its own stop and cuts them.

Cause: the time from the first event to the end was divided by the tokens of the whole stream, although only its rest was sent.

Change: the rest of a stream may raise a bound, but makes none known. How long it takes to its first event is still measured.

--- a/bluebellthread/entry/_stop_admission.py
+++ b/bluebellthread/entry/_stop_admission.py
@@ -177,8 +177,10 @@
             self._seen_table = table
             self._times.keep_only(table.services)
         now_ms = _clock.read_clock_ms()
+        # The rest of a stream is shorter than its tokens tell.
+        is_whole = is_answered and not self._is_taken_up(work.request)
         self._times.note_whole(
-            work.service, now_ms - work.begun_ms, is_answered=is_answered
+            work.service, now_ms - work.begun_ms, is_answered=is_whole
         )
         first_ms = now_ms
         if work.first_event_ms is not None:
@@ -190,7 +192,7 @@
                     now_ms - first_ms,
                     output_tokens=output_tokens,
                     now_ms=now_ms,
-                    is_answered=is_answered,
+                    is_answered=is_whole,
                 )
         self._times.note_first(
             work.service,
@@ -234,6 +236,13 @@
         )
         return counts[1] or None if counts else None
 
+    def _is_taken_up(self, request):
+        """Return whether the caller has events of the stream already."""
+        return bool(
+            request.header(self.dialect.resume_after)
+            or request.header(self.dialect.resumed_attempt)
+        )
+
     def _find_stopping_share(self):
         """Return how likely a caller that is refused comes to a VM that stops.
 
--- a/tests/unit/test_stop_admission.py
+++ b/tests/unit/test_stop_admission.py
@@ -103,6 +103,17 @@
                 self.note(2, status=status)
         self.assertEqual(math.inf, self.find_left_ms())
 
+    def test_resumed_streams_make_no_bound_known(self):
+        for _ in range(SAMPLE_COUNT):
+            self.note(
+                20,
+                (self.dialect.resume_after, b'19'),
+                (self.dialect.resumed_attempt, b'r'),
+                kind=routing.KIND_STREAM,
+                first_event_ms=10,
+            )
+        self.assertEqual(math.inf, self.find_left_ms(routing.KIND_STREAM))
+
 
 if __name__ == '__main__':
     unittest.main()
