Answer requests under way in a grace period of half a second, too

What callers saw: with a stop_grace_ms of 500 or less, the connections of requests under way are closed without an answer.

Cause: the deadline for the process's exit was the begin of the stop, and the drain loop ended in the same step in which it had ended the requests, before these could answer.

Change: the margin for the exit takes half of the grace period at most.

Evidence: the test failed before (the connection ended without a head) and passes now; longer grace periods have the same deadlines as before.

--- a/bluebellthread/core/routing/_stop_schedule.py
+++ b/bluebellthread/core/routing/_stop_schedule.py
@@ -14,7 +14,8 @@
 not done, and for closing connections, before the process is killed."""
 
 EXIT_MARGIN_MS = END_MARGIN_MS // 2
-"""Part of the grace period in which a process should have ended by itself."""
+"""Part of the grace period in which a process should have ended by itself; at
+most half of it, so that requests under way are answered in the other half."""
 
 BALANCER_LAG_MS = 2600
 """How long callers still arrive after a stop begins: the load balancer probes
@@ -74,7 +75,9 @@
         self.begun_ms = now_ms
         self.leave_ms = now_ms + min(BALANCER_LAG_MS, grace_ms)
         self.end_deadline_ms = now_ms + max(0, grace_ms - END_MARGIN_MS)
-        self.exit_deadline_ms = now_ms + max(0, grace_ms - EXIT_MARGIN_MS)
+        self.exit_deadline_ms = now_ms + max(
+            grace_ms // 2, grace_ms - EXIT_MARGIN_MS
+        )
 
     def find_begin_deadline_ms(self, *, need_ms, likely_ms, deadline_ms):
         """Return until when a request may begin; infinite without a stop.
--- a/tests/integration/test_entry_stop.py
+++ b/tests/integration/test_entry_stop.py
@@ -368,6 +368,19 @@
 
 
 class TestStops(unittest.TestCase):
+    # Guards against connections that are closed without an answer.
+    @run
+    async def test_order_is_answered_in_a_short_grace_period(self):
+        async with sites.running_site(plain=PLAIN, stop_grace_ms=400) as site:
+            server = site.servers['s1']
+            server.run_pause_s = 5.0
+            async with await site.connect() as caller:
+                await caller.send('POST', '/order/x')
+                await sites.wait_until(lambda: server.runs)
+                Stop(site.entry)
+                answer = await caller.read_answer()
+                self.assertEqual(502, answer.status)
+
     async def check_second_signal(self, signal):
         """Check that a further signal neither extends nor shortens a stop."""
         async with running_site() as site:
