Learn during a stop from the requests that still run

What callers saw: where a service has become slow of late, a VM that stops takes an order with four seconds left that cannot end, and answers it with 502 at the end, though it may have run.

Cause: only requests that had ended were measured. Those that still run, and have for longer than the bound, are not among them.

Change: while a VM stops, it notes with each look at what is due how long the requests under way have taken so far; as with failures, that may raise a bound but makes none known. The samples of likely durations stay as they are.

--- a/bluebellthread/entry/_service.py
+++ b/bluebellthread/entry/_service.py
@@ -481,6 +481,7 @@
         self._membership.leave()
         while True:
             now_ms = _clock.read_clock_ms()
+            self._control.admission.note_running()
             self._control.end_due(now_ms)
             if now_ms >= schedule.exit_deadline_ms:
                 break
--- a/bluebellthread/entry/_stop_admission.py
+++ b/bluebellthread/entry/_stop_admission.py
@@ -60,6 +60,7 @@
         factory=routing.RunTimes, init=False
     )
     _seen_table: object = attrs.field(default=None, init=False)
+    _running: set = attrs.field(factory=set, init=False)
 
     @property
     def schedule(self):
@@ -166,22 +167,37 @@
             'stopping', self.find_retry_ms(), remaining_ms
         )
 
+    def note_begun(self, work):
+        """Note that servers begin to work on a request."""
+        self._running.add(work)
+
+    def note_running(self):
+        """Learn from the requests under way that others may take as long."""
+        for work in self._running:
+            self._note_bounds(work, is_answered=False, is_whole=False)
+
     def note_ended(self, work):
         """Learn how long a request took, at least if it was not answered."""
         exchange = work.exchange
+        self._running.discard(work)
         if work.begun_ms is None:
             return
         is_answered = exchange.is_complete and exchange.status < 400
+        # The rest of a stream is shorter than its tokens tell.
+        is_whole = is_answered and not self._is_taken_up(work.request)
         table = self.state.table
         if self._seen_table is not table:
             self._seen_table = table
             self._times.keep_only(table.services)
-        now_ms = _clock.read_clock_ms()
-        # The rest of a stream is shorter than its tokens tell.
-        is_whole = is_answered and not self._is_taken_up(work.request)
         self._times.note_whole(
-            work.service, now_ms - work.begun_ms, is_answered=is_whole
+            work.service,
+            _clock.read_clock_ms() - work.begun_ms,
+            is_answered=is_whole,
         )
+        self._note_bounds(work, is_answered=is_answered, is_whole=is_whole)
+
+    def _note_bounds(self, work, *, is_answered, is_whole):
+        now_ms = _clock.read_clock_ms()
         first_ms = now_ms
         if work.first_event_ms is not None:
             first_ms = work.request.received_ms + work.first_event_ms
--- a/bluebellthread/entry/_work.py
+++ b/bluebellthread/entry/_work.py
@@ -215,6 +215,7 @@
         """Have servers work on an attempt in the ``with`` body."""
         if self.begun_ms is None:
             self.begun_ms = _clock.read_clock_ms()
+            self._admission.note_begun(self)
         self._attempt_count += 1
         try:
             yield
--- a/tests/integration/test_entry_stop.py
+++ b/tests/integration/test_entry_stop.py
@@ -285,6 +285,29 @@
             answer = await site.call('POST', '/once/x')
             self.assertEqual(ALL_EVENTS, answer.body)
 
+    # Guards against orders that are taken late since the slow ones that still
+    # run have not been measured.
+    @run
+    async def test_order_is_refused_while_one_before_it_takes_long(self):
+        async with sites.running_site(
+            plain=PLAIN, stop_grace_ms=2 * GRACE_MS
+        ) as site:
+            server = site.servers['s1']
+            for number in range(8):
+                answer = await site.call(
+                    'POST', '/order/x', request_id=f'short-{number}'
+                )
+                self.assertEqual(200, answer.status)
+            server.run_pause_s = 30.0
+            async with await site.connect() as earlier:
+                await earlier.send('POST', '/order/x', request_id='long')
+                await sites.wait_until(lambda: len(server.runs) == 9)
+                stop = Stop(site.entry)
+                await stop.wait(END_S)
+                answer = await site.call('POST', '/order/x', request_id='late')
+                self.check_refused(answer)
+            self.assertEqual(9, len(server.runs))
+
 
 class TestOtherVms(unittest.TestCase):
     # Guards against a stop that only shuts the door of the callers.
--- a/tests/unit/test_stop_admission.py
+++ b/tests/unit/test_stop_admission.py
@@ -15,6 +15,10 @@
 SAMPLE_COUNT = 8
 
 
+class _Work(types.SimpleNamespace):
+    __hash__ = object.__hash__
+
+
 class TestLearnedDurations(unittest.TestCase):
     """Guards against late requests that are taken on a bound that is too low.
 
@@ -61,7 +65,7 @@
         """Note a request that has ended."""
         request = self.make_request(*headers, took_ms=took_ms)
         self.admission.note_ended(
-            types.SimpleNamespace(
+            _Work(
                 request=request,
                 route=types.SimpleNamespace(kind=kind),
                 service='s',
