Return a request of another VM before its body is read, if too late

What callers saw: a request with a long body that a VM hands on to one that stops gets 503 (or, once it has events, a stream is broken off), though a third VM could have served it; it counts as a run.

Cause: a request that is not read whole in time got the refusal for callers, at the relay port, too. The VM that had handed it on took that for the answer, as the header that says "not taken" was missing.

Change: connections of VMs get that header, as requests do that were read whole.

Evidence: the test failed before (no such header) and passes now.

--- a/bluebellthread/entry/_caller_connection.py
+++ b/bluebellthread/entry/_caller_connection.py
@@ -19,7 +19,6 @@
 from bluebellthread.daemon import _clock
 from bluebellthread.entry import _concurrency
 from bluebellthread.entry import _http_messages
-from bluebellthread.entry import _refusals
 from bluebellthread.entry import _sockets
 from bluebellthread.entry import _stop_admission
 
@@ -77,12 +76,15 @@
         ``async``; takes a `CallerExchange` and answers it.
     control : ConnectionControl
         The limits in force, and whether the process is stopping.
+    is_of_vm : bool
+        Whether the caller is another VM, which hands requests on.
     """
 
-    def __init__(self, *, stream, handler, control):
+    def __init__(self, *, stream, handler, control, is_of_vm=False):
         self._stream = stream
         self._handler = handler
         self._control = control
+        self._is_of_vm = is_of_vm
         limits = control.limits
         self._conn = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_max_bytes
@@ -264,10 +266,11 @@
         receives the refusal even if it only reads after it has sent all.
         """
         control = self._control
-        answer = control.admission.refuse_unread(self._request)
-        headers, body = _refusals.encode_router_answer(answer)
+        status, headers, body = control.admission.refuse_unread(
+            self._request, is_of_vm=self._is_of_vm
+        )
         await self._send_last(
-            answer.status,
+            status,
             headers,
             body,
             linger_s=_clock.read_remaining_s(
--- a/bluebellthread/entry/_service.py
+++ b/bluebellthread/entry/_service.py
@@ -408,7 +408,10 @@
     async def _serve_vm(self, stream):
         """Serve the requests that another VM hands on."""
         await self._serve_connection(
-            stream, self._gateway.serve_handed_on, self._control
+            stream,
+            self._gateway.serve_handed_on,
+            self._control,
+            is_of_vm=True,
         )
 
     async def _serve_monitoring(self, stream):
@@ -419,7 +422,7 @@
         await self._serve_connection(stream, self._answer_monitoring, control)
 
     @staticmethod
-    async def _serve_connection(stream, handler, control):
+    async def _serve_connection(stream, handler, control, *, is_of_vm=False):
         control.open_count += 1
         try:
             _socket_options.set_silence_timeouts(stream.socket)
@@ -427,6 +430,7 @@
                 stream=stream,
                 handler=handler,
                 control=control,
+                is_of_vm=is_of_vm,
             ).run()
         except Exception as error:
             # A bug hit by one connection must not end the process.
--- a/bluebellthread/entry/_stop_admission.py
+++ b/bluebellthread/entry/_stop_admission.py
@@ -11,6 +11,7 @@
 
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
+from bluebellthread.entry import _http_messages
 from bluebellthread.entry import _refusals
 from bluebellthread.entry import _request_limits
 from bluebellthread.entry import _state
@@ -141,13 +142,24 @@
             return 0
         return MOST_STOPPING_RETRY_MS
 
-    def refuse_unread(self, request):
-        """Return the refusal of a request that is not read whole in time.
+    def refuse_unread(self, request, *, is_of_vm=False):
+        """Refuse a request that is not read whole in time.
 
         Parameters
         ----------
         request : Request or None
             The request without its body; None if its head is not whole.
+        is_of_vm : bool
+            Whether another VM hands it on.
+
+        Returns
+        -------
+        status : int
+            Status of the refusal.
+        headers : list of (bytes, bytes)
+            Its headers.
+        body : bytes
+            Its body.
         """
         request_id, remaining_ms = '', _request_limits.DEFAULT_TIMEOUT_MS
         if request is not None:
@@ -160,12 +172,15 @@
         self.log_decision(
             request_id=request_id,
             stage=STAGE_READING,
-            decision=DECISION_REFUSED,
+            decision=DECISION_RETURNED if is_of_vm else DECISION_REFUSED,
             need_ms=None,
         )
-        return _refusals.make_not_run_refusal(
+        if is_of_vm:
+            return 503, [(_http_messages.NOT_TAKEN_HEADER, b'stopping')], b''
+        answer = _refusals.make_not_run_refusal(
             'stopping', self.find_retry_ms(), remaining_ms
         )
+        return answer.status, *_refusals.encode_router_answer(answer)
 
     def note_begun(self, work):
         """Note that servers begin to work on a request."""
--- a/tests/integration/test_entry_stop.py
+++ b/tests/integration/test_entry_stop.py
@@ -29,7 +29,7 @@
 ENGINES = ('p1', 'd1')
 
 
-def make_head(path, length, request_id='late'):
+def make_head(path, length, *headers, request_id='late'):
     lines = (
         f'POST {path} HTTP/1.1',
         f'Host: {sites.HOST}',
@@ -37,6 +37,7 @@
         'X-Deadline-Ms: 8000',
         'X-Token-Count: 1000,200',
         f'Content-Length: {length}',
+        *headers,
     )
     return '\r\n'.join(lines).encode() + b'\r\n\r\n'
 
@@ -335,6 +336,28 @@
             )
             self.assertEqual([], fleet.servers['d1'].runs)
 
+    # Guards against refusals that the VM that hands on takes for answers.
+    @run
+    async def test_request_of_another_vm_is_returned_before_its_body(self):
+        async with fleets.running_fleet(
+            vms=2, engines=ENGINES, stop_grace_ms=GRACE_MS
+        ) as fleet:
+            stopped = fleet.vms[2].entry
+            stop = Stop(stopped)
+            await stop.wait(LATE_S)
+            stream = await trio.open_tcp_stream(
+                fleet.vms[2].host, stopped.ports['relay_port']
+            )
+            async with sites.Caller(stream) as caller:
+                await stream.send_all(
+                    make_head('/ask/x', 10, 'Bluebellthread-Config-Version: 1')
+                )
+                answer = await caller.read_answer()
+            self.assertEqual(503, answer.status)
+            self.assertEqual(
+                'stopping', answer.headers.get('bluebellthread-not-taken')
+            )
+
     # Guards against fleets of which all VMs that still run turn callers away.
     @run
     async def test_callers_find_open_doors_while_all_vms_stop(self):
