Pass on a server's failure if its retry turns out to come too late

What callers saw: an idempotent request that a server has answered with 500, and whose retry is not begun as the VM stops, gets 502 "stopping" in place of the server's answer.

Cause: the path asks whether there is time when it decides on the retry, and the attempt asks again before it sends. In between it may wait, as for the limit of a server. StopTooNearError then left the path, which forgot the failure that it held.

Change: the path passes that failure on.

Evidence: the test failed before with StopTooNearError and passes now.

--- a/bluebellthread/entry/_plain_path.py
+++ b/bluebellthread/entry/_plain_path.py
@@ -12,6 +12,7 @@
 from bluebellthread.entry import _http_messages
 from bluebellthread.entry import _plain_attempts
 from bluebellthread.entry import _server_calls
+from bluebellthread.entry import _stop_admission
 from bluebellthread.entry import _work
 
 RETRY_TIME_MIN_MS = 60
@@ -108,6 +109,11 @@
             except _hand_on.NotTakenError:
                 await self._end_not_taken(work)
                 return
+            except _stop_admission.StopTooNearError:
+                if progress.failure is None:
+                    raise
+                await work.pass_on(progress.failure)
+                return
             except _plain_attempts.UnansweredError as error:
                 if await self._end_with(progress, error.result):
                     return
