Test that an attempt which comes too late leaves the one beside it alone

No fault was found: a follower that may not begin during a stop neither ends the silent attempt beside it nor hides its failure. The stand-ins of the race's tests always allowed to begin, so nothing guarded this.

--- a/tests/unit/test_attempt_race.py
+++ b/tests/unit/test_attempt_race.py
@@ -11,6 +11,7 @@
 import trio.testing
 
 from bluebellthread.entry import _attempt_race
+from bluebellthread.entry import _stop_admission
 
 SILENCE_S = 1.0
 LONG_S = 60.0
@@ -441,3 +442,26 @@
         with mock.patch.object(_attempt_race, 'emit') as emit:
             self.race([1.2, 'end'], [0.1, _ServerError()])
         emit.assert_not_called()
+
+
+class TestStops(AttemptRaceTestCase):
+    # Guards against requests that end since the attempt beside them comes too
+    # late in a stop.
+    def test_follower_that_comes_too_late_leaves_the_first_attempt(self):
+        servers, error, end_s = self.race(
+            [2.2, 'end'],
+            *[[_stop_admission.StopTooNearError()]] * 9,
+        )
+        self.assertIsNone(error)
+        self.assertGreater(len(servers.asked_s), 1)
+        self.assertEqual([('end', 's0')], servers.pieces)
+        self.assertAlmostEqual(2.2, end_s)
+
+    def test_request_ends_with_the_failure_of_the_first_attempt(self):
+        failure = _ServerError()
+        servers, error, _ = self.race(
+            [(2.2, failure)],
+            *[[_stop_admission.StopTooNearError()]] * 9,
+        )
+        self.assertGreater(len(servers.asked_s), 1)
+        self.assertIs(failure, error)
