Show that streams which end early let a later one be taken and cut

What callers see: where streams end long before the most tokens that they name, a VM that stops takes a stream late and cuts it within its answer.

Cause: the time after the first event is divided by X-Token-Count, the most tokens, not by those that came. A stream that uses all of them takes longer by as much than the bound tells; twice the longest does not cover that.

Not fixed: the VM does not learn how many tokens an event holds.

--- a/tests/integration/test_entry_stop.py
+++ b/tests/integration/test_entry_stop.py
@@ -309,6 +309,31 @@
                 self.check_refused(answer)
             self.assertEqual(9, len(server.runs))
 
+    # Guards against streams that are taken late since those before them ended
+    # long before the most tokens that they might have had.
+    @run
+    async def test_stream_is_refused_if_those_before_it_ended_early(self):
+        async with sites.running_site(
+            plain=PLAIN, engines=ENGINES, stop_grace_ms=2 * GRACE_MS
+        ) as site:
+            server = site.servers['s1']
+            server.run_pause_s = 30.0
+            engine = set_slow(site)
+            engine.event_count = 2
+            for number in range(4):
+                answer = await site.call(
+                    'POST', '/once/x', request_id=f'early-{number}'
+                )
+                self.assertTrue(answer.whole)
+            engine.event_count = 5 * EVENT_COUNT
+            async with await site.connect() as earlier:
+                await earlier.send('POST', '/order/x')
+                await sites.wait_until(lambda: server.runs)
+                stop = Stop(site.entry)
+                await stop.wait(END_S)
+                answer = await site.call('POST', '/once/x', request_id='late')
+                self.check_refused(answer)
+
 
 class TestOtherVms(unittest.TestCase):
     # Guards against a stop that only shuts the door of the callers.
