--- a/bluebellthread/entry/_stop_admission.py
+++ b/bluebellthread/entry/_stop_admission.py
@@ -11,6 +11,7 @@
 
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
+from bluebellthread.entry import _http_messages
 from bluebellthread.entry import _refusals
 from bluebellthread.entry import _request_limits
 from bluebellthread.entry import _state
@@ -60,6 +61,7 @@
         factory=routing.RunTimes, init=False
     )
     _seen_table: object = attrs.field(default=None, init=False)
+    _running: set = attrs.field(factory=set, init=False)
 
     @property
     def schedule(self):
@@ -145,13 +147,24 @@
             return 0
         return MOST_STOPPING_RETRY_MS
 
-    def refuse_unread(self, request):
-        """Return the refusal of a request that is not read whole in time.
+    def refuse_unread(self, request, *, is_of_vm=False):
+        """Refuse a request that is not read whole in time.
 
         Parameters
         ----------
         request : Request or None
             The request without its body; None if its head is not whole.
+        is_of_vm : bool
+            Whether another VM hands it on.
+
+        Returns
+        -------
+        status : int
+            Status of the refusal.
+        headers : list of (bytes, bytes)
+            Its headers.
+        body : bytes
+            Its body.
         """
         request_id, remaining_ms = '', _request_limits.DEFAULT_TIMEOUT_MS
         if request is not None:
@@ -164,28 +177,47 @@
         self.log_decision(
             request_id=request_id,
             stage=STAGE_READING,
-            decision=DECISION_REFUSED,
+            decision=DECISION_RETURNED if is_of_vm else DECISION_REFUSED,
             need_ms=None,
         )
-        return _refusals.make_not_run_refusal(
+        if is_of_vm:
+            return 503, [(_http_messages.NOT_TAKEN_HEADER, b'stopping')], b''
+        answer = _refusals.make_not_run_refusal(
             'stopping', self.find_retry_ms(), remaining_ms
         )
+        return answer.status, *_refusals.encode_router_answer(answer)
+
+    def note_begun(self, work):
+        """Note that servers begin to work on a request."""
+        self._running.add(work)
+
+    def note_running(self):
+        """Learn from the requests under way that others may take as long."""
+        for work in self._running:
+            self._note_bounds(work, is_answered=False, is_whole=False)
 
     def note_ended(self, work):
-        """Learn how long a request took, unless its caller has left."""
+        """Learn how long a request took, at least if it was not answered."""
         exchange = work.exchange
-        has_left = exchange.caller_gone and not exchange.is_complete
-        if work.begun_ms is None or has_left:
+        self._running.discard(work)
+        if work.begun_ms is None:
             return
-        is_answered = exchange.is_complete and exchange.status < 500
+        is_answered = exchange.is_complete and exchange.status < 400
+        # The rest of a stream is shorter than its tokens tell.
+        is_whole = is_answered and not self._is_taken_up(work.request)
         table = self.state.table
         if self._seen_table is not table:
             self._seen_table = table
             self._times.keep_only(table.services)
-        now_ms = _clock.read_clock_ms()
         self._times.note_whole(
-            work.service, now_ms - work.begun_ms, is_answered=is_answered
+            work.service,
+            _clock.read_clock_ms() - work.begun_ms,
+            is_answered=is_whole,
         )
+        self._note_bounds(work, is_answered=is_answered, is_whole=is_whole)
+
+    def _note_bounds(self, work, *, is_answered, is_whole):
+        now_ms = _clock.read_clock_ms()
         first_ms = now_ms
         if work.first_event_ms is not None:
             first_ms = work.request.received_ms + work.first_event_ms
@@ -196,7 +228,7 @@
                     now_ms - first_ms,
                     output_tokens=output_tokens,
                     now_ms=now_ms,
-                    is_answered=is_answered,
+                    is_answered=is_whole,
                 )
         self._times.note_first(
             work.service,
@@ -240,6 +272,13 @@
         )
         return counts[1] or None if counts else None
 
+    def _is_taken_up(self, request):
+        """Return whether the caller has events of the stream already."""
+        return bool(
+            request.header(self.dialect.resume_after)
+            or request.header(self.dialect.resumed_attempt)
+        )
+
     def _find_stopping_share(self):
         """Return how likely a caller that is refused comes to a VM that stops.
 
--- a/tests/integration/test_entry_stop.py
+++ b/tests/integration/test_entry_stop.py
@@ -29,7 +29,7 @@
 ENGINES = ('p1', 'd1')
 
 
-def make_head(path, length, request_id='late'):
+def make_head(path, length, *headers, request_id='late'):
     lines = (
         f'POST {path} HTTP/1.1',
         f'Host: {sites.HOST}',
@@ -37,6 +37,7 @@
         'X-Deadline-Ms: 8000',
         'X-Token-Count: 1000,200',
         f'Content-Length: {length}',
+        *headers,
     )
     return '\r\n'.join(lines).encode() + b'\r\n\r\n'
 
@@ -181,15 +182,19 @@
             engine.event_pause_s = 0.01
             async with await site.connect() as caller:
                 await caller.send('POST', '/once/x', request_id='first')
-                await sites.wait_until(lambda: engine.runs)
+                _, headers = await caller.read_head()
+                self.assertNotIn('connection', headers)
                 stop = Stop(site.entry)
                 await caller.send('POST', '/once/x', request_id='ahead')
                 await stop.wait(LATE_S)
                 engine.event_pause_s = EVENT_PAUSE_S
                 gate.set()
-                first = await caller.read_answer()
-                self.assertTrue(first.whole)
-                self.assertEqual(ALL_EVENTS, first.body)
+                body = b''
+                while chunk := await caller.read_chunk():
+                    body += chunk
+                # The last chunk, which marks the answer as whole.
+                self.assertEqual(b'', chunk)
+                self.assertEqual(ALL_EVENTS, body)
                 self.check_refused(await caller.read_answer())
             self.assertEqual(1, len(engine.runs))
 
@@ -281,6 +286,54 @@
             answer = await site.call('POST', '/once/x')
             self.assertEqual(ALL_EVENTS, answer.body)
 
+    # Guards against orders that are taken late since the slow ones that still
+    # run have not been measured.
+    @run
+    async def test_order_is_refused_while_one_before_it_takes_long(self):
+        async with sites.running_site(
+            plain=PLAIN, stop_grace_ms=2 * GRACE_MS
+        ) as site:
+            server = site.servers['s1']
+            for number in range(8):
+                answer = await site.call(
+                    'POST', '/order/x', request_id=f'short-{number}'
+                )
+                self.assertEqual(200, answer.status)
+            server.run_pause_s = 30.0
+            async with await site.connect() as earlier:
+                await earlier.send('POST', '/order/x', request_id='long')
+                await sites.wait_until(lambda: len(server.runs) == 9)
+                stop = Stop(site.entry)
+                await stop.wait(END_S)
+                answer = await site.call('POST', '/order/x', request_id='late')
+                self.check_refused(answer)
+            self.assertEqual(9, len(server.runs))
+
+    # Guards against streams that are taken late since those before them ended
+    # long before the most tokens that they might have had.
+    @run
+    async def test_stream_is_refused_if_those_before_it_ended_early(self):
+        async with sites.running_site(
+            plain=PLAIN, engines=ENGINES, stop_grace_ms=2 * GRACE_MS
+        ) as site:
+            server = site.servers['s1']
+            server.run_pause_s = 30.0
+            engine = set_slow(site)
+            engine.event_count = 2
+            for number in range(4):
+                answer = await site.call(
+                    'POST', '/once/x', request_id=f'early-{number}'
+                )
+                self.assertTrue(answer.whole)
+            engine.event_count = 5 * EVENT_COUNT
+            async with await site.connect() as earlier:
+                await earlier.send('POST', '/order/x')
+                await sites.wait_until(lambda: server.runs)
+                stop = Stop(site.entry)
+                await stop.wait(END_S)
+                answer = await site.call('POST', '/once/x', request_id='late')
+                self.check_refused(answer)
+
 
 class TestOtherVms(unittest.TestCase):
     # Guards against a stop that only shuts the door of the callers.
@@ -308,6 +361,28 @@
             )
             self.assertEqual([], fleet.servers['d1'].runs)
 
+    # Guards against refusals that the VM that hands on takes for answers.
+    @run
+    async def test_request_of_another_vm_is_returned_before_its_body(self):
+        async with fleets.running_fleet(
+            vms=2, engines=ENGINES, stop_grace_ms=GRACE_MS
+        ) as fleet:
+            stopped = fleet.vms[2].entry
+            stop = Stop(stopped)
+            await stop.wait(LATE_S)
+            stream = await trio.open_tcp_stream(
+                fleet.vms[2].host, stopped.ports['relay_port']
+            )
+            async with sites.Caller(stream) as caller:
+                await stream.send_all(
+                    make_head('/ask/x', 10, 'Bluebellthread-Config-Version: 1')
+                )
+                answer = await caller.read_answer()
+            self.assertEqual(503, answer.status)
+            self.assertEqual(
+                'stopping', answer.headers.get('bluebellthread-not-taken')
+            )
+
     # Guards against fleets of which all VMs that still run turn callers away.
     @run
     async def test_callers_find_open_doors_while_all_vms_stop(self):
@@ -364,6 +439,19 @@
 
 
 class TestStops(unittest.TestCase):
+    # Guards against connections that are closed without an answer.
+    @run
+    async def test_order_is_answered_in_a_short_grace_period(self):
+        async with sites.running_site(plain=PLAIN, stop_grace_ms=400) as site:
+            server = site.servers['s1']
+            server.run_pause_s = 5.0
+            async with await site.connect() as caller:
+                await caller.send('POST', '/order/x')
+                await sites.wait_until(lambda: server.runs)
+                Stop(site.entry)
+                answer = await caller.read_answer()
+                self.assertEqual(502, answer.status)
+
     async def check_second_signal(self, signal):
         """Check that a further signal neither extends nor shortens a stop."""
         async with running_site() as site:
