Bound the time of a stream by its events, not by its most tokens

What callers saw: where streams end long before the most tokens that they name, a VM that stops took a stream late and cut it within its answer.

Cause: the time after the first event was divided by X-Token-Count, the most tokens, though few of them had come. A stream that uses all of them takes longer by as much.

Change: the time is divided by the events that were passed on. Each holds a token at least, so that no token takes longer than that; the bound may be too high where an event holds several, which leads to a refusal.

--- a/bluebellthread/core/routing/_run_times.py
+++ b/bluebellthread/core/routing/_run_times.py
@@ -87,7 +87,7 @@
 @attrs.define
 class _ServiceTimes:
     first_ms: RecentMaximum = attrs.field(factory=RecentMaximum)
-    rest_ms_per_token: RecentMaximum = attrs.field(factory=RecentMaximum)
+    rest_ms_per_event: RecentMaximum = attrs.field(factory=RecentMaximum)
     whole_ms: collections.deque = attrs.field(
         factory=lambda: collections.deque(maxlen=SAMPLE_COUNT)
     )
@@ -131,17 +131,17 @@
         )
 
     def note_rest(
-        self, service, took_ms, *, output_tokens, now_ms, is_answered=True
+        self, service, took_ms, *, event_count, now_ms, is_answered=True
     ):
         """Note how long a stream took from its first event to its end.
 
         Parameters
         ----------
-        output_tokens : int
-            The most tokens that it may have had.
+        event_count : int
+            The events that it had, or fewer.
         """
-        self._times_of(service).rest_ms_per_token.note(
-            took_ms / max(1, output_tokens),
+        self._times_of(service).rest_ms_per_event.note(
+            took_ms / max(1, event_count),
             now_ms=now_ms,
             is_answered=is_answered,
         )
@@ -151,6 +151,9 @@
     ):
         """Return the longest time that a request takes; infinite if unknown.
 
+        Streams may end before their most tokens, and an event has one token
+        or more: a token takes no longer than an event.
+
         Parameters
         ----------
         service : str
@@ -168,7 +171,7 @@
             return math.inf
         need_ms = 0 if is_prefilled else times.first_ms.find(now_ms=now_ms)
         if output_tokens:
-            need_ms += output_tokens * times.rest_ms_per_token.find(
+            need_ms += output_tokens * times.rest_ms_per_event.find(
                 now_ms=now_ms
             )
         return SILENCE_MS + SAFETY_FACTOR * need_ms
--- a/bluebellthread/entry/_stop_admission.py
+++ b/bluebellthread/entry/_stop_admission.py
@@ -221,12 +221,11 @@
         first_ms = now_ms
         if work.first_event_ms is not None:
             first_ms = work.request.received_ms + work.first_event_ms
-            output_tokens = self._read_output_tokens(work.request, work.route)
-            if output_tokens:
+            if work.event_count:
                 self._times.note_rest(
                     work.service,
                     now_ms - first_ms,
-                    output_tokens=output_tokens,
+                    event_count=work.event_count,
                     now_ms=now_ms,
                     is_answered=is_whole,
                 )
--- a/bluebellthread/entry/_stream_relay.py
+++ b/bluebellthread/entry/_stream_relay.py
@@ -262,6 +262,7 @@
             self._origins.note_began(
                 self.begun_attempt, self._work.service, self.begun_version
             )
+        self._work.event_count += 1
         self.resume_after = splitter.last_id or self.resume_after
         await self._work.exchange.send(whole_events)
 
--- a/bluebellthread/entry/_work.py
+++ b/bluebellthread/entry/_work.py
@@ -80,6 +80,8 @@
         How long the last successful prefill took.
     first_event_ms : int or None
         Age of the request at its first event.
+    event_count : int
+        Events that were passed on; fewer if some came together.
     patience_ms : int or None
         How long the caller waits by its own header; None without the header.
     deadline_ms : int
@@ -120,6 +122,7 @@
         self.waited_ms = 0
         self.prefill_ms = None
         self.first_event_ms = None
+        self.event_count = 0
         self._servers = []
         self.in_flight_count = 0
         self.table_version = table_version
--- a/tests/unit/test_run_times.py
+++ b/tests/unit/test_run_times.py
@@ -14,12 +14,12 @@
     def setUp(self):
         self.times = routing.RunTimes()
 
-    def note(self, first_ms, rest_ms=None, *, tokens=100, **fields):
+    def note(self, first_ms, rest_ms=None, *, events=100, **fields):
         self.times.note_whole('s', first_ms + (rest_ms or 0), **fields)
         self.times.note_first('s', first_ms, now_ms=NOW_MS, **fields)
         if rest_ms is not None:
             self.times.note_rest(
-                's', rest_ms, output_tokens=tokens, now_ms=NOW_MS, **fields
+                's', rest_ms, event_count=events, now_ms=NOW_MS, **fields
             )
 
     def find_need_ms(self, tokens=100, *, later_ms=0, **fields):
@@ -62,7 +62,7 @@
 
     def test_need_grows_with_the_tokens_and_is_unknown_without(self):
         for _ in range(_run_times.COUNT_MIN):
-            self.note(100, 200, tokens=100)
+            self.note(100, 200, events=100)
         self.assertEqual(
             2 * self._measured_ms(100) - self._measured_ms(0),
             self._measured_ms(200),
--- a/tests/unit/test_stop_admission.py
+++ b/tests/unit/test_stop_admission.py
@@ -71,6 +71,7 @@
                 service='s',
                 begun_ms=request.received_ms,
                 first_event_ms=first_event_ms,
+                event_count=TOKENS if first_event_ms is not None else 0,
                 exchange=types.SimpleNamespace(
                     status=status,
                     caller_gone=has_left,
--- a/tests/unit/test_stream_pieces.py
+++ b/tests/unit/test_stream_pieces.py
@@ -74,6 +74,7 @@
         service='m',
         age_ms=1,
         first_event_ms=None,
+        event_count=0,
         outcome='',
         route=types.SimpleNamespace(is_resumable=True, gap_target_ms=300),
     )
