Change the pool of connections before the first wait of a prune

Cause: ServerConnections.prune listed the connections to keep while it closed expired ones, and pooled those that requests had acquired meanwhile once more. close failed if a request came while it closed.

Evidence: test_server_connections, 2 of 3 fail before (the same connection is acquired twice; "dictionary changed size during iteration").

Change: both take the connections out of the pool before they close any.

Result: the tests pass.

--- a/bluebellthread/entry/_server_connection.py
+++ b/bluebellthread/entry/_server_connection.py
@@ -176,24 +176,26 @@
     async def prune(self):
         """Close the connections that have been idle for too long."""
         now_ms = _clock.read_clock_ms()
+        expired = []
+        # Requests take connections while others are being closed, so the
+        # pool is changed at once.
         for address, idle in list(self._idle.items()):
             kept = []
-            for connection, kept_ms in idle:
-                if now_ms >= connection.idle_deadline_ms:
-                    await connection.close()
-                else:
-                    kept.append((connection, kept_ms))
-            if kept:
-                self._idle[address] = kept
-            else:
+            for item in idle:
+                is_expired = now_ms >= item[0].idle_deadline_ms
+                (expired if is_expired else kept).append(item)
+            idle[:] = kept
+            if not kept:
                 del self._idle[address]
+        for connection, _ in expired:
+            await connection.close()
 
     async def close(self):
         """Close every idle connection."""
-        for idle in self._idle.values():
-            for connection, _ in idle:
-                await connection.close()
+        pooled = [item for idle in self._idle.values() for item in idle]
         self._idle.clear()
+        for connection, _ in pooled:
+            await connection.close()
 
 
 class ServerExchange:
