Learn from other VMs which versions there were before a VM began

Cause: callers that do not name the attempt which began their stream are served if the service had one version only for half a minute. Where all VMs are replaced in turn, each has a list of servers that is younger than that, and VMs that stop, which may know more, were not asked.

Change: a VM that does not know all versions asks others, also such that are being stopped, until one that does has told it (E7078). It asks after its own first list, so that nothing is missed in between. The word of a VM that the platform turns away does not count, as before.

Result: test_unknown_stream_goes_on_after_all_vms_were_replaced, which hangs before; 32 tests of versions and origins pass.

--- a/bluebellthread/core/routing/_stream_origins.py
+++ b/bluebellthread/core/routing/_stream_origins.py
@@ -196,6 +196,26 @@
         if is_first and self._is_first_start:
             self._known_since_ms = now_ms - STREAM_LIFE_MS
 
+    @property
+    def has_list(self):
+        """Whether a whole list was read."""
+        return self._known_since_ms is not None
+
+    def note_told(self, versions, now_ms):
+        """Note what a VM that knows all versions has told after the list.
+
+        Parameters
+        ----------
+        versions : iterable of (str, str)
+            Service and software version of each engine of late.
+        now_ms : int
+            The time.
+        """
+        self.note_versions(versions, now_ms)
+        self._known_since_ms = min(
+            self._known_since_ms, now_ms - STREAM_LIFE_MS
+        )
+
     def note_answered(self, now_ms):
         """Note that the platform has told all changes up to now."""
         self._answered_ms = self._heard_ms = now_ms
--- a/bluebellthread/entry/_stream_origins.py
+++ b/bluebellthread/entry/_stream_origins.py
@@ -6,11 +6,13 @@
 
 import trio
 
+from bluebellthread import core
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
 from bluebellthread.daemon import _mailboxes
 from bluebellthread.daemon import _peers
 from bluebellthread.entry import _platform_changes
+from bluebellthread.entry import _state
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
 
@@ -38,6 +40,11 @@
 LIST_TIMEOUT_S = 0.5
 """Longest time for reading the list of servers; that takes milliseconds."""
 
+TOLD_PAUSE_FIRST_S = 0.2
+TOLD_PAUSE_MAX_S = 5.0
+"""First and longest pause between questions for the versions that there were
+before this VM began."""
+
 RECORDS_PER_MESSAGE = 500
 QUEUE_LENGTH = 4096
 
@@ -79,6 +86,7 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             nursery.start_soon(self._tell_new_holders)
+            nursery.start_soon(self._take_over_versions)
             await _mailboxes.handle_each(
                 self._receive,
                 lambda inbound: self._handle(inbound, _clock.read_clock_ms()),
@@ -169,6 +177,49 @@
             with trio.move_on_after(HOLDER_CHECK_PERIOD_S):
                 await self._state.view_changed.wait()
 
+    async def _take_over_versions(self):
+        """Learn from other VMs which versions there were before the list.
+
+        VMs that are being stopped are asked as well: where all are replaced
+        in turn, only they may know.
+        """
+        versions = self._state.versions
+        pause_s = TOLD_PAUSE_FIRST_S
+        while True:
+            await trio.sleep(pause_s)
+            if versions.knows_all(_clock.read_clock_ms()):
+                pause_s = TOLD_PAUSE_FIRST_S
+            elif versions.has_list:
+                pause_s = min(2 * pause_s, TOLD_PAUSE_MAX_S)
+                await self._ask_versions()
+
+    async def _ask_versions(self):
+        """Take over all versions, if they can be had for all services."""
+        names = [
+            member.name
+            for member in self._state.view.members
+            if member.state in _state.HOLDER_STATES
+            and not self._is_self(member)
+        ]
+        told = set()
+        for traits in self._state.table.engine_services():
+            ranked = core.rank_by_rendezvous(traits.name, names)
+            answers = await self._ask(
+                map(self._state.find_vm, ranked[:OTHERS_MAX]),
+                routing.OriginAsk(attempt_id='', serves=traits.name),
+            )
+            known = [item for item in answers if item.knows_all_versions]
+            if not known:
+                return
+            told.update(
+                (traits.name, version)
+                for item in known
+                for version in item.versions
+            )
+        if told:
+            self._state.versions.note_told(told, _clock.read_clock_ms())
+            emit(events.VERSIONS_TAKEN_OVER, count=len(told))
+
     def _forget_ended_processes(self):
         live = {_key_of(member) for member in self._state.view.members}
         self._able &= live
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -174,6 +174,12 @@
     'stop of this VM began, {left_ms} ms before its requests end; it may '
     'take {need_ms} ms',
 )
+VERSIONS_TAKEN_OVER = Event(
+    7078,
+    'INFO',
+    'this VM knows by the word of others which software versions there were '
+    'before it began: {count}',
+)
 SETTINGS_RELOADED = Event(
     7004, 'INFO', 'settings were reloaded; changed: {changed}'
 )
--- a/tests/integration/test_entry_versions.py
+++ b/tests/integration/test_entry_versions.py
@@ -8,6 +8,7 @@
 import trio
 
 from bluebellthread.core import routing
+from bluebellthread.daemon import _clock
 from standin.site import _backend
 from tests.integration import _entry_fleet as fleets
 from tests.integration import _entry_site as sites
@@ -285,6 +286,38 @@
             answer = await resume(fleet, 1, 'next', 'never-seen')
             self.assertEqual(200, answer.status)
 
+    # Guards against streams that a planned stop has cut and nobody takes up,
+    # as all VMs were replaced in turn.
+    @run
+    async def test_unknown_stream_goes_on_after_all_vms_were_replaced(self):
+        async with fleets.running_fleet(
+            vms=2, engines=('p1', 'd1', 'd2'), is_first_start=True
+        ) as fleet:
+            for number in (1, 2):
+                fleet.kill_vm(number)
+                await fleet.start_vm(number, is_first_start=False)
+                versions = fleet.vms[number].entry.state.versions
+                await sites.wait_until(
+                    lambda versions=versions: versions.knows_all(
+                        _clock.read_clock_ms()
+                    )
+                )
+                await fleet.wait_ready()
+            answer = await resume(fleet, 1, 'next', 'never-seen')
+            self.assertEqual(200, answer.status)
+
+    # Guards against a VM that takes the word of one that knows less.
+    @run
+    async def test_versions_are_taken_over_only_from_vms_that_know_all(self):
+        async with fleets.running_fleet(
+            vms=2, engines=('p1', 'd1', 'd2')
+        ) as fleet:
+            for vm in fleet.vms.values():
+                await vm.entry._origins._ask_versions()
+                self.assertFalse(
+                    vm.entry.state.versions.knows_all(_clock.read_clock_ms())
+                )
+
     @run
     async def test_unknown_stream_is_refused_by_vms_that_have_just_started(
         self,
