Let callers that most VMs refuse come back when one is there again

Cause: Retry-After was half a second in that case, whatever was left of the stop.

With most other VMs up it stays 0.

--- a/bluebellthread/entry/_stop_admission.py
+++ b/bluebellthread/entry/_stop_admission.py
@@ -18,9 +18,8 @@
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
 
-MOST_STOPPING_RETRY_MS = 500
-"""Retry delay sent to callers if most other VMs are being stopped too: the
-time in which one that was stopped is back."""
+START_MS = 1200
+"""Time in which a VM whose process has ended takes callers again."""
 
 
 STAGE_READING = 'reading'
@@ -142,10 +141,16 @@
         return STAGE_END if is_over else STAGE_WAITING
 
     def find_retry_ms(self):
-        """Return after which time callers that are refused find a VM."""
+        """Return after which time callers that are refused find a VM.
+
+        While most other VMs are being stopped, a caller that comes back
+        earlier is likely refused again.
+        """
         if self._find_stopping_share() <= 0.5:
             return 0
-        return MOST_STOPPING_RETRY_MS
+        exit_deadline_ms = self.schedule.exit_deadline_ms
+        left_ms = max(0, exit_deadline_ms - _clock.read_clock_ms())
+        return left_ms + START_MS
 
     def refuse_unread(self, request, *, is_of_vm=False):
         """Refuse a request that is not read whole in time.
