Measure the entry's own process while bodies come without end

The test of many endless bodies measured one process that held the entry and the stand-ins, so that a growth of 64.0 MB (bound 62.9) told nothing of the entry. It now runs the real program in a process of its own and compares the peak that the kernel keeps (VmHWM) with the memory before the calls: same calls, same bound, and no moment between two samples is missed. What starts the program and reads its log moves, as it was, from test_entry_platform to a module that both tests use.

--- a/tests/integration/test_entry_endless_bytes.py
+++ b/tests/integration/test_entry_endless_bytes.py
@@ -4,19 +4,23 @@
 import functools
 import pathlib
 import resource
+import tempfile
 import unittest
 
+import attrs
 import trio
 
 from standin import site as standins
 from standin.site import _backend
+from tests.integration import _entry_program
 from tests.integration import _entry_site as sites
 from tests.integration.test_entry_plain import run
 
 MEMORY_MAX_BYTES = 60 * 1024 * 1024
 """Growth of the process that the test allows: the memory of a VM less that of
-an idle entry process (the users' smallest VMs have 150 MB). The stand-ins
-run in the same process."""
+an idle entry process (the users' smallest VMs have 150 MB). `bounded_memory`
+counts the stand-ins too, which run in the same process; `bounded_peak` counts
+the entry's process alone."""
 
 SAMPLE_PERIOD_S = 0.02
 CALL_COUNT = 12
@@ -60,6 +64,65 @@
     test.assertLess(max(samples) - samples[0], MEMORY_MAX_BYTES)
 
 
+def read_status_bytes(pid, field):
+    """Return a figure of a process's memory, by its name in ``status``."""
+    status = pathlib.Path(f'/proc/{pid}/status').read_text(encoding='ascii')
+    (line,) = [x for x in status.splitlines() if x.startswith(f'{field}:')]
+    return int(line.split()[1]) * 1024
+
+
+@contextlib.contextmanager
+def bounded_peak(test, pid):
+    """Check that a process's memory stays bounded meanwhile.
+
+    The kernel keeps the peak, so that no moment is missed.
+    """
+    first_bytes = read_status_bytes(pid, 'VmRSS')
+    yield
+    growth_bytes = read_status_bytes(pid, 'VmHWM') - first_bytes
+    test.assertLess(growth_bytes, MEMORY_MAX_BYTES)
+
+
+@attrs.define
+class ProgramSite:
+    """Holds the entry's process, which is not the test's, and its server."""
+
+    server: standins.PlainServer
+    pid: int
+    caller_port: int
+
+    async def call(self, method, path, body=b'', **options):
+        """Make one call on a new connection and return its `Answer`."""
+        stream = await trio.open_tcp_stream('127.0.0.1', self.caller_port)
+        async with sites.Caller(stream) as caller:
+            return await caller.call(method, path, body, **options)
+
+
+@contextlib.asynccontextmanager
+async def running_program():
+    """Run the real program with a plain server; yield the `ProgramSite`."""
+    store = standins.Store()
+    server = standins.PlainServer(name='s1')
+    with tempfile.TemporaryDirectory() as folder:
+        settings_path = pathlib.Path(folder) / 'local.json'
+        with trio.fail_after(sites.TEST_TIMEOUT_S):
+            async with trio.open_nursery() as nursery:
+                await store.start(nursery)
+                await server.start(nursery)
+                store.put('op/config', sites.make_configuration())
+                store.put('servers/s1', server.entry('plain'))
+                _entry_program.write_settings(settings_path, store)
+                process = await nursery.start(
+                    _entry_program.start_program, settings_path
+                )
+                lines = _entry_program.LogLines(process.stdout)
+                started = await lines.find(7001)
+                nursery.start_soon(lines.drain)
+                await _entry_program.wait_ready(started['ready_port'])
+                yield ProgramSite(server, process.pid, started['caller_port'])
+                nursery.cancel_scope.cancel()
+
+
 async def send_without_end(head, piece, request):
     """Send a head, then pieces until the caller closes the connection."""
     request.keeps_connection = False
@@ -141,9 +204,9 @@
 
     @run
     async def test_many_endless_bodies_share_a_bounded_memory(self):
-        async with sites.running_site(plain=('s1',)) as site:
-            server = site.servers['s1']
-            async with bounded_memory(self):
+        async with running_program() as site:
+            server = site.server
+            with bounded_peak(self, site.pid):
                 for framing in FRAMINGS:
                     server.script = CALL_COUNT * [
                         endless_body(server, framing)
--- a/tests/integration/test_entry_platform.py
+++ b/tests/integration/test_entry_platform.py
@@ -1,18 +1,16 @@
 import errno
-import json
 import os
 import pathlib
 import signal
-import sys
 import tempfile
 import unittest
 
 import trio
 
 from standin import site
+from tests.integration import _entry_program
 from tests.integration import _entry_site as sites
 from tests.integration.test_entry_plain import run
-from tests.unit.test_platform_adapter import SETTINGS
 
 
 class TestPlatformChanges(unittest.TestCase):
@@ -179,11 +177,11 @@
         store.put('op/config', sites.make_configuration())
         store.put('servers/s1', server.entry('plain'))
         path = pathlib.Path(folder) / 'local.json'
-        self.write_settings(path, store)
-        process = await nursery.start(self.start_program, path)
-        lines = LogLines(process.stdout)
+        _entry_program.write_settings(path, store)
+        process = await nursery.start(_entry_program.start_program, path)
+        lines = _entry_program.LogLines(process.stdout)
         started = await lines.find(7001)
-        await wait_ready(started['ready_port'])
+        await _entry_program.wait_ready(started['ready_port'])
         stream = await trio.open_tcp_stream(
             '127.0.0.1', started['caller_port']
         )
@@ -207,11 +205,13 @@
             with trio.fail_after(sites.TEST_TIMEOUT_S):
                 async with trio.open_nursery() as nursery:
                     await store.start(nursery)
-                    self.write_settings(path, store)
-                    process = await nursery.start(self.start_program, path)
+                    _entry_program.write_settings(path, store)
+                    process = await nursery.start(
+                        _entry_program.start_program, path
+                    )
                     await sites.wait_until(lambda: ignores_hup(process.pid))
                     process.send_signal(signal.SIGHUP)
-                    await LogLines(process.stdout).find(7001)
+                    await _entry_program.LogLines(process.stdout).find(7001)
                     nursery.cancel_scope.cancel()
 
     @run
@@ -224,64 +224,25 @@
             with trio.fail_after(sites.TEST_TIMEOUT_S):
                 async with trio.open_nursery() as nursery:
                     await store.start(nursery)
-                    self.write_settings(first, store)
-                    process = await nursery.start(self.start_program, path)
+                    _entry_program.write_settings(first, store)
+                    process = await nursery.start(
+                        _entry_program.start_program, path
+                    )
                     # The program waits for what is written to the FIFO.
                     writer = await open_fifo(path)
                     changed = pathlib.Path(folder) / 'changed.json'
-                    self.write_settings(changed, store, seeds=['10.0.0.1:1'])
+                    _entry_program.write_settings(
+                        changed, store, seeds=['10.0.0.1:1']
+                    )
                     changed.rename(path)
                     process.send_signal(signal.SIGHUP)
                     with writer:
                         writer.write(first.read_bytes())
-                    lines = LogLines(process.stdout)
+                    lines = _entry_program.LogLines(process.stdout)
                     reloaded = await lines.find(7004)
                     self.assertEqual('seed_hosts', reloaded['changed'])
                     nursery.cancel_scope.cancel()
 
-    def write_settings(self, path, store, *, seeds=()):
-        fields = {
-            **SETTINGS,
-            'listen': {'front': '127.0.0.1:0', 'ready': '127.0.0.1:0'},
-            'internalPorts': [0, 0],
-            'seedNodes': list(seeds),
-            'platform': {'address': f'127.0.0.1:{store.port}'},
-        }
-        path.write_text(json.dumps(fields), encoding='utf-8')
-
-    async def start_program(self, path, task_status):
-        command = [
-            sys.executable,
-            '-m',
-            'bluebellthread.run_entry',
-            '--settings',
-            str(path),
-            '--metrics-port',
-            '0',
-        ]
-        process = await trio.lowlevel.open_process(
-            command, stdout=-1, env=dict(os.environ)
-        )
-        try:
-            task_status.started(process)
-            await process.wait()
-        finally:
-            with trio.CancelScope(shield=True):
-                if process.returncode is None:
-                    process.kill()
-                    await process.wait()
-
-
-async def wait_ready(port):
-    """Wait until the readiness probe at a port is answered with 200."""
-    while True:
-        stream = await trio.open_tcp_stream('127.0.0.1', port)
-        async with sites.Caller(stream) as caller:
-            answer = await caller.call('GET', '/-/ready')
-        if answer.status == 200:
-            return
-        await trio.sleep(0.02)
-
 
 async def open_fifo(path):
     """Open a FIFO for writing once a process reads it; return the file."""
@@ -304,23 +265,3 @@
     ]
     bit = 1 << (signal.SIGHUP - 1)
     return any(mask & bit for mask in masks)
-
-
-class LogLines:
-    """Reads the JSON log lines of a process."""
-
-    def __init__(self, stream):
-        self._stream = stream
-        self._buffer = b''
-
-    async def find(self, number):
-        """Return the fields of the next line with this event number."""
-        while True:
-            line, newline, rest = self._buffer.partition(b'\n')
-            if not newline:
-                self._buffer += await self._stream.receive_some(65536)
-                continue
-            self._buffer = rest
-            fields = json.loads(line)
-            if fields.get('event') == number:
-                return fields
