Hold long answers in blocks, so that they leave no gaps

Operators of small VMs saw a process that may take 16 MB for all long answers together grow by up to 67 MB: 12 servers' bodies without end at a time, three times (bound 62.9 MB).

Cause: each body was one bytearray that was enlarged with every piece. The C library raises the size from which it maps memory page by page as soon as a large buffer is freed; from then on bodies that grow side by side are moved within the heap, and each move leaves a gap of a size that nothing fits.

AnswerBody now holds full blocks of 64 KiB and the one that is filled. Bodies are joined once, at their end, where they were copied before.

--- a/bluebellthread/core/_answer_body.py
+++ b/bluebellthread/core/_answer_body.py
@@ -17,6 +17,11 @@
 
 SUFFIX_SEPARATOR = '+'
 
+BLOCK_BYTES = 65536
+"""Size of the blocks that hold a body. One buffer that grows is moved again
+and again, and leaves gaps of ever new sizes: with several long bodies at a
+time, more memory than the bodies."""
+
 
 class AnswerBodyError(_errors.BluebellthreadError):
     """Base class of the errors of a body that can't be used."""
@@ -83,7 +88,8 @@
         self._framing = framing
         self._content_type = content_type.partition(';')[0].strip().lower()
         self._size_max_bytes = size_max_bytes
-        self._content = bytearray()
+        self._full_blocks = []
+        self._last_block = bytearray()
 
     @classmethod
     def of_answer(cls, status, headers, *, method, size_max_bytes):
@@ -113,7 +119,7 @@
     @property
     def size_bytes(self):
         """Number of bytes added so far."""
-        return len(self._content)
+        return len(self._full_blocks) * BLOCK_BYTES + len(self._last_block)
 
     def add(self, data):
         """Add the next bytes.
@@ -124,7 +130,7 @@
             If the body is too long with them, or the shared memory does not
             suffice for it.
         """
-        held_bytes = len(self._content)
+        held_bytes = self.size_bytes
         size_bytes = held_bytes + len(data)
         if size_bytes > self._size_max_bytes:
             raise AnswerTooLongError(self._size_max_bytes)
@@ -132,11 +138,24 @@
             size_bytes, held_bytes
         ):
             raise AnswerTooLongError(held_bytes)
-        self._content += data
+        self._append(data)
+
+    def _append(self, data):
+        begin = 0
+        while begin < len(data):
+            end = begin + BLOCK_BYTES - len(self._last_block)
+            self._last_block += data[begin:end]
+            begin = end
+            if len(self._last_block) == BLOCK_BYTES:
+                # As bytes, a block has no room to grow.
+                self._full_blocks.append(bytes(self._last_block))
+                self._last_block.clear()
 
     def close(self):
         """Drop the content and release the shared memory."""
-        held_bytes, self._content = len(self._content), bytearray()
+        held_bytes = self.size_bytes
+        self._full_blocks.clear()
+        self._last_block.clear()
         if self._budget is not None:
             self._budget.release(held_bytes)
 
@@ -149,7 +168,7 @@
             If nothing but the end of the connection marks the end of the
             body, and its content is incomplete.
         """
-        content = bytes(self._content)
+        content = b''.join((*self._full_blocks, self._last_block))
         if self._framing == _framing.FRAMED_BY_CONNECTION:
             is_complete = _find_check(self._content_type)
             if not is_complete(content):
--- a/tests/integration/test_entry_endless_bytes.py
+++ b/tests/integration/test_entry_endless_bytes.py
@@ -3,7 +3,6 @@
 import contextlib
 import functools
 import pathlib
-import resource
 import tempfile
 import unittest
 
@@ -12,6 +11,7 @@
 
 from standin import site as standins
 from standin.site import _backend
+from tests import _process_memory
 from tests.integration import _entry_program
 from tests.integration import _entry_site as sites
 from tests.integration.test_entry_plain import run
@@ -41,21 +41,15 @@
 }
 
 
-def read_memory_bytes():
-    """Return the resident memory of this process."""
-    pages = int(pathlib.Path('/proc/self/statm').read_text().split()[1])
-    return pages * resource.getpagesize()
-
-
 @contextlib.asynccontextmanager
 async def bounded_memory(test):
     """Check that the memory of this process stays bounded meanwhile."""
-    samples = [read_memory_bytes()]
+    samples = [_process_memory.read_resident_bytes()]
 
     async def sample():
         while True:
             await trio.sleep(SAMPLE_PERIOD_S)
-            samples.append(read_memory_bytes())
+            samples.append(_process_memory.read_resident_bytes())
 
     async with trio.open_nursery() as nursery:
         nursery.start_soon(sample)
@@ -64,22 +58,12 @@
     test.assertLess(max(samples) - samples[0], MEMORY_MAX_BYTES)
 
 
-def read_status_bytes(pid, field):
-    """Return a figure of a process's memory, by its name in ``status``."""
-    status = pathlib.Path(f'/proc/{pid}/status').read_text(encoding='ascii')
-    (line,) = [x for x in status.splitlines() if x.startswith(f'{field}:')]
-    return int(line.split()[1]) * 1024
-
-
 @contextlib.contextmanager
 def bounded_peak(test, pid):
-    """Check that a process's memory stays bounded meanwhile.
-
-    The kernel keeps the peak, so that no moment is missed.
-    """
-    first_bytes = read_status_bytes(pid, 'VmRSS')
+    """Check that the peak of a process's memory stays bounded meanwhile."""
+    first_bytes = _process_memory.read_resident_bytes(pid)
     yield
-    growth_bytes = read_status_bytes(pid, 'VmHWM') - first_bytes
+    growth_bytes = _process_memory.read_peak_bytes(pid) - first_bytes
     test.assertLess(growth_bytes, MEMORY_MAX_BYTES)
 
 
@@ -202,6 +186,8 @@
                     statuses = await self.call_many(site, 'GET', '/read/x')
                     self.assertEqual(CALL_COUNT * [200], statuses)
 
+    # Guards against long answers that take several times the memory that they
+    # share, since each was moved as it grew and left gaps.
     @run
     async def test_many_endless_bodies_share_a_bounded_memory(self):
         async with running_program() as site:
--- a/tests/unit/test_answer_body.py
+++ b/tests/unit/test_answer_body.py
@@ -1,7 +1,12 @@
 import json
+import subprocess
+import sys
 import unittest
 
 from bluebellthread import core
+from bluebellthread.core import _answer_body
+from tests import _checkouts
+from tests.unit import _growing_bodies
 
 DOCUMENT = json.dumps({'text': 'a "wig"', 'count': [1, {'b': None}]}).encode()
 EVENTS = b'id: 1\ndata: a\n\nid: 2\ndata: b\n\n'
@@ -57,6 +62,47 @@
             body.add(b'5')
         self.assertEqual(4, body.size_bytes)
 
+    def test_pieces_of_any_size_are_joined_in_order(self):
+        block_bytes = _answer_body.BLOCK_BYTES
+        content = bytes(n % 251 for n in range(3 * block_bytes + 7))
+        for size_bytes in (
+            1000,
+            block_bytes - 1,
+            block_bytes,
+            block_bytes + 1,
+            len(content),
+        ):
+            budget = core.BodyBudget(len(content))
+            body = core.AnswerBody(
+                framing=core.FRAMED_BY_LENGTH,
+                content_type='',
+                size_max_bytes=len(content),
+                budget=budget,
+            )
+            for begin in range(0, len(content), size_bytes):
+                self.assertEqual(begin, body.size_bytes)
+                body.add(content[begin : begin + size_bytes])
+            with self.assertRaises(core.AnswerTooLongError):
+                body.add(b'1')
+            self.assertEqual(content, body.finish())
+            self.assertLess(0, budget.used_bytes)
+            body.close()
+            self.assertEqual(0, budget.used_bytes)
+
+
+class TestMemory(unittest.TestCase):
+    # Guards against long answers that take twice the memory they share,
+    # since each was moved as it grew and left gaps.
+    def test_bodies_that_grow_side_by_side_leave_no_gaps(self):
+        ended = subprocess.run(
+            [sys.executable, '-m', 'tests.unit._growing_bodies'],
+            cwd=_checkouts.ROOT,
+            env=_checkouts.make_environment(_checkouts.ROOT),
+            stdout=subprocess.PIPE,
+            check=True,
+        )
+        self.assertLess(int(ended.stdout), 1.5 * _growing_bodies.BUDGET_BYTES)
+
 
 class TestFraming(unittest.TestCase):
     def test_framing_is_found_in_the_head(self):
