Answer what is under way when the stop of a daemon ends

What callers saw: at the end of drain_timeout_ms the daemon closed every connection without an answer: of a request whose body had not ended, of one that waited for a permit and had not run, of a stream, of a plain call and of a call with a ticket.

Cause: only the HTTP server knew when the stop ends, and it cancels its tasks then. Whatever was taken lasted until that moment.

Evidence (stop with a lag of 0.2 s and a drain of 2.5 s, before this change): SIGTERM at 53.525; a call with a ticket ran at its service; 2.74 s later the process ended, and the connection with it, without a byte of an answer. The same for the other four kinds. tests.integration.test_stop_end failed in all five cases.

Change: StopSchedule, which the entry has, now also holds the deadlines of a daemon's stop. One second before the connections are closed, requests that are not read whole are refused as not run, the answer machine refuses by what it knows to have run (StopEnding), and calls with tickets are given up as unknown, told to their callers. Half a second later the gateway answers for all others that they may have run.

Measured: the five cases pass, with 63 tests of the daemon's stops, failures, tickets, gateway and whole path.

--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -53,6 +53,7 @@
         'PrefillEnded',
         'RunFailed',
         'SchedulerUnreachable',
+        'StopEnding',
         'StreamEnded',
         'Superseded',
     ),
--- a/bluebellthread/core/_answer.py
+++ b/bluebellthread/core/_answer.py
@@ -108,6 +108,7 @@
             events.RunFailed: self._on_run_failed,
             events.CallerGone: self._on_caller_gone,
             events.Superseded: self._on_superseded,
+            events.StopEnding: self._on_stop_ending,
             _scheduler_events.Tick: self._on_tick,
         }
 
@@ -267,6 +268,11 @@
             return []
         return self._refuse('superseded', 0)
 
+    def _on_stop_ending(self, event, now_ms):
+        if self._answered or self.ended:
+            return []
+        return self._refuse('stopping', actions.RETRY_AFTER_MS)
+
     def _on_tick(self, event, now_ms):
         if self.ended or now_ms < self.next_tick_ms:
             return []
--- a/bluebellthread/core/_answer_events.py
+++ b/bluebellthread/core/_answer_events.py
@@ -93,6 +93,11 @@
     """Report that the caller has disconnected."""
 
 
+@attrs.frozen(kw_only=True)
+class StopEnding:
+    """Report that the planned stop of this VM has no time left."""
+
+
 @attrs.frozen(kw_only=True)
 class Superseded:
     """Report that a newer request with the same request id has arrived."""
--- a/bluebellthread/core/routing/_stop_schedule.py
+++ b/bluebellthread/core/routing/_stop_schedule.py
@@ -59,7 +59,7 @@
         """Whether the VM is being stopped."""
         return self.begun_ms is not None
 
-    def begin(self, now_ms, *, grace_ms):
+    def begin(self, now_ms, *, grace_ms, lag_ms=BALANCER_LAG_MS):
         """Begin the stop; a second call changes nothing.
 
         Parameters
@@ -68,11 +68,13 @@
             The time.
         grace_ms : int
             Time after which the process is killed.
+        lag_ms : int
+            How long callers still arrive.
         """
         if self.is_begun:
             return
         self.begun_ms = now_ms
-        self.leave_ms = now_ms + min(BALANCER_LAG_MS, grace_ms)
+        self.leave_ms = now_ms + min(lag_ms, grace_ms)
         self.end_deadline_ms = now_ms + max(0, grace_ms - END_MARGIN_MS)
         self.exit_deadline_ms = now_ms + max(0, grace_ms - EXIT_MARGIN_MS)
 
--- a/bluebellthread/daemon/_answer_task.py
+++ b/bluebellthread/daemon/_answer_task.py
@@ -289,6 +289,13 @@
 
     def _refuse(self, command):
         status, remedy = _REFUSALS.get(command.kind, (503, _DEFAULT_REMEDY))
+        if command.kind == 'stopping':
+            self._writer.refuse(
+                _http.make_stop_refusal(
+                    command.ran, retry_after_ms=command.retry_after_ms
+                )
+            )
+            return
         self._writer.refuse(
             _http.Refusal(
                 status=status,
--- a/bluebellthread/daemon/_fleet.py
+++ b/bluebellthread/daemon/_fleet.py
@@ -3,12 +3,13 @@
 import trio
 
 from bluebellthread import core
+from bluebellthread.core import routing
 
 
 class Fleet:
-    """Holds the configuration, the membership view and the drain state.
+    """Holds the configuration, the membership view and the stop's schedule.
 
-    Each of them is replaced as a whole by the task that owns it.
+    The first two are replaced as a whole by the task that owns them.
 
     Examples
     --------
@@ -19,9 +20,14 @@
     def __init__(self):
         self.configuration = core.Configuration(revision=0)
         self.view = core.MembershipView(members=(), confirmed=False)
-        self.draining = False
+        self.stop_schedule = routing.StopSchedule()
         self._view_changed = trio.Event()
 
+    @property
+    def draining(self):
+        """Whether this VM is being stopped."""
+        return self.stop_schedule.is_begun
+
     @property
     def ready(self):
         """Whether the load balancer should send requests to this VM."""
--- a/bluebellthread/daemon/_gateway.py
+++ b/bluebellthread/daemon/_gateway.py
@@ -1,11 +1,13 @@
 """ASGI application that serves the callers' HTTP requests."""
 
+import contextlib
 import secrets
 import traceback
 
 import attrs
 import trio
 
+from bluebellthread.daemon import _clock
 from bluebellthread.daemon import _http
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
@@ -35,7 +37,8 @@
     Parameters
     ----------
     state : object
-        Has ``ready``, the bool that ``/readyz`` reports.
+        Has ``ready``, the bool that ``/readyz`` reports, and
+        ``stop_schedule``.
     paths : tuple of (str, object)
         Pairs of a URL path prefix and an object. The object's ``async``
         method ``serve(exchange)`` answers the requests below the prefix.
@@ -73,6 +76,8 @@
         self._metrics = metrics
         self._request_log = request_log
         self._admission = admission
+        self._reading_scopes = set()
+        self._serving_scopes = set()
 
     async def __call__(self, scope, receive, send):
         """Handle one ASGI scope: an HTTP request or the server's lifespan."""
@@ -81,6 +86,16 @@
         elif scope['type'] == 'http':
             await self._serve_http(scope, receive, send)
 
+    def end_reading(self):
+        """Refuse the requests that have not been read whole."""
+        for scope in self._reading_scopes:
+            scope.cancel()
+
+    def end_serving(self):
+        """Refuse the requests that no path has answered."""
+        for scope in self._serving_scopes:
+            scope.cancel()
+
     async def _serve_http(self, scope, receive, send):
         request_id = _choose_request_id(scope)
         responder = _http.Responder(send, request_id)
@@ -112,12 +127,18 @@
             await self._serve_admitted(path, scope, receive, responder)
 
     async def _serve_admitted(self, path, scope, receive, responder):
-        request = await _http.read_request(
-            scope,
-            receive,
-            max_body_bytes=self._max_body_bytes,
-            body_timeout_ms=self._body_timeout_ms,
-        )
+        with self._end_at_stop(
+            self._reading_scopes,
+            responder.request_id,
+            stage='reading',
+            run=_http.RUN_NOT_RUN,
+        ):
+            request = await _http.read_request(
+                scope,
+                receive,
+                max_body_bytes=self._max_body_bytes,
+                body_timeout_ms=self._body_timeout_ms,
+            )
         parent = request.header('traceparent')
         self._metrics.count(metrics.REQUESTS)
         with self._tracer.span(
@@ -137,7 +158,13 @@
         entry = self._request_log.begin(request_id)
         outcome = ('gone', 'the caller went away')
         try:
-            await _serve_until_disconnect(path, exchange, receive)
+            with self._end_at_stop(
+                self._serving_scopes,
+                request_id,
+                stage='end',
+                run=_http.RUN_UNKNOWN,
+            ):
+                await _serve_until_disconnect(path, exchange, receive)
             if exchange.responder.finished:
                 outcome = ('done', '')
         except _http.Refusal as refusal:
@@ -153,6 +180,52 @@
             state, detail = outcome
             self._request_log.end(entry, state=state, detail=detail)
 
+    @contextlib.contextmanager
+    def _end_at_stop(self, scopes, request_id, *, stage, run):
+        """Refuse a request if it is ended within the ``with`` block.
+
+        Parameters
+        ----------
+        scopes : set of trio.CancelScope
+            Scopes of the requests that are ended together.
+        request_id : str
+            Id of the request.
+        stage : str
+            What the block does, for the log.
+        run : str
+            Whether the request has been executed when it is ended.
+        """
+        try:
+            with trio.CancelScope() as scope:
+                scopes.add(scope)
+                try:
+                    yield
+                finally:
+                    scopes.discard(scope)
+            if scope.cancelled_caught:
+                raise _http.make_stop_refusal(run)
+        except _http.Refusal as refusal:
+            if refusal.kind == _http.KIND_STOPPING:
+                self._log_stop_decision(request_id, stage, refusal)
+            raise
+
+    def _log_stop_decision(self, request_id, stage, refusal):
+        schedule = self._state.stop_schedule
+        if not schedule.is_begun:
+            # The refusal is that of another VM, which stops.
+            return
+        now_ms = _clock.read_clock_ms()
+        is_unknown = refusal.run == _http.RUN_UNKNOWN
+        emit(
+            events.STOP_DECISION,
+            request_id=request_id,
+            stage=stage,
+            decision='failed, it may have run' if is_unknown else 'refused',
+            since_stop_ms=now_ms - schedule.begun_ms,
+            left_ms=schedule.find_remaining_ms(now_ms),
+            need_ms=None,
+        )
+
     def _find_path(self, url_path):
         for start, path in self._paths:
             if url_path.startswith(start):
--- a/bluebellthread/daemon/_http.py
+++ b/bluebellthread/daemon/_http.py
@@ -16,6 +16,11 @@
 TICKET_HEADER = 'x-ticket'
 """Header that carries the ticket of an at-most-once call."""
 
+KIND_STOPPING = 'stopping'
+
+STOP_RETRY_AFTER_MS = 1000
+"""Retry-After sent by a VM that is being stopped."""
+
 MS_PER_S = 1000
 
 UNFORWARDED_HEADERS = frozenset(
@@ -80,6 +85,28 @@
     """A refusal whose ``run`` covers every attempt made with the ticket."""
 
 
+def make_stop_refusal(run, *, retry_after_ms=STOP_RETRY_AFTER_MS):
+    """Return the refusal of a request for which a stop leaves no time.
+
+    Parameters
+    ----------
+    run : str
+        Whether the request was executed.
+    retry_after_ms : int
+        Earliest retry, in milliseconds from now.
+    """
+    is_not_run = run in (RUN_NOT_RUN, RUN_NOT_THIS_TIME)
+    return Refusal(
+        status=503 if is_not_run else 502,
+        kind=KIND_STOPPING,
+        remedy='this VM is being stopped; send the request to another one'
+        if is_not_run
+        else 'this VM was stopped while the request ran; it may have run',
+        run=run,
+        retry_after_ms=retry_after_ms,
+    )
+
+
 def limit_run_claim(refusal, headers):
     """Change "not run" to "not this time" if the refused call has a ticket.
 
--- a/bluebellthread/daemon/_model_path.py
+++ b/bluebellthread/daemon/_model_path.py
@@ -103,6 +103,11 @@
         """Close the connections to engines."""
         await self._pool.aclose()
 
+    def end_all(self):
+        """End every request at the end of a planned stop."""
+        for task in tuple(self._live.values()):
+            task.post(core.StopEnding())
+
     async def serve(self, exchange):
         """Answer one model request.
 
--- a/bluebellthread/daemon/_service.py
+++ b/bluebellthread/daemon/_service.py
@@ -274,7 +274,7 @@
         """Start a planned stop: report not ready, then drain."""
         if self.fleet.draining:
             return
-        self.fleet.draining = True
+        self._begin_schedule()
         emit(
             events.VM_STOPPING,
             vm=self._settings.vm,
@@ -283,6 +283,17 @@
         self._membership_task.leave()
         self._stop.set()
 
+    def _begin_schedule(self):
+        settings = self._settings
+        lag_ms = 0
+        if self._is_enabled('balancer-lag'):
+            lag_ms = settings.balancer_lag_ms
+        self.fleet.stop_schedule.begin(
+            _clock.read_clock_ms(),
+            grace_ms=lag_ms + settings.drain_timeout_ms,
+            lag_ms=lag_ms,
+        )
+
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
         """Start every task; return once stopped and drained.
 
@@ -300,6 +311,7 @@
             nursery.start_soon(self._platform_watch.run)
             await nursery.start(self._tickets.task.run)
             nursery.start_soon(self._stop_tickets)
+            nursery.start_soon(self._end_requests)
             nursery.start_soon(self._configuration_task.run)
             nursery.start_soon(self._orders_task.run)
             await self._serve_callers(nursery, peers, task_status)
@@ -313,10 +325,23 @@
         """Hand ticket records over to peers while callers are still served."""
         await self._wait_for_stop()
         await self._tickets.task.stop(
-            drain_timeout_ms=self._settings.drain_timeout_ms
+            end_deadline_ms=self.fleet.stop_schedule.end_deadline_ms
         )
         self._tickets_stopped.set()
 
+    async def _end_requests(self):
+        """Answer what is under way before its connections are closed.
+
+        The paths know best what has run, so they are the first to answer.
+        """
+        await self._stop.wait()
+        schedule = self.fleet.stop_schedule
+        await trio.sleep(_clock.read_remaining_s(schedule.end_deadline_ms))
+        self.gateway.end_reading()
+        self._model_path.end_all()
+        await trio.sleep(_clock.read_remaining_s(schedule.exit_deadline_ms))
+        self.gateway.end_serving()
+
     async def _start_peer_server(self, nursery):
         listeners = await nursery.start(
             self._peer_server.serve,
@@ -361,8 +386,8 @@
     async def _wait_for_stop(self):
         """Wait for `stop`, then for the load balancer to notice the stop."""
         await self._stop.wait()
-        if self._is_enabled('balancer-lag'):
-            await trio.sleep(self._settings.balancer_lag_ms / _clock.MS_PER_S)
+        leave_ms = self.fleet.stop_schedule.leave_ms
+        await trio.sleep(_clock.read_remaining_s(leave_ms))
 
     async def _serve_callers(self, daemon_nursery, peers, task_status):
         config = _http_server.make_server_config(self._settings)
--- a/bluebellthread/daemon/_ticket_task.py
+++ b/bluebellthread/daemon/_ticket_task.py
@@ -110,15 +110,15 @@
                 else:
                     self._handle(item)
 
-    async def stop(self, *, drain_timeout_ms):
+    async def stop(self, *, end_deadline_ms):
         """Hand every record over; return when done or timed out.
 
-        Calls in progress may finish within the drain timeout. Those still
-        running after it are cancelled, and their records are handed over
-        with the outcome unknown.
+        Calls in progress may finish until the deadline. Those still running
+        then are cancelled, and their records are handed over with the outcome
+        unknown.
         """
         await self.inbox.send(core.StopRequested())
-        with trio.move_on_after(drain_timeout_ms / _clock.MS_PER_S):
+        with trio.move_on_after(_clock.read_remaining_s(end_deadline_ms)):
             await self.handed_over.wait()
             return
         for scope in self._send_scopes.values():
