Announce the close of connections in each answer of a stop

What callers saw: a daemon that stops closes each connection after the answer under way, but no answer said so. A request that was written ahead on such a connection ended without an answer, and its caller could not know whether it had run.

Cause: Hypercorn closes its listeners and idle connections when its shutdown begins, and every other one after its answer; it adds no header and can't be told to answer what was written ahead.

Evidence: with a call of 2 s under way and another one written behind it, the first answer had no Connection header and the connection ended after it; the second call was not run. Both tests of TestKeptConnection failed.

Change: from the begin of the stop on, each HTTP/1 answer bears Connection: close, by which HTTP says that later requests on the connection are not processed. The answers of the lag bear it too, so that callers leave earlier. An answer whose head was sent before the stop can't announce it.

Measured: tests.integration.test_stop_end, 7 of 7 pass.

--- a/bluebellthread/daemon/_gateway.py
+++ b/bluebellthread/daemon/_gateway.py
@@ -98,7 +98,9 @@
 
     async def _serve_http(self, scope, receive, send):
         request_id = _choose_request_id(scope)
-        responder = _http.Responder(send, request_id)
+        responder = _http.Responder(
+            send, request_id, is_last=lambda: self._is_last(scope)
+        )
         try:
             await self._serve_request(scope, receive, responder)
         except _http.Refusal as refusal:
@@ -118,6 +120,14 @@
                 raise
             await responder.refuse(_make_crash_refusal())
 
+    def _is_last(self, scope):
+        """Return whether a request is the last one on its connection.
+
+        HTTP/2 has no such header; its connections last through the stop.
+        """
+        is_http_1 = scope['http_version'].startswith('1')
+        return is_http_1 and self._state.stop_schedule.is_begun
+
     async def _serve_request(self, scope, receive, responder):
         if scope['path'] in ('/healthz', '/readyz'):
             await self._serve_health(scope['path'], responder)
--- a/bluebellthread/daemon/_http.py
+++ b/bluebellthread/daemon/_http.py
@@ -177,17 +177,22 @@
     started, finished : bool
         Whether sending has begun: of the response head (``started``), and
         of the last part of the body (``finished``).
+    is_last : callable
+        Returns whether no other answer follows on the connection.
     """
 
     _send: object
     request_id: str
     started: bool = False
     finished: bool = False
+    is_last: object = attrs.field(kw_only=True, default=lambda: False)
 
     async def start(self, status, headers):
         """Send the status, the headers and the request id header."""
         self.started = True
         encoded = [(b'x-request-id', self.request_id.encode())]
+        if self.is_last():
+            encoded.append((b'connection', b'close'))
         for name, value in headers:
             encoded.append((name.encode(), value.encode()))
         await self._send(
--- a/tests/integration/test_stop_end.py
+++ b/tests/integration/test_stop_end.py
@@ -202,3 +202,57 @@
     address = fleet.standins['s1']
     answer = await fleet.call('GET', address, '/orders/o1')
     return answer.json()['runs']
+
+
+async def is_unready(fleet):
+    callers = fleet.daemons['vm1'].callers
+    answer = await fleet.call('GET', callers, '/readyz')
+    return answer.status == 503
+
+
+class TestKeptConnection(_fleet.FleetTestCase):
+    def test_answers_in_a_stop_announce_the_close(self):
+        self.run_fleet(self.check_announced)
+
+    async def check_announced(self, fleet):
+        await _vm_fleet.start(
+            fleet,
+            vms=('vm1',),
+            settings=SETTINGS | {'balancer_lag_ms': 20000},
+        )
+        caller = await connect(fleet)
+        body = make_body(output_tokens=1)
+        await caller.send('POST', MODEL_PATH, body)
+        answer = await caller.read_answer()
+        self.assertNotIn('connection', answer.headers)
+        fleet.process_of('vm1').terminate()
+        await _fleet.until(lambda: is_unready(fleet))
+        await caller.send('POST', MODEL_PATH, body)
+        answer = await caller.read_answer()
+        self.assertEqual(200, answer.status, answer)
+        self.assertEqual('close', answer.headers['connection'])
+
+    def test_request_written_ahead_is_not_run_after_the_announced_close(self):
+        self.run_fleet(self.check_written_ahead)
+
+    async def check_written_ahead(self, fleet):
+        await start(fleet)
+        await fleet.control('s1', read_ms=2000)
+        caller = await connect(fleet)
+        await caller.send('GET', f'{SERVICE_PATH}/stock/one')
+        await _fleet.until(lambda: read_count(fleet))
+        process = fleet.process_of('vm1')
+        process.terminate()
+        await _fleet.until(lambda: is_unready(fleet))
+        await caller.send('GET', f'{SERVICE_PATH}/stock/two')
+        answer = await caller.read_answer()
+        self.assertEqual(200, answer.status, answer)
+        self.assertEqual('close', answer.headers['connection'])
+        self.assertIsNone(await caller.read_answer())
+        self.assertEqual(0, await process.wait())
+        self.assertEqual(1, await read_count(fleet))
+
+
+async def read_count(fleet):
+    answer = await fleet.call('GET', fleet.standins['s1'], '/ledger')
+    return answer.json()['reads']
