Begin in the stop of a daemon only what surely ends

What callers saw: a request whose body ended after the balancer's lag, or that was granted a permit then, began to run however little was left of the stop. It was given up at the end as one that may have run.

Cause: the daemon took what its HTTP server had accepted; nothing compared the time that is left with the time that a request takes.

Change: StopAdmission compares the StopSchedule with RunTimes, both of the entry: when a request is whole, and every 50 ms for one that waits for a permit or for its next attempt. In the lag a request of unknown duration still begins; of known duration if it likely ends; afterwards only what surely ends, by its deadline or by what was measured. The rest gets 503 "not run" at once. A resumed stream goes on, its caller has read a part of it. Calls with tickets keep their own rule: none begins after the lag.

--- a/bluebellthread/core/_answer.py
+++ b/bluebellthread/core/_answer.py
@@ -130,6 +130,16 @@
         """Return the permit that the request holds, or None."""
         return self._permit
 
+    @property
+    def is_waiting(self):
+        """Return whether no server works on the request.
+
+        An answer whose pieces the caller already has doesn't count: only a
+        resume can end it.
+        """
+        has_begun = self._permit is not None or self._output_started
+        return not has_begun and not self.ended
+
     def has_held_permit(self, permit_id):
         """Return whether this request holds or has held a permit."""
         return permit_id in self._permit_ids
--- a/bluebellthread/daemon/_answer_task.py
+++ b/bluebellthread/daemon/_answer_task.py
@@ -53,6 +53,8 @@
         Makes the spans of the engine calls.
     metrics : bluebellthread.observe.Metrics
         Counts retries and wasted prefill tokens.
+    stop_admission : StopAdmission
+        Tells whether the request may begin, and learns how long it took.
     releases : bool
         Whether a request that ends releases its permits; only tests turn
         this off.
@@ -70,6 +72,7 @@
         find_server,
         tracer,
         metrics,
+        stop_admission,
         releases=True,
     ):
         self.machine = machine
@@ -81,7 +84,10 @@
         self._find_server = find_server
         self._tracer = tracer
         self._metrics = metrics
+        self._stop_admission = stop_admission
         self._releases = releases
+        self._begun_ms = None
+        self._first_output_ms = None
         self._nursery = None
         self._scopes = {}
         self._permit_request_scope = trio.CancelScope()
@@ -100,6 +106,15 @@
             core.CountRetry: self._count_retry,
         }
 
+    def end_if_late(self):
+        """Refuse a request that waits and would outlast a stop."""
+        if self.machine.is_waiting and not self._stop_admission.may_begin(
+            self._completion_request.model,
+            output_tokens=self._completion_request.output_tokens,
+            deadline_ms=self.machine.deadline_ms,
+        ):
+            self.post(core.StopEnding())
+
     def post(self, event):
         """Pass an event to the state machine; never blocks."""
         if self.machine.ended:
@@ -172,6 +187,8 @@
         self._scheduler.report(command.message)
 
     def _start_prefill(self, command):
+        if self._begun_ms is None:
+            self._begun_ms = _clock.read_clock_ms()
         self._start_run(command, self._prefill, command.permit.prefill_server)
 
     def _start_decode(self, command):
@@ -281,13 +298,27 @@
         return self._tracer.span(hop, parent=self._exchange.traceparent)
 
     def _emit_piece(self, command):
+        if self._first_output_ms is None:
+            self._first_output_ms = _clock.read_clock_ms()
         if not self._writer.add(command.piece):
             self.post(core.CallerGone())
 
+    def _note_ended(self, *, is_answered):
+        if self._begun_ms is not None:
+            self._stop_admission.note_ended(
+                self._completion_request.model,
+                begun_ms=self._begun_ms,
+                first_output_ms=self._first_output_ms,
+                output_tokens=self._completion_request.output_tokens,
+                is_answered=is_answered,
+            )
+
     def _finish(self, command):
+        self._note_ended(is_answered=True)
         self._writer.finish(command.finish_reason)
 
     def _refuse(self, command):
+        self._note_ended(is_answered=False)
         status, remedy = _REFUSALS.get(command.kind, (503, _DEFAULT_REMEDY))
         if command.kind == 'stopping':
             self._writer.refuse(
--- a/bluebellthread/daemon/_model_path.py
+++ b/bluebellthread/daemon/_model_path.py
@@ -42,6 +42,8 @@
         Makes the spans.
     metrics : bluebellthread.observe.Metrics
         Counts retries and wasted prefill tokens.
+    stop_admission : StopAdmission
+        Tells which requests may begin during a planned stop.
     disabled_mechanisms : tuple of str
         Names of disabled mechanisms; only tests disable any.
     """
@@ -57,6 +59,7 @@
         adapter,
         tracer,
         metrics,
+        stop_admission,
         disabled_mechanisms=(),
     ):
         self._vm = vm
@@ -65,6 +68,7 @@
         self._fleet = fleet
         self._tracer = tracer
         self._metrics = metrics
+        self._stop_admission = stop_admission
         self._scheduler = _scheduler_link.SchedulerLink(
             permit_client=permit_client, tracer=tracer
         )
@@ -103,6 +107,11 @@
         """Close the connections to engines."""
         await self._pool.aclose()
 
+    def end_late(self):
+        """Refuse the requests that wait and would outlast a stop."""
+        for task in tuple(self._live.values()):
+            task.end_if_late()
+
     def end_all(self):
         """End every request at the end of a planned stop."""
         for task in tuple(self._live.values()):
@@ -141,8 +150,14 @@
             completion_request = attrs.evolve(
                 completion_request, output_tokens=values.output_tokens
             )
+        request = self._make_request(exchange, completion_request, values)
+        self._stop_admission.check(
+            completion_request.model,
+            output_tokens=completion_request.output_tokens,
+            deadline_ms=request.deadline_ms,
+        )
         machine = core.AnswerMachine(
-            request=self._make_request(exchange, completion_request, values),
+            request=request,
             prompt=completion_request.prompt,
             budget=self._count_in_budget(completion_request.model, values),
             next_attempt=self._attempts.__next__,
@@ -162,6 +177,7 @@
             find_server=self._find_server,
             tracer=self._tracer,
             metrics=self._metrics,
+            stop_admission=self._stop_admission,
             releases=self._releases,
         )
 
--- a/bluebellthread/daemon/_service.py
+++ b/bluebellthread/daemon/_service.py
@@ -28,6 +28,7 @@
 from bluebellthread.daemon import _scheduler_task
 from bluebellthread.daemon import _service_path
 from bluebellthread.daemon import _status_task
+from bluebellthread.daemon import _stop_admission
 from bluebellthread.daemon import _ticket_parts
 from bluebellthread.daemon import _ticket_path
 from bluebellthread.daemon import _traffic
@@ -46,6 +47,9 @@
 RELEASE_TIMEOUT_S = 2
 RELEASE_POLL_S = 0.02
 
+STOP_CHECK_S = 0.05
+"""How often a stop looks for requests that have become too late to begin."""
+
 BODY_TIMEOUT_MS = 10000
 """Timeout for receiving a caller's request body."""
 
@@ -186,6 +190,9 @@
 
     def _make_gateway(self):
         settings = self._settings
+        stop_admission = _stop_admission.StopAdmission(
+            vm=settings.vm, data_centre=settings.data_centre, fleet=self.fleet
+        )
         self._model_path = _model_path.ModelPath(
             vm=settings.vm,
             incarnation=self.incarnation,
@@ -195,6 +202,7 @@
             adapter=settings.engine_adapter,
             tracer=self._tracer,
             metrics=self._metrics,
+            stop_admission=stop_admission,
             disabled_mechanisms=settings.disabled_mechanisms,
         )
         self._mailboxes.register(core.PermitCancelled, self._model_path.inbox)
@@ -202,6 +210,7 @@
             data_centre=settings.data_centre,
             fleet=self.fleet,
             ticket_path=self._tickets.path,
+            stop_admission=stop_admission,
         )
         self._admission = _admission.Admission(
             data_centre=settings.data_centre,
@@ -336,7 +345,12 @@
         """
         await self._stop.wait()
         schedule = self.fleet.stop_schedule
-        await trio.sleep(_clock.read_remaining_s(schedule.end_deadline_ms))
+        with trio.move_on_after(
+            _clock.read_remaining_s(schedule.end_deadline_ms)
+        ):
+            while True:
+                self._model_path.end_late()
+                await trio.sleep(STOP_CHECK_S)
         self.gateway.end_reading()
         self._model_path.end_all()
         await trio.sleep(_clock.read_remaining_s(schedule.exit_deadline_ms))
--- a/bluebellthread/daemon/_service_path.py
+++ b/bluebellthread/daemon/_service_path.py
@@ -1,8 +1,11 @@
 """Forwards calls below ``/services/NAME/`` to plain services."""
 
+import math
+
 import httpcore
 
 from bluebellthread import core
+from bluebellthread.daemon import _clock
 from bluebellthread.daemon import _http
 
 PREFIX = '/services/'
@@ -23,10 +26,13 @@
         Its attribute ``configuration`` is the configuration in force.
     ticket_path : TicketPath
         Serves the at-most-once calls.
+    stop_admission : StopAdmission
+        Tells which calls may begin during a planned stop.
     """
 
-    def __init__(self, *, data_centre, fleet, ticket_path):
+    def __init__(self, *, data_centre, fleet, ticket_path, stop_admission):
         self._ticket_path = ticket_path
+        self._stop_admission = stop_admission
         self._data_centre = data_centre
         self._fleet = fleet
         self._pool = httpcore.AsyncConnectionPool(
@@ -56,6 +62,9 @@
         # A call with a ticket must run at most once, even if this VM's
         # configuration now lists the route as idempotent.
         if route.repeatable and not request.header(_http.TICKET_HEADER):
+            self._stop_admission.check(
+                name, output_tokens=0, deadline_ms=math.inf
+            )
             server = self._choose_server(name)
             await self._forward(exchange, server, target)
         else:
@@ -89,6 +98,7 @@
             if key not in _http.UNFORWARDED_HEADERS
         ]
         headers.append((b'x-request-id', exchange.request_id.encode()))
+        begun_ms = _clock.read_clock_ms()
         try:
             async with self._pool.stream(
                 request.method,
@@ -111,6 +121,7 @@
             httpcore.ProtocolError,
             httpcore.TimeoutException,
         ) as error:
+            self._note_ended(server, begun_ms, is_answered=False)
             raise _http.Refusal(
                 status=502,
                 kind='unreachable',
@@ -118,6 +129,7 @@
                 run=_http.RUN_UNKNOWN,
                 retry_after_ms=RETRY_AFTER_MS,
             ) from error
+        self._note_ended(server, begun_ms, is_answered=response.status < 500)
         answer_headers = [
             (key.decode('latin-1').lower(), value.decode('latin-1'))
             for key, value in response.headers
@@ -133,6 +145,15 @@
             content,
         )
 
+    def _note_ended(self, server, begun_ms, *, is_answered):
+        self._stop_admission.note_ended(
+            server.serves,
+            begun_ms=begun_ms,
+            first_output_ms=None,
+            output_tokens=0,
+            is_answered=is_answered,
+        )
+
 
 def _split_path(path):
     """Return the service's name and the path below that name."""
--- a/tests/integration/test_stop_end.py
+++ b/tests/integration/test_stop_end.py
@@ -19,6 +19,9 @@
 OUTPUT_TOKENS = 100
 """An answer of so many steps lasts longer than the stop."""
 
+MEASURED_COUNT = 5
+"""Requests after which the VM knows how long they take."""
+
 
 class Caller:
     """A caller that sends parts of requests and reads whole answers.
@@ -49,6 +52,10 @@
         """Send the bytes that were held back."""
         await self._stream.send_all(data)
 
+    async def close(self):
+        """Close the connection."""
+        await self._stream.aclose()
+
     async def read_events(self):
         """Read a stream to the end of the connection; return its events."""
         async for data in self._stream:
@@ -108,7 +115,9 @@
     )
 
 
-class TestEndOfStop(_fleet.FleetTestCase):
+class StopTestCase(_fleet.FleetTestCase):
+    """Checks the refusals of a stop."""
+
     def check_refusal(self, answer, *, status, run):
         self.assertIsNotNone(answer, 'cut without an answer')
         self.assertEqual(status, answer.status, answer)
@@ -116,6 +125,8 @@
         self.assertEqual('stopping', answer.json()['error']['kind'])
         self.assertIn('retry-after', answer.headers)
 
+
+class TestEndOfStop(StopTestCase):
     async def stop(self, fleet):
         process = fleet.process_of('vm1')
         process.terminate()
@@ -256,3 +267,84 @@
 async def read_count(fleet):
     answer = await fleet.call('GET', fleet.standins['s1'], '/ledger')
     return answer.json()['reads']
+
+
+async def refuses_connections(fleet):
+    try:
+        await connect(fleet)
+    except OSError:
+        return True
+    return False
+
+
+async def stop_accepting(fleet):
+    """Begin a stop and wait until the lag of the balancer is over."""
+    fleet.process_of('vm1').terminate()
+    await _fleet.until(lambda: refuses_connections(fleet))
+
+
+class TestLateInStop(StopTestCase):
+    def test_late_body_of_a_request_that_may_outlast_the_stop(self):
+        self.run_fleet(self.check_late_body)
+
+    async def check_late_body(self, fleet):
+        await start(fleet)
+        asked_count = (await fleet.state('p1'))['asked_count']
+        await fleet.control('d1', step_ms=STEP_MS)
+        caller = await connect(fleet)
+        body = make_body()
+        await caller.send('POST', MODEL_PATH, body, held_back=1)
+        await stop_accepting(fleet)
+        await caller.send_rest(body[-1:])
+        answer = await caller.read_answer()
+        self.check_refusal(answer, status=503, run='not-run')
+        self.assertEqual(asked_count, (await fleet.state('p1'))['asked_count'])
+
+    def test_late_body_of_a_plain_call_that_may_outlast_the_stop(self):
+        self.run_fleet(self.check_late_call)
+
+    async def check_late_call(self, fleet):
+        await start(fleet)
+        await fleet.control('s1', read_ms=60000)
+        caller = await connect(fleet)
+        path = f'{SERVICE_PATH}/stock/piece'
+        await caller.send('GET', path, b'x', held_back=1)
+        await stop_accepting(fleet)
+        await caller.send_rest(b'x')
+        answer = await caller.read_answer()
+        self.check_refusal(answer, status=503, run='not-run')
+        self.assertEqual(0, await read_count(fleet))
+
+    def test_permit_that_is_free_too_late_begins_nothing(self):
+        self.run_fleet(self.check_late_permit)
+
+    async def check_late_permit(self, fleet):
+        await start(fleet, total_pieces=1)
+        await fleet.control('d1', step_ms=STEP_MS)
+        first, second = await connect(fleet), await connect(fleet)
+        await first.send('POST', MODEL_PATH, make_body())
+        await _fleet.until(lambda: _vm_fleet.read_running_ids(fleet))
+        await second.send('POST', MODEL_PATH, make_body())
+        await stop_accepting(fleet)
+        await first.close()
+        answer = await second.read_answer()
+        self.check_refusal(answer, status=503, run='not-run')
+
+    def test_late_body_of_a_request_that_surely_ends_is_served(self):
+        self.run_fleet(self.check_served)
+
+    async def check_served(self, fleet):
+        await _vm_fleet.start(
+            fleet,
+            vms=('vm1',),
+            settings=SETTINGS | {'drain_timeout_ms': 30000},
+        )
+        for _ in range(MEASURED_COUNT):
+            await _vm_fleet.can_answer(fleet, 'vm1')
+        caller = await connect(fleet)
+        body = make_body(output_tokens=1)
+        await caller.send('POST', MODEL_PATH, body, held_back=1)
+        await stop_accepting(fleet)
+        await caller.send_rest(body[-1:])
+        answer = await caller.read_answer()
+        self.assertEqual(200, answer.status, answer)
--- a/tests/unit/test_answer_task.py
+++ b/tests/unit/test_answer_task.py
@@ -72,6 +72,7 @@
         find_server=None,
         tracer=None,
         metrics=None,
+        stop_admission=None,
     )
 
 
--- a/tests/unit/test_cut_off_bodies.py
+++ b/tests/unit/test_cut_off_bodies.py
@@ -10,9 +10,11 @@
 
 from bluebellthread import core
 from bluebellthread.daemon import _clock
+from bluebellthread.daemon import _fleet
 from bluebellthread.daemon import _http
 from bluebellthread.daemon import _one_shot
 from bluebellthread.daemon import _service_path
+from bluebellthread.daemon import _stop_admission
 from bluebellthread import engines
 from standin import site
 from standin.site import _connection
@@ -85,7 +87,12 @@
 async def forward(server):
     """Return the answers that the caller of an idempotent call gets."""
     path = _service_path.ServicePath(
-        data_centre='cluj-a', fleet=None, ticket_path=None
+        data_centre='cluj-a',
+        fleet=None,
+        ticket_path=None,
+        stop_admission=_stop_admission.StopAdmission(
+            vm='vm1', data_centre='cluj-a', fleet=_fleet.Fleet()
+        ),
     )
     exchange = types.SimpleNamespace(
         request=_http.Request(
