--- a/bluebellthread/core/_answer.py
+++ b/bluebellthread/core/_answer.py
@@ -108,6 +108,7 @@
             events.RunFailed: self._on_run_failed,
             events.CallerGone: self._on_caller_gone,
             events.Superseded: self._on_superseded,
+            events.StopEnding: self._on_stop_ending,
             _scheduler_events.Tick: self._on_tick,
         }
 
@@ -129,6 +130,16 @@
         """Return the permit that the request holds, or None."""
         return self._permit
 
+    @property
+    def is_waiting(self):
+        """Return whether no server works on the request.
+
+        An answer whose pieces the caller already has doesn't count: only a
+        resume can end it.
+        """
+        has_begun = self._permit is not None or self._output_started
+        return not has_begun and not self.ended
+
     def has_held_permit(self, permit_id):
         """Return whether this request holds or has held a permit."""
         return permit_id in self._permit_ids
@@ -267,6 +278,11 @@
             return []
         return self._refuse('superseded', 0)
 
+    def _on_stop_ending(self, event, now_ms):
+        if self._answered or self.ended:
+            return []
+        return self._refuse('stopping', actions.RETRY_AFTER_MS)
+
     def _on_tick(self, event, now_ms):
         if self.ended or now_ms < self.next_tick_ms:
             return []
--- a/bluebellthread/daemon/_service.py
+++ b/bluebellthread/daemon/_service.py
@@ -28,6 +28,7 @@
 from bluebellthread.daemon import _scheduler_task
 from bluebellthread.daemon import _service_path
 from bluebellthread.daemon import _status_task
+from bluebellthread.daemon import _stop_admission
 from bluebellthread.daemon import _ticket_parts
 from bluebellthread.daemon import _ticket_path
 from bluebellthread.daemon import _traffic
@@ -46,6 +47,9 @@
 RELEASE_TIMEOUT_S = 2
 RELEASE_POLL_S = 0.02
 
+STOP_CHECK_S = 0.05
+"""How often a stop looks for requests that have become too late to begin."""
+
 BODY_TIMEOUT_MS = 10000
 """Timeout for receiving a caller's request body."""
 
@@ -186,6 +190,9 @@
 
     def _make_gateway(self):
         settings = self._settings
+        stop_admission = _stop_admission.StopAdmission(
+            vm=settings.vm, data_centre=settings.data_centre, fleet=self.fleet
+        )
         self._model_path = _model_path.ModelPath(
             vm=settings.vm,
             incarnation=self.incarnation,
@@ -195,6 +202,7 @@
             adapter=settings.engine_adapter,
             tracer=self._tracer,
             metrics=self._metrics,
+            stop_admission=stop_admission,
             disabled_mechanisms=settings.disabled_mechanisms,
         )
         self._mailboxes.register(core.PermitCancelled, self._model_path.inbox)
@@ -202,6 +210,7 @@
             data_centre=settings.data_centre,
             fleet=self.fleet,
             ticket_path=self._tickets.path,
+            stop_admission=stop_admission,
         )
         self._admission = _admission.Admission(
             data_centre=settings.data_centre,
@@ -274,7 +283,7 @@
         """Start a planned stop: report not ready, then drain."""
         if self.fleet.draining:
             return
-        self.fleet.draining = True
+        self._begin_schedule()
         emit(
             events.VM_STOPPING,
             vm=self._settings.vm,
@@ -283,6 +292,17 @@
         self._membership_task.leave()
         self._stop.set()
 
+    def _begin_schedule(self):
+        settings = self._settings
+        lag_ms = 0
+        if self._is_enabled('balancer-lag'):
+            lag_ms = settings.balancer_lag_ms
+        self.fleet.stop_schedule.begin(
+            _clock.read_clock_ms(),
+            grace_ms=lag_ms + settings.drain_timeout_ms,
+            lag_ms=lag_ms,
+        )
+
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
         """Start every task; return once stopped and drained.
 
@@ -300,6 +320,7 @@
             nursery.start_soon(self._platform_watch.run)
             await nursery.start(self._tickets.task.run)
             nursery.start_soon(self._stop_tickets)
+            nursery.start_soon(self._end_requests)
             nursery.start_soon(self._configuration_task.run)
             nursery.start_soon(self._orders_task.run)
             await self._serve_callers(nursery, peers, task_status)
@@ -313,10 +334,28 @@
         """Hand ticket records over to peers while callers are still served."""
         await self._wait_for_stop()
         await self._tickets.task.stop(
-            drain_timeout_ms=self._settings.drain_timeout_ms
+            end_deadline_ms=self.fleet.stop_schedule.end_deadline_ms
         )
         self._tickets_stopped.set()
 
+    async def _end_requests(self):
+        """Answer what is under way before its connections are closed.
+
+        The paths know best what has run, so they are the first to answer.
+        """
+        await self._stop.wait()
+        schedule = self.fleet.stop_schedule
+        with trio.move_on_after(
+            _clock.read_remaining_s(schedule.end_deadline_ms)
+        ):
+            while True:
+                self._model_path.end_late()
+                await trio.sleep(STOP_CHECK_S)
+        self.gateway.end_reading()
+        self._model_path.end_all()
+        await trio.sleep(_clock.read_remaining_s(schedule.exit_deadline_ms))
+        self.gateway.end_serving()
+
     async def _start_peer_server(self, nursery):
         listeners = await nursery.start(
             self._peer_server.serve,
@@ -361,8 +400,8 @@
     async def _wait_for_stop(self):
         """Wait for `stop`, then for the load balancer to notice the stop."""
         await self._stop.wait()
-        if self._is_enabled('balancer-lag'):
-            await trio.sleep(self._settings.balancer_lag_ms / _clock.MS_PER_S)
+        leave_ms = self.fleet.stop_schedule.leave_ms
+        await trio.sleep(_clock.read_remaining_s(leave_ms))
 
     async def _serve_callers(self, daemon_nursery, peers, task_status):
         config = _http_server.make_server_config(self._settings)
