Let callers of the soak go on through whole stops

The soak could not see it: its callers sent each request whole and at once, waited for its answer, and their streams lasted 2.4 s at the most.

Eight callers are added. They send a head over up to 2 s and a body over up to 5 s; write two or three requests while the answer to the first one runs; open a connection for each request, mostly at VMs that are being stopped; keep a connection until the VM closes it; and take streams up again at another VM. All give their requests 12 s, so that it is the stop that ends them, and streams last up to 3.6 s. VMs record the life of each process, with the first SIGTERM and refused connections.

--- a/tests/integration/_entry_site.py
+++ b/tests/integration/_entry_site.py
@@ -118,6 +118,22 @@
         return Caller(stream)
 
 
+def make_request(
+    method, path, body=b'', *, request_id, deadline_ms, headers=()
+):
+    """Return the bytes of a request."""
+    lines = [
+        f'{method} {path} HTTP/1.1',
+        f'Host: {HOST}',
+        f'X-Request-Attempt-Id: {request_id}',
+        f'X-Deadline-Ms: {deadline_ms}',
+        'X-Token-Count: 1000,200',
+        f'Content-Length: {len(body)}',
+        *headers,
+    ]
+    return ('\r\n'.join(lines) + '\r\n\r\n').encode() + body
+
+
 class Caller:
     """A caller's connection whose bytes are parsed without an HTTP library."""
 
@@ -145,19 +161,21 @@
         deadline_ms=8000,
         headers=(),
     ):
-        lines = [
-            f'{method} {path} HTTP/1.1',
-            f'Host: {HOST}',
-            f'X-Request-Attempt-Id: {request_id}',
-            f'X-Deadline-Ms: {deadline_ms}',
-            'X-Token-Count: 1000,200',
-            f'Content-Length: {len(body)}',
-            *headers,
-        ]
         await self.stream.send_all(
-            ('\r\n'.join(lines) + '\r\n\r\n').encode() + body
+            make_request(
+                method,
+                path,
+                body,
+                request_id=request_id,
+                deadline_ms=deadline_ms,
+                headers=headers,
+            )
         )
 
+    async def has_more(self):
+        """Wait for bytes or the end; return whether there are bytes."""
+        return bool(self._buffer) or await self._fill()
+
     async def read_answer(self):
         """Read and return an `Answer`, even if the connection cuts it off."""
         status, headers = await self.read_head()
--- a/tests/soak/_callers.py
+++ b/tests/soak/_callers.py
@@ -1,5 +1,6 @@
 """Callers of a soak test, which record every answer."""
 
+import math
 import random
 
 import attrs
@@ -57,6 +58,22 @@
         none.
     events_before : int
         Number of the events that it has received of that stream.
+    deadline_ms : int
+        Time that the caller gives it, from its first byte on.
+    manner : str
+        How the caller sends; ``'whole'`` or one of `_stop_callers.MANNERS`.
+    sent_s : float or None
+        When its last byte was sent; None if it was not sent whole.
+    turn_s : float
+        When the answer before it on the connection had ended.
+    closes : bool
+        Whether its answer says that the connection ends.
+    is_behind_close : bool
+        Whether it was written behind a request whose answer said so.
+    brings_more : bool
+        Whether bytes came after an answer that said so.
+    answered_id : str
+        The request id that its answer names; empty for none.
     """
 
     request_id: str
@@ -71,6 +88,25 @@
     ended_s: float | None = None
     resumes: str = ''
     events_before: int = 0
+    deadline_ms: int = DEADLINE_MS
+    manner: str = 'whole'
+    sent_s: float | None = None
+    turn_s: float = -math.inf
+    closes: bool = False
+    is_behind_close: bool = False
+    brings_more: bool = False
+    answered_id: str = ''
+
+    @property
+    def read_s(self):
+        """When the VM could have read the request whole; None for never."""
+        return None if self.sent_s is None else max(self.sent_s, self.turn_s)
+
+    def take_up(self, broken):
+        """Make this the request that takes a broken stream up again."""
+        self.kind = 'ask'
+        self.resumes = broken.resumes or broken.request_id
+        self.events_before = broken.event_count
 
     @property
     def event_count(self):
@@ -114,13 +150,11 @@
                 is_kept=caller is not None,
             )
             if broken is not None:
-                record.kind = 'ask'
-                record.resumes = broken.resumes or broken.request_id
-                record.events_before = broken.event_count
+                record.take_up(broken)
             self.records.append(record)
             caller = await self._call(caller, vm, record)
             record.ended_s = trio.current_time()
-            broken = record if _is_broken_stream(record) else None
+            broken = record if is_broken_stream(record) else None
             is_idle = not drop_share and rng.random() < IDLE_SHARE
             pause_s = rng.uniform(0.0, IDLE_MAX_S if is_idle else 0.1)
             await trio.sleep(pause_s)
@@ -130,24 +164,19 @@
         try:
             with trio.fail_after(DEADLINE_MS / 1000 + 2):
                 if caller is None:
-                    caller = await self._connect(vm)
-                answer = await caller.call(
-                    'GET' if record.kind == 'read' else 'POST',
-                    f'/{record.kind}/x',
+                    caller = await self.connect(vm)
+                await caller.send(
+                    *line_of(record),
                     record.request_id.encode(),
                     request_id=record.request_id,
-                    deadline_ms=DEADLINE_MS,
-                    headers=_make_headers(record),
+                    deadline_ms=record.deadline_ms,
+                    headers=make_headers(record),
                 )
+                record.sent_s = trio.current_time()
+                is_answered = await read_answer(caller, record)
         except (OSError, trio.BrokenResourceError, trio.TooSlowError):
             return await self._close(caller)
-        except AttributeError:
-            # The connection was closed before the head of an answer arrived.
-            return await self._close(caller)
-        record.status = answer.status
-        record.body, record.whole = answer.body, answer.whole
-        record.server_seal = answer.headers.get('x-server-seal', '')
-        if not answer.whole or answer.headers.get('connection') == 'close':
+        if not is_answered or record.closes:
             return await self._close(caller)
         return caller
 
@@ -155,8 +184,18 @@
         if caller is not None:
             await trio.aclose_forcefully(caller.stream)
 
-    async def _connect(self, vm):
-        stream = await trio.open_tcp_stream(vm.host, vm.ports['front'])
+    async def connect(self, vm):
+        """Open a connection to a VM; note the time if the port is closed."""
+        try:
+            stream = await trio.open_tcp_stream(vm.host, vm.ports['front'])
+        except OSError as error:
+            causes = error.__cause__
+            if isinstance(causes, ExceptionGroup) and causes.subgroup(
+                ConnectionRefusedError
+            ):
+                vm.note_refused()
+            raise
+        vm.note_accepted()
         caller = _entry_site.Caller(stream)
         caller.vm = vm.name
         return caller
@@ -169,7 +208,7 @@
         text = ','.join(f'{part}:100' for part in (SOUND_PARTS[0], *parts))
         try:
             with trio.fail_after(DEADLINE_MS / 1000):
-                async with await self._connect(vm) as caller:
+                async with await self.connect(vm) as caller:
                     await caller.call(
                         'POST',
                         target,
@@ -204,7 +243,7 @@
         newest = self._choose_version(known, sent_s)
         try:
             with trio.fail_after(2):
-                caller = await self._connect(vm)
+                caller = await self.connect(vm)
                 answer = await caller.call(
                     'GET', f'/version-{newest}/x', request_id='probe'
                 )
@@ -264,12 +303,32 @@
         )
 
 
+def line_of(record):
+    """Return the method and the path of a request."""
+    return 'GET' if record.kind == 'read' else 'POST', f'/{record.kind}/x'
+
+
+async def read_answer(caller, record):
+    """Read the answer to a request; return whether it is whole."""
+    try:
+        answer = await caller.read_answer()
+    except AttributeError:
+        # The connection was closed before the head of an answer arrived.
+        return False
+    record.status = answer.status
+    record.body, record.whole = answer.body, answer.whole
+    record.server_seal = answer.headers.get('x-server-seal', '')
+    record.answered_id = answer.headers.get('x-request-attempt-id', '')
+    record.closes = answer.headers.get('connection') == 'close'
+    return record.whole
+
+
 def expected_stream(events_before=0):
     """Return the bytes of a complete stream after some events."""
     return _backend.make_events(range(events_before + 1, 13))
 
 
-def _is_broken_stream(record):
+def is_broken_stream(record):
     """Return whether a caller may take a stream up again after a record."""
     return (
         record.kind == 'ask'
@@ -279,7 +338,7 @@
     )
 
 
-def _make_headers(record):
+def make_headers(record):
     # Sound prompts share their first parts with the ones that end engines.
     parts = ','.join(f'{part}:100' for part in SOUND_PARTS)
     own = record.request_id.replace('-', '0')
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -2,6 +2,7 @@
 
 import datetime
 import functools
+import pathlib
 import random
 import tempfile
 
@@ -11,9 +12,11 @@
 from tests.soak import _checks
 from tests.soak import _faults
 from tests.soak import _site
+from tests.soak import _stop_callers
 from tests.soak import _upgrades
 
 CALLERS_MIN = 12
+STOP_CALLERS = 2 * len(_stop_callers.MANNERS)
 RECOVERY_S = 14.0
 """Seconds between the last fault and the requests that must be served.
 
@@ -74,6 +77,7 @@
             await wait_ready(site)
             for number in range(max(CALLERS_MIN, len(site.vms))):
                 nursery.start_soon(callers.run_caller, number)
+            _stop_callers.start_callers(nursery, callers, seed, STOP_CALLERS)
             for vm in site.vms:
                 nursery.start_soon(callers.probe_versions, vm)
             nursery.start_soon(_log_lateness, site, log)
@@ -98,6 +102,8 @@
             callers.is_stopped = True
             await _wait_ended(callers)
             broken = _checks.check(site, callers, quiet_since_s)
+            if folder:
+                _write_records(folder, callers)
             log(f'seed {seed}: {site.describe()}')
             log(summarize(seed, callers, broken))
             nursery.cancel_scope.cancel()
@@ -172,6 +178,13 @@
         await trio.sleep(0.05)
 
 
+def _write_records(folder, callers):
+    """Write what callers saw beside the logs, one line for each request."""
+    path = pathlib.Path(folder) / 'records.txt'
+    with path.open('w', encoding='utf-8') as file:
+        file.writelines(f'{record}\n' for record in callers.records)
+
+
 def summarize(seed, callers, broken):
     """Return one line with the number of requests by status."""
     counts = {}
--- a/tests/soak/_site.py
+++ b/tests/soak/_site.py
@@ -42,6 +42,10 @@
 TARGET_LATENCY_MS = 900
 """Time within which an answer is on time, of all routes."""
 
+TIMEOUT_MS = 12000
+"""Time limit of all routes: longer than the grace period, so that it is the
+stop that ends a request, unless its caller sets a shorter one."""
+
 PATHS_VM_COUNT = 2
 """VMs that have paths of their own to the servers, which can be cut."""
 
@@ -87,6 +91,34 @@
         return sock.getsockname()[1]
 
 
+@attrs.define(kw_only=True)
+class ProcessRun:
+    """The life of one process of a VM.
+
+    Parameters
+    ----------
+    started_s, ended_s : float
+        When it was started and when it had ended.
+    term_s : float or None
+        When it got its first SIGTERM.
+    accepted_s : float or None
+        When a caller's connection was first accepted.
+    refused_s : list of float
+        When callers' connections were refused after that.
+    """
+
+    started_s: float
+    ended_s: float = math.inf
+    term_s: float | None = None
+    accepted_s: float | None = None
+    refused_s: list = attrs.field(factory=list)
+
+    @property
+    def is_stopping(self):
+        """Whether it has got SIGTERM and still runs."""
+        return self.term_s is not None and self.ended_s == math.inf
+
+
 class Launcher:
     """Starts processes that ignore SIGHUP until they handle it."""
 
@@ -133,6 +165,8 @@
     ----------
     running_checkout : Path or None
         Folder of the checkout that its last process was started from.
+    runs : list of ProcessRun
+        The lives of its processes, in turn.
     failures : Spans
         When its process was killed or paused.
     stops : Spans
@@ -170,6 +204,7 @@
             _proxy.ProxySettings(name=self.name, target_port=store_port)
         )
         self.process = None
+        self.runs = []
         self.exits = []
         self.failures = _spans.Spans()
         self.stops = _spans.Spans()
@@ -221,10 +256,13 @@
                 )
             self.running_checkout = checkout
             self.stops.note()
+            run = ProcessRun(started_s=trio.current_time())
+            self.runs.append(run)
             try:
                 code = await self.process.wait()
             finally:
                 self._kill()
+                run.ended_s = trio.current_time()
             with self.stops.span():
                 if not self.expected_exit:
                     last_line = self._read_last_line()
@@ -244,6 +282,19 @@
             await trio.aclose_forcefully(stream)
             return
 
+    def note_accepted(self):
+        """Record that a caller's connection was accepted."""
+        if self.runs and self.runs[-1].accepted_s is None:
+            self.runs[-1].accepted_s = trio.current_time()
+
+    def note_refused(self):
+        """Record that a caller's connection was refused.
+
+        Until a process has accepted a connection, it may not listen yet.
+        """
+        if self.runs and self.runs[-1].accepted_s is not None:
+            self.runs[-1].refused_s.append(trio.current_time())
+
     def _read_last_line(self):
         """Return the last line of the log, which often says why it ended."""
         lines = self._log_path.read_text(errors='replace').splitlines()
@@ -266,6 +317,8 @@
             if number == signal.SIGTERM:
                 self.stops.note()
                 self.term_times_s.append(trio.current_time())
+                if self.runs[-1].term_s is None:
+                    self.runs[-1].term_s = trio.current_time()
             elif number == signal.SIGHUP:
                 self.reload_times_s.append(trio.current_time())
             else:
@@ -601,7 +654,7 @@
                 event_count=12,
                 software_version=self.rng.choice(self.software_versions),
             )
-            server.event_pause_s = self.rng.choice((0.02, 0.02, 0.2))
+            server.event_pause_s = self.rng.choice((0.02, 0.2, 0.3))
         await server.start(self.nursery)
         proxy = _proxy.Proxy(
             _proxy.ProxySettings(name=name, target_port=server.port)
@@ -778,7 +831,7 @@
         'host': HOST,
         'prefix': prefix,
         'kind': kind,
-        'timeoutMs': 5000,
+        'timeoutMs': TIMEOUT_MS,
         'targetLatencyMs': TARGET_LATENCY_MS,
         'service': service,
         'maxAttempts': 2,
