Add stops that overlap, double stops and stops in trouble to the soak

The soak had rolling stops with pauses of up to 12 s among all VMs, no second SIGTERM to a process that stops, no SIGHUP in a stop, no stop right after a start, and stops beside a silent store or cut paths only by chance.

The faults series-stops-overlap, series-stop-twice, series-start-stop, series-stop-store-away and series-stop-paths-cut add these.

--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -504,6 +504,70 @@
         await trio.sleep(site.rng.uniform(0.0, pause_s))
 
 
+STOP_GAP_MAX_S = 1.0
+"""Longest pause between the stops of two VMs that overlap."""
+
+
+async def _stop_in_turn(site):
+    """Stop all VMs in random order, so fast that their stops overlap."""
+    gap_s = site.rng.choice((0.0, 0.2, STOP_GAP_MAX_S))
+    for vm in site.rng.sample(site.vms, len(site.vms)):
+        vm.signal(signal.SIGTERM)
+        await trio.sleep(site.rng.uniform(0.0, gap_s))
+
+
+@faults.register('series-stops-overlap')
+async def stop_overlapping(site):
+    """Stop all VMs in turn with short gaps, once or twice."""
+    for _ in range(site.rng.randint(1, 2)):
+        await _stop_in_turn(site)
+        await _sleep_random(site, 0.0, _site.STOP_GRACE_S)
+
+
+@faults.register('series-stop-twice')
+async def stop_vm_twice(site):
+    """Send SIGTERM to the same process twice, and SIGHUP in its stop."""
+    vm = _choose_vm(site)
+    vm.signal(signal.SIGTERM)
+    async with trio.open_nursery() as nursery:
+        for number in (signal.SIGTERM, signal.SIGHUP):
+            nursery.start_soon(
+                _signal_later, site, vm, number, _site.STOP_GRACE_S / 2
+            )
+
+
+@faults.register('series-start-stop')
+async def stop_starting_vm(site):
+    """Stop a VM, and again right after it has started."""
+    vm = _choose_vm(site)
+    run = vm.runs[-1]
+    vm.signal(signal.SIGTERM)
+    with trio.move_on_after(_site.STOP_GRACE_S + 2):
+        while vm.runs[-1] is run:
+            await trio.sleep(0.02)
+    await _signal_later(site, vm, signal.SIGTERM, 1.5)
+
+
+@faults.register('series-stop-store-away')
+async def stop_without_store(site):
+    """Stop VMs in turn while the store is away from one, some or all."""
+    vms = site.rng.sample(site.vms, site.rng.randint(1, len(site.vms)))
+    rule = site.rng.choice(({'cut': True}, {'stall_answers': True}))
+    async with trio.open_nursery() as nursery:
+        _disturb_stores(nursery, site, vms, **rule)
+        await _sleep_random(site, 0.0, 1.0)
+        await _stop_in_turn(site)
+
+
+@faults.register('series-stop-paths-cut')
+async def stop_without_paths(site):
+    """Stop VMs in turn while one or two are cut off from all servers."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(cut_paths, site)
+        await _sleep_random(site, 0.0, 2.0)
+        await _stop_in_turn(site)
+
+
 @faults.register('series-stop-kill')
 async def kill_stopping_vm(site):
     """Kill a VM during its stop."""
