Check in the soak that stops lose nothing and close no door

check_stops: around a SIGTERM each request whose last byte was sent must end in a server's whole answer or a refusal, also if no server had it; a refusal must not have run. The exceptions are those of the rule LOST; a request behind others counts from its turn on. A broken line quotes the VM's E7077.

check_doors: from the first connection that a process accepts until 0.5 s before its end none may be refused. That is the part of the grace period which EXIT_MARGIN_MS leaves for the exit; the sockets close before the interpreter ends. A process that has accepted none yet may not listen yet.

check_request also finds answers that name another request, and bytes after an answer with Connection: close.

The new callers prefer VMs that are being stopped, which the balancer's do not. So check_cut_paths leaves them out and compares the callers that it did before.

--- a/tests/soak/_checks.py
+++ b/tests/soak/_checks.py
@@ -10,6 +10,7 @@
 
 STARTED_EVENT = 7001
 SURVIVED_EVENT = 7055
+STOP_DECISION_EVENT = 7077
 STREAM_KINDS = ('ask', 'once')
 AT_MOST_ONCE_KINDS = ('order', 'once')
 MIN_SERVED_SHARE = 0.9
@@ -37,6 +38,15 @@
 "more than three times". Around planned work the rule has no such number.
 """
 
+LOSS_SLACK_S = 0.2
+"""The users' rule LOST: a request that no server had may end unanswered within
+``lossSlackMs`` of its last byte, since it may cross the close."""
+
+EXIT_S = 0.5
+"""Time before the end of a process in which its port may be closed: the part
+of the grace period that is left for it once its requests are answered
+(`EXIT_MARGIN_MS`), as the interpreter needs time to end after its sockets."""
+
 SILENCE_MAX_S = 2.0
 """Longest silence of a sound server: a second or so, up to two."""
 
@@ -77,6 +87,8 @@
         for (vm, version), problems in callers.version_errors.items()
     ]
     broken += check_lost(site, callers)
+    broken += check_stops(site, callers)
+    broken += check_doors(site)
     broken += check_silences(site, callers)
     broken += check_attempts(site, callers)
     broken += check_work_overlaps(site, callers)
@@ -161,7 +173,7 @@
     since_s = record.begun_s - _site.QUIET_S
     return (
         not backends
-        or record.ended_s - record.begun_s >= _callers.DEADLINE_MS / 1000
+        or record.ended_s - record.begun_s >= record.deadline_ms / 1000
         or any(
             backend.faults.touches(since_s, record.ended_s)
             for backend in backends
@@ -169,6 +181,136 @@
     )
 
 
+def check_stops(site, callers):
+    """Check that what is sent whole around a planned stop is settled.
+
+    It must end in a server's whole answer or in a refusal, whether a server
+    had it or not; a refusal must not have run. The exceptions are those of
+    the rule LOST.
+    """
+    vms = {vm.name: vm for vm in site.vms}
+    passed_on = site.list_passed_on()
+    runs = site.count_runs()
+    broken = []
+    for record in callers.records:
+        vm = vms[record.vm]
+        stop_s = _find_stop(vm, record)
+        if record.read_s is None or stop_s is None:
+            continue
+        backends = passed_on[record.request_id]
+        problem = _find_stop_problem(
+            record, stop_s, backends, runs.get(record.request_id, 0)
+        )
+        if problem and not _is_impaired(site, vm, record, backends):
+            broken.append(
+                f'{record.kind} {record.request_id} at {vm.name} '
+                f'({record.manner}), whole '
+                f'{record.read_s - stop_s:.2f} s after SIGTERM at '
+                f'{stop_s - site.begun_s:.2f} s, {problem}, status '
+                f'{record.status}, {record.ended_s - stop_s:.2f} s after it; '
+                f'{_read_decisions(vm, record)}'
+            )
+    return broken
+
+
+def _find_stop(vm, record):
+    """Return the SIGTERM around which a request ended; None for none."""
+    for run in vm.runs:
+        if (
+            run.term_s is not None
+            and record.begun_s <= run.ended_s
+            and run.term_s <= record.ended_s
+            and record.ended_s <= run.term_s + _site.STOP_GRACE_S + 1
+        ):
+            return run.term_s
+    return None
+
+
+def _find_stop_problem(record, stop_s, backends, run_count):
+    if _is_settled(record):
+        is_refused = not record.server_seal
+        return 'was refused but has run' if is_refused and run_count else ''
+    began_s = max(record.begun_s, record.turn_s)
+    last_sixth_s = stop_s + _site.STOP_GRACE_S * 5 / 6
+    if record.ended_s - began_s >= record.deadline_ms / 1000:
+        return ''
+    if not backends and (
+        record.is_behind_end or record.ended_s - record.read_s <= LOSS_SLACK_S
+    ):
+        return ''
+    if (
+        backends
+        and record.read_s <= stop_s + 3
+        and record.ended_s >= last_sixth_s
+    ):
+        return ''
+    state = 'passed on' if backends else 'not passed on'
+    return f'was {state} and got no whole answer'
+
+
+def _is_impaired(site, vm, record, backends):
+    """Return whether something unplanned disturbed a request.
+
+    An answer of the router's own is excused by any disturbed server that it
+    could have been sent to.
+    """
+    span_s = (record.begun_s - _site.QUIET_S, record.ended_s)
+    if vm.failures.touches(*span_s) or vm.path_cuts.touches(*span_s):
+        return True
+    has_store_fault = vm.store_faults.touches(
+        *span_s
+    ) or site.store_faults.touches(*span_s)
+    if has_store_fault and record.kind in STREAM_KINDS:
+        return True
+    service = 'model' if record.kind in STREAM_KINDS else 'plain'
+    could_serve = [
+        item for item in site.backends.values() if item.service == service
+    ]
+    return any(
+        _was_disturbed(backend, *span_s)
+        for backend in (could_serve if record.whole else backends)
+    )
+
+
+def _read_decisions(vm, record):
+    """Return what the VM logged on a request in its stop."""
+    messages = [
+        event['message']
+        for event in vm.read_events()
+        if event['event'] == STOP_DECISION_EVENT
+        and event['request_id'] == record.request_id
+    ]
+    return '; '.join(messages) or f'no E{STOP_DECISION_EVENT}'
+
+
+def check_doors(site):
+    """Check that ports accept connections as long as processes run.
+
+    That is from the first connection that a process has accepted until
+    `EXIT_S` before its end.
+    """
+    broken = []
+    for vm in site.vms:
+        for run in vm.runs:
+            refused_s = [
+                time_s
+                for time_s in run.refused_s
+                if time_s < run.ended_s - EXIT_S
+            ]
+            if refused_s:
+                after = (
+                    f'from {refused_s[0] - run.term_s:.2f} s after SIGTERM'
+                    if run.term_s is not None
+                    else 'without SIGTERM'
+                )
+                broken.append(
+                    f'{vm.name} refused {len(refused_s)} connections while '
+                    f'its process ran, {after}, from '
+                    f'{run.ended_s - refused_s[0]:.2f} s before its end'
+                )
+    return broken
+
+
 def check_silences(site, callers):
     """Check that the silence of sound servers costs no request.
 
@@ -196,7 +338,7 @@
         took_s = record.ended_s - record.begun_s
         work_s = max(backend.work_s for backend in backends)
         due_s = silent_s + work_s + _site.TARGET_LATENCY_MS / 1000
-        deadline_s = _callers.DEADLINE_MS / 1000
+        deadline_s = record.deadline_ms / 1000
         if silent_s and (took_s < deadline_s or due_s < deadline_s):
             names = sorted({item.server.name for item in backends})
             broken.append(
@@ -381,6 +523,10 @@
         )
     if record.status is not None and 200 <= record.status < 300:
         broken += check_success(label, record)
+    if record.answered_id not in ('', record.request_id):
+        broken.append(f'{label} got the answer to {record.answered_id}')
+    if record.brings_more:
+        broken.append(f'{label} was answered with a close and more bytes')
     if record.status == 404:
         broken.append(f'{label} was answered 404 although its route exists')
     return broken
@@ -561,14 +707,16 @@
     """Check that VMs without a path to servers serve like the others.
 
     Counted is what is sent while some VM has been cut off for as long as VMs
-    take to be in touch, at VMs that nothing else disturbs.
+    take to be in touch, at VMs that nothing else disturbs. Callers that look
+    for VMs that are being stopped tell nothing of paths.
     """
     served = collections.Counter()
     sent = collections.Counter()
     for record in callers.records:
         span_s = (record.begun_s - _site.QUIET_S, record.ended_s)
         vm = next(item for item in site.vms if item.name == record.vm)
-        if vm.was_away(*span_s) or record.resumes:
+        is_steered = record.manner != 'whole'
+        if vm.was_away(*span_s) or record.resumes or is_steered:
             continue
         cut = [
             item.path_cuts.covers(*span_s)
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -4,6 +4,8 @@
 import types
 import unittest
 
+import trio
+
 from standin import site as site_standins
 from tests.soak import _callers
 from tests.soak import _checks
@@ -210,3 +212,216 @@
     def test_engine_with_a_fault_is_excused(self):
         self.engine.faults = _spans.Spans([[101.0, 101.2]])
         self.assertEqual([], self.check(0.5))
+
+
+class TestStops(ChecksTestCase):
+    """One VM gets SIGTERM a second after requests began."""
+
+    TERM_S = SENT_S + 1
+
+    def setUp(self):
+        super().setUp()
+        self.vm = self.site.vms[0]
+        self.stop = _site.ProcessRun(
+            started_s=SENT_S - 50,
+            term_s=self.TERM_S,
+            ended_s=self.TERM_S + 8,
+        )
+        self.vm.runs = [self.stop]
+        self.decisions = []
+        self.vm.read_events = lambda: self.decisions
+
+    def check(self):
+        return _checks.check_stops(self.site, self.callers)
+
+    def add(self, *, sent_s, ended_s, backend=None, **fields):
+        """Add a request without an answer, by times after SIGTERM."""
+        record = self.add_record(
+            **{
+                'status': None,
+                'server_seal': '',
+                'deadline_ms': 12000,
+                'sent_s': self.TERM_S + sent_s,
+                'ended_s': self.TERM_S + ended_s,
+                **fields,
+            }
+        )
+        if backend is not None:
+            backend.server.arrivals.append(make_call(record.request_id))
+        return record
+
+    def test_late_request_that_was_passed_on_is_found_with_its_decision(self):
+        record = self.add(sent_s=3.1, ended_s=7.0, backend=self.engine)
+        message = f'E7077 request {record.request_id}: taken'
+        self.decisions.append(
+            {
+                'event': _checks.STOP_DECISION_EVENT,
+                'request_id': record.request_id,
+                'message': message,
+            }
+        )
+        self.assertEqual(1, len(self.check()))
+        self.assertIn(message, self.check()[0])
+
+    def test_request_that_no_server_had_is_found_unless_it_crosses_a_close(
+        self,
+    ):
+        self.add(sent_s=4.0, ended_s=4.2 - 0.01)
+        self.assertEqual([], self.check())
+        self.add(sent_s=4.0, ended_s=4.3)
+        self.assertEqual(1, len(self.check()))
+        self.assertIn('no E7077', self.check()[0])
+
+    def test_early_request_is_excused_in_the_last_sixth_only(self):
+        self.add(sent_s=2.9, ended_s=6.7, backend=self.engine)
+        self.assertEqual([], self.check())
+        self.add(sent_s=2.9, ended_s=6.6, backend=self.engine)
+        self.assertEqual(1, len(self.check()))
+
+    def test_request_that_waited_for_its_turn_is_late(self):
+        self.add(
+            sent_s=0.5,
+            ended_s=7.0,
+            backend=self.engine,
+            turn_s=self.TERM_S + 4.3,
+        )
+        self.assertEqual(1, len(self.check()))
+
+    def test_request_behind_a_close_is_found_if_it_was_passed_on(self):
+        self.add(sent_s=1.0, ended_s=5.0, is_behind_end=True)
+        self.assertEqual([], self.check())
+        self.add(
+            sent_s=1.0,
+            ended_s=5.0,
+            is_behind_end=True,
+            backend=self.plain,
+        )
+        self.assertEqual(1, len(self.check()))
+
+    def test_failure_of_the_router_is_found(self):
+        self.add(
+            sent_s=3.5,
+            ended_s=7.0,
+            status=502,
+            whole=True,
+            backend=self.plain,
+            kind='order',
+        )
+        self.assertEqual(1, len(self.check()))
+
+    def test_whole_answers_and_true_refusals_are_sound(self):
+        self.add(
+            sent_s=4.0,
+            ended_s=5.0,
+            status=200,
+            whole=True,
+            server_seal='s',
+            backend=self.engine,
+        )
+        self.add(sent_s=4.0, ended_s=4.1, status=503, whole=True)
+        self.add(sent_s=4.0, ended_s=4.1, status=408, whole=True)
+        self.assertEqual([], self.check())
+
+    def test_refusal_of_what_has_run_is_found(self):
+        for kind in _callers.KINDS:
+            record = self.add(
+                sent_s=4.0, ended_s=4.1, status=503, whole=True, kind=kind
+            )
+            self.plain.server.runs.append(make_call(record.request_id))
+        self.assertEqual(len(_callers.KINDS), len(self.check()))
+
+    def test_request_that_was_not_sent_whole_or_reached_its_limit(self):
+        record = self.add(sent_s=4.0, ended_s=5.0, backend=self.engine)
+        record.sent_s = None
+        self.add(
+            sent_s=0.0, ended_s=4.0, backend=self.engine, deadline_ms=4000
+        )
+        self.assertEqual([], self.check())
+
+    def test_request_outside_of_a_stop_is_left_to_other_checks(self):
+        self.add(sent_s=-0.9, ended_s=-0.1, backend=self.engine)
+        self.add(sent_s=8.5, ended_s=9.1, backend=self.engine)
+        self.assertEqual([], self.check())
+
+    def test_second_sigterm_begins_no_other_stop(self):
+        self.add(sent_s=3.5, ended_s=7.0, backend=self.engine)
+        self.vm.term_times_s = [self.TERM_S, self.TERM_S + 1]
+        self.assertEqual(1, len(self.check()))
+
+    def test_unplanned_trouble_excuses(self):
+        self.add(sent_s=3.5, ended_s=7.0, backend=self.engine)
+        trouble = _spans.Spans([[self.TERM_S, self.TERM_S + 0.2]])
+        for owner, name in (
+            (self.vm, 'failures'),
+            (self.vm, 'path_cuts'),
+            (self.vm, 'store_faults'),
+            (self.site, 'store_faults'),
+            (self.engine, 'faults'),
+        ):
+            with self.subTest(name=name):
+                before = getattr(owner, name)
+                setattr(owner, name, trouble)
+                self.assertEqual([], self.check())
+                setattr(owner, name, before)
+        self.assertEqual(1, len(self.check()))
+
+    def test_trouble_of_the_store_or_elsewhere_excuses_no_plain_call(self):
+        self.add(sent_s=3.5, ended_s=7.0, backend=self.plain, kind='order')
+        trouble = _spans.Spans([[self.TERM_S, self.TERM_S + 0.2]])
+        self.site.store_faults = self.vm.store_faults = trouble
+        self.site.vms[1].failures = self.engine.faults = trouble
+        self.assertEqual(1, len(self.check()))
+
+
+class TestDoors(ChecksTestCase):
+    def check(self, refused_s, **fields):
+        self.site.vms[0].runs = [
+            _site.ProcessRun(
+                started_s=SENT_S,
+                accepted_s=SENT_S + 1,
+                refused_s=refused_s,
+                **fields,
+            )
+        ]
+        return _checks.check_doors(self.site)
+
+    def test_closed_port_of_a_process_that_stops_is_found(self):
+        stop = {'term_s': SENT_S + 10, 'ended_s': SENT_S + 18}
+        found = self.check([SENT_S + 12.7, SENT_S + 13.0], **stop)
+        self.assertEqual(1, len(found))
+        self.assertIn('2 connections', found[0])
+
+    def test_closed_port_without_a_stop_is_found(self):
+        self.assertEqual(1, len(self.check([SENT_S + 2])))
+
+    def test_port_may_be_closed_in_the_last_moment_of_the_exit(self):
+        end_s = SENT_S + 18
+        stop = {'term_s': SENT_S + 10, 'ended_s': end_s}
+        self.assertEqual([], self.check([end_s - 0.4], **stop))
+        self.assertEqual(1, len(self.check([end_s - 0.6], **stop)))
+
+    def test_port_counts_from_the_first_connection_on(self):
+        vm = self.site.vms[0]
+        vm.runs = [_site.ProcessRun(started_s=SENT_S)]
+
+        async def call():
+            vm.note_refused()
+            vm.note_accepted()
+            self.assertEqual([], vm.runs[0].refused_s)
+            vm.note_refused()
+            self.assertEqual(1, len(vm.runs[0].refused_s))
+
+        trio.run(call)
+
+
+class TestRequests(ChecksTestCase):
+    def check(self, **fields):
+        record = self.add_record(status=503, whole=True, **fields)
+        return _checks.check_request(record, 0)
+
+    def test_answer_to_another_request_is_found(self):
+        self.assertEqual([], self.check(answered_id='c0'))
+        self.assertEqual(1, len(self.check(answered_id='c0')))
+
+    def test_bytes_after_an_answer_that_closes_are_found(self):
+        self.assertEqual(1, len(self.check(brings_more=True)))
