Share what is known of VMs that stop; a module for one exchange

Read as a newcomer would: CallerExchange has a module of its own, the share of VMs that stop one function for entry and daemon, and an attempt that no server works for is noted as idle (it was called rest, as are parts of streams).

--- a/bluebellthread/core/routing/__init__.py
+++ b/bluebellthread/core/routing/__init__.py
@@ -66,6 +66,7 @@
 from bluebellthread.core.routing._server_paths import ServerPaths
 from bluebellthread.core.routing._server_pauses import ServerPauses
 from bluebellthread.core.routing._start_wait import StartWait
+from bluebellthread.core.routing._stop_schedule import find_stopping_share
 from bluebellthread.core.routing._stop_schedule import StopSchedule
 from bluebellthread.core.routing._stream_origins import OriginAnswer
 from bluebellthread.core.routing._stream_origins import OriginAsk
@@ -153,6 +154,7 @@
     'choose_partners',
     'effective_rate_per_s',
     'find_dispute',
+    'find_stopping_share',
     'identify_request',
     'is_request_id',
     'memory_models',
--- a/bluebellthread/core/routing/_stop_schedule.py
+++ b/bluebellthread/core/routing/_stop_schedule.py
@@ -9,6 +9,11 @@
 
 import attrs
 
+from bluebellthread.core.routing import _owner_share
+
+STOPPING_STATE = 'leaving'
+"""State of members that are being stopped."""
+
 END_MARGIN_MS = 1000
 """Part of the grace period that is kept for answers that say that a request is
 not done, and for closing connections, before the process is killed."""
@@ -116,3 +121,28 @@
         if not self.is_begun:
             return math.inf
         return max(0, self.end_deadline_ms - now_ms)
+
+
+def find_stopping_share(states):
+    """Return how likely a caller that is refused comes to a VM that stops.
+
+    Parameters
+    ----------
+    states : iterable of str
+        States of all other members.
+
+    Returns
+    -------
+    float
+        The part of those that run which are being stopped; 1 if none run.
+
+    Examples
+    --------
+    >>> find_stopping_share(['alive', 'suspect', 'leaving', 'leaving', 'dead'])
+    0.5
+    """
+    states = tuple(states)
+    stopping_count = states.count(STOPPING_STATE)
+    live_count = sum(state in _owner_share.LIVE_STATES for state in states)
+    running_count = live_count + stopping_count
+    return stopping_count / running_count if running_count else 1.0
--- a/bluebellthread/daemon/_stop_admission.py
+++ b/bluebellthread/daemon/_stop_admission.py
@@ -6,9 +6,6 @@
 from bluebellthread.daemon import _clock
 from bluebellthread.daemon import _http
 
-LIVE_STATES = ('alive', 'suspect')
-STOPPING_STATES = ('leaving',)
-
 
 class StopAdmission:
     """Compares the time that a stop leaves with what requests take.
@@ -110,17 +107,9 @@
             )
 
     def _find_stopping_share(self):
-        """Return how likely a caller that is refused comes to a VM that stops.
-
-        It is the part of the other VMs that are being stopped; 1 if there are
-        no others.
-        """
-        others = [
-            member
-            for member in self._fleet.view.in_data_centre(
-                self._data_centre, states=LIVE_STATES + STOPPING_STATES
-            )
-            if member.name != self._vm
-        ]
-        stopping_count = sum(m.state in STOPPING_STATES for m in others)
-        return stopping_count / len(others) if others else 1.0
+        return routing.find_stopping_share(
+            member.state
+            for member in self._fleet.view.members
+            if member.data_centre == self._data_centre
+            and member.name != self._vm
+        )
--- a/bluebellthread/entry/_attempt_race.py
+++ b/bluebellthread/entry/_attempt_race.py
@@ -121,7 +121,7 @@
         """
         self.race.check_time(self)
 
-    def rest(self):
+    def note_idle(self):
         """Note that no server works for the attempt any more."""
         self.is_prefilled = False
         self.work_stack.close()
--- a/bluebellthread/entry/_caller_connection.py
+++ b/bluebellthread/entry/_caller_connection.py
@@ -8,15 +8,13 @@
 
 import contextlib
 import functools
-import http
-import socket
-import struct
 
 import attrs
 import h11
 import trio
 
 from bluebellthread.daemon import _clock
+from bluebellthread.entry import _caller_exchange
 from bluebellthread.entry import _concurrency
 from bluebellthread.entry import _http_messages
 from bluebellthread.entry import _sockets
@@ -35,9 +33,6 @@
 """How long the connection is read after its write side was shut down, so
 that the caller receives the last answer: a few round trips of any caller."""
 
-CHUNKS_HTTP_VERSION = b'1.1'
-"""First version of HTTP whose answers may come in chunks."""
-
 REMEDIES = {
     400: 'send one well-formed HTTP/1.1 request',
     408: 'send the request faster',
@@ -47,10 +42,6 @@
 }
 
 
-class CallerGoneError(Exception):
-    """Raised when the caller has closed its connection."""
-
-
 class BadRequestError(Exception):
     """Raised when a caller sends a request that can't be served.
 
@@ -101,7 +92,7 @@
         except (
             trio.BrokenResourceError,
             trio.ClosedResourceError,
-            CallerGoneError,
+            _caller_exchange.CallerGoneError,
         ):
             # The caller has closed the connection; no answer can reach it.
             pass
@@ -118,7 +109,7 @@
         if head is None:
             return False
         request = await self._read_request(head)
-        exchange = CallerExchange(
+        exchange = _caller_exchange.CallerExchange(
             request=request,
             conn=self._conn,
             stream=self._stream,
@@ -213,7 +204,7 @@
             if isinstance(event, h11.EndOfMessage):
                 return bytes(body)
             if not isinstance(event, h11.Data):
-                raise CallerGoneError
+                raise _caller_exchange.CallerGoneError
             body += event.data
             if len(body) > self._control.limits.body_max_bytes:
                 raise BadRequestError(413)
@@ -230,7 +221,7 @@
                 return event
             data = await self._stream.receive_some(RECEIVE_BYTES)
             if not data:
-                raise CallerGoneError
+                raise _caller_exchange.CallerGoneError
             self._conn.receive_data(data)
 
     async def _watch_caller(self, exchange):
@@ -284,7 +275,7 @@
             return
         response = h11.Response(
             status_code=status,
-            reason=_reason(status),
+            reason=_caller_exchange.reason_of(status),
             headers=[
                 *headers,
                 (b'content-length', str(len(body)).encode()),
@@ -319,110 +310,6 @@
             return
 
 
-class CallerExchange:
-    """One request of a caller and the methods that answer it.
-
-    These raise `CallerGoneError` if the connection is closed.
-
-    Attributes
-    ----------
-    request : Request
-        The whole request.
-    caller_gone : bool
-        Whether the caller has closed the connection; the exchange is then
-        being cancelled.
-    is_aborted : bool
-        Whether the answer was broken off by `abort`.
-    status : int or None
-        The status of the answer; None until the answer has started.
-    is_complete : bool
-        Whether the whole answer has been sent.
-    """
-
-    def __init__(self, *, request, conn, stream, control):
-        self.request = request
-        self.caller_gone = False
-        self.is_aborted = False
-        self.status = None
-        self.is_complete = False
-        self._conn = conn
-        self._stream = stream
-        self._control = control
-
-    @property
-    def is_started(self):
-        """Whether any byte of the answer may have been sent."""
-        return self.status is not None
-
-    async def respond(self, status, headers, body):
-        """Send a complete answer with its length."""
-        sized = [*headers, (b'content-length', str(len(body)).encode())]
-        data = await self._begin(status, sized)
-        if body and self.request.method != b'HEAD':
-            data += self._conn.send(h11.Data(data=body))
-        data += self._conn.send(h11.EndOfMessage())
-        await self._send(data)
-        self.is_complete = True
-
-    async def start(self, status, headers):
-        """Send the head of a streamed answer."""
-        chunked = [*headers, (b'transfer-encoding', b'chunked')]
-        data = await self._begin(status, chunked)
-        if self._conn.their_http_version < CHUNKS_HTTP_VERSION:
-            # Only the end of the connection will mark the end of the answer,
-            # so any other end, that of this process too, must be a reset.
-            self._reset_on_close(True)
-        await self._send(data)
-
-    async def send(self, data):
-        """Send a piece of a streamed answer."""
-        await self._send(self._conn.send(h11.Data(data=data)))
-
-    async def finish(self):
-        """Send the last chunk, which marks a streamed answer as complete."""
-        await self._send(self._conn.send(h11.EndOfMessage()))
-        self.is_complete = True
-        if self._conn.their_http_version < CHUNKS_HTTP_VERSION:
-            self._reset_on_close(False)
-
-    async def abort(self):
-        """Close the connection without the last chunk of the answer.
-
-        The caller then sees that the answer is incomplete.
-        """
-        self.is_aborted = True
-        await trio.aclose_forcefully(self._stream)
-
-    async def _send(self, data):
-        try:
-            await self._stream.send_all(data)
-        except (
-            trio.BrokenResourceError,
-            trio.ClosedResourceError,
-        ) as error:
-            self.caller_gone = not self.is_aborted
-            raise CallerGoneError from error
-
-    def _reset_on_close(self, resets):
-        self._stream.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', resets, 0)
-        )
-
-    async def _begin(self, status, headers):
-        # An answer that is cancelled before its first byte has not started,
-        # so that another one can be sent instead.
-        await trio.lowlevel.checkpoint_if_cancelled()
-        self.status = status
-        # Requests that were read ahead are answered before the connection is
-        # closed.
-        if self._control.is_stopping and not self._conn.trailing_data[0]:
-            headers = [*headers, (b'connection', b'close')]
-        response = h11.Response(
-            status_code=status, reason=_reason(status), headers=headers
-        )
-        return self._conn.send(response)
-
-
 def _check_framing(head):
     """Raise if the length of the body or the host is ambiguous.
 
@@ -437,10 +324,3 @@
 
 def _known_status(hint):
     return hint if hint in REMEDIES else 400
-
-
-def _reason(status):
-    try:
-        return http.HTTPStatus(status).phrase.encode()
-    except ValueError:
-        return b''
--- a/bluebellthread/entry/_gateway.py
+++ b/bluebellthread/entry/_gateway.py
@@ -7,7 +7,7 @@
 from bluebellthread import core
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
-from bluebellthread.entry import _caller_connection
+from bluebellthread.entry import _caller_exchange
 from bluebellthread.entry import _http_messages
 from bluebellthread.entry import _refusals
 from bluebellthread.entry import _stop_admission
@@ -163,7 +163,7 @@
         """
         try:
             yield
-        except _caller_connection.CallerGoneError:
+        except _caller_exchange.CallerGoneError:
             raise
         except Exception as error:
             emit(
--- a/bluebellthread/entry/_stop_admission.py
+++ b/bluebellthread/entry/_stop_admission.py
@@ -284,16 +284,8 @@
         )
 
     def _find_stopping_share(self):
-        """Return how likely a caller that is refused comes to a VM that stops.
-
-        It is the part of the other VMs that are being stopped; 1 if there are
-        no others.
-        """
-        states = [
+        return routing.find_stopping_share(
             member.state
             for member in self.state.view.members
             if member.name != self.state.settings.vm
-            and member.state in _state.HOLDER_STATES
-        ]
-        live_count = sum(state in _state.OWNER_STATES for state in states)
-        return 1 - live_count / len(states) if states else 1.0
+        )
--- a/bluebellthread/entry/_stream_attempts.py
+++ b/bluebellthread/entry/_stream_attempts.py
@@ -115,7 +115,7 @@
                 attempt.last_server
             ):
                 failed_server = attempt.last_server
-            attempt.rest()
+            attempt.note_idle()
             self._placements.release(
                 placement,
                 failed_server=failed_server or placement.failed_prefill,
--- a/tests/unit/test_stream_followers.py
+++ b/tests/unit/test_stream_followers.py
@@ -54,7 +54,7 @@
         is_paid=False,
         others=(types.SimpleNamespace(waits_for='d1'),),
         begin=lambda: None,
-        rest=lambda: None,
+        note_idle=lambda: None,
     )
 
 
