--- a/review/2/case.py
+++ b/review/2/case.py
@@ -172,7 +172,9 @@
             reader, writer = await asyncio.open_connection(
                 vm.host, vm.front_port
             )
-            writer.write(('\r\n'.join(lines) + '\r\n\r\nsummarise it').encode())
+            writer.write(
+                ('\r\n'.join(lines) + '\r\n\r\nsummarise it').encode()
+            )
             while not data.endswith(b'0\r\n\r\n'):
                 piece = await reader.read(65536)
                 data += piece
