--- a/review/2/case.py
+++ b/review/2/case.py
@@ -122,11 +122,11 @@
         self.record.note(f'passed on to a sound worker, no answer: {lost}')
         return len(lost) <= LOST_MAX
 
-    def note(self, request_id, status, error=''):
+    def note(self, vm, request_id, status, error=''):
         """Note what a client got."""
         self.record.note(f'{request_id}: {status or error}')
         self.counts[status] = self.counts.get(status, 0) + 1
-        if not status:
+        if not status and vm.was_in_touch:
             self.unanswered.append(request_id)
 
     async def keep_calling(self, vm, number):
@@ -149,7 +149,7 @@
                 )
             except OSError as error:
                 answer = site.Answer(error=repr(error))
-            self.note(request_id, answer.status, answer.error)
+            self.note(vm, request_id, answer.status, answer.error)
             if not answer.status and client is not None:
                 client.close()
                 client = None
@@ -182,7 +182,7 @@
                     break
             writer.close()
         status = int(data.split()[1]) if data else 0
-        self.note(request_id, status, 'the channel was closed')
+        self.note(vm, request_id, status, 'the channel was closed')
 
 
 async def main(record):
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -12,7 +12,7 @@
 FOREIGN_ADDRESS = f'{"5f" * 32}:8080'
 """The name of a container in place of an IP address."""
 
-CRASHES = 5
+CRASHES = 8
 CRASH_PAUSE_S = 8.0
 """Longer than `contactMs` and a restart: the VMs are in touch again."""
 
@@ -117,7 +117,8 @@
             )
             self.counts[answer.status] = self.counts.get(answer.status, 0) + 1
             if not answer.status:
-                self.unanswered.append((request_id, self.crashed))
+                if vm.was_in_touch:
+                    self.unanswered.append((request_id, self.crashed))
                 if client is not None:
                     client.close()
                 client = None
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -315,6 +315,7 @@
         self.process = None
         self.own_ends = []
         self.is_stopping = False
+        self._started_s = 0.0
         self._task = None
 
     async def start(self):
@@ -323,6 +324,7 @@
         self._task = asyncio.create_task(self._restart())
 
     async def _spawn(self):
+        self._started_s = time.monotonic()
         deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
         command = deploy['roles']['entry']['run'].split()
         environment = {
@@ -353,6 +355,12 @@
             await asyncio.sleep(0.5)
             await self._spawn()
 
+    @property
+    def was_in_touch(self):
+        """Whether the process of now has run for `contactMs` or longer."""
+        age_s = time.monotonic() - self._started_s
+        return age_s >= BOUNDS['contactMs'] / 1000
+
     def read_log(self):
         """Return the text of the process's log."""
         return (self._folder / f'{self.name}.log').read_text(errors='replace')
