Take no address that can't be connected to, and expect one to fail

Cause: the decoder took any text of host characters as a host. The socket library raises UnicodeError or OverflowError for what is no address, callers of it expect OSError, and the path watch tries all listed servers, in a task of the process. For the same reason such a server never counted as unreached.

Change: an address is the IPv4 address of one host and a port; a connection, link or datagram to what is no address fails with an OSError. The same cause was found, and mended, in links between VMs and in membership datagrams.

--- a/bluebellthread/daemon/_membership_task.py
+++ b/bluebellthread/daemon/_membership_task.py
@@ -8,6 +8,7 @@
 from bluebellthread.daemon import _clock
 from bluebellthread.daemon import _mailboxes
 from bluebellthread.daemon import _scheduler_task
+from bluebellthread.daemon import _socket_options
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
 from bluebellthread import wire
@@ -188,7 +189,8 @@
             return
         self._traffic.count(len(data))
         try:
-            await self._socket.sendto(data, (command.host, command.port))
+            with _socket_options.raising_os_errors():
+                await self._socket.sendto(data, (command.host, command.port))
         except OSError as error:
             emit(events.PEER_UNREACHABLE, peer=command.host, error=error)
 
--- a/bluebellthread/daemon/_peers.py
+++ b/bluebellthread/daemon/_peers.py
@@ -286,7 +286,10 @@
 
     async def run(self, address, source_host):
         try:
-            with trio.fail_after(CONNECT_TIMEOUT_S):
+            with (
+                trio.fail_after(CONNECT_TIMEOUT_S),
+                _socket_options.raising_os_errors(),
+            ):
                 stream = await trio.open_tcp_stream(
                     *address, local_address=source_host
                 )
--- a/bluebellthread/daemon/_socket_options.py
+++ b/bluebellthread/daemon/_socket_options.py
@@ -1,5 +1,7 @@
 """Socket options that detect a TCP connection whose other side is silent."""
 
+import contextlib
+
 import trio
 
 UNACKNOWLEDGED_TIMEOUT_MS = 2500
@@ -49,6 +51,19 @@
     )
 
 
+@contextlib.contextmanager
+def raising_os_errors():
+    """Raise an `OSError` where a socket says that an address is none.
+
+    A host name that can't be encoded is a `ValueError` to the library, and a
+    port out of range an `OverflowError`.
+    """
+    try:
+        yield
+    except (ValueError, OverflowError) as error:
+        raise OSError(f'this is no address: {error}') from error
+
+
 def find_peer(sock):
     """Return the host that a socket is connected to, empty if it has left.
 
--- a/bluebellthread/entry/_sockets.py
+++ b/bluebellthread/entry/_sockets.py
@@ -11,12 +11,14 @@
     Raises
     ------
     OSError
-        If the connection is refused or can't be made.
+        If the connection is refused or can't be made, or if the address is
+        none.
     """
     sock = trio.socket.socket()
     try:
         _socket_options.set_silence_timeouts(sock)
-        await sock.connect((host, port))
+        with _socket_options.raising_os_errors():
+            await sock.connect((host, port))
     except BaseException:
         sock.close()
         raise
--- a/bluebellthread/platform/_decoding.py
+++ b/bluebellthread/platform/_decoding.py
@@ -6,6 +6,7 @@
 
 import base64
 import binascii
+import ipaddress
 import json
 import math
 import re
@@ -52,10 +53,6 @@
 PORT_PATTERN = re.compile('[0-9]{1,5}')
 """As many digits as `PORT_MAX` has."""
 
-HOST_PATTERN = re.compile(r'[0-9A-Za-z._:%\[\]-]+')
-"""Characters of host names and IP addresses; with others, looking up an
-address fails in other ways than by an `OSError`."""
-
 PROBLEM_MAX_CHARACTERS = 500
 """Maximum length of a problem in the log: enough for a field's name and the
 beginning of its value."""
@@ -118,8 +115,10 @@
     if state not in STATES:
         raise EntryError(f'unknown server state {state!r}')
     host, _, port = _require_text(fields, 'address').rpartition(':')
-    if not HOST_PATTERN.fullmatch(host) or not _is_port(port):
-        raise EntryError('the address does not have the form HOST:PORT')
+    if not _is_unicast(host) or not _is_port(port):
+        raise EntryError(
+            'the address is not the IPv4 address of a host and a port'
+        )
     stage = fields.get('stage', '')
     if stage and stage not in STAGES:
         raise EntryError(f'unknown engine stage {stage!r}')
@@ -373,7 +372,21 @@
 
 
 def _is_port(text):
-    return bool(PORT_PATTERN.fullmatch(text)) and int(text) <= PORT_MAX
+    return bool(PORT_PATTERN.fullmatch(text)) and 0 < int(text) <= PORT_MAX
+
+
+def _is_unicast(text):
+    """Return whether a text is an IPv4 address that one host may have.
+
+    Connections to servers are opened over IPv4, and names are not looked up.
+    """
+    try:
+        address = ipaddress.IPv4Address(text)
+    except ValueError:
+        return False
+    return not (
+        address.is_unspecified or address.is_multicast or address.is_reserved
+    )
 
 
 def _require_text(fields, name):
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -124,6 +124,16 @@
             {'address': '10.0.0.1:' + 5000 * '1'},
             {'address': 'a\0b:80'},
             {'address': 'b\xe4r:80'},
+            {'address': 'localhost:80'},
+            {'address': '10.0.0:80'},
+            {'address': f'{"5f" * 32}:80'},
+            {'address': 'a..b:80'},
+            {'address': '.:80'},
+            {'address': '[::1]:80'},
+            {'address': '0.0.0.0:80'},
+            {'address': '224.0.0.1:80'},
+            {'address': '255.255.255.255:80'},
+            {'address': '10.0.0.1:0'},
             {'service': '\ud800'},
         ):
             with self.subTest(change=str(change)[:80]):
