End only what an unexpected error in a task was for

Cause: a nursery ends with the first error of any of its tasks. Some thirty places started tasks, many in nurseries of the whole process, each with a list of the errors that somebody expected.

Change: daemon/_tasks.py is the one place that starts tasks, and each start says what an error ends: the subject alone (isolated), nothing, since the task starts again (lasting), or what waits for the nursery (joined). Each failure is logged with its subject (E1004) and counted (tasks_failed); MemoryError always ends the process. Checks and links that others wait for release them however they end.

--- a/bluebellthread/cli/_status.py
+++ b/bluebellthread/cli/_status.py
@@ -8,6 +8,7 @@
 from bluebellthread.cli import _registry
 from bluebellthread.cli import _vm_calls
 from bluebellthread import core
+from bluebellthread.daemon import _tasks
 
 HEADINGS = (
     'VM',
@@ -72,7 +73,7 @@
     found = []
     async with trio.open_nursery() as nursery:
         for member in first.members:
-            nursery.start_soon(_read_status, member, found)
+            _tasks.start_joined(nursery, _read_status, member, found)
     return sorted(found, key=lambda status: status.member.name)
 
 
--- a/bluebellthread/cli/_vm_calls.py
+++ b/bluebellthread/cli/_vm_calls.py
@@ -5,6 +5,8 @@
 from bluebellthread.cli import _registry
 from bluebellthread import core
 from bluebellthread.daemon import _clock
+from bluebellthread.daemon import _socket_options
+from bluebellthread.daemon import _tasks
 from bluebellthread import wire
 
 CALL_TIMEOUT_S = 3
@@ -68,7 +70,7 @@
     found = []
     async with trio.open_nursery() as nursery:
         for member in first.members:
-            nursery.start_soon(_call_member, member, message, found)
+            _tasks.start_joined(nursery, _call_member, member, message, found)
     return sorted(found, key=lambda item: item[0])
 
 
@@ -84,7 +86,8 @@
     envelope = wire.Envelope(
         message=message, sender=SENDER, sender_incarnation=0, correlation=1
     )
-    stream = await trio.open_tcp_stream(host, port)
+    with _socket_options.raising_os_errors():
+        stream = await trio.open_tcp_stream(host, port)
     async with stream:
         now_ms = _clock.read_clock_ms()
         await stream.send_all(wire.encode_frame(envelope, now_ms=now_ms))
--- a/bluebellthread/daemon/_answer_task.py
+++ b/bluebellthread/daemon/_answer_task.py
@@ -1,13 +1,13 @@
 """The task of one model request: executes its `AnswerMachine`'s commands."""
 
 import contextlib
-import functools
 
 import trio
 
 from bluebellthread import core
 from bluebellthread.daemon import _clock
 from bluebellthread.daemon import _http
+from bluebellthread.daemon import _tasks
 from bluebellthread import engines
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
@@ -131,7 +131,7 @@
         try:
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
-                nursery.start_soon(self._decide)
+                _tasks.start_joined(nursery, self._decide)
                 refusal = await self._write_answer()
         finally:
             if self._releases:
@@ -198,8 +198,8 @@
     def _start_run(self, command, call, server_name):
         scope = trio.CancelScope()
         self._scopes[command.run] = scope
-        self._nursery.start_soon(
-            functools.partial(self._run, command, call, server_name, scope)
+        _tasks.start_joined(
+            self._nursery, self._run, command, call, server_name, scope
         )
 
     def _stop_run(self, command):
--- a/bluebellthread/daemon/_cautious_share.py
+++ b/bluebellthread/daemon/_cautious_share.py
@@ -8,6 +8,7 @@
 import trio
 
 from bluebellthread import core
+from bluebellthread.daemon import _tasks
 
 SHARING_STATES = ('alive', 'suspect', 'leaving', 'dead')
 
@@ -87,7 +88,7 @@
         async with trio.open_nursery() as nursery:
             for server in servers:
                 if not server.leaving:
-                    nursery.start_soon(read, server)
+                    _tasks.start_joined(nursery, read, server)
         return reports
 
     def _free_share(self, report, pool):
--- a/bluebellthread/daemon/_configuration_task.py
+++ b/bluebellthread/daemon/_configuration_task.py
@@ -12,6 +12,7 @@
 from bluebellthread.daemon import _platform
 from bluebellthread.daemon import _revision_exchange
 from bluebellthread.daemon import _scheduler_task
+from bluebellthread.daemon import _tasks
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
 
@@ -116,7 +117,9 @@
         with trio.move_on_after(timeout_s):
             async with trio.open_nursery() as nursery:
                 for vm in partners:
-                    nursery.start_soon(self._collect_revision, vm, answers)
+                    _tasks.start_joined(
+                        nursery, self._collect_revision, vm, answers
+                    )
         if self.revisions.revision != revision:
             return False
         if any(answer > revision for answer in answers):
--- a/bluebellthread/daemon/_engine_control.py
+++ b/bluebellthread/daemon/_engine_control.py
@@ -6,6 +6,7 @@
 from bluebellthread import core
 from bluebellthread.daemon import _clock
 from bluebellthread.daemon import _load_reports
+from bluebellthread.daemon import _tasks
 from bluebellthread import engines
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
@@ -54,13 +55,19 @@
     async def run(self, scheduler_task):
         """Poll load reports and send queued cancels until the task ends."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._receive_cancels, scheduler_task.inbox)
+            _tasks.start_lasting(
+                nursery, self._receive_cancels, scheduler_task.inbox
+            )
             while True:
                 for server in scheduler_task.owned_servers():
                     if server.name not in self._polling:
                         self._polling.add(server.name)
-                        nursery.start_soon(
-                            self._poll, server, scheduler_task.inbox
+                        _tasks.start_isolated(
+                            nursery,
+                            self._poll,
+                            server,
+                            scheduler_task.inbox,
+                            subject=f'server {server.name}',
                         )
                 await trio.sleep(POLL_INTERVAL_S)
 
@@ -99,7 +106,13 @@
     async def _receive_cancels(self, inbox):
         async with trio.open_nursery() as nursery:
             async for cancel in self._receive:
-                nursery.start_soon(self._cancel, cancel, inbox)
+                _tasks.start_isolated(
+                    nursery,
+                    self._cancel,
+                    cancel,
+                    inbox,
+                    subject=f'server {cancel.server.name}',
+                )
 
     async def _cancel(self, cancel, inbox):
         """Resend a cancel until confirmed, at most for `CANCEL_TIMEOUT_S`."""
--- a/bluebellthread/daemon/_gateway.py
+++ b/bluebellthread/daemon/_gateway.py
@@ -9,6 +9,7 @@
 
 from bluebellthread.daemon import _clock
 from bluebellthread.daemon import _http
+from bluebellthread.daemon import _tasks
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
 from bluebellthread.observe import metrics
@@ -271,7 +272,8 @@
     """
     refusals = []
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(
+        _tasks.start_joined(
+            nursery,
             _cancel_on_disconnect,
             receive,
             exchange.responder,
--- a/bluebellthread/daemon/_mailboxes.py
+++ b/bluebellthread/daemon/_mailboxes.py
@@ -4,6 +4,7 @@
 import trio
 
 from bluebellthread import core
+from bluebellthread.daemon import _tasks
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
 from bluebellthread.observe import format_error
@@ -87,6 +88,8 @@
     async for inbound in receive:
         try:
             handle(inbound)
+        except _tasks.FATAL_ERRORS:
+            raise
         except Exception as error:
             reject_crashed(inbound, error)
 
--- a/bluebellthread/daemon/_membership_task.py
+++ b/bluebellthread/daemon/_membership_task.py
@@ -9,6 +9,7 @@
 from bluebellthread.daemon import _mailboxes
 from bluebellthread.daemon import _scheduler_task
 from bluebellthread.daemon import _socket_options
+from bluebellthread.daemon import _tasks
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
 from bluebellthread import wire
@@ -93,9 +94,9 @@
             self._socket = sock
             self._handle(core.Tick())
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._read_datagrams)
-                nursery.start_soon(self._send_datagrams)
-                nursery.start_soon(self._send_ticks)
+                _tasks.start_lasting(nursery, self._read_datagrams)
+                _tasks.start_lasting(nursery, self._send_datagrams)
+                _tasks.start_lasting(nursery, self._send_ticks)
                 task_status.started()
                 async for event in self._receive:
                     self._handle(event)
@@ -212,6 +213,8 @@
     def _handle_datagram(self, envelope, address):
         try:
             self._handle(_to_event(envelope, address))
+        except _tasks.FATAL_ERRORS:
+            raise
         except Exception as error:
             # A bug hit by one datagram must not end the process.
             _mailboxes.log_crash(envelope.message, envelope.sender, error)
--- a/bluebellthread/daemon/_one_shot.py
+++ b/bluebellthread/daemon/_one_shot.py
@@ -16,6 +16,7 @@
 
 from bluebellthread import core
 from bluebellthread.daemon import _clock
+from bluebellthread.daemon import _tasks
 
 CONNECT_SILENCE_S = 2.0
 """Time without a connection after which one to another server is tried."""
@@ -227,7 +228,7 @@
         async with trio.open_nursery() as nursery:
             for server in servers:
                 ended = trio.Event()
-                nursery.start_soon(connect, server, ended)
+                _tasks.start_joined(nursery, connect, server, ended)
                 with trio.move_on_after(CONNECT_SILENCE_S):
                     await ended.wait()
         is_cancelled = False
--- a/bluebellthread/daemon/_orders_task.py
+++ b/bluebellthread/daemon/_orders_task.py
@@ -4,6 +4,7 @@
 
 from bluebellthread import core
 from bluebellthread.daemon import _clock
+from bluebellthread.daemon import _tasks
 from bluebellthread import engines
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
@@ -66,7 +67,7 @@
         """Send orders until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            nursery.start_soon(self._send_ticks)
+            _tasks.start_lasting(nursery, self._send_ticks)
             async for event in self._receive:
                 self._update_ownership()
                 self._handle(event)
@@ -88,7 +89,12 @@
 
     def _handle(self, event):
         for command in self._planner.handle(event, _clock.read_clock_ms()):
-            self._nursery.start_soon(self._send_order, command)
+            _tasks.start_isolated(
+                self._nursery,
+                self._send_order,
+                command,
+                subject=f'server {command.server.name}',
+            )
 
     async def _send_order(self, command):
         order = command.order
--- a/bluebellthread/daemon/_peers.py
+++ b/bluebellthread/daemon/_peers.py
@@ -13,6 +13,7 @@
 from bluebellthread.daemon import _clock
 from bluebellthread.daemon import _mailboxes
 from bluebellthread.daemon import _socket_options
+from bluebellthread.daemon import _tasks
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
 from bluebellthread import wire
@@ -90,8 +91,8 @@
         send, receive = trio.open_memory_channel(MAX_SEND_QUEUE_LENGTH)
         try:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(
-                    write_frames, stream, receive, self._traffic
+                _tasks.start_joined(
+                    nursery, write_frames, stream, receive, self._traffic
                 )
                 await self._read_requests(stream, send)
                 nursery.cancel_scope.cancel()
@@ -239,7 +240,13 @@
         if link is None or link.closed:
             link = _Link(peer=member.name, traffic=self._traffic)
             self._links[address] = link
-            self._nursery.start_soon(self._run_link, link, address)
+            _tasks.start_isolated(
+                self._nursery,
+                self._run_link,
+                link,
+                address,
+                subject=f'VM {member.name}',
+            )
         await link.opened.wait()
         if link.closed:
             raise PeerUnreachableError(
@@ -248,10 +255,13 @@
         return link
 
     async def _run_link(self, link, address):
-        await link.run(address, self._host)
-        # VMs are replaced often; entries of removed ones would pile up.
-        if self._links.get(address) is link:
-            del self._links[address]
+        try:
+            await link.run(address, self._host)
+        finally:
+            link.close('this VM closed the connection')
+            # VMs are replaced often; entries of removed ones would pile up.
+            if self._links.get(address) is link:
+                del self._links[address]
 
 
 class _AnswerSlot:
@@ -294,22 +304,22 @@
                     *address, local_address=source_host
                 )
         except (OSError, trio.TooSlowError) as error:
-            self._close(f'connecting failed: {error or "timeout"}')
+            self.close(f'connecting failed: {error or "timeout"}')
             return
         _socket_options.set_silence_timeouts(stream.socket)
         self.opened.set()
         try:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(
-                    write_frames, stream, self._receive, self._traffic
+                _tasks.start_joined(
+                    nursery, write_frames, stream, self._receive, self._traffic
                 )
                 await self._read_answers(stream)
                 nursery.cancel_scope.cancel()
-            self._close('the connection ended')
+            self.close('the connection ended')
         except* (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-            self._close(f'the connection broke: {error.exceptions[0]}')
+            self.close(f'the connection broke: {error.exceptions[0]}')
         finally:
-            self._close('this VM closed the connection')
+            self.close('this VM closed the connection')
             await trio.aclose_forcefully(stream)
 
     async def _read_answers(self, stream):
@@ -351,7 +361,8 @@
                 self._peer, 'the send queue of the connection is full'
             ) from None
 
-    def _close(self, reason):
+    def close(self, reason):
+        """End all calls, and note why there will be no more."""
         if self.closed:
             return
         self.closed = True
--- a/bluebellthread/daemon/_permit_client.py
+++ b/bluebellthread/daemon/_permit_client.py
@@ -10,6 +10,7 @@
 from bluebellthread.daemon import _mailboxes
 from bluebellthread.daemon import _peers
 from bluebellthread.daemon import _scheduler_task
+from bluebellthread.daemon import _tasks
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
 
@@ -110,7 +111,7 @@
         """Register held permits with pool owners until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            nursery.start_soon(self._register_unregistered)
+            _tasks.start_lasting(nursery, self._register_unregistered)
             await _mailboxes.handle_each(self._receive, self._handle)
 
     def _handle(self, inbound):
@@ -149,7 +150,9 @@
 
     def abandon(self, request):
         """Withdraw a permit request whose outcome is no longer needed."""
-        self._nursery.start_soon(self._abandon, request)
+        self._start(
+            self._abandon, request, subject=f'request {request.request_id}'
+        )
 
     def is_current(self, permit):
         """Return whether new work may start under a permit.
@@ -169,14 +172,24 @@
             return
         hold.permit = attrs.evolve(hold.permit, stage=message.stage)
         # A new stage only frees slots early, so a lost report is harmless.
-        self._nursery.start_soon(self._send, owner, message)
+        self._start(self._send, owner, message, subject=f'VM {owner.name}')
 
     def release(self, message):
         """Release a permit; a background task retries until acknowledged."""
         hold = self._holds.pop(message.permit_id, None)
         if hold is not None:
             self._releasing += 1
-            self._nursery.start_soon(self._release, hold, message)
+            self._start(
+                self._release,
+                hold,
+                message,
+                subject=f'permit {message.permit_id}',
+            )
+
+    def _start(self, function, *arguments, subject):
+        _tasks.start_isolated(
+            self._nursery, function, *arguments, subject=subject
+        )
 
     # Requests for permits
 
@@ -212,7 +225,7 @@
             scope.cancel()
 
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(call, nursery.cancel_scope)
+            _tasks.start_joined(nursery, call, nursery.cancel_scope)
             while self._is_owner(owner, request.pool):
                 await self._fleet.wait_view_changed()
             nursery.cancel_scope.cancel()
@@ -291,7 +304,11 @@
                 cancel = _scheduler_task.EngineCancel(
                     server=server, permit_id=permit.permit_id
                 )
-                self._nursery.start_soon(self._cancels.send, cancel)
+                self._start(
+                    self._cancels.send,
+                    cancel,
+                    subject=f'permit {permit.permit_id}',
+                )
 
     # Registration
 
--- a/bluebellthread/daemon/_process.py
+++ b/bluebellthread/daemon/_process.py
@@ -5,6 +5,7 @@
 import trio
 
 from bluebellthread.daemon import _service
+from bluebellthread.daemon import _tasks
 from bluebellthread.observe import start_log
 
 
@@ -16,7 +17,7 @@
 
 async def _run_until_signal(service):
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_stop_on_signal, service)
+        _tasks.start_joined(nursery, _stop_on_signal, service)
         await service.run()
         nursery.cancel_scope.cancel()
 
--- a/bluebellthread/daemon/_revision_exchange.py
+++ b/bluebellthread/daemon/_revision_exchange.py
@@ -8,6 +8,7 @@
 from bluebellthread.daemon import _clock
 from bluebellthread.daemon import _mailboxes
 from bluebellthread.daemon import _peers
+from bluebellthread.daemon import _tasks
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
 
@@ -98,7 +99,7 @@
         """Exchange revisions until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            nursery.start_soon(self._send_ticks)
+            _tasks.start_lasting(nursery, self._send_ticks)
             async for event in self._receive:
                 await self._handle_guarded(event)
 
@@ -168,11 +169,14 @@
         )
         if active:
             self._watch_scope = trio.CancelScope()
-            self._nursery.start_soon(self._run_watch, self._watch_scope)
+            _tasks.start_joined(
+                self._nursery, self._run_watch, self._watch_scope
+            )
 
     async def _run_watch(self, scope):
         with scope:
-            await self._watch()
+            async with trio.open_nursery() as nursery:
+                _tasks.start_lasting(nursery, self._watch)
 
     def _start_sending(self, send, command):
         if self._in_flight_count >= IN_FLIGHT_MAX:
@@ -180,7 +184,9 @@
             # later exchange of digests transfers its content.
             return
         self._in_flight_count += 1
-        self._nursery.start_soon(send, command)
+        _tasks.start_isolated(
+            self._nursery, send, command, subject=f'VM {command.vm}'
+        )
 
     async def _ask(self, command):
         await self._send(command, self.call)
--- a/bluebellthread/daemon/_scheduler_link.py
+++ b/bluebellthread/daemon/_scheduler_link.py
@@ -1,10 +1,9 @@
 """Background tasks that carry a gateway's messages to pool owners."""
 
-import functools
-
 import trio
 
 from bluebellthread import core
+from bluebellthread.daemon import _tasks
 
 
 class SchedulerLink:
@@ -38,14 +37,15 @@
         that a permit granted too late can be released.
         """
         scope = trio.CancelScope()
-        request_task = functools.partial(
+        _tasks.start_isolated(
+            self._nursery,
             self._request_permit,
             request,
             answer,
             scope,
-            traceparent=traceparent,
+            traceparent,
+            subject=f'request {request.request_id}',
         )
-        self._nursery.start_soon(request_task)
         return scope
 
     def report(self, message):
@@ -59,7 +59,7 @@
         """Return whether new work may start under a permit."""
         return self._permit_client.is_current(permit)
 
-    async def _request_permit(self, request, answer, scope, *, traceparent):
+    async def _request_permit(self, request, answer, scope, traceparent):
         with scope, self._tracer.span('scheduler', parent=traceparent) as span:
             try:
                 outcome = await self._permit_client.request_permit(
--- a/bluebellthread/daemon/_scheduler_task.py
+++ b/bluebellthread/daemon/_scheduler_task.py
@@ -9,6 +9,7 @@
 from bluebellthread import core
 from bluebellthread.daemon import _clock
 from bluebellthread.daemon import _peers
+from bluebellthread.daemon import _tasks
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
 
@@ -119,7 +120,7 @@
         """Handle events until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            nursery.start_soon(self._send_ticks)
+            _tasks.start_lasting(nursery, self._send_ticks)
             async for event in self._receive:
                 # Detect a pause before handling an event that was queued
                 # during it.
@@ -296,7 +297,13 @@
         else:
             member = self._fleet.view.find(command.gateway)
             if member is not None:
-                self._nursery.start_soon(self._call, member, message)
+                _tasks.start_isolated(
+                    self._nursery,
+                    self._call,
+                    member,
+                    message,
+                    subject=f'VM {member.name}',
+                )
 
     def _answer(self, key, message):
         inbound = self._waiting.pop(key, None)
--- a/bluebellthread/daemon/_service.py
+++ b/bluebellthread/daemon/_service.py
@@ -29,6 +29,7 @@
 from bluebellthread.daemon import _service_path
 from bluebellthread.daemon import _status_task
 from bluebellthread.daemon import _stop_admission
+from bluebellthread.daemon import _tasks
 from bluebellthread.daemon import _ticket_parts
 from bluebellthread.daemon import _ticket_path
 from bluebellthread.daemon import _traffic
@@ -313,16 +314,18 @@
             await nursery.start(self._links.run)
             await nursery.start(self._model_path.run)
             peers = await self._start_peer_server(nursery)
-            nursery.start_soon(self._scheduler_task.run)
-            nursery.start_soon(self._permit_client.run)
-            nursery.start_soon(self._engine_control.run, self._scheduler_task)
-            nursery.start_soon(self._status_task.run)
-            nursery.start_soon(self._platform_watch.run)
+            _tasks.start_joined(nursery, self._scheduler_task.run)
+            _tasks.start_joined(nursery, self._permit_client.run)
+            _tasks.start_joined(
+                nursery, self._engine_control.run, self._scheduler_task
+            )
+            _tasks.start_joined(nursery, self._status_task.run)
+            _tasks.start_joined(nursery, self._platform_watch.run)
             await nursery.start(self._tickets.task.run)
-            nursery.start_soon(self._stop_tickets)
-            nursery.start_soon(self._end_requests)
-            nursery.start_soon(self._configuration_task.run)
-            nursery.start_soon(self._orders_task.run)
+            _tasks.start_joined(nursery, self._stop_tickets)
+            _tasks.start_joined(nursery, self._end_requests)
+            _tasks.start_joined(nursery, self._configuration_task.run)
+            _tasks.start_joined(nursery, self._orders_task.run)
             await self._serve_callers(nursery, peers, task_status)
             await self._tickets_stopped.wait()
             await self._wait_for_permit_release()
--- a/bluebellthread/daemon/_ticket_task.py
+++ b/bluebellthread/daemon/_ticket_task.py
@@ -10,6 +10,7 @@
 from bluebellthread.daemon import _mailboxes
 from bluebellthread.daemon import _one_shot
 from bluebellthread.daemon import _peers
+from bluebellthread.daemon import _tasks
 from bluebellthread.daemon import _ticket_finder
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
@@ -102,7 +103,7 @@
         """Handle messages until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            nursery.start_soon(self._tick)
+            _tasks.start_lasting(nursery, self._tick)
             task_status.started()
             async for item in self._receive:
                 if isinstance(item, _mailboxes.InboundMessage):
@@ -224,7 +225,13 @@
     def _start_send(self, command):
         scope = trio.CancelScope()
         self._send_scopes[command.ticket_id] = scope
-        self._nursery.start_soon(self._send, command, scope)
+        _tasks.start_isolated(
+            self._nursery,
+            self._send,
+            command,
+            scope,
+            subject=f'ticket {command.ticket_id}',
+        )
 
     async def _send(self, command, scope):
         call = command.inbound.message
@@ -267,7 +274,12 @@
             )
 
     def _start_hand_over(self, command):
-        self._nursery.start_soon(self._hand_over, command)
+        _tasks.start_isolated(
+            self._nursery,
+            self._hand_over,
+            command,
+            subject=f'batch {command.batch} of tickets',
+        )
 
     async def _hand_over(self, command):
         copies = tuple(core.TicketCopy.of(r) for r in command.records)
@@ -333,7 +345,9 @@
         deadline_ms = _clock.read_clock_ms() + HAND_OVER_TIMEOUT_MS
         async with trio.open_nursery() as nursery:
             for member in self._find_peers().values():
-                nursery.start_soon(self._notify, member, message, deadline_ms)
+                _tasks.start_joined(
+                    nursery, self._notify, member, message, deadline_ms
+                )
 
     async def _notify(self, member, message, deadline_ms):
         try:
--- a/bluebellthread/entry/_attempt_race.py
+++ b/bluebellthread/entry/_attempt_race.py
@@ -12,6 +12,7 @@
 
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
+from bluebellthread.daemon import _tasks
 from bluebellthread.entry import _stop_admission
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
@@ -253,7 +254,7 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             self._start(make, is_follower=False)
-            nursery.start_soon(self._watch, make)
+            _tasks.start_joined(nursery, self._watch, make)
         if not self._is_won:
             raise self._error
 
@@ -262,7 +263,7 @@
             race=self, run=self.runs.begin(), is_follower=is_follower
         )
         self._attempts[id(attempt)] = attempt
-        self._nursery.start_soon(self._make, make, attempt)
+        _tasks.start_joined(self._nursery, self._make, make, attempt)
 
     async def _make(self, make, attempt):
         try:
@@ -406,7 +407,7 @@
             and self.list_others(attempt)
         ):
             attempt.is_bounded = True
-            self._nursery.start_soon(self._end_overlap, attempt)
+            _tasks.start_joined(self._nursery, self._end_overlap, attempt)
 
     async def _end_overlap(self, attempt):
         await trio.sleep(OVERLAP_S)
--- a/bluebellthread/entry/_concurrency.py
+++ b/bluebellthread/entry/_concurrency.py
@@ -6,6 +6,8 @@
 
 import trio
 
+from bluebellthread.daemon import _tasks
+
 
 async def run_beside(helper, main):
     """Run ``main`` with ``helper`` beside it; return the result of ``main``.
@@ -20,7 +22,7 @@
     result = None
     raised = None
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(helper)
+        _tasks.start_joined(nursery, helper)
         try:
             result = await main()
         except Exception as error:
@@ -48,7 +50,7 @@
         scope.cancel()
 
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(run_watch, nursery.cancel_scope)
+        _tasks.start_joined(nursery, run_watch, nursery.cancel_scope)
         try:
             await main()
         except Exception as error:
--- a/bluebellthread/entry/_configuration_task.py
+++ b/bluebellthread/entry/_configuration_task.py
@@ -12,6 +12,7 @@
 from bluebellthread import core
 from bluebellthread.daemon import _clock
 from bluebellthread.daemon import _revision_exchange
+from bluebellthread.daemon import _tasks
 from bluebellthread.entry import _platform_changes as changes_module
 from bluebellthread.entry import _platform_follower
 from bluebellthread.observe import emit
@@ -91,7 +92,9 @@
         """Keep the configuration up to date until cancelled."""
         async with trio.open_nursery() as nursery:
             if _has_peers(self._state.settings):
-                nursery.start_soon(self._read_at_start)
+                _tasks.start_isolated(
+                    nursery, self._read_at_start, subject='the start'
+                )
             await self._exchange.run()
 
     def _note_peer_answer(self, answer):
--- a/bluebellthread/entry/_gateway.py
+++ b/bluebellthread/entry/_gateway.py
@@ -7,6 +7,7 @@
 from bluebellthread import core
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
+from bluebellthread.daemon import _tasks
 from bluebellthread.entry import _caller_exchange
 from bluebellthread.entry import _http_messages
 from bluebellthread.entry import _refusals
@@ -163,7 +164,7 @@
         """
         try:
             yield
-        except _caller_exchange.CallerGoneError:
+        except (_caller_exchange.CallerGoneError, *_tasks.FATAL_ERRORS):
             raise
         except Exception as error:
             emit(
--- a/bluebellthread/entry/_news_task.py
+++ b/bluebellthread/entry/_news_task.py
@@ -12,6 +12,7 @@
 from bluebellthread.daemon import _clock
 from bluebellthread.daemon import _mailboxes
 from bluebellthread.daemon import _peers
+from bluebellthread.daemon import _tasks
 from bluebellthread.entry import _state
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
@@ -124,7 +125,7 @@
         """Tell and learn news until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            nursery.start_soon(self._follow_members)
+            _tasks.start_lasting(nursery, self._follow_members)
             await _mailboxes.handle_each(
                 self._receive,
                 lambda inbound: self._handle(inbound, _clock.read_clock_ms()),
@@ -203,24 +204,26 @@
             for topic in self._topics.values():
                 known = topic.list_known(now_ms)
                 self._add_pending(partner, topic, known)
-            self._nursery.start_soon(self._run_partner, partner)
+            _tasks.start_joined(self._nursery, self._run_partner, partner)
 
     async def _run_partner(self, partner):
-        pause_s = PAUSE_FIRST_S
         with partner.scope:
-            while True:
-                await partner.changed.wait()
-                await trio.sleep(GATHER_S)
-                if await self._send(partner, self._choose_items(partner)):
-                    pause_s = PAUSE_FIRST_S
-                    continue
-                await trio.sleep(pause_s)
-                pause_max_s = (
-                    PAUSE_MAX_S
-                    if partner.has_answered
-                    else OLD_BUILD_PAUSE_MAX_S
-                )
-                pause_s = min(pause_max_s, 2 * pause_s)
+            async with trio.open_nursery() as nursery:
+                _tasks.start_lasting(nursery, self._tell_partner, partner)
+
+    async def _tell_partner(self, partner):
+        pause_s = PAUSE_FIRST_S
+        while True:
+            await partner.changed.wait()
+            await trio.sleep(GATHER_S)
+            if await self._send(partner, self._choose_items(partner)):
+                pause_s = PAUSE_FIRST_S
+                continue
+            await trio.sleep(pause_s)
+            pause_max_s = (
+                PAUSE_MAX_S if partner.has_answered else OLD_BUILD_PAUSE_MAX_S
+            )
+            pause_s = min(pause_max_s, 2 * pause_s)
 
     def _choose_items(self, partner):
         """Return the oldest pending items that fit into one message."""
--- a/bluebellthread/entry/_path_watch.py
+++ b/bluebellthread/entry/_path_watch.py
@@ -7,6 +7,7 @@
 
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
+from bluebellthread.daemon import _tasks
 from bluebellthread.entry import _server_connection
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
@@ -75,10 +76,13 @@
         """Run the checks until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            while True:
-                await trio.sleep(DOUBT_PERIOD_S)
-                self._forget_unlisted()
-                self._doubt_late_answers(_clock.read_clock_ms())
+            _tasks.start_lasting(nursery, self._watch)
+
+    async def _watch(self):
+        while True:
+            await trio.sleep(DOUBT_PERIOD_S)
+            self._forget_unlisted()
+            self._doubt_late_answers(_clock.read_clock_ms())
 
     def _forget_unlisted(self):
         directory = self._state.directory
@@ -150,7 +154,12 @@
             self._doubted
         ):
             self._doubted.add(server.name)
-            self._nursery.start_soon(self._check_one, server)
+            _tasks.start_isolated(
+                self._nursery,
+                self._check_one,
+                server,
+                subject=f'server {server.name}',
+            )
 
     async def is_confirmed_lost(self, server):
         """Return whether no server of a service can be reached.
@@ -182,7 +191,13 @@
         check = self._checks.get(server.service)
         if check is None:
             check = self._checks[server.service] = _Check()
-            self._nursery.start_soon(self._check, server, check)
+            _tasks.start_isolated(
+                self._nursery,
+                self._check,
+                server,
+                check,
+                subject=f'service {server.service}',
+            )
         return check
 
     async def _check(self, server, check):
@@ -194,10 +209,11 @@
             check.is_lost = not await self._reaches_any(sample)
             if check.is_lost:
                 self._note_lost(server.service)
+            check.done.set()
+            await trio.sleep(FRESH_S)
         finally:
             check.done.set()
-        await trio.sleep(FRESH_S)
-        self._checks.pop(server.service, None)
+            self._checks.pop(server.service, None)
 
     def _note_lost(self, service):
         if not self._paths.note_lost(service, _clock.read_clock_ms()):
@@ -205,7 +221,12 @@
         emit(events.SERVER_PATH_LOST, service=service)
         if service not in self._probed:
             self._probed.add(service)
-            self._nursery.start_soon(self._probe, service)
+            _tasks.start_isolated(
+                self._nursery,
+                self._probe,
+                service,
+                subject=f'service {service}',
+            )
 
     async def _check_one(self, server):
         try:
@@ -226,7 +247,9 @@
 
         async with trio.open_nursery() as nursery:
             for server in servers:
-                nursery.start_soon(check, server, nursery.cancel_scope)
+                _tasks.start_joined(
+                    nursery, check, server, nursery.cancel_scope
+                )
         return reached
 
     async def _reaches(self, server):
@@ -245,9 +268,11 @@
 
     async def _probe(self, service):
         """Try servers in turn until one is reached."""
-        while self.is_lost(service):
-            await trio.sleep(PROBE_PERIOD_S * self._rng.uniform(0.7, 1.3))
-            servers = self._state.directory.usable(service)
-            if servers and self.is_lost(service):
-                await self._reaches(self._rng.choice(servers))
-        self._probed.discard(service)
+        try:
+            while self.is_lost(service):
+                await trio.sleep(PROBE_PERIOD_S * self._rng.uniform(0.7, 1.3))
+                servers = self._state.directory.usable(service)
+                if servers and self.is_lost(service):
+                    await self._reaches(self._rng.choice(servers))
+        finally:
+            self._probed.discard(service)
--- a/bluebellthread/entry/_placement_client.py
+++ b/bluebellthread/entry/_placement_client.py
@@ -8,6 +8,7 @@
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
 from bluebellthread.daemon import _peers
+from bluebellthread.daemon import _tasks
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
 
@@ -126,13 +127,14 @@
         """Send queued notices and register with new owners until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            nursery.start_soon(self._register_with_new_owners)
-            async for service, message, asked in self._queued_notices:
-                await self._send_notice(service, message, asked)
+            _tasks.start_lasting(nursery, self._register_with_new_owners)
+            _tasks.start_lasting(nursery, self._send_notices)
 
-    def start_soon(self, function, *arguments):
+    def start_isolated(self, function, *arguments, subject):
         """Start a task that may outlive the request that started it."""
-        self._nursery.start_soon(function, *arguments)
+        _tasks.start_isolated(
+            self._nursery, function, *arguments, subject=subject
+        )
 
     async def request_placement(
         self, request, *, avoid=(), departures=(), passed_over=frozenset()
@@ -348,6 +350,10 @@
             # placement's deadline.
             emit(events.PLACEMENT_NOTICE_DROPPED, service=service)
 
+    async def _send_notices(self):
+        async for service, message, asked in self._queued_notices:
+            await self._send_notice(service, message, asked)
+
     async def _send_notice(self, service, message, asked):
         owner = self.find_owner(service)
         receivers = [] if owner is None else [owner]
--- a/bluebellthread/entry/_placement_task.py
+++ b/bluebellthread/entry/_placement_task.py
@@ -12,6 +12,7 @@
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
 from bluebellthread.daemon import _mailboxes
+from bluebellthread.daemon import _tasks
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
 
@@ -82,7 +83,7 @@
     async def run(self):
         """Handle messages until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._tick)
+            _tasks.start_joined(nursery, self._tick)
             await _mailboxes.handle_each(
                 self._receive,
                 lambda inbound: self._handle(inbound, _clock.read_clock_ms()),
@@ -96,6 +97,8 @@
                 await trio.sleep(TICK_PERIOD_S)
                 try:
                     self._update_all(_clock.read_clock_ms())
+                except _tasks.FATAL_ERRORS:
+                    raise
                 except Exception as error:
                     # A request that hits a bug must not end the process.
                     _mailboxes.log_crash(self, self._state.settings.vm, error)
--- a/bluebellthread/entry/_platform_follower.py
+++ b/bluebellthread/entry/_platform_follower.py
@@ -3,6 +3,7 @@
 import trio
 
 from bluebellthread.daemon import _clock
+from bluebellthread.daemon import _tasks
 from bluebellthread.entry import _platform_changes as changes_module
 from bluebellthread.entry import _state
 from bluebellthread.observe import emit
@@ -66,6 +67,8 @@
             except changes_module.PlatformUnavailableError as error:
                 self._note_lost(error)
                 pause_s = await self._pause(pause_s)
+            except _tasks.FATAL_ERRORS:
+                raise
             except Exception as error:
                 # An entry that hits a bug must not end the process; what was
                 # read before stays in force.
--- a/bluebellthread/entry/_platform_task.py
+++ b/bluebellthread/entry/_platform_task.py
@@ -6,6 +6,7 @@
 
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
+from bluebellthread.daemon import _tasks
 from bluebellthread.entry import _platform_changes
 from bluebellthread.entry import _platform_follower
 from bluebellthread.observe import emit
@@ -48,8 +49,8 @@
     async def run(self):
         """Watch the platform until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._follower.run)
-            nursery.start_soon(self._expire_lapsed)
+            _tasks.start_lasting(nursery, self._follower.run)
+            _tasks.start_lasting(nursery, self._expire_lapsed)
 
     async def _update_servers(self, after):
         try:
--- a/bluebellthread/entry/_prefill_runner.py
+++ b/bluebellthread/entry/_prefill_runner.py
@@ -137,7 +137,9 @@
 
     def release_cache(self, prompt):
         """Start a call that frees an unneeded KV cache; do not wait for it."""
-        self._placements.start_soon(self._call_release, prompt)
+        self._placements.start_isolated(
+            self._call_release, prompt, subject=f'server {prompt.server.name}'
+        )
 
     async def _call_release(self, prompt):
         release = self._dialect.make_cache_release(prompt.handle)
--- a/bluebellthread/entry/_role_task.py
+++ b/bluebellthread/entry/_role_task.py
@@ -9,6 +9,7 @@
 
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
+from bluebellthread.daemon import _tasks
 from bluebellthread.entry import _server_calls
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
@@ -98,7 +99,9 @@
             for traits in self._state.table.engine_services():
                 engines = self._state.engines_of(traits.name)
                 for name in routing.plan_decode_switches(engines):
-                    nursery.start_soon(self._order, name)
+                    _tasks.start_isolated(
+                        nursery, self._order, name, subject=f'server {name}'
+                    )
 
     async def _order(self, name):
         """Order one engine to decode.
--- a/bluebellthread/entry/_server_limits.py
+++ b/bluebellthread/entry/_server_limits.py
@@ -9,6 +9,7 @@
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
 from bluebellthread.daemon import _mailboxes
+from bluebellthread.daemon import _tasks
 from bluebellthread.entry import _news_task
 from bluebellthread.entry import _server_calls
 from bluebellthread.observe import emit
@@ -97,7 +98,7 @@
     async def run(self):
         """Answer operators until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._expire)
+            _tasks.start_lasting(nursery, self._expire)
             await _mailboxes.handle_each(
                 self._receive,
                 lambda inbound: inbound.answer(
--- a/bluebellthread/entry/_server_watch.py
+++ b/bluebellthread/entry/_server_watch.py
@@ -12,6 +12,7 @@
 
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
+from bluebellthread.daemon import _tasks
 from bluebellthread.entry import _sockets
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
@@ -115,21 +116,33 @@
         runs = self._running.get(run.server.name, {}).values()
         check = _Check({other: now_ms - other.begun_ms for other in runs})
         self._checks[key] = check
-        self._nursery.start_soon(self._check, run.server, check, now_ms)
+        _tasks.start_isolated(
+            self._nursery,
+            self._check,
+            run.server,
+            check,
+            now_ms,
+            subject=f'server {run.server.name}',
+        )
 
     async def _check(self, server, check, ended_ms):
+        try:
+            await self._find_end(server, check, ended_ms)
+            check.done.set()
+            if check.has_ended:
+                self._report_end(server, check, ended_ms)
+            await trio.sleep(KEEP_S)
+        finally:
+            check.done.set()
+            del self._checks[_key_of(server)]
+
+    async def _find_end(self, server, check, ended_ms):
         directory = self._state.directory
-        is_leaving = directory.find_departure(server.name, ended_ms)
-        if is_leaving is None:
+        if directory.find_departure(server.name, ended_ms) is None:
             # A VM whose own paths are cut is refused by every server.
             check.has_ended = await _refuses_connections(
                 server
             ) and await self._paths.reaches_others(server)
-        check.done.set()
-        if check.has_ended:
-            self._report_end(server, check, ended_ms)
-        await trio.sleep(KEEP_S)
-        del self._checks[_key_of(server)]
 
     def _report_end(self, server, check, ended_ms):
         runs = tuple(
--- a/bluebellthread/entry/_service.py
+++ b/bluebellthread/entry/_service.py
@@ -15,6 +15,7 @@
 from bluebellthread.daemon import _pause_guard
 from bluebellthread.daemon import _peers
 from bluebellthread.daemon import _socket_options
+from bluebellthread.daemon import _tasks
 from bluebellthread.entry import _budgets
 from bluebellthread.entry import _caller_connection
 from bluebellthread.entry import _configuration_task
@@ -345,8 +346,8 @@
                 self._platform,
                 self._roles,
             ):
-                nursery.start_soon(task.run)
-            nursery.start_soon(self._prune)
+                _tasks.start_joined(nursery, task.run)
+            _tasks.start_lasting(nursery, self._prune)
             emit(
                 events.ENTRY_STARTED,
                 vm=settings.vm,
@@ -432,6 +433,8 @@
                 control=control,
                 is_of_vm=is_of_vm,
             ).run()
+        except _tasks.FATAL_ERRORS:
+            raise
         except Exception as error:
             # A bug hit by one connection must not end the process.
             emit(events.CONNECTION_CRASHED, error=format_error(error))
@@ -455,6 +458,7 @@
             'server_connections_opened', self._connections.opened_count
         )
         stats.set_gauge('log_lines_dropped', read_dropped_count())
+        stats.set_gauge('tasks_failed', _tasks.read_failure_count())
         stats.set_gauge('placements_waiting', sum(item[0] for item in counts))
         stats.set_gauge('placements_held', sum(item[1] for item in counts))
         stats.set_gauge('shut_outs', len(self.shut_outs.list_all()))
--- a/bluebellthread/entry/_shut_outs.py
+++ b/bluebellthread/entry/_shut_outs.py
@@ -12,6 +12,7 @@
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
 from bluebellthread.daemon import _mailboxes
+from bluebellthread.daemon import _tasks
 from bluebellthread.entry import _news_task
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
@@ -83,8 +84,8 @@
     async def run(self):
         """Judge new evidence and answer operators until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._judge_changes)
-            nursery.start_soon(self._expire)
+            _tasks.start_lasting(nursery, self._judge_changes)
+            _tasks.start_lasting(nursery, self._expire)
             await _mailboxes.handle_each(self._receive, self._handle)
 
     # Requests
--- a/bluebellthread/entry/_stats.py
+++ b/bluebellthread/entry/_stats.py
@@ -80,6 +80,7 @@
                 ('config_version', 'Version of the configuration in force'),
                 ('server_connections_opened', 'Connections to servers opened'),
                 ('log_lines_dropped', 'Log lines over the limit'),
+                ('tasks_failed', 'Tasks that met an unexpected error'),
                 ('placements_waiting', 'Requests that wait for engines here'),
                 ('placements_held', 'Places at engines given here'),
                 ('shut_outs', 'Requests refused as they end servers'),
--- a/bluebellthread/entry/_stream_origins.py
+++ b/bluebellthread/entry/_stream_origins.py
@@ -11,6 +11,7 @@
 from bluebellthread.daemon import _clock
 from bluebellthread.daemon import _mailboxes
 from bluebellthread.daemon import _peers
+from bluebellthread.daemon import _tasks
 from bluebellthread.entry import _platform_changes
 from bluebellthread.entry import _state
 from bluebellthread.observe import emit
@@ -85,8 +86,8 @@
         """Answer other VMs and tell new holders until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            nursery.start_soon(self._tell_new_holders)
-            nursery.start_soon(self._take_over_versions)
+            _tasks.start_lasting(nursery, self._tell_new_holders)
+            _tasks.start_lasting(nursery, self._take_over_versions)
             await _mailboxes.handle_each(
                 self._receive,
                 lambda inbound: self._handle(inbound, _clock.read_clock_ms()),
@@ -127,7 +128,17 @@
         )
         self._records.add(origin, now_ms)
         for member in self._find_holders(service):
-            self._nursery.start_soon(self._tell, member, service, [origin])
+            self._start_telling(member, service, [origin])
+
+    def _start_telling(self, member, service, origins):
+        _tasks.start_isolated(
+            self._nursery,
+            self._tell,
+            member,
+            service,
+            origins,
+            subject=f'VM {member.name}',
+        )
 
     async def _tell(self, member, service, origins):
         """Send records; the first time, all that are known of the service."""
@@ -170,9 +181,7 @@
                 origins = self._records.list_of(traits.name, now_ms)
                 for member in holders:
                     if _key_of(member) not in known:
-                        self._nursery.start_soon(
-                            self._tell, member, traits.name, origins
-                        )
+                        self._start_telling(member, traits.name, origins)
             # A configuration with other services changes the holders, too.
             with trio.move_on_after(HOLDER_CHECK_PERIOD_S):
                 await self._state.view_changed.wait()
@@ -328,7 +337,7 @@
         with trio.move_on_after(ASK_TIMEOUT_MS / _clock.MS_PER_S) as scope:
             async with trio.open_nursery() as nursery:
                 for member in members:
-                    nursery.start_soon(ask, member, scope)
+                    _tasks.start_joined(nursery, ask, member, scope)
         return answers
 
     async def _find_sole(self, question, answers):
--- a/bluebellthread/entry/_token_task.py
+++ b/bluebellthread/entry/_token_task.py
@@ -14,6 +14,7 @@
 from bluebellthread.daemon import _clock
 from bluebellthread.daemon import _mailboxes
 from bluebellthread.daemon import _peers
+from bluebellthread.daemon import _tasks
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
 
@@ -73,7 +74,7 @@
     async def run(self):
         """Grant tokens until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._prune)
+            _tasks.start_lasting(nursery, self._prune)
             await _mailboxes.handle_each(
                 self._receive,
                 lambda inbound: inbound.answer(self.grant(inbound.message)),
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -47,6 +47,12 @@
     1002, 'INFO', 'VM {vm} is stopping: {requests} requests in progress'
 )
 VM_STOPPED = Event(1003, 'INFO', 'VM {vm} stopped')
+TASK_FAILED = Event(
+    1004,
+    'ERROR',
+    'the task {task} failed for {subject} with an internal error of the '
+    'router: {error}',
+)
 PEER_BAD_FRAME = Event(
     2001, 'WARNING', 'peer at {address} sent an unreadable frame: {error}'
 )
--- a/bluebellthread/platform/__main__.py
+++ b/bluebellthread/platform/__main__.py
@@ -8,6 +8,7 @@
 import attrs
 import trio
 
+from bluebellthread.daemon import _tasks
 from bluebellthread.entry import EntryService
 from bluebellthread import observe
 from bluebellthread.observe import emit
@@ -62,7 +63,9 @@
             ),
         )
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_handle_signals, received, service, options)
+            _tasks.start_lasting(
+                nursery, _handle_signals, received, service, options
+            )
             await service.run()
             nursery.cancel_scope.cancel()
     return 0
