Send a request once on a connection, and believe no unnamed refusal

With one decode server left they were refused with 503, which says "not run", while they ran (REFUSED, and TWICE at the caller's next try).

Cause: a request whose KV cache could not be fetched was sent to the same server once more, under the same id, on the same connection. The id is all that tells a late copy from the answer that is due, so the copy was taken for the answer to the second sending, and the connection, with the server at work on it, went back to the pool. Calls of the router's own have no id at all, and a refusal without one was believed on any connection.

Change: a connection carries each request once, and is closed after 128 of them so that no id is forgotten; an answer without an id on a connection that was in use is in doubt, whatever its status; the connection of a call without an id is not used again. The stand-ins and the soak repeat answers late, let handles lapse and spoil them, and write foreign entries.

--- a/bluebellthread/entry/_hand_on.py
+++ b/bluebellthread/entry/_hand_on.py
@@ -227,6 +227,7 @@
                 if work.route.is_retryable
                 else _server_calls.IDLE_ONCE_MS,
                 connect_timeout_s=CONNECT_TIMEOUT_S,
+                request_id=work.request_id,
             )
         except _server_connection.ServerUnreachableError as error:
             self._choice.note_unreached(member.name, _clock.read_clock_ms())
@@ -237,6 +238,7 @@
             connection=connection,
             request_id=work.request_id,
             request_id_header=self._dialect.request_id,
+            is_to_vm=True,
         )
         request = work.request
         try:
--- a/bluebellthread/entry/_server_calls.py
+++ b/bluebellthread/entry/_server_calls.py
@@ -301,6 +301,7 @@
                 if is_retryable
                 else IDLE_ONCE_MS,
                 connect_timeout_s=CONNECT_TIMEOUT_S,
+                request_id=request_id,
             )
         except _server_connection.ServerUnreachableError as error:
             self._paths.note_failed(server)
--- a/bluebellthread/entry/_server_connection.py
+++ b/bluebellthread/entry/_server_connection.py
@@ -41,6 +41,10 @@
 """Most interim (1xx) answers that may precede an answer; a server has few
 kinds of them to send."""
 
+CARRIED_REQUESTS_MAX = 128
+"""Most requests of which a connection remembers the ids: some 10 KB of them.
+It is not used again after that many."""
+
 STALE_ANSWERS_MAX = 16
 """Most late answers to earlier requests that are skipped on a connection,
 which served one request at a time."""
@@ -69,6 +73,10 @@
 class ServerConnection:
     """A TCP connection to a backend server.
 
+    A server may repeat an answer at the point where the next one is expected.
+    The id of the request tells the two apart, so a connection carries each
+    request once only.
+
     Parameters
     ----------
     stream : trio.SocketStream
@@ -87,6 +95,22 @@
         self.address = address
         self.is_new = True
         self.idle_deadline_ms = 0
+        self._carried_ids = set()
+
+    def may_carry(self, request_id):
+        """Return whether answers to a request can be told from others."""
+        return (
+            request_id not in self._carried_ids
+            and len(self._carried_ids) < CARRIED_REQUESTS_MAX
+        )
+
+    def note_carried(self, request_id):
+        """Note that a request is about to be sent."""
+        self._carried_ids.add(request_id)
+
+    def discard(self):
+        """Close the connection without a checkpoint."""
+        self.stream.socket.close()
 
     async def close(self):
         """Close the connection at once."""
@@ -111,7 +135,9 @@
         self.opened_count = 0
         self.body_budget = core.BodyBudget(ANSWERS_MAX_BYTES)
 
-    async def acquire(self, address, *, idle_max_ms, connect_timeout_s):
+    async def acquire(
+        self, address, *, idle_max_ms, connect_timeout_s, request_id=''
+    ):
         """Return an idle or a new connection to a backend server.
 
         Parameters
@@ -122,24 +148,36 @@
             Longest time for which a pooled connection may have been idle.
         connect_timeout_s : float
             Longest time for opening a new connection.
+        request_id : str
+            The request that the connection is to carry.
 
         Raises
         ------
         ServerUnreachableError
             If no connection can be opened in time.
         """
+        connection = self._take_idle(address, idle_max_ms, request_id)
+        if connection is not None:
+            return connection
+        return await self.open(address, connect_timeout_s)
+
+    def _take_idle(self, address, idle_max_ms, request_id):
+        """Return the idle connection that was released last, or None."""
         now_ms = _clock.read_clock_ms()
         idle = self._idle[address]
-        while idle:
-            connection, kept_ms = idle.pop()
+        for index in reversed(range(len(idle))):
+            connection, kept_ms = idle[index]
+            if not connection.may_carry(request_id):
+                continue
+            del idle[index]
             if (
                 now_ms < connection.idle_deadline_ms
                 and now_ms - kept_ms <= idle_max_ms
                 and not _sockets.has_unread(connection.stream)
             ):
                 return connection
-            await connection.close()
-        return await self.open(address, connect_timeout_s)
+            connection.discard()
+        return None
 
     async def open(self, address, connect_timeout_s):
         """Return a new connection to a backend server.
@@ -162,11 +200,16 @@
     async def release(self, connection, idle_ms):
         """Pool a connection for at most ``idle_ms``, or close it.
 
-        It is closed if ``idle_ms`` is not above 0 or the pool is full.
+        It is closed if ``idle_ms`` is not above 0, the pool is full or the
+        connection has carried as many requests as it may.
         """
         now_ms = _clock.read_clock_ms()
         idle = self._idle[connection.address]
-        if idle_ms <= 0 or len(idle) >= IDLE_CONNECTIONS_MAX:
+        if (
+            idle_ms <= 0
+            or len(idle) >= IDLE_CONNECTIONS_MAX
+            or not connection.may_carry('')
+        ):
             await connection.close()
             return
         connection.is_new = False
@@ -208,9 +251,12 @@
     connection : ServerConnection
         The connection to use.
     request_id : str
-        The id that the answer must echo.
+        The id that the answer must echo; empty for a call without one.
     request_id_header : bytes
         The header that carries the id.
+    is_to_vm : bool
+        Whether the other side is a VM. One answers each request once, and its
+        own refusals name none.
 
     Attributes
     ----------
@@ -222,8 +268,15 @@
     """
 
     def __init__(
-        self, *, connections, connection, request_id, request_id_header
+        self,
+        *,
+        connections,
+        connection,
+        request_id,
+        request_id_header,
+        is_to_vm=False,
     ):
+        self._is_to_vm = is_to_vm
         self._connections = connections
         self._connection = connection
         self._request_id = request_id
@@ -256,6 +309,7 @@
         if body:
             data += self._conn.send(h11.Data(data=body))
         data += self._conn.send(h11.EndOfMessage())
+        self._connection.note_carried(self._request_id)
         return await _concurrency.run_beside(
             functools.partial(self._send, data), self._read_matching_head
         )
@@ -290,16 +344,15 @@
         )
 
     def _may_be_of_another(self, head):
-        """Return whether a success without an id may answer another request.
+        """Return whether an answer without an id may answer another request.
 
         Servers name the request in each answer. On a connection that has
         served another one, it may be a late copy of the answer to that one.
+        Even a refusal then says nothing of this request.
         """
-        return (
-            bool(self._request_id)
-            and not self._connection.is_new
-            and 200 <= head.status < 300
-        )
+        if self._is_to_vm and not 200 <= head.status < 300:
+            return False
+        return bool(self._request_id) and not self._connection.is_new
 
     async def _read_head(self):
         for _ in range(INTERIM_ANSWERS_MAX):
@@ -444,6 +497,8 @@
     def _is_clean(self):
         return (
             self._conn is not None
+            # No later answer could be told from a copy of this one.
+            and bool(self._request_id)
             and self._sent_whole
             and self._ended
             and self._conn.our_state is h11.DONE
--- a/standin/site/_backend.py
+++ b/standin/site/_backend.py
@@ -3,6 +3,7 @@
 import functools
 import itertools
 import json
+import weakref
 
 import attrs
 import trio
@@ -59,6 +60,12 @@
         The calls whose prompts ended the process, in turn.
     silent_count : int
         How often the process has fallen silent.
+    repeats : callable or None
+        Takes a call that was answered; returns whether its whole answer is
+        sent a second time, late: on the same connection, before the answer
+        to the next call.
+    repeat_count : int
+        How often an answer was sent a second time.
     held : list of SiteRequest
         Calls that the process read while it was silent, in order, also those
         whose callers left before it went on.
@@ -87,6 +94,9 @@
     ended_by: list = attrs.field(factory=list)
     silent_count: int = 0
     held: list = attrs.field(factory=list)
+    repeats: object = None
+    repeat_count: int = 0
+    _copies: object = attrs.field(factory=weakref.WeakKeyDictionary)
     _process: object = None
     _voice: object = None
 
@@ -176,6 +186,18 @@
         await self._wait_voice()
         request.begun_s = trio.current_time()
         self.arrivals.append(request)
+        copy = self._copies.pop(request.stream, None)
+        if copy is not None:
+            self.repeat_count += 1
+            await request.stream.send_all(copy)
+        if self.repeats is not None:
+            request.copy = bytearray()
+        await self._take(request)
+        if request.copy and self.repeats(request):
+            self._copies[request.stream] = bytes(request.copy)
+
+    async def _take(self, request):
+        """Refuse a call, answer it by the script, or run it."""
         if request.headers.get('x-expect-instance') != self.name:
             await self.refuse(request, 421)
             return
@@ -189,7 +211,11 @@
 
     async def refuse(self, request, status=503):
         """Refuse a call, which has not run."""
-        headers = [('x-not-executed', '1'), *self.leaving_headers()]
+        headers = [
+            (ATTEMPT, request.headers.get(ATTEMPT, '')),
+            ('x-not-executed', '1'),
+            *self.leaving_headers(),
+        ]
         if self.retry_after:
             headers.append(('retry-after', self.retry_after))
         await request.answer(status, headers=headers)
@@ -277,6 +303,9 @@
         breaks.
     last_event_gate : trio.Event or None
         Event that a stream waits for before it sends its last event.
+    spoils_handles : bool
+        Whether a byte of each handle is replaced by one that no request can
+        carry.
     rejects_kv_source : bool
         Whether calls that name the source of a KV cache are refused.
     event_pause_s : float
@@ -292,6 +321,7 @@
     prefill_endings: list = attrs.field(factory=list)
     break_after: list = attrs.field(factory=list)
     last_event_gate: object = None
+    spoils_handles: bool = False
     rejects_kv_source: bool = False
     event_pause_s: float = 0.0
     deadly_parts: set = attrs.field(factory=set)
@@ -329,6 +359,8 @@
             return
         self.prefills.append(request)
         handle = f'{self.name}-{next(self._numbers)}'
+        if self.spoils_handles:
+            handle = handle.replace('-', ' ', 1)
         body = {'handle': handle, 'tokens': 1, 'version': 1}
         await request.answer(
             200,
--- a/standin/site/_connection.py
+++ b/standin/site/_connection.py
@@ -51,6 +51,8 @@
         ended, also because its caller left; None before.
     wait_voice : callable or None
         ``async``; waited for before any bytes are sent.
+    copy : bytearray or None
+        Collects the bytes of the answer, if they are to be sent once more.
     """
 
     def __init__(self, *, head, body, stream):
@@ -68,11 +70,14 @@
         self.begun_s = None
         self.ended_s = None
         self.wait_voice = None
+        self.copy = None
         self._framing = 'length'
 
     async def _send(self, data):
         if self.wait_voice is not None:
             await self.wait_voice()
+        if self.copy is not None:
+            self.copy += data
         await self.stream.send_all(data)
 
     async def answer(self, status, body=b'', headers=(), *, ending=None):
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -362,12 +362,7 @@
 @faults.register('streams-cut')
 async def cut_streams(site):
     """End an engine's streams within events, as its framing allows."""
-    engines = [
-        backend
-        for backend in site.backends.values()
-        if backend.server.name.startswith('decode')
-    ]
-    backend = site.rng.choice(engines)
+    backend = site.rng.choice(_list_engines(site, 'decode'))
     with backend.faults.span():
         backend.server.framing = site.rng.choice(
             ('connection', 'connection', 'chunks', 'length')
@@ -424,6 +419,79 @@
         span.ended_s = trio.current_time()
 
 
+@faults.register('answers-repeated')
+async def repeat_answers(site):
+    """Let some servers send some of their answers a second time, late."""
+    chosen = site.rng.sample(
+        list(site.backends.values()), site.rng.randint(1, 3)
+    )
+    share = site.rng.choice((0.1, 0.5, 1.0))
+    for backend in chosen:
+        backend.server.repeats = lambda request: site.rng.random() < share
+    await _sleep_random(site, 1.0, 5.0)
+    for backend in chosen:
+        backend.server.repeats = None
+
+
+@faults.register('handles-lapse')
+async def lapse_handles(site):
+    """Let engines find no KV cache for a while, and repeat their answers."""
+    engines = _list_engines(site, 'decode')
+    chosen = site.rng.sample(engines, site.rng.randint(1, len(engines)))
+    for backend in chosen:
+        backend.server.rejects_kv_source = True
+        if site.rng.random() < 0.5:
+            backend.server.repeats = lambda request: True
+    await _sleep_random(site, 1.0, 4.0)
+    for backend in chosen:
+        backend.server.rejects_kv_source = False
+        backend.server.repeats = None
+
+
+@faults.register('handles-spoiled')
+async def spoil_handles(site):
+    """Let an engine spoil the handles of its prefills for a while."""
+    backend = site.rng.choice(_list_engines(site, 'prefill'))
+    backend.server.spoils_handles = True
+    await _sleep_random(site, 0.5, 3.0)
+    backend.server.spoils_handles = False
+
+
+FOREIGN_ADDRESSES = (
+    f'{"5f" * 32}:8080',
+    'a..b:80',
+    '.:80',
+    '127.0.0.1:0',
+    '[::1]:80',
+    'nowhere',
+)
+
+
+@faults.register('foreign-entries')
+async def write_foreign_entries(site):
+    """Let another writer put entries without a usable address."""
+    backend = _choose_backend(site)
+    keys = []
+    for address in site.rng.sample(FOREIGN_ADDRESSES, 3):
+        service = site.rng.choice(('other', backend.service))
+        keys.append(f'servers/foreign-{site.rng.randrange(10**6)}')
+        entry = {**backend.entry(), 'address': address, 'service': service}
+        site.store.put(keys[-1], entry)
+    await _sleep_random(site, 1.0, 5.0)
+    for key in keys:
+        # The store may have come back from an older copy.
+        if site.store.has(key):
+            site.store.remove(key)
+
+
+def _list_engines(site, stage):
+    return [
+        backend
+        for backend in site.backends.values()
+        if backend.server.name.startswith(stage)
+    ]
+
+
 @faults.register('deadly-prompts')
 async def send_deadly_prompts(site):
     """Send requests with one part that ends the engines, at all VMs."""
--- a/tests/unit/test_server_connections.py
+++ b/tests/unit/test_server_connections.py
@@ -108,3 +108,41 @@
 
 if __name__ == '__main__':
     unittest.main()
+
+
+class TestCarriedRequests(unittest.TestCase):
+    # Guards against answers to two sendings of one request that can't be told
+    # apart.
+    def test_connection_carries_a_request_once_only(self):
+        async def check():
+            async with running_pool() as (pool, address):
+
+                async def acquire(request_id):
+                    return await pool.acquire(
+                        address,
+                        idle_max_ms=LONG_MS,
+                        connect_timeout_s=1,
+                        request_id=request_id,
+                    )
+
+                first = await acquire('a')
+                first.note_carried('a')
+                await pool.release(first, LONG_MS)
+                second = await acquire('a')
+                self.assertIsNot(first, second)
+                self.assertIs(first, await acquire('b'))
+
+        trio.run(check)
+
+    # Guards against ids that a connection forgets, or remembers without end.
+    def test_connection_that_carried_many_requests_is_not_pooled(self):
+        async def check():
+            async with running_pool() as (pool, address):
+                connection = await pool.open(address, 1)
+                for number in range(_server_connection.CARRIED_REQUESTS_MAX):
+                    self.assertTrue(connection.may_carry(f'next-{number}'))
+                    connection.note_carried(f'{number}')
+                await pool.release(connection, LONG_MS)
+                self.assertEqual(-1, connection.stream.socket.fileno())
+
+        trio.run(check)
