Take no text from outside that makes no valid request

Cause: any text was a handle, and is written into a target and a header. With a blank in it h11 raises LocalProtocolError, which nothing that builds a request to a server expected; the call that frees a handle ran in a nursery of the process.

Evidence: on all five tests of test_entry_spoiled_handles fail, the first since the process ends with LocalProtocolError, "Illegal target characters".

Change: a handle is text that needs no escape in a URL; names and versions of servers are visible ASCII; Host is passed on whatever a Connection header names. A request that can't be written as HTTP fails as one that was never sent, so that a text that was missed here fails its own request only.

Result: the tests pass.

--- a/bluebellthread/entry/_http_messages.py
+++ b/bluebellthread/entry/_http_messages.py
@@ -23,6 +23,10 @@
 
 TOKEN_SEPARATOR = b','
 
+HOST_HEADER = b'host'
+"""Passed on even if a ``Connection`` header names it: no request is valid
+without it."""
+
 
 AGE_HEADER = b'bluebellthread-age-ms'
 """Age of a request that is handed on, in milliseconds."""
@@ -128,7 +132,8 @@
 def keep_end_to_end(headers, *, drop=frozenset()):
     """Return the headers that a proxy passes on.
 
-    Headers that a ``Connection`` header names are dropped too.
+    Headers that a ``Connection`` header names are dropped too, but for
+    `HOST_HEADER`.
 
     Parameters
     ----------
@@ -149,6 +154,7 @@
             named.update(
                 token.strip().lower() for token in value.split(TOKEN_SEPARATOR)
             )
+    named.discard(HOST_HEADER)
     return [
         (name, value)
         for name, value in headers
--- a/bluebellthread/entry/_server_calls.py
+++ b/bluebellthread/entry/_server_calls.py
@@ -289,7 +289,9 @@
             _server_connection.AnswerBrokenError,
             trio.TooSlowError,
         ) as error:
-            raise CallFailedError(str(error), may_have_run=True) from error
+            raise CallFailedError(
+                str(error), may_have_run=exchange.sent
+            ) from error
         finally:
             await close(exchange)
 
--- a/bluebellthread/entry/_server_connection.py
+++ b/bluebellthread/entry/_server_connection.py
@@ -299,8 +299,22 @@
         Raises
         ------
         AnswerBrokenError
-            If the connection fails before the whole head is read.
+            If the request can't be written as HTTP, so that nothing was sent,
+            or if the connection fails before the whole head is read.
         """
+        try:
+            data = self._write(method, target, headers, body)
+        except h11.LocalProtocolError as error:
+            raise AnswerBrokenError(
+                f'the request is not valid HTTP: {error}', sent=False
+            ) from error
+        self._connection.note_carried(self._request_id)
+        return await _concurrency.run_beside(
+            functools.partial(self._send, data), self._read_matching_head
+        )
+
+    def _write(self, method, target, headers, body):
+        """Return the bytes of a request."""
         self._request = h11.Request(
             method=method, target=target, headers=headers
         )
@@ -308,11 +322,7 @@
         data = self._conn.send(self._request)
         if body:
             data += self._conn.send(h11.Data(data=body))
-        data += self._conn.send(h11.EndOfMessage())
-        self._connection.note_carried(self._request_id)
-        return await _concurrency.run_beside(
-            functools.partial(self._send, data), self._read_matching_head
-        )
+        return data + self._conn.send(h11.EndOfMessage())
 
     async def _send(self, data):
         self.sent = True
--- a/bluebellthread/platform/_decoding.py
+++ b/bluebellthread/platform/_decoding.py
@@ -53,6 +53,10 @@
 PORT_PATTERN = re.compile('[0-9]{1,5}')
 """As many digits as `PORT_MAX` has."""
 
+HEADER_TEXT_PATTERN = re.compile('[!-~]{1,200}')
+"""Texts that can be written into a header: visible characters of ASCII, as
+many as a key of the store has."""
+
 PROBLEM_MAX_CHARACTERS = 500
 """Maximum length of a problem in the log: enough for a field's name and the
 beginning of its value."""
@@ -110,7 +114,7 @@
         If a field is missing or invalid.
     """
     name = key.removeprefix(SERVERS_PREFIX)
-    _check_text(name)
+    _check_header_text('key', name)
     state = _require_text(fields, 'state')
     if state not in STATES:
         raise EntryError(f'unknown server state {state!r}')
@@ -136,7 +140,9 @@
         cold_ms=_read_count(fields, 'coldLeftMs', 0),
         # The version of the server's software; the configuration and the
         # answer of a prefill have other things under this name.
-        software_version=_require_text(fields, VERSION_FIELD),
+        software_version=_check_header_text(
+            VERSION_FIELD, _require_text(fields, VERSION_FIELD)
+        ),
     )
 
 
@@ -399,6 +405,14 @@
     return value
 
 
+def _check_header_text(name, text):
+    if not HEADER_TEXT_PATTERN.fullmatch(text):
+        raise EntryError(
+            f'field {name!r} is not a text of visible ASCII characters'
+        )
+    return text
+
+
 def _read_count(fields, name, default):
     value = fields.get(name, default)
     if isinstance(value, bool) or not isinstance(value, int) or value < 0:
--- a/bluebellthread/platform/_dialect.py
+++ b/bluebellthread/platform/_dialect.py
@@ -1,6 +1,7 @@
 """The platform's header names and control calls for backend servers."""
 
 import json
+import re
 
 from bluebellthread import core
 from bluebellthread.entry import ControlCall
@@ -32,6 +33,10 @@
 """Most parts of a prompt that are looked at, and their longest ids. Callers
 choose both, and VMs remember parts."""
 
+HANDLE_PATTERN = re.compile('[0-9A-Za-z._~-]{1,200}')
+"""Handles that can be written into a target and a header: the characters that
+need no escape in a URL (RFC 3986, 2.3)."""
+
 FENCING_TOKEN = 1
 """Fencing token of every role order: one process on one VM sends all role
 orders, at the first start of the system only."""
@@ -108,12 +113,22 @@
 
 
 def read_handle(body):
-    """Return the KV cache handle in the answer of a prefill, or None."""
+    """Return the KV cache handle in the answer of a prefill, or None.
+
+    Examples
+    --------
+    >>> read_handle(b'{"handle": "3fa09c41b7d5"}')
+    '3fa09c41b7d5'
+    >>> read_handle(b'{"handle": "3fa09 41b7d5"}') is None
+    True
+    """
     try:
         handle = json.loads(body)['handle']
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError, TypeError, RecursionError):
+        return None
+    if not isinstance(handle, str) or not HANDLE_PATTERN.fullmatch(handle):
         return None
-    return handle if isinstance(handle, str) and handle else None
+    return handle
 
 
 def write_cache_source(host, port, handle):
