Hold open connections to the limits that are in force

What callers saw: after a configuration that raised a limit, connections that were open before answered 431 or 408 to proper requests, or were closed at the shorter idle timeout as their callers used them again; a body on its way when the limit for bodies was lowered got 413. Found while looking for requests without an answer beside a change of the configuration; it was not shown that the users saw this.

Cause: the limit for heads was fixed when a connection was accepted, the timeouts when a wait began; the limit for bodies was looked up with each part.

Evidence: the four tests of TestChangedLimits fail on the code before.

Change: a wait that times out goes on if the limits in force are longer by now; the limit for heads is looked up when needed; a body is held to the higher of the limits at its head and now.

--- a/bluebellthread/entry/_caller_connection.py
+++ b/bluebellthread/entry/_caller_connection.py
@@ -25,7 +25,11 @@
 """Maximum number of bytes read beyond a request while it is served. Reading
 past pipelined requests shows whether the caller has closed the connection."""
 
-BODY_TIMEOUT_S = 10.0
+HEADER_CEILING_BYTES = 1024 * 1024
+"""Longest head that the parser buffers. Shorter ones are refused by the limits
+in force, which may change while a connection is open."""
+
+BODY_TIMEOUT_MS = 10000
 """Longest pause between two parts of a request body: as long as callers
 commonly wait for an answer."""
 
@@ -76,9 +80,8 @@
         self._handler = handler
         self._control = control
         self._is_of_vm = is_of_vm
-        limits = control.limits
         self._conn = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.header_max_bytes
+            h11.SERVER, max_incomplete_event_size=HEADER_CEILING_BYTES
         )
         self._first_byte_ms = None
         self._request = None
@@ -132,37 +135,61 @@
         """Return the next request's head, or None if none will come."""
         if not await self._wait_first_byte():
             return None
-        timeout_s = self._control.limits.header_timeout_ms / _clock.MS_PER_S
-        with self._reading(None, timeout_s):
-            event = await self._next_event()
-        return None if isinstance(event, h11.ConnectionClosed) else event
+        begun_ms = _clock.read_clock_ms()
+        while True:
+            timeout_ms = self._control.limits.header_timeout_ms
+            with self._reading_until(None, begun_ms + timeout_ms):
+                event = await self._next_event()
+                is_end = isinstance(event, h11.ConnectionClosed)
+                return None if is_end else event
+            if self._control.limits.header_timeout_ms <= timeout_ms:
+                raise BadRequestError(408)
 
     @contextlib.contextmanager
-    def _reading(self, request, timeout_s):
-        """Read more of a request in the ``with`` body.
+    def _reading_until(self, request, deadline_ms):
+        """Read more of a request in the ``with`` body, cancelled in time.
 
         Raises
         ------
-        BadRequestError
-            If the caller takes too long.
         StopTooNearError
             If the process stops too soon to serve the request.
         """
         with self._control.reading_scope(
-            request, timeout_s=timeout_s
+            request, timeout_s=_clock.read_remaining_s(deadline_ms)
         ) as scope:
             yield
-        if scope.cancelled_caught:
-            if trio.current_time() < scope.deadline:
-                raise _stop_admission.StopTooNearError
+        if scope.cancelled_caught and trio.current_time() < scope.deadline:
+            raise _stop_admission.StopTooNearError
+
+    @contextlib.contextmanager
+    def _reading(self, request):
+        """Read more of a request's body in the ``with`` body.
+
+        Raises
+        ------
+        BadRequestError
+            If the caller takes too long.
+        StopTooNearError
+            If the process stops too soon to serve the request.
+        """
+        deadline_ms = _clock.read_clock_ms() + BODY_TIMEOUT_MS
+        is_read = False
+        with self._reading_until(request, deadline_ms):
+            yield
+            is_read = True
+        if not is_read:
             raise BadRequestError(408)
 
     async def _wait_first_byte(self):
         if self._conn.trailing_data[0]:
             self._first_byte_ms = _clock.read_clock_ms()
             return True
-        with self._control.idle_scope():
-            return await self._receive_first_bytes()
+        idle_since_ms = _clock.read_clock_ms()
+        is_idle = True
+        while is_idle:
+            with self._control.idle_scope(idle_since_ms):
+                return await self._receive_first_bytes()
+            is_idle = self._control.may_stay_idle(idle_since_ms)
         # The connection was idle for too long, or the process is stopping;
         # but a request may have arrived in the same moment.
         if not _sockets.has_unread(self._stream):
@@ -190,7 +217,7 @@
         )
         if self._conn.they_are_waiting_for_100_continue:
             response = h11.InformationalResponse(status_code=100, headers=[])
-            with self._reading(request, BODY_TIMEOUT_S):
+            with self._reading(request):
                 await self._stream.send_all(self._conn.send(response))
         body = await self._read_body(request)
         self._request = None
@@ -198,15 +225,18 @@
 
     async def _read_body(self, request):
         body = bytearray()
+        # A limit that is lowered meanwhile is for later requests.
+        max_bytes = self._control.limits.body_max_bytes
         while True:
-            with self._reading(request, BODY_TIMEOUT_S):
+            with self._reading(request):
                 event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
                 return bytes(body)
             if not isinstance(event, h11.Data):
                 raise _caller_exchange.CallerGoneError
             body += event.data
-            if len(body) > self._control.limits.body_max_bytes:
+            max_bytes = max(max_bytes, self._control.limits.body_max_bytes)
+            if len(body) > max_bytes:
                 raise BadRequestError(413)
 
     async def _next_event(self):
@@ -219,6 +249,9 @@
                 ) from error
             if event is not h11.NEED_DATA:
                 return event
+            buffered_bytes = len(self._conn.trailing_data[0])
+            if buffered_bytes > self._control.limits.header_max_bytes:
+                raise BadRequestError(431)
             data = await self._stream.receive_some(RECEIVE_BYTES)
             if not data:
                 raise _caller_exchange.CallerGoneError
--- a/bluebellthread/entry/_connection_control.py
+++ b/bluebellthread/entry/_connection_control.py
@@ -46,7 +46,7 @@
 
     @property
     def limits(self):
-        """The `CallerLimits` in force."""
+        """The `CallerLimits` in force; a configuration may change them."""
         return self._read_limits()
 
     @property
@@ -54,15 +54,27 @@
         """Whether the process is stopping, so that answers close."""
         return self.schedule.is_begun
 
-    def idle_scope(self):
-        """Cancel the ``with`` body at the idle timeout or at a stop."""
+    def idle_scope(self, idle_since_ms):
+        """Cancel the ``with`` body at the idle timeout or at a stop.
+
+        Parameters
+        ----------
+        idle_since_ms : int
+            When the connection became idle.
+        """
+        deadline_ms = idle_since_ms + self.limits.idle_timeout_ms
         return self.scope(
             functools.partial(
-                self._find_idle_end_ms, _clock.read_clock_ms() + IDLE_MIN_MS
+                self._find_idle_end_ms, idle_since_ms + IDLE_MIN_MS
             ),
-            timeout_s=self.limits.idle_timeout_ms / _clock.MS_PER_S,
+            timeout_s=_clock.read_remaining_s(deadline_ms),
         )
 
+    def may_stay_idle(self, idle_since_ms):
+        """Return whether a timeout has become longer since `idle_scope`."""
+        deadline_ms = idle_since_ms + self.limits.idle_timeout_ms
+        return not self.is_stopping and _clock.read_clock_ms() < deadline_ms
+
     def reading_scope(self, request=None, *, timeout_s):
         """Cancel the ``with`` body once it is too late to begin a request.
 
--- a/standin/site/_backend.py
+++ b/standin/site/_backend.py
@@ -190,10 +190,11 @@
         if copy is not None:
             self.repeat_count += 1
             await request.stream.send_all(copy)
-        if self.repeats is not None:
+        repeats = self.repeats
+        if repeats is not None:
             request.copy = bytearray()
         await self._take(request)
-        if request.copy and self.repeats(request):
+        if request.copy and repeats(request):
             self._copies[request.stream] = bytes(request.copy)
 
     async def _take(self, request):
--- a/tests/integration/test_entry_read_requests.py
+++ b/tests/integration/test_entry_read_requests.py
@@ -409,3 +409,86 @@
             control.schedule.begin(0, grace_ms=0)
             control.end_due(math.inf)
             self.assertEqual(b'', await caller.stream.receive_some(1))
+
+
+class TestChangedLimits(unittest.TestCase):
+    """Limits of a configuration that comes while a connection is open."""
+
+    async def publish(self, site, version, **limits):
+        site.store.put(
+            'op/config', sites.make_configuration(version, **limits)
+        )
+        await sites.wait_until(
+            lambda: site.entry.state.table.version == version
+        )
+
+    async def check_served(self, caller, number):
+        answer = await caller.call('POST', '/order/x', request_id=f'i{number}')
+        self.assertEqual(200, answer.status)
+
+    async def check_quiet(self, caller, duration_s):
+        """Check that the connection is neither answered on nor closed."""
+        with trio.move_on_after(duration_s) as waited:
+            await caller.has_more()
+        self.assertTrue(waited.cancelled_caught)
+
+    # Guards against a proper request that gets 431, since its connection was
+    # opened under a configuration with a lower limit.
+    @run
+    async def test_raised_header_limit_holds_for_open_connections(self):
+        long = 'X-Long: ' + 1500 * 'a'
+        async with sites.running_site() as site:
+            await self.publish(site, 2, maxHeaderBytes=1024)
+            async with await site.connect() as caller:
+                await self.check_served(caller, 1)
+                await self.publish(site, 3, maxHeaderBytes=16384)
+                await caller.stream.send_all(
+                    b'POST /order/x HTTP/1.1\r\nHost: calls.example\r\n'
+                    b'X-Request-Attempt-Id: i2\r\n' + long.encode()
+                )
+                await self.check_quiet(caller, 0.2)
+                await caller.stream.send_all(b'\r\nContent-Length: 0\r\n\r\n')
+                self.assertEqual(200, (await caller.read_answer()).status)
+
+    # Guards against a connection that is closed just as its caller, who
+    # knows the longer timeout, uses it again.
+    @run
+    async def test_raised_idle_timeout_holds_for_idle_connections(self):
+        async with sites.running_site() as site:
+            await self.publish(site, 2, idleTimeoutMs=600)
+            async with await site.connect() as caller:
+                await self.check_served(caller, 1)
+                await self.publish(site, 3, idleTimeoutMs=10000)
+                await self.check_quiet(caller, 0.9)
+                await self.check_served(caller, 2)
+
+    # Guards against a request that gets 408 by a limit that is no longer in
+    # force.
+    @run
+    async def test_raised_header_timeout_holds_for_heads_in_transit(self):
+        async with sites.running_site() as site:
+            await self.publish(site, 2, headerTimeoutMs=600)
+            async with await site.connect() as caller:
+                await caller.stream.send_all(make_request(1)[:-2])
+                await self.publish(site, 3, headerTimeoutMs=9000)
+                await self.check_quiet(caller, 0.9)
+                await caller.stream.send_all(b'\r\n')
+                self.assertEqual(200, (await caller.read_answer()).status)
+
+    # Guards against a body that a lowered limit refuses half-way.
+    @run
+    async def test_lowered_body_limit_is_for_later_requests(self):
+        async with sites.running_site() as site:
+            async with await site.connect() as caller:
+                await caller.stream.send_all(
+                    b'POST /order/x HTTP/1.1\r\nHost: calls.example\r\n'
+                    b'X-Request-Attempt-Id: i1\r\nContent-Length: 4\r\n\r\nab'
+                )
+                await self.check_quiet(caller, 0.2)
+                await self.publish(site, 2, maxBodyBytes=1)
+                await caller.stream.send_all(b'cd')
+                self.assertEqual(200, (await caller.read_answer()).status)
+                answer = await caller.call(
+                    'POST', '/order/x', b'ab', request_id='i2'
+                )
+                self.assertEqual(413, answer.status)
