Give the VMs of a soak ports that are free at all their addresses

The stop was the soak's own fault.

Cause: it took ports that were free at the first VM's address only, out of those that the kernel gives to outgoing connections. Links of earlier soaks hold such ports at the other addresses for a minute after their end.

Change: the ports are free at all addresses, for TCP and UDP, and below those of outgoing connections.

--- a/tests/soak/_site.py
+++ b/tests/soak/_site.py
@@ -7,6 +7,7 @@
 import math
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -68,27 +69,29 @@
 when it is due: more than are published within ``CONFIG_BOUND_S``."""
 
 
-def find_port_pair(host):
-    """Return the first of two TCP ports that are free on an address."""
+FIXED_PORTS = range(10000, 30000)
+"""Ports that VMs listen on. They are below those that the kernel gives to
+outgoing connections, which keep a port for a minute after their end."""
+
+
+def find_free_ports(hosts, count):
+    """Return consecutive TCP and UDP ports that are free on all addresses."""
+    rng = random.SystemRandom()
     while True:
-        with contextlib.ExitStack() as stack:
-            port = 0
-            try:
-                for _ in range(2):
-                    sock = stack.enter_context(socket.socket())
-                    sock.bind((host, port))
-                    port = sock.getsockname()[1] + 1
-            except OSError:
-                # The second one is in use.
-                continue
-            return port - 2
+        first = rng.choice(FIXED_PORTS[:-count])
+        ports = range(first, first + count)
+        if all(_is_free(host, port) for host in hosts for port in ports):
+            return ports
 
 
-def find_free_port(host):
-    """Return a TCP port that is currently free on an address."""
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return sock.getsockname()[1]
+def _is_free(host, port):
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(type=kind) as sock:
+            try:
+                sock.bind((host, port))
+            except OSError:
+                return False
+    return True
 
 
 @attrs.define(kw_only=True)
@@ -614,11 +617,9 @@
         # Two VMs of a data centre read the configuration from the store, so
         # the first one mostly has others too.
         second_count = self.rng.randint(1, self._vm_count // 2)
-        ports = {name: find_free_port(hosts[0]) for name in ('front', 'ready')}
-        while not ports.keys() >= {'peer'}:
-            peer = find_port_pair(hosts[0])
-            if not {peer, peer + 1} & set(ports.values()):
-                ports['peer'] = peer
+        # The relay port follows the one for peers.
+        front, ready, peer, _ = find_free_ports(hosts, 4)
+        ports = {'front': front, 'ready': ready, 'peer': peer}
         launcher = Launcher()
         for index in range(self._vm_count):
             vm = Vm(
