Take every handle and name that fits into a request

Cause: the check for texts that make no valid request was narrower than HTTP.

Change: handles are one segment of a path (RFC 3986, 3.3); names and versions are field values (RFC 9110, 5.5).

--- a/bluebellthread/platform/_decoding.py
+++ b/bluebellthread/platform/_decoding.py
@@ -53,9 +53,11 @@
 PORT_PATTERN = re.compile('[0-9]{1,5}')
 """As many digits as `PORT_MAX` has."""
 
-HEADER_TEXT_PATTERN = re.compile('[!-~]{1,200}')
-"""Texts that can be written into a header: visible characters of ASCII, as
-many as a key of the store has."""
+HEADER_TEXT_PATTERN = re.compile(
+    r'[^\x00-\x20\x7f](?:[^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?'
+)
+"""Texts that can be written into a header (RFC 9110, 5.5): without control
+characters, and without blanks at the ends."""
 
 PROBLEM_MAX_CHARACTERS = 500
 """Maximum length of a problem in the log: enough for a field's name and the
@@ -406,10 +408,9 @@
 
 
 def _check_header_text(name, text):
+    _check_text(text)
     if not HEADER_TEXT_PATTERN.fullmatch(text):
-        raise EntryError(
-            f'field {name!r} is not a text of visible ASCII characters'
-        )
+        raise EntryError(f'field {name!r} can not be written into a header')
     return text
 
 
--- a/bluebellthread/platform/_dialect.py
+++ b/bluebellthread/platform/_dialect.py
@@ -33,9 +33,9 @@
 """Most parts of a prompt that are looked at, and their longest ids. Callers
 choose both, and VMs remember parts."""
 
-HANDLE_PATTERN = re.compile('[0-9A-Za-z._~-]{1,200}')
-"""Handles that can be written into a target and a header: the characters that
-need no escape in a URL (RFC 3986, 2.3)."""
+HANDLE_PATTERN = re.compile(r"[0-9A-Za-z._~%!$&'()*+,;=:@-]{1,1000}")
+"""Handles that can be written into a target and a header: characters of one
+segment of a path (RFC 3986, 3.3)."""
 
 FENCING_TOKEN = 1
 """Fencing token of every role order: one process on one VM sends all role
--- a/bluebellthread/platform/_settings.py
+++ b/bluebellthread/platform/_settings.py
@@ -87,6 +87,7 @@
         repeat_ratio=float(bounds['retryBudgetRatio']),
         repeat_window_ms=int(float(bounds['budgetWindowS']) * 1000),
         repeat_slack=float(bounds['budgetSlack']),
+        memory_max_mb=int(fields['limits']['memoryMb']),
     )
 
 
