Bound the memory of long bodies of requests in sum

Cause: nothing bounded the bodies of requests in sum, and each was held three to four times while it was passed on.

Change: long bodies share a third of the memory that the platform names. What has arrived counts, and the lengths announced may come to twice as much. A request without room is refused at once, as not run, with Retry-After; the rest of its body is read and dropped so that the caller gets the refusal. Another VM is told that it is not taken. A length over the limit gets 413 at its head. A long body is sent from the memory into which it was read.

--- a/bluebellthread/core/_body_budget.py
+++ b/bluebellthread/core/_body_budget.py
@@ -1,8 +1,8 @@
-"""Limits the memory that the bodies of many answers take together."""
+"""Limits the memory that the bodies of many messages take together."""
 
 FREE_BYTES = 64 * 1024
 """Part of each body that does not draw on the shared budget, so that short
-answers never wait for long ones or fail beside them."""
+ones never fail beside long ones."""
 
 
 class BodyBudget:
--- a/bluebellthread/entry/_caller_connection.py
+++ b/bluebellthread/entry/_caller_connection.py
@@ -13,6 +13,7 @@
 import h11
 import trio
 
+from bluebellthread import core
 from bluebellthread.daemon import _clock
 from bluebellthread.entry import _caller_exchange
 from bluebellthread.entry import _concurrency
@@ -60,6 +61,37 @@
         super().__init__(f'{status}: {REMEDIES[status]}')
 
 
+class NoMemoryLeftError(Exception):
+    """Raised when the bodies under way leave no memory for another one."""
+
+
+class _Reservation:
+    """The part of a budget that the body of one request holds."""
+
+    def __init__(self, budget):
+        self._budget = budget
+        self._size_bytes = 0
+
+    def grow(self, size_bytes):
+        """Hold a size at least.
+
+        Raises
+        ------
+        NoMemoryLeftError
+            If the budget does not suffice.
+        """
+        if size_bytes <= self._size_bytes:
+            return
+        if not self._budget.reserve(size_bytes, self._size_bytes):
+            raise NoMemoryLeftError
+        self._size_bytes = size_bytes
+
+    def release(self):
+        """Hold nothing any more."""
+        self._budget.release(self._size_bytes)
+        self._size_bytes = 0
+
+
 class CallerConnection:
     """Reads requests from one connection and passes them to a handler.
 
@@ -85,11 +117,14 @@
         )
         self._first_byte_ms = None
         self._request = None
+        self._announced = _Reservation(control.length_budget)
+        self._arrived = _Reservation(control.body_budget)
 
     async def run(self):
         """Serve requests until either side ends the connection."""
         try:
             while await self._serve_next():
+                self._release_body()
                 self._conn.start_next_cycle()
                 self._first_byte_ms = None
         except (
@@ -103,7 +138,10 @@
             await self._refuse(error)
         except _stop_admission.StopTooNearError:
             await self._refuse_unread()
+        except NoMemoryLeftError:
+            await self._refuse_for_memory()
         finally:
+            self._release_body()
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(self._stream)
 
@@ -215,18 +253,22 @@
             body=b'',
             received_ms=self._first_byte_ms,
         )
+        # A limit that is lowered meanwhile is for later requests.
+        max_bytes = self._control.limits.body_max_bytes
+        length_bytes = _read_length(request)
+        if length_bytes > max_bytes:
+            raise BadRequestError(413)
+        self._announced.grow(length_bytes)
         if self._conn.they_are_waiting_for_100_continue:
             response = h11.InformationalResponse(status_code=100, headers=[])
             with self._reading(request):
                 await self._stream.send_all(self._conn.send(response))
-        body = await self._read_body(request)
+        body = await self._read_body(request, max_bytes)
         self._request = None
         return attrs.evolve(request, body=body)
 
-    async def _read_body(self, request):
+    async def _read_body(self, request, max_bytes):
         body = bytearray()
-        # A limit that is lowered meanwhile is for later requests.
-        max_bytes = self._control.limits.body_max_bytes
         while True:
             with self._reading(request):
                 event = await self._next_event()
@@ -238,6 +280,12 @@
             max_bytes = max(max_bytes, self._control.limits.body_max_bytes)
             if len(body) > max_bytes:
                 raise BadRequestError(413)
+            self._announced.grow(len(body))
+            self._arrived.grow(len(body))
+
+    def _release_body(self):
+        self._announced.release()
+        self._arrived.release()
 
     async def _next_event(self):
         while True:
@@ -302,6 +350,22 @@
             ),
         )
 
+    async def _refuse_for_memory(self):
+        """Refuse a request whose body finds no memory, and close.
+
+        The rest of the body is read and dropped, as in `_refuse_unread`.
+        """
+        self._release_body()
+        status, headers, body = self._control.refuse_for_memory(
+            self._request, is_of_vm=self._is_of_vm
+        )
+        await self._send_last(
+            status,
+            headers,
+            body,
+            linger_s=BODY_TIMEOUT_MS / _clock.MS_PER_S,
+        )
+
     async def _send_last(self, status, headers, body, *, linger_s=LINGER_S):
         """Send the last answer of the connection, unless one has begun."""
         if self._conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
@@ -343,6 +407,11 @@
             return
 
 
+def _read_length(request):
+    """Return the length that a request names for its body, or 0."""
+    return core.parse_count(request.header(b'content-length')) or 0
+
+
 def _check_framing(head):
     """Raise if the length of the body or the host is ambiguous.
 
--- a/bluebellthread/entry/_connection_control.py
+++ b/bluebellthread/entry/_connection_control.py
@@ -6,14 +6,31 @@
 
 import trio
 
+from bluebellthread import core
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
+from bluebellthread.entry import _http_messages
+from bluebellthread.entry import _refusals
+from bluebellthread.entry import _request_limits
+from bluebellthread.observe import emit
+from bluebellthread.observe import events
 
 IDLE_MIN_MS = 1000
 """A stop closes no connection that was used more recently: its caller may be
 about to send the next request."""
 
 
+BODIES_DEFAULT_BYTES = 32 * 1024 * 1024
+
+ANNOUNCED_FACTOR = 2
+"""How many times the memory for bodies may be announced: of bodies that come
+evenly, half has arrived at a time."""
+
+MEMORY_RETRY_MS = 1000
+"""Retry delay sent to callers whose bodies find no memory: the time that a
+long body takes to arrive."""
+
+
 class ConnectionControl:
     """Supplies the limits in force, and ends connections at a stop.
 
@@ -24,19 +41,39 @@
     admission : StopAdmission or None
         Knows what the process still begins once it is being stopped; None if
         stops do not concern the connections.
+    bodies_max_bytes : int
+        Memory that the long bodies of all requests share.
+    dialect : Dialect or None
+        Header names of the platform; None if connections carry no requests
+        for servers.
 
     Attributes
     ----------
     admission : StopAdmission or None
         As the parameter.
+    body_budget, length_budget : BodyBudget
+        What bodies may take as far as they have arrived, and by the lengths
+        that their requests announce.
     schedule : StopSchedule
         The deadlines of the stop.
     open_count : int
         Connections that are open now.
     """
 
-    def __init__(self, read_limits, admission=None):
+    def __init__(
+        self,
+        read_limits,
+        admission=None,
+        *,
+        bodies_max_bytes=BODIES_DEFAULT_BYTES,
+        dialect=None,
+    ):
         self._read_limits = read_limits
+        self._dialect = dialect
+        self.body_budget = core.BodyBudget(bodies_max_bytes)
+        self.length_budget = core.BodyBudget(
+            ANNOUNCED_FACTOR * bodies_max_bytes
+        )
         self._ends = {}
         self.admission = admission
         self.schedule = (
@@ -119,6 +156,47 @@
             if find_end_ms() <= now_ms:
                 scope.cancel()
 
+    def refuse_for_memory(self, request, *, is_of_vm=False):
+        """Refuse a request whose body finds no memory; it has not run.
+
+        Parameters
+        ----------
+        request : Request
+            The request without its body.
+        is_of_vm : bool
+            Whether another VM hands it on.
+
+        Returns
+        -------
+        status : int
+            Status of the refusal.
+        headers : list of (bytes, bytes)
+            Its headers.
+        body : bytes
+            Its body.
+        """
+        request_id, patience_ms = '', None
+        if self._dialect is not None:
+            request_id = request.header(self._dialect.request_id)
+            patience_ms = _request_limits.read_patience_ms(
+                request, self._dialect
+            )
+        emit(
+            events.BODY_WITHOUT_MEMORY,
+            request_id=request_id,
+            used_bytes=self.body_budget.used_bytes,
+        )
+        if is_of_vm:
+            return 503, [(_http_messages.NOT_TAKEN_HEADER, b'busy')], b''
+        answer = _refusals.make_not_run_refusal(
+            'no-memory',
+            MEMORY_RETRY_MS,
+            _request_limits.DEFAULT_TIMEOUT_MS
+            if patience_ms is None
+            else patience_ms,
+        )
+        return answer.status, *_refusals.encode_router_answer(answer)
+
     def _find_idle_end_ms(self, idle_deadline_ms):
         return min(
             max(idle_deadline_ms, self.schedule.leave_ms),
--- a/bluebellthread/entry/_server_connection.py
+++ b/bluebellthread/entry/_server_connection.py
@@ -18,6 +18,9 @@
 from bluebellthread.entry import _sockets
 
 RECEIVE_BYTES = 65536
+JOINED_BODY_BYTES = 65536
+"""Longest body that is sent in one call with the head of its request."""
+
 IDLE_CONNECTIONS_MAX = 8
 """Maximum number of idle connections kept to one backend server: enough for a
 burst of this VM's requests."""
@@ -282,6 +285,7 @@
         self._request_id = request_id
         self._request_id_header = request_id_header
         self._request = None
+        self._body = b''
         self._conn = None
         self._ended = False
         self._sent_whole = False
@@ -303,31 +307,39 @@
             or if the connection fails before the whole head is read.
         """
         try:
-            data = self._write(method, target, headers, body)
+            pieces = self._write(method, target, headers, body)
         except h11.LocalProtocolError as error:
             raise AnswerBrokenError(
                 f'the request is not valid HTTP: {error}', sent=False
             ) from error
         self._connection.note_carried(self._request_id)
         return await _concurrency.run_beside(
-            functools.partial(self._send, data), self._read_matching_head
+            functools.partial(self._send, pieces), self._read_matching_head
         )
 
     def _write(self, method, target, headers, body):
-        """Return the bytes of a request."""
+        """Return the bytes of a request, as pieces to be sent in turn.
+
+        A long body is a piece of its own, so that it is not copied.
+        """
+        self._body = body
         self._request = h11.Request(
             method=method, target=target, headers=headers
         )
         self._conn = h11.Connection(h11.CLIENT)
-        data = self._conn.send(self._request)
+        pieces = [self._conn.send(self._request)]
         if body:
-            data += self._conn.send(h11.Data(data=body))
-        return data + self._conn.send(h11.EndOfMessage())
+            pieces.append(self._conn.send(h11.Data(data=body)))
+        pieces.append(self._conn.send(h11.EndOfMessage()))
+        if len(body) <= JOINED_BODY_BYTES:
+            return [b''.join(pieces)]
+        return list(filter(None, pieces))
 
-    async def _send(self, data):
+    async def _send(self, pieces):
         self.sent = True
         try:
-            await self._connection.stream.send_all(data)
+            for piece in pieces:
+                await self._connection.stream.send_all(piece)
         except trio.BrokenResourceError:
             # The server may have answered before it closed the connection.
             return
@@ -400,11 +412,8 @@
         # Put the new h11 connection into the state of waiting for the answer.
         # The request was sent already, so the returned bytes are dropped.
         self._conn.send(self._request)
-        length = _http_messages.find_header(
-            self._request.headers, b'content-length'
-        )
-        if length and int(length):
-            self._conn.send(h11.Data(data=bytes(int(length))))
+        if self._body:
+            self._conn.send(h11.Data(data=self._body))
         self._conn.send(h11.EndOfMessage())
         if trailing:
             self._conn.receive_data(trailing)
--- a/bluebellthread/entry/_service.py
+++ b/bluebellthread/entry/_service.py
@@ -62,6 +62,12 @@
 noticed later, which is enough: a dead owner is skipped by the VMs that poll
 it long before the membership declares it dead."""
 
+MB_BYTES = 1024 * 1024
+BODIES_PART = 3
+"""The long bodies of all requests may take one part in this many of the
+memory: the process itself takes a third of it on the users' smallest VMs, and
+long answers a tenth."""
+
 PRUNE_PERIOD_S = 1.0
 LISTEN_BACKLOG = 512
 """Connections that may wait to be accepted: after a VM is lost, all of its
@@ -106,6 +112,8 @@
         self._control = _connection_control.ConnectionControl(
             lambda: self.state.table.limits,
             _stop_admission.StopAdmission(state=self.state, dialect=dialect),
+            bodies_max_bytes=settings.memory_max_mb * MB_BYTES // BODIES_PART,
+            dialect=dialect,
         )
         self._make_peers()
         self._make_tasks(dialect)
@@ -458,6 +466,9 @@
             'server_connections_opened', self._connections.opened_count
         )
         stats.set_gauge('log_lines_dropped', read_dropped_count())
+        stats.set_gauge(
+            'request_body_bytes', self._control.body_budget.used_bytes
+        )
         stats.set_gauge('tasks_failed', _tasks.read_failure_count())
         stats.set_gauge('placements_waiting', sum(item[0] for item in counts))
         stats.set_gauge('placements_held', sum(item[1] for item in counts))
--- a/bluebellthread/entry/_settings.py
+++ b/bluebellthread/entry/_settings.py
@@ -32,6 +32,8 @@
         The fleet's retry budget for each service: retries allowed for each
         request of a sliding window, the length of the window, and further
         retries allowed in a window.
+    memory_max_mb : int
+        Memory in MB that the process may take.
     """
 
     vm: str
@@ -52,3 +54,4 @@
     repeat_window_ms: int
     repeat_slack: float
     relay_port: int = 0
+    memory_max_mb: int = 150
--- a/bluebellthread/entry/_stats.py
+++ b/bluebellthread/entry/_stats.py
@@ -81,6 +81,7 @@
                 ('server_connections_opened', 'Connections to servers opened'),
                 ('log_lines_dropped', 'Log lines over the limit'),
                 ('tasks_failed', 'Tasks that met an unexpected error'),
+                ('request_body_bytes', 'Memory that long bodies take'),
                 ('placements_waiting', 'Requests that wait for engines here'),
                 ('placements_held', 'Places at engines given here'),
                 ('shut_outs', 'Requests refused as they end servers'),
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -47,6 +47,12 @@
     1002, 'INFO', 'VM {vm} is stopping: {requests} requests in progress'
 )
 VM_STOPPED = Event(1003, 'INFO', 'VM {vm} stopped')
+BODY_WITHOUT_MEMORY = Event(
+    7079,
+    'WARNING',
+    'request {request_id} is refused: its body finds no memory, since those '
+    'under way take {used_bytes} bytes',
+)
 TASK_FAILED = Event(
     1004,
     'ERROR',
