Collect bodies of requests in blocks, and split two modules

Cause: several buffers that grow at a time are moved again and again and leave gaps of ever new sizes, as was known of the bodies of answers.

Change: both collect their bytes in core.BodyBlocks, and long bodies share a quarter of the memory. Without a change of behaviour, the exchange with a server has a module of its own beside the pool of connections, and the reservation of a budget is in the core.

--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -63,7 +63,8 @@
         'Assembler',
         'TooManyHeldPiecesError',
     ),
-    '_body_budget': ('BodyBudget',),
+    '_body_blocks': ('BodyBlocks',),
+    '_body_budget': ('BodyBudget', 'BodyReservation', 'NoMemoryLeftError'),
     '_configuration': (
         'Configuration',
         'Model',
--- a/bluebellthread/core/_answer_body.py
+++ b/bluebellthread/core/_answer_body.py
@@ -6,6 +6,7 @@
 
 import json
 
+from bluebellthread.core import _body_blocks
 from bluebellthread.core import _errors
 from bluebellthread.core import _event_splitter
 from bluebellthread.core import _framing
@@ -17,11 +18,6 @@
 
 SUFFIX_SEPARATOR = '+'
 
-BLOCK_BYTES = 65536
-"""Size of the blocks that hold a body. One buffer that grows is moved again
-and again, and leaves gaps of ever new sizes: with several long bodies at a
-time, more memory than the bodies."""
-
 
 class AnswerBodyError(_errors.BluebellthreadError):
     """Base class of the errors of a body that can't be used."""
@@ -88,8 +84,7 @@
         self._framing = framing
         self._content_type = content_type.partition(';')[0].strip().lower()
         self._size_max_bytes = size_max_bytes
-        self._full_blocks = []
-        self._last_block = bytearray()
+        self._blocks = _body_blocks.BodyBlocks()
 
     @classmethod
     def of_answer(cls, status, headers, *, method, size_max_bytes):
@@ -119,7 +114,7 @@
     @property
     def size_bytes(self):
         """Number of bytes added so far."""
-        return len(self._full_blocks) * BLOCK_BYTES + len(self._last_block)
+        return self._blocks.size_bytes
 
     def add(self, data):
         """Add the next bytes.
@@ -138,24 +133,12 @@
             size_bytes, held_bytes
         ):
             raise AnswerTooLongError(held_bytes)
-        self._append(data)
-
-    def _append(self, data):
-        begin = 0
-        while begin < len(data):
-            end = begin + BLOCK_BYTES - len(self._last_block)
-            self._last_block += data[begin:end]
-            begin = end
-            if len(self._last_block) == BLOCK_BYTES:
-                # As bytes, a block has no room to grow.
-                self._full_blocks.append(bytes(self._last_block))
-                self._last_block.clear()
+        self._blocks.append(data)
 
     def close(self):
         """Drop the content and release the shared memory."""
         held_bytes = self.size_bytes
-        self._full_blocks.clear()
-        self._last_block.clear()
+        self._blocks.clear()
         if self._budget is not None:
             self._budget.release(held_bytes)
 
@@ -168,7 +151,7 @@
             If nothing but the end of the connection marks the end of the
             body, and its content is incomplete.
         """
-        content = b''.join((*self._full_blocks, self._last_block))
+        content = self._blocks.join()
         if self._framing == _framing.FRAMED_BY_CONNECTION:
             is_complete = _find_check(self._content_type)
             if not is_complete(content):
--- a/bluebellthread/core/_body_budget.py
+++ b/bluebellthread/core/_body_budget.py
@@ -1,5 +1,7 @@
 """Limits the memory that the bodies of many messages take together."""
 
+from bluebellthread.core import _errors
+
 FREE_BYTES = 64 * 1024
 """Part of each body that does not draw on the shared budget, so that short
 ones never fail beside long ones."""
@@ -48,5 +50,51 @@
         self.used_bytes -= _shared_part(held_bytes)
 
 
+class NoMemoryLeftError(_errors.BluebellthreadError):
+    """Raised when the bodies under way leave no memory for another one."""
+
+
+class BodyReservation:
+    """The part of a `BodyBudget` that one body holds.
+
+    Parameters
+    ----------
+    budget : BodyBudget
+        The budget.
+
+    Examples
+    --------
+    >>> budget = BodyBudget(100)
+    >>> reservation = BodyReservation(budget)
+    >>> reservation.grow(FREE_BYTES + 60)
+    >>> reservation.release()
+    >>> budget.used_bytes
+    0
+    """
+
+    def __init__(self, budget):
+        self._budget = budget
+        self._size_bytes = 0
+
+    def grow(self, size_bytes):
+        """Hold a size at least.
+
+        Raises
+        ------
+        NoMemoryLeftError
+            If the budget does not suffice.
+        """
+        if size_bytes <= self._size_bytes:
+            return
+        if not self._budget.reserve(size_bytes, self._size_bytes):
+            raise NoMemoryLeftError
+        self._size_bytes = size_bytes
+
+    def release(self):
+        """Hold nothing any more."""
+        self._budget.release(self._size_bytes)
+        self._size_bytes = 0
+
+
 def _shared_part(size_bytes):
     return max(0, size_bytes - FREE_BYTES)
--- a/bluebellthread/entry/_caller_connection.py
+++ b/bluebellthread/entry/_caller_connection.py
@@ -61,37 +61,6 @@
         super().__init__(f'{status}: {REMEDIES[status]}')
 
 
-class NoMemoryLeftError(Exception):
-    """Raised when the bodies under way leave no memory for another one."""
-
-
-class _Reservation:
-    """The part of a budget that the body of one request holds."""
-
-    def __init__(self, budget):
-        self._budget = budget
-        self._size_bytes = 0
-
-    def grow(self, size_bytes):
-        """Hold a size at least.
-
-        Raises
-        ------
-        NoMemoryLeftError
-            If the budget does not suffice.
-        """
-        if size_bytes <= self._size_bytes:
-            return
-        if not self._budget.reserve(size_bytes, self._size_bytes):
-            raise NoMemoryLeftError
-        self._size_bytes = size_bytes
-
-    def release(self):
-        """Hold nothing any more."""
-        self._budget.release(self._size_bytes)
-        self._size_bytes = 0
-
-
 class CallerConnection:
     """Reads requests from one connection and passes them to a handler.
 
@@ -117,8 +86,8 @@
         )
         self._first_byte_ms = None
         self._request = None
-        self._announced = _Reservation(control.length_budget)
-        self._arrived = _Reservation(control.body_budget)
+        self._announced = core.BodyReservation(control.length_budget)
+        self._arrived = core.BodyReservation(control.body_budget)
 
     async def run(self):
         """Serve requests until either side ends the connection."""
@@ -138,7 +107,7 @@
             await self._refuse(error)
         except _stop_admission.StopTooNearError:
             await self._refuse_unread()
-        except NoMemoryLeftError:
+        except core.NoMemoryLeftError:
             await self._refuse_for_memory()
         finally:
             self._release_body()
@@ -268,20 +237,20 @@
         return attrs.evolve(request, body=body)
 
     async def _read_body(self, request, max_bytes):
-        body = bytearray()
+        body = core.BodyBlocks()
         while True:
             with self._reading(request):
                 event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
-                return bytes(body)
+                return body.join()
             if not isinstance(event, h11.Data):
                 raise _caller_exchange.CallerGoneError
-            body += event.data
+            body.append(event.data)
             max_bytes = max(max_bytes, self._control.limits.body_max_bytes)
-            if len(body) > max_bytes:
+            if body.size_bytes > max_bytes:
                 raise BadRequestError(413)
-            self._announced.grow(len(body))
-            self._arrived.grow(len(body))
+            self._announced.grow(body.size_bytes)
+            self._arrived.grow(body.size_bytes)
 
     def _release_body(self):
         self._announced.release()
--- a/bluebellthread/entry/_hand_on.py
+++ b/bluebellthread/entry/_hand_on.py
@@ -13,6 +13,7 @@
 from bluebellthread.entry import _http_messages
 from bluebellthread.entry import _server_calls
 from bluebellthread.entry import _server_connection
+from bluebellthread.entry import _server_exchange
 from bluebellthread.entry import _state
 from bluebellthread.entry import _work
 from bluebellthread.observe import emit
@@ -62,7 +63,7 @@
         """
         try:
             body = await self.call.exchange.read_all()
-        except _server_connection.AnswerBrokenError as error:
+        except _server_exchange.AnswerBrokenError as error:
             raise _server_calls.CallFailedError(
                 str(error), may_have_run=True
             ) from error
@@ -233,7 +234,7 @@
             self._choice.note_unreached(member.name, _clock.read_clock_ms())
             self._log_not_taken(work, member, error)
             return None
-        exchange = _server_connection.ServerExchange(
+        exchange = _server_exchange.ServerExchange(
             connections=self._connections,
             connection=connection,
             request_id=work.request_id,
@@ -257,7 +258,7 @@
             reason = head.header(_http_messages.NOT_TAKEN_HEADER)
             if reason:
                 await exchange.read_all()
-        except _server_connection.AnswerBrokenError as error:
+        except _server_exchange.AnswerBrokenError as error:
             await _server_calls.close(exchange)
             failure = _server_calls.CallFailedError(
                 str(error), may_have_run=exchange.sent, is_cut=True
--- a/bluebellthread/entry/_plain_attempts.py
+++ b/bluebellthread/entry/_plain_attempts.py
@@ -10,7 +10,7 @@
 from bluebellthread.entry import _cut_runs
 from bluebellthread.entry import _http_messages
 from bluebellthread.entry import _server_calls
-from bluebellthread.entry import _server_connection
+from bluebellthread.entry import _server_exchange
 from bluebellthread.entry import _work
 from bluebellthread.observe import emit
 from bluebellthread.observe import events
@@ -305,7 +305,7 @@
         )
         try:
             body = await call.exchange.read_all()
-        except _server_connection.AnswerBrokenError as error:
+        except _server_exchange.AnswerBrokenError as error:
             raise _server_calls.CallFailedError(
                 str(error), may_have_run=True, is_cut=True
             ) from error
--- a/bluebellthread/entry/_prefill_runner.py
+++ b/bluebellthread/entry/_prefill_runner.py
@@ -5,7 +5,7 @@
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
 from bluebellthread.entry import _server_calls
-from bluebellthread.entry import _server_connection
+from bluebellthread.entry import _server_exchange
 from bluebellthread.entry import _stream_context
 from bluebellthread.entry import _work
 from bluebellthread.observe import emit
@@ -120,7 +120,7 @@
         )
         try:
             body = await call.exchange.read_all()
-        except _server_connection.AnswerBrokenError as error:
+        except _server_exchange.AnswerBrokenError as error:
             raise _server_calls.CallFailedError(
                 str(error), may_have_run=True
             ) from error
--- a/bluebellthread/entry/_server_calls.py
+++ b/bluebellthread/entry/_server_calls.py
@@ -6,6 +6,7 @@
 from bluebellthread.daemon import _clock
 from bluebellthread.entry import _http_messages
 from bluebellthread.entry import _server_connection
+from bluebellthread.entry import _server_exchange
 
 CONNECT_TIMEOUT_S = 0.5
 """Timeout for opening a connection: a dozen round trips between regions. TCP
@@ -92,7 +93,7 @@
     """A call of which the head of the answer has been read."""
 
     head: _http_messages.AnswerHead
-    exchange: _server_connection.ServerExchange
+    exchange: _server_exchange.ServerExchange
 
     async def close(self):
         """Return the connection to the pool, or close it."""
@@ -240,7 +241,7 @@
             self._observe(server, head, sent_ms)
             call = OpenCall(head=head, exchange=exchange)
             await self._check_refusal(call, server)
-        except _server_connection.AnswerBrokenError as error:
+        except _server_exchange.AnswerBrokenError as error:
             await close(exchange)
             raise CallFailedError(
                 str(error), may_have_run=exchange.sent, is_cut=exchange.sent
@@ -286,7 +287,7 @@
                 await exchange.read_all()
                 return head.status
         except (
-            _server_connection.AnswerBrokenError,
+            _server_exchange.AnswerBrokenError,
             trio.TooSlowError,
         ) as error:
             raise CallFailedError(
@@ -312,7 +313,7 @@
             ) from error
         if connection.is_new:
             self._paths.note_connected(server)
-        return _server_connection.ServerExchange(
+        return _server_exchange.ServerExchange(
             connections=self._connections,
             connection=connection,
             request_id=request_id,
--- a/bluebellthread/entry/_service.py
+++ b/bluebellthread/entry/_service.py
@@ -63,7 +63,7 @@
 it long before the membership declares it dead."""
 
 MB_BYTES = 1024 * 1024
-BODIES_PART = 3
+BODIES_PART = 4
 """The long bodies of all requests may take one part in this many of the
 memory: the process itself takes a third of it on the users' smallest VMs, and
 long answers a tenth."""
--- a/bluebellthread/entry/_stream_relay.py
+++ b/bluebellthread/entry/_stream_relay.py
@@ -6,7 +6,7 @@
 from bluebellthread.daemon import _clock
 from bluebellthread.entry import _http_messages
 from bluebellthread.entry import _server_calls
-from bluebellthread.entry import _server_connection
+from bluebellthread.entry import _server_exchange
 from bluebellthread.entry import _stream_context
 from bluebellthread.entry import _work
 from bluebellthread.observe import emit
@@ -120,12 +120,12 @@
         try:
             with attempt.waiting(answer.server, answer.silence_s):
                 body = await answer.call.exchange.read_all()
-        except _server_connection.AnswerBrokenError as error:
+        except _server_exchange.AnswerBrokenError as error:
             self._raise_run_failed(answer, error)
         if self._work.exchange.is_started:
             self._raise_run_failed(
                 answer,
-                _server_connection.AnswerBrokenError(
+                _server_exchange.AnswerBrokenError(
                     'the stream can only be resumed by events'
                 ),
             )
@@ -160,7 +160,7 @@
             raise error
         try:
             body = await answer.call.exchange.read_all()
-        except _server_connection.AnswerBrokenError:
+        except _server_exchange.AnswerBrokenError:
             raise error from None
         attempt.take()
         await work.pass_on(
@@ -182,7 +182,7 @@
                 )
         except (
             core.EventTooLongError,
-            _server_connection.AnswerBrokenError,
+            _server_exchange.AnswerBrokenError,
         ) as error:
             self._raise_run_failed(answer, error)
         self._check_end(answer, splitter)
@@ -248,7 +248,7 @@
             problem = 'the connection ended before the first event'
         if problem:
             self._raise_run_failed(
-                answer, _server_connection.AnswerBrokenError(problem)
+                answer, _server_exchange.AnswerBrokenError(problem)
             )
 
     async def _pass_on_piece(self, attempt, answer, whole_events, splitter):
--- a/tests/unit/test_answer_body.py
+++ b/tests/unit/test_answer_body.py
@@ -4,7 +4,7 @@
 import unittest
 
 from bluebellthread import core
-from bluebellthread.core import _answer_body
+from bluebellthread.core import _body_blocks
 from tests import _checkouts
 from tests.unit import _growing_bodies
 
@@ -63,7 +63,7 @@
         self.assertEqual(4, body.size_bytes)
 
     def test_pieces_of_any_size_are_joined_in_order(self):
-        block_bytes = _answer_body.BLOCK_BYTES
+        block_bytes = _body_blocks.BLOCK_BYTES
         content = bytes(n % 251 for n in range(3 * block_bytes + 7))
         for size_bytes in (
             1000,
