Start without a limit of memory in the platform's settings

What callers would have seen: a VM whose settings name no memory would not have started, and one with 0, which says that there is no limit, would have refused each body of over 64 KB. Found in the last read of the change.

Cause: the share of memory for bodies took memoryMb as given and positive.

Change: without it, or with 0, the default of 150 MB holds.

Evidence and result: test_settings_may_name_no_memory fails on the code before and passes.

--- a/bluebellthread/daemon/_tasks.py
+++ b/bluebellthread/daemon/_tasks.py
@@ -13,7 +13,7 @@
     it, or, in a nursery of the process, at the process. That is for tasks
     without which, or with whose state in doubt, nothing can be served.
 
-`FATAL_ERRORS` always end the process.
+`FATAL_ERRORS` are raised by all three.
 """
 
 import trio
--- a/bluebellthread/platform/_settings.py
+++ b/bluebellthread/platform/_settings.py
@@ -87,10 +87,16 @@
         repeat_ratio=float(bounds['retryBudgetRatio']),
         repeat_window_ms=int(float(bounds['budgetWindowS']) * 1000),
         repeat_slack=float(bounds['budgetSlack']),
-        memory_max_mb=int(fields['limits']['memoryMb']),
+        **_read_memory(fields.get('limits') or {}),
     )
 
 
+def _read_memory(limits):
+    """Return the setting of the memory, if the platform names any."""
+    memory_max_mb = int(limits.get('memoryMb') or 0)
+    return {'memory_max_mb': memory_max_mb} if memory_max_mb > 0 else {}
+
+
 def split_address(text):
     """Split ``HOST:PORT`` into the host and the port number.
 
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -331,6 +331,17 @@
         self.assertEqual(('10.1.0.38',), settings.seed_hosts)
         self.assertEqual(8000, settings.stop_grace_ms)
 
+    # Guards against a process that does not start, or refuses all long bodies.
+    def test_settings_may_name_no_memory(self):
+        named = {**SETTINGS, 'limits': {'memoryMb': 300}}
+        self.assertEqual(300, _settings.decode_settings(named).memory_max_mb)
+        for limits in ({}, {'memoryMb': 0}, {'memoryMb': None}, None):
+            with self.subTest(limits=limits):
+                settings = _settings.decode_settings(
+                    {**SETTINGS, 'limits': limits}
+                )
+                self.assertEqual(150, settings.memory_max_mb)
+
     def test_error_names_the_missing_field(self):
         fields = {key: SETTINGS[key] for key in SETTINGS if key != 'zone'}
         with tempfile.TemporaryDirectory() as folder:
