Have the test of the service watch fail where an error ends the watch

Cause: the test started the watch as an isolated task, which hid that the error ended it, and a check that stayed for good answered the second wait.

Change: the test joins the watch, so an error that ends it fails the test, and counts two failed checks, so that the second wait is a check of its own. No assertion is taken out.

--- a/tests/unit/test_tasks.py
+++ b/tests/unit/test_tasks.py
@@ -190,18 +190,24 @@
 
         trio.run(check)
 
+    # Guards against a check that ends the watch, or stays for good.
     def test_failed_check_of_a_service_lets_nobody_wait(self):
         async def check():
+            before = _tasks.read_failure_count()
             watch = _path_watch.PathWatch(
                 state=_BrokenWatch(), connections=None, rng=None
             )
             async with trio.open_nursery() as nursery:
-                _tasks.start_isolated(nursery, watch.run, subject='a test')
+                _tasks.start_joined(nursery, watch.run)
                 await trio.testing.wait_all_tasks_blocked()
-                with trio.fail_after(TIMEOUT_S):
-                    await watch.is_confirmed_lost(_Server)
+                for number in (1, 2):
+                    with trio.fail_after(TIMEOUT_S):
+                        await watch.is_confirmed_lost(_Server)
+                    await trio.testing.wait_all_tasks_blocked()
                     # The next one is a check of its own.
-                    await watch.is_confirmed_lost(_Server)
+                    self.assertEqual(
+                        before + number, _tasks.read_failure_count()
+                    )
                 nursery.cancel_scope.cancel()
 
         trio.run(check)
