--- a/bluebellthread/core/routing/__init__.py
+++ b/bluebellthread/core/routing/__init__.py
@@ -15,6 +15,9 @@
 from bluebellthread.core.routing._crash_messages import ShutOutLift
 from bluebellthread.core.routing._crash_messages import ShutOutsAnswer
 from bluebellthread.core.routing._crash_messages import ShutOutsAsk
+from bluebellthread.core.routing._customers import Customer
+from bluebellthread.core.routing._customers import CustomerLimit
+from bluebellthread.core.routing._customers import Customers
 from bluebellthread.core.routing._departures import Departure
 from bluebellthread.core.routing._departures import Position
 from bluebellthread.core.routing._directory import ListedServer
@@ -86,6 +89,9 @@
     'CallerAges',
     'CallerLimits',
     'CrashEvidence',
+    'Customer',
+    'CustomerLimit',
+    'Customers',
     'Departure',
     'EVIDENCE_MS',
     'EndedRun',
--- a/bluebellthread/core/routing/_routes.py
+++ b/bluebellthread/core/routing/_routes.py
@@ -53,6 +53,9 @@
     patience_ms : int
         Time that callers wait for an event before they disconnect; 0 if
         unknown.
+    needs_key : bool
+        Whether requests need the key of a customer, if the configuration has
+        customers.
 
     Examples
     --------
@@ -74,6 +77,7 @@
     is_resumable: bool = False
     gap_target_ms: int = 0
     patience_ms: int = 0
+    needs_key: bool = True
 
     @property
     def is_retryable(self):
@@ -168,6 +172,8 @@
         Services that routes refer to by name.
     limits : CallerLimits or None
         Limits for callers; None for the defaults.
+    customers : Customers or None
+        Who may send requests; None if the configuration has no customers.
 
     Examples
     --------
@@ -183,11 +189,21 @@
     True
     """
 
-    def __init__(self, *, version=0, routes=(), services=(), limits=None):
+    def __init__(
+        self,
+        *,
+        version=0,
+        routes=(),
+        services=(),
+        limits=None,
+        customers=None,
+    ):
         self.version = version
+        self.customers = customers
         self.routes = tuple(routes)
         self.services = {service.name: service for service in services}
         self.limits = limits or CallerLimits()
+        self._has_priorities = {}
         self._by_host = {}
         for route in self.routes:
             by_prefix = self._by_host.setdefault(route.host, {})
@@ -206,6 +222,20 @@
             end = path.rfind('/', 0, end - 1) + 1
         return None
 
+    def has_priorities(self, service):
+        """Return whether requests to a service differ in priority."""
+        known = self._has_priorities.get(service)
+        if known is None:
+            priorities = {
+                route.priority
+                for route in self.routes
+                if any(share.service == service for share in route.shares)
+            }
+            if self.customers is not None:
+                priorities |= self.customers.priorities - {None}
+            known = self._has_priorities[service] = len(priorities) > 1
+        return known
+
     def engine_services(self):
         """Return the traits of the services that run models."""
         return tuple(
--- a/bluebellthread/platform/_decoding.py
+++ b/bluebellthread/platform/_decoding.py
@@ -170,6 +170,7 @@
                 _decode_service(item) for item in _list_of(fields, 'services')
             ],
             limits=_decode_limits(fields.get('limits') or {}),
+            customers=_decode_customers(fields.get('tenants')),
         )
     except (
         ArithmeticError,
@@ -240,6 +241,7 @@
         is_resumable=bool(fields.get('resumable')),
         gap_target_ms=_read_number(fields, 'gapAimMs'),
         patience_ms=_find_patience_ms(fields),
+        needs_key=fields.get('authExempt') is not True,
     )
 
 
@@ -296,6 +298,67 @@
     )
 
 
+def _decode_customers(items):
+    """Return the `Customers` of a configuration; None if it has none."""
+    if items is None:
+        return None
+    if not isinstance(items, list):
+        raise EntryError("field 'tenants' is not a list")
+    by_key = []
+    holders = {}
+    for number, item in enumerate(items):
+        try:
+            customer = _decode_customer(item)
+            keys = _list_of(item, 'apiKeys')
+        except (EntryError, KeyError, TypeError, ValueError) as error:
+            raise EntryError(f'tenants[{number}]: {error}') from error
+        for key in keys:
+            # The texts of keys stay out of messages, which are logged.
+            if not isinstance(key, str) or not key:
+                raise EntryError(
+                    f'tenants[{number}]: a key is not a non-empty string'
+                )
+            holder = holders.setdefault(key, customer.name)
+            if holder != customer.name:
+                raise EntryError(
+                    f'tenants[{number}]: {customer.name!r} and {holder!r} '
+                    'have the same key'
+                )
+            by_key.append((key, customer))
+    return routing.Customers(by_key)
+
+
+def _decode_customer(fields):
+    name = _check_header_text('name', _require_text(fields, 'name'))
+    priority = fields.get('priority')
+    if priority is not None:
+        priority = _check_signed_number('priority', int(priority))
+    return routing.Customer(
+        name=name,
+        priority=priority,
+        limit=_decode_customer_limit(fields),
+    )
+
+
+def _decode_customer_limit(fields):
+    rate_per_s = _read_amount(fields, 'ratePerS')
+    if not rate_per_s:
+        return None
+    return routing.CustomerLimit(
+        rate_per_s=rate_per_s,
+        burst=_read_amount(fields, 'burst'),
+        counts_tokens=fields.get('unit') == 'token_stream',
+        plain_cost=_read_number(fields, 'plainTokens'),
+    )
+
+
+def _read_amount(fields, name):
+    amount = float(fields.get(name) or 0)
+    if not 0 <= amount <= NUMBER_MAX:
+        raise EntryError(f'field {name!r} is not between 0 and {NUMBER_MAX}')
+    return amount
+
+
 def _refuse_constant(text):
     raise ValueError(f'{text} is not a JSON number')
 
