Find the customer of each request, and refuse unknown keys

Cause: a configuration may name customers and their keys, but requests were served without a look at their keys.

Change: the gateway finds the customer right after the route, for requests of callers and of other VMs, and answers 401 if the route needs a key and the key is missing or unknown. `Work` has the customer and a priority: the customer's, else the route's, from 0 to 9.

--- a/bluebellthread/core/routing/__init__.py
+++ b/bluebellthread/core/routing/__init__.py
@@ -54,6 +54,7 @@
 from bluebellthread.core.routing._routes import KIND_IDEMPOTENT
 from bluebellthread.core.routing._routes import KIND_ONCE
 from bluebellthread.core.routing._routes import KIND_STREAM
+from bluebellthread.core.routing._routes import PRIORITY_MAX
 from bluebellthread.core.routing._routes import Route
 from bluebellthread.core.routing._routes import RoutingTable
 from bluebellthread.core.routing._routes import ServiceShare
@@ -118,6 +119,7 @@
     'OvertakenError',
     'OwnedAllocator',
     'OwnerShare',
+    'PRIORITY_MAX',
     'PartSurvived',
     'PlacementAsk',
     'PlacementEnded',
--- a/bluebellthread/core/routing/_routes.py
+++ b/bluebellthread/core/routing/_routes.py
@@ -14,6 +14,10 @@
 """Kind of a model request, answered by a stream of numbered events."""
 
 
+PRIORITY_MAX = 9
+"""Priority of the least urgent requests; 0 is that of the most urgent."""
+
+
 @attrs.frozen(kw_only=True)
 class ServiceShare:
     """Weight of one service in the traffic split of a route."""
--- a/bluebellthread/entry/_dialect.py
+++ b/bluebellthread/entry/_dialect.py
@@ -51,6 +51,12 @@
     resumed_attempt : bytes
         Id of the caller's attempt that brought the first event of a stream
         that is resumed.
+    authorization : bytes
+        Authentication of a caller: the key of a customer.
+    customer : bytes
+        Name of the customer that sends a request, for servers.
+    priority : bytes
+        Priority of a request, for servers.
     token_counts : bytes
         Prompt tokens, and the most output tokens, of a request.
     prompt_parts : bytes
@@ -101,6 +107,9 @@
     not_run: bytes
     resume_after: bytes
     resumed_attempt: bytes
+    authorization: bytes
+    customer: bytes
+    priority: bytes
     token_counts: bytes
     prompt_parts: bytes
     identity: frozenset
--- a/bluebellthread/entry/_gateway.py
+++ b/bluebellthread/entry/_gateway.py
@@ -9,6 +9,7 @@
 from bluebellthread.daemon import _clock
 from bluebellthread.daemon import _tasks
 from bluebellthread.entry import _caller_exchange
+from bluebellthread.entry import _customer_lookup
 from bluebellthread.entry import _http_messages
 from bluebellthread.entry import _refusals
 from bluebellthread.entry import _stop_admission
@@ -122,6 +123,16 @@
 
     async def _serve_route(self, exchange, route, table, hop=None):
         request_id = exchange.request.header(self._dialect.request_id)
+        customer = _customer_lookup.find_customer(
+            table.customers, exchange.request, self._dialect
+        )
+        if (
+            customer is None
+            and table.customers is not None
+            and route.needs_key
+        ):
+            await self._refuse(exchange, _refusals.make_unknown_key_refusal())
+            return
         work = _work.Work(
             exchange=exchange,
             route=route,
@@ -132,6 +143,7 @@
             admission=self._control.admission,
             is_handed_on=hop is not None,
             run_count=hop.run_count if hop is not None else 0,
+            customer=customer,
         )
         self._budgets.note_request(work.service)
         try:
--- a/bluebellthread/entry/_refusals.py
+++ b/bluebellthread/entry/_refusals.py
@@ -26,12 +26,15 @@
         What the caller can do.
     retry_after_ms : int or None
         Back-off of the caller; set only if the request has not run.
+    challenge : str
+        Scheme by which the caller must authenticate; empty if it need not.
     """
 
     status: int
     kind: str
     remedy: str
     retry_after_ms: int | None = None
+    challenge: str = ''
 
 
 def make_unprepared_refusal(*, has_configuration):
@@ -57,6 +60,16 @@
     )
 
 
+def make_unknown_key_refusal():
+    """Make the refusal of a request without the key of a customer."""
+    return RouterAnswer(
+        status=401,
+        kind='unknown-key',
+        remedy='send the key of a customer as a bearer token',
+        challenge='Bearer',
+    )
+
+
 def make_not_run_refusal(kind, retry_after_ms, remaining_ms):
     """Make the refusal of a request that has not run.
 
@@ -128,6 +141,8 @@
     if answer.retry_after_ms is not None:
         seconds = f'{answer.retry_after_ms / 1000:.3f}'
         headers.append((b'retry-after', seconds.encode()))
+    if answer.challenge:
+        headers.append((b'www-authenticate', answer.challenge.encode()))
     return headers, body
 
 
--- a/bluebellthread/entry/_work.py
+++ b/bluebellthread/entry/_work.py
@@ -57,9 +57,13 @@
         Whether another VM has handed the request on to this one.
     run_count : int
         Servers that may have run the request before.
+    customer : Customer or None
+        Who sends the request; None if that is unknown.
 
     Attributes
     ----------
+    customer : Customer or None
+        As the parameter.
     table_version : int
         As the parameter.
     is_counted_elsewhere : bool
@@ -103,11 +107,13 @@
         admission,
         is_handed_on=False,
         run_count=0,
+        customer=None,
     ):
         self.exchange = exchange
         self.request = exchange.request
         self.route = route
         self.service = service
+        self.customer = customer
         self.request_id = self.request.header(dialect.request_id)
         self.parts = (
             *dialect.read_prompt_parts(
@@ -159,6 +165,14 @@
         """Milliseconds since the request's first byte was read."""
         return _clock.read_clock_ms() - self.request.received_ms
 
+    @property
+    def priority(self):
+        """The customer's priority, else the route's; 0 the most urgent."""
+        priority = self.route.priority
+        if self.customer is not None and self.customer.priority is not None:
+            priority = self.customer.priority
+        return min(max(priority, 0), routing.PRIORITY_MAX)
+
     @property
     def last_server(self):
         """The server that it was sent to last; empty before that."""
