Send servers the customer's name and the priority, never the key

Cause: calls to backend servers carried the caller's Authorization header and whatever it sent as its own name, and no priority.

Change: where the configuration has customers, no call to a server carries the key or the caller's own customer header; each carries the name of the customer that was found. The priority is sent where requests to a service may differ in priority, by routes or customers; routes that need a key have only the priorities of customers. `ServerCaller.open` takes the `Work` in place of the request, so that every path sends these headers.

--- a/bluebellthread/core/routing/__init__.py
+++ b/bluebellthread/core/routing/__init__.py
@@ -51,6 +51,7 @@
 from bluebellthread.core.routing._role_plan import plan_decode_switches
 from bluebellthread.core.routing._routes import CallerLimits
 from bluebellthread.core.routing._routes import EngineTraits
+from bluebellthread.core.routing._routes import find_priority
 from bluebellthread.core.routing._routes import KIND_IDEMPOTENT
 from bluebellthread.core.routing._routes import KIND_ONCE
 from bluebellthread.core.routing._routes import KIND_STREAM
@@ -162,6 +163,7 @@
     'choose_partners',
     'effective_rate_per_s',
     'find_dispute',
+    'find_priority',
     'find_stopping_share',
     'identify_request',
     'is_request_id',
--- a/bluebellthread/core/routing/_customers.py
+++ b/bluebellthread/core/routing/_customers.py
@@ -120,7 +120,7 @@
     @property
     def priorities(self):
         """The priorities that customers have; None stands for the route's."""
-        return {customer.priority for customer in self._by_name.values()}
+        return {customer.priority for customer in self._by_digest.values()}
 
     def _digest(self, key):
         return hashlib.blake2b(
--- a/bluebellthread/core/routing/_routes.py
+++ b/bluebellthread/core/routing/_routes.py
@@ -163,6 +163,29 @@
     idle_timeout_ms: int = 15000
 
 
+def find_priority(route, customer_priority=None):
+    """Return the priority of a request: the customer's, else the route's.
+
+    Parameters
+    ----------
+    route : Route
+        The route of the request.
+    customer_priority : int or None
+        Priority of the customer, if it has one.
+
+    Examples
+    --------
+    >>> route = Route(name='r', host='h', prefix='/', kind=KIND_ONCE,
+    ...     shares=(), priority=12)
+    >>> find_priority(route), find_priority(route, 0)
+    (9, 0)
+    """
+    priority = route.priority
+    if customer_priority is not None:
+        priority = customer_priority
+    return min(max(priority, 0), PRIORITY_MAX)
+
+
 class RoutingTable:
     """One version of the operator's configuration, indexed for lookup.
 
@@ -230,16 +253,22 @@
         """Return whether requests to a service differ in priority."""
         known = self._has_priorities.get(service)
         if known is None:
-            priorities = {
-                route.priority
-                for route in self.routes
-                if any(share.service == service for share in route.shares)
-            }
-            if self.customers is not None:
-                priorities |= self.customers.priorities - {None}
+            priorities = set()
+            for route in self.routes:
+                if any(share.service == service for share in route.shares):
+                    priorities |= self._list_priorities(route)
             known = self._has_priorities[service] = len(priorities) > 1
         return known
 
+    def _list_priorities(self, route):
+        """Return the priorities that requests to a route may have."""
+        of_customers = set()
+        if self.customers is not None:
+            of_customers |= self.customers.priorities
+        if self.customers is None or not route.needs_key:
+            of_customers.add(None)
+        return {find_priority(route, priority) for priority in of_customers}
+
     def engine_services(self):
         """Return the traits of the services that run models."""
         return tuple(
--- a/bluebellthread/entry/_customer_lookup.py
+++ b/bluebellthread/entry/_customer_lookup.py
@@ -1,4 +1,4 @@
-"""Finds the customer that sends a request, by the key in the request."""
+"""Finds the customer that sends a request, and tells servers about it."""
 
 SCHEME = b'bearer'
 """Authentication scheme of keys (RFC 6750, 2.1), in lower case."""
@@ -48,3 +48,20 @@
     if scheme.lower() != SCHEME or not key:
         return None
     return key.decode('utf-8', 'surrogateescape')
+
+
+def list_withheld(work, dialect):
+    """Return the names of the caller's headers that no server gets."""
+    if not work.has_customers:
+        return dialect.router_only
+    return dialect.router_only | {dialect.authorization, dialect.customer}
+
+
+def make_sender_headers(work, dialect):
+    """Return the headers that tell servers who sends a request."""
+    headers = []
+    if work.customer is not None:
+        headers.append((dialect.customer, work.customer.name.encode()))
+    if work.sends_priority:
+        headers.append((dialect.priority, str(work.priority).encode()))
+    return headers
--- a/bluebellthread/entry/_gateway.py
+++ b/bluebellthread/entry/_gateway.py
@@ -122,7 +122,6 @@
             self._taken_count -= 1
 
     async def _serve_route(self, exchange, route, table, hop=None):
-        request_id = exchange.request.header(self._dialect.request_id)
         customer = _customer_lookup.find_customer(
             table.customers, exchange.request, self._dialect
         )
@@ -133,10 +132,13 @@
         ):
             await self._refuse(exchange, _refusals.make_unknown_key_refusal())
             return
+        service = route.choose_service(
+            exchange.request.header(self._dialect.request_id)
+        )
         work = _work.Work(
             exchange=exchange,
             route=route,
-            service=route.choose_service(request_id),
+            service=service,
             table_version=table.version,
             dialect=self._dialect,
             stats=self._stats,
@@ -144,6 +146,8 @@
             is_handed_on=hop is not None,
             run_count=hop.run_count if hop is not None else 0,
             customer=customer,
+            has_customers=table.customers is not None,
+            sends_priority=table.has_priorities(service),
         )
         self._budgets.note_request(work.service)
         try:
--- a/bluebellthread/entry/_plain_attempts.py
+++ b/bluebellthread/entry/_plain_attempts.py
@@ -298,7 +298,7 @@
         """Return the server's `Answer`, and what marks its end."""
         call = await self._caller.open(
             server,
-            work.request,
+            work,
             deadline_ms=work.deadline_ms,
             is_retryable=work.route.is_retryable,
             admission=admission,
--- a/bluebellthread/entry/_prefill_runner.py
+++ b/bluebellthread/entry/_prefill_runner.py
@@ -111,7 +111,7 @@
     async def _call_prefill(self, server, headers, admission):
         call = await self._caller.open(
             server,
-            self._work.request,
+            self._work,
             deadline_ms=self._work.deadline_ms,
             is_retryable=True,
             extra=[(self._dialect.stage, self._dialect.stage_prefill)]
--- a/bluebellthread/entry/_server_calls.py
+++ b/bluebellthread/entry/_server_calls.py
@@ -4,6 +4,7 @@
 import trio
 
 from bluebellthread.daemon import _clock
+from bluebellthread.entry import _customer_lookup
 from bluebellthread.entry import _http_messages
 from bluebellthread.entry import _server_connection
 from bluebellthread.entry import _server_exchange
@@ -188,7 +189,7 @@
     async def open(
         self,
         server,
-        request,
+        work,
         *,
         deadline_ms,
         is_retryable,
@@ -202,8 +203,8 @@
         ----------
         server : ListedServer
             The server to call.
-        request : Request
-            The caller's request.
+        work : Work
+            Holds the caller's request.
         deadline_ms : int
             When the caller gives up; the server is sent the time left.
         is_retryable : bool
@@ -220,6 +221,7 @@
         CallFailedError
             If there is no answer, or the server did not run the request.
         """
+        request = work.request
         if admission is None:
             admission = await self.admit(server)
         if exchange is None:
@@ -235,7 +237,7 @@
                 head = await exchange.open(
                     request.method,
                     request.target,
-                    self._make_headers(server, request, deadline_ms, extra),
+                    self._make_headers(server, work, deadline_ms, extra),
                     request.body,
                 )
             self._observe(server, head, sent_ms)
@@ -320,16 +322,18 @@
             request_id_header=self._dialect.request_id,
         )
 
-    def _make_headers(self, server, request, deadline_ms, extra):
+    def _make_headers(self, server, work, deadline_ms, extra):
         dialect = self._dialect
+        request = work.request
         headers = _http_messages.keep_end_to_end(
-            request.headers, drop=dialect.router_only
+            request.headers, drop=_customer_lookup.list_withheld(work, dialect)
         )
         replaced = {name for name, _ in extra}
         headers = [item for item in headers if item[0] not in replaced]
         remaining_ms = max(1, deadline_ms - _clock.read_clock_ms())
         headers.append((dialect.remaining_ms, str(remaining_ms).encode()))
         headers.append((dialect.expected_server, server.name.encode()))
+        headers.extend(_customer_lookup.make_sender_headers(work, dialect))
         headers.extend(extra)
         if request.body or request.method not in BODYLESS_METHODS:
             length = str(len(request.body)).encode()
--- a/bluebellthread/entry/_stream_attempts.py
+++ b/bluebellthread/entry/_stream_attempts.py
@@ -347,7 +347,7 @@
             ):
                 call = await self._caller.open(
                     server,
-                    work.request,
+                    work,
                     deadline_ms=work.deadline_ms,
                     is_retryable=work.route.is_retryable,
                     extra=extra,
--- a/bluebellthread/entry/_work.py
+++ b/bluebellthread/entry/_work.py
@@ -59,11 +59,17 @@
         Servers that may have run the request before.
     customer : Customer or None
         Who sends the request; None if that is unknown.
+    has_customers : bool
+        Whether the configuration has customers.
+    sends_priority : bool
+        Whether servers are sent the priority of the request.
 
     Attributes
     ----------
     customer : Customer or None
         As the parameter.
+    has_customers, sends_priority : bool
+        As the parameters.
     table_version : int
         As the parameter.
     is_counted_elsewhere : bool
@@ -108,12 +114,16 @@
         is_handed_on=False,
         run_count=0,
         customer=None,
+        has_customers=False,
+        sends_priority=False,
     ):
         self.exchange = exchange
         self.request = exchange.request
         self.route = route
         self.service = service
         self.customer = customer
+        self.has_customers = has_customers
+        self.sends_priority = sends_priority
         self.request_id = self.request.header(dialect.request_id)
         self.parts = (
             *dialect.read_prompt_parts(
@@ -168,10 +178,10 @@
     @property
     def priority(self):
         """The customer's priority, else the route's; 0 the most urgent."""
-        priority = self.route.priority
-        if self.customer is not None and self.customer.priority is not None:
-            priority = self.customer.priority
-        return min(max(priority, 0), routing.PRIORITY_MAX)
+        customer = self.customer
+        return routing.find_priority(
+            self.route, customer.priority if customer is not None else None
+        )
 
     @property
     def last_server(self):
--- a/tests/integration/test_entry_server_limits.py
+++ b/tests/integration/test_entry_server_limits.py
@@ -2,6 +2,7 @@
 
 import itertools
 import sys
+import types
 import unittest
 
 import attrs
@@ -350,12 +351,14 @@
             with self.assertRaises(_server_calls.ServerLimitedError):
                 await caller.open(
                     server,
-                    _http_messages.Request(
-                        method=b'GET',
-                        target=b'/read/x',
-                        headers=((b'host', b'calls.example'),),
-                        body=b'',
-                        received_ms=0,
+                    types.SimpleNamespace(
+                        request=_http_messages.Request(
+                            method=b'GET',
+                            target=b'/read/x',
+                            headers=((b'host', b'calls.example'),),
+                            body=b'',
+                            received_ms=0,
+                        )
                     ),
                     deadline_ms=_clock.read_clock_ms() + 1000,
                     is_retryable=True,
