Hand requests with customers on only to VMs that look keys up

Cause: a VM of the previous build ignores headers that it does not know, and would pass the key of a request that is handed on to a backend server.

Change: where the configuration has customers, a VM first asks on each new connection to another VM whether it looks keys up, by a request that no build takes, since its version is out of reach and its host has no route. Only the answers of VMs that look keys up have `Bluebellthread-Looks-Up-Keys`. The answer holds for one connection, which ends in one process, so a VM that is replaced by an older build is never taken for the newer one. The key is kept, even if the caller declares its header to be one of the connection.

--- a/bluebellthread/entry/_gateway.py
+++ b/bluebellthread/entry/_gateway.py
@@ -111,8 +111,11 @@
         elif self._taken_count >= TAKEN_MAX:
             reason = 'busy'
         if reason:
-            header = (_http_messages.NOT_TAKEN_HEADER, reason.encode())
-            await exchange.respond(503, [header], b'')
+            headers = [
+                (_http_messages.NOT_TAKEN_HEADER, reason.encode()),
+                (_http_messages.LOOKS_UP_KEYS_HEADER, b'1'),
+            ]
+            await exchange.respond(503, headers, b'')
             return
         self._stats.count_taken()
         self._taken_count += 1
--- a/bluebellthread/entry/_hand_on.py
+++ b/bluebellthread/entry/_hand_on.py
@@ -11,6 +11,7 @@
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
 from bluebellthread.entry import _http_messages
+from bluebellthread.entry import _key_checks
 from bluebellthread.entry import _server_calls
 from bluebellthread.entry import _server_connection
 from bluebellthread.entry import _server_exchange
@@ -230,6 +231,10 @@
                 connect_timeout_s=CONNECT_TIMEOUT_S,
                 request_id=work.request_id,
             )
+            if work.has_customers:
+                await _key_checks.check_looks_up_keys(
+                    self._connections, connection, self._dialect
+                )
         except _server_connection.ServerUnreachableError as error:
             self._choice.note_unreached(member.name, _clock.read_clock_ms())
             self._log_not_taken(work, member, error)
@@ -316,9 +321,20 @@
     def _make_headers(self, work, extra):
         request = work.request
         replaced = {name for name, _ in extra} | _http_messages.HOP_HEADERS
+        kept = ()
+        if work.has_customers:
+            # The other VM looks the key up by itself, even if the caller
+            # declares its header to be one of the connection.
+            kept = [
+                item
+                for item in request.headers
+                if item[0] == self._dialect.authorization
+            ]
+            replaced.add(self._dialect.authorization)
         headers = _http_messages.keep_end_to_end(
             request.headers, drop=replaced
         )
+        headers.extend(kept)
         headers.extend(extra)
         headers.append((_http_messages.AGE_HEADER, str(work.age_ms).encode()))
         headers.append(
--- a/bluebellthread/entry/_http_messages.py
+++ b/bluebellthread/entry/_http_messages.py
@@ -40,6 +40,9 @@
 NOT_TAKEN_HEADER = b'bluebellthread-not-taken'
 """Why a VM does not take a request, in its answer; nothing has run then."""
 
+LOOKS_UP_KEYS_HEADER = b'bluebellthread-looks-up-keys'
+"""Beside `NOT_TAKEN_HEADER`, from VMs that look up the keys of customers."""
+
 NO_PATH = 'no-path'
 """Value of it if that VM reaches no server either."""
 
@@ -52,6 +55,7 @@
         VERSION_HEADER,
         RUNS_HEADER,
         NOT_TAKEN_HEADER,
+        LOOKS_UP_KEYS_HEADER,
         SOFTWARE_HEADER,
     )
 )
--- a/bluebellthread/entry/_server_connection.py
+++ b/bluebellthread/entry/_server_connection.py
@@ -47,12 +47,15 @@
     ----------
     is_new : bool
         Whether it has not been in the pool yet.
+    looks_up_keys : bool
+        Whether the other side is a VM that looks up the keys of customers.
     """
 
     def __init__(self, *, stream, address):
         self.stream = stream
         self.address = address
         self.is_new = True
+        self.looks_up_keys = False
         self.idle_deadline_ms = 0
         self._carried_ids = set()
 
--- a/bluebellthread/entry/_server_exchange.py
+++ b/bluebellthread/entry/_server_exchange.py
@@ -310,7 +310,7 @@
             # The connection was given back and may serve another request.
             return
         self._closed = True
-        if self._is_clean():
+        if self.is_reusable:
             await self._connections.release(
                 self._connection, read_idle_ms(keep_alive)
             )
@@ -323,7 +323,9 @@
             self._closed = True
             await self._connection.close()
 
-    def _is_clean(self):
+    @property
+    def is_reusable(self):
+        """Whether the connection may carry another request."""
         return (
             self._conn is not None
             # No later answer could be told from a copy of this one.
--- a/tests/integration/test_entry_customers.py
+++ b/tests/integration/test_entry_customers.py
@@ -1,9 +1,13 @@
 """Requests of customers: their keys, and what backend servers get of them."""
 
+import contextlib
 import unittest
 
+import trio
+
 from tests.integration import _entry_site as sites
 from tests.integration.test_entry_plain import run
+from tests.integration import test_entry_server_cuts as server_cuts
 
 KEY = 'key-of-ash-1'
 OTHER_KEY = 'key-of-elm-1'
@@ -148,5 +152,126 @@
             self.check_sent(engines, 'elm', '1')
 
 
+class OlderBuild:
+    """Has a VM behave as one of a build that looks no keys up.
+
+    Parameters
+    ----------
+    vm : object
+        The VM of a fleet.
+    """
+
+    def __init__(self, vm):
+        self.requests = []
+        self._serve = vm.entry._gateway.serve_handed_on
+        vm.entry._gateway.serve_handed_on = self._serve_handed_on
+
+    async def _serve_handed_on(self, exchange):
+        self.requests.append(exchange.request)
+        respond = exchange.respond
+
+        async def respond_without_key_checks(status, headers, body):
+            kept = [item for item in headers if b'keys' not in item[0]]
+            await respond(status, kept, body)
+
+        exchange.respond = respond_without_key_checks
+        await self._serve(exchange)
+
+
+@contextlib.asynccontextmanager
+async def running_cut_fleet(**options):
+    """Run a fleet with customers; its first VM reaches no server."""
+    async with server_cuts.running_fleet(**options) as (fleet, cuts):
+        fleet.store.put('op/config', make_configuration(2, ASH, ELM))
+        await sites.wait_until(
+            lambda: all(
+                vm.entry.state.table.version == 2 for vm in fleet.vms.values()
+            )
+        )
+        cuts.cut_off((1,), 'refused')
+        yield fleet
+
+
+class TestHandOn(CustomerTestCase):
+    # A caller may declare any header to be of its connection; the other VM
+    # needs the key all the same.
+    @run
+    async def test_other_vm_looks_the_key_up(self):
+        for path, servers in (
+            ('/order/x', {'plain': server_cuts.PLAIN}),
+            ('/ask/x', {'engines': server_cuts.ENGINES}),
+        ):
+            async with running_cut_fleet(**servers) as fleet:
+                answer = await server_cuts.ask(
+                    fleet,
+                    1,
+                    path,
+                    'id-1',
+                    headers=(
+                        bearer(KEY),
+                        'X-Tenant: elm',
+                        'Connection: authorization',
+                    ),
+                )
+                self.assertEqual(200, answer.status, answer.body)
+                self.check_sent(fleet.servers, 'ash', '2')
+
+    @run
+    async def test_unknown_key_is_refused_or_dropped_by_the_other_vm(self):
+        async with running_cut_fleet(plain=server_cuts.PLAIN) as fleet:
+            headers = (bearer('key-of-none'),)
+            answer = await server_cuts.ask(
+                fleet, 1, '/open/x', 'id-1', headers=headers
+            )
+            self.assertEqual(200, answer.status)
+            self.check_sent(fleet.servers, None, '1')
+            vm = fleet.vms[2]
+            async with sites.Caller(
+                await trio.open_tcp_stream(
+                    vm.host, vm.entry.ports['relay_port']
+                )
+            ) as caller:
+                answer = await caller.call('POST', '/read/x', headers=headers)
+                self.assertEqual(401, answer.status)
+            self.assertEqual([], calls_of(fleet.servers))
+
+    # A VM of an older build would pass the key on to a server.
+    @run
+    async def test_vm_of_an_older_build_gets_no_key(self):
+        async with running_cut_fleet(plain=server_cuts.PLAIN) as fleet:
+            older = OlderBuild(fleet.vms[2])
+            for number in range(4):
+                answer = await server_cuts.ask(
+                    fleet, 1, '/order/x', f'id-{number}', headers=[bearer(KEY)]
+                )
+                self.assertEqual(200, answer.status, answer.body)
+            self.check_sent(fleet.servers, 'ash', '2')
+            others = [older, OlderBuild(fleet.vms[3])]
+            vm1 = fleet.vms[1].entry
+            await vm1._hand_on.close()
+            answer = await server_cuts.ask(
+                fleet, 1, '/order/x', 'id-9', headers=[bearer(KEY)]
+            )
+            self.assertEqual(503, answer.status)
+            self.assertEqual([], calls_of(fleet.servers))
+            asked = [item for other in others for item in other.requests]
+            self.assertTrue(asked)
+            self.assertNotIn('key-of', repr(asked))
+
+    # Guards upgrades of deployments without customers, whose VMs of the
+    # previous build must still be asked to serve.
+    @run
+    async def test_vm_of_an_older_build_serves_without_customers(self):
+        async with server_cuts.running_fleet(plain=server_cuts.PLAIN) as (
+            fleet,
+            cuts,
+        ):
+            cuts.cut_off((1,), 'refused')
+            for number in (2, 3):
+                OlderBuild(fleet.vms[number])
+            answer = await server_cuts.ask(fleet, 1, '/order/x', 'id-1')
+            self.assertEqual(200, answer.status)
+
+
 if __name__ == '__main__':
     unittest.main()
