Log and count the requests of customers, and name bad entries

Cause: an operator could not see how many customers and keys a version has, whose requests come, and which are refused for their keys. The error of a customer's entry that is no object did not name the entry, and the error of a value that is not UTF-8 quoted the value, which may have keys.

Change: events E7080 and E7081, the metrics customer_requests_total (128 names at the most, the rest together) and unknown_keys_total; errors of the decoding name the entry and quote no key.

--- a/bluebellthread/entry/_configuration_task.py
+++ b/bluebellthread/entry/_configuration_task.py
@@ -150,6 +150,13 @@
             source=command.source or 'the platform',
             routes=len(table.routes),
         )
+        if table.customers is not None:
+            emit(
+                events.CUSTOMERS_IN_FORCE,
+                version=table.version,
+                customers=len(table.customers.names),
+                keys=table.customers.key_count,
+            )
 
     async def _update(self, after):
         try:
--- a/bluebellthread/entry/_gateway.py
+++ b/bluebellthread/entry/_gateway.py
@@ -133,7 +133,7 @@
             and table.customers is not None
             and route.needs_key
         ):
-            await self._refuse(exchange, _refusals.make_unknown_key_refusal())
+            await self._refuse_unknown_key(exchange, table)
             return
         service = route.choose_service(
             exchange.request.header(self._dialect.request_id)
@@ -211,6 +211,20 @@
         )
         await _refusals.send_router_answer(exchange, answer)
 
+    async def _refuse_unknown_key(self, exchange, table):
+        request = exchange.request
+        emit(
+            events.REQUEST_KEY_UNKNOWN,
+            request_id=request.header(self._dialect.request_id),
+            host=request.host,
+            path=request.path,
+            version=table.version,
+        )
+        self._stats.count_unknown_key()
+        await _refusals.send_router_answer(
+            exchange, _refusals.make_unknown_key_refusal()
+        )
+
 
 def make_paths(*, plain, stream):
     """Return the object that serves each kind of route."""
--- a/bluebellthread/entry/_stats.py
+++ b/bluebellthread/entry/_stats.py
@@ -23,6 +23,15 @@
 )
 """Bucket bounds in seconds, around the target latency of the first token."""
 
+CUSTOMERS_MAX = 128
+"""Most customers that are counted by name: some 100 KB of memory and 10 KB of
+each answer to the monitoring. The others are counted together."""
+
+OTHER_CUSTOMERS = '(other)'
+NO_CUSTOMER = '(none)'
+"""Names that stand for the customers beyond `CUSTOMERS_MAX`, and for requests
+to routes that need no key."""
+
 CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST.encode()
 
 
@@ -42,6 +51,13 @@
         self._requests = self._counter(
             'requests', 'Requests of callers', ('kind', 'outcome')
         )
+        self._customer_requests = self._counter(
+            'customer_requests', 'Requests by customer', ('customer',)
+        )
+        self._customer_names = {OTHER_CUSTOMERS, NO_CUSTOMER}
+        self._unknown_keys = self._counter(
+            'unknown_keys', 'Requests refused as no customer has their key'
+        )
         self._failures = self._counter(
             'failed_calls', 'Calls to servers that failed', ('stage',)
         )
@@ -109,6 +125,28 @@
         self._requests.labels(kind=kind, outcome=outcome).inc()
         self._latency.labels(kind=kind).observe(took_ms / _clock.MS_PER_S)
 
+    def count_customer(self, customer):
+        """Count a request where the configuration has customers.
+
+        Parameters
+        ----------
+        customer : Customer or None
+            Who has sent it.
+        """
+        name = NO_CUSTOMER if customer is None else customer.name
+        names = self._customer_names
+        if name not in names:
+            # Two of the names stand for no customer.
+            if len(names) < CUSTOMERS_MAX + 2:
+                names.add(name)
+            else:
+                name = OTHER_CUSTOMERS
+        self._customer_requests.labels(customer=name).inc()
+
+    def count_unknown_key(self):
+        """Count a request that is refused for its key."""
+        self._unknown_keys.inc()
+
     def count_failure(self, stage):
         """Count a failed call to a server for one stage of the work."""
         self._failures.labels(stage=stage).inc()
--- a/bluebellthread/entry/_work.py
+++ b/bluebellthread/entry/_work.py
@@ -469,6 +469,8 @@
         self._stats.count_request(
             kind=self.route.kind, outcome=outcome, took_ms=self.age_ms
         )
+        if self.has_customers:
+            self._stats.count_customer(self.customer)
         emit(
             events.REQUEST_ENDED,
             request_id=self.request_id,
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -551,6 +551,18 @@
     'WARNING',
     'request {request_id} broke off at VM {vm}: {reason}',
 )
+REQUEST_KEY_UNKNOWN = Event(
+    7080,
+    'INFO',
+    'request {request_id} for {host}{path} is refused: no customer of '
+    'configuration version {version} has its key, or it has none',
+)
+CUSTOMERS_IN_FORCE = Event(
+    7081,
+    'INFO',
+    'configuration version {version} has {customers} customers with {keys} '
+    'keys',
+)
 
 
 def list_events():
--- a/bluebellthread/platform/_decoding.py
+++ b/bluebellthread/platform/_decoding.py
@@ -99,8 +99,11 @@
         ValueError,
         binascii.Error,
     ) as error:
+        # The representation of an error of the text encoding has the whole
+        # text, with the keys of customers.
         raise EntryError(
-            f'cannot decode the value as base64 and JSON: {error!r}'
+            'cannot decode the value as base64 and JSON: '
+            f'{type(error).__name__}: {error}'
         ) from error
     if not isinstance(fields, dict):
         raise EntryError('the value is not a JSON object')
@@ -310,8 +313,18 @@
         try:
             customer = _decode_customer(item)
             keys = _list_of(item, 'apiKeys')
-        except (EntryError, KeyError, TypeError, ValueError) as error:
+        except EntryError as error:
             raise EntryError(f'tenants[{number}]: {error}') from error
+        except (
+            ArithmeticError,
+            AttributeError,
+            KeyError,
+            TypeError,
+            ValueError,
+        ) as error:
+            raise EntryError(
+                f'tenants[{number}]: missing or invalid field: {error!r}'
+            ) from error
         for key in keys:
             # The texts of keys stay out of messages, which are logged.
             if not isinstance(key, str) or not key:
--- a/tests/integration/test_entry_customers.py
+++ b/tests/integration/test_entry_customers.py
@@ -3,6 +3,7 @@
 import contextlib
 import unittest
 
+import loguru
 import trio
 
 from tests.integration import _entry_site as sites
@@ -152,6 +153,75 @@
             self.check_sent(engines, 'elm', '1')
 
 
+class TestVersions(CustomerTestCase):
+    @run
+    async def test_keys_come_and_go_while_a_connection_is_open(self):
+        async with sites.running_site() as site:
+            await configure(site, 2, ASH)
+            async with await site.connect() as caller:
+                for version, customers, status in (
+                    (2, (ASH,), 401),
+                    (3, (ASH, ELM), 200),
+                    (4, (ASH,), 401),
+                ):
+                    await configure(site, version, *customers)
+                    answer = await caller.call(
+                        'GET',
+                        '/read/x',
+                        request_id=f'id-{version}',
+                        headers=(bearer(OTHER_KEY),),
+                    )
+                    self.assertEqual(status, answer.status)
+
+    @run
+    async def test_stream_under_way_ends_after_its_key_is_taken_away(self):
+        async with sites.running_site(engines=ENGINES) as site:
+            await configure(site, 2, ASH, ELM)
+            gate = trio.Event()
+            for name in ENGINES:
+                site.servers[name].last_event_gate = gate
+            async with await site.connect() as caller:
+                await caller.send('POST', '/ask/x', headers=(bearer(KEY),))
+                status, _ = await caller.read_head()
+                await configure(site, 3, ELM)
+                gate.set()
+                body = b''
+                while piece := await caller.read_chunk():
+                    body += piece
+                self.assertEqual(200, status)
+                self.assertEqual(b'', piece, 'the stream was cut off')
+                self.assertEqual(server_cuts.ALL_EVENTS, body)
+
+    @run
+    async def test_bad_version_changes_nothing_and_no_key_is_logged(self):
+        lines = []
+        sink = loguru.logger.add(lines.append, level='TRACE', serialize=True)
+        self.addCleanup(loguru.logger.remove, sink)
+        async with sites.running_site() as site:
+            await configure(site, 2, ASH)
+            bad = {**ELM, 'priority': 'high'}
+            site.store.put('op/config', make_configuration(3, ASH, bad))
+            await sites.wait_until(
+                lambda: any('tenants[1]' in line for line in lines)
+            )
+            for key, status in ((KEY, 200), (OTHER_KEY, 401)):
+                answer = await site.call(
+                    'GET',
+                    '/read/x',
+                    request_id=key[-5:],
+                    headers=[bearer(key)],
+                )
+                self.assertEqual(status, answer.status)
+            self.assertEqual(2, site.entry.state.table.version)
+            log = ''.join(lines)
+            metrics = site.entry.stats.render().decode()
+            self.assertIn('version 2 has 1 customers with 1 keys', log)
+            self.assertIn('no customer of configuration version 2', log)
+            self.assertIn('customer_requests_total{customer="ash"} 1', metrics)
+            self.assertIn('unknown_keys_total 1', metrics)
+            self.assertNotIn('key-of', log + metrics)
+
+
 class OlderBuild:
     """Has a VM behave as one of a build that looks no keys up.
 
--- a/tests/unit/test_customers.py
+++ b/tests/unit/test_customers.py
@@ -5,6 +5,7 @@
 
 from bluebellthread.core import routing
 from bluebellthread.entry import _customer_lookup
+from bluebellthread.entry import _stats
 from bluebellthread.entry import _work
 from bluebellthread import platform
 
@@ -104,6 +105,56 @@
         self.assertEqual(0, make_work(priority=-4).priority)
         self.assertEqual(9, make_work(priority=12).priority)
 
+    def has_priorities(self, *routes, customers=None):
+        if customers is not None:
+            customers = routing.Customers(
+                (f'k{priority}', routing.Customer(name='a', priority=priority))
+                for priority in customers
+            )
+        table = routing.RoutingTable(
+            version=1, routes=routes, customers=customers
+        )
+        return table.has_priorities('plain')
+
+    def test_priorities_differ_by_routes_or_customers(self):
+        low, high = make_route(priority=4), make_route(priority=1)
+        exempt = make_route(priority=4, needs_key=False)
+        for expected, routes, customers in (
+            (False, [low], None),
+            (True, [low, high], None),
+            (True, [low], [1, 2]),
+            (True, [low], [1, None]),
+            (False, [low, high], [1]),
+            (False, [low], [4, None]),
+            (True, [exempt], [1]),
+            (False, [make_route(priority=9)], [12, None]),
+            (False, [], [1, 2]),
+        ):
+            with self.subTest(routes=routes, customers=customers):
+                self.assertEqual(
+                    expected, self.has_priorities(*routes, customers=customers)
+                )
+
+
+class TestMetric(unittest.TestCase):
+    # Guards against memory that grows with each customer of each version.
+    def test_number_of_names_is_bounded(self):
+        stats = _stats.EntryStats()
+        for number in range(3 * _stats.CUSTOMERS_MAX):
+            stats.count_customer(routing.Customer(name=f'c{number}'))
+        stats.count_customer(routing.Customer(name='c0'))
+        stats.count_customer(None)
+        lines = [
+            line
+            for line in stats.render().decode().splitlines()
+            if line.startswith('bluebellthread_customer_requests_total{')
+        ]
+        self.assertEqual(_stats.CUSTOMERS_MAX + 2, len(lines))
+        name = 'bluebellthread_customer_requests_total{customer='
+        self.assertIn(name + '"c0"} 2.0', lines)
+        self.assertIn(name + '"(other)"} 256.0', lines)
+        self.assertIn(name + '"(none)"} 1.0', lines)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -82,6 +82,19 @@
     'platform': {'address': '10.200.1.7:8142'},
 }
 
+TENANTS = [
+    {
+        'name': 'ash',
+        'apiKeys': ['k-ash', 'k-ash-2'],
+        'priority': 0,
+        'ratePerS': 2.5,
+        'burst': 4,
+        'unit': 'token_stream',
+        'plainTokens': 200,
+    },
+    {'name': 'elm', 'apiKeys': ['k-elm']},
+]
+
 
 class TestServers(unittest.TestCase):
     def test_entry_is_decoded_into_a_server(self):
@@ -191,6 +204,68 @@
         )
         self.assertEqual(2, len(table.routes[0].shares))
 
+    def test_customers_are_decoded(self):
+        table = _decoding.decode_table({**CONFIGURATION, 'tenants': TENANTS})
+        ash, elm = map(table.customers.find, ('k-ash', 'k-elm'))
+        self.assertEqual(
+            routing.Customer(
+                name='ash',
+                priority=0,
+                limit=routing.CustomerLimit(
+                    rate_per_s=2.5, burst=4, counts_tokens=True, plain_cost=200
+                ),
+            ),
+            ash,
+        )
+        self.assertEqual(routing.Customer(name='elm'), elm)
+        self.assertIs(ash, table.customers.find('k-ash-2'))
+        self.assertTrue(table.routes[0].needs_key)
+        exempt = _decoding.decode_table(
+            {**CONFIGURATION, 'routes': [{**ROUTE, 'authExempt': True}]}
+        )
+        self.assertFalse(exempt.routes[0].needs_key)
+
+    # Without the list no request needs a key; with an empty one all do.
+    def test_no_list_of_customers_differs_from_an_empty_one(self):
+        table = _decoding.decode_table(CONFIGURATION)
+        self.assertIsNone(table.customers)
+        table = _decoding.decode_table({**CONFIGURATION, 'tenants': []})
+        self.assertIsNone(table.customers.find('k-ash'))
+
+    # Guards against errors that leave the operator to search the entry, and
+    # against keys in errors, which are logged.
+    def test_error_names_the_bad_customer_and_no_key(self):
+        for change in (
+            'ash',
+            None,
+            {'name': 'oak'},
+            {'name': '', 'apiKeys': ['k-oak']},
+            {'name': 'o\nak', 'apiKeys': ['k-oak']},
+            {'name': 'oak', 'apiKeys': 'k-oak'},
+            {'name': 'oak', 'apiKeys': ['k-oak', 7]},
+            {'name': 'oak', 'apiKeys': ['k-oak', '']},
+            {'name': 'oak', 'apiKeys': ['k-oak', 'k-ash']},
+            {'name': 'oak', 'apiKeys': ['k-oak'], 'priority': 'high'},
+            {'name': 'oak', 'apiKeys': ['k-oak'], 'priority': 10**30},
+            {'name': 'oak', 'apiKeys': ['k-oak'], 'ratePerS': -1},
+            {'name': 'oak', 'apiKeys': ['k-oak'], 'ratePerS': 10**400},
+            {'name': 'oak', 'apiKeys': ['k-oak'], 'ratePerS': [1]},
+        ):
+            with self.subTest(change=str(change)):
+                with self.assertRaises(_decoding.EntryError) as raised:
+                    _decoding.decode_table(
+                        {**CONFIGURATION, 'tenants': [*TENANTS, change]}
+                    )
+                self.assertIn('tenants[2]', str(raised.exception))
+                self.assertNotIn('k-', str(raised.exception))
+
+    # The error of a text that is not UTF-8 holds the whole text.
+    def test_keys_stay_out_of_errors_of_undecodable_values(self):
+        raw = b'{"tenants": [{"apiKeys": ["k-ash"]}], "name": "\xff"}'
+        change = _store_client._to_table_change({'value': _encode(raw)}, None)
+        self.assertTrue(change.problem)
+        self.assertNotIn('k-ash', change.problem)
+
     def test_invalid_configurations_are_rejected(self):
         for change in (
             {'version': None},
