--- a/bluebellthread/entry/_gateway.py
+++ b/bluebellthread/entry/_gateway.py
@@ -111,11 +111,7 @@
         elif self._taken_count >= TAKEN_MAX:
             reason = 'busy'
         if reason:
-            headers = [
-                (_http_messages.NOT_TAKEN_HEADER, reason.encode()),
-                (_http_messages.LOOKS_UP_KEYS_HEADER, b'1'),
-            ]
-            await exchange.respond(503, headers, b'')
+            await self._refuse_hand_on(exchange, reason)
             return
         self._stats.count_taken()
         self._taken_count += 1
@@ -124,6 +120,14 @@
         finally:
             self._taken_count -= 1
 
+    @staticmethod
+    async def _refuse_hand_on(exchange, reason):
+        headers = [
+            (_http_messages.NOT_TAKEN_HEADER, reason.encode()),
+            (_http_messages.LOOKS_UP_KEYS_HEADER, b'1'),
+        ]
+        await exchange.respond(503, headers, b'')
+
     async def _serve_route(self, exchange, route, table, hop=None):
         customer = _customer_lookup.find_customer(
             table.customers, exchange.request, self._dialect
@@ -133,6 +137,10 @@
             and table.customers is not None
             and route.needs_key
         ):
+            if hop is not None and hop.run_count:
+                # The VM that hands it on knows what has run.
+                await self._refuse_hand_on(exchange, 'unknown-key')
+                return
             await self._refuse_unknown_key(exchange, table)
             return
         service = route.choose_service(
--- a/tests/integration/test_entry_customers.py
+++ b/tests/integration/test_entry_customers.py
@@ -303,6 +303,17 @@
             ) as caller:
                 answer = await caller.call('POST', '/read/x', headers=headers)
                 self.assertEqual(401, answer.status)
+                # A 401 would hide that a server may have run it.
+                answer = await caller.call(
+                    'POST',
+                    '/read/x',
+                    request_id='id-2',
+                    headers=(*headers, 'Bluebellthread-Runs: 1'),
+                )
+                self.assertEqual(503, answer.status)
+                self.assertEqual(
+                    'unknown-key', answer.headers['bluebellthread-not-taken']
+                )
             self.assertEqual([], calls_of(fleet.servers))
 
     # A VM of an older build would pass the key on to a server.
