Merge the customers of configurations

Cause: configurations name customers with keys, and the router ran requests of unknown keys and passed keys on to servers.

Change: customers are looked up on every path, as docs/design/customers.md says; without customers nothing changes.

--- a/bluebellthread/core/routing/__init__.py
+++ b/bluebellthread/core/routing/__init__.py
@@ -15,6 +15,9 @@
 from bluebellthread.core.routing._crash_messages import ShutOutLift
 from bluebellthread.core.routing._crash_messages import ShutOutsAnswer
 from bluebellthread.core.routing._crash_messages import ShutOutsAsk
+from bluebellthread.core.routing._customers import Customer
+from bluebellthread.core.routing._customers import CustomerLimit
+from bluebellthread.core.routing._customers import Customers
 from bluebellthread.core.routing._departures import Departure
 from bluebellthread.core.routing._departures import Position
 from bluebellthread.core.routing._directory import ListedServer
@@ -48,9 +51,11 @@
 from bluebellthread.core.routing._role_plan import plan_decode_switches
 from bluebellthread.core.routing._routes import CallerLimits
 from bluebellthread.core.routing._routes import EngineTraits
+from bluebellthread.core.routing._routes import find_priority
 from bluebellthread.core.routing._routes import KIND_IDEMPOTENT
 from bluebellthread.core.routing._routes import KIND_ONCE
 from bluebellthread.core.routing._routes import KIND_STREAM
+from bluebellthread.core.routing._routes import PRIORITY_MAX
 from bluebellthread.core.routing._routes import Route
 from bluebellthread.core.routing._routes import RoutingTable
 from bluebellthread.core.routing._routes import ServiceShare
@@ -86,6 +91,9 @@
     'CallerAges',
     'CallerLimits',
     'CrashEvidence',
+    'Customer',
+    'CustomerLimit',
+    'Customers',
     'Departure',
     'EVIDENCE_MS',
     'EndedRun',
@@ -112,6 +120,7 @@
     'OvertakenError',
     'OwnedAllocator',
     'OwnerShare',
+    'PRIORITY_MAX',
     'PartSurvived',
     'PlacementAsk',
     'PlacementEnded',
@@ -154,6 +163,7 @@
     'choose_partners',
     'effective_rate_per_s',
     'find_dispute',
+    'find_priority',
     'find_stopping_share',
     'identify_request',
     'is_request_id',
--- a/bluebellthread/core/routing/_routes.py
+++ b/bluebellthread/core/routing/_routes.py
@@ -14,6 +14,10 @@
 """Kind of a model request, answered by a stream of numbered events."""
 
 
+PRIORITY_MAX = 9
+"""Priority of the least urgent requests; 0 is that of the most urgent."""
+
+
 @attrs.frozen(kw_only=True)
 class ServiceShare:
     """Weight of one service in the traffic split of a route."""
@@ -53,6 +57,9 @@
     patience_ms : int
         Time that callers wait for an event before they disconnect; 0 if
         unknown.
+    needs_key : bool
+        Whether requests need the key of a customer, if the configuration has
+        customers.
 
     Examples
     --------
@@ -74,6 +81,7 @@
     is_resumable: bool = False
     gap_target_ms: int = 0
     patience_ms: int = 0
+    needs_key: bool = True
 
     @property
     def is_retryable(self):
@@ -155,6 +163,29 @@
     idle_timeout_ms: int = 15000
 
 
+def find_priority(route, customer_priority=None):
+    """Return the priority of a request: the customer's, else the route's.
+
+    Parameters
+    ----------
+    route : Route
+        The route of the request.
+    customer_priority : int or None
+        Priority of the customer, if it has one.
+
+    Examples
+    --------
+    >>> route = Route(name='r', host='h', prefix='/', kind=KIND_ONCE,
+    ...     shares=(), priority=12)
+    >>> find_priority(route), find_priority(route, 0)
+    (9, 0)
+    """
+    priority = route.priority
+    if customer_priority is not None:
+        priority = customer_priority
+    return min(max(priority, 0), PRIORITY_MAX)
+
+
 class RoutingTable:
     """One version of the operator's configuration, indexed for lookup.
 
@@ -168,6 +199,8 @@
         Services that routes refer to by name.
     limits : CallerLimits or None
         Limits for callers; None for the defaults.
+    customers : Customers or None
+        Who may send requests; None if the configuration has no customers.
 
     Examples
     --------
@@ -183,11 +216,21 @@
     True
     """
 
-    def __init__(self, *, version=0, routes=(), services=(), limits=None):
+    def __init__(
+        self,
+        *,
+        version=0,
+        routes=(),
+        services=(),
+        limits=None,
+        customers=None,
+    ):
         self.version = version
+        self.customers = customers
         self.routes = tuple(routes)
         self.services = {service.name: service for service in services}
         self.limits = limits or CallerLimits()
+        self._has_priorities = {}
         self._by_host = {}
         for route in self.routes:
             by_prefix = self._by_host.setdefault(route.host, {})
@@ -206,6 +249,26 @@
             end = path.rfind('/', 0, end - 1) + 1
         return None
 
+    def has_priorities(self, service):
+        """Return whether requests to a service differ in priority."""
+        known = self._has_priorities.get(service)
+        if known is None:
+            priorities = set()
+            for route in self.routes:
+                if any(share.service == service for share in route.shares):
+                    priorities |= self._list_priorities(route)
+            known = self._has_priorities[service] = len(priorities) > 1
+        return known
+
+    def _list_priorities(self, route):
+        """Return the priorities that requests to a route may have."""
+        of_customers = set()
+        if self.customers is not None:
+            of_customers |= self.customers.priorities
+        if self.customers is None or not route.needs_key:
+            of_customers.add(None)
+        return {find_priority(route, priority) for priority in of_customers}
+
     def engine_services(self):
         """Return the traits of the services that run models."""
         return tuple(
--- a/bluebellthread/entry/_gateway.py
+++ b/bluebellthread/entry/_gateway.py
@@ -9,6 +9,7 @@
 from bluebellthread.daemon import _clock
 from bluebellthread.daemon import _tasks
 from bluebellthread.entry import _caller_exchange
+from bluebellthread.entry import _customer_lookup
 from bluebellthread.entry import _http_messages
 from bluebellthread.entry import _refusals
 from bluebellthread.entry import _stop_admission
@@ -110,8 +111,7 @@
         elif self._taken_count >= TAKEN_MAX:
             reason = 'busy'
         if reason:
-            header = (_http_messages.NOT_TAKEN_HEADER, reason.encode())
-            await exchange.respond(503, [header], b'')
+            await self._refuse_hand_on(exchange, reason)
             return
         self._stats.count_taken()
         self._taken_count += 1
@@ -120,18 +120,45 @@
         finally:
             self._taken_count -= 1
 
+    @staticmethod
+    async def _refuse_hand_on(exchange, reason):
+        headers = [
+            (_http_messages.NOT_TAKEN_HEADER, reason.encode()),
+            (_http_messages.LOOKS_UP_KEYS_HEADER, b'1'),
+        ]
+        await exchange.respond(503, headers, b'')
+
     async def _serve_route(self, exchange, route, table, hop=None):
-        request_id = exchange.request.header(self._dialect.request_id)
+        customer = _customer_lookup.find_customer(
+            table.customers, exchange.request, self._dialect
+        )
+        if (
+            customer is None
+            and table.customers is not None
+            and route.needs_key
+        ):
+            if hop is not None and hop.run_count:
+                # The VM that hands it on knows what has run.
+                await self._refuse_hand_on(exchange, 'unknown-key')
+                return
+            await self._refuse_unknown_key(exchange, table)
+            return
+        service = route.choose_service(
+            exchange.request.header(self._dialect.request_id)
+        )
         work = _work.Work(
             exchange=exchange,
             route=route,
-            service=route.choose_service(request_id),
+            service=service,
             table_version=table.version,
             dialect=self._dialect,
             stats=self._stats,
             admission=self._control.admission,
             is_handed_on=hop is not None,
             run_count=hop.run_count if hop is not None else 0,
+            customer=customer,
+            has_customers=table.customers is not None,
+            sends_priority=table.has_priorities(service),
         )
         self._budgets.note_request(work.service)
         try:
@@ -192,6 +219,20 @@
         )
         await _refusals.send_router_answer(exchange, answer)
 
+    async def _refuse_unknown_key(self, exchange, table):
+        request = exchange.request
+        emit(
+            events.REQUEST_KEY_UNKNOWN,
+            request_id=request.header(self._dialect.request_id),
+            host=request.host,
+            path=request.path,
+            version=table.version,
+        )
+        self._stats.count_unknown_key()
+        await _refusals.send_router_answer(
+            exchange, _refusals.make_unknown_key_refusal()
+        )
+
 
 def make_paths(*, plain, stream):
     """Return the object that serves each kind of route."""
