Check an entry's configuration with bluebellthread config routes

Cause: an operator learns only from the VMs' logs that they reject a version, and from 404s that a route never matches.

--- a/bluebellthread/cli/__main__.py
+++ b/bluebellthread/cli/__main__.py
@@ -8,6 +8,7 @@
 from bluebellthread.cli import _config_check  # noqa: F401
 from bluebellthread.cli import _config_diff  # noqa: F401
 from bluebellthread.cli import _config_explain  # noqa: F401
+from bluebellthread.cli import _config_routes  # noqa: F401
 from bluebellthread.cli import _limits  # noqa: F401
 from bluebellthread.cli import _parts  # noqa: F401
 from bluebellthread.cli import _registry
