Test that the priority is sent where routes alone differ in it

Cause: PROTOCOL says that servers get it without customers, too, and only the decision was tested.

Change: the test of a configuration without customers goes on with one whose routes differ in priority.

--- a/tests/integration/test_entry_customers.py
+++ b/tests/integration/test_entry_customers.py
@@ -123,6 +123,15 @@
             self.assertEqual(f'Bearer {KEY}', call.headers['authorization'])
             self.assertEqual('own', call.headers['x-tenant'])
             self.assertNotIn('x-request-priority', call.headers)
+            # Routes of one service that differ in priority ask for it.
+            fields = sites.make_configuration(2)
+            fields['routes'][1]['priority'] = 12
+            site.store.put('op/config', fields)
+            await sites.wait_until(lambda: site.entry.state.table.version == 2)
+            for path, priority in (('/read/x', '1'), ('/order/x', '9')):
+                await site.call('POST', path, request_id=path)
+                sent = site.servers['s1'].arrivals[-1].headers
+                self.assertEqual(priority, sent.get('x-request-priority'))
 
     # Retries, and the second run of a stream that broke, are sent by code of
     # their own.
