Read load reports with a fourth figure, the speed of work

Cause: servers of two further deployments report four figures, and read_load returned None for them, so their load was ignored. Change: read_load returns a LoadReport. Every answer of a backend server, engines included, tells EntryState whether its service reports speeds. Reports with three figures are used as before.

--- a/bluebellthread/core/routing/__init__.py
+++ b/bluebellthread/core/routing/__init__.py
@@ -30,6 +30,7 @@
 from bluebellthread.core.routing._limit_messages import LimitsAnswer
 from bluebellthread.core.routing._limit_messages import LimitsAsk
 from bluebellthread.core.routing._limit_messages import ServerLimit
+from bluebellthread.core.routing._load_report import LoadReport
 from bluebellthread.core.routing._memory_models import memory_models
 from bluebellthread.core.routing._news import choose_partners
 from bluebellthread.core.routing._news import News
@@ -110,6 +111,7 @@
     'LimitsAnswer',
     'LimitsAsk',
     'ListedServer',
+    'LoadReport',
     'News',
     'NewsNoted',
     'OriginAnswer',
--- a/bluebellthread/core/routing/_server_choice.py
+++ b/bluebellthread/core/routing/_server_choice.py
@@ -110,14 +110,14 @@
 
         Parameters
         ----------
-        load : tuple of int or None
-            Running requests, waiting requests and slots of the server; None
-            if the answer carried no valid report.
+        load : LoadReport or None
+            None if the answer carried no valid report.
         """
         if load is None:
             return
         account = self._account(server)
-        account.reported_running, account.reported_waiting = load[0], load[1]
+        account.reported_running = load.running
+        account.reported_waiting = load.waiting
         account.reported_ms = now_ms
 
     def note_success(self, server, took_ms):
--- a/bluebellthread/entry/_dialect.py
+++ b/bluebellthread/entry/_dialect.py
@@ -69,8 +69,7 @@
     read_leaving : callable
         Takes the text of `leaving`; returns whether the server leaves.
     read_load : callable
-        Takes the text of `load`; returns the counts of running and waiting
-        requests and of slots, or None.
+        Takes the text of `load`; returns a `LoadReport`, or None.
     read_token_counts : callable
         Takes the text of `token_counts`; returns prompt tokens and the most
         output tokens, or None.
--- a/bluebellthread/entry/_server_calls.py
+++ b/bluebellthread/entry/_server_calls.py
@@ -108,6 +108,10 @@
         return 'close' in self.head.header(b'connection').lower()
 
 
+def _ignore(*_):
+    """Note nothing."""
+
+
 class ServerCaller:
     """Makes calls to backend servers.
 
@@ -125,6 +129,9 @@
         Takes a server that says that it leaves.
     note_wrong_server : callable
         Takes a server at whose address another one answers.
+    note_load : callable
+        Takes a server, its `LoadReport`, and when the answer's request was
+        sent.
     """
 
     def __init__(
@@ -136,6 +143,7 @@
         paths,
         note_leaving,
         note_wrong_server,
+        note_load=_ignore,
     ):
         self._connections = connections
         self._dialect = dialect
@@ -143,6 +151,7 @@
         self._paths = paths
         self._note_leaving = note_leaving
         self._note_wrong_server = note_wrong_server
+        self._note_load = note_load
 
     async def admit(self, server):
         """Return the `Admission` of one request to a server.
@@ -343,6 +352,9 @@
         self._limits.observe(
             server, head, sent_ms, is_refusal=self._is_refusal(head)
         )
+        report = self._dialect.read_load(head.header(self._dialect.load))
+        if report is not None:
+            self._note_load(server, report, sent_ms)
         self._observe_leaving(server, head)
 
     def _observe_leaving(self, server, head):
--- a/bluebellthread/entry/_service.py
+++ b/bluebellthread/entry/_service.py
@@ -225,6 +225,10 @@
         self.stats.count_engine_end()
         self.shut_outs.note_end(report)
 
+    def _note_load(self, server, report, sent_ms):
+        if report.work_percent is not None:
+            self.state.note_load_report(server.service)
+
     def _note_leaving(self, server):
         departure = self.state.directory.note_leaving(
             server, _clock.read_clock_ms()
@@ -243,6 +247,7 @@
             paths=self._paths,
             note_leaving=self._note_leaving,
             note_wrong_server=self._silences.note_wrong_server,
+            note_load=self._note_load,
         )
         self._roles = _role_task.RoleTask(
             state=self.state, caller=caller, dialect=dialect
--- a/bluebellthread/entry/_state.py
+++ b/bluebellthread/entry/_state.py
@@ -61,6 +61,7 @@
         self._members = {}
         self._engines = {}
         self._ranked = {}
+        self._speed_services = set()
         self._owner_share = routing.OwnerShare()
 
     @property
@@ -132,6 +133,14 @@
             self._ranked[service] = ranked
         return ranked
 
+    def note_load_report(self, service):
+        """Note that a server of a service has reported the speed of work."""
+        self._speed_services.add(service)
+
+    def reports_speed(self, service):
+        """Return whether this VM has had such a report of a service."""
+        return service in self._speed_services
+
     def find_owner_share(self):
         """Return the part of a rate for all VMs that an owner here grants."""
         seeds = {self.settings.host, *self.settings.seed_hosts}
--- a/bluebellthread/platform/_dialect.py
+++ b/bluebellthread/platform/_dialect.py
@@ -4,6 +4,7 @@
 import re
 
 from bluebellthread import core
+from bluebellthread.core import routing
 from bluebellthread.entry import ControlCall
 from bluebellthread.entry import Dialect
 
@@ -54,16 +55,23 @@
 
 
 def read_load(text):
-    """Parse a load report into running and waiting requests and slots.
+    """Parse a load report of three or four figures into a `LoadReport`.
 
-    Return None if the text is malformed.
+    Return None if the text is malformed. Work that takes no time is.
 
     Examples
     --------
     >>> read_load('3,0,8')
-    (3, 0, 8)
+    LoadReport(running=3, waiting=0, slots=8, work_percent=None)
+    >>> read_load('3,0,8,250').work_percent
+    250
+    >>> read_load('3,0,8,0') is None
+    True
     """
-    return _read_numbers(text, 3)
+    numbers = _read_numbers(text, 3) or _read_numbers(text, 4)
+    if numbers is None or numbers[3:] == (0,):
+        return None
+    return routing.LoadReport(*numbers)
 
 
 def read_token_counts(text):
--- a/tests/unit/test_server_choice.py
+++ b/tests/unit/test_server_choice.py
@@ -1,6 +1,7 @@
 import random
 import unittest
 
+from bluebellthread import platform
 from bluebellthread.core import routing
 from bluebellthread.core.routing import _server_choice
 
@@ -57,7 +58,7 @@
 
     def test_load_report_counts_until_it_is_too_old(self):
         servers = [make_server('x'), make_server('y', 'b')]
-        self.choice.note_load(servers[0], (6, 3, 6), 0)
+        self.choice.note_load(servers[0], routing.LoadReport(6, 3, 6), 0)
         self.assertEqual('y', self.choose(servers, 100))
         later = _server_choice.LOAD_REPORT_MAX_AGE_MS
         self.assertEqual('x', self.choose(servers, later))
@@ -70,3 +71,13 @@
         self.assertEqual('s2', self.choose([server, other]))
         self.choice.keep_only({'s2'})
         self.assertEqual('s1', self.choose([server, other]))
+
+
+class TestLoadReports(unittest.TestCase):
+    def test_report_has_three_or_four_figures(self):
+        """Older servers must stay readable beside those with a speed."""
+        read = platform.make_dialect().read_load
+        self.assertIsNone(read('3,0,6').work_percent)
+        self.assertEqual(250, read('3,0,6,250').work_percent)
+        for text in ('', '3,0', '3,0,6,', '3,0,6,0', '3,0,6,-1', '3,0,6,1,1'):
+            self.assertIsNone(read(text), text)
