--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -9,6 +9,7 @@
 
 from bench import _deployments
 from bench import _faults
+from bench import _plain_replay
 from bench import _proxy_cost
 from bench import _replay
 from bench import _report
@@ -132,6 +133,11 @@
     )
     replay.add_argument('--plot', metavar='FILE.png')
     replay.set_defaults(call=_replay.replay_all)
+    plain = commands.add_parser(
+        'plain', help='replay requests to a plain service, choices compared'
+    )
+    _plain_replay.add_arguments(plain)
+    plain.set_defaults(call=_plain_replay.replay_all)
     record = commands.add_parser(
         'record', help='generate a load with bursts and write it to a file'
     )
--- a/bluebellthread/core/routing/__init__.py
+++ b/bluebellthread/core/routing/__init__.py
@@ -23,6 +23,8 @@
 from bluebellthread.core.routing._directory import ListedServer
 from bluebellthread.core.routing._directory import ServerDirectory
 from bluebellthread.core.routing._engine_account import EngineServer
+from bluebellthread.core.routing._estimated_choice import EstimatedChoice
+from bluebellthread.core.routing._estimated_choice import PlainVerdict
 from bluebellthread.core.routing._grant_review import find_dispute
 from bluebellthread.core.routing._grant_review import GrantReview
 from bluebellthread.core.routing._helper_choice import HelperChoice
@@ -63,6 +65,7 @@
 from bluebellthread.core.routing._run_race import Run
 from bluebellthread.core.routing._run_race import RunRace
 from bluebellthread.core.routing._run_times import RunTimes
+from bluebellthread.core.routing._server_choice import server_choices
 from bluebellthread.core.routing._server_choice import ServerChoice
 from bluebellthread.core.routing._server_limits import effective_rate_per_s
 from bluebellthread.core.routing._server_limits import LIMIT_KEEP_MS
@@ -98,6 +101,7 @@
     'EndedRun',
     'EngineEnded',
     'EngineServer',
+    'EstimatedChoice',
     'GrantReview',
     'EngineTraits',
     'HeldPlacement',
@@ -121,6 +125,7 @@
     'OwnedAllocator',
     'OwnerShare',
     'PartSurvived',
+    'PlainVerdict',
     'PlacementAsk',
     'PlacementEnded',
     'PlacementGranted',
@@ -167,5 +172,6 @@
     'is_request_id',
     'memory_models',
     'plan_decode_switches',
+    'server_choices',
     'waiting_orders',
 ]
--- a/bluebellthread/core/routing/_server_choice.py
+++ b/bluebellthread/core/routing/_server_choice.py
@@ -7,6 +7,11 @@
 
 import attrs
 
+from bluebellthread.core import _registry
+
+server_choices = _registry.Registry('server choice')
+"""Classes that choose the server of each request to a plain service."""
+
 LOAD_REPORT_MAX_AGE_MS = 500
 """Age up to which a load report of a server is used: the time of a few dozen
 of its requests."""
@@ -38,6 +43,29 @@
     smoothed_took_ms: float = 0.0
 
 
+@attrs.frozen(kw_only=True)
+class Places:
+    """Where this VM is, and how far the servers are from it."""
+
+    data_centre: str
+    region: str
+    regions: dict
+
+    def find_cost(self, data_centre, costs):
+        """Return the cost of a server there, from costs by distance."""
+        if data_centre == self.data_centre:
+            return costs['data_centre']
+        if self.regions.get(data_centre) == self.region:
+            return costs['region']
+        return costs['remote']
+
+
+def find_back_off_ms(failures):
+    """Return the back-off after a number of consecutive failures."""
+    return min(BACK_OFF_MAX_MS, BACK_OFF_FIRST_MS * 2 ** min(failures - 1, 8))
+
+
+@server_choices.register('latest-report')
 class ServerChoice:
     """Track the load of the servers of plain services and choose among them.
 
@@ -64,9 +92,9 @@
     """
 
     def __init__(self, *, data_centre, region, regions, rng):
-        self._data_centre = data_centre
-        self._region = region
-        self._regions = regions
+        self._places = Places(
+            data_centre=data_centre, region=region, regions=regions
+        )
         self._rng = rng
         self._accounts = {}
 
@@ -96,6 +124,9 @@
             key=lambda item: (self._score(item, now_ms), self._rng.random()),
         )
 
+    def judge(self, servers, now_ms, *, deadline_ms, priority):
+        """Return None: requests are always sent."""
+
     def begin(self, server):
         """Count one more request in flight at a server."""
         self._account(server).in_flight += 1
@@ -120,22 +151,21 @@
         account.reported_waiting = load.waiting
         account.reported_ms = now_ms
 
-    def note_success(self, server, took_ms):
+    def note_success(self, server, took_ms, now_ms):
         """End the back-off; add an answer's duration to the moving average."""
         account = self._account(server)
         account.failures = 0
         account.back_off_until_ms = 0
         account.smoothed_took_ms += 0.2 * (took_ms - account.smoothed_took_ms)
 
+    def note_error(self, server, now_ms):
+        """Ignore that the server has answered that it failed."""
+
     def note_failure(self, server, now_ms):
         """Start a back-off, twice as long after each consecutive failure."""
         account = self._account(server)
         account.failures += 1
-        back_off_ms = min(
-            BACK_OFF_MAX_MS,
-            BACK_OFF_FIRST_MS * 2 ** min(account.failures - 1, 8),
-        )
-        account.back_off_until_ms = now_ms + back_off_ms
+        account.back_off_until_ms = now_ms + find_back_off_ms(account.failures)
 
     def keep_only(self, names):
         """Discard the accounts of all servers except ``names``."""
@@ -160,12 +190,5 @@
         return (
             (busy + 1) / slots
             + slowness
-            + self._distance_cost(server.data_centre)
+            + self._places.find_cost(server.data_centre, DISTANCE_COST)
         )
-
-    def _distance_cost(self, data_centre):
-        if data_centre == self._data_centre:
-            return DISTANCE_COST['data_centre']
-        if self._regions.get(data_centre) == self._region:
-            return DISTANCE_COST['region']
-        return DISTANCE_COST['remote']
--- a/bluebellthread/entry/_plain_attempts.py
+++ b/bluebellthread/entry/_plain_attempts.py
@@ -3,6 +3,7 @@
 import math
 
 import attrs
+import trio
 
 from bluebellthread import core
 from bluebellthread.core import routing
@@ -38,6 +39,24 @@
         super().__init__(str(result))
 
 
+class ServersFullError(_server_calls.CallFailedError):
+    """Raised when no server has a place in the caller's time.
+
+    Nothing was sent.
+
+    Parameters
+    ----------
+    retry_after_ms : int
+        Milliseconds after which a server may have a place.
+    """
+
+    def __init__(self, *, retry_after_ms):
+        self.retry_after_ms = retry_after_ms
+        super().__init__(
+            "no server has a place in the caller's time", may_have_run=False
+        )
+
+
 @attrs.define(kw_only=True)
 class Progress:
     """What has been tried for one request.
@@ -87,7 +106,7 @@
         Supplies the list of backend servers.
     caller : ServerCaller
         Makes the calls to them.
-    choice : ServerChoice
+    choice : ServerChoices
         Chooses a server for each attempt.
     budgets : RetryBudgets
         Limits the retries.
@@ -164,7 +183,10 @@
         """Return a server for an attempt, and its `Admission`."""
         work = progress.work
         while True:
-            server = self._choose(progress, attempt)
+            servers = self._list_open(progress)
+            if await self._waits_for_place(progress, servers):
+                continue
+            server = self._choose(progress, attempt, servers)
             if server is None:
                 raise UnansweredError(None)
             try:
@@ -176,6 +198,27 @@
                 raise UnansweredError(None)
             return server, admission
 
+    async def _waits_for_place(self, progress, servers):
+        """Wait a moment if all servers are full; return whether they are.
+
+        Raises
+        ------
+        UnansweredError
+            If none will have a place in the caller's time.
+        """
+        verdict = self._choice.judge(
+            progress.work,
+            [item for item in servers if item.name not in progress.tried],
+        )
+        if verdict is None:
+            return False
+        if verdict.is_refused:
+            raise UnansweredError(
+                ServersFullError(retry_after_ms=verdict.wait_ms)
+            )
+        await trio.sleep(verdict.wait_ms / _clock.MS_PER_S)
+        return True
+
     async def _is_path_lost(self, server, result):
         """Return whether a server was not reached, nor any other one."""
         return (
@@ -200,14 +243,13 @@
         attempt.take()
         await work.pass_on(answer, outcome='handed-on')
 
-    def _choose(self, progress, attempt):
-        """Return a server for an attempt, or None."""
+    def _choose(self, progress, attempt, servers):
+        """Return one of the servers for an attempt, or None."""
         work = progress.work
         directory = self._state.directory
         if self._seen_version != directory.version:
             self._seen_version = directory.version
             self._choice.keep_only(directory.names)
-        servers = self._list_open(progress)
         now_ms = _clock.read_clock_ms()
         silent_servers = [other.waits_for for other in attempt.others]
         to_avoid = [
@@ -263,8 +305,9 @@
         self._choice.note_load(server, load, now_ms)
         work.note_run()
         if answer.head.status < 500:
-            self._choice.note_success(server, now_ms - started_ms)
+            self._choice.note_success(server, now_ms - started_ms, now_ms)
         else:
+            self._choice.note_error(server, now_ms)
             emit(
                 events.SERVER_FAILED_REQUEST,
                 request_id=work.request_id,
--- a/bluebellthread/entry/_plain_path.py
+++ b/bluebellthread/entry/_plain_path.py
@@ -143,6 +143,12 @@
         if result is None:
             await self._end_without_server(progress)
             return True
+        if isinstance(result, _plain_attempts.ServersFullError):
+            if progress.failure is not None:
+                await work.pass_on(progress.failure)
+            else:
+                await self._give_up(work, result.retry_after_ms)
+            return True
         if isinstance(result, _server_calls.ServerLimitedError):
             progress.note_closed(result.server, result.retry_after_ms)
             return False
@@ -229,8 +235,8 @@
             work.log_not_retried(work.last_server, obstacle)
         return not obstacle
 
-    async def _give_up(self, work):
+    async def _give_up(self, work, retry_after_ms=REFUSED_RETRY_MS):
         if work.may_have_run:
             await work.fail('answer-lost')
         else:
-            await work.refuse('servers-full', REFUSED_RETRY_MS)
+            await work.refuse('servers-full', retry_after_ms)
--- a/bluebellthread/entry/_server_calls.py
+++ b/bluebellthread/entry/_server_calls.py
@@ -130,8 +130,8 @@
     note_wrong_server : callable
         Takes a server at whose address another one answers.
     note_load : callable
-        Takes a server, its `LoadReport`, and when the answer's request was
-        sent.
+        Takes a server, its `LoadReport`, and whether the server has refused
+        the request.
     """
 
     def __init__(
@@ -349,12 +349,11 @@
         """Note what an answer says of its server, and of no other one."""
         if head.status == WRONG_SERVER_STATUS:
             return
-        self._limits.observe(
-            server, head, sent_ms, is_refusal=self._is_refusal(head)
-        )
+        is_refusal = self._is_refusal(head)
+        self._limits.observe(server, head, sent_ms, is_refusal=is_refusal)
         report = self._dialect.read_load(head.header(self._dialect.load))
         if report is not None:
-            self._note_load(server, report, sent_ms)
+            self._note_load(server, report, is_refusal)
         self._observe_leaving(server, head)
 
     def _observe_leaving(self, server, head):
--- a/bluebellthread/entry/_service.py
+++ b/bluebellthread/entry/_service.py
@@ -8,7 +8,6 @@
 import trio
 
 from bluebellthread import core
-from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
 from bluebellthread.daemon import _mailboxes
 from bluebellthread.daemon import _membership_task
@@ -32,6 +31,7 @@
 from bluebellthread.entry import _platform_task
 from bluebellthread.entry import _role_task
 from bluebellthread.entry import _server_calls
+from bluebellthread.entry import _server_choices
 from bluebellthread.entry import _server_connection
 from bluebellthread.entry import _server_limits
 from bluebellthread.entry import _server_watch
@@ -225,10 +225,6 @@
         self.stats.count_engine_end()
         self.shut_outs.note_end(report)
 
-    def _note_load(self, server, report, sent_ms):
-        if report.work_percent is not None:
-            self.state.note_load_report(server.service)
-
     def _note_leaving(self, server):
         departure = self.state.directory.note_leaving(
             server, _clock.read_clock_ms()
@@ -238,7 +234,11 @@
             self._news.tell_departures([departure])
 
     def _make_gateway(self, dialect):
-        settings = self._settings
+        self._choices = _server_choices.ServerChoices(
+            state=self.state,
+            stats=self.stats,
+            make_rng=functools.partial(random.Random, self._incarnation),
+        )
         budgets = _budgets.RetryBudgets(self.state)
         caller = _server_calls.ServerCaller(
             connections=self._connections,
@@ -247,7 +247,7 @@
             paths=self._paths,
             note_leaving=self._note_leaving,
             note_wrong_server=self._silences.note_wrong_server,
-            note_load=self._note_load,
+            note_load=self._choices.note_answer_head,
         )
         self._roles = _role_task.RoleTask(
             state=self.state, caller=caller, dialect=dialect
@@ -262,12 +262,7 @@
         attempts = _plain_attempts.PlainAttempts(
             state=self.state,
             caller=caller,
-            choice=routing.ServerChoice(
-                data_centre=settings.data_centre,
-                region=settings.region,
-                regions=settings.regions,
-                rng=random.Random(self._incarnation),
-            ),
+            choice=self._choices,
             budgets=budgets,
             limits=self.server_limits,
             shut_outs=self.shut_outs,
@@ -480,6 +475,7 @@
         stats.set_gauge('shut_outs', len(self.shut_outs.list_all()))
         stats.set_gauge('lost_services', len(self._paths.lost_services))
         stats.set_gauge('limited_servers', len(self.server_limits.list_all()))
+        stats.set_server_loads(self._choices.list_estimates())
 
     async def _prune(self):
         while True:
--- a/bluebellthread/entry/_stats.py
+++ b/bluebellthread/entry/_stats.py
@@ -57,6 +57,9 @@
         self._turned_away = self._counter(
             'turned_away', 'Requests kept from servers that name limits'
         )
+        self._waited = self._counter(
+            'plain_waits', 'Waits for a place at full servers'
+        )
         self._handed_on = self._counter(
             'handed_on', 'Requests that other VMs took from this one'
         )
@@ -90,6 +93,16 @@
             )
         }
 
+        self._server_load, self._report_age = (
+            prometheus_client.Gauge(
+                f'{PREFIX}_{name}', text, ('server',), registry=self._registry
+            )
+            for name, text in (
+                ('server_load', 'Estimated requests at a server per slot'),
+                ('load_report_age_seconds', 'Age of the last load report'),
+            )
+        )
+
     def _counter(self, name, text, labels=()):
         return prometheus_client.Counter(
             f'{PREFIX}_{name}', text, labels, registry=self._registry
@@ -129,6 +142,10 @@
         """Count a request that a server's limit kept from the server."""
         self._turned_away.inc()
 
+    def count_waited(self):
+        """Count a wait of a request for a place at full servers."""
+        self._waited.inc()
+
     def count_handed_on(self):
         """Count a request that another VM has taken."""
         self._handed_on.inc()
@@ -149,6 +166,22 @@
         """Set a gauge, named without the common prefix of all metrics."""
         self._gauges[name].set(value)
 
+    def set_server_loads(self, estimates):
+        """Replace the estimates of servers: load, and age of the report.
+
+        Parameters
+        ----------
+        estimates : iterable of (ListedServer, float, float or None)
+            The requests per slot, and the milliseconds since the report.
+        """
+        self._server_load.clear()
+        self._report_age.clear()
+        for server, load, age_ms in estimates:
+            self._server_load.labels(server=server.name).set(load)
+            if age_ms is not None:
+                age_s = age_ms / _clock.MS_PER_S
+                self._report_age.labels(server=server.name).set(age_s)
+
     def render(self):
         """Return all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self._registry)
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -551,6 +551,19 @@
     'WARNING',
     'request {request_id} broke off at VM {vm}: {reason}',
 )
+SPEED_REPORTED = Event(
+    7085,
+    'INFO',
+    'backend server {server} reports how long work takes on it; requests of '
+    'service {service} go to servers by their estimated time from now on',
+)
+SERVERS_FULL = Event(
+    7086,
+    'WARNING',
+    'request {request_id} of service {service} is refused: no server has a '
+    'place in the {remaining_ms} ms that its caller waits, at least for '
+    '{retry_after_ms} ms',
+)
 
 
 def list_events():
--- a/standin/site/_backend.py
+++ b/standin/site/_backend.py
@@ -83,6 +83,7 @@
     content_type: str = ''
     endings: list = attrs.field(factory=list)
     limit: str = ''
+    load: str = ''
     retry_after: str = ''
     is_leaving: bool = False
     deadly_calls: set = attrs.field(factory=set)
@@ -241,7 +242,7 @@
         return [
             (ATTEMPT, request.headers.get(ATTEMPT, '')),
             (SEAL, f'seal-of-{self.name}'),
-            ('x-instance-load', f'1,0,{self.slots}'),
+            ('x-instance-load', self.load or f'1,0,{self.slots}'),
             *self.limit_headers(),
             *self.leaving_headers(),
         ]
--- a/tests/unit/test_server_choice.py
+++ b/tests/unit/test_server_choice.py
@@ -1,9 +1,9 @@
 import random
 import unittest
 
-from bluebellthread import platform
 from bluebellthread.core import routing
 from bluebellthread.core.routing import _server_choice
+from bluebellthread import platform
 
 REGIONS = {'a': 'north', 'b': 'north', 'z': 'south'}
 
