--- a/bluebellthread/core/routing/__init__.py
+++ b/bluebellthread/core/routing/__init__.py
@@ -23,6 +23,8 @@
 from bluebellthread.core.routing._directory import ListedServer
 from bluebellthread.core.routing._directory import ServerDirectory
 from bluebellthread.core.routing._engine_account import EngineServer
+from bluebellthread.core.routing._estimated_choice import EstimatedChoice
+from bluebellthread.core.routing._estimated_choice import PlainVerdict
 from bluebellthread.core.routing._grant_review import find_dispute
 from bluebellthread.core.routing._grant_review import GrantReview
 from bluebellthread.core.routing._helper_choice import HelperChoice
@@ -30,6 +32,7 @@
 from bluebellthread.core.routing._limit_messages import LimitsAnswer
 from bluebellthread.core.routing._limit_messages import LimitsAsk
 from bluebellthread.core.routing._limit_messages import ServerLimit
+from bluebellthread.core.routing._load_report import LoadReport
 from bluebellthread.core.routing._memory_models import memory_models
 from bluebellthread.core.routing._news import choose_partners
 from bluebellthread.core.routing._news import News
@@ -64,6 +67,7 @@
 from bluebellthread.core.routing._run_race import Run
 from bluebellthread.core.routing._run_race import RunRace
 from bluebellthread.core.routing._run_times import RunTimes
+from bluebellthread.core.routing._server_choice import server_choices
 from bluebellthread.core.routing._server_choice import ServerChoice
 from bluebellthread.core.routing._server_limits import effective_rate_per_s
 from bluebellthread.core.routing._server_limits import LIMIT_KEEP_MS
@@ -99,6 +103,7 @@
     'EndedRun',
     'EngineEnded',
     'EngineServer',
+    'EstimatedChoice',
     'GrantReview',
     'EngineTraits',
     'HeldPlacement',
@@ -112,6 +117,7 @@
     'LimitsAnswer',
     'LimitsAsk',
     'ListedServer',
+    'LoadReport',
     'News',
     'NewsNoted',
     'OriginAnswer',
@@ -122,6 +128,7 @@
     'OwnerShare',
     'PRIORITY_MAX',
     'PartSurvived',
+    'PlainVerdict',
     'PlacementAsk',
     'PlacementEnded',
     'PlacementGranted',
@@ -169,5 +176,6 @@
     'is_request_id',
     'memory_models',
     'plan_decode_switches',
+    'server_choices',
     'waiting_orders',
 ]
--- a/bluebellthread/entry/_server_calls.py
+++ b/bluebellthread/entry/_server_calls.py
@@ -109,6 +109,10 @@
         return 'close' in self.head.header(b'connection').lower()
 
 
+def _ignore(*_):
+    """Note nothing."""
+
+
 class ServerCaller:
     """Makes calls to backend servers.
 
@@ -126,6 +130,9 @@
         Takes a server that says that it leaves.
     note_wrong_server : callable
         Takes a server at whose address another one answers.
+    note_load : callable
+        Takes a server, its `LoadReport`, and whether the server has refused
+        the request.
     """
 
     def __init__(
@@ -137,6 +144,7 @@
         paths,
         note_leaving,
         note_wrong_server,
+        note_load=_ignore,
     ):
         self._connections = connections
         self._dialect = dialect
@@ -144,6 +152,7 @@
         self._paths = paths
         self._note_leaving = note_leaving
         self._note_wrong_server = note_wrong_server
+        self._note_load = note_load
 
     async def admit(self, server):
         """Return the `Admission` of one request to a server.
@@ -344,9 +353,11 @@
         """Note what an answer says of its server, and of no other one."""
         if head.status == WRONG_SERVER_STATUS:
             return
-        self._limits.observe(
-            server, head, sent_ms, is_refusal=self._is_refusal(head)
-        )
+        is_refusal = self._is_refusal(head)
+        self._limits.observe(server, head, sent_ms, is_refusal=is_refusal)
+        report = self._dialect.read_load(head.header(self._dialect.load))
+        if report is not None:
+            self._note_load(server, report, is_refusal)
         self._observe_leaving(server, head)
 
     def _observe_leaving(self, server, head):
--- a/tests/unit/test_server_choice.py
+++ b/tests/unit/test_server_choice.py
@@ -3,6 +3,7 @@
 
 from bluebellthread.core import routing
 from bluebellthread.core.routing import _server_choice
+from bluebellthread import platform
 
 REGIONS = {'a': 'north', 'b': 'north', 'z': 'south'}
 
@@ -34,7 +35,7 @@
         near, far = make_server('near'), make_server('far', 'z')
         self.assertEqual('near', self.choose([far, near]))
         for _ in range(12):
-            self.choice.begin(near)
+            self.choice.begin(near, 0)
         self.assertEqual('far', self.choose([far, near]))
 
     def test_back_off_doubles_with_each_consecutive_failure(self):
@@ -57,7 +58,7 @@
 
     def test_load_report_counts_until_it_is_too_old(self):
         servers = [make_server('x'), make_server('y', 'b')]
-        self.choice.note_load(servers[0], (6, 3, 6), 0)
+        self.choice.note_load(servers[0], routing.LoadReport(6, 3, 6), 0)
         self.assertEqual('y', self.choose(servers, 100))
         later = _server_choice.LOAD_REPORT_MAX_AGE_MS
         self.assertEqual('x', self.choose(servers, later))
@@ -70,3 +71,13 @@
         self.assertEqual('s2', self.choose([server, other]))
         self.choice.keep_only({'s2'})
         self.assertEqual('s1', self.choose([server, other]))
+
+
+class TestLoadReports(unittest.TestCase):
+    def test_report_has_three_or_four_figures(self):
+        """Older servers must stay readable beside those with a speed."""
+        read = platform.make_dialect().read_load
+        self.assertIsNone(read('3,0,6').work_percent)
+        self.assertEqual(250, read('3,0,6,250').work_percent)
+        for text in ('', '3,0', '3,0,6,', '3,0,6,0', '3,0,6,-1', '3,0,6,1,1'):
+            self.assertIsNone(read(text), text)
