Bound the memory that is held for clients, and their connections

Cause: whole answers until they are sent, events of streams, bytes read ahead and bodies had no bound in sum, and connections none; whole answers were copied in respond, and the exception of a refused request kept its body. Change: one ClientMemory a process, with a bound in sum, one a connection, and one on connections from limits.fdLimit; the client stalled longest is cut off when there is need. Long bodies of known length are mapped as a whole. Last answers of connections move to a module of their own.

--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -64,6 +64,14 @@
         'TooManyHeldPiecesError',
     ),
     '_body_blocks': ('BodyBlocks',),
+    '_client_memory': (
+        'KIND_AHEAD',
+        'KIND_ANSWER',
+        'KIND_BODY',
+        'KIND_EVENTS',
+        'REQUEST_KINDS',
+        'ClientMemory',
+    ),
     '_body_budget': ('BodyBudget', 'BodyReservation', 'NoMemoryLeftError'),
     '_configuration': (
         'Configuration',
--- a/bluebellthread/core/_answer_body.py
+++ b/bluebellthread/core/_answer_body.py
@@ -63,6 +63,8 @@
         Value of the ``Content-Type`` header; may be empty.
     size_max_bytes : int
         Size of the longest body that is taken.
+    length_bytes : int
+        Length that the body will have; 0 if it is not known.
     budget : BodyBudget or None
         Memory that is shared with other bodies until `close`; None for no
         such limit.
@@ -79,12 +81,22 @@
     b'{"a": 1}'
     """
 
-    def __init__(self, *, framing, content_type, size_max_bytes, budget=None):
+    def __init__(
+        self,
+        *,
+        framing,
+        content_type,
+        size_max_bytes,
+        budget=None,
+        length_bytes=0,
+    ):
         self._budget = budget
         self._framing = framing
         self._content_type = content_type.partition(';')[0].strip().lower()
         self._size_max_bytes = size_max_bytes
-        self._blocks = _body_blocks.BodyBlocks()
+        self._length_bytes = min(length_bytes, size_max_bytes)
+        self._reserved_bytes = 0
+        self._blocks = _body_blocks.BodyBlocks(self._length_bytes)
 
     @classmethod
     def of_answer(cls, status, headers, *, method, size_max_bytes):
@@ -125,22 +137,28 @@
             If the body is too long with them, or the shared memory does not
             suffice for it.
         """
-        held_bytes = self.size_bytes
-        size_bytes = held_bytes + len(data)
+        size_bytes = self.size_bytes + len(data)
         if size_bytes > self._size_max_bytes:
             raise AnswerTooLongError(self._size_max_bytes)
-        if self._budget is not None and not self._budget.reserve(
-            size_bytes, held_bytes
-        ):
-            raise AnswerTooLongError(held_bytes)
+        # The announced length is reserved at once. Of several answers that
+        # grew side by side, none could be finished.
+        needed_bytes = max(size_bytes, self._length_bytes)
+        if self._budget is not None and needed_bytes > self._reserved_bytes:
+            if not self._budget.reserve(needed_bytes, self._reserved_bytes):
+                raise AnswerTooLongError(self.size_bytes)
+            self._reserved_bytes = needed_bytes
         self._blocks.append(data)
 
+    def keep_reserved(self):
+        """Leave the shared memory to whoever keeps the whole body."""
+        self._budget = None
+
     def close(self):
         """Drop the content and release the shared memory."""
-        held_bytes = self.size_bytes
         self._blocks.clear()
         if self._budget is not None:
-            self._budget.release(held_bytes)
+            self._budget.release(self._reserved_bytes)
+            self._reserved_bytes = 0
 
     def finish(self):
         """Return the whole body at its end.
--- a/bluebellthread/core/_event_splitter.py
+++ b/bluebellthread/core/_event_splitter.py
@@ -86,6 +86,11 @@
             self._note_last_id(events)
         return events
 
+    @property
+    def held_bytes(self):
+        """Number of bytes that complete no event yet."""
+        return len(self._buffer)
+
     def check_size(self, held_bytes=0):
         """Raise if the incomplete event is too long.
 
--- a/bluebellthread/entry/_caller_connection.py
+++ b/bluebellthread/entry/_caller_connection.py
@@ -16,13 +16,16 @@
 from bluebellthread import core
 from bluebellthread.daemon import _clock
 from bluebellthread.entry import _caller_exchange
+from bluebellthread.entry import _client_stream
 from bluebellthread.entry import _concurrency
 from bluebellthread.entry import _http_messages
+from bluebellthread.entry import _last_answer
 from bluebellthread.entry import _sockets
 from bluebellthread.entry import _stop_admission
 
 RECEIVE_BYTES = 65536
 READ_AHEAD_BYTES = 262144
+AHEAD_RECEIVE_BYTES = 16384
 """Maximum number of bytes read beyond a request while it is served. Reading
 past pipelined requests shows whether the caller has closed the connection."""
 
@@ -34,18 +37,6 @@
 """Longest pause between two parts of a request body: as long as callers
 commonly wait for an answer."""
 
-LINGER_S = 1.0
-"""How long the connection is read after its write side was shut down, so
-that the caller receives the last answer: a few round trips of any caller."""
-
-REMEDIES = {
-    400: 'send one well-formed HTTP/1.1 request',
-    408: 'send the request faster',
-    413: 'send a shorter body',
-    431: 'send fewer or shorter headers',
-    501: 'send the body with a length or in chunks',
-}
-
 
 class BadRequestError(Exception):
     """Raised when a caller sends a request that can't be served.
@@ -53,12 +44,12 @@
     Parameters
     ----------
     status : int
-        HTTP status of the refusal, a key of `REMEDIES`.
+        HTTP status of the refusal, a key of `_last_answer.REMEDIES`.
     """
 
     def __init__(self, status):
         self.status = status
-        super().__init__(f'{status}: {REMEDIES[status]}')
+        super().__init__(f'{status}: {_last_answer.REMEDIES[status]}')
 
 
 class CallerConnection:
@@ -77,7 +68,10 @@
     """
 
     def __init__(self, *, stream, handler, control, is_of_vm=False):
-        self._stream = stream
+        self._raw_stream = stream
+        self._stream = None
+        self._share = None
+        self._last = None
         self._handler = handler
         self._control = control
         self._is_of_vm = is_of_vm
@@ -91,6 +85,37 @@
 
     async def run(self):
         """Serve requests until either side ends the connection."""
+        self._share = self._control.open_share(self._raw_stream)
+        if self._share is None:
+            await self._control.refuse_connection(
+                self._raw_stream, is_of_vm=self._is_of_vm
+            )
+            return
+        self._stream = _client_stream.ClientStream(
+            self._raw_stream, self._share
+        )
+        self._last = _last_answer.LastAnswer(
+            conn=self._conn,
+            stream=self._stream,
+            control=self._control,
+            is_of_vm=self._is_of_vm,
+        )
+        try:
+            # An exception keeps what its frames hold, such as a long body,
+            # so the refusal is sent after it has been handled.
+            refuse = await self._serve_until_refused()
+            if refuse is not None:
+                self._release_body()
+                await refuse()
+        finally:
+            self._release_body()
+            self._share.close()
+            with trio.CancelScope(shield=True):
+                await trio.aclose_forcefully(self._stream)
+
+    async def _serve_until_refused(self):
+        """Serve requests; return what refuses the last one, or None."""
+        last = self._last
         try:
             while await self._serve_next():
                 self._release_body()
@@ -102,17 +127,14 @@
             _caller_exchange.CallerGoneError,
         ):
             # The caller has closed the connection; no answer can reach it.
-            pass
+            return None
         except BadRequestError as error:
-            await self._refuse(error)
+            return functools.partial(last.refuse, error.status)
         except _stop_admission.StopTooNearError:
-            await self._refuse_unread()
+            return functools.partial(last.refuse_unread, self._request)
         except core.NoMemoryLeftError:
-            await self._refuse_for_memory()
-        finally:
-            self._release_body()
-            with trio.CancelScope(shield=True):
-                await trio.aclose_forcefully(self._stream)
+            return functools.partial(last.refuse_for_memory, self._request)
+        return None
 
     async def _serve_next(self):
         head = await self._read_head()
@@ -124,6 +146,7 @@
             conn=self._conn,
             stream=self._stream,
             control=self._control,
+            share=self._share,
         )
         await _concurrency.run_until_either(
             functools.partial(self._watch_caller, exchange),
@@ -132,7 +155,7 @@
         if exchange.caller_gone or not exchange.is_complete:
             return False
         if self._conn.our_state is h11.MUST_CLOSE:
-            await self._linger()
+            await self._last.linger()
             return False
         return self._conn.our_state is h11.DONE
 
@@ -208,7 +231,7 @@
         if not data:
             return False
         self._first_byte_ms = _clock.read_clock_ms()
-        self._conn.receive_data(data)
+        self._receive(data)
         return True
 
     async def _read_request(self, head):
@@ -228,20 +251,22 @@
         if length_bytes > max_bytes:
             raise BadRequestError(413)
         self._announced.grow(length_bytes)
+        self._hold_body(0)
         if self._conn.they_are_waiting_for_100_continue:
             response = h11.InformationalResponse(status_code=100, headers=[])
             with self._reading(request):
                 await self._stream.send_all(self._conn.send(response))
-        body = await self._read_body(request, max_bytes)
+        body = await self._read_body(request, max_bytes, length_bytes)
         self._request = None
         return attrs.evolve(request, body=body)
 
-    async def _read_body(self, request, max_bytes):
-        body = core.BodyBlocks()
+    async def _read_body(self, request, max_bytes, length_bytes):
+        body = core.BodyBlocks(length_bytes)
         while True:
             with self._reading(request):
                 event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
+                self._hold_ahead()
                 return body.join()
             if not isinstance(event, h11.Data):
                 raise _caller_exchange.CallerGoneError
@@ -251,10 +276,31 @@
                 raise BadRequestError(413)
             self._announced.grow(body.size_bytes)
             self._arrived.grow(body.size_bytes)
+            self._hold_body(body.size_bytes)
+
+    def _hold_body(self, size_bytes):
+        self._share.hold(
+            core.KIND_BODY,
+            size_bytes + self._request.head_bytes,
+            now_ms=_clock.read_clock_ms(),
+        )
+
+    def _hold_ahead(self, *, is_optional=False):
+        self._share.hold(
+            core.KIND_AHEAD,
+            len(self._conn.trailing_data[0]),
+            now_ms=_clock.read_clock_ms(),
+            is_optional=is_optional,
+        )
+
+    def _receive(self, data):
+        self._conn.receive_data(data)
+        self._hold_ahead()
 
     def _release_body(self):
         self._announced.release()
         self._arrived.release()
+        self._share.release(*core.REQUEST_KINDS)
 
     async def _next_event(self):
         while True:
@@ -272,109 +318,30 @@
             data = await self._stream.receive_some(RECEIVE_BYTES)
             if not data:
                 raise _caller_exchange.CallerGoneError
-            self._conn.receive_data(data)
+            self._receive(data)
 
     async def _watch_caller(self, exchange):
         """Return as soon as the caller has closed the connection."""
         try:
             while len(self._conn.trailing_data[0]) < READ_AHEAD_BYTES:
-                data = await self._stream.receive_some(RECEIVE_BYTES)
+                data = await self._stream.receive_ahead(AHEAD_RECEIVE_BYTES)
                 if not data:
                     break
                 self._conn.receive_data(data)
+                self._hold_ahead(is_optional=True)
             else:
                 # The read-ahead limit is reached. If the caller closes the
                 # connection now, only the request's deadline ends the
                 # exchange.
                 await trio.sleep_forever()
+        except core.NoMemoryLeftError:
+            # As at the read-ahead limit; the rest waits in the network.
+            await trio.sleep_forever()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             # A reset also means that the caller has left.
             pass
         exchange.caller_gone = not exchange.is_aborted
 
-    # Ending
-
-    async def _refuse(self, error):
-        """Answer a request that can't be served, then close."""
-        body = (REMEDIES[error.status] + '\n').encode()
-        headers = [(b'content-type', b'text/plain')]
-        await self._send_last(error.status, headers, body)
-
-    async def _refuse_unread(self):
-        """Refuse a request that is not read whole before a stop, and close.
-
-        The rest of it is read until the process ends, so that the caller
-        receives the refusal even if it only reads after it has sent all.
-        """
-        control = self._control
-        status, headers, body = control.admission.refuse_unread(
-            self._request, is_of_vm=self._is_of_vm
-        )
-        await self._send_last(
-            status,
-            headers,
-            body,
-            linger_s=_clock.read_remaining_s(
-                control.schedule.exit_deadline_ms
-            ),
-        )
-
-    async def _refuse_for_memory(self):
-        """Refuse a request whose body finds no memory, and close.
-
-        The rest of the body is read and dropped, as in `_refuse_unread`.
-        """
-        self._release_body()
-        status, headers, body = self._control.refuse_for_memory(
-            self._request, is_of_vm=self._is_of_vm
-        )
-        await self._send_last(
-            status,
-            headers,
-            body,
-            linger_s=BODY_TIMEOUT_MS / _clock.MS_PER_S,
-        )
-
-    async def _send_last(self, status, headers, body, *, linger_s=LINGER_S):
-        """Send the last answer of the connection, unless one has begun."""
-        if self._conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            return
-        response = h11.Response(
-            status_code=status,
-            reason=_caller_exchange.reason_of(status),
-            headers=[
-                *headers,
-                (b'content-length', str(len(body)).encode()),
-                (b'connection', b'close'),
-            ],
-        )
-        try:
-            data = self._conn.send(response)
-            data += self._conn.send(h11.Data(data=body))
-            data += self._conn.send(h11.EndOfMessage())
-            with trio.move_on_after(LINGER_S):
-                await self._stream.send_all(data)
-            await self._linger(linger_s)
-        except (h11.LocalProtocolError, trio.BrokenResourceError):
-            # The caller has left, or an answer has already started; closing
-            # the connection is all that remains.
-            return
-
-    async def _linger(self, linger_s=LINGER_S):
-        """Shut down the write side and read until the caller closes.
-
-        Closing with unread bytes would reset the connection, and the caller
-        could lose the answer.
-        """
-        try:
-            await self._stream.send_eof()
-            with trio.move_on_after(linger_s):
-                while await self._stream.receive_some(RECEIVE_BYTES):
-                    pass
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            # The caller closed first.
-            return
-
 
 def _read_length(request):
     """Return the length that a request names for its body, or 0."""
@@ -394,4 +361,4 @@
 
 
 def _known_status(hint):
-    return hint if hint in REMEDIES else 400
+    return hint if hint in _last_answer.REMEDIES else 400
--- a/bluebellthread/entry/_caller_exchange.py
+++ b/bluebellthread/entry/_caller_exchange.py
@@ -7,14 +7,55 @@
 import h11
 import trio
 
+from bluebellthread import core
+from bluebellthread.daemon import _clock
+
 CHUNKS_HTTP_VERSION = b'1.1'
 """First version of HTTP whose answers may come in chunks."""
 
 
+STREAM_STALL_S = 2.0
+"""Time after which the caller of a stream that takes nothing is cut off:
+servers abort answers that stay unread for some seconds. Callers themselves
+end a stream after 2 s without data at the earliest."""
+
+JOINED_BODY_BYTES = 65536
+"""Longest body that is sent in one call with the head of its answer."""
+
+
 class CallerGoneError(Exception):
     """Raised when the caller has closed its connection."""
 
 
+class AnswerMemory:
+    """Holds the bodies of answers in the share of a caller's connection.
+
+    Parameters
+    ----------
+    share : ClientShare
+        The share.
+    """
+
+    def __init__(self, share):
+        self._share = share
+
+    def reserve(self, size_bytes, held_bytes=0):
+        """Return whether a body may grow to a size; hold it if so."""
+        try:
+            self._share.add(
+                core.KIND_ANSWER,
+                size_bytes - held_bytes,
+                now_ms=_clock.read_clock_ms(),
+            )
+        except core.NoMemoryLeftError:
+            return False
+        return True
+
+    def release(self, held_bytes):
+        """Hold a body no longer."""
+        self.reserve(0, held_bytes)
+
+
 class CallerExchange:
     """One request of a caller and the methods that answer it.
 
@@ -33,9 +74,11 @@
         The status of the answer; None until the answer has started.
     is_complete : bool
         Whether the whole answer has been sent.
+    memory : AnswerMemory
+        Holds answers that are read whole until the request has ended.
     """
 
-    def __init__(self, *, request, conn, stream, control):
+    def __init__(self, *, request, conn, stream, control, share):
         self.request = request
         self.caller_gone = False
         self.is_aborted = False
@@ -44,6 +87,8 @@
         self._conn = conn
         self._stream = stream
         self._control = control
+        self._share = share
+        self.memory = AnswerMemory(share)
 
     @property
     def is_started(self):
@@ -53,11 +98,13 @@
     async def respond(self, status, headers, body):
         """Send a complete answer with its length."""
         sized = [*headers, (b'content-length', str(len(body)).encode())]
-        data = await self._begin(status, sized)
+        pieces = [await self._begin(status, sized)]
         if body and self.request.method != b'HEAD':
-            data += self._conn.send(h11.Data(data=body))
-        data += self._conn.send(h11.EndOfMessage())
-        await self._send(data)
+            pieces += self._conn.send_with_data_passthrough(
+                h11.Data(data=body)
+            )
+        pieces.append(self._conn.send(h11.EndOfMessage()))
+        await self._send(*pieces)
         self.is_complete = True
 
     async def start(self, status, headers):
@@ -71,8 +118,39 @@
         await self._send(data)
 
     async def send(self, data):
-        """Send a piece of a streamed answer."""
-        await self._send(self._conn.send(h11.Data(data=data)))
+        """Send a piece of a streamed answer.
+
+        A caller is cut off that takes none of it for `STREAM_STALL_S`, or if
+        there is no memory for it.
+        """
+        self.hold_events(len(data))
+        with trio.move_on_after(STREAM_STALL_S) as scope:
+            await self._send(
+                *self._conn.send_with_data_passthrough(h11.Data(data=data))
+            )
+            self._share.release(core.KIND_EVENTS)
+        if scope.cancelled_caught:
+            self._cut()
+
+    def hold_events(self, size_bytes):
+        """Hold bytes of a streamed answer; cut the caller off if they can't.
+
+        Raises
+        ------
+        CallerGoneError
+            If there is no memory for them.
+        """
+        try:
+            self._share.hold(
+                core.KIND_EVENTS, size_bytes, now_ms=_clock.read_clock_ms()
+            )
+        except core.NoMemoryLeftError:
+            self._cut()
+
+    def _cut(self):
+        self._share.cut()
+        self.caller_gone = True
+        raise CallerGoneError
 
     async def finish(self):
         """Send the last chunk, which marks a streamed answer as complete."""
@@ -89,9 +167,11 @@
         self.is_aborted = True
         await trio.aclose_forcefully(self._stream)
 
-    async def _send(self, data):
+    async def _send(self, *pieces):
+        if sum(map(len, pieces)) <= JOINED_BODY_BYTES:
+            pieces = [b''.join(pieces)]
         try:
-            await self._stream.send_all(data)
+            await self._stream.send_all(*pieces)
         except (
             trio.BrokenResourceError,
             trio.ClosedResourceError,
--- a/bluebellthread/entry/_connection_control.py
+++ b/bluebellthread/entry/_connection_control.py
@@ -9,6 +9,7 @@
 from bluebellthread import core
 from bluebellthread.core import routing
 from bluebellthread.daemon import _clock
+from bluebellthread.entry import _client_stream
 from bluebellthread.entry import _http_messages
 from bluebellthread.entry import _refusals
 from bluebellthread.entry import _request_limits
@@ -22,6 +23,8 @@
 
 BODIES_DEFAULT_BYTES = 32 * 1024 * 1024
 
+MEMORY_DEFAULT_BYTES = 32 * 1024 * 1024
+
 ANNOUNCED_FACTOR = 2
 """How many times the memory for bodies may be announced: of bodies that come
 evenly, half has arrived at a time."""
@@ -47,6 +50,9 @@
         Header names of the platform; None if connections carry no requests
         for servers.
 
+    memory : ClientMemory or None
+        Memory that is held for all clients; None for one of a default size.
+
     Attributes
     ----------
     admission : StopAdmission or None
@@ -67,9 +73,11 @@
         *,
         bodies_max_bytes=BODIES_DEFAULT_BYTES,
         dialect=None,
+        memory=None,
     ):
         self._read_limits = read_limits
         self._dialect = dialect
+        self.memory = memory or core.ClientMemory(MEMORY_DEFAULT_BYTES)
         self.body_budget = core.BodyBudget(bodies_max_bytes)
         self.length_budget = core.BodyBudget(
             ANNOUNCED_FACTOR * bodies_max_bytes
@@ -80,6 +88,7 @@
             routing.StopSchedule() if admission is None else admission.schedule
         )
         self.open_count = 0
+        self._refusing_count = 0
 
     @property
     def limits(self):
@@ -156,13 +165,42 @@
             if find_end_ms() <= now_ms:
                 scope.cancel()
 
+    def open_share(self, stream):
+        """Return the `ClientShare` of a connection; None if it is refused.
+
+        Parameters
+        ----------
+        stream : trio.SocketStream
+            The connection; closed at once if the client is cut off.
+        """
+
+        def cut(held_bytes):
+            emit(events.CLIENT_CUT_OFF, held_bytes=held_bytes)
+            stream.socket.close()
+
+        share = self.memory.open(cut, now_ms=_clock.read_clock_ms())
+        if share is None:
+            emit(events.CONNECTION_REFUSED, count=self.memory.open_count)
+        return share
+
+    async def refuse_connection(self, stream, *, is_of_vm):
+        """Refuse a connection without a share, and close it."""
+        if self._refusing_count >= _client_stream.REFUSALS_MAX:
+            stream.socket.close()
+            return
+        self._refusing_count += 1
+        try:
+            await _client_stream.refuse(stream, is_of_vm=is_of_vm)
+        finally:
+            self._refusing_count -= 1
+
     def refuse_for_memory(self, request, *, is_of_vm=False):
         """Refuse a request whose body finds no memory; it has not run.
 
         Parameters
         ----------
-        request : Request
-            The request without its body.
+        request : Request or None
+            The request without its body; None if its head is not read.
         is_of_vm : bool
             Whether another VM hands it on.
 
@@ -176,7 +214,7 @@
             Its body.
         """
         request_id, patience_ms = '', None
-        if self._dialect is not None:
+        if self._dialect is not None and request is not None:
             request_id = request.header(self._dialect.request_id)
             patience_ms = _request_limits.read_patience_ms(
                 request, self._dialect
@@ -184,7 +222,7 @@
         emit(
             events.BODY_WITHOUT_MEMORY,
             request_id=request_id,
-            used_bytes=self.body_budget.used_bytes,
+            used_bytes=self.memory.used_bytes,
         )
         if is_of_vm:
             return 503, [(_http_messages.NOT_TAKEN_HEADER, b'busy')], b''
--- a/bluebellthread/entry/_hand_on.py
+++ b/bluebellthread/entry/_hand_on.py
@@ -53,16 +53,21 @@
         """What stands for the server in the log."""
         return _name_of(self.vm)
 
-    async def read_answer(self):
+    async def read_answer(self, memory=None):
         """Return the whole `Answer`.
 
+        Parameters
+        ----------
+        memory : AnswerMemory or None
+            Holds the body; None if it is not passed on.
+
         Raises
         ------
         CallFailedError
             If it breaks off.
         """
         try:
-            body = await self.call.exchange.read_all()
+            body = await self.call.exchange.read_all(memory)
         except _server_exchange.AnswerBrokenError as error:
             raise _server_calls.CallFailedError(
                 str(error), may_have_run=True
--- a/bluebellthread/entry/_http_messages.py
+++ b/bluebellthread/entry/_http_messages.py
@@ -79,6 +79,13 @@
     body: bytes
     received_ms: int
 
+    @property
+    def head_bytes(self):
+        """Memory that the head takes, without what Python adds."""
+        return len(self.target) + sum(
+            len(name) + len(value) for name, value in self.headers
+        )
+
     @property
     def path(self):
         """The target without its query, as text."""
--- a/bluebellthread/entry/_plain_attempts.py
+++ b/bluebellthread/entry/_plain_attempts.py
@@ -192,7 +192,7 @@
                 work, attempt=attempt, silence_s=silence_s
             ) as handed_on:
                 with attempt.waiting(handed_on.server, silence_s):
-                    answer = await handed_on.read_answer()
+                    answer = await handed_on.read_answer(work.exchange.memory)
         except _server_calls.CallFailedError as error:
             raise UnansweredError(error) from error
         if attempt.others and not is_final(work, answer):
@@ -304,7 +304,7 @@
             admission=admission,
         )
         try:
-            body = await call.exchange.read_all()
+            body = await call.exchange.read_all(work.exchange.memory)
         except _server_exchange.AnswerBrokenError as error:
             raise _server_calls.CallFailedError(
                 str(error), may_have_run=True, is_cut=True
--- a/bluebellthread/entry/_server_exchange.py
+++ b/bluebellthread/entry/_server_exchange.py
@@ -103,6 +103,7 @@
         self.sent = False
         self.framing = ''
         self._content_type = ''
+        self._length_bytes = 0
 
     async def open(self, method, target, headers, body):
         """Send a request and return the head of its answer.
@@ -139,7 +140,9 @@
         self._conn = h11.Connection(h11.CLIENT)
         pieces = [self._conn.send(self._request)]
         if body:
-            pieces.append(self._conn.send(h11.Data(data=body)))
+            pieces += self._conn.send_with_data_passthrough(
+                h11.Data(data=body)
+            )
         pieces.append(self._conn.send(h11.EndOfMessage()))
         if len(body) <= JOINED_BODY_BYTES:
             return [b''.join(pieces)]
@@ -169,6 +172,9 @@
                     head.status, head.headers, method=self._request.method
                 )
                 self._content_type = head.header(b'content-type')
+                if self.framing == core.FRAMED_BY_LENGTH:
+                    length = head.header(b'content-length')
+                    self._length_bytes = core.parse_count(length) or 0
                 return head
             await self._skip_stale_answer()
         raise AnswerBrokenError(
@@ -223,7 +229,7 @@
         # The request was sent already, so the returned bytes are dropped.
         self._conn.send(self._request)
         if self._body:
-            self._conn.send(h11.Data(data=self._body))
+            self._conn.send_with_data_passthrough(h11.Data(data=self._body))
         self._conn.send(h11.EndOfMessage())
         if trailing:
             self._conn.receive_data(trailing)
@@ -249,9 +255,15 @@
                 'the server closed the connection within an answer'
             )
 
-    async def read_all(self):
+    async def read_all(self, memory=None):
         """Return the whole body.
 
+        Parameters
+        ----------
+        memory : AnswerMemory or None
+            Holds the body from its first byte on, also once it is returned;
+            None for a body that is not passed on.
+
         Raises
         ------
         AnswerBrokenError
@@ -262,16 +274,22 @@
             framing=self.framing,
             content_type=self._content_type,
             size_max_bytes=ANSWER_MAX_BYTES,
-            budget=self._connections.body_budget,
+            budget=memory or self._connections.body_budget,
+            length_bytes=self._length_bytes,
         )
         try:
             while True:
                 piece = await self.read()
                 if piece is None:
-                    return body.finish()
+                    content = body.finish()
+                    break
                 body.add(piece)
         except core.AnswerBodyError as error:
             raise AnswerBrokenError(str(error)) from error
+        else:
+            if memory is not None:
+                body.keep_reserved()
+            return content
         finally:
             body.close()
 
--- a/bluebellthread/entry/_service.py
+++ b/bluebellthread/entry/_service.py
@@ -68,6 +68,26 @@
 memory: the process itself takes a third of it on the users' smallest VMs, and
 long answers a tenth."""
 
+CLIENTS_MEMORY_PART = 4
+"""All that is held for clients may take one part in this many of the memory:
+the process at rest takes a third of it on the smallest VMs, and gaps between
+blocks of memory as much as the blocks."""
+
+CLIENTS_MEMORY_MIN_BYTES = 8 * MB_BYTES
+"""Least memory for clients: enough for the longest request that the default
+configuration allows."""
+
+CONNECTION_MAX_BYTES = 21 * MB_BYTES
+"""Most memory that one connection holds: a request and an answer, each of the
+greatest length, and what is read beyond the request."""
+
+RESERVED_FDS = 200
+"""Descriptors left for listeners, peers, the store and pooled connections."""
+
+FDS_PER_CONNECTION = 2
+"""A client's connection has one descriptor, and its request another one, for
+the connection to the server."""
+
 PRUNE_PERIOD_S = 1.0
 LISTEN_BACKLOG = 512
 """Connections that may wait to be accepted: after a VM is lost, all of its
@@ -114,6 +134,7 @@
             _stop_admission.StopAdmission(state=self.state, dialect=dialect),
             bodies_max_bytes=settings.memory_max_mb * MB_BYTES // BODIES_PART,
             dialect=dialect,
+            memory=_make_client_memory(settings),
         )
         self._make_peers()
         self._make_tasks(dialect)
@@ -469,6 +490,11 @@
         stats.set_gauge(
             'request_body_bytes', self._control.body_budget.used_bytes
         )
+        memory = self._control.memory
+        stats.set_gauge('client_memory_bytes', memory.used_bytes)
+        stats.set_gauge('client_connections', memory.open_count)
+        stats.set_gauge('clients_cut_off', memory.cut_count)
+        stats.set_gauge('connections_refused', memory.refused_count)
         stats.set_gauge('tasks_failed', _tasks.read_failure_count())
         stats.set_gauge('placements_waiting', sum(item[0] for item in counts))
         stats.set_gauge('placements_held', sum(item[1] for item in counts))
@@ -519,6 +545,18 @@
 _DRAIN_POLL_S = 0.05
 
 
+def _make_client_memory(settings):
+    free_fds = max(settings.fd_limit - RESERVED_FDS, FDS_PER_CONNECTION)
+    return core.ClientMemory(
+        max(
+            settings.memory_max_mb * MB_BYTES // CLIENTS_MEMORY_PART,
+            CLIENTS_MEMORY_MIN_BYTES,
+        ),
+        connection_max_bytes=CONNECTION_MAX_BYTES,
+        connections_max=free_fds // FDS_PER_CONNECTION,
+    )
+
+
 def _port_of(listeners):
     return listeners[0].socket.getsockname()[1]
 
--- a/bluebellthread/entry/_settings.py
+++ b/bluebellthread/entry/_settings.py
@@ -34,6 +34,8 @@
         retries allowed in a window.
     memory_max_mb : int
         Memory in MB that the process may take.
+    fd_limit : int
+        File descriptors that the process may have open.
     """
 
     vm: str
@@ -55,3 +57,4 @@
     repeat_slack: float
     relay_port: int = 0
     memory_max_mb: int = 150
+    fd_limit: int = 4096
--- a/bluebellthread/entry/_stream_relay.py
+++ b/bluebellthread/entry/_stream_relay.py
@@ -119,7 +119,9 @@
         """Pass on a success that is no event stream once it is complete."""
         try:
             with attempt.waiting(answer.server, answer.silence_s):
-                body = await answer.call.exchange.read_all()
+                body = await answer.call.exchange.read_all(
+                    self._work.exchange.memory
+                )
         except _server_exchange.AnswerBrokenError as error:
             self._raise_run_failed(answer, error)
         if self._work.exchange.is_started:
@@ -159,7 +161,9 @@
         ):
             raise error
         try:
-            body = await answer.call.exchange.read_all()
+            body = await answer.call.exchange.read_all(
+                self._work.exchange.memory
+            )
         except _server_exchange.AnswerBrokenError:
             raise error from None
         attempt.take()
@@ -204,6 +208,7 @@
         while (data := await answer.call.exchange.read()) is not None:
             whole = comments + splitter.push(data)
             splitter.check_size(held_bytes=len(comments))
+            self._work.exchange.hold_events(len(whole) + splitter.held_bytes)
             if core.holds_event(whole):
                 return whole
             if whole and self._work.exchange.is_started:
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -552,6 +552,18 @@
     'request {request_id} broke off at VM {vm}: {reason}',
 )
 
+CLIENT_CUT_OFF = Event(
+    7080,
+    'WARNING',
+    'a client that had stalled was cut off, for which {held_bytes} bytes were '
+    'held',
+)
+CONNECTION_REFUSED = Event(
+    7081,
+    'WARNING',
+    'a connection of a client was refused, since {count} are open',
+)
+
 
 def list_events():
     """Return all events of the catalogue, sorted by number."""
--- a/bluebellthread/platform/_settings.py
+++ b/bluebellthread/platform/_settings.py
@@ -87,14 +87,17 @@
         repeat_ratio=float(bounds['retryBudgetRatio']),
         repeat_window_ms=int(float(bounds['budgetWindowS']) * 1000),
         repeat_slack=float(bounds['budgetSlack']),
-        **_read_memory(fields.get('limits') or {}),
+        **_read_limits(fields.get('limits') or {}),
     )
 
 
-def _read_memory(limits):
-    """Return the setting of the memory, if the platform names any."""
-    memory_max_mb = int(limits.get('memoryMb') or 0)
-    return {'memory_max_mb': memory_max_mb} if memory_max_mb > 0 else {}
+def _read_limits(limits):
+    """Return the settings of the limits that the platform names."""
+    values = {
+        'memory_max_mb': int(limits.get('memoryMb') or 0),
+        'fd_limit': int(limits.get('fdLimit') or 0),
+    }
+    return {name: value for name, value in values.items() if value > 0}
 
 
 def split_address(text):
--- a/tests/integration/test_entry_floods.py
+++ b/tests/integration/test_entry_floods.py
@@ -104,7 +104,10 @@
     async def call(self, number):
         """Make an ordinary call; return its status, 0 if it has no answer."""
         self.note_fds()
-        with contextlib.suppress(OSError, trio.BrokenResourceError, TypeError):
+        # The helper fails on the head of an answer that does not come.
+        with contextlib.suppress(
+            OSError, trio.BrokenResourceError, AttributeError
+        ):
             stream = await trio.open_tcp_stream('127.0.0.1', self.caller_port)
             async with sites.Caller(stream) as caller:
                 answer = await caller.call(
--- /dev/null
+++ b/tests/unit/test_client_memory.py
@@ -0,0 +1,77 @@
+"""Memory that is held for clients, without connections."""
+
+import unittest
+
+from bluebellthread import core
+from bluebellthread.core import _client_memory
+
+SMALL = _client_memory.SMALL_BYTES
+TOTAL = 16 * SMALL
+STALL_MS = _client_memory.STALL_MS
+
+
+class TestClientMemory(unittest.TestCase):
+    def setUp(self):
+        self.memory = core.ClientMemory(
+            TOTAL, connection_max_bytes=9 * SMALL, connections_max=4
+        )
+        self.cut = []
+
+    def open(self, name, now_ms=0):
+        return self.memory.open(
+            lambda held_bytes: self.cut.append((name, held_bytes)),
+            now_ms=now_ms,
+        )
+
+    # Guards against a client that is cut off although it has just stalled,
+    # or though another one has for longer.
+    def test_longest_stalled_client_is_cut_off_first(self):
+        shares = [self.open(name) for name in 'abc']
+        for share, since_ms in zip(shares, (20, 10, None), strict=True):
+            share.hold(core.KIND_ANSWER, 4 * SMALL, now_ms=0)
+            share.stalled_since_ms = since_ms
+        last = self.open('d')
+        with self.assertRaises(core.NoMemoryLeftError):
+            last.hold(core.KIND_BODY, 2 * SMALL, now_ms=9 + STALL_MS)
+        self.assertEqual([], self.cut)
+        last.hold(core.KIND_BODY, 2 * SMALL, now_ms=20 + STALL_MS)
+        self.assertEqual([('b', 4 * SMALL)], self.cut)
+        self.assertEqual(10 * SMALL, self.memory.used_bytes)
+        with self.assertRaises(core.NoMemoryLeftError):
+            shares[1].hold(core.KIND_BODY, 1, now_ms=0)
+
+    # Guards against small requests that starve behind large ones.
+    def test_part_is_left_to_small_requests(self):
+        large = [self.open(name) for name in 'ab']
+        for share in large:
+            share.hold(core.KIND_BODY, 6 * SMALL, now_ms=0)
+        small = self.open('c')
+        small.hold(core.KIND_BODY, SMALL, now_ms=0)
+        with self.assertRaises(core.NoMemoryLeftError):
+            small.hold(core.KIND_BODY, SMALL + 1, now_ms=0)
+
+    def test_bound_of_a_connection_holds(self):
+        share = self.open('a')
+        share.hold(core.KIND_BODY, 5 * SMALL, now_ms=0)
+        with self.assertRaises(core.NoMemoryLeftError):
+            share.add(core.KIND_ANSWER, 5 * SMALL, now_ms=0)
+        share.close()
+        self.assertEqual(0, self.memory.used_bytes)
+
+    def test_bytes_read_ahead_cut_nobody_off(self):
+        stalled = self.open('a')
+        stalled.hold(core.KIND_ANSWER, 8 * SMALL, now_ms=0)
+        stalled.stalled_since_ms = 0
+        with self.assertRaises(core.NoMemoryLeftError):
+            self.open('b').hold(
+                core.KIND_AHEAD, 1, now_ms=2 * STALL_MS, is_optional=True
+            )
+        self.assertEqual([], self.cut)
+
+    def test_connection_over_the_limit_displaces_a_stalled_one(self):
+        shares = [self.open(name) for name in 'abcd']
+        shares[2].stalled_since_ms = 0
+        self.assertIsNone(self.open('e', now_ms=STALL_MS - 1))
+        self.assertIsNotNone(self.open('f', now_ms=STALL_MS))
+        self.assertEqual([('c', 0)], self.cut)
+        self.assertEqual(1, self.memory.refused_count)
