Treat statuses above 599 and early answers without an end as broken

Cause: h11 takes any three digits from 200 on. An early answer without a length was taken as complete if its connection ended while the request was being sent; after a reset the system reports the error once, to the writer or the reader. Change: both are broken answers, on every path, in ServerExchange.

--- a/bluebellthread/entry/_server_exchange.py
+++ b/bluebellthread/entry/_server_exchange.py
@@ -33,6 +33,9 @@
 """Most interim (1xx) answers that may precede an answer; a server has few
 kinds of them to send."""
 
+STATUS_MAX = 599
+"""Highest status of an answer (RFC 9110, 15)."""
+
 STALE_ANSWERS_MAX = 16
 """Most late answers to earlier requests that are skipped on a connection,
 which served one request at a time."""
@@ -198,6 +201,11 @@
             if isinstance(event, h11.InformationalResponse):
                 continue
             if isinstance(event, h11.Response):
+                if event.status_code > STATUS_MAX:
+                    # h11 takes any three digits from 200 on.
+                    raise AnswerBrokenError(
+                        f'the answer has the status {event.status_code}'
+                    )
                 return _http_messages.AnswerHead(
                     status=event.status_code,
                     headers=tuple(
@@ -249,12 +257,25 @@
             if isinstance(event, h11.Data):
                 return bytes(event.data)
             if isinstance(event, h11.EndOfMessage):
+                self._check_end()
                 self._ended = True
                 return None
             raise AnswerBrokenError(
                 'the server closed the connection within an answer'
             )
 
+    def _check_end(self):
+        """Raise if the end of a connection does not end an answer.
+
+        If the server resets the connection while the request is being sent,
+        the system may report that to the writer only; the reader then sees a
+        clean end.
+        """
+        if self.framing == core.FRAMED_BY_CONNECTION and not self._sent_whole:
+            raise AnswerBrokenError(
+                'the connection ended before the whole request was sent'
+            )
+
     async def read_all(self, memory=None):
         """Return the whole body.
 
