Merge the bounds on memory for clients, and the check of broken responses

Cause: clients that pipeline requests and read nothing made a process exceed its memory; a status above 599 was passed on.

--- a/bluebellthread/entry/_server_exchange.py
+++ b/bluebellthread/entry/_server_exchange.py
@@ -33,6 +33,9 @@
 """Most interim (1xx) answers that may precede an answer; a server has few
 kinds of them to send."""
 
+STATUS_MAX = 599
+"""Highest status of an answer (RFC 9110, 15)."""
+
 STALE_ANSWERS_MAX = 16
 """Most late answers to earlier requests that are skipped on a connection,
 which served one request at a time."""
@@ -103,6 +106,7 @@
         self.sent = False
         self.framing = ''
         self._content_type = ''
+        self._length_bytes = 0
 
     async def open(self, method, target, headers, body):
         """Send a request and return the head of its answer.
@@ -139,7 +143,9 @@
         self._conn = h11.Connection(h11.CLIENT)
         pieces = [self._conn.send(self._request)]
         if body:
-            pieces.append(self._conn.send(h11.Data(data=body)))
+            pieces += self._conn.send_with_data_passthrough(
+                h11.Data(data=body)
+            )
         pieces.append(self._conn.send(h11.EndOfMessage()))
         if len(body) <= JOINED_BODY_BYTES:
             return [b''.join(pieces)]
@@ -169,6 +175,9 @@
                     head.status, head.headers, method=self._request.method
                 )
                 self._content_type = head.header(b'content-type')
+                if self.framing == core.FRAMED_BY_LENGTH:
+                    length = head.header(b'content-length')
+                    self._length_bytes = core.parse_count(length) or 0
                 return head
             await self._skip_stale_answer()
         raise AnswerBrokenError(
@@ -192,6 +201,11 @@
             if isinstance(event, h11.InformationalResponse):
                 continue
             if isinstance(event, h11.Response):
+                if event.status_code > STATUS_MAX:
+                    # h11 takes any three digits from 200 on.
+                    raise AnswerBrokenError(
+                        f'the answer has the status {event.status_code}'
+                    )
                 return _http_messages.AnswerHead(
                     status=event.status_code,
                     headers=tuple(
@@ -223,7 +237,7 @@
         # The request was sent already, so the returned bytes are dropped.
         self._conn.send(self._request)
         if self._body:
-            self._conn.send(h11.Data(data=self._body))
+            self._conn.send_with_data_passthrough(h11.Data(data=self._body))
         self._conn.send(h11.EndOfMessage())
         if trailing:
             self._conn.receive_data(trailing)
@@ -243,15 +257,34 @@
             if isinstance(event, h11.Data):
                 return bytes(event.data)
             if isinstance(event, h11.EndOfMessage):
+                self._check_end()
                 self._ended = True
                 return None
             raise AnswerBrokenError(
                 'the server closed the connection within an answer'
             )
 
-    async def read_all(self):
+    def _check_end(self):
+        """Raise if the end of a connection does not end an answer.
+
+        If the server resets the connection while the request is being sent,
+        the system may report that to the writer only; the reader then sees a
+        clean end.
+        """
+        if self.framing == core.FRAMED_BY_CONNECTION and not self._sent_whole:
+            raise AnswerBrokenError(
+                'the connection ended before the whole request was sent'
+            )
+
+    async def read_all(self, memory=None):
         """Return the whole body.
 
+        Parameters
+        ----------
+        memory : AnswerMemory or None
+            Holds the body from its first byte on, also once it is returned;
+            None for a body that is not passed on.
+
         Raises
         ------
         AnswerBrokenError
@@ -262,16 +295,22 @@
             framing=self.framing,
             content_type=self._content_type,
             size_max_bytes=ANSWER_MAX_BYTES,
-            budget=self._connections.body_budget,
+            budget=memory or self._connections.body_budget,
+            length_bytes=self._length_bytes,
         )
         try:
             while True:
                 piece = await self.read()
                 if piece is None:
-                    return body.finish()
+                    content = body.finish()
+                    break
                 body.add(piece)
         except core.AnswerBodyError as error:
             raise AnswerBrokenError(str(error)) from error
+        else:
+            if memory is not None:
+                body.keep_reserved()
+            return content
         finally:
             body.close()
 
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -562,6 +562,7 @@
     'INFO',
     'configuration version {version} has {customers} customers with {keys} '
     'keys',
+)
 SPEED_REPORTED = Event(
     7085,
     'INFO',
@@ -575,6 +576,17 @@
     'place in the {remaining_ms} ms that its caller waits, at least for '
     '{retry_after_ms} ms',
 )
+CLIENT_CUT_OFF = Event(
+    7087,
+    'WARNING',
+    'a client that had stalled was cut off, for which {held_bytes} bytes were '
+    'held',
+)
+CONNECTION_REFUSED = Event(
+    7088,
+    'WARNING',
+    'a connection of a client was refused, since {count} are open',
+)
 
 
 def list_events():
