Log the change to estimated load for plain services only

Cause: E7085 was logged for engines, whose placement doesn't use this choice. Change: engines are noted without the line; a test guards that their reports are noted.

--- a/bluebellthread/entry/_server_choices.py
+++ b/bluebellthread/entry/_server_choices.py
@@ -87,7 +87,8 @@
     def note_answer_head(self, server, report, is_refusal):
         """Store the load report that came with any answer of a server."""
         if report.work_percent is not None:
-            if not self._state.reports_speed(server.service):
+            is_first = not self._state.reports_speed(server.service)
+            if is_first and not server.role:
                 emit(
                     events.SPEED_REPORTED,
                     server=server.name,
--- a/tests/integration/test_entry_load_reports.py
+++ b/tests/integration/test_entry_load_reports.py
@@ -36,6 +36,17 @@
             self.assertIn(b'bluebellthread_server_load{server="s1"}', text)
             self.assertIn(b'bluebellthread_load_report_age_seconds{', text)
 
+    @run
+    async def test_engines_report_their_speed_too(self):
+        """The placement of streams depends on it, not this choice."""
+        async with sites.running_site(engines=('p1', 'd1')) as site:
+            for server in site.servers.values():
+                server.load = '1,0,6,120'
+            await site.call('POST', '/ask/x', b'a crack')
+            self.assertTrue(site.entry.state.reports_speed('model'))
+            self.assertFalse(site.entry.state.reports_speed('plain'))
+            self.assertEqual([], site.entry._choices.list_estimates())
+
     @run
     async def test_request_that_no_server_answers_in_time_is_refused(self):
         async with sites.running_site() as site:
