--- a/bench/_replay_load.py
+++ b/bench/_replay_load.py
@@ -40,12 +40,50 @@
         Actual length of the answer, unknown to the allocator.
     output_tokens : int
         Maximum length of the answer that the request allows.
+    kind : int
+        Index of its `LoadKind`.
+    customer : str
+        Name of the customer that sends it; empty if there are none.
+    expected_tokens : int
+        Length of the answer that the caller expects; 0 if it states none.
     """
 
     at_ms: int
     prompt_tokens: int
     written_tokens: int
     output_tokens: int = WRITTEN_MAX_PIECES * TOKENS_PER_PIECE
+    kind: int = 0
+    customer: str = ''
+    expected_tokens: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class LoadKind:
+    """What the requests of one kind are worth, and when they are on time."""
+
+    priority: int = 5
+    target_ms: int = 900
+    value_on_time: float = 23.0
+    value_late: float = 4.7
+
+
+@attrs.frozen(kw_only=True)
+class LoadDelays:
+    """Delays that the model of the engines leaves out, by their quantiles.
+
+    Parameters
+    ----------
+    prefill_ms, start_ms : tuple of float
+        Delays before the prefill starts, and from its end to the decode, at
+        evenly spaced quantiles from 0 to 1; drawn for each try.
+    is_slow_at_times : bool
+        Whether every fifth decode server takes 1.3 times as long for a token,
+        and each of them takes 2.5 times as long for 600 ms now and then.
+    """
+
+    prefill_ms: tuple[float, ...] = (0, 0)
+    start_ms: tuple[float, ...] = (0, 0)
+    is_slow_at_times: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -88,6 +126,8 @@
     engines: tuple[LoadEngine, ...]
     requests: tuple[LoadRequest, ...]
     failures: tuple[LoadFailure, ...] = ()
+    kinds: tuple[LoadKind, ...] = (LoadKind(),)
+    delays: LoadDelays = LoadDelays()
 
 
 def read_load(path):
@@ -104,12 +144,29 @@
         pattern=fields['pattern'],
         engines=tuple(LoadEngine(**item) for item in fields['engines']),
         requests=tuple(
-            LoadRequest(at_ms=at, prompt_tokens=prompt, written_tokens=written)
-            for at, prompt, written in fields['requests']
+            _read_request(*values) for values in fields['requests']
         ),
         failures=tuple(
             LoadFailure(**item) for item in fields.get('failures', ())
         ),
+        kinds=tuple(LoadKind(**item) for item in fields.get('kinds', [{}])),
+        delays=LoadDelays(
+            **{
+                name: tuple(value) if isinstance(value, list) else value
+                for name, value in fields.get('delays', {}).items()
+            }
+        ),
+    )
+
+
+def _read_request(at, prompt, written, kind=0, expected=0, customer=''):
+    return LoadRequest(
+        at_ms=at,
+        prompt_tokens=prompt,
+        written_tokens=written,
+        kind=kind,
+        expected_tokens=expected,
+        customer=customer,
     )
 
 
@@ -119,16 +176,24 @@
         'pattern': load.pattern,
         'engines': [attrs.asdict(item) for item in load.engines],
         'failures': [attrs.asdict(item) for item in load.failures],
-        'requests': [
-            [item.at_ms, item.prompt_tokens, item.written_tokens]
-            for item in load.requests
-        ],
+        'requests': [_list_values(item) for item in load.requests],
     }
+    if load.kinds != (LoadKind(),):
+        fields['kinds'] = [attrs.asdict(item) for item in load.kinds]
+    if load.delays != LoadDelays():
+        fields['delays'] = attrs.asdict(load.delays)
     with open(path, 'w', encoding='utf-8') as file:
         json.dump(fields, file)
         file.write('\n')
 
 
+def _list_values(request):
+    values = [request.at_ms, request.prompt_tokens, request.written_tokens]
+    if request.kind or request.expected_tokens or request.customer:
+        values += [request.kind, request.expected_tokens, request.customer]
+    return values
+
+
 def make_engines(*, prefill_count, decode_count, **traits):
     """Return prefill and decode engines with the same traits.
 
--- a/bench/_replay_world.py
+++ b/bench/_replay_world.py
@@ -8,6 +8,7 @@
 import collections
 import heapq
 import itertools
+import random
 
 import attrs
 
@@ -31,7 +32,6 @@
 """Latency of a message between VMs, averaged over all pairs of regions."""
 
 TICK_MS = 10
-FIRST_OUTPUT_TARGET_MS = 900
 START_TIMEOUT_MS = 3600
 TIMEOUT_MS = 14000
 MAX_BACKOFF_SHARE = 1 / 3
@@ -49,9 +49,14 @@
 GIVE_UP_MS = 2500
 """Time after which a caller leaves a stream that brings nothing more."""
 
-VALUE_ON_TIME = 23.0
-VALUE_LATE = 4.7
-"""Value to the users of an on-time and of a late answer of mean size."""
+SLOW_SHARE = 0.2
+SLOW_FACTOR = 1.3
+NOISY_FACTOR = 2.5
+NOISY_MS = 600
+NOISY_PERIOD_MS = 6000
+"""Share of the decode servers that are slow in loads with slow engines, how
+much longer they take for a token, and how much longer, for how long and how
+often each engine does because of other work on its machine."""
 
 
 @attrs.define(kw_only=True)
@@ -68,6 +73,7 @@
     decode_server: str = ''
     generated_tokens: float = 0.0
     decode_start_ms: float = 0.0
+    granted_ms: float = 0.0
     first_event_ms: float | None = None
     last_event_ms: float = 0.0
     next_event_tokens: int = 0
@@ -86,6 +92,8 @@
 @attrs.define(kw_only=True)
 class _DecodeServer:
     engine: object
+    is_slow: bool = False
+    noise_offset_ms: int = 0
     running: list = attrs.field(factory=list)
     preempted: list = attrs.field(factory=list)
     local_prefill_end_ms: float = 0.0
@@ -114,6 +122,13 @@
         Completion times of the answers that were on time.
     dark_grants_ms : list of int
         Times of the grants of engines that had gone dark.
+    by_kind, by_customer : dict of Counter
+        Number of requests by outcome (``'on_time'``, ``'late'`` or
+        ``'unserved'``), by index of their kind and by customer.
+    grant_to_event_ms : list of (int, float)
+        Prompt length, and time from the grant to the first event.
+    waits_ms : list of float
+        Time from the last attempt of a caller to the grant.
     """
 
     on_time: int = 0
@@ -128,6 +143,14 @@
     held_ms: list = attrs.field(factory=list)
     on_time_ms: list = attrs.field(factory=list)
     dark_grants_ms: list = attrs.field(factory=list)
+    by_kind: dict = attrs.field(
+        factory=lambda: collections.defaultdict(collections.Counter)
+    )
+    by_customer: dict = attrs.field(
+        factory=lambda: collections.defaultdict(collections.Counter)
+    )
+    grant_to_event_ms: list = attrs.field(factory=list)
+    waits_ms: list = attrs.field(factory=list)
 
     @property
     def refusals(self):
@@ -171,10 +194,14 @@
         self._dark = set()
         self._silent_for = collections.defaultdict(set)
         self._prefill_free_ms = {}
+        decodes = [item for item in load.engines if item.role == 'decode']
         self._decodes = {
-            item.name: _DecodeServer(engine=item)
-            for item in load.engines
-            if item.role == 'decode'
+            item.name: _DecodeServer(
+                engine=item,
+                is_slow=number % round(1 / SLOW_SHARE) == 0,
+                noise_offset_ms=number * NOISY_PERIOD_MS // len(decodes),
+            )
+            for number, item in enumerate(decodes)
         }
         self.result = Result()
         sizes = [_request_size(item) for item in load.requests]
@@ -233,11 +260,14 @@
                 prompt_tokens=request.prompt_tokens,
                 output_tokens=request.output_tokens,
                 target_deadline_ms=self._find_first_attempt_ms(job)
-                + FIRST_OUTPUT_TARGET_MS,
+                + self._load.kinds[request.kind].target_ms,
                 start_deadline_ms=job.sent_ms + START_TIMEOUT_MS,
                 deadline_ms=job.first_sent_ms + TIMEOUT_MS,
                 poll_deadline_ms=self._now_ms + TIMEOUT_MS,
                 avoid_servers=tuple(sorted(self._silent_for[job.vm])),
+                priority=self._load.kinds[request.kind].priority,
+                customer=request.customer,
+                expected_tokens=request.expected_tokens,
             ),
             self._now_ms,
         )
@@ -268,18 +298,25 @@
             0.3 + 0.7 * _request_size(job.request) / self._mean_request_size
         )
         value = min(4.0, value)
-        result.worth_owed += VALUE_ON_TIME * value
+        kind = self._load.kinds[job.request.kind]
+        result.worth_owed += kind.value_on_time * value
+        if outcome != 'unserved':
+            first_ms = job.first_event_ms - job.first_sent_ms
+            is_on_time = (
+                first_ms <= kind.target_ms and job.longest_gap_ms <= 300
+            )
+            outcome = 'on_time' if is_on_time else 'late'
+        result.by_kind[job.request.kind][outcome] += 1
+        result.by_customer[job.request.customer][outcome] += 1
         if outcome == 'unserved':
             result.unserved += 1
-            return
-        first_ms = job.first_event_ms - job.first_sent_ms
-        if first_ms <= FIRST_OUTPUT_TARGET_MS and job.longest_gap_ms <= 300:
+        elif outcome == 'on_time':
             result.on_time += 1
             result.on_time_ms.append(self._now_ms)
-            result.worth += VALUE_ON_TIME * value
+            result.worth += kind.value_on_time * value
         else:
             result.late += 1
-            result.worth += VALUE_LATE * value
+            result.worth += kind.value_late * value
 
     # Allocator
 
@@ -296,8 +333,22 @@
                 if job.decode_server in self._dark:
                     self.result.dark_grants_ms.append(self._now_ms)
                 self._schedule_after(
-                    VM_LATENCY_MS, self._prefill, job, answer.ask_id
+                    VM_LATENCY_MS + self._draw_delay(job, 'prefill_ms'),
+                    self._prefill,
+                    job,
+                    answer.ask_id,
                 )
+                job.granted_ms = self._now_ms + VM_LATENCY_MS
+                self.result.waits_ms.append(self._now_ms - job.sent_ms)
+
+    def _draw_delay(self, job, name):
+        """Draw a delay that is the same for a try under all policies."""
+        quantiles = getattr(self._load.delays, name)
+        rng = random.Random(f'{job.ask_id} {name}')
+        point = rng.random() * (len(quantiles) - 1)
+        index = int(point)
+        low, high = quantiles[index : index + 2]
+        return low + (point - index) * (high - low)
 
     def _list_servers(self):
         self._allocator.set_servers(
@@ -332,7 +383,10 @@
         done_ms = free_ms + job.request.prompt_tokens / PREFILL_TOKENS_PER_MS
         self._prefill_free_ms[job.prefill_server] = done_ms
         self._schedule_at(
-            done_ms + TRANSFER_MS, self._start_decode, job, ask_id
+            done_ms + TRANSFER_MS + self._draw_delay(job, 'start_ms'),
+            self._start_decode,
+            job,
+            ask_id,
         )
         self._schedule_at(
             done_ms + VM_LATENCY_MS, self._note_prefill_ended, ask_id
@@ -396,6 +450,7 @@
                 * LOCAL_PREFILL_CHUNK_TOKENS
                 / PREFILL_TOKENS_PER_MS
             )
+        step_ms *= self._find_slowness(decode)
         for job in list(decode.running):
             job.generated_tokens += TICK_MS / step_ms
             if job.first_event_ms is None and job.generated_tokens >= min(
@@ -406,11 +461,24 @@
                 self._note_event(job)
             if job.generated_tokens >= job.request.written_tokens:
                 decode.running.remove(job)
-                self._report_end(job, job.ask_id, '')
+                self._report_end(
+                    job,
+                    job.ask_id,
+                    '',
+                    first_event_ms=int(job.first_event_ms - job.granted_ms),
+                    writing_ms=int(self._now_ms - job.first_event_ms),
+                )
                 self._finish(job, 'served')
         self._preempt(decode)
         self._resume(decode)
 
+    def _find_slowness(self, decode):
+        if not self._load.delays.is_slow_at_times:
+            return 1
+        phase_ms = (self._now_ms + decode.noise_offset_ms) % NOISY_PERIOD_MS
+        noise = NOISY_FACTOR if phase_ms < NOISY_MS else 1
+        return noise * (SLOW_FACTOR if decode.is_slow else 1)
+
     def _note_event(self, job):
         gap_ms = self._now_ms - job.last_event_ms
         job.longest_gap_ms = max(job.longest_gap_ms, gap_ms)
@@ -419,6 +487,9 @@
 
     def _note_first_event(self, job):
         job.first_event_ms = self._now_ms
+        self.result.grant_to_event_ms.append(
+            (job.request.prompt_tokens, self._now_ms - job.granted_ms)
+        )
         job.last_event_ms = self._now_ms
         job.next_event_tokens = 2 * PIECE_TOKENS
         if self._now_ms - job.sent_ms > START_TIMEOUT_MS:
@@ -451,11 +522,15 @@
                 decode.running.append(job)
                 used += job.memory
 
-    def _report_end(self, job, ask_id, failed):
-        self._schedule_after(VM_LATENCY_MS, self._note_end, ask_id, failed)
+    def _report_end(self, job, ask_id, failed, **times_ms):
+        self._schedule_after(
+            VM_LATENCY_MS, self._note_end, ask_id, failed, times_ms
+        )
 
-    def _note_end(self, ask_id, failed):
-        self._allocator.release(ask_id, self._now_ms, failed_server=failed)
+    def _note_end(self, ask_id, failed, times_ms):
+        self._allocator.release(
+            ask_id, self._now_ms, failed_server=failed, **times_ms
+        )
         self._decide()
 
     # Failures
--- a/bluebellthread/core/routing/__init__.py
+++ b/bluebellthread/core/routing/__init__.py
@@ -2,6 +2,7 @@
 
 from bluebellthread.core.routing._allocator import Allocator
 from bluebellthread.core.routing._allocator import AllocatorOptions
+from bluebellthread.core.routing._allocator import CONTENDED_OPTIONS
 from bluebellthread.core.routing._allocator import TOKEN_MS
 from bluebellthread.core.routing._caller_age import CallerAges
 from bluebellthread.core.routing._crash_evidence import CrashEvidence
--- a/bluebellthread/core/routing/_allocator.py
+++ b/bluebellthread/core/routing/_allocator.py
@@ -13,7 +13,9 @@
 
 from bluebellthread.core.routing import _engine_account
 from bluebellthread.core.routing import _engine_pool
+from bluebellthread.core.routing import _first_event_time
 from bluebellthread.core.routing import _memory_models
+from bluebellthread.core.routing import _overtaking
 from bluebellthread.core.routing import _placement_messages as messages
 from bluebellthread.core.routing import _prefill_time
 from bluebellthread.core.routing import _silence_reports
@@ -60,6 +62,12 @@
         While all prefill servers are busy, the decode server runs the
         prefill of a request that can be delayed by at most this long
         without missing its target.
+    first_event_time : str
+        Name of the estimate of the time from a grant to the first event,
+        registered in `first_event_times`.
+    overtaking_max, overtaking_ms : int, int
+        Requests that may pass one that waits for memory, and for how long,
+        before a decode server is reserved for it. None may if 0.
     """
 
     waiting_order: str = 'on-time-first'
@@ -67,6 +75,16 @@
     prefill_depth: int = 2
     late_per_server: float = 1.5
     local_prefill_slack_ms: float = 300
+    first_event_time: str = 'mean-prefill'
+    overtaking_max: int = 0
+    overtaking_ms: int = 0
+
+
+CONTENDED_OPTIONS = AllocatorOptions(
+    first_event_time='quantile', overtaking_max=12, overtaking_ms=200
+)
+"""Options for services whose requests compete for engines: those with several
+priorities or customers, or whose servers report how fast they are."""
 
 
 @attrs.define(kw_only=True)
@@ -111,7 +129,13 @@
         )
         self._waiting = {}
         self._next_refusal_ms = 0
-        self._prefill_time = _prefill_time.PrefillTime()
+        self._prefill_time = _first_event_time.first_event_times.get(
+            self._options.first_event_time
+        )()
+        self._overtaking = _overtaking.Overtaking(
+            count_max=self._options.overtaking_max,
+            age_max_ms=self._options.overtaking_ms,
+        )
         self._silences = _silence_reports.SilenceReports()
 
     @property
@@ -171,12 +195,30 @@
                 tokens=tokens, took_ms=now_ms - placement.granted_ms
             )
 
-    def release(self, ask_id, now_ms, *, failed_server=''):
+    def release(
+        self,
+        ask_id,
+        now_ms,
+        *,
+        failed_server='',
+        first_event_ms=0,
+        writing_ms=0,
+    ):
         """Remove a request from the queue and release its placement, if any.
 
         If ``failed_server`` is given, the back-off of that engine starts.
+
+        Parameters
+        ----------
+        first_event_ms, writing_ms : int
+            As in `PlacementEnded`.
         """
         self._waiting.pop(ask_id, None)
+        placement = self._pool.find_placement(ask_id)
+        if placement is not None and first_event_ms:
+            self._prefill_time.note_first_event(
+                tokens=placement.prompt_tokens, took_ms=first_event_ms
+            )
         self._pool.free(ask_id)
         account = self._pool.find_account(failed_server)
         if account is not None:
@@ -242,13 +284,20 @@
             return []
         answers = self._collect_refusals(now_ms)
         silent = self._silences.list_silent(now_ms)
+        self._overtaking.begin_decision(self._waiting)
         for waiting in self._in_order(now_ms):
             grant = self._grant(waiting.request, now_ms, silent)
             if grant is not None:
                 answers.append(grant)
-            elif not waiting.request.has_begun:
+                self._overtaking.note_granted(grant.ask_id)
+            elif (
                 # Streams that have begun wait for engines of their version
                 # only; those of the others stay in use meanwhile.
+                not waiting.request.has_begun
+                and not self._overtaking.may_pass(
+                    waiting.request, self._pool, now_ms
+                )
+            ):
                 break
         return answers
 
--- a/bluebellthread/core/routing/_engine_account.py
+++ b/bluebellthread/core/routing/_engine_account.py
@@ -87,6 +87,9 @@
         A request that did not fit, if memory has not been released since.
         The memory in use only grows until the next release, so no larger
         request fits.
+    reserved_for : str
+        The ``ask_id`` of the only request that may get this decode server;
+        empty if any may.
     """
 
     server: EngineServer
@@ -96,6 +99,7 @@
     back_off_until_ms: int = 0
     local_prefill_end_ms: float = 0
     rejected_request: object = None
+    reserved_for: str = ''
 
     def release(self, ask_id):
         """Release what a placement reserves on this engine."""
--- a/bluebellthread/core/routing/_engine_pool.py
+++ b/bluebellthread/core/routing/_engine_pool.py
@@ -160,6 +160,54 @@
             default=None,
         )
 
+    def has_free_prefill(self, request):
+        """Return whether a prefill server takes another prompt.
+
+        Without prefill servers, the decode servers take them.
+        """
+        version = request.software_version
+        prefills = [
+            item
+            for item in self.by_role['prefill']
+            if not version or item.server.software_version == version
+        ]
+        return not prefills or any(
+            len(item.prefilling) < self._prefill_depth for item in prefills
+        )
+
+    def reserve_decode(self, request, now_ms):
+        """Reserve the decode server that has room for a request first.
+
+        Returns
+        -------
+        EngineAccount or None
+            None if all that the request may use are reserved, or a quarter of
+            the decode servers is.
+        """
+        decodes = self.by_role['decode']
+        reserved_count = sum(bool(item.reserved_for) for item in decodes)
+        if 4 * (reserved_count + 1) > len(decodes):
+            return None
+        versions = self.decode_versions
+        if request.software_version:
+            versions = (request.software_version,)
+        account = max(
+            (
+                item
+                for version in versions
+                for item in self._usable('decode', version, request, now_ms)
+                if not item.reserved_for
+            ),
+            key=lambda item: (
+                item.server.memory_tokens - item.used_tokens(now_ms),
+                item.server.name,
+            ),
+            default=None,
+        )
+        if account is not None:
+            account.reserved_for = request.ask_id
+        return account
+
     def _is_alone(self, server):
         """Return whether no other decode server has a server's version."""
         return self.decode_versions[server.software_version] < 2
@@ -230,6 +278,8 @@
     def _has_capacity(self, account, request, now_ms):
         if len(account.decoding) >= account.server.slot_count:
             return False
+        if account.reserved_for not in ('', request.ask_id):
+            return False
         if account.is_full_for(request):
             return False
         if self._fits(account, request, now_ms):
--- /dev/null
+++ b/bluebellthread/core/routing/_overtaking.py
@@ -0,0 +1,82 @@
+"""Let requests pass others that wait for memory, within bounds.
+
+The load pattern: a long prompt needs more memory than any decode server has
+free at the moment, while shorter prompts behind it would fit.
+"""
+
+import attrs
+
+BLOCKED_MAX = 6
+"""Blocked requests after which the others are not tried in the same decision.
+It bounds the cost of a decision while all engines are full."""
+
+
+@attrs.define
+class _Blocked:
+    since_ms: int
+    passed_count: int = 0
+    account: object = None
+
+
+class Overtaking:
+    """Tracks the requests that others pass, and reserves engines for them.
+
+    Parameters
+    ----------
+    count_max, age_max_ms : int, int
+        Requests that may pass a blocked one, and for how long, before an
+        engine is reserved for it. A count of 0 lets none pass.
+    """
+
+    def __init__(self, *, count_max, age_max_ms):
+        self._count_max = count_max
+        self._age_max_ms = age_max_ms
+        self._blocked = {}
+        self._seen = []
+        self._failed_count = 0
+
+    def begin_decision(self, waiting_ids):
+        """Start a decision; end reservations of requests no longer queued."""
+        self._seen = []
+        self._failed_count = 0
+        for ask_id in [x for x in self._blocked if x not in waiting_ids]:
+            self.end(ask_id)
+
+    def end(self, ask_id):
+        """End what is kept for a request that got engines or has left."""
+        blocked = self._blocked.pop(ask_id, None)
+        if blocked is not None and blocked.account is not None:
+            blocked.account.reserved_for = ''
+
+    def note_granted(self, ask_id):
+        """Count a grant for the blocked requests that it has passed."""
+        self.end(ask_id)
+        for blocked in self._seen:
+            blocked.passed_count += 1
+
+    def may_pass(self, request, pool, now_ms):
+        """Return whether requests behind a blocked one are to be tried."""
+        if not self._count_max or not pool.has_free_prefill(request):
+            return False
+        blocked = self._blocked.get(request.ask_id)
+        if blocked is None:
+            blocked = _Blocked(since_ms=now_ms)
+            self._blocked[request.ask_id] = blocked
+        if (
+            blocked.account is not None
+            and blocked.account.reserved_for != request.ask_id
+        ):
+            # The engine has restarted or left.
+            blocked.account = None
+        if blocked.account is None:
+            if (
+                blocked.passed_count >= self._count_max
+                or now_ms - blocked.since_ms >= self._age_max_ms
+            ):
+                blocked.account = pool.reserve_decode(request, now_ms)
+                if blocked.account is None:
+                    return False
+            else:
+                self._seen.append(blocked)
+        self._failed_count += 1
+        return self._failed_count < BLOCKED_MAX
--- a/bluebellthread/core/routing/_placement_messages.py
+++ b/bluebellthread/core/routing/_placement_messages.py
@@ -42,6 +42,14 @@
         begin at any.
     departures : tuple of Departure
         Servers that the owner granted before although they have left.
+    priority : int
+        Priority from 0, the most urgent, to 9.
+    customer : str
+        Customer that sent the request; empty if the configuration has none.
+    expected_tokens : int
+        Output length that the caller expects; 0 if it states none.
+    is_contended : bool
+        Whether the service is to be decided with `CONTENDED_OPTIONS`.
     """
 
     ask_id: str
@@ -58,6 +66,10 @@
     avoid_servers: tuple[str, ...] = ()
     software_version: str = ''
     departures: tuple[_departures.Departure, ...] = ()
+    priority: int = 5
+    customer: str = ''
+    expected_tokens: int = 0
+    is_contended: bool = False
 
     @property
     def has_begun(self):
@@ -135,11 +147,18 @@
     ----------
     failed_server : str
         Server that failed the request; empty if none did.
+    first_event_ms : int
+        Time from the grant to the first event as the VM saw it; 0 if it saw
+        none or if the stream had begun before.
+    writing_ms : int
+        Time from the first event to the end of a whole answer; 0 for others.
     """
 
     ask_id: str
     serves: str
     failed_server: str = ''
+    first_event_ms: int = 0
+    writing_ms: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/bluebellthread/core/routing/_prefill_time.py
+++ b/bluebellthread/core/routing/_prefill_time.py
@@ -39,6 +39,9 @@
         sample = max(0.0, took_ms - OVERHEAD_MS / 2) / tokens
         self._ms_per_token += SMOOTHING * (sample - self._ms_per_token)
 
+    def note_first_event(self, *, tokens, took_ms):
+        """Ignore a measured time to the first event."""
+
     def local_prefill_ms(self, prompt_tokens):
         """Return the estimated prefill time of a prompt on a decode server."""
         return LOCAL_PREFILL_FACTOR * self._ms_per_token * prompt_tokens
--- a/bluebellthread/wire/_peer_generated.py
+++ b/bluebellthread/wire/_peer_generated.py
@@ -230,11 +230,17 @@
         (12, (10, 'start_deadline_ms', False)),
         (13, (11, 'software_version', False)),
         (14, (15, 'departures', (12, 'struct Departure'), False)),
+        (15, (8, 'priority', False)),
+        (16, (11, 'customer', False)),
+        (17, (8, 'expected_tokens', False)),
+        (18, (2, 'is_contended', False)),
     ),
     'PlacementEnded': (
         (1, (11, 'ask_id', False)),
         (2, (11, 'serves', False)),
         (3, (11, 'failed_server', False)),
+        (4, (8, 'first_event_ms', False)),
+        (5, (8, 'writing_ms', False)),
     ),
     'PlacementGranted': (
         (1, (11, 'ask_id', False)),
--- a/bluebellthread/wire/peer.thrift
+++ b/bluebellthread/wire/peer.thrift
@@ -410,6 +410,10 @@
   12: i64 start_deadline_ms,
   13: string software_version,
   14: list<Departure> departures,
+  15: i32 priority,
+  16: string customer,
+  17: i32 expected_tokens,
+  18: bool is_contended,
 }
 
 struct PlacementGranted {
@@ -441,6 +445,8 @@
   1: string ask_id,
   2: string serves,
   3: string failed_server,
+  4: i32 first_event_ms,
+  5: i32 writing_ms,
 }
 
 struct HeldPlacement {
