--- a/bluebellthread/core/routing/__init__.py
+++ b/bluebellthread/core/routing/__init__.py
@@ -52,9 +52,11 @@
 from bluebellthread.core.routing._role_plan import plan_decode_switches
 from bluebellthread.core.routing._routes import CallerLimits
 from bluebellthread.core.routing._routes import EngineTraits
+from bluebellthread.core.routing._routes import find_priority
 from bluebellthread.core.routing._routes import KIND_IDEMPOTENT
 from bluebellthread.core.routing._routes import KIND_ONCE
 from bluebellthread.core.routing._routes import KIND_STREAM
+from bluebellthread.core.routing._routes import PRIORITY_MAX
 from bluebellthread.core.routing._routes import Route
 from bluebellthread.core.routing._routes import RoutingTable
 from bluebellthread.core.routing._routes import ServiceShare
@@ -119,6 +121,7 @@
     'OvertakenError',
     'OwnedAllocator',
     'OwnerShare',
+    'PRIORITY_MAX',
     'PartSurvived',
     'PlacementAsk',
     'PlacementEnded',
@@ -161,6 +164,7 @@
     'choose_partners',
     'effective_rate_per_s',
     'find_dispute',
+    'find_priority',
     'find_stopping_share',
     'identify_request',
     'is_request_id',
--- a/bluebellthread/entry/_work.py
+++ b/bluebellthread/entry/_work.py
@@ -57,9 +57,19 @@
         Whether another VM has handed the request on to this one.
     run_count : int
         Servers that may have run the request before.
+    customer : Customer or None
+        Who sends the request; None if that is unknown.
+    has_customers : bool
+        Whether the configuration has customers.
+    sends_priority : bool
+        Whether servers are sent the priority of the request.
 
     Attributes
     ----------
+    customer : Customer or None
+        As the parameter.
+    has_customers, sends_priority : bool
+        As the parameters.
     table_version : int
         As the parameter.
     is_counted_elsewhere : bool
@@ -103,11 +113,17 @@
         admission,
         is_handed_on=False,
         run_count=0,
+        customer=None,
+        has_customers=False,
+        sends_priority=False,
     ):
         self.exchange = exchange
         self.request = exchange.request
         self.route = route
         self.service = service
+        self.customer = customer
+        self.has_customers = has_customers
+        self.sends_priority = sends_priority
         self.request_id = self.request.header(dialect.request_id)
         self.parts = (
             *dialect.read_prompt_parts(
@@ -159,6 +175,14 @@
         """Milliseconds since the request's first byte was read."""
         return _clock.read_clock_ms() - self.request.received_ms
 
+    @property
+    def priority(self):
+        """The customer's priority, else the route's; 0 the most urgent."""
+        customer = self.customer
+        return routing.find_priority(
+            self.route, customer.priority if customer is not None else None
+        )
+
     @property
     def last_server(self):
         """The server that it was sent to last; empty before that."""
