--- a/bluebellthread/core/routing/_engine_pool.py
+++ b/bluebellthread/core/routing/_engine_pool.py
@@ -20,11 +20,6 @@
 
     Parameters
     ----------
-    fits : callable
-        Function from `memory_models` that returns whether a request fits on
-        a decode server.
-    prefill_depth : int
-        Maximum number of prompts assigned to one prefill server at a time.
     has_token : callable
         Takes an engine; returns whether its limit lets another request
         through.
@@ -39,10 +34,10 @@
         Number of decode servers of each software version.
     """
 
-    def __init__(self, *, fits, prefill_depth, has_token=lambda server: True):
+    def __init__(self, *, has_token=lambda server: True):
         self._has_token = has_token
-        self._fits = fits
-        self._prefill_depth = prefill_depth
+        self._fits = None
+        self._prefill_depth = 0
         self._servers = ()
         self._accounts = {}
         self._by_version = collections.defaultdict(list)
@@ -55,6 +50,24 @@
     def __len__(self):
         return len(self._placements)
 
+    def set_model(self, *, fits, prefill_depth):
+        """Set what decides whether engines have room.
+
+        Parameters
+        ----------
+        fits : callable
+            Function from `memory_models` that returns whether a request fits
+            on a decode server.
+        prefill_depth : int
+            Maximum number of prompts assigned to one prefill server at a
+            time.
+        """
+        self._fits = fits
+        self._prefill_depth = prefill_depth
+        for account in self._accounts.values():
+            account.rejected_request = None
+            account.reserved_for = ''
+
     def find_placement(self, ask_id):
         """Return the placement of a request, or None."""
         return self._placements.get(ask_id)
@@ -160,6 +173,54 @@
             default=None,
         )
 
+    def has_free_prefill(self, request):
+        """Return whether a prefill server takes another prompt.
+
+        Without prefill servers, the decode servers take them.
+        """
+        version = request.software_version
+        prefills = [
+            item
+            for item in self.by_role['prefill']
+            if not version or item.server.software_version == version
+        ]
+        return not prefills or any(
+            len(item.prefilling) < self._prefill_depth for item in prefills
+        )
+
+    def reserve_decode(self, request, now_ms):
+        """Reserve the decode server that has room for a request first.
+
+        Returns
+        -------
+        EngineAccount or None
+            None if all that the request may use are reserved, or a quarter of
+            the decode servers is.
+        """
+        decodes = self.by_role['decode']
+        reserved_count = sum(bool(item.reserved_for) for item in decodes)
+        if 4 * (reserved_count + 1) > len(decodes):
+            return None
+        versions = self.decode_versions
+        if request.software_version:
+            versions = (request.software_version,)
+        account = max(
+            (
+                item
+                for version in versions
+                for item in self._usable('decode', version, request, now_ms)
+                if not item.reserved_for
+            ),
+            key=lambda item: (
+                item.server.memory_tokens - item.used_tokens(now_ms),
+                item.server.name,
+            ),
+            default=None,
+        )
+        if account is not None:
+            account.reserved_for = request.ask_id
+        return account
+
     def _is_alone(self, server):
         """Return whether no other decode server has a server's version."""
         return self.decode_versions[server.software_version] < 2
@@ -230,6 +291,8 @@
     def _has_capacity(self, account, request, now_ms):
         if len(account.decoding) >= account.server.slot_count:
             return False
+        if account.reserved_for not in ('', request.ask_id):
+            return False
         if account.is_full_for(request):
             return False
         if self._fits(account, request, now_ms):
@@ -322,7 +385,10 @@
 def _rate_decode(account, request, now_ms):
     """Return the sort key of a decode server; the least is the best."""
     is_distant = account.server.data_centre != request.data_centre
-    return (account.load(now_ms) + 0.1 * is_distant, account.server.name)
+    return (
+        account.load(now_ms) * account.slowness + 0.1 * is_distant,
+        account.server.name,
+    )
 
 
 def _transfer_cost(server, other):
