Keep customers' rate limits over all VMs

Cause: a configuration may limit the rate of a customer, but no VM knew what the others had admitted.

Change: one VM owns each customer and keeps its bucket (CustomerAccounts). VMs admit at once and report running totals (CustomerCredits, CustomerUsage); near the limit the owner divides the rate over the VMs by what is asked for at each. The gateway refuses what is over the limit with 429 and a time. A request that another VM has counted is not counted again, and units of a request that was refused as not run are given back. VMs that reach no owner use their shares.

--- a/bluebellthread/core/routing/__init__.py
+++ b/bluebellthread/core/routing/__init__.py
@@ -15,6 +15,13 @@
 from bluebellthread.core.routing._crash_messages import ShutOutLift
 from bluebellthread.core.routing._crash_messages import ShutOutsAnswer
 from bluebellthread.core.routing._crash_messages import ShutOutsAsk
+from bluebellthread.core.routing._customer_accounts import CustomerAccounts
+from bluebellthread.core.routing._customer_messages import CustomerGrant
+from bluebellthread.core.routing._customer_messages import CustomerUsage
+from bluebellthread.core.routing._customer_messages import CustomerUsageNoted
+from bluebellthread.core.routing._customer_messages import CustomerUse
+from bluebellthread.core.routing._customer_usage import ASK
+from bluebellthread.core.routing._customer_usage import CustomerCredits
 from bluebellthread.core.routing._customers import Customer
 from bluebellthread.core.routing._customers import CustomerLimit
 from bluebellthread.core.routing._customers import Customers
@@ -85,13 +92,20 @@
 from bluebellthread.core.routing._waiting_orders import waiting_orders
 
 __all__ = [
+    'ASK',
     'Allocator',
     'AllocatorOptions',
     'CallerAges',
     'CallerLimits',
     'CrashEvidence',
     'Customer',
+    'CustomerAccounts',
+    'CustomerCredits',
+    'CustomerGrant',
     'CustomerLimit',
+    'CustomerUsage',
+    'CustomerUsageNoted',
+    'CustomerUse',
     'Customers',
     'Departure',
     'EVIDENCE_MS',
--- a/bluebellthread/entry/_gateway.py
+++ b/bluebellthread/entry/_gateway.py
@@ -41,9 +41,21 @@
         Header names of the platform.
     stats : EntryStats
         Counts the requests and their outcomes.
+    customer_limits : CustomerLimits
+        Admits the requests of customers with a limit.
     """
 
-    def __init__(self, *, state, control, paths, budgets, dialect, stats):
+    def __init__(
+        self,
+        *,
+        state,
+        control,
+        paths,
+        budgets,
+        dialect,
+        stats,
+        customer_limits,
+    ):
         self._taken_count = 0
         self._state = state
         self._control = control
@@ -51,6 +63,7 @@
         self._budgets = budgets
         self._dialect = dialect
         self._stats = stats
+        self._customer_limits = customer_limits
 
     async def serve(self, exchange):
         """Answer the request of one `CallerExchange`."""
@@ -145,6 +158,7 @@
             run_count=hop.run_count if hop is not None else 0,
             customer=customer,
         )
+        work.is_admitted = hop is not None and hop.is_admitted
         self._budgets.note_request(work.service)
         try:
             async with self._answering_crashes(exchange, work):
@@ -159,6 +173,21 @@
         work.log_stop_decision(
             _stop_admission.STAGE_ARRIVAL, _stop_admission.DECISION_TAKEN
         )
+        if work.is_admitted:
+            await self._serve_admitted(work)
+            return
+        retry_after_ms = await self._customer_limits.admit(work)
+        if retry_after_ms is not None:
+            await work.refuse_over_limit(retry_after_ms)
+            return
+        work.is_admitted = True
+        try:
+            await self._serve_admitted(work)
+        finally:
+            if work.is_refused:
+                self._customer_limits.refund(work)
+
+    async def _serve_admitted(self, work):
         stage = ''
         with self._control.scope(work.find_stop_end_ms):
             try:
--- a/bluebellthread/entry/_hand_on.py
+++ b/bluebellthread/entry/_hand_on.py
@@ -328,6 +328,8 @@
         headers.append(
             (_http_messages.RUNS_HEADER, str(earlier_count).encode())
         )
+        if work.is_admitted:
+            headers.append((_http_messages.ADMITTED_HEADER, b'1'))
         if (
             request.body
             or request.method not in _server_calls.BODYLESS_METHODS
--- a/bluebellthread/entry/_http_messages.py
+++ b/bluebellthread/entry/_http_messages.py
@@ -37,6 +37,10 @@
 RUNS_HEADER = b'bluebellthread-runs'
 """Servers that may have run a request that is handed on."""
 
+ADMITTED_HEADER = b'bluebellthread-customer-admitted'
+"""Present if a VM has counted a request that it hands on towards the limit of
+its customer."""
+
 NOT_TAKEN_HEADER = b'bluebellthread-not-taken'
 """Why a VM does not take a request, in its answer; nothing has run then."""
 
@@ -51,6 +55,7 @@
         AGE_HEADER,
         VERSION_HEADER,
         RUNS_HEADER,
+        ADMITTED_HEADER,
         NOT_TAKEN_HEADER,
         SOFTWARE_HEADER,
     )
@@ -177,11 +182,14 @@
         Version of the configuration by which that VM routes.
     run_count : int
         Servers that may have run the request.
+    is_admitted : bool
+        Whether it counts towards the limit of its customer already.
     """
 
     request: Request
     config_version: int
     run_count: int
+    is_admitted: bool = False
 
     @classmethod
     def read(cls, request):
@@ -200,6 +208,7 @@
             ),
             config_version=_read_number(request.header(VERSION_HEADER)),
             run_count=_read_number(request.header(RUNS_HEADER)),
+            is_admitted=bool(request.header(ADMITTED_HEADER)),
         )
 
 
--- a/bluebellthread/entry/_refusals.py
+++ b/bluebellthread/entry/_refusals.py
@@ -83,15 +83,25 @@
         Time that the caller has left. A longer back-off than it can use is
         shortened, and still spread.
     """
-    usable_ms = max(0, remaining_ms) // BACKOFF_SHARE
-    back_off_ms = _add_jitter(retry_after_ms)
-    if back_off_ms > usable_ms:
-        back_off_ms = int(usable_ms * _rng.uniform(0.75, 1))
     return RouterAnswer(
         status=503,
         kind=kind,
         remedy='ask again after the time named',
-        retry_after_ms=back_off_ms,
+        retry_after_ms=_find_back_off_ms(retry_after_ms, remaining_ms),
+    )
+
+
+def make_over_limit_refusal(retry_after_ms, remaining_ms):
+    """Make the refusal of a request over the rate limit of its customer.
+
+    It has not run. The parameters are those of `make_not_run_refusal`.
+    """
+    return RouterAnswer(
+        status=429,
+        kind='over-limit',
+        remedy='ask again after the time named; the customer is over its '
+        'rate limit',
+        retry_after_ms=_find_back_off_ms(retry_after_ms, remaining_ms),
     )
 
 
@@ -149,3 +159,12 @@
 def _add_jitter(base_ms):
     """Add jitter, so that callers refused together don't retry together."""
     return int(base_ms * _rng.uniform(0.75, 1.25))
+
+
+def _find_back_off_ms(retry_after_ms, remaining_ms):
+    """Return a spread back-off that a caller can use."""
+    usable_ms = max(0, remaining_ms) // BACKOFF_SHARE
+    back_off_ms = _add_jitter(retry_after_ms)
+    if back_off_ms > usable_ms:
+        back_off_ms = int(usable_ms * _rng.uniform(0.75, 1))
+    return back_off_ms
--- a/bluebellthread/entry/_service.py
+++ b/bluebellthread/entry/_service.py
@@ -20,6 +20,7 @@
 from bluebellthread.entry import _caller_connection
 from bluebellthread.entry import _configuration_task
 from bluebellthread.entry import _connection_control
+from bluebellthread.entry import _customer_limits
 from bluebellthread.entry import _gateway
 from bluebellthread.entry import _hand_on
 from bluebellthread.entry import _news_task
@@ -130,9 +131,14 @@
             traffic=traffic,
         )
         # A VM of an older build closes a connection on which it gets a
-        # message that it doesn't know, so news and tokens have connections of
-        # their own.
-        self._links, self._news_links, self._token_links = (
+        # message that it doesn't know, so news, tokens and the use of
+        # customers' limits have connections of their own.
+        (
+            self._links,
+            self._news_links,
+            self._token_links,
+            self._customer_links,
+        ) = (
             _peers.PeerLinks(
                 vm=settings.vm,
                 incarnation=self._incarnation,
@@ -140,7 +146,7 @@
                 mailboxes=self._mailboxes,
                 traffic=traffic,
             )
-            for _ in range(3)
+            for _ in range(4)
         )
         options = MEMBERSHIP_OPTIONS
         self._scheduler_views, self._unused = trio.open_memory_channel(0)
@@ -178,6 +184,13 @@
             state=self.state, links=self._token_links
         )
         self._tokens.register(self._mailboxes)
+        self._customer_limits = _customer_limits.CustomerLimits(
+            state=self.state,
+            links=self._customer_links,
+            dialect=dialect,
+            stats=self.stats,
+        )
+        self._customer_limits.register(self._mailboxes)
         self.server_limits = _server_limits.ServerLimits(
             state=self.state,
             news=self._news,
@@ -304,6 +317,7 @@
             budgets=budgets,
             dialect=dialect,
             stats=self.stats,
+            customer_limits=self._customer_limits,
         )
 
     def stop(self):
@@ -338,6 +352,7 @@
             await nursery.start(self._links.run)
             await nursery.start(self._news_links.run)
             await nursery.start(self._token_links.run)
+            await nursery.start(self._customer_links.run)
             await self._listen(nursery)
             await self._join(nursery)
             for task in (
@@ -347,6 +362,7 @@
                 self._news,
                 self.shut_outs,
                 self._tokens,
+                self._customer_limits,
                 self.server_limits,
                 self._paths,
                 self._server_watch,
--- a/bluebellthread/entry/_stats.py
+++ b/bluebellthread/entry/_stats.py
@@ -23,6 +23,11 @@
 )
 """Bucket bounds in seconds, around the target latency of the first token."""
 
+CUSTOMERS_MAX = 64
+OTHER_CUSTOMERS = 'other'
+"""Customers that have metrics of their own, the first that send requests, and
+the label of all others. It bounds the size of the metrics."""
+
 CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST.encode()
 
 
@@ -57,6 +62,12 @@
         self._turned_away = self._counter(
             'turned_away', 'Requests kept from servers that name limits'
         )
+        self._customer_units = self._counter(
+            'customer_units',
+            'Units asked for of customers with limits',
+            ('customer', 'outcome'),
+        )
+        self._customers = set()
         self._handed_on = self._counter(
             'handed_on', 'Requests that other VMs took from this one'
         )
@@ -129,6 +140,17 @@
         """Count a request that a server's limit kept from the server."""
         self._turned_away.inc()
 
+    def count_customer_units(self, customer, units, *, is_admitted):
+        """Count the units of a request of a customer with a limit."""
+        if customer not in self._customers:
+            if len(self._customers) >= CUSTOMERS_MAX:
+                customer = OTHER_CUSTOMERS
+            self._customers.add(customer)
+        outcome = 'admitted' if is_admitted else 'refused'
+        self._customer_units.labels(customer=customer, outcome=outcome).inc(
+            units
+        )
+
     def count_handed_on(self):
         """Count a request that another VM has taken."""
         self._handed_on.inc()
--- a/bluebellthread/entry/_work.py
+++ b/bluebellthread/entry/_work.py
@@ -66,6 +66,11 @@
         As the parameter.
     table_version : int
         As the parameter.
+    is_admitted : bool
+        Whether the request counts towards the limit of its customer, on this
+        VM or the one that has handed it on.
+    is_refused : bool
+        Whether it was refused with the promise that it has not run.
     is_counted_elsewhere : bool
         Whether another VM counts the request for its retry budget.
     run_count : int
@@ -134,6 +139,8 @@
         self.table_version = table_version
         self.is_handed_on = is_handed_on
         self.is_counted_elsewhere = False
+        self.is_admitted = False
+        self.is_refused = False
         self._dialect = dialect
         self._stats = stats
         self._admission = admission
@@ -404,6 +411,7 @@
 
     async def refuse(self, kind, retry_after_ms):
         """Send a refusal: the request has not run."""
+        self.is_refused = True
         await self._send_router_answer(
             _refusals.make_not_run_refusal(
                 kind,
@@ -412,6 +420,14 @@
             )
         )
 
+    async def refuse_over_limit(self, retry_after_ms):
+        """Send a refusal of a request over the limit of its customer."""
+        await self._send_router_answer(
+            _refusals.make_over_limit_refusal(
+                retry_after_ms, self.deadline_ms - _clock.read_clock_ms()
+            )
+        )
+
     async def refuse_hand_on(self, reason):
         """Tell the VM that has handed the request on that it is not taken."""
         self.outcome = 'not-taken'
@@ -420,6 +436,7 @@
 
     async def refuse_shut_out(self, shut_out):
         """Send a refusal of a request that ends servers."""
+        self.is_refused = True
         emit(
             events.SHUT_OUT_REFUSED,
             request_id=self.request_id,
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -551,6 +551,18 @@
     'WARNING',
     'request {request_id} broke off at VM {vm}: {reason}',
 )
+CUSTOMER_OVER_LIMIT = Event(
+    7082,
+    'INFO',
+    'requests of customer {customer} are refused, as it is over its limit; '
+    'the next may be admitted in {wait_ms} ms',
+)
+CUSTOMER_OWNER_UNREACHED = Event(
+    7083,
+    'INFO',
+    'VM {owner}, which adds up the use of {customers} customers, is not '
+    'reached: {error}; this VM uses its share',
+)
 
 
 def list_events():
--- a/bluebellthread/wire/__init__.py
+++ b/bluebellthread/wire/__init__.py
@@ -104,6 +104,12 @@
         'TokensAsk',
         'TokensAnswer',
     ),
+    'routing._customer_messages': (
+        'CustomerUse',
+        'CustomerUsage',
+        'CustomerGrant',
+        'CustomerUsageNoted',
+    ),
 }
 """Message classes by their module in the core. A module is imported when one
 of its messages is first sent or received."""
--- a/bluebellthread/wire/_peer_generated.py
+++ b/bluebellthread/wire/_peer_generated.py
@@ -13,6 +13,28 @@
         (2, (15, 'updates', (12, 'struct MemberUpdate'), False)),
         (3, (11, 'subject', False)),
     ),
+    'CustomerGrant': (
+        (1, (11, 'customer', False)),
+        (2, (10, 'used', False)),
+        (3, (8, 'credit', False)),
+        (4, (4, 'rate_per_s', False)),
+        (5, (2, 'is_near', False)),
+        (6, (8, 'report_ms', False)),
+        (7, (8, 'ask_ms', False)),
+    ),
+    'CustomerUsage': (
+        (1, (15, 'uses', (12, 'struct CustomerUse'), False)),
+    ),
+    'CustomerUsageNoted': (
+        (1, (15, 'grants', (12, 'struct CustomerGrant'), False)),
+    ),
+    'CustomerUse': (
+        (1, (11, 'customer', False)),
+        (2, (10, 'used', False)),
+        (3, (8, 'window_used', False)),
+        (4, (10, 'wanted', False)),
+        (5, (8, 'needed', False)),
+    ),
     'Departure': (
         (1, (11, 'name', False)),
         (2, (10, 'incarnation', False)),
--- a/bluebellthread/wire/peer.thrift
+++ b/bluebellthread/wire/peer.thrift
@@ -376,6 +376,32 @@
   2: i64 wait_ms,
 }
 
+struct CustomerUse {
+  1: string customer,
+  2: i64 used,
+  3: i32 window_used,
+  4: i64 wanted,
+  5: i32 needed,
+}
+
+struct CustomerUsage {
+  1: list<CustomerUse> uses,
+}
+
+struct CustomerGrant {
+  1: string customer,
+  2: i64 used,
+  3: i32 credit,
+  4: double rate_per_s,
+  5: bool is_near,
+  6: i32 report_ms,
+  7: i32 ask_ms,
+}
+
+struct CustomerUsageNoted {
+  1: list<CustomerGrant> grants,
+}
+
 struct Outage {
   1: i64 start_clock_ms,
   2: i64 end_clock_ms,
