--- a/tests/integration/test_entry_customer_limits.py
+++ b/tests/integration/test_entry_customer_limits.py
@@ -7,6 +7,7 @@
 from bluebellthread.entry import _http_messages
 from tests.integration import _entry_fleet as fleets
 from tests.integration import _entry_site as sites
+from tests.integration.test_entry_plain import refuse
 from tests.integration.test_entry_plain import run
 
 KEY = 'Authorization: Bearer k1'
@@ -132,6 +133,16 @@
             self.assertEqual(200, answer.status)
             self.assertEqual(0, len(vm.entry._customer_limits._credits))
 
+    # Guards against a customer that pays for requests that have not run.
+    @run
+    async def test_refused_request_is_given_back(self):
+        async with fleets.running_fleet(vms=1, plain=('s1',)) as fleet:
+            set_customers(fleet, rate_per_s=0.01, burst=2)
+            fleet.servers['s1'].behave = refuse
+            for number in range(4):
+                answer = await call(fleet, 1, number, deadline_ms=600)
+                self.assertEqual(503, answer.status)
+
     @run
     async def test_metrics_name_the_customer(self):
         async with fleets.running_fleet(vms=1, plain=('s1',)) as fleet:
