--- a/bluebellthread/entry/_http_messages.py
+++ b/bluebellthread/entry/_http_messages.py
@@ -44,6 +44,9 @@
 NOT_TAKEN_HEADER = b'bluebellthread-not-taken'
 """Why a VM does not take a request, in its answer; nothing has run then."""
 
+LOOKS_UP_KEYS_HEADER = b'bluebellthread-looks-up-keys'
+"""Beside `NOT_TAKEN_HEADER`, from VMs that look up the keys of customers."""
+
 NO_PATH = 'no-path'
 """Value of it if that VM reaches no server either."""
 
@@ -57,6 +60,7 @@
         RUNS_HEADER,
         ADMITTED_HEADER,
         NOT_TAKEN_HEADER,
+        LOOKS_UP_KEYS_HEADER,
         SOFTWARE_HEADER,
     )
 )
--- a/bluebellthread/entry/_stats.py
+++ b/bluebellthread/entry/_stats.py
@@ -23,10 +23,14 @@
 )
 """Bucket bounds in seconds, around the target latency of the first token."""
 
-CUSTOMERS_MAX = 64
-OTHER_CUSTOMERS = 'other'
-"""Customers that have metrics of their own, the first that send requests, and
-the label of all others. It bounds the size of the metrics."""
+CUSTOMERS_MAX = 128
+"""Most customers that are counted by name: some 100 KB of memory and 10 KB of
+each answer to the monitoring. The others are counted together."""
+
+OTHER_CUSTOMERS = '(other)'
+NO_CUSTOMER = '(none)'
+"""Names that stand for the customers beyond `CUSTOMERS_MAX`, and for requests
+to routes that need no key."""
 
 CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST.encode()
 
@@ -47,6 +51,13 @@
         self._requests = self._counter(
             'requests', 'Requests of callers', ('kind', 'outcome')
         )
+        self._customer_requests = self._counter(
+            'customer_requests', 'Requests by customer', ('customer',)
+        )
+        self._customer_names = {OTHER_CUSTOMERS, NO_CUSTOMER}
+        self._unknown_keys = self._counter(
+            'unknown_keys', 'Requests refused as no customer has their key'
+        )
         self._failures = self._counter(
             'failed_calls', 'Calls to servers that failed', ('stage',)
         )
@@ -67,7 +78,6 @@
             'Units asked for of customers with limits',
             ('customer', 'outcome'),
         )
-        self._customers = set()
         self._handed_on = self._counter(
             'handed_on', 'Requests that other VMs took from this one'
         )
@@ -120,6 +130,22 @@
         self._requests.labels(kind=kind, outcome=outcome).inc()
         self._latency.labels(kind=kind).observe(took_ms / _clock.MS_PER_S)
 
+    def count_customer(self, customer):
+        """Count a request where the configuration has customers.
+
+        Parameters
+        ----------
+        customer : Customer or None
+            Who has sent it.
+        """
+        name = NO_CUSTOMER if customer is None else customer.name
+        name = self._find_label(name)
+        self._customer_requests.labels(customer=name).inc()
+
+    def count_unknown_key(self):
+        """Count a request that is refused for its key."""
+        self._unknown_keys.inc()
+
     def count_failure(self, stage):
         """Count a failed call to a server for one stage of the work."""
         self._failures.labels(stage=stage).inc()
@@ -140,12 +166,20 @@
         """Count a request that a server's limit kept from the server."""
         self._turned_away.inc()
 
+    def _find_label(self, name):
+        """Return the name under which a customer is counted."""
+        names = self._customer_names
+        if name not in names:
+            # Two of the names stand for no customer.
+            if len(names) < CUSTOMERS_MAX + 2:
+                names.add(name)
+            else:
+                name = OTHER_CUSTOMERS
+        return name
+
     def count_customer_units(self, customer, units, *, is_admitted):
         """Count the units of a request of a customer with a limit."""
-        if customer not in self._customers:
-            if len(self._customers) >= CUSTOMERS_MAX:
-                customer = OTHER_CUSTOMERS
-            self._customers.add(customer)
+        customer = self._find_label(customer)
         outcome = 'admitted' if is_admitted else 'refused'
         self._customer_units.labels(customer=customer, outcome=outcome).inc(
             units
--- a/tests/integration/test_entry_customer_limits.py
+++ b/tests/integration/test_entry_customer_limits.py
@@ -7,7 +7,6 @@
 from bluebellthread.entry import _http_messages
 from tests.integration import _entry_fleet as fleets
 from tests.integration import _entry_site as sites
-from tests.integration.test_entry_plain import refuse
 from tests.integration.test_entry_plain import run
 
 KEY = 'Authorization: Bearer k1'
@@ -138,7 +137,16 @@
     async def test_refused_request_is_given_back(self):
         async with fleets.running_fleet(vms=1, plain=('s1',)) as fleet:
             set_customers(fleet, rate_per_s=0.01, burst=2)
-            fleet.servers['s1'].behave = refuse
+            server = fleet.servers['s1']
+
+            async def refuse(request):
+                headers = [
+                    *server.answer_headers(request),
+                    ('x-not-executed', '1'),
+                ]
+                await request.answer(503, b'', headers)
+
+            server.script = [refuse] * 99
             for number in range(4):
                 answer = await call(fleet, 1, number, deadline_ms=600)
                 self.assertEqual(503, answer.status)
