--- a/bluebellthread/entry/_stats.py
+++ b/bluebellthread/entry/_stats.py
@@ -76,6 +76,11 @@
         self._waited = self._counter(
             'plain_waits', 'Waits for a place at full servers'
         )
+        self._customer_units = self._counter(
+            'customer_units',
+            'Units asked for of customers with limits',
+            ('customer', 'outcome'),
+        )
         self._handed_on = self._counter(
             'handed_on', 'Requests that other VMs took from this one'
         )
@@ -151,13 +156,7 @@
             Who has sent it.
         """
         name = NO_CUSTOMER if customer is None else customer.name
-        names = self._customer_names
-        if name not in names:
-            # Two of the names stand for no customer.
-            if len(names) < CUSTOMERS_MAX + 2:
-                names.add(name)
-            else:
-                name = OTHER_CUSTOMERS
+        name = self._find_label(name)
         self._customer_requests.labels(customer=name).inc()
 
     def count_unknown_key(self):
@@ -188,6 +187,25 @@
         """Count a wait of a request for a place at full servers."""
         self._waited.inc()
 
+    def _find_label(self, name):
+        """Return the name under which a customer is counted."""
+        names = self._customer_names
+        if name not in names:
+            # Two of the names stand for no customer.
+            if len(names) < CUSTOMERS_MAX + 2:
+                names.add(name)
+            else:
+                name = OTHER_CUSTOMERS
+        return name
+
+    def count_customer_units(self, customer, units, *, is_admitted):
+        """Count the units of a request of a customer with a limit."""
+        customer = self._find_label(customer)
+        outcome = 'admitted' if is_admitted else 'refused'
+        self._customer_units.labels(customer=customer, outcome=outcome).inc(
+            units
+        )
+
     def count_handed_on(self):
         """Count a request that another VM has taken."""
         self._handed_on.inc()
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -563,6 +563,18 @@
     'configuration version {version} has {customers} customers with {keys} '
     'keys',
 )
+CUSTOMER_OVER_LIMIT = Event(
+    7082,
+    'INFO',
+    'requests of customer {customer} are refused, as it is over its limit; '
+    'the next may be admitted in {wait_ms} ms',
+)
+CUSTOMER_OWNER_UNREACHED = Event(
+    7083,
+    'INFO',
+    'VM {owner}, which adds up the use of {customers} customers, is not '
+    'reached: {error}; this VM uses its share',
+)
 SPEED_REPORTED = Event(
     7085,
     'INFO',
