Try only shorter prompts behind a blocked one

Cause: trying up to six blocked requests at all engines took 0.33 ms of the owner's processor time a request, against 0.19 ms with the default options.

Change: at most three, and only with prompts below 0.9 of the blocked one's. The slowness of an engine is kept with its account and ends with it.

--- a/bluebellthread/core/routing/_allocator.py
+++ b/bluebellthread/core/routing/_allocator.py
@@ -216,15 +216,11 @@
     def _learn_pace(self, placement, writing_ms):
         if self._pace is None or not placement.expected_tokens:
             return
-        server = placement.decode_server
         self._pace.note_ended(
-            server=server,
+            account=self._pool.find_account(placement.decode_server),
             expected_tokens=placement.expected_tokens,
             writing_ms=writing_ms,
         )
-        account = self._pool.find_account(server)
-        if account is not None:
-            account.slowness = self._pace.find_slowness(server)
 
     def register_held(self, held, now_ms):
         """Replace the known placements of a VM by the list that it sent.
@@ -288,6 +284,8 @@
         silent = self._silences.list_silent(now_ms)
         self._overtaking.begin_decision(self._waiting)
         for waiting in self._in_order(now_ms):
+            if not self._overtaking.may_fit(waiting.request):
+                continue
             grant = self._grant(waiting.request, now_ms, silent)
             if grant is not None:
                 answers.append(grant)
--- a/bluebellthread/core/routing/_answer_pace.py
+++ b/bluebellthread/core/routing/_answer_pace.py
@@ -42,25 +42,19 @@
 
     def __init__(self):
         self._log_pace = math.log(_memory_models.TOKEN_MS)
-        self._slowness_log = {}
 
     @property
     def token_ms(self):
         """Milliseconds that a token takes on an engine of median speed."""
         return math.exp(self._log_pace)
 
-    def find_slowness(self, server):
-        """Return how long an engine takes relative to the others."""
-        slowness = math.exp(self._slowness_log.get(server, 0.0))
-        return min(SLOWNESS_MAX, max(SLOWNESS_MIN, slowness))
-
-    def note_ended(self, *, server, expected_tokens, writing_ms):
+    def note_ended(self, *, account, expected_tokens, writing_ms):
         """Learn from a whole answer whose length was expected by its caller.
 
         Parameters
         ----------
-        server : str
-            Name of the decode server.
+        account : EngineAccount or None
+            The decode server, whose slowness is changed.
         """
         log_pace = math.log(max(1, writing_ms) / expected_tokens)
         residual = log_pace - self._log_pace
@@ -69,16 +63,11 @@
             math.log(TOKEN_MS_MAX),
             max(math.log(TOKEN_MS_MIN), self._log_pace + step),
         )
+        if account is None:
+            return
         residual = min(RESIDUAL_MAX, max(-RESIDUAL_MAX, residual))
-        known = self._slowness_log.get(server, 0.0)
-        self._slowness_log[server] = known + SLOWNESS_WEIGHT * (
-            residual - known
+        known = math.log(account.slowness)
+        known += SLOWNESS_WEIGHT * (residual - known)
+        account.slowness = min(
+            SLOWNESS_MAX, max(SLOWNESS_MIN, math.exp(known))
         )
-
-    def forget_others(self, servers):
-        """Forget the slowness of engines that have left."""
-        self._slowness_log = {
-            name: value
-            for name, value in self._slowness_log.items()
-            if name in servers
-        }
--- a/bluebellthread/core/routing/_first_event_time.py
+++ b/bluebellthread/core/routing/_first_event_time.py
@@ -13,7 +13,8 @@
 ``note_first_event``."""
 
 QUANTILE = 0.85
-"""Share of the requests that get their first event within the estimate."""
+"""Share of the requests that get their first event within the estimate. With
+0.78 and 0.7, fewer of a burst are on time."""
 
 STEP_MS = 16.0
 """Change of the estimate by one measurement: about ten requests after a
--- a/bluebellthread/core/routing/_memory_models.py
+++ b/bluebellthread/core/routing/_memory_models.py
@@ -64,8 +64,17 @@
 
 
 EXPECTED_FACTOR = 1.2
+"""Output that is expected relative to callers' hints. With 1.0, engines
+preempt 33 of 1,000 requests of a burst, with 1.2 they preempt 22."""
+
 TAIL_SHARE = 0.3
+"""Output that is still expected of an answer that has reached its expected
+length, as a share of that. Shares of 0.15 and 0.5 preempt 52 and 18 of 1,000
+requests, both with a factor of 1.0."""
+
 EXPECTED_FREE_SHARE = 0.03
+"""Fraction of the memory that is never reserved, as `FREE_SHARE`. With 0.06,
+fewer requests are served."""
 
 
 @memory_models.register('expected-peak')
--- a/bluebellthread/core/routing/_overtaking.py
+++ b/bluebellthread/core/routing/_overtaking.py
@@ -4,12 +4,18 @@
 free at the moment, while shorter prompts behind it would fit.
 """
 
+import math
+
 import attrs
 
-BLOCKED_MAX = 6
+BLOCKED_MAX = 3
 """Blocked requests after which the others are not tried in the same decision.
 It bounds the cost of a decision while all engines are full."""
 
+FITTING_SHARE = 0.9
+"""Requests are tried behind a blocked one only if their prompts are shorter
+than this share of its prompt. Trying all takes twice the processor time."""
+
 
 @attrs.define
 class _Blocked:
@@ -34,11 +40,13 @@
         self._blocked = {}
         self._seen = []
         self._failed_count = 0
+        self._fitting_max = math.inf
 
     def begin_decision(self, waiting_ids):
         """Start a decision; end reservations of requests no longer queued."""
         self._seen = []
         self._failed_count = 0
+        self._fitting_max = math.inf
         for ask_id in [x for x in self._blocked if x not in waiting_ids]:
             self.end(ask_id)
 
@@ -54,6 +62,18 @@
         for blocked in self._seen:
             blocked.passed_count += 1
 
+    def may_fit(self, request):
+        """Return whether a request may fit where those before it didn't."""
+        return (
+            request.prompt_tokens < self._fitting_max
+            or request.has_begun
+            or self._holds_engine(request.ask_id)
+        )
+
+    def _holds_engine(self, ask_id):
+        blocked = self._blocked.get(ask_id)
+        return blocked is not None and blocked.account is not None
+
     def may_pass(self, request, pool, now_ms):
         """Return whether requests behind a blocked one are to be tried."""
         if not self._count_max or not pool.has_free_prefill(request):
@@ -79,4 +99,7 @@
             else:
                 self._seen.append(blocked)
         self._failed_count += 1
+        self._fitting_max = min(
+            self._fitting_max, FITTING_SHARE * request.prompt_tokens
+        )
         return self._failed_count < BLOCKED_MAX
