Reserve another engine if a reserved one leaves, and follow demand of earlier requests

Cause: a reservation stayed with the account of an engine that had left or restarted, and the review of customers' shares raised KeyError for a request that was queued before a service became contended.

Change: reservations are checked against the listed accounts; customers without known demand are not compared, idle ones are dropped.

Result: two new tests fail without the change and pass with it.

--- a/bluebellthread/core/routing/_demand_shares.py
+++ b/bluebellthread/core/routing/_demand_shares.py
@@ -32,6 +32,10 @@
 STARVED_ASKED_MIN = 10
 """Time constant and least number of requests for that comparison."""
 
+COUNT_MIN = 0.1
+"""Customers with fewer recent grants are not compared: there may be over a
+thousand customers, most of them idle."""
+
 REVIEW_PERIOD_MS = 100
 """How often both are determined again: a fraction of the requests' waits."""
 
@@ -100,15 +104,26 @@
         if now_ms < self._next_review_ms:
             return
         self._next_review_ms = now_ms + REVIEW_PERIOD_MS
+        self._recent = {
+            name: recent
+            for name, recent in self._recent.items()
+            if recent.count_at(now_ms) >= COUNT_MIN
+        }
         self._over = frozenset(
             name
             for name, recent in self._recent.items()
-            if len(self._usual) > 1
-            and recent.per_s(now_ms)
-            > OVER_FACTOR * self._usual[name].per_s(now_ms) + OVER_EXTRA_PER_S
+            if len(self._usual) > 1 and self._is_over(name, recent, now_ms)
         )
         self._starved = self._find_starved(now_ms)
 
+    def _is_over(self, name, recent, now_ms):
+        usual = self._usual.get(name)
+        # A request may have been queued before demand was followed.
+        return usual is not None and (
+            recent.per_s(now_ms)
+            > OVER_FACTOR * usual.per_s(now_ms) + OVER_EXTRA_PER_S
+        )
+
     def _find_starved(self, now_ms):
         asked = collections.Counter(
             {key: rate.count_at(now_ms) for key, rate in self._asked.items()}
--- a/bluebellthread/core/routing/_engine_pool.py
+++ b/bluebellthread/core/routing/_engine_pool.py
@@ -76,6 +76,10 @@
         """Return the account of a server name, or None."""
         return self._accounts.get(server)
 
+    def holds(self, account):
+        """Return whether an account is that of a listed engine process."""
+        return self._accounts.get(account.server.name) is account
+
     def set_servers(self, servers):
         """Replace the list of engines; keep the accounts of running processes.
 
--- a/bluebellthread/core/routing/_overtaking.py
+++ b/bluebellthread/core/routing/_overtaking.py
@@ -82,10 +82,7 @@
         if blocked is None:
             blocked = _Blocked(since_ms=now_ms)
             self._blocked[request.ask_id] = blocked
-        if (
-            blocked.account is not None
-            and blocked.account.reserved_for != request.ask_id
-        ):
+        if blocked.account is not None and not pool.holds(blocked.account):
             # The engine has restarted or left.
             blocked.account = None
         if blocked.account is None:
--- a/tests/unit/test_replay_contended.py
+++ b/tests/unit/test_replay_contended.py
@@ -14,6 +14,8 @@
 from bench import _replay_world
 from bluebellthread.core import routing
 from bluebellthread.core.routing import _demand_shares
+from bluebellthread.core.routing import _engine_pool
+from bluebellthread.core.routing import _overtaking
 from bluebellthread.core.routing import _ownership_epoch
 from tests.unit import _allocation
 
@@ -184,6 +186,22 @@
         allocator.release('a', 10, first_event_ms=300, writing_ms=2000)
         self.assertEqual(['b'], _allocation.granted_ids(allocator.decide(10)))
 
+    # Guards against an error where a customer's request was queued before the
+    # options changed.
+    def test_request_queued_before_the_change_is_granted(self):
+        allocator = routing.Allocator()
+        ask = _allocation.make_request('a', customer='c1')
+        allocator.add_request(ask, 0)
+        allocator.set_options(routing.CONTENDED_OPTIONS)
+        for number, name in enumerate(('c2', 'c3')):
+            other = _allocation.make_request(str(number), customer=name)
+            allocator.add_request(other, 0)
+        allocator.set_servers((_allocation.make_engine('d1', 'decode'),))
+        granted = []
+        for now_ms in (0, 400):
+            granted += _allocation.granted_ids(allocator.decide(now_ms))
+        self.assertIn('a', granted)
+
 
 class TestReservation(unittest.TestCase):
     # Guards against short prompts that take each piece of memory that ends.
@@ -225,3 +243,30 @@
             if n < 3:
                 allocator.release(f'short{n}', 3)
         self.assertIn('long', _allocation.granted_ids(allocator.decide(3)))
+
+    # Guards against a reservation that stays with an engine that has left.
+    def test_another_engine_is_reserved_if_one_leaves(self):
+        pool = _engine_pool.EnginePool()
+        pool.set_model(fits=lambda *arguments: False, prefill_depth=2)
+        engines = tuple(
+            _allocation.make_engine(f'd{n}', 'decode') for n in range(5)
+        )
+        pool.set_servers(engines)
+        overtaking = _overtaking.Overtaking(count_max=1, age_max_ms=0)
+        ask = _allocation.make_request('long')
+        overtaking.may_pass(ask, pool, 0)
+        (first,) = self.list_reserved(pool)
+        pool.set_servers(tuple(x for x in engines if x.name != first))
+        overtaking.may_pass(ask, pool, 1)
+        (second,) = self.list_reserved(pool)
+        self.assertNotEqual(first, second)
+        overtaking.begin_decision({})
+        self.assertEqual([], self.list_reserved(pool))
+
+    @staticmethod
+    def list_reserved(pool):
+        return [
+            account.server.name
+            for account in pool.by_role['decode']
+            if account.reserved_for
+        ]
