--- a/bluebellthread/core/routing/_allocator.py
+++ b/bluebellthread/core/routing/_allocator.py
@@ -133,6 +133,11 @@
         """Number of placements in use."""
         return len(self._pool)
 
+    @property
+    def late_event_share(self):
+        """Share of first events later than expected; 0 if not followed."""
+        return self._prefill_time.late_share
+
     @property
     def is_idle(self):
         """Whether no request is queued and no placement is in use."""
--- a/bluebellthread/core/routing/_first_event_time.py
+++ b/bluebellthread/core/routing/_first_event_time.py
@@ -33,6 +33,9 @@
 BUCKET_SHARE = 0.5
 """Share of a change that goes to the range of the measured prompt only."""
 
+LATE_WEIGHT = 0.02
+"""Weight of the newest request in the share of first events that were later
+than expected: about fifty requests."""
 
 first_event_times.register('mean-prefill')(_prefill_time.PrefillTime)
 
@@ -58,6 +61,7 @@
     def note_first_event(self, *, tokens, took_ms):
         """Move the estimate towards the quantile by one measurement."""
         is_above = took_ms > self.first_event_ms(tokens)
+        self.late_share += LATE_WEIGHT * (is_above - self.late_share)
         change_ms = STEP_MS * (QUANTILE if is_above else QUANTILE - 1)
         self._common_ms += (1 - BUCKET_SHARE) * change_ms
         self._bucket_ms[_find_bucket(tokens)] += BUCKET_SHARE * change_ms
--- a/bluebellthread/core/routing/_prefill_time.py
+++ b/bluebellthread/core/routing/_prefill_time.py
@@ -31,6 +31,7 @@
 
     def __init__(self):
         self._ms_per_token = PREFILL_MS_PER_TOKEN
+        self.late_share = 0.0
 
     def note(self, *, tokens, took_ms):
         """Update the rate with the duration of one measured prefill."""
--- a/bluebellthread/entry/_placement_task.py
+++ b/bluebellthread/entry/_placement_task.py
@@ -80,6 +80,17 @@
             for service, owned in self._owned.items()
         }
 
+    @property
+    def late_event_share(self):
+        """Largest share of first events later than expected, of a service."""
+        return max(
+            (
+                owned.allocator.late_event_share
+                for owned in self._owned.values()
+            ),
+            default=0.0,
+        )
+
     async def run(self):
         """Handle messages until cancelled."""
         async with trio.open_nursery() as nursery:
--- a/bluebellthread/entry/_service.py
+++ b/bluebellthread/entry/_service.py
@@ -477,6 +477,9 @@
         stats.set_gauge('tasks_failed', _tasks.read_failure_count())
         stats.set_gauge('placements_waiting', sum(item[0] for item in counts))
         stats.set_gauge('placements_held', sum(item[1] for item in counts))
+        stats.set_gauge(
+            'late_event_share', self._placement_task.late_event_share
+        )
         stats.set_gauge('shut_outs', len(self.shut_outs.list_all()))
         stats.set_gauge('lost_services', len(self._paths.lost_services))
         stats.set_gauge('limited_servers', len(self.server_limits.list_all()))
--- a/bluebellthread/entry/_stats.py
+++ b/bluebellthread/entry/_stats.py
@@ -84,6 +84,7 @@
                 ('request_body_bytes', 'Memory that long bodies take'),
                 ('placements_waiting', 'Requests that wait for engines here'),
                 ('placements_held', 'Places at engines given here'),
+                ('late_event_share', 'First events later than expected here'),
                 ('shut_outs', 'Requests refused as they end servers'),
                 ('lost_services', 'Services of which no server is reached'),
                 ('limited_servers', 'Servers that name limits'),
--- a/tests/unit/test_replay_contended.py
+++ b/tests/unit/test_replay_contended.py
@@ -203,6 +203,16 @@
         self.assertIn('a', granted)
 
 
+class TestLateEventShare(unittest.TestCase):
+    # Guards against a metric that stays at 0 while the estimate is too low.
+    def test_share_follows_the_quantile(self):
+        load = _replay_load.read_load(LOADS / 'bursts-at-target.json')
+        world = _replay_world.ReplayWorld(load, routing.CONTENDED_OPTIONS)
+        world.run()
+        self.assertGreater(world._allocator.late_event_share, 0.02)
+        self.assertLess(world._allocator.late_event_share, 0.5)
+
+
 class TestReservation(unittest.TestCase):
     # Guards against short prompts that take each piece of memory that ends.
     def test_engine_is_reserved_after_the_bound_on_overtaking(self):
