--- a/bluebellthread/core/routing/_first_event_time.py
+++ b/bluebellthread/core/routing/_first_event_time.py
@@ -13,7 +13,8 @@
 ``note_first_event``."""
 
 QUANTILE = 0.85
-"""Share of the requests that get their first event within the estimate."""
+"""Share of the requests that get their first event within the estimate. With
+0.78 and 0.7, fewer of a burst are on time."""
 
 STEP_MS = 16.0
 """Change of the estimate by one measurement: about ten requests after a
@@ -32,6 +33,9 @@
 BUCKET_SHARE = 0.5
 """Share of a change that goes to the range of the measured prompt only."""
 
+LATE_WEIGHT = 0.02
+"""Weight of the newest request in the share of first events that were later
+than expected: about fifty requests."""
 
 first_event_times.register('mean-prefill')(_prefill_time.PrefillTime)
 
@@ -57,6 +61,7 @@
     def note_first_event(self, *, tokens, took_ms):
         """Move the estimate towards the quantile by one measurement."""
         is_above = took_ms > self.first_event_ms(tokens)
+        self.late_share += LATE_WEIGHT * (is_above - self.late_share)
         change_ms = STEP_MS * (QUANTILE if is_above else QUANTILE - 1)
         self._common_ms += (1 - BUCKET_SHARE) * change_ms
         self._bucket_ms[_find_bucket(tokens)] += BUCKET_SHARE * change_ms
--- a/bluebellthread/entry/_stats.py
+++ b/bluebellthread/entry/_stats.py
@@ -112,6 +112,7 @@
                 ('connections_refused', 'Connections over the limit so far'),
                 ('placements_waiting', 'Requests that wait for engines here'),
                 ('placements_held', 'Places at engines given here'),
+                ('late_event_share', 'First events later than expected here'),
                 ('shut_outs', 'Requests refused as they end servers'),
                 ('lost_services', 'Services of which no server is reached'),
                 ('limited_servers', 'Servers that name limits'),
