Blame no server for an answer that finds no memory here

Cause: such an answer counted as cut off by its server, so a flood of callers could get healthy servers avoided. Change: the error tells the two apart; streams that are cut off count in clients_cut_off, too.

--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -30,6 +30,7 @@
         'AnswerBodyError',
         'AnswerCutOffError',
         'AnswerTooLongError',
+        'AnswerWithoutMemoryError',
         'content_checks',
     ),
     '_answer_commands': (
--- a/bluebellthread/core/_answer_body.py
+++ b/bluebellthread/core/_answer_body.py
@@ -52,6 +52,16 @@
         super().__init__(f'the body is longer than {size_max_bytes} bytes')
 
 
+class AnswerWithoutMemoryError(AnswerTooLongError):
+    """A body finds no memory beside others; its server is not to blame.
+
+    Examples
+    --------
+    >>> str(AnswerWithoutMemoryError(100))
+    'the body is longer than 100 bytes'
+    """
+
+
 class AnswerBody:
     """Collects the body of one answer.
 
@@ -145,7 +155,7 @@
         needed_bytes = max(size_bytes, self._length_bytes)
         if self._budget is not None and needed_bytes > self._reserved_bytes:
             if not self._budget.reserve(needed_bytes, self._reserved_bytes):
-                raise AnswerTooLongError(self.size_bytes)
+                raise AnswerWithoutMemoryError(self.size_bytes)
             self._reserved_bytes = needed_bytes
         self._blocks.append(data)
 
--- a/bluebellthread/core/_client_memory.py
+++ b/bluebellthread/core/_client_memory.py
@@ -122,7 +122,6 @@
         if not stalled:
             return False
         longest = min(stalled, key=lambda share: share.stalled_since_ms)
-        self.cut_count += 1
         longest.cut()
         return True
 
@@ -203,7 +202,10 @@
 
     def cut(self):
         """Close the connection, since others need the memory."""
+        if not self.is_open:
+            return
         held_bytes = self.held_bytes
+        self._memory.cut_count += 1
         self.close()
         self._cut(held_bytes)
 
--- a/bluebellthread/entry/_plain_attempts.py
+++ b/bluebellthread/entry/_plain_attempts.py
@@ -250,7 +250,7 @@
                 answer = await self._run(progress, server, admission)
         except _server_calls.CallFailedError as error:
             now_ms = _clock.read_clock_ms()
-            if not isinstance(error, _server_calls.ServerLimitedError):
+            if not error.is_blameless:
                 self._choice.note_failure(server, now_ms)
             work.note_failed(
                 server.name, _work.STAGE_RUN, error, started_ms=started_ms
@@ -307,7 +307,10 @@
             body = await call.exchange.read_all(work.exchange.memory)
         except _server_exchange.AnswerBrokenError as error:
             raise _server_calls.CallFailedError(
-                str(error), may_have_run=True, is_cut=True
+                str(error),
+                may_have_run=True,
+                is_cut=not error.is_without_memory,
+                is_blameless=error.is_without_memory,
             ) from error
         finally:
             await call.close()
--- a/bluebellthread/entry/_server_calls.py
+++ b/bluebellthread/entry/_server_calls.py
@@ -47,6 +47,8 @@
         Whether the connection broke while the server may have been at work.
     is_unreached : bool
         Whether no connection to the server could be opened.
+    is_blameless : bool
+        Whether the server is not to blame.
     """
 
     def __init__(
@@ -57,12 +59,14 @@
         was_refused=False,
         is_cut=False,
         is_unreached=False,
+        is_blameless=False,
     ):
         self.reason = reason
         self.may_have_run = may_have_run
         self.was_refused = was_refused
         self.is_cut = is_cut
         self.is_unreached = is_unreached
+        self.is_blameless = is_blameless
         super().__init__(reason)
 
 
@@ -85,6 +89,7 @@
         super().__init__(
             'the server takes no further request now, by its own word',
             may_have_run=False,
+            is_blameless=True,
         )
 
 
--- a/bluebellthread/entry/_server_exchange.py
+++ b/bluebellthread/entry/_server_exchange.py
@@ -50,10 +50,14 @@
         What went wrong, for the log.
     sent : bool
         Whether any byte of the request may have reached the server.
+    is_without_memory : bool
+        Whether the answer was not read for lack of memory here, which its
+        server is not to blame for.
     """
 
-    def __init__(self, reason, *, sent=True):
+    def __init__(self, reason, *, sent=True, is_without_memory=False):
         self.sent = sent
+        self.is_without_memory = is_without_memory
         super().__init__(reason)
 
 
@@ -306,7 +310,12 @@
                     break
                 body.add(piece)
         except core.AnswerBodyError as error:
-            raise AnswerBrokenError(str(error)) from error
+            raise AnswerBrokenError(
+                str(error),
+                is_without_memory=isinstance(
+                    error, core.AnswerWithoutMemoryError
+                ),
+            ) from error
         else:
             if memory is not None:
                 body.keep_reserved()
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -330,6 +330,7 @@
         self.assertEqual(7380, settings.peer_port)
         self.assertEqual(('10.1.0.38',), settings.seed_hosts)
         self.assertEqual(8000, settings.stop_grace_ms)
+        self.assertEqual(4100, settings.fd_limit)
 
     # Guards against a process that does not start, or refuses all long bodies.
     def test_settings_may_name_no_memory(self):
@@ -341,6 +342,7 @@
                     {**SETTINGS, 'limits': limits}
                 )
                 self.assertEqual(150, settings.memory_max_mb)
+                self.assertEqual(4096, settings.fd_limit)
 
     def test_error_names_the_missing_field(self):
         fields = {key: SETTINGS[key] for key in SETTINGS if key != 'zone'}
