--- a/bluebellthread/core/routing/_customer_accounts.py
+++ b/bluebellthread/core/routing/_customer_accounts.py
@@ -103,7 +103,7 @@
 
     @property
     def capacity(self):
-        return self.limit.burst * self.share
+        return self.limit.capacity * self.share
 
     def refill(self, now_ms):
         """Add what has been gained beyond the rates granted."""
@@ -204,7 +204,9 @@
                 record.demand_per_s = 0.0
 
     def _clamp(self):
-        self.level = min(self.level, self.capacity)
+        # What was admitted before the last window is no longer checked.
+        floor = -self.rate_per_s * WINDOW_MS / 1000
+        self.level = min(max(self.level, floor), self.capacity)
 
 
 class CustomerAccounts:
--- a/bluebellthread/core/routing/_customer_usage.py
+++ b/bluebellthread/core/routing/_customer_usage.py
@@ -161,6 +161,10 @@
             needed=needed,
         )
 
+    def forget(self, name):
+        """Forget a customer that has no limit any more."""
+        self._uses.pop(name, None)
+
     def list_names(self):
         """Return the names of the customers in use."""
         return list(self._uses)
@@ -211,10 +215,10 @@
         if not use.is_share:
             use.is_share = use.is_near = True
             level = min(
-                use.limit.burst / vm_count
+                use.limit.capacity / vm_count
                 - use.find_window_used(now_ms)
                 + use.limit.rate_per_s * accounts.WINDOW_MS / 1000 / vm_count,
-                use.limit.burst / vm_count,
+                use.limit.capacity / vm_count,
             )
             if level < use.cost_max:
                 level -= self._rng.random() * use.cost_max
@@ -241,12 +245,12 @@
         use = self._uses.get(name)
         if use is None:
             use = self._uses[name] = _Use(limit=limit, owner=owner)
-            part = limit.burst / accounts.ALLOWANCE_PART / vm_count
+            part = limit.capacity / accounts.ALLOWANCE_PART / vm_count
             self._begin(use, part, now_ms)
         elif use.owner != owner or use.limit != limit:
             self._change(use, limit, owner, now_ms)
         elif now_ms >= use.until_ms:
-            part = limit.burst / accounts.ALLOWANCE_PART / vm_count
+            part = limit.capacity / accounts.ALLOWANCE_PART / vm_count
             self._begin(use, part - max(0, use.used - use.reported), now_ms)
         return use
 
--- a/bluebellthread/core/routing/_customers.py
+++ b/bluebellthread/core/routing/_customers.py
@@ -5,6 +5,14 @@
 
 import attrs
 
+COST_MAX = 2**31
+"""Most units that one request counts for: more than any engine's memory, and
+few enough that running totals fit into 64 bits."""
+
+CAPACITY_S = 1.0
+"""Time whose rate may be used at once although the burst is smaller: requests
+are whole, and VMs report what they admit only a few times a second."""
+
 DIGEST_BYTES = 16
 """Length of the digests of keys; random keys don't collide at this length."""
 
@@ -30,6 +38,11 @@
     counts_tokens: bool = False
     plain_cost: int = 1
 
+    @property
+    def capacity(self):
+        """Units that may be used at once."""
+        return max(self.burst, CAPACITY_S * self.rate_per_s, 1.0)
+
     def find_cost(self, token_counts):
         """Return the units of a request.
 
@@ -48,7 +61,9 @@
         """
         if not self.counts_tokens:
             return 1
-        return self.plain_cost if token_counts is None else sum(token_counts)
+        if token_counts is None:
+            return self.plain_cost
+        return min(sum(token_counts), COST_MAX)
 
 
 @attrs.frozen(kw_only=True)
--- a/bluebellthread/entry/_customer_limits.py
+++ b/bluebellthread/entry/_customer_limits.py
@@ -25,6 +25,10 @@
 REPORT_PERIOD_S = 0.1
 PRUNE_PERIOD_S = 1.0
 QUEUE_LENGTH = 1024
+ASKS_MAX = 3
+"""Owners that are asked for one request: one, and another one each time that
+the owner or the limit has changed meanwhile."""
+
 WARN_PERIOD_MS = 10_000
 """Time between log lines about customers over their limits."""
 
@@ -114,10 +118,13 @@
             return None
         name = work.customer.name
         verdict = self._try(work, cost)
-        while verdict == routing.ASK:
-            # Again only if another VM has become the owner meanwhile.
+        for _ in range(ASKS_MAX):
+            if verdict != routing.ASK:
+                break
             await self._ask(work, cost)
             verdict = self._try(work, cost, is_new=False)
+        if verdict == routing.ASK:
+            verdict = int(REPORT_PERIOD_S * _clock.MS_PER_S)
         is_admitted = verdict is None
         self._has_use.set()
         self._stats.count_customer_units(name, cost, is_admitted=is_admitted)
@@ -138,16 +145,32 @@
         """Return the units of a request; 0 if it counts towards no limit."""
         if work.customer is None or work.customer.limit is None:
             return 0
-        text = work.request.header(self._dialect.token_counts)
-        counts = self._dialect.read_token_counts(text)
-        return work.customer.limit.find_cost(counts)
+        limit = work.customer.limit
+        # Servers get all headers of the name; the largest counts.
+        costs = [
+            limit.find_cost(
+                self._dialect.read_token_counts(value.decode('latin-1'))
+            )
+            for name, value in work.request.headers
+            if name == self._dialect.token_counts
+        ]
+        return max(costs, default=limit.find_cost(None))
+
+    def _find_limit(self, name):
+        """Return the limit of a customer that is in force, or None."""
+        customers = self._state.table.customers
+        customer = customers and customers.find_named(name)
+        return customer.limit if customer else None
 
     def _try(self, work, cost, *, is_new=True):
         name = work.customer.name
+        # Of requests that arrived under different limits, the one in force
+        # holds for all: else each would drop what the other was granted.
+        limit = self._find_limit(name) or work.customer.limit
         return self._credits.admit(
             name,
             cost,
-            work.customer.limit,
+            limit,
             self._find_owner_key(name),
             _clock.read_clock_ms(),
             vm_count=self._vm_count,
@@ -281,11 +304,10 @@
         """Note a VM's report and return the reply."""
         now_ms = _clock.read_clock_ms()
         share = self._state.find_owner_share()
-        customers = self._state.table.customers
         grants = []
         for use in envelope.message.uses:
-            customer = customers and customers.find_named(use.customer)
-            if not customer or customer.limit is None:
+            limit = self._find_limit(use.customer)
+            if limit is None:
                 # Its VM has a newer configuration, and uses its share.
                 continue
             grants.append(
@@ -293,7 +315,7 @@
                     envelope.sender,
                     envelope.sender_incarnation,
                     use,
-                    customer.limit,
+                    limit,
                     now_ms,
                     vm_count=self._vm_count,
                     share=share,
@@ -319,6 +341,9 @@
             self._owned.keep_only(self._owns, now_ms)
             self._credits.change_owners(self._find_owner_key, now_ms)
             self._credits.forget_idle(now_ms, keep=self._lines)
+            for name in self._credits.list_names():
+                if self._find_limit(name) is None and name not in self._lines:
+                    self._credits.forget(name)
             self._warned_ms = {
                 name: warned_ms
                 for name, warned_ms in self._warned_ms.items()
--- a/bluebellthread/entry/_gateway.py
+++ b/bluebellthread/entry/_gateway.py
@@ -196,13 +196,15 @@
             return
         retry_after_ms = await self._customer_limits.admit(work)
         if retry_after_ms is not None:
+            # A request over a limit must not raise the retry budget.
+            self._budgets.forget_request(work.service)
             await work.refuse_over_limit(retry_after_ms)
             return
         work.is_admitted = True
         try:
             await self._serve_admitted(work)
         finally:
-            if work.is_refused:
+            if work.has_not_run:
                 self._customer_limits.refund(work)
 
     async def _serve_admitted(self, work):
--- a/bluebellthread/entry/_key_checks.py
+++ b/bluebellthread/entry/_key_checks.py
@@ -62,7 +62,7 @@
     except (_server_exchange.AnswerBrokenError, trio.TooSlowError) as error:
         raise _server_connection.ServerUnreachableError(
             f'the VM does not say whether it looks keys up: '
-            f'{error or "timeout"}'
+            f'{str(error) or "timeout"}'
         ) from error
     finally:
         if not connection.looks_up_keys:
--- a/bluebellthread/entry/_work.py
+++ b/bluebellthread/entry/_work.py
@@ -195,6 +195,13 @@
         """The server that it was sent to last; empty before that."""
         return self._servers[-1] if self._servers else ''
 
+    @property
+    def has_not_run(self):
+        """Whether certainly no server has run the request or will."""
+        return self.is_refused or not (
+            self.may_have_run or self.in_flight_count
+        )
+
     @property
     def has_runs_left(self):
         """Whether one more server may run the request."""
@@ -415,6 +422,9 @@
     async def pass_on(self, answer, *, outcome='answered'):
         """Send a whole answer of a server, or of another VM, to the caller."""
         self.outcome = outcome
+        if answer.head.status in _server_calls.NOT_RUN_STATUSES:
+            # Only another VM answers so; servers are not believed.
+            self.is_refused = True
         await self.exchange.respond(
             answer.head.status, self.answer_headers(answer.head), answer.body
         )
--- a/bluebellthread/wire/_peer_generated.py
+++ b/bluebellthread/wire/_peer_generated.py
@@ -16,7 +16,7 @@
     'CustomerGrant': (
         (1, (11, 'customer', False)),
         (2, (10, 'used', False)),
-        (3, (8, 'credit', False)),
+        (3, (10, 'credit', False)),
         (4, (4, 'rate_per_s', False)),
         (5, (2, 'is_near', False)),
         (6, (8, 'report_ms', False)),
@@ -31,9 +31,9 @@
     'CustomerUse': (
         (1, (11, 'customer', False)),
         (2, (10, 'used', False)),
-        (3, (8, 'window_used', False)),
+        (3, (10, 'window_used', False)),
         (4, (10, 'wanted', False)),
-        (5, (8, 'needed', False)),
+        (5, (10, 'needed', False)),
     ),
     'Departure': (
         (1, (11, 'name', False)),
--- a/bluebellthread/wire/peer.thrift
+++ b/bluebellthread/wire/peer.thrift
@@ -379,9 +379,9 @@
 struct CustomerUse {
   1: string customer,
   2: i64 used,
-  3: i32 window_used,
+  3: i64 window_used,
   4: i64 wanted,
-  5: i32 needed,
+  5: i64 needed,
 }
 
 struct CustomerUsage {
@@ -391,7 +391,7 @@
 struct CustomerGrant {
   1: string customer,
   2: i64 used,
-  3: i32 credit,
+  3: i64 credit,
   4: double rate_per_s,
   5: bool is_near,
   6: i32 report_ms,
--- a/tests/unit/test_customer_limits.py
+++ b/tests/unit/test_customer_limits.py
@@ -97,6 +97,18 @@
         self.assertLessEqual(world.find_most(), 20 * 8 + 40 + 70)
         self.assertGreaterEqual(world.find_rate(20_000), 0.95 * 20)
 
+    # Guards against a limit without a burst that refuses half of what it
+    # allows.
+    def test_limit_without_a_burst_can_be_used(self):
+        limit = routing.CustomerLimit(rate_per_s=100, burst=0)
+        world = worlds.World(5, limit)
+        world.run(20_000, {'a': 50})
+        self.assertEqual([], world.refused)
+        world.run(20_000, {'a': 400})
+        # The platform's check allows a quarter more than 800 in 8 s, and its
+        # slack beside that.
+        self.assertLessEqual(world.find_most(), 1.25 * 800)
+
 
 class TestOwners(unittest.TestCase):
     # Guards against a new owner that grants the burst and the window anew.
