--- a/bluebellthread/core/_answer_body.py
+++ b/bluebellthread/core/_answer_body.py
@@ -58,9 +58,16 @@
     Examples
     --------
     >>> str(AnswerWithoutMemoryError(100))
-    'the body is longer than 100 bytes'
+    'there is no memory for the body beyond its first 100 bytes'
     """
 
+    def __init__(self, size_bytes):
+        _errors.BluebellthreadError.__init__(
+            self,
+            'there is no memory for the body beyond its first '
+            f'{size_bytes} bytes',
+        )
+
 
 class AnswerBody:
     """Collects the body of one answer.
--- a/bluebellthread/core/_client_memory.py
+++ b/bluebellthread/core/_client_memory.py
@@ -114,7 +114,8 @@
         """
         if share.held_bytes + more_bytes > self.connection_max_bytes:
             return False
-        max_bytes = part * self.size_max_bytes
+        fixed_bytes = self.connection_min_bytes * len(self._shares)
+        max_bytes = fixed_bytes + part * (self.size_max_bytes - fixed_bytes)
         while self.used_bytes + more_bytes > max_bytes:
             if now_ms is None or not self._cut_longest_stalled(
                 now_ms, keep=share, holds=True
@@ -129,7 +130,7 @@
             if share is not keep
             and share.stalled_since_ms is not None
             and now_ms - share.stalled_since_ms >= STALL_MS
-            and (share.held_bytes or not holds)
+            and (share.held_bytes > self.connection_min_bytes or not holds)
         ]
         if not stalled:
             return False
@@ -186,12 +187,9 @@
         """
         more_bytes = size_bytes - self._sizes.get(kind, 0)
         if more_bytes > 0:
-            request_bytes = (
-                self.held_bytes
-                + more_bytes
-                - self._memory.connection_min_bytes
+            is_large = self._find_request_bytes(kind) + more_bytes > (
+                SMALL_BYTES
             )
-            is_large = request_bytes > SMALL_BYTES
             part = LARGE_PART if is_large else 1
             if not self.is_open or not self._memory.find_room(
                 self,
@@ -206,6 +204,16 @@
         self.held_bytes += more_bytes
         self._memory.used_bytes += more_bytes
 
+    def _find_request_bytes(self, kind):
+        """Return the bytes by which growth of a kind counts as large.
+
+        A small answer, or event, to a large request is small: the request was
+        let in, and what has run must be answered.
+        """
+        if kind in (KIND_ANSWER, KIND_EVENTS):
+            return self._sizes.get(kind, 0)
+        return self.held_bytes - self._sizes.get(KIND_CONNECTION, 0)
+
     def add(self, kind, more_bytes, *, now_ms):
         """Hold more bytes of one kind; raises as `hold` does."""
         self.hold(kind, self._sizes.get(kind, 0) + more_bytes, now_ms=now_ms)
--- a/bluebellthread/core/routing/_allocator.py
+++ b/bluebellthread/core/routing/_allocator.py
@@ -219,7 +219,7 @@
             account.note_failure(now_ms)
 
     def _learn_pace(self, placement, writing_ms):
-        if self._pace is None or not placement.expected_tokens:
+        if self._pace is None or placement.expected_tokens <= 0:
             return
         self._pace.note_ended(
             account=self._pool.find_account(placement.decode_server),
@@ -285,10 +285,13 @@
         self._pool.expire(now_ms)
         if not self._waiting:
             return []
-        answers = self._collect_refusals(now_ms)
+        reviews_queue = now_ms >= self._next_refusal_ms
+        answers = self._collect_refusals(now_ms) if reviews_queue else []
         silent = self._silences.list_silent(now_ms)
         self._overtaking.begin_decision(self._waiting)
-        for waiting in self._in_order(now_ms):
+        for waiting in self._overtaking.put_holders_first(
+            self._in_order(now_ms)
+        ):
             if not self._overtaking.may_fit(waiting.request):
                 continue
             grant = self._grant(waiting.request, now_ms, silent)
@@ -300,12 +303,24 @@
                 # only; those of the others stay in use meanwhile.
                 not waiting.request.has_begun
                 and not self._overtaking.may_pass(
-                    waiting.request, self._pool, now_ms
+                    waiting.request,
+                    self._pool,
+                    now_ms,
+                    is_late=self._is_late(waiting.request, now_ms),
                 )
             ):
                 break
+        if reviews_queue:
+            answers += self._refuse_unreached(now_ms)
         return answers
 
+    def _is_late(self, request, now_ms):
+        first_event_ms = self._prefill_time.first_event_ms
+        return (
+            now_ms + first_event_ms(request.prompt_tokens)
+            > request.target_deadline_ms
+        )
+
     def _in_order(self, now_ms):
         self._shares.review(now_ms)
         first_event_ms = self._prefill_time.first_event_ms
@@ -320,9 +335,15 @@
             ),
         )
 
+    def _refuse_unreached(self, now_ms):
+        return [
+            self._refuse(ask_id, 'overloaded', now_ms)
+            for ask_id in self._refusals.find_unreached(
+                self._waiting, self._in_order, now_ms
+            )
+        ]
+
     def _collect_refusals(self, now_ms):
-        if now_ms < self._next_refusal_ms:
-            return []
         self._next_refusal_ms = now_ms + REFUSAL_PERIOD_MS
         kinds = self._refusals.find_kinds(
             self._waiting, self._in_order, now_ms
--- a/bluebellthread/core/routing/_engine_account.py
+++ b/bluebellthread/core/routing/_engine_account.py
@@ -123,6 +123,7 @@
             known is not None
             and request.prompt_tokens >= known.prompt_tokens
             and request.output_tokens >= known.output_tokens
+            and request.expected_tokens >= known.expected_tokens
         )
 
     @property
--- a/bluebellthread/core/routing/_engine_pool.py
+++ b/bluebellthread/core/routing/_engine_pool.py
@@ -4,6 +4,7 @@
 import math
 
 from bluebellthread.core.routing import _engine_account
+from bluebellthread.core.routing import _memory_models
 
 LOCAL_PREFILL_LOAD_MAX = 0.5
 """While prefill servers exist, a decode server runs a prefill only if at most
@@ -67,6 +68,7 @@
         for account in self._accounts.values():
             account.rejected_request = None
             account.reserved_for = ''
+            account.slowness = 1.0
 
     def find_placement(self, ask_id):
         """Return the placement of a request, or None."""
@@ -198,8 +200,8 @@
         Returns
         -------
         EngineAccount or None
-            None if all that the request may use are reserved, or a quarter of
-            the decode servers is.
+            None if all that the request may use are reserved or too small,
+            or a quarter of the decode servers is reserved.
         """
         decodes = self.by_role['decode']
         reserved_count = sum(bool(item.reserved_for) for item in decodes)
@@ -214,6 +216,8 @@
                 for version in versions
                 for item in self._usable('decode', version, request, now_ms)
                 if not item.reserved_for
+                and not item.is_backing_off(now_ms)
+                and _memory_models.may_ever_fit(item, request)
             ),
             key=lambda item: (
                 item.server.memory_tokens - item.used_tokens(now_ms),
--- a/bluebellthread/core/routing/_estimated_choice.py
+++ b/bluebellthread/core/routing/_estimated_choice.py
@@ -147,9 +147,8 @@
         least_ms = min(self._find_least_ms(item, now_ms) for item in servers)
         wait_ms = min(self._find_full_ms(item, now_ms) for item in servers)
         if now_ms + least_ms > deadline_ms and least_ms:
-            late_ms = math.ceil(now_ms + least_ms - deadline_ms)
             return PlainVerdict(
-                wait_ms=max(math.ceil(wait_ms), late_ms), is_refused=True
+                wait_ms=math.ceil(max(wait_ms, least_ms)), is_refused=True
             )
         if not wait_ms:
             return None
--- a/bluebellthread/core/routing/_first_event_time.py
+++ b/bluebellthread/core/routing/_first_event_time.py
@@ -25,6 +25,14 @@
 """Estimate used until requests are measured: the quantile of a recorded heavy
 day (338 ms for prompts of 1,500 tokens, 596 ms above 6,000)."""
 
+TOOK_MAX_MS = 3000
+"""Longest time that a VM may report. Longer ones are of engines that went
+dark, which no estimate foresees."""
+
+ESTIMATE_MAX_MS = 1500.0
+"""Highest estimate: less than the shortest time that callers wait for an
+event, so that requests are granted, and measured, whatever was learned."""
+
 BUCKET_TOKENS = 1500
 BUCKET_COUNT = 6
 """Width and number of the ranges of prompt lengths that learn their own
@@ -60,20 +68,25 @@
 
     def note_first_event(self, *, tokens, took_ms):
         """Move the estimate towards the quantile by one measurement."""
-        is_above = took_ms > self.first_event_ms(tokens)
+        if not 0 < took_ms <= TOOK_MAX_MS:
+            return
+        estimate_ms = self.first_event_ms(tokens)
+        is_above = took_ms > estimate_ms
         self.late_share += LATE_WEIGHT * (is_above - self.late_share)
+        if is_above and estimate_ms >= ESTIMATE_MAX_MS:
+            return
         change_ms = STEP_MS * (QUANTILE if is_above else QUANTILE - 1)
         self._common_ms += (1 - BUCKET_SHARE) * change_ms
         self._bucket_ms[_find_bucket(tokens)] += BUCKET_SHARE * change_ms
 
     def first_event_ms(self, prompt_tokens):
         """Return the estimated time from the grant to the first event."""
-        return max(
-            0.0,
+        estimate_ms = (
             self._common_ms
             + self._bucket_ms[_find_bucket(prompt_tokens)]
-            + INITIAL_MS_PER_TOKEN * prompt_tokens,
+            + INITIAL_MS_PER_TOKEN * prompt_tokens
         )
+        return min(max(estimate_ms, 0.0), ESTIMATE_MAX_MS)
 
 
 def _find_bucket(tokens):
--- a/bluebellthread/core/routing/_grant_pace.py
+++ b/bluebellthread/core/routing/_grant_pace.py
@@ -22,7 +22,7 @@
     Examples
     --------
     >>> pace = GrantPace()
-    >>> pace.wait_ms(5, 0)
+    >>> pace.late_wait_ms(5, 0)
     0.0
     """
 
@@ -34,23 +34,23 @@
     def note_granted(self, now_ms):
         """Count a grant."""
         self._grants.append(now_ms)
+        self._expire(now_ms)
 
     def note_asked(self, now_ms):
         """Count a request that has arrived."""
         self._arrivals.append(now_ms)
+        self._expire(now_ms)
 
-    def _rates_per_ms(self, now_ms):
+    def _expire(self, now_ms):
         for times in (self._grants, self._arrivals):
             while times and times[0] <= now_ms - WINDOW_MS:
                 times.popleft()
+
+    def _rates_per_ms(self, now_ms):
+        self._expire(now_ms)
         granted = len(self._grants) / WINDOW_MS
         return granted, granted - len(self._arrivals) / WINDOW_MS
 
-    def wait_ms(self, position, now_ms):
-        """Return when as many requests that nobody passes have their turn."""
-        granted, _ = self._rates_per_ms(now_ms)
-        return position / granted if granted else 0.0
-
     def late_wait_ms(self, position, now_ms):
         """Return when as many requests that new ones pass have their turn."""
         granted, spare = self._rates_per_ms(now_ms)
--- a/bluebellthread/core/routing/_memory_models.py
+++ b/bluebellthread/core/routing/_memory_models.py
@@ -67,6 +67,10 @@
 """Output that is expected relative to callers' hints. With 1.0, engines
 preempt 33 of 1,000 requests of a burst, with 1.2 they preempt 22."""
 
+EXPECTED_SHARE_MIN = 1 / 16
+"""Least output that is expected, as a share of the maximum, so that callers
+which understate it don't overcommit engines."""
+
 TAIL_SHARE = 0.3
 """Output that is still expected of an answer that has reached its expected
 length, as a share of that. Shares of 0.15 and 0.5 preempt 52 and 18 of 1,000
@@ -117,10 +121,18 @@
     return True
 
 
+def may_ever_fit(account, request):
+    """Return whether a request fits on a server that is empty."""
+    capacity = account.server.memory_tokens * (1 - EXPECTED_FREE_SHARE)
+    expected = _expect_remaining(request.expected_tokens, request, 0)
+    return request.prompt_tokens + BLOCK_TOKENS + expected <= capacity
+
+
 def _expect_remaining(expected, request, decoded):
     """Return the output tokens that are still expected of a request."""
     if not expected:
         expected = request.output_tokens / 2
+    expected = max(expected, EXPECTED_SHARE_MIN * request.output_tokens)
     expected = min(request.output_tokens, expected * EXPECTED_FACTOR)
     return max(expected - decoded, TAIL_SHARE * expected)
 
--- a/bluebellthread/core/routing/_overtaking.py
+++ b/bluebellthread/core/routing/_overtaking.py
@@ -62,6 +62,16 @@
         for blocked in self._seen:
             blocked.passed_count += 1
 
+    def put_holders_first(self, ordered):
+        """Return the queue with those first that hold an engine.
+
+        Nobody else may use it, so nobody is delayed by that.
+        """
+        return sorted(
+            ordered,
+            key=lambda item: not self._holds_engine(item.request.ask_id),
+        )
+
     def may_fit(self, request):
         """Return whether a request may fit where those before it didn't."""
         return (
@@ -74,16 +84,30 @@
         blocked = self._blocked.get(ask_id)
         return blocked is not None and blocked.account is not None
 
-    def may_pass(self, request, pool, now_ms):
-        """Return whether requests behind a blocked one are to be tried."""
+    def may_pass(self, request, pool, now_ms, *, is_late=False):
+        """Return whether requests behind a blocked one are to be tried.
+
+        Parameters
+        ----------
+        is_late : bool
+            Whether the blocked one misses its target anyway: no engine is
+            kept free for it.
+        """
         if not self._count_max or not pool.has_free_prefill(request):
             return False
+        if is_late:
+            self.end(request.ask_id)
+            return self._note_failed(request)
         blocked = self._blocked.get(request.ask_id)
         if blocked is None:
             blocked = _Blocked(since_ms=now_ms)
             self._blocked[request.ask_id] = blocked
-        if blocked.account is not None and not pool.holds(blocked.account):
-            # The engine has restarted or left.
+        account = blocked.account
+        if account is not None and (
+            not pool.holds(account) or account.is_backing_off(now_ms)
+        ):
+            # The engine has restarted, left or failed.
+            account.reserved_for = ''
             blocked.account = None
         if blocked.account is None:
             if (
@@ -95,6 +119,9 @@
                     return False
             else:
                 self._seen.append(blocked)
+        return self._note_failed(request)
+
+    def _note_failed(self, request):
         self._failed_count += 1
         self._fitting_max = min(
             self._fitting_max, FITTING_SHARE * request.prompt_tokens
--- a/bluebellthread/core/routing/_queue_refusals.py
+++ b/bluebellthread/core/routing/_queue_refusals.py
@@ -50,22 +50,34 @@
             is_late = expected_event_ms > request.target_deadline_ms
             if is_late and not request.has_begun:
                 late.append((request.deadline_ms, ask_id))
-        if late and self._options.refuses_unreached:
-            excess = self._find_unreached(in_order(now_ms), len(late), now_ms)
-        else:
-            excess = self._find_excess_late(late)
-        for ask_id in excess:
-            kinds.setdefault(ask_id, 'overloaded')
+        if not self._options.refuses_unreached:
+            for ask_id in self._find_excess_late(late):
+                kinds.setdefault(ask_id, 'overloaded')
         for ask_id in self._find_unserved_by_limits(in_order, now_ms):
             kinds.setdefault(ask_id, 'server-limit')
         return kinds
 
-    def _find_unreached(self, ordered, late_count, now_ms):
+    def find_unreached(self, waiting_requests, in_order, now_ms):
         """Return the ids of late requests that the queue won't reach in time.
 
         Late requests are the last in the order; those beyond the queue limit
-        are among them.
+        are among them. Called after the grants of a decision, so that no
+        request is refused for which there is room.
+
+        Parameters
+        ----------
+        waiting_requests, in_order, now_ms : dict, callable, int
+            As for `find_kinds`.
         """
+        if not self._options.refuses_unreached:
+            return []
+        late_count = sum(
+            self._is_late(waiting.request, now_ms)
+            for waiting in waiting_requests.values()
+        )
+        if not late_count:
+            return []
+        ordered = in_order(now_ms)
         before_count = len(ordered) - late_count
         late_max = self._compute_late_max()
         return [
@@ -78,6 +90,12 @@
             > waiting.request.start_deadline_ms
         ]
 
+    def _is_late(self, request, now_ms):
+        expected_ms = now_ms + self._first_event_ms(request.prompt_tokens)
+        return (
+            expected_ms > request.target_deadline_ms and not request.has_begun
+        )
+
     def _compute_late_max(self):
         server_count = len(self._pool.by_role['decode'])
         return max(1, round(self._options.late_per_server * server_count))
--- a/bluebellthread/core/routing/_server_load.py
+++ b/bluebellthread/core/routing/_server_load.py
@@ -29,6 +29,9 @@
 PERCENT_MAX = 2000
 """Highest speed figure that is believed: 20 times the usual time."""
 
+COUNT_MAX = 100
+"""Most requests per slot that are believed: far more than servers queue."""
+
 TOOK_RATIO_MAX = 8.0
 """Largest ratio of an answer's duration to the expected one that counts. One
 request in a hundred takes five times as long without a slow server."""
@@ -114,7 +117,9 @@
         is_refusal : bool
             Whether it came with a refusal.
         """
-        count = report.running + report.waiting
+        count = min(
+            report.running + report.waiting, COUNT_MAX * max(1, report.slots)
+        )
         percent = self._percent_of(report)
         # A refused request is in flight here, but not at the server.
         others = max(0, count - max(0, self.in_flight - is_refusal))
--- a/bluebellthread/entry/_client_stream.py
+++ b/bluebellthread/entry/_client_stream.py
@@ -99,4 +99,5 @@
     except (OSError, trio.BrokenResourceError):
         # The client has closed the connection.
         pass
-    stream.socket.close()
+    finally:
+        stream.socket.close()
--- a/bluebellthread/entry/_connection_control.py
+++ b/bluebellthread/entry/_connection_control.py
@@ -49,7 +49,6 @@
     dialect : Dialect or None
         Header names of the platform; None if connections carry no requests
         for servers.
-
     memory : ClientMemory or None
         Memory that is held for all clients; None for one of a default size.
 
--- a/bluebellthread/entry/_last_answer.py
+++ b/bluebellthread/entry/_last_answer.py
@@ -105,7 +105,11 @@
             with trio.move_on_after(LINGER_S):
                 await self._stream.send_all(data)
             await self.linger(linger_s)
-        except (h11.LocalProtocolError, trio.BrokenResourceError):
+        except (
+            h11.LocalProtocolError,
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+        ):
             # The caller has left, or an answer has already started; closing
             # the connection is all that remains.
             return
--- a/bluebellthread/entry/_service.py
+++ b/bluebellthread/entry/_service.py
@@ -570,13 +570,18 @@
 
 def _make_client_memory(settings):
     free_fds = max(settings.fd_limit - RESERVED_FDS, FDS_PER_CONNECTION)
+    size_max_bytes = max(
+        settings.memory_max_mb * MB_BYTES // CLIENTS_MEMORY_PART,
+        CLIENTS_MEMORY_MIN_BYTES,
+    )
     return core.ClientMemory(
-        max(
-            settings.memory_max_mb * MB_BYTES // CLIENTS_MEMORY_PART,
-            CLIENTS_MEMORY_MIN_BYTES,
-        ),
+        size_max_bytes,
         connection_max_bytes=CONNECTION_MAX_BYTES,
-        connections_max=free_fds // FDS_PER_CONNECTION,
+        # Open connections leave half of the memory to requests.
+        connections_max=min(
+            free_fds // FDS_PER_CONNECTION,
+            size_max_bytes // 2 // CONNECTION_MIN_BYTES,
+        ),
         connection_min_bytes=CONNECTION_MIN_BYTES,
     )
 
--- a/tests/unit/test_client_memory.py
+++ b/tests/unit/test_client_memory.py
@@ -75,3 +75,34 @@
         self.assertIsNotNone(self.open('f', now_ms=STALL_MS))
         self.assertEqual([('c', 0)], self.cut)
         self.assertEqual(1, self.memory.refused_count)
+
+    # Guards against a client that reads promptly and is cut off, or whose
+    # request runs in vain, since others upload.
+    def test_small_answer_to_a_large_request_finds_room(self):
+        share = self.open('a')
+        share.hold(core.KIND_BODY, 2 * SMALL, now_ms=0)
+        for name in 'bc':
+            self.open(name).hold(core.KIND_BODY, 5 * SMALL, now_ms=0)
+        share.hold(core.KIND_EVENTS, 300, now_ms=0)
+        share.release(core.KIND_EVENTS)
+        share.hold(core.KIND_ANSWER, 300, now_ms=0)
+        with self.assertRaises(core.NoMemoryLeftError):
+            share.hold(core.KIND_ANSWER, 2 * SMALL, now_ms=0)
+
+
+class TestOpenConnections(unittest.TestCase):
+    # Guards against idle connections that are cut off for memory which they
+    # don't take, and that leave none to requests.
+    def test_idle_connections_are_not_cut_off_for_memory(self):
+        memory = core.ClientMemory(
+            TOTAL, connections_max=8, connection_min_bytes=SMALL
+        )
+        cut = []
+        for _ in range(7):
+            share = memory.open(cut.append, now_ms=0)
+            share.stalled_since_ms = 0
+        busy = memory.open(cut.append, now_ms=0)
+        busy.hold(core.KIND_BODY, 6 * SMALL, now_ms=2 * STALL_MS)
+        with self.assertRaises(core.NoMemoryLeftError):
+            busy.hold(core.KIND_BODY, 9 * SMALL, now_ms=2 * STALL_MS)
+        self.assertEqual([], cut)
