--- a/bluebellthread/core/routing/_grant_pace.py
+++ b/bluebellthread/core/routing/_grant_pace.py
@@ -12,8 +12,9 @@
 
 RETRY_MIN_MS = 3000
 RETRY_MAX_MS = 4600
-"""Range of retry delays: bursts last four to five seconds, and callers wait no
-longer than the longest of them. A minimum of 1,000 ms serves fewer retries."""
+"""Range of retry delays, before jitter takes up to 15 % off: bursts last four
+to five seconds, and callers wait no longer than the longest of them. A minimum
+of 1,000 ms serves fewer retries."""
 
 
 class GrantPace:
--- a/bluebellthread/entry/_caller_connection.py
+++ b/bluebellthread/entry/_caller_connection.py
@@ -25,10 +25,13 @@
 
 RECEIVE_BYTES = 65536
 READ_AHEAD_BYTES = 262144
-AHEAD_RECEIVE_BYTES = 16384
 """Maximum number of bytes read beyond a request while it is served. Reading
 past pipelined requests shows whether the caller has closed the connection."""
 
+AHEAD_RECEIVE_BYTES = 16384
+"""Bytes that are read beyond a request at a time, so that many connections
+don't exceed the memory by one read each."""
+
 HEADER_CEILING_BYTES = 1024 * 1024
 """Longest head that the parser buffers. Shorter ones are refused by the limits
 in force, which may change while a connection is open."""
--- a/bluebellthread/entry/_server_calls.py
+++ b/bluebellthread/entry/_server_calls.py
@@ -115,7 +115,7 @@
 
 
 def _ignore(*_):
-    """Note nothing."""
+    """Take the place of `note_load` where no load is tracked."""
 
 
 class ServerCaller:
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -50,8 +50,8 @@
 BODY_WITHOUT_MEMORY = Event(
     7079,
     'WARNING',
-    'request {request_id} is refused: its body finds no memory, since those '
-    'under way take {used_bytes} bytes',
+    'request {request_id} is refused: there is no memory for it beside the '
+    '{used_bytes} bytes that are held for clients',
 )
 TASK_FAILED = Event(
     1004,
