--- a/tests/unit/test_stream_followers.py
+++ b/tests/unit/test_stream_followers.py
@@ -40,7 +40,7 @@
             service='model', run_count=1, in_flight_count=0, repeat_count=2
         ),
         context=context,
-        relay=None,
+        relay=types.SimpleNamespace(begun_by=None, began_ms=None),
         hop=None,
         cut_runs=None,
         caller_age_ms=0,
--- a/tests/unit/test_stream_pieces.py
+++ b/tests/unit/test_stream_pieces.py
@@ -32,6 +32,9 @@
     def __init__(self):
         self.received = b''
 
+    def hold_events(self, size_bytes):
+        del size_bytes
+
     async def send(self, data):
         await trio.lowlevel.checkpoint()
         self.received += data
