Count the events of streams as often as they are held

What open connections take no longer counts towards the part for large holders, which left less margin.

Change: events count twice.

--- a/bluebellthread/entry/_caller_exchange.py
+++ b/bluebellthread/entry/_caller_exchange.py
@@ -19,6 +19,10 @@
 servers abort answers that stay unread for some seconds. Callers themselves
 end a stream after 2 s without data at the earliest."""
 
+EVENT_COPIES = 2
+"""How many times the bytes of a streamed answer count: the buffer in which an
+event grows is copied as it grows, and again when the event is whole."""
+
 JOINED_BODY_BYTES = 65536
 """Longest body that is sent in one call with the head of its answer."""
 
@@ -142,7 +146,9 @@
         """
         try:
             self._share.hold(
-                core.KIND_EVENTS, size_bytes, now_ms=_clock.read_clock_ms()
+                core.KIND_EVENTS,
+                EVENT_COPIES * size_bytes,
+                now_ms=_clock.read_clock_ms(),
             )
         except core.NoMemoryLeftError:
             self._cut()
