--- a/bluebellthread/entry/_caller_exchange.py
+++ b/bluebellthread/entry/_caller_exchange.py
@@ -92,6 +92,9 @@
         self._stream = stream
         self._control = control
         self._share = share
+        # Two attempts may send at a time: a comment of the one, and the first
+        # event of the one that follows it.
+        self._sending = trio.Lock()
         self.memory = AnswerMemory(share)
 
     @property
@@ -177,7 +180,8 @@
         if sum(map(len, pieces)) <= JOINED_BODY_BYTES:
             pieces = [b''.join(pieces)]
         try:
-            await self._stream.send_all(*pieces)
+            async with self._sending:
+                await self._stream.send_all(*pieces)
         except (
             trio.BrokenResourceError,
             trio.ClosedResourceError,
