--- /dev/null
+++ b/review/stand2/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the second review: store, workers, clients, entries."""
