--- a/review/stand2/lab.py
+++ b/review/stand2/lab.py
@@ -3,6 +3,8 @@
 They follow the users' pages PROTOCOL.md and DEPLOY.md, on loopback addresses.
 """
 
+# ruff: noqa: D102, D103
+
 import asyncio
 import base64
 import contextlib
@@ -48,14 +50,15 @@
     """Writes what was sent, answered and run, with the time in seconds."""
 
     def __init__(self, path):
-        self._file = open(path, 'w', encoding='utf-8')
+        self._path = pathlib.Path(path)
+        self._path.write_text('', encoding='utf-8')
         self._start_s = time.monotonic()
 
     def add(self, what, **fields):
         at_s = time.monotonic() - self._start_s
         text = ' '.join(f'{name}={value}' for name, value in fields.items())
-        self._file.write(f'{at_s:8.3f} {what} {text}\n')
-        self._file.flush()
+        with self._path.open('a', encoding='utf-8') as file:
+            file.write(f'{at_s:8.3f} {what} {text}\n')
 
 
 class Message:
