Test crowds of clients that send unfinished and malformed requests

Cause: users saw a process end under clients that stop short of the end of chunked bodies or exceed the limits. The floods tested so far are of clients that do not read; those that send badly are not tested.

--- a/tests/integration/test_entry_floods.py
+++ b/tests/integration/test_entry_floods.py
@@ -45,6 +45,7 @@
     return [
         sites.make_route('/read/', 'safe', 'plain'),
         sites.make_route('/large/', 'safe', 'large'),
+        sites.make_route('/long/', 'unsafe', 'plain', timeoutMs=60_000),
         sites.make_route('/held/', 'unsafe', 'held', maxAttempts=1),
         sites.make_route('/once/', 'stream', 'model', resumable=False),
     ]
