Parse requests in bounded steps that take turns

Callers saw no answers, or late ones, while another client sent a body in short chunks: h11 makes an event of each chunk, some 11 us of processor time, each chunk had two cancel scopes and three counts of memory, and nothing else ran until a buffer of 64 KB was parsed.

Change: RequestParser stands between the connection and h11.

--- a/bluebellthread/core/__init__.py
+++ b/bluebellthread/core/__init__.py
@@ -65,6 +65,7 @@
         'TooManyHeldPiecesError',
     ),
     '_body_blocks': ('BodyBlocks',),
+    '_chunked_body': ('ChunkedBodyError', 'ChunkedDecoder'),
     '_client_memory': (
         'KIND_AHEAD',
         'KIND_ANSWER',
--- a/bluebellthread/entry/_caller_connection.py
+++ b/bluebellthread/entry/_caller_connection.py
@@ -20,6 +20,7 @@
 from bluebellthread.entry import _concurrency
 from bluebellthread.entry import _http_messages
 from bluebellthread.entry import _last_answer
+from bluebellthread.entry import _request_parser
 from bluebellthread.entry import _sockets
 from bluebellthread.entry import _stop_admission
 
@@ -32,29 +33,11 @@
 """Bytes that are read beyond a request at a time, so that many connections
 don't exceed the memory by one read each."""
 
-HEADER_CEILING_BYTES = 1024 * 1024
-"""Longest head that the parser buffers. Shorter ones are refused by the limits
-in force, which may change while a connection is open."""
-
 BODY_TIMEOUT_MS = 10000
 """Longest pause between two parts of a request body: as long as callers
 commonly wait for an answer."""
 
 
-class BadRequestError(Exception):
-    """Raised when a caller sends a request that can't be served.
-
-    Parameters
-    ----------
-    status : int
-        HTTP status of the refusal, a key of `_last_answer.REMEDIES`.
-    """
-
-    def __init__(self, status):
-        self.status = status
-        super().__init__(f'{status}: {_last_answer.REMEDIES[status]}')
-
-
 class CallerConnection:
     """Reads requests from one connection and passes them to a handler.
 
@@ -78,9 +61,8 @@
         self._handler = handler
         self._control = control
         self._is_of_vm = is_of_vm
-        self._conn = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=HEADER_CEILING_BYTES
-        )
+        self._conn = h11.Connection(h11.SERVER)
+        self._parser = _request_parser.RequestParser(self._conn)
         self._first_byte_ms = None
         self._request = None
         self._announced = core.BodyReservation(control.length_budget)
@@ -131,7 +113,7 @@
         ):
             # The caller has closed the connection; no answer can reach it.
             return None
-        except BadRequestError as error:
+        except _request_parser.BadRequestError as error:
             return functools.partial(last.refuse, error.status)
         except _stop_admission.StopTooNearError:
             return functools.partial(last.refuse_unread, self._request)
@@ -140,13 +122,13 @@
         return None
 
     async def _serve_next(self):
-        head = await self._read_head()
-        if head is None:
+        request = await self._read_request()
+        if request is None:
             return False
-        request = await self._read_request(head)
         exchange = _caller_exchange.CallerExchange(
             request=request,
             conn=self._conn,
+            parser=self._parser,
             stream=self._stream,
             control=self._control,
             share=self._share,
@@ -176,7 +158,7 @@
                 is_end = isinstance(event, h11.ConnectionClosed)
                 return None if is_end else event
             if self._control.limits.header_timeout_ms <= timeout_ms:
-                raise BadRequestError(408)
+                raise _request_parser.BadRequestError(408)
 
     @contextlib.contextmanager
     def _reading_until(self, request, deadline_ms):
@@ -211,10 +193,10 @@
             yield
             is_read = True
         if not is_read:
-            raise BadRequestError(408)
+            raise _request_parser.BadRequestError(408)
 
     async def _wait_first_byte(self):
-        if self._conn.trailing_data[0]:
+        if self._parser.ahead_bytes:
             self._first_byte_ms = _clock.read_clock_ms()
             return True
         idle_since_ms = _clock.read_clock_ms()
@@ -238,8 +220,11 @@
         self._receive(data)
         return True
 
-    async def _read_request(self, head):
-        _check_framing(head)
+    async def _read_request(self):
+        """Return the next request, or None if none will come."""
+        head = await self._read_head()
+        if head is None:
+            return None
         request = self._request = _http_messages.Request(
             method=bytes(head.method),
             target=bytes(head.target),
@@ -251,9 +236,9 @@
         )
         # A limit that is lowered meanwhile is for later requests.
         max_bytes = self._control.limits.body_max_bytes
-        length_bytes = _read_length(request)
+        length_bytes = self._parser.rest_bytes
         if length_bytes > max_bytes:
-            raise BadRequestError(413)
+            raise _request_parser.BadRequestError(413)
         self._announced.grow(length_bytes)
         self._hold_body(0)
         if self._conn.they_are_waiting_for_100_continue:
@@ -276,8 +261,8 @@
                 raise _caller_exchange.CallerGoneError
             body.append(event.data)
             max_bytes = max(max_bytes, self._control.limits.body_max_bytes)
-            if body.size_bytes > max_bytes:
-                raise BadRequestError(413)
+            if body.size_bytes + self._parser.rest_bytes > max_bytes:
+                raise _request_parser.BadRequestError(413)
             self._announced.grow(body.size_bytes)
             self._arrived.grow(body.size_bytes)
             self._hold_body(body.size_bytes)
@@ -292,13 +277,13 @@
     def _hold_ahead(self, *, is_optional=False):
         self._share.hold(
             core.KIND_AHEAD,
-            len(self._conn.trailing_data[0]),
+            self._parser.ahead_bytes,
             now_ms=_clock.read_clock_ms(),
             is_optional=is_optional,
         )
 
     def _receive(self, data):
-        self._conn.receive_data(data)
+        self._parser.receive(data)
         self._hold_ahead()
 
     def _release_body(self):
@@ -308,30 +293,29 @@
 
     async def _next_event(self):
         while True:
-            try:
-                event = self._conn.next_event()
-            except h11.RemoteProtocolError as error:
-                raise BadRequestError(
-                    _known_status(error.error_status_hint)
-                ) from error
+            event = await self._parse_next()
             if event is not h11.NEED_DATA:
                 return event
-            buffered_bytes = len(self._conn.trailing_data[0])
-            if buffered_bytes > self._control.limits.header_max_bytes:
-                raise BadRequestError(431)
             data = await self._stream.receive_some(RECEIVE_BYTES)
             if not data:
                 raise _caller_exchange.CallerGoneError
             self._receive(data)
 
+    async def _parse_next(self):
+        header_max_bytes = self._control.limits.header_max_bytes
+        if not self._parser.needs_turn:
+            return self._parser.next_event(header_max_bytes)
+        async with self._control.parsing:
+            return self._parser.next_event(header_max_bytes)
+
     async def _watch_caller(self, exchange):
         """Return as soon as the caller has closed the connection."""
         try:
-            while len(self._conn.trailing_data[0]) < READ_AHEAD_BYTES:
+            while self._parser.ahead_bytes < READ_AHEAD_BYTES:
                 data = await self._stream.receive_ahead(AHEAD_RECEIVE_BYTES)
                 if not data:
                     break
-                self._conn.receive_data(data)
+                self._parser.receive(data)
                 self._hold_ahead(is_optional=True)
             else:
                 # The read-ahead limit is reached. If the caller closes the
@@ -345,24 +329,3 @@
             # A reset also means that the caller has left.
             pass
         exchange.caller_gone = not exchange.is_aborted
-
-
-def _read_length(request):
-    """Return the length that a request names for its body, or 0."""
-    return core.parse_count(request.header(b'content-length')) or 0
-
-
-def _check_framing(head):
-    """Raise if the length of the body or the host is ambiguous.
-
-    Two HTTP parsers could interpret such a request differently.
-    """
-    names = [name for name, _ in head.headers]
-    lengths = names.count(b'content-length')
-    codings = names.count(b'transfer-encoding')
-    if lengths + codings > 1 or names.count(b'host') != 1:
-        raise BadRequestError(400)
-
-
-def _known_status(hint):
-    return hint if hint in _last_answer.REMEDIES else 400
--- a/bluebellthread/entry/_caller_exchange.py
+++ b/bluebellthread/entry/_caller_exchange.py
@@ -82,7 +82,7 @@
         Holds answers that are read whole until the request has ended.
     """
 
-    def __init__(self, *, request, conn, stream, control, share):
+    def __init__(self, *, request, conn, parser, stream, control, share):
         self.request = request
         self.caller_gone = False
         self.is_aborted = False
@@ -114,6 +114,7 @@
         await self._send(*pieces)
         self.is_complete = True
 
+        self._parser = parser
     async def start(self, status, headers):
         """Send the head of a streamed answer."""
         chunked = [*headers, (b'transfer-encoding', b'chunked')]
@@ -201,7 +202,7 @@
         self.status = status
         # Requests that were read ahead are answered before the connection is
         # closed.
-        if self._control.is_stopping and not self._conn.trailing_data[0]:
+        if self._control.is_stopping and not self._parser.ahead_bytes:
             headers = [*headers, (b'connection', b'close')]
         response = h11.Response(
             status_code=status, reason=reason_of(status), headers=headers
--- a/bluebellthread/entry/_connection_control.py
+++ b/bluebellthread/entry/_connection_control.py
@@ -59,6 +59,9 @@
     body_budget, length_budget : BodyBudget
         What bodies may take as far as they have arrived, and by the lengths
         that their requests announce.
+    parsing : trio.StrictFIFOLock
+        Held while a part of a request is parsed that may take long, so that
+        other work goes on between two of them.
     schedule : StopSchedule
         The deadlines of the stop.
     open_count : int
@@ -83,6 +86,7 @@
         )
         self._ends = {}
         self.admission = admission
+        self.parsing = trio.StrictFIFOLock()
         self.schedule = (
             routing.StopSchedule() if admission is None else admission.schedule
         )
--- a/tests/unit/test_caller_exchange.py
+++ b/tests/unit/test_caller_exchange.py
@@ -41,6 +41,7 @@
         exchange = _caller_exchange.CallerExchange(
             request=None,
             conn=_Conn(),
+            parser=None,
             stream=stream,
             control=None,
             share=memory.open(lambda held_bytes: None, now_ms=0),
