Keep the deadline of a request while its body is read

Callers were answered long after the timeout of their route: the deadline was looked at only once the body had arrived, and each part of it had 10 s.

Change: the wait for each part of a body ends at the deadline of the request, by its route and its header; the refusal is 408, which promises that it has not run. Requests of other VMs are left out, since those keep the deadline.

--- a/bluebellthread/entry/_caller_connection.py
+++ b/bluebellthread/entry/_caller_connection.py
@@ -183,11 +183,16 @@
         Raises
         ------
         BadRequestError
-            If the caller takes too long.
+            If the caller takes too long, by the deadline of the request, too.
         StopTooNearError
             If the process stops too soon to serve the request.
         """
         deadline_ms = _clock.read_clock_ms() + BODY_TIMEOUT_MS
+        if not self._is_of_vm:
+            # Another VM keeps the deadline of what it hands on.
+            deadline_ms = min(
+                deadline_ms, self._control.find_deadline_ms(request)
+            )
         is_read = False
         with self._reading_until(request, deadline_ms):
             yield
--- a/bluebellthread/entry/_connection_control.py
+++ b/bluebellthread/entry/_connection_control.py
@@ -248,3 +248,15 @@
         if self.admission is None:
             return self.schedule.end_deadline_ms
         return self.admission.find_read_deadline_ms(request)
+    def find_deadline_ms(self, request):
+        """Return when a request must have been answered; infinite if unknown.
+
+        Parameters
+        ----------
+        request : Request
+            The request, which may lack its body.
+        """
+        if self.admission is None:
+            return math.inf
+        return self.admission.find_deadline_ms(request)
+
--- a/bluebellthread/entry/_stop_admission.py
+++ b/bluebellthread/entry/_stop_admission.py
@@ -121,9 +121,7 @@
         request : Request or None
             The request without its body; None while its head is being read.
         """
-        route = None
-        if request is not None:
-            route = self.state.table.find(request.host, request.path)
+        route = self._find_route(request)
         if route is None:
             return self.schedule.end_deadline_ms
         service = route.choose_service(request.header(self.dialect.request_id))
@@ -135,6 +133,24 @@
             self.find_begin_deadline_ms(request, route, service, deadline_ms),
         )
 
+    def find_deadline_ms(self, request):
+        """Return when a request must have been answered; infinite if unknown.
+
+        Parameters
+        ----------
+        request : Request
+            The request, which may lack its body.
+        """
+        route = self._find_route(request)
+        if route is None:
+            return math.inf
+        return _request_limits.find_deadline_ms(request, route, self.dialect)
+
+    def _find_route(self, request):
+        if request is None:
+            return None
+        return self.state.table.find(request.host, request.path)
+
     def find_stage(self):
         """Return what ends a request while servers or a wait keep it."""
         is_over = not self.schedule.find_remaining_ms(_clock.read_clock_ms())
--- a/tests/integration/test_entry_long_bodies.py
+++ b/tests/integration/test_entry_long_bodies.py
@@ -141,3 +141,27 @@
                     make_head('long', 'Content-Length: 4194305')
                 )
                 self.assertEqual(413, (await caller.read_answer()).status)
+
+    # Guards against a client that is answered long after its deadline, since
+    # the deadline isn't looked at while a body arrives (review/7).
+    @run
+    async def test_deadline_that_passes_while_a_body_arrives_is_kept(self):
+        async with sites.running_site() as site:
+            async with await site.connect() as caller:
+                head = make_head('late', 'Transfer-Encoding: chunked')
+                head = head.replace(b'9000', b'300')
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self.send_slowly, caller.stream, head)
+                    answer = await caller.read_answer()
+                    nursery.cancel_scope.cancel()
+                self.assertEqual(408, answer.status)
+                self.assertEqual('close', answer.headers['connection'])
+            self.assertEqual(0, count_runs(site))
+            await self.wait_released(site)
+
+    async def send_slowly(self, stream, head):
+        """Send a body that never ends, with pauses that are allowed."""
+        await stream.send_all(head)
+        while True:
+            await stream.send_all(make_chunk(b'slow'))
+            await trio.sleep(0.05)
