Let refused clients read the refusal, and keep nothing for them

Clients that were refused while they sent a body found their connection reset in place of a 413: what they sent was dropped for 1 s only. Meanwhile the refusal held the request and the bytes read ahead, up to 1 MB that nothing counted, and neither log nor metric told of such refusals.

A Refusal holds the answer alone; the request and the parser's bytes are dropped before it is sent.

--- a/bluebellthread/entry/_caller_connection.py
+++ b/bluebellthread/entry/_caller_connection.py
@@ -88,10 +88,12 @@
         try:
             # An exception keeps what its frames hold, such as a long body,
             # so the refusal is sent after it has been handled.
-            refuse = await self._serve_until_refused()
-            if refuse is not None:
+            refusal = await self._serve_until_refused()
+            if refusal is not None:
+                self._request = None
+                self._parser.clear()
                 self._release_body()
-                await refuse()
+                await self._last.send(refusal)
         finally:
             self._release_body()
             self._share.close()
@@ -99,7 +101,7 @@
                 await trio.aclose_forcefully(self._stream)
 
     async def _serve_until_refused(self):
-        """Serve requests; return what refuses the last one, or None."""
+        """Serve requests; return the `Refusal` of the last one, or None."""
         last = self._last
         try:
             while await self._serve_next():
@@ -114,11 +116,11 @@
             # The caller has closed the connection; no answer can reach it.
             return None
         except _request_parser.BadRequestError as error:
-            return functools.partial(last.refuse, error.status)
+            return last.refuse(error.status, self._request)
         except _stop_admission.StopTooNearError:
-            return functools.partial(last.refuse_unread, self._request)
+            return last.refuse_unread(self._request)
         except core.NoMemoryLeftError:
-            return functools.partial(last.refuse_for_memory, self._request)
+            return last.refuse_for_memory(self._request)
         return None
 
     async def _serve_next(self):
--- a/bluebellthread/entry/_connection_control.py
+++ b/bluebellthread/entry/_connection_control.py
@@ -66,6 +66,8 @@
         The deadlines of the stop.
     open_count : int
         Connections that are open now.
+    unacceptable_count : int
+        Requests refused so far as malformed, late or oversized.
     """
 
     def __init__(
@@ -84,13 +86,14 @@
         self.length_budget = core.BodyBudget(
             ANNOUNCED_FACTOR * bodies_max_bytes
         )
+        self.parsing = trio.StrictFIFOLock()
         self._ends = {}
         self.admission = admission
-        self.parsing = trio.StrictFIFOLock()
         self.schedule = (
             routing.StopSchedule() if admission is None else admission.schedule
         )
         self.open_count = 0
+        self.unacceptable_count = 0
         self._refusing_count = 0
 
     @property
@@ -197,6 +200,31 @@
         finally:
             self._refusing_count -= 1
 
+    def note_unacceptable(self, request, *, status, remedy):
+        """Log and count a request that is refused for what its caller sent.
+
+        Parameters
+        ----------
+        request : Request or None
+            The request without its body; None if its head is not read.
+        status : int
+            Status of the refusal.
+        remedy : str
+            What the caller can do.
+        """
+        self.unacceptable_count += 1
+        emit(
+            events.REQUEST_UNACCEPTABLE,
+            request_id=self._read_request_id(request),
+            status=status,
+            remedy=remedy,
+        )
+
+    def _read_request_id(self, request):
+        if self._dialect is None or request is None:
+            return ''
+        return request.header(self._dialect.request_id)
+
     def refuse_for_memory(self, request, *, is_of_vm=False):
         """Refuse a request whose body finds no memory; it has not run.
 
@@ -216,15 +244,14 @@
         body : bytes
             Its body.
         """
-        request_id, patience_ms = '', None
+        patience_ms = None
         if self._dialect is not None and request is not None:
-            request_id = request.header(self._dialect.request_id)
             patience_ms = _request_limits.read_patience_ms(
                 request, self._dialect
             )
         emit(
             events.BODY_WITHOUT_MEMORY,
-            request_id=request_id,
+            request_id=self._read_request_id(request),
             used_bytes=self.memory.used_bytes,
         )
         if is_of_vm:
@@ -238,16 +265,6 @@
         )
         return answer.status, *_refusals.encode_router_answer(answer)
 
-    def _find_idle_end_ms(self, idle_deadline_ms):
-        return min(
-            max(idle_deadline_ms, self.schedule.leave_ms),
-            self.schedule.exit_deadline_ms,
-        )
-
-    def _find_read_end_ms(self, request):
-        if self.admission is None:
-            return self.schedule.end_deadline_ms
-        return self.admission.find_read_deadline_ms(request)
     def find_deadline_ms(self, request):
         """Return when a request must have been answered; infinite if unknown.
 
@@ -260,3 +277,13 @@
             return math.inf
         return self.admission.find_deadline_ms(request)
 
+    def _find_idle_end_ms(self, idle_deadline_ms):
+        return min(
+            max(idle_deadline_ms, self.schedule.leave_ms),
+            self.schedule.exit_deadline_ms,
+        )
+
+    def _find_read_end_ms(self, request):
+        if self.admission is None:
+            return self.schedule.end_deadline_ms
+        return self.admission.find_read_deadline_ms(request)
--- a/bluebellthread/entry/_service.py
+++ b/bluebellthread/entry/_service.py
@@ -528,6 +528,9 @@
     async def _prune(self):
         while True:
             await trio.sleep(PRUNE_PERIOD_S)
+        stats.set_gauge(
+            'requests_unacceptable', self._control.unacceptable_count
+        )
             await self._connections.prune()
             await self._hand_on.prune()
 
--- a/bluebellthread/entry/_stats.py
+++ b/bluebellthread/entry/_stats.py
@@ -110,6 +110,10 @@
                 ('client_connections', 'Connections of clients'),
                 ('clients_cut_off', 'Stalled clients cut off so far'),
                 ('connections_refused', 'Connections over the limit so far'),
+                (
+                    'requests_unacceptable',
+                    'Malformed, late or oversized requests so far',
+                ),
                 ('placements_waiting', 'Requests that wait for engines here'),
                 ('placements_held', 'Places at engines given here'),
                 ('late_event_share', 'First events later than expected here'),
--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -605,6 +605,11 @@
     """Return all events of the catalogue, sorted by number."""
     found = [item for item in globals().values() if isinstance(item, Event)]
     return sorted(found, key=lambda event: event.number)
+REQUEST_UNACCEPTABLE = Event(
+    7089,
+    'INFO',
+    'request {request_id} is refused with {status} for its form: {remedy}',
+)
 
 
 def emit(event, **fields):
--- a/tests/integration/test_entry_long_bodies.py
+++ b/tests/integration/test_entry_long_bodies.py
@@ -136,11 +136,12 @@
     @run
     async def test_length_over_the_limit_is_refused_before_the_body(self):
         async with sites.running_site() as site:
-            async with await site.connect() as caller:
-                await caller.stream.send_all(
-                    make_head('long', 'Content-Length: 4194305')
-                )
-                self.assertEqual(413, (await caller.read_answer()).status)
+            for length in ('4194305', f'{10**19}'):
+                async with await site.connect() as caller:
+                    await caller.stream.send_all(
+                        make_head('long', f'Content-Length: {length}')
+                    )
+                    self.assertEqual(413, (await caller.read_answer()).status)
 
     # Guards against a client that is answered long after its deadline, since
     # the deadline isn't looked at while a body arrives (review/7).
@@ -165,3 +166,21 @@
         while True:
             await stream.send_all(make_chunk(b'slow'))
             await trio.sleep(0.05)
+
+    # Guards against a client that sends its whole body before it reads, and
+    # finds its connection reset in place of the refusal.
+    @run
+    async def test_refusal_is_read_after_a_body_that_is_sent_whole(self):
+        async with sites.running_site() as site:
+            for framing in (
+                'Content-Length: 40000000',
+                'Transfer-Encoding: x',
+            ):
+                async with await site.connect() as caller:
+                    await caller.stream.send_all(make_head('long', framing))
+                    for _ in range(30):
+                        await caller.stream.send_all(100_000 * b'a')
+                        await trio.sleep(0.05)
+                    answer = await caller.read_answer()
+                    self.assertIn(answer.status, (413, 501))
+                    self.assertFalse(await caller.has_more())
