Count what the headers of a request take, and hold them once

Each header also takes the objects that hold it, and each request held its head four times: as h11 parsed it, as the request, as the headers passed on, and as the request to the server.

Change: a header counts as 200 bytes more than its text. The parsed head and the request as it was sent are dropped at once, and headers are passed on as the same objects. What h11 needs to skip a late answer is made anew.

--- a/bluebellthread/entry/_caller_connection.py
+++ b/bluebellthread/entry/_caller_connection.py
@@ -241,6 +241,8 @@
             body=b'',
             received_ms=self._first_byte_ms,
         )
+        # The parsed head takes as much memory again.
+        del head
         # A limit that is lowered meanwhile is for later requests.
         max_bytes = self._control.limits.body_max_bytes
         length_bytes = self._parser.rest_bytes
--- a/bluebellthread/entry/_http_messages.py
+++ b/bluebellthread/entry/_http_messages.py
@@ -23,6 +23,10 @@
 
 TOKEN_SEPARATOR = b','
 
+HEADER_BYTES = 200
+"""What a header takes beside its name and value: the objects that hold it, and
+its place in the request that a server is sent."""
+
 HOST_HEADER = b'host'
 """Passed on even if a ``Connection`` header names it: no request is valid
 without it."""
@@ -90,9 +94,10 @@
 
     @property
     def head_bytes(self):
-        """Memory that the head takes, without what Python adds."""
+        """Memory that the head takes until the request is answered."""
         return len(self.target) + sum(
-            len(name) + len(value) for name, value in self.headers
+            HEADER_BYTES + len(name) + len(value)
+            for name, value in self.headers
         )
 
     @property
@@ -172,11 +177,11 @@
             )
     named.discard(HOST_HEADER)
     return [
-        (name, value)
-        for name, value in headers
-        if name not in CONNECTION_HEADERS
-        and name not in drop
-        and name not in named
+        header
+        for header in headers
+        if header[0] not in CONNECTION_HEADERS
+        and header[0] not in drop
+        and header[0] not in named
     ]
 
 
--- a/bluebellthread/entry/_server_exchange.py
+++ b/bluebellthread/entry/_server_exchange.py
@@ -101,8 +101,7 @@
         self._connection = connection
         self._request_id = request_id
         self._request_id_header = request_id_header
-        self._request = None
-        self._body = b''
+        self._method = b''
         self._conn = None
         self._ended = False
         self._sent_whole = False
@@ -140,12 +139,10 @@
 
         A long body is a piece of its own, so that it is not copied.
         """
-        self._body = body
-        self._request = h11.Request(
-            method=method, target=target, headers=headers
-        )
+        self._method = method
         self._conn = h11.Connection(h11.CLIENT)
-        pieces = [self._conn.send(self._request)]
+        request = h11.Request(method=method, target=target, headers=headers)
+        pieces = [self._conn.send(request)]
         if body:
             pieces += self._conn.send_with_data_passthrough(
                 h11.Data(data=body)
@@ -176,7 +173,7 @@
                 )
             if not echoed or echoed == self._request_id:
                 self.framing = core.find_framing(
-                    head.status, head.headers, method=self._request.method
+                    head.status, head.headers, method=self._method
                 )
                 self._content_type = head.header(b'content-type')
                 if self.framing == core.FRAMED_BY_LENGTH:
@@ -239,9 +236,11 @@
         self._conn = h11.Connection(h11.CLIENT)
         # Put the new h11 connection into the state of waiting for the answer.
         # The request was sent already, so the returned bytes are dropped.
-        self._conn.send(self._request)
-        if self._body:
-            self._conn.send_with_data_passthrough(h11.Data(data=self._body))
+        self._conn.send(
+            h11.Request(
+                method=self._method, target=b'/', headers=[(b'host', b'')]
+            )
+        )
         self._conn.send(h11.EndOfMessage())
         if trailing:
             self._conn.receive_data(trailing)
