Remember request ids in a bounded length

Clients choose the id of a request, as long as a head allows. A pooled connection to a server remembered 128 of them, up to 2 MB; the record of where a stream began was kept with it for 30 s, up to 65,536 of them, and sent to other VMs.

Change: connections remember hashes of ids. Records of streams, and reports of servers that ended, hold a digest in place of an id of more than 64 characters, the same at every VM.

--- a/bluebellthread/core/routing/__init__.py
+++ b/bluebellthread/core/routing/__init__.py
@@ -88,6 +88,7 @@
 from bluebellthread.core.routing._stream_origins import OriginAnswer
 from bluebellthread.core.routing._stream_origins import OriginAsk
 from bluebellthread.core.routing._stream_origins import OriginRecords
+from bluebellthread.core.routing._stream_origins import shorten_attempt_id
 from bluebellthread.core.routing._stream_origins import STREAM_LIFE_MS
 from bluebellthread.core.routing._stream_origins import StreamOrigin
 from bluebellthread.core.routing._stream_origins import StreamsBegan
@@ -193,5 +194,6 @@
     'memory_models',
     'plan_decode_switches',
     'server_choices',
+    'shorten_attempt_id',
     'waiting_orders',
 ]
--- a/bluebellthread/core/routing/_stream_origins.py
+++ b/bluebellthread/core/routing/_stream_origins.py
@@ -6,8 +6,16 @@
 stream asks them. Nothing is persisted.
 """
 
+import hashlib
+
 import attrs
 
+ATTEMPT_ID_MAX_CHARACTERS = 64
+"""Longest id of an attempt that records hold as it is. Callers choose ids, and
+several VMs hold and send each of them."""
+
+DIGEST_BYTES = 16
+
 STREAM_LIFE_MS = 30_000
 """Longest time after its first event in which a stream is taken up again: as
 long as callers commonly wait."""
@@ -88,6 +96,22 @@
     knows_all_versions: bool
 
 
+def shorten_attempt_id(attempt_id):
+    """Return what stands for the id of an attempt in records.
+
+    It is the same at every VM.
+
+    Examples
+    --------
+    >>> shorten_attempt_id('a1'), len(shorten_attempt_id(1000 * 'a'))
+    ('a1', 32)
+    """
+    if len(attempt_id) <= ATTEMPT_ID_MAX_CHARACTERS:
+        return attempt_id
+    data = attempt_id.encode(errors='surrogateescape')
+    return hashlib.blake2b(data, digest_size=DIGEST_BYTES).hexdigest()
+
+
 class OriginRecords:
     """Remember where streams began for as long as they may be taken up again.
 
--- a/bluebellthread/entry/_server_connection.py
+++ b/bluebellthread/entry/_server_connection.py
@@ -21,8 +21,8 @@
 of the memory of the users' smallest VMs."""
 
 CARRIED_REQUESTS_MAX = 128
-"""Most requests of which a connection remembers the ids: some 10 KB of them.
-It is not used again after that many."""
+"""Most requests of which a connection remembers the ids. It is not used again
+after that many."""
 
 
 class ServerUnreachableError(Exception):
@@ -57,18 +57,19 @@
         self.is_new = True
         self.looks_up_keys = False
         self.idle_deadline_ms = 0
-        self._carried_ids = set()
+        # Hashes, since a caller may choose ids as long as a head.
+        self._carried_hashes = set()
 
     def may_carry(self, request_id):
         """Return whether answers to a request can be told from others."""
         return (
-            request_id not in self._carried_ids
-            and len(self._carried_ids) < CARRIED_REQUESTS_MAX
+            hash(request_id) not in self._carried_hashes
+            and len(self._carried_hashes) < CARRIED_REQUESTS_MAX
         )
 
     def note_carried(self, request_id):
         """Note that a request is about to be sent."""
-        self._carried_ids.add(request_id)
+        self._carried_hashes.add(hash(request_id))
 
     def discard(self):
         """Close the connection without a checkpoint."""
--- a/bluebellthread/entry/_server_watch.py
+++ b/bluebellthread/entry/_server_watch.py
@@ -147,7 +147,9 @@
     def _report_end(self, server, check, ended_ms):
         runs = tuple(
             routing.EndedRun(
-                attempt_id=run.attempt_id, parts=run.parts, age_ms=age_ms
+                attempt_id=routing.shorten_attempt_id(run.attempt_id),
+                parts=run.parts,
+                age_ms=age_ms,
             )
             for run, age_ms in check.ages_ms.items()
             if not run.has_survived
--- a/bluebellthread/entry/_stream_origins.py
+++ b/bluebellthread/entry/_stream_origins.py
@@ -113,7 +113,8 @@
     def knows(self, attempt_id):
         """Return whether this VM has the record of a stream."""
         now_ms = _clock.read_clock_ms()
-        return self._records.find(attempt_id, now_ms) is not None
+        record_id = routing.shorten_attempt_id(attempt_id)
+        return self._records.find(record_id, now_ms) is not None
 
     # Telling
 
@@ -121,7 +122,7 @@
         """Note where a stream began, and tell the holders."""
         now_ms = _clock.read_clock_ms()
         origin = routing.StreamOrigin(
-            attempt_id=attempt_id,
+            attempt_id=routing.shorten_attempt_id(attempt_id),
             serves=service,
             software_version=software_version,
             keep_deadline_ms=now_ms + routing.STREAM_LIFE_MS,
@@ -298,7 +299,9 @@
         StreamOrigin or None
         """
         service = services[0]
-        question = routing.OriginAsk(attempt_id=attempt_id, serves=service)
+        question = routing.OriginAsk(
+            attempt_id=routing.shorten_attempt_id(attempt_id), serves=service
+        )
         answers = [self._answer(question, _clock.read_clock_ms())]
         others = [
             member
--- a/tests/unit/test_server_connections.py
+++ b/tests/unit/test_server_connections.py
@@ -1,6 +1,7 @@
 """The pool of connections to backend servers."""
 
 import contextlib
+import tracemalloc
 import unittest
 
 import trio
@@ -146,3 +147,16 @@
                 self.assertEqual(-1, connection.stream.socket.fileno())
 
         trio.run(check)
+
+    # Guards against memory that grows by ids as long as callers choose.
+    def test_connection_remembers_long_ids_in_little_memory(self):
+        connection = _server_connection.ServerConnection(
+            stream=None, address=('127.0.0.1', 1)
+        )
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for number in range(_server_connection.CARRIED_REQUESTS_MAX):
+            connection.note_carried(f'{number}'.ljust(15_000, 'i'))
+        held_bytes, _ = tracemalloc.get_traced_memory()
+        self.assertLess(held_bytes, 64 * 1024)
+        self.assertFalse(connection.may_carry('1'.ljust(15_000, 'i')))
--- a/tests/unit/test_stream_origins.py
+++ b/tests/unit/test_stream_origins.py
@@ -58,6 +58,19 @@
         self.assertEqual(1, len(records))
 
 
+class TestLongIds(unittest.TestCase):
+    # Guards against records, and messages, as long as callers' ids.
+    def test_long_id_is_found_by_what_stands_for_it(self):
+        long = 15_000 * 'i'
+        short = routing.shorten_attempt_id(long)
+        self.assertLessEqual(
+            len(short), _stream_origins.ATTEMPT_ID_MAX_CHARACTERS
+        )
+        self.assertEqual(short, routing.shorten_attempt_id(short))
+        self.assertNotEqual(short, routing.shorten_attempt_id(long + 'i'))
+        self.assertEqual('\xe9a', routing.shorten_attempt_id('\xe9a'))
+
+
 class TestVersionHistory(unittest.TestCase):
     def test_process_that_has_just_started_does_not_know_all(self):
         history = routing.VersionHistory(is_first_start=False)
