Limit the connections for readiness and metrics

Each connection to the ports of the readiness probe and the metrics had limits of its own, and their number had none: 200 of them were all taken.

Change: these ports share 64 connections and 4 MB.

--- a/bluebellthread/entry/_service.py
+++ b/bluebellthread/entry/_service.py
@@ -85,6 +85,12 @@
 CONNECTION_MIN_BYTES = 24 * 1024
 """What an open connection counts for: one that is idle takes 23 KB."""
 
+MONITORING_CONNECTIONS_MAX = 64
+"""Open connections to the ports of the readiness probe and the metrics."""
+
+MONITORING_MEMORY_BYTES = 4 * MB_BYTES
+"""Memory for these connections and their requests."""
+
 RESERVED_FDS = 200
 """Descriptors left for listeners, peers, the store and pooled connections."""
 
@@ -140,6 +146,16 @@
             dialect=dialect,
             memory=_make_client_memory(settings),
         )
+        # A stop does not wait for connections of its own control.
+        self._monitoring_control = _connection_control.ConnectionControl(
+            lambda: self.state.table.limits,
+            bodies_max_bytes=0,
+            memory=core.ClientMemory(
+                MONITORING_MEMORY_BYTES,
+                connections_max=MONITORING_CONNECTIONS_MAX,
+                connection_min_bytes=CONNECTION_MIN_BYTES,
+            ),
+        )
         self._make_peers()
         self._make_tasks(dialect)
         self._make_gateway(dialect)
@@ -464,11 +480,9 @@
         )
 
     async def _serve_monitoring(self, stream):
-        # A stop does not wait for connections of its own control.
-        control = _connection_control.ConnectionControl(
-            lambda: self.state.table.limits
+        await self._serve_connection(
+            stream, self._answer_monitoring, self._monitoring_control
         )
-        await self._serve_connection(stream, self._answer_monitoring, control)
 
     @staticmethod
     async def _serve_connection(stream, handler, control, *, is_of_vm=False):
@@ -514,6 +528,9 @@
         stats.set_gauge('client_connections', memory.open_count)
         stats.set_gauge('clients_cut_off', memory.cut_count)
         stats.set_gauge('connections_refused', memory.refused_count)
+        stats.set_gauge(
+            'requests_unacceptable', self._control.unacceptable_count
+        )
         stats.set_gauge('tasks_failed', _tasks.read_failure_count())
         stats.set_gauge('placements_waiting', sum(item[0] for item in counts))
         stats.set_gauge('placements_held', sum(item[1] for item in counts))
@@ -528,9 +545,6 @@
     async def _prune(self):
         while True:
             await trio.sleep(PRUNE_PERIOD_S)
-        stats.set_gauge(
-            'requests_unacceptable', self._control.unacceptable_count
-        )
             await self._connections.prune()
             await self._hand_on.prune()
 
--- a/tests/integration/test_entry_read_requests.py
+++ b/tests/integration/test_entry_read_requests.py
@@ -236,6 +236,34 @@
             )
 
 
+class TestMonitoringConnections(unittest.TestCase):
+    # Guards against connections for monitoring that use up all descriptors.
+    @run
+    async def test_connections_beyond_the_limit_are_refused(self):
+        async with sites.running_site(plain=('s1',)) as site:
+            port = site.entry.ports['ready_port']
+            async with contextlib.AsyncExitStack() as stack:
+                callers = [
+                    await stack.enter_async_context(
+                        sites.Caller(
+                            await trio.open_tcp_stream('127.0.0.1', port)
+                        )
+                    )
+                    for _ in range(200)
+                ]
+                # It is refused or closed, but the first one is not.
+                await callers[-1].has_more()
+                self.assertFalse(callers[0].stream.socket.is_readable())
+                # A probe takes the place of one that has long been idle.
+                status = None
+                while status != 200:
+                    await trio.sleep(0.05)
+                    stream = await trio.open_tcp_stream('127.0.0.1', port)
+                    async with sites.Caller(stream) as probe:
+                        answer = await probe.call('GET', '/-/ready')
+                        status = answer.status
+
+
 @contextlib.asynccontextmanager
 async def serving(handler):
     """Serve callers with a handler; yield a connection and its control."""
