Give long blocks of memory back to the system

Processes kept several times the memory of what they held after bursts of long bodies of many lengths. When the GNU C library frees a block that it had mapped, it takes blocks of that length from its heap from then on, and short blocks between them leave gaps.

Change: the threshold for mapping stays at 128 KB, where the library begins.

--- a/bluebellthread/platform/__main__.py
+++ b/bluebellthread/platform/__main__.py
@@ -8,6 +8,7 @@
 import attrs
 import trio
 
+from bluebellthread.daemon import _heap
 from bluebellthread.daemon import _tasks
 from bluebellthread.entry import EntryService
 from bluebellthread import observe
@@ -43,6 +44,7 @@
             'no settings file: give --settings or set '
             f'{platform.SETTINGS_VARIABLE}'
         )
+    _heap.keep_mapping_long_blocks()
     observe.start_json_log()
     return trio.run(_run, options)
 
