Bound the texts of log lines, and end lines that were cut

Clients choose ids, hosts and paths, which went into the log whole. A pipe takes a part of a line of more than 4 KB if it is nearly full, so the next line was glued to it and neither could be read.

Change: a text of more than 2,000 characters, the length of a traceback, is cut. After a line of which a part was taken the next one begins on a new line.

--- a/bluebellthread/observe/_events.py
+++ b/bluebellthread/observe/_events.py
@@ -9,6 +9,12 @@
 import attrs
 from loguru import logger
 
+TEXT_MAX_CHARACTERS = 2000
+"""Longest text of a field: that of a traceback. Clients choose ids, hosts and
+paths, which may fill a whole head."""
+
+TEXT_CUT_MARK = '...'
+
 _LOG_FORMAT = '{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level} {message}'
 
 
@@ -599,17 +605,17 @@
     'WARNING',
     'a connection of a client was refused, since {count} are open',
 )
+REQUEST_UNACCEPTABLE = Event(
+    7089,
+    'INFO',
+    'request {request_id} is refused with {status} for its form: {remedy}',
+)
 
 
 def list_events():
     """Return all events of the catalogue, sorted by number."""
     found = [item for item in globals().values() if isinstance(item, Event)]
     return sorted(found, key=lambda event: event.number)
-REQUEST_UNACCEPTABLE = Event(
-    7089,
-    'INFO',
-    'request {request_id} is refused with {status} for its form: {remedy}',
-)
 
 
 def emit(event, **fields):
@@ -619,11 +625,19 @@
     --------
     >>> emit(VM_STOPPED, vm='vm1')
     """
+    fields = {name: _shorten(value) for name, value in fields.items()}
     logger.bind(event=event.number, **fields).log(
         event.level, '{}', event.format_line(**fields)
     )
 
 
+def _shorten(value):
+    """Return a text that is not too long for a line, any other value as is."""
+    if isinstance(value, str) and len(value) > TEXT_MAX_CHARACTERS:
+        return value[:TEXT_MAX_CHARACTERS] + TEXT_CUT_MARK
+    return value
+
+
 def start_log(level='INFO'):
     """Log events of a level and above to standard error as text."""
     logger.remove()
--- a/bluebellthread/observe/_json_log.py
+++ b/bluebellthread/observe/_json_log.py
@@ -38,6 +38,7 @@
         self._refilled_s = read_clock_s()
         self.dropped_count = 0
         self._unreported_count = 0
+        self._is_line_cut = False
 
     def write(self, message):
         """Write a loguru message as one line of JSON, or drop it."""
@@ -57,14 +58,21 @@
 
     def _write_line(self, fields):
         line = json.dumps(fields, default=str, ensure_ascii=False) + '\n'
+        # A text from outside may be no valid Unicode; JSON reads what is
+        # written in place of it as the same text.
+        data = line.encode(errors='backslashreplace')
+        if self._is_line_cut:
+            data = b'\n' + data
         try:
-            # A text from outside may be no valid Unicode; JSON reads what is
-            # written in place of it as the same text.
-            os.write(self._descriptor, line.encode(errors='backslashreplace'))
+            written_bytes = os.write(self._descriptor, data)
         except OSError:
             # The pipe is full or closed. Requests must not wait for the log.
             self._drop()
             return
+        self._is_line_cut = written_bytes < len(data)
+        if self._is_line_cut:
+            self._drop()
+            return
         self._unreported_count = 0
 
     def _consume_line(self):
--- a/tests/unit/test_events.py
+++ b/tests/unit/test_events.py
@@ -2,6 +2,8 @@
 import re
 import unittest
 
+from loguru import logger
+
 from bluebellthread import observe
 
 DOCS = pathlib.Path(__file__).parents[2] / 'docs'
@@ -30,3 +32,21 @@
         page = (DOCS / 'METRICS.md').read_text(encoding='utf-8')
         known = [(item.name, item.kind) for item in observe.list_metrics()]
         self.assertEqual(known, METRIC_ROW.findall(page))
+
+
+class TestEmit(unittest.TestCase):
+    # Guards against log lines as long as what clients send.
+    def test_long_text_is_cut(self):
+        records = []
+        sink = logger.add(lambda message: records.append(message.record))
+        self.addCleanup(logger.remove, sink)
+        observe.emit(
+            observe.events.REQUEST_UNACCEPTABLE,
+            request_id=15_000 * 'i',
+            status=431,
+            remedy='send fewer headers',
+        )
+        (record,) = records
+        self.assertTrue(record['extra']['request_id'].endswith('...'))
+        self.assertLess(len(record['message']), 3000)
+        self.assertEqual(431, record['extra']['status'])
--- a/tests/unit/test_json_log.py
+++ b/tests/unit/test_json_log.py
@@ -55,6 +55,18 @@
         (line,) = self.read_lines()
         self.assertEqual(3, line['dropped_before'])
 
+    # Guards against a line that is glued to a long one, of which a nearly full
+    # pipe has taken a part only.
+    def test_line_after_a_cut_one_is_whole(self):
+        text = 'x' * 5000
+        while not self.sink.dropped_count:
+            self.sink.write(Record(text))
+        data = os.read(self.reader, 1 << 20)
+        self.sink.write(Record('after'))
+        data += os.read(self.reader, 1 << 20)
+        last = data.decode().splitlines()[-1]
+        self.assertEqual('after', json.loads(last)['message'])
+
     def test_sink_does_not_block_on_a_full_pipe(self):
         text = 'x' * 4000
         for _ in range(100):
