Let answers wait for memory, and cut off last who has run

Change: a whole answer of known length waits for 1.5 s at most, its server left unread, before anybody is cut off for it. Clients that hold an answer are cut off after all others.

--- a/bluebellthread/core/_client_memory.py
+++ b/bluebellthread/core/_client_memory.py
@@ -91,7 +91,7 @@
             The time.
         """
         if len(self._shares) >= self.connections_max:
-            self._cut_longest_stalled(now_ms)
+            self._cut_stalled(now_ms)
         if len(self._shares) >= self.connections_max:
             self.refused_count += 1
             return None
@@ -109,21 +109,22 @@
     def find_room(self, share, more_bytes, *, part, now_ms):
         """Return whether a share may grow; cut off stalled clients if needed.
 
-        The client that has been stalled for longest is cut off first; none is
-        if ``now_ms`` is None.
+        Clients whose requests have run are cut off last, and of the others
+        the one that has been stalled for longest first; none is if ``now_ms``
+        is None.
         """
         if share.held_bytes + more_bytes > self.connection_max_bytes:
             return False
         fixed_bytes = self.connection_min_bytes * len(self._shares)
         max_bytes = fixed_bytes + part * (self.size_max_bytes - fixed_bytes)
         while self.used_bytes + more_bytes > max_bytes:
-            if now_ms is None or not self._cut_longest_stalled(
+            if now_ms is None or not self._cut_stalled(
                 now_ms, keep=share, holds=True
             ):
                 return False
         return True
 
-    def _cut_longest_stalled(self, now_ms, *, keep=None, holds=False):
+    def _cut_stalled(self, now_ms, *, keep=None, holds=False):
         stalled = [
             share
             for share in self._shares
@@ -134,8 +135,11 @@
         ]
         if not stalled:
             return False
-        longest = min(stalled, key=lambda share: share.stalled_since_ms)
-        longest.cut()
+        first = min(
+            stalled,
+            key=lambda share: (share.holds_answer, share.stalled_since_ms),
+        )
+        first.cut()
         return True
 
     def forget(self, share):
@@ -165,7 +169,14 @@
         self.stalled_since_ms = None
         self.is_open = True
 
-    def hold(self, kind, size_bytes, *, now_ms, is_optional=False):
+    @property
+    def holds_answer(self):
+        """Whether it holds an answer, so that its request has run."""
+        return bool(self._sizes.get(KIND_ANSWER))
+
+    def hold(
+        self, kind, size_bytes, *, now_ms, is_optional=False, may_cut=True
+    ):
         """Hold a number of bytes of one kind in place of those held before.
 
         Parameters
@@ -179,6 +190,8 @@
         is_optional : bool
             Whether the bytes can wait in the network. No client is cut off
             for them.
+        may_cut : bool
+            Whether stalled clients may be cut off for them.
 
         Raises
         ------
@@ -195,7 +208,7 @@
                 self,
                 more_bytes,
                 part=AHEAD_PART if is_optional else part,
-                now_ms=None if is_optional else now_ms,
+                now_ms=now_ms if may_cut and not is_optional else None,
             ):
                 raise _body_budget.NoMemoryLeftError
         if not self.is_open:
@@ -214,9 +227,10 @@
             return self._sizes.get(kind, 0)
         return self.held_bytes - self._sizes.get(KIND_CONNECTION, 0)
 
-    def add(self, kind, more_bytes, *, now_ms):
+    def add(self, kind, more_bytes, *, now_ms, may_cut=True):
         """Hold more bytes of one kind; raises as `hold` does."""
-        self.hold(kind, self._sizes.get(kind, 0) + more_bytes, now_ms=now_ms)
+        size_bytes = self._sizes.get(kind, 0) + more_bytes
+        self.hold(kind, size_bytes, now_ms=now_ms, may_cut=may_cut)
 
     def release(self, *kinds):
         """Hold nothing of some kinds any more."""
--- a/bluebellthread/entry/_caller_exchange.py
+++ b/bluebellthread/entry/_caller_exchange.py
@@ -23,6 +23,12 @@
 """How many times the bytes of a streamed answer count: the buffer in which an
 event grows is copied as it grows, and again when the event is whole."""
 
+ROOM_WAIT_S = 1.5
+"""How long an answer waits for memory. Servers abort answers that stay unread
+for some seconds."""
+
+ROOM_POLL_S = 0.02
+
 JOINED_BODY_BYTES = 65536
 """Longest body that is sent in one call with the head of its answer."""
 
@@ -42,14 +48,33 @@
 
     def __init__(self, share):
         self._share = share
+        self._awaited_bytes = 0
+
+    async def wait_for_room(self, size_bytes):
+        """Hold memory for the next body, before any of it is read.
+
+        Its server is left unread meanwhile, for `ROOM_WAIT_S` at most: other
+        clients may read their answers in that time, and none is cut off.
+        """
+        self.release(self._awaited_bytes)
+        self._awaited_bytes = 0
+        with trio.move_on_after(ROOM_WAIT_S):
+            while not self._add(size_bytes, may_cut=False):
+                await trio.sleep(ROOM_POLL_S)
+            self._awaited_bytes += size_bytes
 
     def reserve(self, size_bytes, held_bytes=0):
         """Return whether a body may grow to a size; hold it if so."""
+        awaited_bytes, self._awaited_bytes = self._awaited_bytes, 0
+        return self._add(size_bytes - held_bytes - awaited_bytes)
+
+    def _add(self, more_bytes, *, may_cut=True):
         try:
             self._share.add(
                 core.KIND_ANSWER,
-                size_bytes - held_bytes,
+                more_bytes,
                 now_ms=_clock.read_clock_ms(),
+                may_cut=may_cut,
             )
         except core.NoMemoryLeftError:
             return False
@@ -57,7 +82,7 @@
 
     def release(self, held_bytes):
         """Hold a body no longer."""
-        self.reserve(0, held_bytes)
+        self._add(-held_bytes)
 
 
 class CallerExchange:
@@ -89,6 +114,7 @@
         self.status = None
         self.is_complete = False
         self._conn = conn
+        self._parser = parser
         self._stream = stream
         self._control = control
         self._share = share
@@ -114,7 +140,6 @@
         await self._send(*pieces)
         self.is_complete = True
 
-        self._parser = parser
     async def start(self, status, headers):
         """Send the head of a streamed answer."""
         chunked = [*headers, (b'transfer-encoding', b'chunked')]
--- a/bluebellthread/entry/_server_exchange.py
+++ b/bluebellthread/entry/_server_exchange.py
@@ -294,6 +294,8 @@
             If the connection fails, or the body is cut off or exceeds
             `ANSWER_MAX_BYTES`.
         """
+        if memory is not None and self._length_bytes <= ANSWER_MAX_BYTES:
+            await memory.wait_for_room(self._length_bytes)
         body = core.AnswerBody(
             framing=self.framing,
             content_type=self._content_type,
--- a/tests/unit/test_caller_exchange.py
+++ b/tests/unit/test_caller_exchange.py
@@ -55,3 +55,54 @@
         trio.run(send_both)
         self.assertIn(stream.received, (b'commentevent', b'eventcomment'))
         self.assertEqual(0, memory.used_bytes)
+
+
+class TestAnswerMemory(unittest.TestCase):
+    def setUp(self):
+        self.memory = core.ClientMemory(1000)
+        self.other = self.memory.open(lambda held_bytes: None, now_ms=0)
+        self.other.hold(core.KIND_ANSWER, 700, now_ms=0)
+        self.share = self.memory.open(lambda held_bytes: None, now_ms=0)
+        self.answer = _caller_exchange.AnswerMemory(self.share)
+
+    def run_waiting(self, *, wait_s):
+        """Wait for room that another client leaves after a time."""
+
+        async def release():
+            await trio.sleep(wait_s)
+            self.other.release(core.KIND_ANSWER)
+
+        async def wait():
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(release)
+                await self.answer.wait_for_room(600)
+                reserved = self.answer.reserve(600)
+                nursery.cancel_scope.cancel()
+            return reserved
+
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        return trio.run(wait, clock=clock)
+
+    # Guards against answers that are lost, and clients that are cut off, while
+    # others are about to read theirs (review/10).
+    def test_answer_waits_until_another_client_has_read(self):
+        self.assertTrue(self.run_waiting(wait_s=1.0))
+        self.assertEqual(600, self.memory.used_bytes)
+        self.answer.release(600)
+        self.assertEqual(0, self.memory.used_bytes)
+
+    def test_answer_does_not_wait_for_long(self):
+        self.assertFalse(self.run_waiting(wait_s=99.0))
+        self.assertEqual(700, self.memory.used_bytes)
+
+    def test_memory_is_held_once_by_attempts_side_by_side(self):
+        async def wait():
+            self.other.release(core.KIND_ANSWER)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.answer.wait_for_room, 300)
+                nursery.start_soon(self.answer.wait_for_room, 300)
+
+        trio.run(wait)
+        self.assertTrue(self.answer.reserve(300))
+        self.assertTrue(self.answer.reserve(300))
+        self.assertEqual(600, self.memory.used_bytes)
--- a/tests/unit/test_client_memory.py
+++ b/tests/unit/test_client_memory.py
@@ -40,6 +40,25 @@
         with self.assertRaises(core.NoMemoryLeftError):
             shares[1].hold(core.KIND_BODY, 1, now_ms=0)
 
+    # Guards against answers that are lost for requests that have not run.
+    def test_client_whose_request_has_run_is_cut_off_last(self):
+        answered, unread = self.open('answered'), self.open('unread')
+        answered.hold(core.KIND_ANSWER, 5 * SMALL, now_ms=0)
+        answered.stalled_since_ms = 0
+        unread.hold(core.KIND_BODY, 5 * SMALL, now_ms=0)
+        unread.stalled_since_ms = 10
+        new = self.open('new')
+        new.hold(core.KIND_BODY, 5 * SMALL, now_ms=10 + STALL_MS)
+        self.assertEqual([('unread', 5 * SMALL)], self.cut)
+
+    def test_nobody_is_cut_off_while_an_answer_may_wait(self):
+        stalled, new = self.open('stalled'), self.open('new')
+        stalled.hold(core.KIND_ANSWER, 8 * SMALL, now_ms=0)
+        stalled.stalled_since_ms = 0
+        with self.assertRaises(core.NoMemoryLeftError):
+            new.hold(core.KIND_ANSWER, 8 * SMALL, now_ms=9**9, may_cut=False)
+        self.assertEqual([], self.cut)
+
     # Guards against small requests that starve behind large ones.
     def test_part_is_left_to_small_requests(self):
         large = [self.open(name) for name in 'ab']
