Free the answers of failed requests at once

Clients that were cut off left their answers in memory until the garbage was collected: the error of a request was held by the race of its attempts, or by a variable of the frame that passed it on, and its traceback holds both, with all that their frames hold.

--- a/bluebellthread/entry/_attempt_race.py
+++ b/bluebellthread/entry/_attempt_race.py
@@ -249,14 +249,17 @@
         Exception
             The error of the last attempt, if none has answered.
         """
-        self._error = None
         self._is_won = False
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
-            self._start(make, is_follower=False)
-            _tasks.start_joined(nursery, self._watch, make)
-        if not self._is_won:
-            raise self._error
+        try:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                self._start(make, is_follower=False)
+                _tasks.start_joined(nursery, self._watch, make)
+            if not self._is_won:
+                raise self._error
+        finally:
+            # Its traceback holds this race, and answers in its frames.
+            self._error = None
 
     def _start(self, make, *, is_follower):
         attempt = Attempt(
--- a/bluebellthread/entry/_concurrency.py
+++ b/bluebellthread/entry/_concurrency.py
@@ -28,8 +28,12 @@
         except Exception as error:
             raised = error
         nursery.cancel_scope.cancel()
-    if raised is not None:
-        raise raised
+    try:
+        if raised is not None:
+            raise raised
+    finally:
+        # Its traceback holds this frame, and whatever its frames hold.
+        del raised
     return result
 
 
@@ -56,5 +60,9 @@
         except Exception as error:
             raised = error
         nursery.cancel_scope.cancel()
-    if raised is not None:
-        raise raised
+    try:
+        if raised is not None:
+            raise raised
+    finally:
+        # As above.
+        del raised
