Judge a broken run by its own parts only

Change: only the request's own parts are looked at, and none of the reports if these were in fewer ends than make a suspect, or have survived.

--- a/bluebellthread/core/routing/_crash_evidence.py
+++ b/bluebellthread/core/routing/_crash_evidence.py
@@ -356,13 +356,43 @@
 
     def is_suspicious(self, service, parts, now_ms):
         """Return whether a request may be what has ended its engine."""
+        parts = self._list_questionable(service, parts, now_ms)
+        if not parts:
+            return False
         crashes = self._list_unexplained(service, now_ms)
-        suspects = self._find_suspects(service, crashes)
+        suspects = self._find_suspects(service, crashes, only=parts)
         return any(
-            part in suspects
-            and len(suspects[part].crashes) >= SUSPICIOUS_CRASHES
-            and len(suspects[part].attempts) >= ATTEMPTS_MIN
+            len(suspect.crashes) >= SUSPICIOUS_CRASHES
+            and len(suspect.attempts) >= ATTEMPTS_MIN
+            for suspect in suspects.values()
+        )
+
+    def _list_questionable(self, service, parts, now_ms):
+        """Return the parts that may be suspects, without the merged evidence.
+
+        Each request whose run breaks asks for its own parts, a whole engine's
+        at a time.
+        """
+        reported = [
+            part
             for part in parts
+            if self._questioned[service, part] >= SUSPICIOUS_CRASHES
+        ]
+        if not reported:
+            return frozenset()
+        versions = {
+            report.software_version
+            for report in self._reports.values()
+            if report.serves == service
+        }
+        return frozenset(
+            part
+            for part in reported
+            if any(
+                self._find_survival_deadline_ms((service, part, version))
+                <= now_ms
+                for version in versions
+            )
         )
 
     def _list_unexplained(self, service, ended_by_ms):
@@ -374,12 +404,19 @@
             and not self._is_explained(service, crash)
         ]
 
-    def _find_suspects(self, service, crashes):
-        """Return a `_Suspect` for each part that has not survived."""
+    def _find_suspects(self, service, crashes, only=None):
+        """Return a `_Suspect` for each part that has not survived.
+
+        Parameters
+        ----------
+        only : frozenset of str or None
+            The parts to look at; None for all.
+        """
         suspects = collections.defaultdict(_Suspect)
         for crash in crashes:
             for run in crash.runs:
-                for part in set(run.parts):
+                parts = set(run.parts)
+                for part in parts if only is None else parts & only:
                     if self._is_acquitted(service, part, crash):
                         continue
                     suspect = suspects[part]
--- a/tests/unit/test_crash_evidence.py
+++ b/tests/unit/test_crash_evidence.py
@@ -1,6 +1,7 @@
 import collections
 import random
 import unittest
+from unittest import mock
 
 import attrs
 
@@ -205,6 +206,29 @@
         self.end_under(1)
         self.assertTrue(self.evidence.is_suspicious('s', ('=1',), self.now_ms))
 
+    # Guards against a VM that stands still as a server ends, since each of its
+    # requests there goes through all evidence (review/8).
+    def test_requests_that_are_not_suspicious_cost_no_look_at_all_evidence(
+        self,
+    ):
+        for number in range(5):
+            runs = [
+                make_run(
+                    f'a{number}-{index}', 'shared', f'own{number}-{index}'
+                )
+                for index in range(48)
+            ]
+            self.survive('shared')
+            self.end(*runs)
+        with mock.patch.object(
+            self.evidence, '_merge_reports', side_effect=AssertionError
+        ):
+            for index in range(48):
+                parts = ('shared', f'own4-{index}', 'new')
+                self.assertFalse(
+                    self.evidence.is_suspicious('s', parts, self.now_ms)
+                )
+
     def test_requests_displace_no_parts(self):
         self.survive('f0')
         for number in range(30_000):
