--- a/bluebellthread/entry/_request_parser.py
+++ b/bluebellthread/entry/_request_parser.py
@@ -2,8 +2,7 @@
 
 h11 checks and frames the messages. It gets whole heads without the characters
 that make its patterns take time by the square of a line's length, and bodies
-without chunks, since it takes a hundred times as long for a short chunk as
-for its bytes.
+without chunks, since it makes an event of each, however short.
 """
 
 import re
