Send crowds of clients that misbehave in the soak

Cause: the soak's clients all send whole requests, so nothing there shows what a crowd does while other faults are injected.

Change: the fault clients-crowd has twelve clients send short chunks, blanks, endless extensions and trailers, many headers or bodies over the limit to one or two VMs; a check reads the peak memory of each process against its VM's 150 MB.

--- a/tests/soak/_checks.py
+++ b/tests/soak/_checks.py
@@ -6,6 +6,7 @@
 
 from standin import site as site_standins
 from tests.soak import _callers
+from tests.soak import _crowds
 from tests.soak import _site
 
 STARTED_EVENT = 7001
@@ -99,6 +100,7 @@
     broken += check_cut_paths(site, callers)
     broken += check_deadly_prompts(site, callers)
     broken += check_news(site)
+    broken += _crowds.check_memory(site)
     broken += check_recovery(callers, quiet_since_s)
     return broken
 
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -10,6 +10,7 @@
 from bluebellthread.core import _registry
 from bluebellthread.core import _revision_topology
 from standin import _proxy
+from tests.soak import _crowds
 from tests.soak import _site
 
 faults = _registry.Registry('fault')
@@ -520,6 +521,14 @@
     await _send_deadly(site, make_call)
 
 
+@faults.register('clients-crowd')
+async def send_crowd(site):
+    """Send a crowd of clients that misbehave to one or two VMs."""
+    async with trio.open_nursery() as nursery:
+        for vm in site.rng.sample(site.vms, site.rng.randint(1, 2)):
+            nursery.start_soon(_crowds.run_crowd, vm, site.rng)
+
+
 @faults.register('config-change')
 async def change_configuration(site):
     """Publish one to five configuration versions in quick succession."""
--- a/tests/soak/_site.py
+++ b/tests/soak/_site.py
@@ -22,6 +22,9 @@
 
 HOST = 'calls.example'
 DATA_CENTRES = ('cluj-a', 'brasov-b')
+MEMORY_MB = 150
+"""Memory of a VM, as on the users' smaller machines."""
+
 HEARTBEAT_MS = 1200
 STOP_GRACE_S = 8
 BOUNDS = {
@@ -236,7 +239,7 @@
             'internalPorts': [self.ports['peer'], self.ports['peer'] + 1],
             'seedNodes': [f'{host}:1' for host in self._seeds],
             'heartbeatMs': HEARTBEAT_MS,
-            'limits': {'memoryMb': 150, 'fdLimit': 4100},
+            'limits': {'memoryMb': MEMORY_MB, 'fdLimit': 4100},
             'bounds': self.bounds,
             'platform': {'address': store},
         }
