Read what a head takes, and its deadline, once a request

Cause: both were read for each part of a body. With thousands of headers that takes longer than the part itself: a second way for short chunks to cost time.

Change: the connection keeps both from the head on. A timeout that changes while a body arrives is for later requests, like the limits.

Result: the tests of bodies and of reading requests pass as before.

--- a/bluebellthread/entry/_caller_connection.py
+++ b/bluebellthread/entry/_caller_connection.py
@@ -8,6 +8,7 @@
 
 import contextlib
 import functools
+import math
 
 import attrs
 import h11
@@ -65,6 +66,8 @@
         self._parser = _request_parser.RequestParser(self._conn)
         self._first_byte_ms = None
         self._request = None
+        self._head_bytes = 0
+        self._deadline_ms = math.inf
         self._announced = core.BodyReservation(control.length_budget)
         self._arrived = core.BodyReservation(control.body_budget)
 
@@ -189,12 +192,9 @@
         StopTooNearError
             If the process stops too soon to serve the request.
         """
-        deadline_ms = _clock.read_clock_ms() + BODY_TIMEOUT_MS
-        if not self._is_of_vm:
-            # Another VM keeps the deadline of what it hands on.
-            deadline_ms = min(
-                deadline_ms, self._control.find_deadline_ms(request)
-            )
+        deadline_ms = min(
+            _clock.read_clock_ms() + BODY_TIMEOUT_MS, self._deadline_ms
+        )
         is_read = False
         with self._reading_until(request, deadline_ms):
             yield
@@ -243,6 +243,12 @@
         )
         # The parsed head takes as much memory again.
         del head
+        # Read once, since a head may have thousands of headers, and a body as
+        # many parts.
+        self._head_bytes = request.head_bytes
+        if not self._is_of_vm:
+            # Another VM keeps the deadline of what it hands on.
+            self._deadline_ms = self._control.find_deadline_ms(request)
         # A limit that is lowered meanwhile is for later requests.
         max_bytes = self._control.limits.body_max_bytes
         length_bytes = self._parser.rest_bytes
@@ -279,7 +285,7 @@
     def _hold_body(self, size_bytes):
         self._share.hold(
             core.KIND_BODY,
-            size_bytes + self._request.head_bytes,
+            size_bytes + self._head_bytes,
             now_ms=_clock.read_clock_ms(),
         )
 
--- a/bluebellthread/entry/_concurrency.py
+++ b/bluebellthread/entry/_concurrency.py
@@ -64,5 +64,5 @@
         if raised is not None:
             raise raised
     finally:
-        # As above.
+        # As in `run_beside`.
         del raised
