--- a/tests/integration/test_entry_crowds.py
+++ b/tests/integration/test_entry_crowds.py
@@ -2,7 +2,7 @@
 
 Each test starts the real program with lowered limits, as in
 test_entry_floods. The crowds and the bounds were set on the code of c99f665;
-the comment at each test tells what it showed there.
+docs/design/memory-for-clients.md has what they showed there.
 """
 
 import contextlib
