Correct the example of ChunkedDecoder

The code is right: the count includes the part of the second chunk that has arrived.

Change: the number in the example.

--- a/bluebellthread/core/_chunked_body.py
+++ b/bluebellthread/core/_chunked_body.py
@@ -45,7 +45,7 @@
     --------
     >>> decoder = ChunkedDecoder()
     >>> decoder.decode(bytearray(b'1;x=y\r\na\r\n2\r\nbc'))
-    (b'abc', 13)
+    (b'abc', 15)
     >>> decoder.decode(bytearray(b'\r\n0\r\n\r\n'))
     (b'', 5)
     >>> decoder.is_at_trailers
